--- /dev/null
+++ b/pkg/types/verdict.go
@@ -0,0 +1,172 @@
+package types
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have run. It speaks for the whole history
+// of the request: every attempt and every hop.
+type Verdict uint8
+
+// The verdicts, in growing order of what may have happened. Merging two
+// verdicts takes the larger one.
+const (
+	// NotRun: no endpoint has run any part of the request.
+	NotRun Verdict = iota
+	// MayHaveRun: an endpoint may have run the request, wholly or partly.
+	MayHaveRun
+	// Ran: an endpoint ran the request and its whole answer was received.
+	Ran
+)
+
+var verdictNames = [...]string{"not-run", "may-have-run", "ran"}
+
+// String returns "not-run", "may-have-run" or "ran".
+func (v Verdict) String() string {
+	if int(v) >= len(verdictNames) {
+		return fmt.Sprintf("verdict(%d)", uint8(v))
+	}
+	return verdictNames[v]
+}
+
+// MarshalText writes the verdict's name.
+func (v Verdict) MarshalText() ([]byte, error) {
+	return []byte(v.String()), nil
+}
+
+// UnmarshalText reads the verdict's name.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, name := range verdictNames {
+		if name == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown verdict %q", text)
+}
+
+// Merge returns the verdict of a history that contains both v and other.
+func (v Verdict) Merge(other Verdict) Verdict {
+	return max(v, other)
+}
+
+// Code is a stable machine-readable reason of a failure.
+type Code string
+
+// The failure codes that callers see in the "code" field of an error body.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeUnauthenticated  Code = "unauthenticated"
+	CodeForbidden        Code = "forbidden"
+	CodeUnknownService   Code = "unknown_service"
+	CodeTooLarge         Code = "too_large"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeOverloaded       Code = "overloaded"
+	CodeNoEndpoint       Code = "no_endpoint"
+	CodeResidency        Code = "wrong_region"
+	CodeLoop             Code = "loop_refused"
+	CodeQuarantined      Code = "quarantined"
+	CodeOwnerUnknown     Code = "owner_unknown"
+	CodeOwnerGone        Code = "owner_gone"
+	CodeInProgress       Code = "in_progress"
+	CodeKeyReused        Code = "key_reused"
+	CodeDraining         Code = "draining"
+	CodeNotReady         Code = "not_ready"
+	CodeEndpointFailed   Code = "endpoint_failed"
+	CodeAnswerIncomplete Code = "answer_incomplete"
+	CodeCallerGone       Code = "caller_gone"
+	CodeInternal         Code = "internal"
+)
+
+// Failure is the error that ends a request: why, with which verdict, and what
+// the caller may do about it.
+type Failure struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Code is the machine-readable reason.
+	Code Code
+	// Status is the HTTP status sent to the caller.
+	Status int
+	// Message is one plain sentence for the caller; it holds no prompt and no
+	// credential.
+	Message string
+	// RetryAfter is how long the caller should wait before it sends again;
+	// zero means that no advice is given.
+	RetryAfter time.Duration
+	// Entries names other entries that may serve the request, best first.
+	Entries []VMID
+	// Cause is the underlying error, for logs only; it may be nil.
+	Cause error
+}
+
+var _ error = (*Failure)(nil)
+
+// NewFailure builds a failure with the usual HTTP status of its code.
+func NewFailure(verdict Verdict, code Code, message string) *Failure {
+	return &Failure{Verdict: verdict, Code: code, Status: StatusOf(code), Message: message}
+}
+
+// Error returns code, verdict and message.
+func (f *Failure) Error() string {
+	text := fmt.Sprintf("%s (%s): %s", f.Code, f.Verdict, f.Message)
+	if f.Cause != nil {
+		text += ": " + f.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the underlying error.
+func (f *Failure) Unwrap() error {
+	return f.Cause
+}
+
+// AsFailure returns the failure inside err. An error of any other type becomes
+// an internal failure with the verdict MayHaveRun, the safe assumption.
+func AsFailure(err error) *Failure {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	failure = NewFailure(MayHaveRun, CodeInternal, "internal error")
+	failure.Cause = err
+	return failure
+}
+
+// statusByCode holds HTTP status codes as plain numbers: this package imports
+// no network package.
+var statusByCode = map[Code]int{
+	CodeBadRequest:       400,
+	CodeUnauthenticated:  401,
+	CodeForbidden:        403,
+	CodeUnknownService:   404,
+	CodeTooLarge:         413,
+	CodeDeadline:         504,
+	CodeOverloaded:       429,
+	CodeNoEndpoint:       503,
+	CodeResidency:        421,
+	CodeLoop:             508,
+	CodeQuarantined:      422,
+	CodeOwnerUnknown:     503,
+	CodeOwnerGone:        409,
+	CodeInProgress:       409,
+	CodeKeyReused:        422,
+	CodeDraining:         503,
+	CodeNotReady:         503,
+	CodeEndpointFailed:   502,
+	CodeAnswerIncomplete: 502,
+	CodeCallerGone:       499,
+	CodeInternal:         statusInternal,
+}
+
+const statusInternal = 500
+
+// StatusOf returns the usual HTTP status of a code; 500 for an unknown one.
+func StatusOf(code Code) int {
+	status, ok := statusByCode[code]
+	if !ok {
+		return statusInternal
+	}
+	return status
+}
