--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -56,4 +56,3 @@
 	Header  Header
 	Body    []byte
 }
-
