Add the stages ingress, dispatch and relay

Change: ingress identifies and refuses before the body is read; dispatch makes attempts and judges them in outcome.Judge; relay passes whole answers and streams on.

--- /dev/null
+++ b/pkg/stage/dispatch/attempt.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// attempt is one try at one endpoint or one other daemon.
+type attempt struct {
+	run      *run
+	id       types.AttemptID
+	endpoint *snapshot.Endpoint
+	region   types.Region
+	evidence outcome.Evidence
+	kind     Kind
+	started  time.Time
+	begun    time.Time
+	tokens   int
+
+	// mu guards conn, which the transport's goroutines set.
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+func newAttempt(r *run, decision route.Decision) *attempt {
+	a := &attempt{
+		run:      r,
+		id:       newAttemptID(r.d.opts.Rand),
+		endpoint: decision.Endpoint,
+		region:   decision.Region,
+		started:  r.d.opts.Now(),
+	}
+	a.evidence.RefusalMeansNotRun = r.req.Service.RefusalMeansNotRun
+	if a.endpoint != nil {
+		a.region = a.endpoint.Region
+	}
+	a.evidence.Peer = a.endpoint == nil
+	return a
+}
+
+// newAttemptID draws an ID of 128 bits.
+func newAttemptID(random route.Rand) types.AttemptID {
+	const base, digits = 16, 32
+	id := make([]byte, 0, digits+1)
+	id = strconv.AppendUint(id, random.Uint64(), base)
+	id = append(id, '-')
+	return types.AttemptID(strconv.AppendUint(id, random.Uint64(), base))
+}
+
+func (a *attempt) version() types.ModelVersion {
+	if a.endpoint == nil {
+		return a.run.req.Version
+	}
+	return a.endpoint.Version
+}
+
+func (a *attempt) verdict() types.Verdict {
+	return outcome.Judge(a.evidence)
+}
+
+// do makes the attempt and relays its answer.
+func (a *attempt) do(ctx context.Context) *types.Failure {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer a.observe()()
+	outgoing, failure := a.build(ctx)
+	if failure != nil {
+		return failure
+	}
+	response, err := a.transport().RoundTrip(outgoing)
+	a.noteConnection()
+	if err != nil {
+		return a.failTransport(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	a.begun = a.run.d.opts.Now()
+	a.noteHead(response)
+	if !a.evidence.Echoed {
+		a.dropConnection()
+		return a.invalid(errNotEchoed)
+	}
+	return a.pass(response, cancel)
+}
+
+// observe tells the observer about start and end, and counts the attempt.
+func (a *attempt) observe() func() {
+	done := count(a.endpoint)
+	observer := a.run.d.opts.Observer
+	if observer != nil {
+		observer.AttemptStarted(a.run.req, a.endpoint)
+	}
+	return func() {
+		done()
+		if observer != nil {
+			observer.AttemptEnded(a.report())
+		}
+	}
+}
+
+func (a *attempt) report() Report {
+	return Report{
+		Request:   a.run.req,
+		Endpoint:  a.endpoint,
+		Region:    a.region,
+		Attempt:   a.id,
+		Kind:      a.kind,
+		Verdict:   a.verdict(),
+		Status:    a.evidence.Status,
+		Started:   a.started,
+		FirstByte: a.begun,
+		Ended:     a.run.d.opts.Now(),
+		Tokens:    a.tokens,
+	}
+}
+
+func (a *attempt) transport() http.RoundTripper {
+	opts := &a.run.d.opts
+	switch {
+	case !a.run.req.Repeatable:
+		return opts.FreshTransport
+	case a.endpoint == nil:
+		return opts.PeerTransport
+	default:
+		return opts.Transport
+	}
+}
+
+// build makes the outgoing request.
+func (a *attempt) build(ctx context.Context) (*http.Request, *types.Failure) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	outgoing, failure := a.head(ctx)
+	if failure != nil {
+		a.kind = KindConnectFailed
+		return nil, failure
+	}
+	guardReplay(outgoing, a.run.req.Body)
+	outgoing.Header.Set(types.HeaderAttemptID, string(a.id))
+	if a.run.tokens > 0 {
+		outgoing.Header.Set(types.HeaderResumeOffset, strconv.Itoa(a.run.tokens))
+	}
+	return outgoing, nil
+}
+
+func (a *attempt) head(ctx context.Context) (*http.Request, *types.Failure) {
+	if a.endpoint != nil {
+		return endpointHead(ctx, a.run.req, a.endpoint, a.run.d.opts.Now()), nil
+	}
+	if a.run.d.opts.Forwarder == nil {
+		return nil, types.NewFailure(types.NotRun, types.CodeNoEndpoint, "no endpoint of the service is available here")
+	}
+	return a.run.d.opts.Forwarder.Prepare(ctx, a.run.req, a.region, a.id)
+}
+
+// gotConn is called by the transport once it has a connection and before it
+// writes to it.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = info.Conn
+}
+
+// noteConnection takes into the evidence whether a connection was obtained.
+func (a *attempt) noteConnection() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.evidence.Progress = max(a.evidence.Progress, outcome.Connected)
+	}
+}
+
+// dropConnection closes the connection, so that nothing that is still on its
+// way over it can be taken for another answer.
+func (a *attempt) dropConnection() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
+
+// noteHead takes the head of the response into the evidence.
+func (a *attempt) noteHead(response *http.Response) {
+	header := response.Header
+	a.evidence.Progress = outcome.ResponseBegun
+	a.evidence.Status = response.StatusCode
+	a.evidence.Echoed = header.Get(types.HeaderAttemptID) == string(a.id)
+	a.evidence.Leaving = header.Get(types.HeaderLeaving) == "true"
+	stated := header.Get(types.HeaderVerdict)
+	if a.evidence.Peer && stated != "" {
+		err := a.evidence.PeerVerdict.UnmarshalText([]byte(stated))
+		a.evidence.PeerStated = err == nil
+	}
+	if a.endpoint != nil {
+		header.Set(types.HeaderServedBy, string(a.endpoint.ID))
+	}
+}
--- /dev/null
+++ b/pkg/stage/dispatch/dispatch.go
@@ -0,0 +1,136 @@
+// Package dispatch runs a request: it asks the router for an endpoint, makes an
+// attempt there, judges it, and tries again where that is safe and allowed.
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Retrier decides whether a failed attempt is followed by another one. It is
+// asked only when repeating the request is safe. Safe for concurrent use.
+type Retrier interface {
+	Retry(in RetryInput) RetryDecision
+}
+
+// RetryInput is everything that the decision to retry depends on.
+type RetryInput struct {
+	Request *request.Request
+	// Attempts is the number of attempts made so far, at least one.
+	Attempts int
+	// Failure is the failure of the last attempt.
+	Failure *types.Failure
+	Now     time.Time
+}
+
+// RetryDecision is the answer to RetryInput.
+type RetryDecision struct {
+	Retry bool
+	// Delay is the wait before the next attempt.
+	Delay time.Duration
+}
+
+// Observer learns what happened to attempts. Its methods are called from the
+// request's goroutine and must not block. Safe for concurrent use.
+type Observer interface {
+	// AttemptStarted is called before a connection is sought.
+	AttemptStarted(req *request.Request, endpoint *snapshot.Endpoint)
+	// AttemptEnded is called once for each started attempt.
+	AttemptEnded(report Report)
+}
+
+// Forwarder sends a request to an entry of another region.
+type Forwarder interface {
+	// Prepare returns the request for an entry of the region, without its
+	// body. Its failures have the verdict NotRun.
+	Prepare(ctx context.Context, req *request.Request, region types.Region, attempt types.AttemptID) (*http.Request, *types.Failure)
+}
+
+// Options configures a Dispatcher.
+type Options struct {
+	Router   route.Router
+	Snapshot func() *snapshot.Snapshot
+	// Retrier may be nil: then nothing is retried.
+	Retrier Retrier
+	// Observer may be nil.
+	Observer Observer
+	// Forwarder may be nil: then nothing is sent to another region.
+	Forwarder Forwarder
+	// Transport runs attempts of repeatable requests; nil means
+	// NewTransport(false).
+	Transport http.RoundTripper
+	// FreshTransport runs attempts of requests that may not be repeated, each
+	// on a connection of its own; nil means NewTransport(true).
+	FreshTransport http.RoundTripper
+	// PeerTransport runs attempts at other daemons; nil means Transport.
+	PeerTransport http.RoundTripper
+	Limits        relay.Limits
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Rand must be safe for concurrent use.
+	Rand route.Rand
+}
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	opts Options
+}
+
+// New returns a dispatcher.
+func New(opts Options) *Dispatcher {
+	if opts.Transport == nil {
+		opts.Transport = NewTransport(false)
+	}
+	if opts.FreshTransport == nil {
+		opts.FreshTransport = NewTransport(true)
+	}
+	if opts.PeerTransport == nil {
+		opts.PeerTransport = opts.Transport
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	opts.Limits = opts.Limits.WithDefaults()
+	return &Dispatcher{opts: opts}
+}
+
+// Summary tells how a request ended.
+type Summary struct {
+	Verdict  types.Verdict
+	Attempts int
+	// Endpoint is the endpoint of the last attempt; empty if there was none.
+	Endpoint types.EndpointID
+	// Region is the region of the last attempt.
+	Region types.Region
+	// Attempt is the ID of the last attempt.
+	Attempt types.AttemptID
+	// Tokens is the number of token events passed on.
+	Tokens int
+	// Failure is nil when the whole answer was passed on.
+	Failure *types.Failure
+}
+
+// Run runs the request and writes its answer or its failure to the caller. It
+// returns after the last byte was written.
+func (d *Dispatcher) Run(ctx context.Context, req *request.Request, caller *relay.Caller) Summary {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	run := &run{d: d, req: req, caller: caller, ctx: ctx}
+	failure := run.loop(ctx)
+	summary := run.summary
+	summary.Verdict = run.verdict
+	if failure != nil {
+		failure = run.finalFailure(failure)
+		summary.Verdict = failure.Verdict
+		summary.Failure = failure
+		caller.Fail(failure)
+	}
+	return summary
+}
--- /dev/null
+++ b/pkg/stage/dispatch/head.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// plainPathPrefix is the path under which callers reach plain services.
+const plainPathPrefix = "/v1/services/"
+
+// privateHeaders are caller's fields that do not go to endpoints.
+var privateHeaders = []string{
+	"Authorization", "Content-Length", "Expect", "Host",
+	types.HeaderRank, types.HeaderTicket, types.HeaderPath, types.HeaderRevision,
+	types.HeaderVerdict, types.HeaderFencing, types.HeaderResumeOffset,
+	types.HeaderAttemptID, types.HeaderLeaving, types.HeaderServedBy, types.HeaderService,
+}
+
+// endpointHead returns the request for an endpoint, still without its body.
+func endpointHead(ctx context.Context, req *request.Request, endpoint *snapshot.Endpoint, now time.Time) *http.Request {
+	target := &url.URL{
+		Scheme:   "http",
+		Host:     endpoint.Address,
+		Path:     endpointPath(req),
+		RawQuery: req.Query,
+	}
+	header := CallerHeader(req)
+	header[types.HeaderRequestID] = []string{string(req.ID)}
+	header[types.HeaderPriority] = []string{strconv.Itoa(int(req.Rank))}
+	left := max(req.Deadline.Sub(now).Milliseconds(), 1)
+	header[types.HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
+	outgoing := &http.Request{
+		Method:     req.Method,
+		URL:        target,
+		Host:       endpoint.Address,
+		Header:     header,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+	return outgoing.WithContext(ctx)
+}
+
+// CallerHeader returns the caller's fields that may go on: none that holds for
+// one connection only, names a credential or is the daemon's own to set.
+func CallerHeader(req *request.Request) http.Header {
+	const ownFields = 6
+	header := make(http.Header, len(req.Header)+ownFields)
+	for name, values := range req.Header {
+		header[name] = values
+	}
+	relay.RemoveHopHeaders(header)
+	for _, name := range privateHeaders {
+		delete(header, name)
+	}
+	return header
+}
+
+// endpointPath strips the prefix that selects a plain service.
+func endpointPath(req *request.Request) string {
+	if req.Service.Kind != published.KindPlain {
+		return req.URLPath
+	}
+	rest := strings.TrimPrefix(req.URLPath, plainPathPrefix+string(req.Service.Name))
+	if !strings.HasPrefix(rest, "/") {
+		return "/" + rest
+	}
+	return rest
+}
--- /dev/null
+++ b/pkg/stage/dispatch/outcome/outcome.go
@@ -0,0 +1,96 @@
+// Package outcome decides what one attempt at an endpoint means for the
+// request: whether it may have run there. It is the only place that turns how
+// far an attempt got into a verdict.
+package outcome
+
+import "github.com/flamingomount/flamingomount/pkg/types"
+
+// Progress is how far an attempt got.
+type Progress uint8
+
+// The steps of an attempt, in order.
+const (
+	// NotConnected: no connection to the endpoint was obtained.
+	NotConnected Progress = iota
+	// Connected: a connection was obtained, so bytes may have been written.
+	Connected
+	// ResponseBegun: the head of the response arrived.
+	ResponseBegun
+	// ResponseWhole: the response arrived to its proper end.
+	ResponseWhole
+)
+
+// HTTP status codes as plain numbers: this package imports no network package.
+const (
+	statusTooManyRequests    = 429
+	statusInternalError      = 500
+	statusServiceUnavailable = 503
+)
+
+// Evidence is everything that the verdict on one attempt depends on.
+type Evidence struct {
+	Progress Progress
+	// Status is the HTTP status; zero until the response began.
+	Status int
+	// Echoed is true when the response carried the attempt's own ID. A
+	// response without it proves nothing.
+	Echoed bool
+	// Leaving is true when the response said that the endpoint is leaving.
+	Leaving bool
+	// RefusalMeansNotRun is the service's published promise about 503.
+	RefusalMeansNotRun bool
+	// Peer is true when another daemon answered; PeerVerdict is then the
+	// verdict that it stated, if PeerStated is true.
+	Peer        bool
+	PeerStated  bool
+	PeerVerdict types.Verdict
+}
+
+// Judge returns the verdict on one attempt.
+func Judge(e Evidence) types.Verdict {
+	if e.Progress == NotConnected {
+		return types.NotRun
+	}
+	if e.Progress < ResponseBegun || !e.Echoed {
+		return types.MayHaveRun
+	}
+	if e.Peer {
+		return judgePeer(e)
+	}
+	if e.Status == statusServiceUnavailable && (e.Leaving || e.RefusalMeansNotRun) {
+		return types.NotRun
+	}
+	if e.Progress == ResponseWhole && !IsFailure(e.Status) {
+		return types.Ran
+	}
+	return types.MayHaveRun
+}
+
+// judgePeer trusts a peer that says "not run"; a peer's "ran" counts only when
+// its whole answer arrived.
+func judgePeer(e Evidence) types.Verdict {
+	switch {
+	case !e.PeerStated:
+		if e.Progress == ResponseWhole && !IsFailure(e.Status) {
+			return types.Ran
+		}
+		return types.MayHaveRun
+	case e.PeerVerdict == types.Ran && e.Progress != ResponseWhole:
+		return types.MayHaveRun
+	default:
+		return e.PeerVerdict
+	}
+}
+
+// IsFailure reports whether an endpoint's status says that the endpoint, and
+// not the request, is at fault.
+func IsFailure(status int) bool {
+	return status == statusTooManyRequests || status >= statusInternalError
+}
+
+// MayRepeat reports whether a request may be sent again after a history with
+// this verdict. A request that runs at most once is repeated only when it
+// certainly did not run.
+func MayRepeat(repeatable bool, history types.Verdict) bool {
+	return history == types.NotRun || (repeatable && history == types.MayHaveRun)
+}
--- /dev/null
+++ b/pkg/stage/dispatch/run.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// maxAttempts bounds the attempts of one request, whatever the retrier says.
+const maxAttempts = 8
+
+// run is one request on its way through its attempts.
+type run struct {
+	d      *Dispatcher
+	req    *request.Request
+	caller *relay.Caller
+	// ctx ends with the request's deadline or its caller.
+	ctx     context.Context
+	tried   []types.EndpointID
+	verdict types.Verdict
+	summary Summary
+	// tokens is how many token events the caller has received.
+	tokens int
+	// version is the version that the stream so far came from.
+	version types.ModelVersion
+}
+
+// loop makes attempts until one succeeds or none may follow.
+func (r *run) loop(ctx context.Context) *types.Failure {
+	var last *types.Failure
+	for {
+		decision, failure := r.route()
+		if failure != nil {
+			return firstFailure(last, failure)
+		}
+		last = r.attempt(ctx, decision)
+		if last == nil {
+			return nil
+		}
+		if !r.again(ctx, last) {
+			return last
+		}
+	}
+}
+
+// firstFailure keeps the endpoint's failure when the router has nothing left
+// to offer after it.
+func firstFailure(last, routing *types.Failure) *types.Failure {
+	if last != nil {
+		return last
+	}
+	return routing
+}
+
+func (r *run) route() (route.Decision, *types.Failure) {
+	req := r.req
+	if r.tokens > 0 && req.Version != r.version {
+		pinned := *req
+		pinned.Version = r.version
+		req = &pinned
+	}
+	return r.d.opts.Router.Route(route.Input{
+		Request:  req,
+		Snapshot: r.d.opts.Snapshot(),
+		Tried:    r.tried,
+		Now:      r.d.opts.Now(),
+		Rand:     r.d.opts.Rand,
+	})
+}
+
+// attempt makes one attempt and relays its answer.
+func (r *run) attempt(ctx context.Context, decision route.Decision) *types.Failure {
+	a := newAttempt(r, decision)
+	r.note(a)
+	failure := a.do(ctx)
+	r.verdict = r.verdict.Merge(a.verdict())
+	r.tokens += a.tokens
+	r.summary.Tokens = r.tokens
+	if a.tokens > 0 {
+		r.version = a.version()
+	}
+	return failure
+}
+
+func (r *run) note(a *attempt) {
+	r.summary.Attempts++
+	r.summary.Attempt = a.id
+	r.summary.Region = a.region
+	r.summary.Endpoint = ""
+	if a.endpoint != nil {
+		r.summary.Endpoint = a.endpoint.ID
+		r.tried = append(r.tried, a.endpoint.ID)
+	}
+}
+
+// again decides whether another attempt follows and waits until it is due.
+func (r *run) again(ctx context.Context, failure *types.Failure) bool {
+	if ctx.Err() != nil || r.caller.Broken() || r.d.opts.Retrier == nil {
+		return false
+	}
+	if r.summary.Attempts >= maxAttempts || !outcome.MayRepeat(r.req.Repeatable, r.verdict) {
+		return false
+	}
+	if r.caller.Committed() && r.tokens == 0 {
+		return false
+	}
+	decision := r.d.opts.Retrier.Retry(RetryInput{
+		Request:  r.req,
+		Attempts: r.summary.Attempts,
+		Failure:  failure,
+		Now:      r.d.opts.Now(),
+	})
+	return decision.Retry && wait(ctx, decision.Delay)
+}
+
+// wait waits and reports whether ctx is still alive.
+func wait(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// finalFailure gives the last failure the verdict of the whole history.
+func (r *run) finalFailure(failure *types.Failure) *types.Failure {
+	final := *failure
+	final.Verdict = r.verdict.Merge(failure.Verdict)
+	return &final
+}
+
+// contextFailure tells a passed deadline from a caller that went away.
+func contextFailure(ctx context.Context, verdict types.Verdict) *types.Failure {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return types.NewFailure(verdict, types.CodeDeadline, "the deadline passed before the answer was complete")
+	}
+	return types.NewFailure(verdict, types.CodeCallerGone, "the caller closed its connection")
+}
+
+// count keeps the daemon's own counters of an endpoint.
+func count(endpoint *snapshot.Endpoint) func() {
+	if endpoint == nil || endpoint.Counters == nil {
+		return func() {}
+	}
+	counters := endpoint.Counters
+	counters.InFlight.Add(1)
+	counters.Sent.Add(1)
+	return func() {
+		counters.InFlight.Add(-1)
+		counters.Done.Add(1)
+	}
+}
--- /dev/null
+++ b/pkg/stage/ingress/identity.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+const bearerPrefix = "Bearer "
+
+// identity is who calls.
+type identity struct {
+	credential *published.Credential
+	org        *published.Organisation
+	hash       published.CredentialHash
+}
+
+// identify finds the caller by the credential in the Authorization field.
+func identify(header http.Header, config *published.Configuration) (identity, *types.Failure) {
+	authorization := header.Get("Authorization")
+	if authorization == "" {
+		return identity{}, unauthenticated("no credential: send the header Authorization: Bearer CREDENTIAL")
+	}
+	secret, isBearer := strings.CutPrefix(authorization, bearerPrefix)
+	if !isBearer {
+		return identity{}, unauthenticated("the Authorization header must be of the form Bearer CREDENTIAL")
+	}
+	hash := HashCredential(secret)
+	credential, known := config.Credentials[hash]
+	if !known {
+		return identity{}, unauthenticated("unknown credential")
+	}
+	org, known := config.Orgs[credential.Org]
+	if !known {
+		return identity{}, unauthenticated("the credential's organisation is not published")
+	}
+	return identity{credential: credential, org: org, hash: hash}, nil
+}
+
+func unauthenticated(message string) *types.Failure {
+	return types.NewFailure(types.NotRun, types.CodeUnauthenticated, message)
+}
+
+// HashCredential returns the hash under which a credential is published.
+func HashCredential(secret string) published.CredentialHash {
+	sum := sha256.Sum256([]byte(secret))
+	return published.CredentialHash(hex.EncodeToString(sum[:]))
+}
+
+// mayUse reports whether the credential names the service.
+func (i identity) mayUse(name types.ServiceName) bool {
+	for _, allowed := range i.credential.Services {
+		if allowed == name {
+			return true
+		}
+	}
+	return false
+}
+
+// service returns a published service that the caller may use.
+func (i identity) service(name types.ServiceName, kind published.Kind, config *published.Configuration) (*published.Service, *types.Failure) {
+	service, known := config.Services[name]
+	if !i.mayUse(name) {
+		return nil, types.NewFailure(types.NotRun, types.CodeForbidden, "the credential is not for this service")
+	}
+	if !known || service.Kind != kind {
+		return nil, types.NewFailure(types.NotRun, types.CodeUnknownService, "no such "+string(kind)+" service is published")
+	}
+	return service, nil
+}
+
+// modelServices returns the published model services that the caller may use.
+func (i identity) modelServices(config *published.Configuration) []*published.Service {
+	services := make([]*published.Service, 0, len(i.credential.Services))
+	for _, name := range i.credential.Services {
+		service, known := config.Services[name]
+		if known && service.Kind == published.KindModel {
+			services = append(services, service)
+		}
+	}
+	return services
+}
--- /dev/null
+++ b/pkg/stage/relay/whole.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// copyBytes is the size of the pieces in which a large answer is passed on.
+const copyBytes = 32 << 10
+
+// ErrUndelimited means that the answer has neither a length nor chunks, so that its end
+// can't be told from a broken connection.
+var ErrUndelimited = errors.New("answer has no length and is not chunked")
+
+// Held is an answer as far as it was read. Whole is false when it exceeds
+// Limits.MaxWholeBytes; the rest is then still in the response body.
+type Held struct {
+	Body  []byte
+	Whole bool
+}
+
+// Hold reads an answer until it is whole or exceeds the limit. cancel ends the
+// attempt; it is called when the response is idle for too long.
+func Hold(response *http.Response, limits Limits, cancel func()) (Held, error) {
+	limits = limits.WithDefaults()
+	idle := time.AfterFunc(limits.IdleTimeout, cancel)
+	defer idle.Stop()
+	if !delimited(response) {
+		return Held{}, ErrUndelimited
+	}
+	body, err := readUpTo(response, limits.MaxWholeBytes)
+	if errors.Is(err, io.EOF) {
+		return Held{Body: body, Whole: true}, nil
+	}
+	if err != nil {
+		return Held{}, eris.Wrap(err, "read answer")
+	}
+	return Held{Body: body}, nil
+}
+
+// CheckJSON returns ErrGarbage unless a held answer is a JSON document.
+func CheckJSON(held Held) error {
+	if held.Whole && !json.Valid(held.Body) {
+		return ErrGarbage
+	}
+	return nil
+}
+
+// readUpTo reads at most limit bytes. It returns io.EOF when the answer ended
+// properly, and nil when there may be more.
+func readUpTo(response *http.Response, limit int64) ([]byte, error) {
+	size := int64(copyBytes) / 8
+	if response.ContentLength > 0 {
+		size = min(response.ContentLength+1, limit)
+	}
+	body := make([]byte, 0, size)
+	for int64(len(body)) < limit {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		end := min(int64(cap(body)), limit)
+		n, err := response.Body.Read(body[len(body):end])
+		body = body[:len(body)+n]
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
+func delimited(response *http.Response) bool {
+	if response.Body == http.NoBody || response.ContentLength >= 0 {
+		return true
+	}
+	for _, encoding := range response.TransferEncoding {
+		if encoding == "chunked" {
+			return true
+		}
+	}
+	return false
+}
+
+// Send sends a whole answer with its verdict.
+func (c *Caller) Send(response *http.Response, body []byte, verdict types.Verdict) Result {
+	header := AnswerHeader(response.Header, false)
+	header.Set(types.HeaderVerdict, verdict.String())
+	if response.Body != http.NoBody || len(body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	c.begin(response.StatusCode, header)
+	if err := c.write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		return Result{End: EndCaller, Err: err}
+	}
+	return Result{End: EndWhole}
+}
+
+// Copy passes on an answer that exceeds Limits.MaxWholeBytes: first what was
+// held, then the rest while it arrives. Its verdict is not known when the head
+// is sent, so that the header is left out.
+func (c *Caller) Copy(response *http.Response, held []byte, cancel func()) Result {
+	idle := time.AfterFunc(c.limits.IdleTimeout, cancel)
+	defer idle.Stop()
+	header := AnswerHeader(response.Header, false)
+	if response.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	c.begin(response.StatusCode, header)
+	if err := c.write(held); err != nil {
+		return Result{End: EndCaller, Err: err}
+	}
+	piece := make([]byte, copyBytes)
+	for {
+		n, readErr := response.Body.Read(piece)
+		idle.Reset(c.limits.IdleTimeout)
+		if err := c.write(piece[:n]); err != nil {
+			return Result{End: EndCaller, Err: err}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return Result{End: EndWhole}
+		}
+		if readErr != nil {
+			return Result{End: EndSource, Err: eris.Wrap(readErr, "read answer")}
+		}
+	}
+}
--- a/pkg/types/header.go
+++ b/pkg/types/header.go
@@ -15,6 +15,10 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderPriority carries the rank's number to an endpoint; lower is first.
 	HeaderPriority = "X-Priority"
+	// HeaderService names the model service of a request before its body is
+	// read; needed only by credentials whose services differ in the regions
+	// that they allow.
+	HeaderService = "X-Service"
 	// HeaderTicket carries a ticket with a request that may not be repeated.
 	HeaderTicket = "X-Ticket"
 	// HeaderIdempotencyKey carries the caller's key of a request that may not
