--- a/pkg/published/published.go
+++ b/pkg/published/published.go
@@ -26,14 +26,15 @@
 	// Hash is the content hash of the signed manifest, in hex.
 	Hash string `json:"hash"`
 	// PublishedAt is the publisher's clock; for display only.
-	PublishedAt time.Time                              `json:"published_at"`
-	Regions     map[types.Region]*Region               `json:"regions"`
-	Links       []Link                                 `json:"links"`
-	Services    map[types.ServiceName]*Service         `json:"services"`
-	Orgs        map[types.OrgName]*Organisation        `json:"organisations"`
-	Credentials map[CredentialHash]*Credential         `json:"credentials"`
-	Policy      Policy                                 `json:"policy"`
-	Placement   map[types.ServiceName]PlacementRequest `json:"placement"`
+	PublishedAt    time.Time                              `json:"published_at"`
+	Regions        map[types.Region]*Region               `json:"regions"`
+	Links          []Link                                 `json:"links"`
+	Services       map[types.ServiceName]*Service         `json:"services"`
+	Orgs           map[types.OrgName]*Organisation        `json:"organisations"`
+	Credentials    map[CredentialHash]*Credential         `json:"credentials"`
+	Administrators map[CredentialHash]*Administrator      `json:"administrators,omitempty"`
+	Policy         Policy                                 `json:"policy"`
+	Placement      map[types.ServiceName]PlacementRequest `json:"placement"`
 }
 
 // Region is a published region with its data centres.
@@ -107,6 +108,12 @@
 	FirstToken time.Duration `json:"first_token"`
 	// BetweenTokens bounds the time between tokens; zero means none.
 	BetweenTokens time.Duration `json:"between_tokens"`
+	// LatencyShare is the share of requests that must keep FirstToken and
+	// BetweenTokens; zero means 0.95.
+	LatencyShare float64 `json:"latency_share,omitempty"`
+	// Finished is the share of requests that must finish at all; zero means
+	// that there is no such objective.
+	Finished float64 `json:"finished,omitempty"`
 }
 
 // Organisation is a calling organisation.
@@ -128,6 +135,25 @@
 	MaxRank  types.Rank          `json:"max_rank"`
 }
 
+// Role is what the bearer of an administrator's credential may read.
+type Role string
+
+// The roles of the administration API.
+const (
+	// RoleOperator reads everything.
+	RoleOperator Role = "operator"
+	// RoleTeam reads what concerns the services of one team.
+	RoleTeam Role = "team"
+)
+
+// Administrator may read the administration API.
+type Administrator struct {
+	Name string `json:"name"`
+	Role Role   `json:"role"`
+	// Team is set for RoleTeam.
+	Team types.TeamName `json:"team,omitempty"`
+}
+
 // Policy holds the deployment-wide limits and weights.
 type Policy struct {
 	// PatientFloor is the share of capacity, 0 to 1, that the patient rank
