--- a/pkg/published/published.go
+++ b/pkg/published/published.go
@@ -77,6 +77,9 @@
 	Deadlines [types.RankCount]time.Duration `json:"deadlines"`
 	// Objectives gives the service-level objectives, by rank.
 	Objectives [types.RankCount]Objective `json:"objectives"`
+	// CostPerThousandTokens is the price of 1,000 tokens, read or generated;
+	// for plain services it is the price of one call. Zero means 1.
+	CostPerThousandTokens float64 `json:"cost_per_thousand_tokens,omitempty"`
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 }
