--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -49,6 +49,9 @@
 	// InputTokens and OutputTokens are estimates of the work.
 	InputTokens  int
 	OutputTokens int
+	// OrgRunning is how many requests of the organisation this daemon runs at
+	// the moment, as admission counted when it started this one.
+	OrgRunning int
 
 	Method  string
 	URLPath string
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -30,6 +30,9 @@
 	Regions map[types.Region]*RegionSummary
 	// Quarantine holds the quarantined fingerprints and their end.
 	Quarantine map[request.Fingerprint]time.Time
+	// Prefixes tells which endpoints hold which prompt prefixes in their
+	// caches; nil when nothing is known.
+	Prefixes PrefixIndex
 	// Draining is true when this daemon is leaving.
 	Draining bool
 	// Paused is true from when the daemon noticed that it had been paused
@@ -37,6 +40,13 @@
 	Paused bool
 }
 
+// PrefixIndex is an immutable view of the endpoints' prefix caches.
+type PrefixIndex interface {
+	// Holders lists the endpoints believed to hold the prefix, sorted by ID.
+	// The caller must not change the list.
+	Holders(prefix uint64) []types.EndpointID
+}
+
 // Self is the place and identity of the daemon that owns the snapshot.
 type Self struct {
 	Incarnation types.Incarnation `json:"incarnation"`
@@ -114,6 +124,9 @@
 	DoneAtReport atomic.Int64
 	// Limit is the adaptive concurrency limit; zero means none yet.
 	Limit atomic.Int64
+	// Pace is the smoothed ratio, in thousandths, of the time that attempts
+	// took to the time that was expected; zero means that none was measured.
+	Pace atomic.Int64
 }
 
 // Member is another daemon.
--- /dev/null
+++ b/pkg/stage/candidates/drain.go
@@ -0,0 +1,27 @@
+package candidates
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Drain removes endpoints that are leaving.
+type Drain struct{}
+
+var _ Filter = Drain{}
+
+// Name returns "drain".
+func (Drain) Name() string {
+	return "drain"
+}
+
+// Keep reports whether the endpoint passes.
+func (Drain) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	return ep.State != snapshot.EndpointLeaving
+}
+
+// Code returns CodeNoEndpoint.
+func (Drain) Code() types.Code {
+	return types.CodeNoEndpoint
+}
--- /dev/null
+++ b/pkg/stage/candidates/health.go
@@ -0,0 +1,27 @@
+package candidates
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Health removes endpoints that were ejected or are no longer published.
+type Health struct{}
+
+var _ Filter = Health{}
+
+// Name returns "health".
+func (Health) Name() string {
+	return "health"
+}
+
+// Keep reports whether the endpoint passes.
+func (Health) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	return ep.State != snapshot.EndpointEjected && ep.State != snapshot.EndpointGone
+}
+
+// Code returns CodeNoEndpoint.
+func (Health) Code() types.Code {
+	return types.CodeNoEndpoint
+}
--- /dev/null
+++ b/pkg/stage/candidates/home.go
@@ -0,0 +1,32 @@
+package candidates
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Home keeps endpoints of the organisation's home region, if it has one. It
+// fails closed: a request of no organisation is refused.
+type Home struct{}
+
+var _ Filter = Home{}
+
+// Name returns "home".
+func (Home) Name() string {
+	return "home"
+}
+
+// Keep reports whether the endpoint passes.
+func (Home) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	org := in.Request.Org
+	if org == nil {
+		return false
+	}
+	return org.Home == "" || org.Home == ep.Region
+}
+
+// Code returns CodeResidency.
+func (Home) Code() types.Code {
+	return types.CodeResidency
+}
--- /dev/null
+++ b/pkg/stage/candidates/quarantine.go
@@ -0,0 +1,33 @@
+package candidates
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Quarantine removes every endpoint for a request whose fingerprint is quarantined.
+// A request without a fingerprint is never quarantined.
+type Quarantine struct{}
+
+var _ Filter = Quarantine{}
+
+// Name returns "quarantine".
+func (Quarantine) Name() string {
+	return "quarantine"
+}
+
+// Keep reports whether the endpoint passes.
+func (Quarantine) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	if len(in.Snapshot.Quarantine) == 0 || in.Request.Fingerprint == (request.Fingerprint{}) {
+		return true
+	}
+	until, found := in.Snapshot.Quarantine[in.Request.Fingerprint]
+	return !found || !in.Now.Before(until)
+}
+
+// Code returns CodeQuarantined.
+func (Quarantine) Code() types.Code {
+	return types.CodeQuarantined
+}
--- /dev/null
+++ b/pkg/stage/candidates/region.go
@@ -0,0 +1,28 @@
+package candidates
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Region keeps endpoints of the daemon's own region. Other regions are reached
+// through their own entries.
+type Region struct{}
+
+var _ Filter = Region{}
+
+// Name returns "region".
+func (Region) Name() string {
+	return "region"
+}
+
+// Keep reports whether the endpoint passes.
+func (Region) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	return ep.Region == in.Snapshot.Self.Region
+}
+
+// Code returns CodeNoEndpoint.
+func (Region) Code() types.Code {
+	return types.CodeNoEndpoint
+}
--- /dev/null
+++ b/pkg/stage/candidates/residency.go
@@ -0,0 +1,28 @@
+package candidates
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Residency keeps endpoints in regions that the service may use. It fails closed:
+// a service that lists no region, or an endpoint of no region, is refused.
+type Residency struct{}
+
+var _ Filter = Residency{}
+
+// Name returns "residency".
+func (Residency) Name() string {
+	return "residency"
+}
+
+// Keep reports whether the endpoint passes.
+func (Residency) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	return ep.Region != "" && in.Request.Service.Allows(ep.Region)
+}
+
+// Code returns CodeResidency.
+func (Residency) Code() types.Code {
+	return types.CodeResidency
+}
--- /dev/null
+++ b/pkg/stage/candidates/service.go
@@ -0,0 +1,27 @@
+package candidates
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Service keeps endpoints that serve the request's service.
+type Service struct{}
+
+var _ Filter = Service{}
+
+// Name returns "service".
+func (Service) Name() string {
+	return "service"
+}
+
+// Keep reports whether the endpoint passes.
+func (Service) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	return ep.Service == in.Request.Service.Name
+}
+
+// Code returns CodeNoEndpoint.
+func (Service) Code() types.Code {
+	return types.CodeNoEndpoint
+}
--- /dev/null
+++ b/pkg/stage/candidates/tried.go
@@ -0,0 +1,29 @@
+package candidates
+
+import (
+	"slices"
+
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Tried removes endpoints that already failed this request.
+type Tried struct{}
+
+var _ Filter = Tried{}
+
+// Name returns "tried".
+func (Tried) Name() string {
+	return "tried"
+}
+
+// Keep reports whether the endpoint passes.
+func (Tried) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	return !slices.Contains(in.Tried, ep.ID)
+}
+
+// Code returns CodeNoEndpoint.
+func (Tried) Code() types.Code {
+	return types.CodeNoEndpoint
+}
--- /dev/null
+++ b/pkg/stage/candidates/version.go
@@ -0,0 +1,38 @@
+package candidates
+
+import (
+	"slices"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Version keeps endpoints whose version the service may use and, when the caller
+// asked for one, that version only. Plain services list no version.
+type Version struct{}
+
+var _ Filter = Version{}
+
+// Name returns "version".
+func (Version) Name() string {
+	return "version"
+}
+
+// Keep reports whether the endpoint passes.
+func (Version) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+	service := in.Request.Service
+	if in.Request.Version != "" && ep.Version != in.Request.Version {
+		return false
+	}
+	if service.Kind == published.KindPlain && len(service.Versions) == 0 {
+		return true
+	}
+	return slices.Contains(service.Versions, ep.Version)
+}
+
+// Code returns CodeNoEndpoint.
+func (Version) Code() types.Code {
+	return types.CodeNoEndpoint
+}
--- /dev/null
+++ b/pkg/stage/score/ramp.go
@@ -0,0 +1,63 @@
+package score
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+)
+
+// RampOptions sets the ramp scorer.
+type RampOptions struct {
+	// Duration is the time until a returning endpoint takes its full share.
+	// Default 30 s.
+	Duration time.Duration
+	// MinShare is the share of requests that may choose the endpoint at the
+	// start of the ramp. Default 0.05.
+	MinShare float64
+}
+
+const (
+	defaultRamp     = 30 * time.Second
+	defaultMinShare = 0.05
+	// rampPenalty, in seconds, outweighs every other cost.
+	rampPenalty = 30.0
+)
+
+// Ramp hides a returning endpoint from a share of requests that falls linearly
+// until the ramp ends.
+type Ramp struct {
+	options RampOptions
+}
+
+var _ Scorer = (*Ramp)(nil)
+
+// NewRamp builds the scorer; zero options take their defaults.
+func NewRamp(o RampOptions) *Ramp {
+	setDefault(&o.Duration, defaultRamp)
+	if o.MinShare <= 0 {
+		o.MinShare = defaultMinShare
+	}
+	return &Ramp{options: o}
+}
+
+// Name returns "ramp".
+func (r *Ramp) Name() string {
+	return "ramp"
+}
+
+// Add penalises ramping endpoints by chance.
+func (r *Ramp) Add(in *route.Input, eps []*snapshot.Endpoint, costs []float64) {
+	for i, ep := range eps {
+		if ep.RampStart.IsZero() {
+			continue
+		}
+		share := float64(in.Now.Sub(ep.RampStart)) / float64(r.options.Duration)
+		if share >= 1 {
+			continue
+		}
+		if route.Float64(in.Rand) >= max(share, r.options.MinShare) {
+			costs[i] += rampPenalty
+		}
+	}
+}
--- /dev/null
+++ b/pkg/stage/score/score.go
@@ -0,0 +1,77 @@
+// Package score is the stage that predicts what each candidate would cost a
+// request, in seconds of waiting and work. Each scorer adds one part of the
+// cost; lower is better and a saving is negative.
+package score
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Stage is the name of this stage in traces.
+const Stage = "score"
+
+// Scorer adds its part of the predicted cost of each endpoint. It is a
+// deterministic function of its input, safe for concurrent use.
+type Scorer interface {
+	// Name identifies the scorer in traces.
+	Name() string
+	// Add adds seconds to costs[i] for eps[i]. The endpoints are sorted by ID.
+	Add(in *route.Input, eps []*snapshot.Endpoint, costs []float64)
+}
+
+// Chain adds up the costs of its scorers.
+type Chain []Scorer
+
+// Default returns every scorer with its default options.
+func Default() Chain {
+	return Chain{NewLoad(LoadOptions{}), NewPace(PaceOptions{}), NewPrefix(PrefixOptions{}), NewShards(ShardOptions{}), NewRamp(RampOptions{})}
+}
+
+// Costs fills costs, which has the length of eps.
+func (c Chain) Costs(in *route.Input, eps []*snapshot.Endpoint, costs []float64) {
+	clear(costs)
+	for _, scorer := range c {
+		scorer.Add(in, eps, costs)
+	}
+}
+
+// Explain returns one step for each scorer and endpoint. It draws from the
+// random source as Costs does.
+func (c Chain) Explain(in *route.Input, eps []*snapshot.Endpoint, costs []float64) []route.Step {
+	clear(costs)
+	part := make([]float64, len(eps))
+	var steps []route.Step
+	for _, scorer := range c {
+		clear(part)
+		scorer.Add(in, eps, part)
+		for i, ep := range eps {
+			costs[i] += part[i]
+			steps = append(steps, route.Step{Stage: Stage, Name: scorer.Name(), Endpoint: ep.ID, Score: part[i]})
+		}
+	}
+	return steps
+}
+
+// find returns the index of the endpoint in the sorted list.
+func find(eps []*snapshot.Endpoint, id types.EndpointID) (int, bool) {
+	return slices.BinarySearchFunc(eps, id, func(ep *snapshot.Endpoint, id types.EndpointID) int {
+		return cmp.Compare(ep.ID, id)
+	})
+}
+
+// entries returns how many daemons of this region share the endpoints.
+func entries(s *snapshot.Snapshot) int {
+	count := 1
+	for i := range s.Members {
+		member := &s.Members[i]
+		if member.Region == s.Self.Region && member.State == snapshot.MemberAlive {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/stage/score/shards.go
@@ -0,0 +1,111 @@
+package score
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+)
+
+// ShardOptions sets the shards scorer.
+type ShardOptions struct {
+	// Outside is the cost of an endpoint outside the request's shard.
+	// Default 100 ms.
+	Outside time.Duration
+	// Fill is the share of an endpoint's slots that one shard may use before
+	// it is split. Default 0.5.
+	Fill float64
+}
+
+const (
+	defaultOutside = 100 * time.Millisecond
+	defaultFill    = 0.5
+	// keyBlock is the prompt block whose prefix hash is the key within an
+	// organisation; shorter prompts use their last block.
+	keyBlock = 3
+)
+
+// Shards maps a request in two steps: its key to one of the organisation's
+// virtual shards, then the shard to an endpoint. An organisation has one shard
+// while it is small; the number doubles as it grows, so that a small one stays
+// on few caches and a large one spreads.
+type Shards struct {
+	options ShardOptions
+}
+
+var _ Scorer = (*Shards)(nil)
+
+// NewShards builds the scorer; zero options take their defaults.
+func NewShards(o ShardOptions) *Shards {
+	setDefault(&o.Outside, defaultOutside)
+	if o.Fill <= 0 {
+		o.Fill = defaultFill
+	}
+	return &Shards{options: o}
+}
+
+// Name returns "shards".
+func (s *Shards) Name() string {
+	return "shards"
+}
+
+// Add adds the cost of being outside to all but the shard's two endpoints.
+func (s *Shards) Add(in *route.Input, eps []*snapshot.Endpoint, costs []float64) {
+	if len(in.Request.Prefix) == 0 || in.Request.Org == nil {
+		return
+	}
+	seed := xxhash.Sum64String(string(in.Request.Org.Name))
+	shard := requestKey(in.Request.Prefix) % uint64(s.shardCount(in, eps))
+	first, second := rendezvous(eps, mix(seed+shard))
+	outside := s.options.Outside.Seconds()
+	for i := range eps {
+		if i != first && i != second {
+			costs[i] += outside
+		}
+	}
+}
+
+// shardCount is the number of the organisation's shards: a power of two, at
+// most the number of endpoints.
+func (s *Shards) shardCount(in *route.Input, eps []*snapshot.Endpoint) int {
+	load := float64(in.Request.OrgRunning * entries(in.Snapshot))
+	slots := float64(max(eps[0].Slots, 1))
+	wanted := load / (slots * s.options.Fill)
+	if wanted <= 1 {
+		return 1
+	}
+	count := 1 << int(math.Ceil(math.Log2(wanted)))
+	return min(count, len(eps))
+}
+
+func requestKey(prefix []uint64) uint64 {
+	return mix(prefix[min(len(prefix)-1, keyBlock)])
+}
+
+// rendezvous returns the indexes of the two endpoints with the highest hash of
+// endpoint and key; the second is -1 when there is only one.
+func rendezvous(eps []*snapshot.Endpoint, key uint64) (first, second int) {
+	first, second = -1, -1
+	var best, next uint64
+	for i, ep := range eps {
+		hash := mix(xxhash.Sum64String(string(ep.ID)) ^ key)
+		switch {
+		case first < 0 || hash > best:
+			second, next = first, best
+			first, best = i, hash
+		case second < 0 || hash > next:
+			second, next = i, hash
+		}
+	}
+	return first, second
+}
+
+// mix spreads the bits of a hash (the finaliser of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
