Add retry decisions and quarantine of fatal requests

Cause: a failed attempt needs one place that decides on another one, and a request that crashes endpoints has to be stopped across daemons. Change: pkg/stage/retry (token budget on offered requests, resends of callers, hedges) and pkg/control/quarantine (keyed fingerprints, crash evidence as a merged set, claims at one owner). Conclusion: the interfaces can be wired.

--- /dev/null
+++ b/pkg/control/quarantine/tracker.go
@@ -0,0 +1,247 @@
+// Package quarantine keeps one fatal request from crashing endpoint after
+// endpoint. It counts in how many crashes a content was running, tells innocent
+// neighbours from the cause, and decides whether a content may run, where and
+// when.
+//
+// A content that was on a crashed endpoint is held until the daemons have told
+// each other, then run again alone among the suspects on its endpoint. It is
+// quarantined when it is the only content that was in QuarantineAfter crashes,
+// or was in one more than that. Contents that shared a crash with a quarantined
+// one are excused.
+//
+// Copies of one content at several daemons ask one owner, see Owner, which lets
+// them run on a single endpoint at a time until the content has run to its end.
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/request"
+)
+
+const (
+	// sameCrash is the time within which reports of an endpoint's crash tell
+	// of the same one; a crashed engine takes longer to come back.
+	sameCrash = 5 * time.Second
+	// togetherWindow and widespreadCrashes tell a common cause from single
+	// crashes.
+	togetherWindow    = 2 * time.Second
+	widespreadCrashes = 3
+)
+
+// Options configures a Tracker. A zero field takes its default.
+type Options struct {
+	// After is published.Policy.QuarantineAfter; default 2 crashes.
+	After int
+	// For is published.Policy.QuarantineFor; default 1 hour.
+	For time.Duration
+	// Settle is how long a content is held after a crash; it has to exceed
+	// the time in which a crash report reaches the owner; default 500 ms.
+	Settle time.Duration
+	// Capacity bounds the entries kept; default 4096.
+	Capacity int
+	// ClaimCapacity bounds the contents with a claim; default 16384.
+	ClaimCapacity int
+}
+
+func (o Options) withDefaults() Options {
+	if o.After == 0 {
+		o.After = 2
+	}
+	if o.For == 0 {
+		o.For = time.Hour
+	}
+	if o.Settle == 0 {
+		o.Settle = 500 * time.Millisecond
+	}
+	if o.Capacity == 0 {
+		o.Capacity = 4096
+	}
+	if o.ClaimCapacity == 0 {
+		o.ClaimCapacity = 16384
+	}
+	return o
+}
+
+// State is what a daemon holds of a content.
+type State uint8
+
+// The states of a content, in growing order of suspicion.
+const (
+	// StateClear: nothing speaks against the content.
+	StateClear State = iota
+	// StateSuspect: it was in a crash and may run on one endpoint at a time.
+	StateSuspect
+	// StateHeld: it was in a crash a moment ago and waits for reports.
+	StateHeld
+	// StateQuarantined: it does not run.
+	StateQuarantined
+)
+
+// Standing is the state of a content at a moment.
+type Standing struct {
+	State State
+	// Until ends a hold or a quarantine.
+	Until time.Time
+	// Crashes counts the crashes held against the content.
+	Crashes int
+	// Isolated is true when a suspect shares no endpoint with other suspects.
+	Isolated bool
+}
+
+// Tracker holds one daemon's evidence and, for the contents that it owns, the
+// claims. It is safe for concurrent use.
+type Tracker struct {
+	options Options
+
+	mu       sync.Mutex
+	evidence *evidence
+	claims   map[request.Fingerprint]*claim
+	proven   *provenSet
+}
+
+// New returns a tracker without evidence.
+func New(options Options) *Tracker {
+	options = options.withDefaults()
+	return &Tracker{
+		options:  options,
+		evidence: newEvidence(options.Capacity),
+		claims:   make(map[request.Fingerprint]*claim),
+		proven:   newProvenSet(),
+	}
+}
+
+// Standing returns the state of a content.
+func (t *Tracker) Standing(fingerprint request.Fingerprint, now time.Time) Standing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.standing(fingerprint, now)
+}
+
+func (t *Tracker) standing(fingerprint request.Fingerprint, now time.Time) Standing {
+	if at, ok := t.evidence.quarantinedAt(fingerprint); ok && now.Before(at.Add(t.options.For)) {
+		return Standing{State: StateQuarantined, Until: at.Add(t.options.For)}
+	}
+	crashes := t.unexcused(fingerprint, now)
+	if len(crashes) == 0 {
+		return Standing{}
+	}
+	last := crashes[len(crashes)-1]
+	settled := last.at().Add(t.options.Settle)
+	if now.Before(settled) {
+		return Standing{State: StateHeld, Until: settled, Crashes: len(crashes)}
+	}
+	if t.convicts(crashes, now) {
+		t.evidence.add(Entry{Kind: KindQuarantined, Fingerprint: Hash(fingerprint), AtMillis: now.UnixMilli()})
+		return Standing{State: StateQuarantined, Until: now.Add(t.options.For), Crashes: len(crashes)}
+	}
+	isolated := len(crashes) > 1 || !t.evidence.widespread(last)
+	return Standing{State: StateSuspect, Crashes: len(crashes), Isolated: isolated}
+}
+
+// unexcused returns the crashes that are held against a content: recent ones
+// which it did not share with a quarantined content.
+func (t *Tracker) unexcused(fingerprint request.Fingerprint, now time.Time) []Entry {
+	var found []Entry
+	for _, crash := range t.evidence.crashes(fingerprint) {
+		if now.Sub(crash.at()) < t.options.For && !t.excused(crash) {
+			found = append(found, crash)
+		}
+	}
+	return found
+}
+
+func (t *Tracker) excused(crash Entry) bool {
+	for _, other := range t.evidence.sharing(crash) {
+		if _, quarantined := t.evidence.quarantinedAt(other); quarantined {
+			return true
+		}
+	}
+	return false
+}
+
+// convicts reports whether the crashes suffice to quarantine their content:
+// After of them if no other content was in as many, one more otherwise.
+func (t *Tracker) convicts(crashes []Entry, now time.Time) bool {
+	if len(crashes) > t.options.After {
+		return true
+	}
+	if len(crashes) < t.options.After {
+		return false
+	}
+	for _, crash := range crashes {
+		if !t.hasRival(crash, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRival reports whether another content that shared the crash was in enough
+// crashes itself.
+func (t *Tracker) hasRival(crash Entry, now time.Time) bool {
+	for _, other := range t.evidence.sharing(crash) {
+		if len(t.unexcused(other, now)) >= t.options.After {
+			return true
+		}
+	}
+	return false
+}
+
+// Crashed records that attempts with these contents broke off when an endpoint
+// crashed. The daemon reports it to the contents' owners as well.
+func (t *Tracker) Crashed(report CrashReport, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, hash := range report.Contents {
+		t.evidence.add(Entry{
+			Kind: KindCrash, Fingerprint: hash,
+			Endpoint: report.Endpoint, AtMillis: report.AtMillis,
+		})
+		delete(t.claims, request.Fingerprint(hash))
+		t.proven.remove(request.Fingerprint(hash))
+	}
+	t.evidence.expire(now.Add(-t.options.For))
+}
+
+// Merge takes in what another daemon knows. Entries of an unknown kind are
+// left out, and so are entries from further ahead than clocks may differ.
+func (t *Tracker) Merge(digest Digest, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	latest := now.Add(maxClockSkew)
+	for _, entry := range digest.Entries[:min(len(digest.Entries), MaxDigestEntries)] {
+		known := entry.Kind == KindCrash || entry.Kind == KindCompleted || entry.Kind == KindQuarantined
+		if known && !entry.at().After(latest) {
+			t.evidence.add(entry)
+		}
+	}
+	t.evidence.expire(now.Add(-t.options.For))
+}
+
+// maxClockSkew bounds how far another daemon's clock may be ahead.
+const maxClockSkew = 10 * time.Second
+
+// Digest returns what this daemon learned since a cursor, which starts at zero.
+func (t *Tracker) Digest(after uint64) Digest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entries, next := t.evidence.since(after, MaxDigestEntries)
+	return Digest{Entries: entries, Next: next}
+}
+
+// Quarantined returns the quarantined contents and the ends of their
+// quarantines, for the snapshot.
+func (t *Tracker) Quarantined(now time.Time) map[request.Fingerprint]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := make(map[request.Fingerprint]time.Time)
+	for fingerprint := range t.evidence.content {
+		standing := t.standing(fingerprint, now)
+		if standing.State == StateQuarantined {
+			found[fingerprint] = standing.Until
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/pkg/stage/retry/budget.go
@@ -0,0 +1,64 @@
+package retry
+
+import (
+	"sync"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// budgetBurst is the number of extra attempts that a budget saves up at most.
+const budgetBurst = 10.0
+
+// Budget bounds the extra attempts, retries and hedges alike, of one service at
+// one daemon. Each offered request deposits a share of a token and each extra
+// attempt takes a whole one. It starts empty, so the extra attempts never
+// exceed the share of the requests offered since the start. It is safe for
+// concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+// Deposit credits the budget with one offered request; share is the published
+// retry budget, extra attempts over offered requests.
+func (b *Budget) Deposit(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+max(share, 0), budgetBurst)
+}
+
+// Take takes one extra attempt if more than reserve would be left after it,
+// and reports whether it did.
+func (b *Budget) Take(reserve float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	// The sum of many shares falls short of a whole token by rounding.
+	const rounding = 1e-9
+	if b.tokens+rounding < 1+reserve {
+		return false
+	}
+	b.tokens = max(b.tokens-1, 0)
+	return true
+}
+
+// Budgets holds the budget of each service. The zero value is ready; it is safe
+// for concurrent use.
+type Budgets struct {
+	mu        sync.Mutex
+	byService map[types.ServiceName]*Budget
+}
+
+// For returns the budget of a service and creates it when there is none.
+func (b *Budgets) For(service types.ServiceName) *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byService == nil {
+		b.byService = make(map[types.ServiceName]*Budget)
+	}
+	budget := b.byService[service]
+	if budget == nil {
+		budget = &Budget{}
+		b.byService[service] = budget
+	}
+	return budget
+}
--- a/pkg/types/header.go
+++ b/pkg/types/header.go
@@ -32,4 +32,7 @@
 	HeaderLeaving = "X-Leaving"
 	// HeaderServedBy names the endpoint that answered.
 	HeaderServedBy = "X-Served-By"
+	// HeaderRetryCount is how often the caller's client library has sent the
+	// request before; OpenAI's libraries set it.
+	HeaderRetryCount = "X-Stainless-Retry-Count"
 )
