--- /dev/null
+++ b/pkg/bundle/build.go
@@ -0,0 +1,111 @@
+package bundle
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+)
+
+// Build splits a configuration into blobs and an unsigned manifest. The same
+// configuration always gives the same blobs. Previous is the hash of the
+// manifest that this one follows; empty for the first.
+func Build(config *published.Configuration, previous Hash) (*Bundle, error) {
+	if config.Revision == 0 {
+		return nil, fmt.Errorf("%w: revision 0 can't be published", ErrMalformed)
+	}
+	b := &Bundle{Blobs: map[Hash][]byte{}}
+	core, err := b.add("the core", coreOf(config))
+	if err != nil {
+		return nil, err
+	}
+	manifest := Manifest{
+		Format: format, Revision: config.Revision, Previous: previous,
+		PublishedAt: config.PublishedAt.UTC(), Core: core, Indexes: make([]Hash, indexCount),
+	}
+	if err := b.addLeaves(manifest.Indexes, leavesOf(config)); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(manifest)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	b.Signed = Signed{Manifest: data}
+	return b, checkSize("the manifest", data)
+}
+
+func coreOf(c *published.Configuration) Core {
+	return Core{Regions: c.Regions, Links: c.Links, Services: c.Services, Policy: c.Policy, Placement: c.Placement}
+}
+
+// add encodes a value as a blob; map keys are sorted by the encoder, so equal
+// values have equal hashes.
+func (b *Bundle) add(what string, value any) (Hash, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return "", fmt.Errorf("%w: %s: %v", ErrMalformed, what, err)
+	}
+	if err := checkSize(what, data); err != nil {
+		return "", err
+	}
+	hash := HashOf(data)
+	b.Blobs[hash] = data
+	return hash, nil
+}
+
+func (b *Bundle) addLeaves(indexes []Hash, leaves []Leaf) error {
+	for i := range indexes {
+		index := Index{Leaves: make([]Hash, leavesPerIndex)}
+		used := false
+		for j := range index.Leaves {
+			leaf := leaves[i*leavesPerIndex+j]
+			if len(leaf.Orgs) == 0 && len(leaf.Credentials) == 0 {
+				continue
+			}
+			hash, err := b.add(fmt.Sprintf("leaf %d/%d", i, j), leaf)
+			if err != nil {
+				return err
+			}
+			index.Leaves[j], used = hash, true
+		}
+		if !used {
+			continue
+		}
+		hash, err := b.add(fmt.Sprintf("index %d", i), index)
+		if err != nil {
+			return err
+		}
+		indexes[i] = hash
+	}
+	return nil
+}
+
+func leavesOf(config *published.Configuration) []Leaf {
+	leaves := make([]Leaf, leafCount)
+	for name, org := range config.Orgs {
+		leaf := &leaves[leafOf(string(name))]
+		leaf.Orgs = append(leaf.Orgs, org)
+	}
+	for hash, credential := range config.Credentials {
+		leaf := &leaves[leafOf(string(credential.Org))]
+		leaf.Credentials = append(leaf.Credentials, NamedCredential{Hash: hash, Credential: *credential})
+	}
+	for i := range leaves {
+		slices.SortFunc(leaves[i].Orgs, func(a, b *published.Organisation) int {
+			return cmp.Compare(a.Name, b.Name)
+		})
+		slices.SortFunc(leaves[i].Credentials, func(a, b NamedCredential) int {
+			return cmp.Compare(a.Hash, b.Hash)
+		})
+	}
+	return leaves
+}
+
+// leafOf gives the leaf of an organisation's name; its credentials go with it.
+func leafOf(name string) int {
+	return int(xxhash.Sum64String(name) % leafCount)
+}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -74,6 +74,18 @@
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
 }
 
+// VMKey identifies a VM in the list: an entry by its peer address, an endpoint
+// by its endpoint ID.
+type VMKey string
+
+// Key returns the VM's key.
+func (v *VM) Key() VMKey {
+	if v.Role == RoleEntry {
+		return VMKey(v.Peer)
+	}
+	return VMKey(v.Endpoint)
+}
+
 // ClientDirectory names entries for a caller's first contact.
 type ClientDirectory interface {
 	// Entries returns caller addresses of entries, "ip:port".
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -42,6 +42,8 @@
 	Incarnation types.Incarnation `json:"incarnation"`
 	Region      types.Region      `json:"region"`
 	DataCentre  types.DataCentre  `json:"data_centre"`
+	// CallerAddress is where callers reach this daemon, "ip:port".
+	CallerAddress string `json:"caller_address"`
 }
 
 // EndpointState is the health of an endpoint as this daemon sees it.
