--- /dev/null
+++ b/pkg/control/once/ledger.go
@@ -0,0 +1,145 @@
+package once
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/control/ticket"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Ledger is one incarnation's memory of the requests it owns. It is not safe
+// for concurrent use; see package onceguard.
+type Ledger struct {
+	self    types.Incarnation
+	keyring *ticket.Keyring
+	options Options
+	records *records
+	// clock is the latest time seen; it never goes back.
+	clock time.Time
+	// floor refuses tickets that the ledger had no room to remember: an
+	// unknown ticket with StartBy at or before it never starts.
+	floor time.Time
+	// draining never becomes false again.
+	draining bool
+}
+
+// NewLedger returns the empty ledger of a new incarnation.
+func NewLedger(self types.Incarnation, keyring *ticket.Keyring, options Options) *Ledger {
+	return &Ledger{self: self, keyring: keyring, options: options.withDefaults(), records: newRecords()}
+}
+
+// SetKeyring replaces the keys after a rotation.
+func (l *Ledger) SetKeyring(keyring *ticket.Keyring) {
+	l.keyring = keyring
+}
+
+// Len returns the number of remembered requests.
+func (l *Ledger) Len() int {
+	return len(l.records.byID)
+}
+
+// AnswerBytes returns the memory that remembered answers take.
+func (l *Ledger) AnswerBytes() int {
+	return l.records.bytes
+}
+
+// Begin decides what happens to a request that was received at now.
+func (l *Ledger) Begin(now time.Time, order Order, view *snapshot.Snapshot) Decision {
+	l.advance(now)
+	l.draining = l.draining || view.Draining
+	claims, refusal := identify(l.keyring, order)
+	if refusal != nil {
+		return *refusal
+	}
+	if claims.Owner != l.self {
+		return decideElsewhere(l.self, claims, order, view)
+	}
+	known, ok := l.records.byID[claims.ID]
+	if !ok {
+		return l.beginUnknown(claims, order)
+	}
+	return repeat(known, claims, order)
+}
+
+// Finish records how the run that Begin allowed has ended. It is called once
+// for each ActionRun.
+func (l *Ledger) Finish(now time.Time, id ticket.ID, outcome Outcome) {
+	l.advance(now)
+	known, ok := l.records.byID[id]
+	if !ok || !known.running {
+		return
+	}
+	known.running = false
+	known.outcome = outcome.normal()
+	l.records.keepAnswer(known, l.options.MaxAnswerBytes)
+}
+
+func (l *Ledger) advance(now time.Time) {
+	if now.After(l.clock) {
+		l.clock = now
+	}
+	l.records.purge(l.clock, l.options.Retain)
+}
+
+// beginUnknown decides on a ticket of this incarnation that it does not
+// remember. Unless the ticket is so old that its record may have been dropped,
+// the request was not run.
+func (l *Ledger) beginUnknown(claims ticket.Claims, order Order) Decision {
+	switch {
+	case !claims.StartBy.After(l.records.forgotten):
+		return refuse(claims, types.MayHaveRun, types.CodeTicketExpired,
+			"the ticket expired so long ago that its request is no longer remembered")
+	case !claims.StartBy.After(l.clock), !claims.StartBy.After(l.floor):
+		return reissue(claims, types.CodeTicketExpired, "the ticket expired before the request was started")
+	case l.draining:
+		return reissue(claims, types.CodeDraining, "this daemon is leaving and starts nothing new")
+	case claims.StartBy.After(l.clock.Add(l.options.MaxAhead)):
+		return refuse(claims, types.MayHaveRun, types.CodeTicketExpired,
+			"the ticket's time lies too far ahead of this daemon's clock: ask for a new ticket")
+	case len(l.records.byID) >= l.options.MaxRecords:
+		return l.refuseFull(claims)
+	}
+	l.records.add(&record{id: claims.ID, content: order.Content, startBy: claims.StartBy, running: true})
+	return Decision{Action: ActionRun, ID: claims.ID, Floor: claims.Floor}
+}
+
+// refuseFull refuses a ticket that there is no room to remember. The floor
+// makes the refusal final, at the price of refusing older unused tickets too.
+func (l *Ledger) refuseFull(claims ticket.Claims) Decision {
+	if claims.StartBy.After(l.floor) {
+		l.floor = claims.StartBy
+	}
+	return reissue(claims, types.CodeOverloaded, "this daemon remembers as many requests as it may")
+}
+
+// repeat decides on a ticket that the ledger remembers.
+func repeat(known *record, claims ticket.Claims, order Order) Decision {
+	if known.content != order.Content {
+		return refuse(claims, known.verdict(), types.CodeKeyReused,
+			"the key was used before with another request: use a new key for each request")
+	}
+	if known.running {
+		return Decision{Action: ActionWait, ID: claims.ID, Floor: claims.Floor}
+	}
+	return known.outcome.Decision(claims.ID, claims.Floor)
+}
+
+// verdict returns the strongest claim that holds for the ticket so far.
+func (r *record) verdict() types.Verdict {
+	if r.running {
+		return types.MayHaveRun
+	}
+	return r.outcome.Verdict
+}
+
+func refuse(claims ticket.Claims, verdict types.Verdict, code types.Code, message string) Decision {
+	return Decision{ID: claims.ID, Floor: claims.Floor, Failure: types.NewFailure(verdict, code, message)}
+}
+
+// reissue refuses a ticket that never runs and offers a fresh one.
+func reissue(claims ticket.Claims, code types.Code, message string) Decision {
+	decision := refuse(claims, types.NotRun, code, message+": send it again with the new ticket")
+	decision.Reissue = true
+	return decision
+}
--- a/pkg/types/verdict.go
+++ b/pkg/types/verdict.go
@@ -72,6 +72,9 @@
 	CodeOwnerGone        Code = "owner_gone"
 	CodeInProgress       Code = "in_progress"
 	CodeKeyReused        Code = "key_reused"
+	CodeTicketRequired   Code = "ticket_required"
+	CodeTicketExpired    Code = "ticket_expired"
+	CodeAnswerForgotten  Code = "answer_forgotten"
 	CodeDraining         Code = "draining"
 	CodeNotReady         Code = "not_ready"
 	CodeEndpointFailed   Code = "endpoint_failed"
@@ -97,6 +100,9 @@
 	RetryAfter time.Duration
 	// Entries names other entries that may serve the request, best first.
 	Entries []VMID
+	// Ticket is a fresh ticket for a request that was not run and may not be
+	// repeated; empty when none is offered.
+	Ticket string
 	// Cause is the underlying error, for logs only; it may be nil.
 	Cause error
 }
@@ -152,6 +158,9 @@
 	CodeOwnerGone:        409,
 	CodeInProgress:       409,
 	CodeKeyReused:        422,
+	CodeTicketRequired:   428,
+	CodeTicketExpired:    409,
+	CodeAnswerForgotten:  410,
 	CodeDraining:         503,
 	CodeNotReady:         503,
 	CodeEndpointFailed:   502,
