--- /dev/null
+++ b/pkg/daemon/keys.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"encoding/base64"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/flamingomount/flamingomount/pkg/control/ticket"
+	"github.com/flamingomount/flamingomount/pkg/settings"
+	"github.com/flamingomount/flamingomount/pkg/stage/forward"
+)
+
+// maxKeyFileBytes bounds a key file.
+const maxKeyFileBytes = 4 << 10
+
+// loadKeys reads the key files that the settings name.
+func loadKeys(named []settings.Key) ([]Key, error) {
+	keys := make([]Key, 0, len(named))
+	for _, name := range named {
+		secret, err := readSecret(name.File)
+		if err != nil {
+			return nil, eris.Wrapf(err, "peer key %s", name.ID)
+		}
+		keys = append(keys, Key{ID: name.ID, Secret: secret})
+	}
+	return keys, nil
+}
+
+func readSecret(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > maxKeyFileBytes {
+		return nil, eris.Errorf("%s has %d bytes, accepts at most %d", path, info.Size(), maxKeyFileBytes)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	secret, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(data)))
+	if err != nil {
+		return nil, eris.Errorf("%s does not hold base64", path)
+	}
+	if len(secret) < ticket.MinSecretBytes {
+		return nil, eris.Errorf("%s holds %d bytes, accepts at least %d", path, len(secret), ticket.MinSecretBytes)
+	}
+	return secret, nil
+}
+
+// ticketKeyring returns the keyring that signs tickets.
+func ticketKeyring(keys []Key) (*ticket.Keyring, error) {
+	ring := make([]ticket.Key, len(keys))
+	for i, key := range keys {
+		ring[i] = ticket.Key{ID: ticket.KeyID(key.ID), Secret: key.Secret}
+	}
+	return ticket.NewKeyring(ring...)
+}
+
+// forwardKeys returns the keys that seal forwarded requests.
+func forwardKeys(keys []Key) []forward.Key {
+	sealing := make([]forward.Key, len(keys))
+	for i, key := range keys {
+		sealing[i] = forward.Key{ID: key.ID, Secret: key.Secret}
+	}
+	return sealing
+}
--- a/pkg/stage/dispatch/attempt.go
+++ b/pkg/stage/dispatch/attempt.go
@@ -21,6 +21,7 @@
 	id       types.AttemptID
 	endpoint *snapshot.Endpoint
 	region   types.Region
+	owner    types.Incarnation
 	evidence outcome.Evidence
 	kind     Kind
 	started  time.Time
@@ -158,7 +159,7 @@
 	if a.run.d.opts.Forwarder == nil {
 		return nil, types.NewFailure(types.NotRun, types.CodeNoEndpoint, "no endpoint of the service is available here")
 	}
-	return a.run.d.opts.Forwarder.Prepare(ctx, a.run.req, a.region, a.id)
+	return a.run.d.opts.Forwarder.Prepare(ctx, a.run.req, Destination{Region: a.region, Owner: a.owner})
 }
 
 // gotConn is called by the transport once it has a connection and before it
--- a/pkg/stage/dispatch/dispatch.go
+++ b/pkg/stage/dispatch/dispatch.go
@@ -11,31 +11,24 @@
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/stage/retry"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // Retrier decides whether a failed attempt is followed by another one. It is
-// asked only when repeating the request is safe. Safe for concurrent use.
+// asked only when repeating the request is safe. *retry.Policy implements it.
+// Safe for concurrent use.
 type Retrier interface {
-	Retry(in RetryInput) RetryDecision
+	// Offer credits the retry budget with a request and reports whether the
+	// request is a resend; share is the published retry budget.
+	Offer(req *request.Request, share float64, now time.Time) (resend bool)
+	// Decide decides on a failed attempt.
+	Decide(in retry.Input) retry.Decision
+	// Failed notes that the caller was told of a failure.
+	Failed(req *request.Request, now time.Time)
 }
 
-// RetryInput is everything that the decision to retry depends on.
-type RetryInput struct {
-	Request *request.Request
-	// Attempts is the number of attempts made so far, at least one.
-	Attempts int
-	// Failure is the failure of the last attempt.
-	Failure *types.Failure
-	Now     time.Time
-}
-
-// RetryDecision is the answer to RetryInput.
-type RetryDecision struct {
-	Retry bool
-	// Delay is the wait before the next attempt.
-	Delay time.Duration
-}
+var _ Retrier = (*retry.Policy)(nil)
 
 // Observer learns what happened to attempts. Its methods are called from the
 // request's goroutine and must not block. Safe for concurrent use.
@@ -46,11 +39,18 @@
 	AttemptEnded(report Report)
 }
 
-// Forwarder sends a request to an entry of another region.
+// Destination is another daemon: any entry of a region, or one incarnation.
+type Destination struct {
+	Region types.Region
+	// Owner is set when only this incarnation may take the request.
+	Owner types.Incarnation
+}
+
+// Forwarder makes requests to other daemons.
 type Forwarder interface {
-	// Prepare returns the request for an entry of the region, without its
-	// body. Its failures have the verdict NotRun.
-	Prepare(ctx context.Context, req *request.Request, region types.Region, attempt types.AttemptID) (*http.Request, *types.Failure)
+	// Prepare returns the request for an entry, without its body. Its
+	// failures have the verdict NotRun.
+	Prepare(ctx context.Context, req *request.Request, to Destination) (*http.Request, *types.Failure)
 }
 
 // Options configures a Dispatcher.
@@ -111,6 +111,8 @@
 	Region types.Region
 	// Attempt is the ID of the last attempt.
 	Attempt types.AttemptID
+	// FirstByte is when the answer began; zero when there was none.
+	FirstByte time.Time
 	// Tokens is the number of token events passed on.
 	Tokens int
 	// Failure is nil when the whole answer was passed on.
@@ -123,14 +125,20 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	run := &run{d: d, req: req, caller: caller, ctx: ctx}
-	failure := run.loop(ctx)
-	summary := run.summary
-	summary.Verdict = run.verdict
-	if failure != nil {
-		failure = run.finalFailure(failure)
-		summary.Verdict = failure.Verdict
-		summary.Failure = failure
-		caller.Fail(failure)
+	run.offer()
+	return run.finish(run.loop(ctx))
+}
+
+// Forward sends the request to the one incarnation that may run it, once. When
+// it can't be reached the verdict is MayHaveRun, since the request may have
+// reached it before by another way.
+func (d *Dispatcher) Forward(ctx context.Context, req *request.Request, owner types.Incarnation, caller *relay.Caller) Summary {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	run := &run{d: d, req: req, caller: caller, ctx: ctx}
+	failure := run.attempt(ctx, route.Decision{}, owner)
+	if failure != nil && !run.stated {
+		run.verdict = run.verdict.Merge(types.MayHaveRun)
 	}
-	return summary
+	return run.finish(failure)
 }
--- a/pkg/stage/dispatch/pass.go
+++ b/pkg/stage/dispatch/pass.go
@@ -111,6 +111,10 @@
 		failure.Code = types.CodeOverloaded
 		failure.Status = types.StatusOf(types.CodeOverloaded)
 	}
+	if a.kind == KindLeaving && failure.Verdict == types.NotRun {
+		failure.Code = types.CodeDraining
+		failure.Status = types.StatusOf(types.CodeDraining)
+	}
 	failure.RetryAfter = retryAfter(response.Header)
 	return failure
 }
@@ -176,7 +180,7 @@
 	}
 	if a.evidence.Progress == outcome.NotConnected {
 		a.kind = KindConnectFailed
-		return a.failure(types.CodeNoEndpoint, "no connection to the endpoint", err)
+		return a.failure(types.CodeEndpointFailed, "no connection to the endpoint", err)
 	}
 	a.kind = KindBroke
 	return a.failure(types.CodeEndpointFailed, "the endpoint's connection broke", err)
--- a/pkg/stage/dispatch/run.go
+++ b/pkg/stage/dispatch/run.go
@@ -10,6 +10,7 @@
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/stage/retry"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -28,6 +29,10 @@
 	summary Summary
 	// tokens is how many token events the caller has received.
 	tokens int
+	// stated is true when the last attempt went to a daemon that stated its
+	// verdict.
+	stated bool
+	resend bool
 	// version is the version that the stream so far came from.
 	version types.ModelVersion
 }
@@ -40,7 +45,7 @@
 		if failure != nil {
 			return firstFailure(last, failure)
 		}
-		last = r.attempt(ctx, decision)
+		last = r.attempt(ctx, decision, types.Incarnation{})
 		if last == nil {
 			return nil
 		}
@@ -76,12 +81,15 @@
 }
 
 // attempt makes one attempt and relays its answer.
-func (r *run) attempt(ctx context.Context, decision route.Decision) *types.Failure {
+func (r *run) attempt(ctx context.Context, decision route.Decision, owner types.Incarnation) *types.Failure {
 	a := newAttempt(r, decision)
+	a.owner = owner
 	r.note(a)
 	failure := a.do(ctx)
 	r.verdict = r.verdict.Merge(a.verdict())
+	r.stated = a.evidence.PeerStated
 	r.tokens += a.tokens
+	r.noteFirst(a)
 	r.summary.Tokens = r.tokens
 	if a.tokens > 0 {
 		r.version = a.version()
@@ -111,13 +119,31 @@
 	if r.caller.Committed() && r.tokens == 0 {
 		return false
 	}
-	decision := r.d.opts.Retrier.Retry(RetryInput{
+	decision := r.d.opts.Retrier.Decide(retry.Input{
 		Request:  r.req,
-		Attempts: r.summary.Attempts,
 		Failure:  failure,
+		History:  r.verdict,
+		Attempts: r.summary.Attempts,
+		Resend:   r.resend,
 		Now:      r.d.opts.Now(),
+		Rand:     r.d.opts.Rand,
 	})
-	return decision.Retry && wait(ctx, decision.Delay)
+	return decision.Again && wait(ctx, decision.Delay)
+}
+
+// offer credits the retry budget with the request.
+func (r *run) offer() {
+	config := r.d.opts.Snapshot().Config
+	if r.d.opts.Retrier != nil && config != nil {
+		r.resend = r.d.opts.Retrier.Offer(r.req, config.Policy.RetryBudget, r.d.opts.Now())
+	}
+}
+
+// noteFirst keeps the time of the first byte that reached the caller.
+func (r *run) noteFirst(a *attempt) {
+	if r.summary.FirstByte.IsZero() && r.caller.Committed() {
+		r.summary.FirstByte = a.begun
+	}
 }
 
 // wait waits and reports whether ctx is still alive.
@@ -135,11 +161,22 @@
 	}
 }
 
-// finalFailure gives the last failure the verdict of the whole history.
-func (r *run) finalFailure(failure *types.Failure) *types.Failure {
+// finish tells the caller of a failure, with the verdict of the whole history.
+func (r *run) finish(failure *types.Failure) Summary {
+	summary := r.summary
+	summary.Verdict = r.verdict
+	if failure == nil {
+		return summary
+	}
 	final := *failure
 	final.Verdict = r.verdict.Merge(failure.Verdict)
-	return &final
+	summary.Verdict = final.Verdict
+	summary.Failure = &final
+	if r.d.opts.Retrier != nil {
+		r.d.opts.Retrier.Failed(r.req, r.d.opts.Now())
+	}
+	r.caller.Fail(&final)
+	return summary
 }
 
 // contextFailure tells a passed deadline from a caller that went away.
--- /dev/null
+++ b/pkg/stage/forward/receiver.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Handler is the next stage.
+type Handler interface {
+	Handle(ctx context.Context, req *request.Request, caller *relay.Caller)
+}
+
+// ReceiverOptions configures a Receiver.
+type ReceiverOptions struct {
+	Snapshot func() *snapshot.Snapshot
+	Keys     []Key
+	Next     Handler
+	// FloorSeen is called with the revision that a forwarded request names;
+	// nil ignores it. It must not block.
+	FloorSeen   func(types.Revision)
+	RelayLimits relay.Limits
+	// MaxBodyBytes bounds a body. Default 4 MiB.
+	MaxBodyBytes int64
+	// MaxRequests bounds the requests handled at once. Default 5,000.
+	MaxRequests int64
+	// BodyTimeout bounds the time to receive a body. Default 30 s.
+	BodyTimeout time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// The defaults of ReceiverOptions.
+const (
+	DefaultMaxBodyBytes = 4 << 20
+	DefaultMaxRequests  = 5_000
+	DefaultBodyTimeout  = 30 * time.Second
+)
+
+// Receiver takes requests that other daemons forward. It checks for itself
+// that the request has made one hop only, that it is meant for this daemon and
+// that its data may be here. It is safe for concurrent use.
+type Receiver struct {
+	opts     ReceiverOptions
+	requests atomic.Int64
+}
+
+var _ http.Handler = (*Receiver)(nil)
+
+// NewReceiver returns a receiver.
+func NewReceiver(opts ReceiverOptions) *Receiver {
+	if opts.MaxBodyBytes == 0 {
+		opts.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if opts.MaxRequests == 0 {
+		opts.MaxRequests = DefaultMaxRequests
+	}
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = DefaultBodyTimeout
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &Receiver{opts: opts}
+}
+
+// ServeHTTP runs one forwarded request.
+func (r *Receiver) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
+	w.Header().Set(types.HeaderAttemptID, incoming.Header.Get(types.HeaderAttemptID))
+	defer r.requests.Add(-1)
+	if r.requests.Add(1) > r.opts.MaxRequests {
+		relay.WriteFailure(w, "", types.NewFailure(types.NotRun, types.CodeOverloaded, "too many forwarded requests at once"))
+		return
+	}
+	req, failure := r.receive(w, incoming)
+	if failure != nil {
+		relay.WriteFailure(w, "", failure)
+		return
+	}
+	caller := relay.NewCaller(w, req.ID, r.opts.RelayLimits)
+	r.opts.Next.Handle(incoming.Context(), req, caller)
+	if caller.Broken() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (r *Receiver) receive(w http.ResponseWriter, incoming *http.Request) (*request.Request, *types.Failure) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(r.opts.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, incoming.Body, r.opts.MaxBodyBytes))
+	if err != nil {
+		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, "the forwarded body can't be read")
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	now := r.opts.Now()
+	envelope, err := Open(r.opts.Keys, incoming.Header.Get(HeaderEnvelope), body, now)
+	if err != nil {
+		return nil, types.NewFailure(types.NotRun, types.CodeForbidden, err.Error())
+	}
+	if r.opts.FloorSeen != nil {
+		r.opts.FloorSeen(envelope.Floor)
+	}
+	return Accept(envelope, body, r.opts.Snapshot(), now)
+}
+
+// Accept checks an authentic envelope and returns the request that it holds.
+// Its failures have the verdict NotRun.
+func Accept(e *Envelope, body []byte, view *snapshot.Snapshot, now time.Time) (*request.Request, *types.Failure) {
+	if failure := checkDestination(e, view); failure != nil {
+		return nil, failure
+	}
+	service, known := view.Config.Services[e.Service]
+	if !known {
+		return nil, types.NewFailure(types.NotRun, types.CodeUnknownService, "the service is not known here")
+	}
+	org, known := view.Config.Orgs[e.Org]
+	if !known {
+		return nil, types.NewFailure(types.NotRun, types.CodeForbidden, "the organisation is not known here")
+	}
+	if !mayEnter(service, org, view.Self.Region) {
+		return nil, types.NewFailure(types.NotRun, types.CodeResidency,
+			"the data of this service may not be sent to region "+string(view.Self.Region))
+	}
+	return &request.Request{
+		ID: e.ID, Service: service, Org: org, Rank: max(e.Rank, service.MaxRank),
+		Arrived: now, Deadline: now.Add(time.Duration(e.LeftMS) * time.Millisecond),
+		Repeatable: e.Repeatable,
+		Key:        e.Key, Ticket: e.Ticket, Path: e.Path, Floor: e.Floor,
+		Fingerprint: e.Fingerprint, Prefix: e.Prefix, Streamed: e.Streamed, Version: e.Version,
+		InputTokens: e.InputTokens, OutputTokens: e.OutputTokens,
+		Method: e.Method, URLPath: e.URLPath, Query: e.Query, Header: e.Header, Body: body,
+	}, nil
+}
+
+// checkDestination refuses loops and requests that are meant for another
+// daemon or an earlier incarnation of this one.
+func checkDestination(e *Envelope, view *snapshot.Snapshot) *types.Failure {
+	self := view.Self.Incarnation
+	if len(e.Path) != maxHops {
+		return types.NewFailure(types.NotRun, types.CodeLoop, "a request may be forwarded once only")
+	}
+	for _, hop := range e.Path {
+		if hop.VM == self.VM {
+			return types.NewFailure(types.NotRun, types.CodeLoop, "the request was forwarded by this daemon itself")
+		}
+	}
+	if e.To != self.VM {
+		return types.NewFailure(types.NotRun, types.CodeForbidden, "the request was forwarded to another daemon")
+	}
+	if !e.Owner.IsZero() && e.Owner != self {
+		return types.NewFailure(types.MayHaveRun, types.CodeOwnerGone, "the incarnation that may run this request is gone")
+	}
+	if view.Config == nil || view.Paused {
+		return types.NewFailure(types.NotRun, types.CodeNotReady, "this entry has no current configuration yet")
+	}
+	return nil
+}
+
+// mayEnter reports whether the organisation's data for the service may be in
+// the region.
+func mayEnter(service *published.Service, org *published.Organisation, region types.Region) bool {
+	if org.Home != "" && org.Home != region {
+		return false
+	}
+	return service.Allows(region)
+}
--- a/pkg/stage/ingress/entries.go
+++ b/pkg/stage/ingress/entries.go
@@ -1,12 +1,9 @@
 package ingress
 
 import (
-	"cmp"
-	"slices"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
+	"net"
 
+	"github.com/flamingomount/flamingomount/pkg/control/entries"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -14,124 +11,56 @@
 
 // EntriesAnswer is the body of GET /v1/entries.
 type EntriesAnswer struct {
-	// Entries lists the entries to use, best first.
-	Entries []Entry `json:"entries"`
-	// LifetimeMS is how long the list may be kept, in milliseconds.
-	LifetimeMS int64          `json:"lifetime_ms"`
-	Revision   types.Revision `json:"revision"`
-	// Ticket binds the next request that may not be repeated to the daemon
-	// that issued it, which is named by TicketEntry.
+	entries.Answer
+	// Ticket is for the next request that may not be repeated. It binds that
+	// request to the entry at TicketEntry; empty when none can be issued.
 	Ticket      string `json:"ticket,omitempty"`
 	TicketEntry string `json:"ticket_entry,omitempty"`
 }
 
-// Entry is one daemon that callers may use.
-type Entry struct {
-	Address    string           `json:"address"`
-	Region     types.Region     `json:"region"`
-	DataCentre types.DataCentre `json:"data_centre"`
-}
-
-// entryQuery asks for the entries that one caller should use.
-type entryQuery struct {
-	who identity
-	// service may be nil: then every region of the caller's home counts.
-	service *published.Service
-	view    *snapshot.Snapshot
-	// callerAddress is this daemon's own address for callers.
-	callerAddress string
-}
-
-// ranked is an entry with its place in the order.
-type ranked struct {
-	entry    Entry
-	distance int
-	weight   uint64
-}
-
-// Distances of an entry from this daemon.
-const (
-	distanceSameCentre = iota
-	distanceSameRegion
-	distanceElsewhere
-)
-
-// rankEntries lists live entries, nearest first. Among entries that are equally
-// near, rendezvous hashing gives each caller its own stable order, so that
-// callers spread evenly and few of them move when an entry comes or goes.
-func rankEntries(query entryQuery) []Entry {
-	all := make([]ranked, 0, len(query.view.Members)+1)
-	for i := range query.view.Members {
-		all = query.append(all, &query.view.Members[i])
-	}
-	if query.callerAddress != "" && !query.view.Draining {
-		self := query.view.Self
-		all = query.append(all, &snapshot.Member{
-			Incarnation:   self.Incarnation,
-			Region:        self.Region,
-			DataCentre:    self.DataCentre,
-			CallerAddress: query.callerAddress,
-			State:         snapshot.MemberAlive,
-		})
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.weight, a.weight),
-			cmp.Compare(a.entry.Address, b.entry.Address))
-	})
-	entries := make([]Entry, len(all))
-	for i := range all {
-		entries[i] = all[i].entry
-	}
-	return entries
-}
-
-// append adds a member that may take the caller's requests.
-func (q entryQuery) append(all []ranked, member *snapshot.Member) []ranked {
-	if member.State == snapshot.MemberLeaving || member.State == snapshot.MemberSuspect || member.CallerAddress == "" {
-		return all
+// allowedRegions lists the regions that the organisation's data for the service
+// may be in. Allowed is false when there is none. A nil service allows all.
+func allowedRegions(service *published.Service, org *published.Organisation) (regions []types.Region, allowed bool) {
+	if org.Home != "" {
+		return []types.Region{org.Home}, service == nil || service.Allows(org.Home)
 	}
-	if q.service != nil && !mayEnter(q.service, q.who.org, member.Region) {
-		return all
+	if service == nil {
+		return nil, true
 	}
-	if home := q.who.org.Home; home != "" && home != member.Region {
-		return all
-	}
-	return append(all, ranked{
-		entry:    Entry{Address: member.CallerAddress, Region: member.Region, DataCentre: member.DataCentre},
-		distance: distance(q.view.Self, member),
-		weight:   rendezvousWeight(string(q.who.hash), string(member.Incarnation.VM)),
-	})
+	return service.Regions, len(service.Regions) > 0
 }
 
-func distance(self snapshot.Self, member *snapshot.Member) int {
-	switch {
-	case self.DataCentre == member.DataCentre && self.Region == member.Region:
-		return distanceSameCentre
-	case self.Region == member.Region:
-		return distanceSameRegion
-	default:
-		return distanceElsewhere
+// listEntries names the entries for a caller, best first.
+func listEntries(key string, service *published.Service, org *published.Organisation, view *snapshot.Snapshot, query entries.Query) entries.Answer {
+	regions, allowed := allowedRegions(service, org)
+	if !allowed {
+		return entries.Answer{Entries: []entries.Entry{}, LifetimeMS: entries.DefaultLifetime.Milliseconds()}
 	}
+	query.Caller, query.Allowed = key, regions
+	return entries.List(view, query)
 }
 
-func rendezvousWeight(caller, vm string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(caller)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(vm)
-	return digest.Sum64()
-}
-
-// entriesAnswer builds the answer to GET /v1/entries.
-func (s *Server) entriesAnswer(query entryQuery, now time.Time) EntriesAnswer {
+// entriesAnswer builds the answer to GET /v1/entries. Callers of one credential
+// are told apart by their IP address, so that they spread too.
+func (s *Server) entriesAnswer(c *call, service *published.Service) EntriesAnswer {
+	host, _, _ := net.SplitHostPort(c.r.RemoteAddr)
+	query := entries.Query{Lifetime: s.opts.Limits.EntriesLifetime}
 	answer := EntriesAnswer{
-		Entries:    rankEntries(query),
-		LifetimeMS: s.opts.Limits.EntriesLifetime.Milliseconds(),
-		Revision:   query.view.Config.Revision,
+		Answer: listEntries(string(c.who.hash)+"/"+host, service, c.who.org, c.view, query),
+	}
+	if s.opts.Tickets == nil {
+		return answer
 	}
-	if s.opts.Tickets != nil && !query.view.Draining {
-		answer.Ticket = s.opts.Tickets.Ticket(query.who.org.Name, now)
-		answer.TicketEntry = s.opts.CallerAddress
+	for _, entry := range answer.Entries {
+		if entry.Boot == "" {
+			continue
+		}
+		owner := types.Incarnation{VM: entry.VM, Boot: entry.Boot}
+		ticket, err := s.opts.Tickets.Ticket(c.who.org.Name, owner, c.view.Config.Revision)
+		if err == nil {
+			answer.Ticket, answer.TicketEntry = ticket, entry.Address
+		}
+		return answer
 	}
 	return answer
 }
--- a/pkg/stage/ingress/options.go
+++ b/pkg/stage/ingress/options.go
@@ -27,13 +27,13 @@
 
 // Ticketer issues tickets for requests that may not be repeated.
 type Ticketer interface {
-	// Ticket returns a ticket for the organisation, bound to this daemon.
-	Ticket(org types.OrgName, now time.Time) string
+	// Ticket returns a ticket for the organisation, bound to the owner.
+	Ticket(org types.OrgName, owner types.Incarnation, floor types.Revision) (string, error)
 }
 
 // Fingerprinter identifies the content of a request under the fleet's key.
 type Fingerprinter interface {
-	Fingerprint(service types.ServiceName, path string, body []byte) request.Fingerprint
+	Of(service types.ServiceName, method, path string, body []byte) request.Fingerprint
 }
 
 // Limits bounds what callers may send. The zero value of a field means its
@@ -55,19 +55,18 @@
 	// MaxDeadline bounds the time a caller may ask for. Default 1 h.
 	MaxDeadline time.Duration
 	// EntriesLifetime is how long callers may keep the list of entries.
-	// Default 10 s.
+	// Default entries.DefaultLifetime.
 	EntriesLifetime time.Duration
 }
 
 // The defaults of Limits.
 const (
-	DefaultMaxRequests     = 20_000
-	DefaultMaxBodyBytes    = 4 << 20
-	DefaultMaxBodyMemory   = 256 << 20
-	DefaultBodyTimeout     = 30 * time.Second
-	DefaultDeadline        = 2 * time.Minute
-	DefaultMaxDeadline     = time.Hour
-	DefaultEntriesLifetime = 10 * time.Second
+	DefaultMaxRequests   = 20_000
+	DefaultMaxBodyBytes  = 4 << 20
+	DefaultMaxBodyMemory = 256 << 20
+	DefaultBodyTimeout   = 30 * time.Second
+	DefaultDeadline      = 2 * time.Minute
+	DefaultMaxDeadline   = time.Hour
 )
 
 // WithDefaults returns the limits with each zero field set to its default.
@@ -78,7 +77,6 @@
 	l.BodyTimeout = orDefault(l.BodyTimeout, DefaultBodyTimeout)
 	l.Deadline = orDefault(l.Deadline, DefaultDeadline)
 	l.MaxDeadline = orDefault(l.MaxDeadline, DefaultMaxDeadline)
-	l.EntriesLifetime = orDefault(l.EntriesLifetime, DefaultEntriesLifetime)
 	return l
 }
 
@@ -100,10 +98,8 @@
 	Tickets Ticketer
 	// Fingerprints may be nil: then fingerprints are zero.
 	Fingerprints Fingerprinter
-	// CallerAddress is where callers reach this daemon, "ip:port".
-	CallerAddress string
-	Limits        Limits
-	RelayLimits   relay.Limits
+	Limits       Limits
+	RelayLimits  relay.Limits
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Rand must be safe for concurrent use.
--- a/pkg/stage/ingress/residency.go
+++ b/pkg/stage/ingress/residency.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"github.com/flamingomount/flamingomount/pkg/control/entries"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -31,12 +32,11 @@
 
 // entriesFor names entries of regions that the service may use.
 func entriesFor(service *published.Service, who identity, view *snapshot.Snapshot) []types.VMID {
-	var named []types.VMID
-	for _, entry := range rankEntries(entryQuery{who: who, service: service, view: view}) {
-		if len(named) == maxNamedEntries {
-			break
-		}
-		named = append(named, types.VMID(entry.Address))
+	query := entries.Query{Limit: maxNamedEntries}
+	answer := listEntries(string(who.hash), service, who.org, view, query)
+	named := make([]types.VMID, len(answer.Entries))
+	for i, entry := range answer.Entries {
+		named[i] = types.VMID(entry.Address)
 	}
 	return named
 }
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -294,7 +294,7 @@
 func (s *Server) next(c *call, req *request.Request, body []byte) {
 	req.Body = body
 	if s.opts.Fingerprints != nil {
-		req.Fingerprint = s.opts.Fingerprints.Fingerprint(req.Service.Name, req.URLPath, body)
+		req.Fingerprint = s.opts.Fingerprints.Of(req.Service.Name, req.Method, req.URLPath, body)
 	}
 	caller := relay.NewCaller(c.w, c.id, s.opts.RelayLimits)
 	s.opts.Next.Handle(c.r.Context(), req, caller)
@@ -328,15 +328,15 @@
 
 // entries tells the caller which entries to use.
 func (s *Server) entries(c *call) *types.Failure {
-	query := entryQuery{who: c.who, view: c.view, callerAddress: s.opts.CallerAddress}
+	var chosen *published.Service
 	if name := types.ServiceName(c.r.URL.Query().Get("service")); name != "" {
 		service, known := c.view.Config.Services[name]
 		if !known || !c.who.mayUse(name) {
 			return types.NewFailure(types.NotRun, types.CodeForbidden, "the credential is not for this service")
 		}
-		query.service = service
+		chosen = service
 	}
-	writeJSON(c.w, s.entriesAnswer(query, c.arrived))
+	writeJSON(c.w, s.entriesAnswer(c, chosen))
 	return nil
 }
 
--- a/pkg/stage/relay/failure.go
+++ b/pkg/stage/relay/failure.go
@@ -24,6 +24,8 @@
 	RequestID types.RequestID `json:"request_id"`
 	// Entries names entries that may serve the request, best first.
 	Entries []types.VMID `json:"entries,omitempty"`
+	// Ticket is a fresh ticket to send the request again with.
+	Ticket string `json:"ticket,omitempty"`
 }
 
 // The error types that OpenAI clients know.
@@ -44,6 +46,9 @@
 	if id != "" {
 		header.Set(types.HeaderRequestID, string(id))
 	}
+	if failure.Ticket != "" {
+		header.Set(types.HeaderTicket, failure.Ticket)
+	}
 	if failure.RetryAfter > 0 {
 		header.Set("Retry-After", retryAfterSeconds(failure.RetryAfter))
 	}
@@ -61,6 +66,7 @@
 		Verdict:   failure.Verdict,
 		RequestID: id,
 		Entries:   failure.Entries,
+		Ticket:    failure.Ticket,
 	}}
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/pkg/stage/relay/whole.go
+++ b/pkg/stage/relay/whole.go
@@ -90,12 +90,19 @@
 
 // Send sends a whole answer with its verdict.
 func (c *Caller) Send(response *http.Response, body []byte, verdict types.Verdict) Result {
-	header := AnswerHeader(response.Header, false)
+	return c.SendAnswer(response.StatusCode, AnswerHeader(response.Header, false), body, verdict)
+}
+
+// SendAnswer sends a whole answer that is held in memory. The header is changed.
+func (c *Caller) SendAnswer(status int, header http.Header, body []byte, verdict types.Verdict) Result {
 	header.Set(types.HeaderVerdict, verdict.String())
-	if response.Body != http.NoBody || len(body) > 0 {
+	if status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	c.begin(response.StatusCode, header)
+	c.begin(status, header)
+	if len(body) == 0 {
+		return Result{End: EndWhole}
+	}
 	if err := c.write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return Result{End: EndCaller, Err: err}
 	}
