--- a/pkg/stage/limit/limit.go
+++ b/pkg/stage/limit/limit.go
@@ -11,13 +11,14 @@
 
 // Options sets a limiter.
 type Options struct {
-	// Min is the lowest limit. Default 1.
-	Min int
-	// Backoff is what the limit is multiplied with when the endpoint has a
-	// queue. Default 0.9.
-	Backoff float64
+	// MinShare is the lowest limit, as a part of the fair share. Default 0.25.
+	MinShare float64
+	// MaxBackoff is the largest part of the limit that one decrease takes.
+	// Default 0.3.
+	MaxBackoff float64
 	// Cooldown is the least time between two decreases, so that one queue seen
-	// in several reports counts once. Default 1 s.
+	// in several reports counts once; twice a report's age counts when that is
+	// longer. Default 1 s.
 	Cooldown time.Duration
 	// Slack is the share of an endpoint's slots that may be queued there
 	// before the limit falls. Default 0.05.
@@ -25,20 +26,25 @@
 }
 
 const (
-	defaultMin      = 1
-	defaultBackoff  = 0.9
-	defaultCooldown = time.Second
-	defaultSlack    = 0.05
+	defaultMinShare   = 0.25
+	defaultMaxBackoff = 0.3
+	defaultCooldown   = time.Second
+	defaultSlack      = 0.05
 	// usedShare is the share of the limit that must be in use for it to grow.
-	usedShare = 0.9
+	usedShare = 0.8
+	// growShare is the part of its share of the free slots that a daemon takes
+	// with one report.
+	growShare = 0.5
+	// refusedBackoff is the part of the limit that a refusal takes.
+	refusedBackoff = 0.1
 )
 
 func (o *Options) setDefaults() {
-	if o.Min <= 0 {
-		o.Min = defaultMin
+	if o.MinShare <= 0 {
+		o.MinShare = defaultMinShare
 	}
-	if o.Backoff <= 0 || o.Backoff >= 1 {
-		o.Backoff = defaultBackoff
+	if o.MaxBackoff <= 0 || o.MaxBackoff >= 1 {
+		o.MaxBackoff = defaultMaxBackoff
 	}
 	if o.Cooldown <= 0 {
 		o.Cooldown = defaultCooldown
@@ -48,15 +54,14 @@
 	}
 }
 
-// Fair is the share of an endpoint's slots that one of several daemons starts
-// with, rounded up.
-func Fair(slots, daemons int) int {
-	daemons = max(daemons, 1)
-	return (max(slots, 1) + daemons - 1) / daemons
+// Fair is one daemon's equal share of an endpoint's slots.
+func Fair(slots, daemons int) float64 {
+	return float64(max(slots, 1)) / float64(max(daemons, 1))
 }
 
 // Report is what one load report tells the limiter.
 type Report struct {
+	TakenAt time.Time
 	Slots   int
 	Running int
 	Queued  int
@@ -66,7 +71,8 @@
 	Daemons int
 }
 
-// AIMD raises a limit by a step and lowers it by a factor. It is a pure state
+// AIMD raises a limit by a share of the free slots and lowers it by a factor.
+// Limits are fractions, since many daemons share few slots. It is a pure state
 // machine for one endpoint; the zero value is not usable.
 type AIMD struct {
 	options   Options
@@ -77,38 +83,44 @@
 // NewAIMD builds a limiter that starts with the fair share of the slots.
 func NewAIMD(o Options, slots, daemons int) *AIMD {
 	o.setDefaults()
-	return &AIMD{options: o, limit: math.Max(float64(Fair(slots, daemons)), float64(o.Min))}
+	return &AIMD{options: o, limit: Fair(slots, daemons)}
 }
 
-// Limit is the present limit.
+// Share is the present limit as a fraction; the capacity of a daemon is the sum
+// over its endpoints, rounded down.
+func (a *AIMD) Share() float64 {
+	return a.limit
+}
+
+// Limit is the present limit rounded up, as snapshot.Counters.Limit holds it.
 func (a *AIMD) Limit() int {
-	return int(a.limit)
+	return int(math.Ceil(a.limit))
 }
 
-// Report adapts the limit to a load report and returns it.
-func (a *AIMD) Report(r Report, now time.Time) int {
+// Report adapts the limit to a load report.
+func (a *AIMD) Report(r Report, now time.Time) {
 	slots := float64(max(r.Slots, 1))
+	excess := float64(r.Queued) - a.options.Slack*slots
 	switch {
-	case float64(r.Queued) > a.options.Slack*slots:
-		a.decrease(now)
+	case excess > 0:
+		a.decrease(min(excess/slots, a.options.MaxBackoff), r.TakenAt, now)
 	case r.Running < r.Slots && float64(r.InFlight) >= usedShare*a.limit:
-		a.limit += math.Max(1, float64(r.Slots-r.Running)/float64(2*max(r.Daemons, 1)))
+		a.limit += growShare * float64(r.Slots-r.Running) / float64(max(r.Daemons, 1))
 	}
-	a.limit = math.Min(math.Max(a.limit, float64(a.options.Min)), slots)
-	return a.Limit()
+	fair := Fair(r.Slots, r.Daemons)
+	a.limit = min(max(a.limit, a.options.MinShare*fair), slots)
 }
 
-// Refused lowers the limit because the endpoint refused an attempt, and returns
-// it.
-func (a *AIMD) Refused(now time.Time) int {
-	a.decrease(now)
-	return a.Limit()
+// Refused lowers the limit because the endpoint refused an attempt.
+func (a *AIMD) Refused(now time.Time) {
+	a.decrease(refusedBackoff, now, now)
 }
 
-func (a *AIMD) decrease(now time.Time) {
-	if !a.decreased.IsZero() && now.Sub(a.decreased) < a.options.Cooldown {
+func (a *AIMD) decrease(part float64, takenAt, now time.Time) {
+	cooldown := max(a.options.Cooldown, 2*now.Sub(takenAt))
+	if !a.decreased.IsZero() && now.Sub(a.decreased) < cooldown {
 		return
 	}
 	a.decreased = now
-	a.limit = math.Max(a.limit*a.options.Backoff, float64(a.options.Min))
+	a.limit *= 1 - part
 }
