Add the daemon over static files

Change: pkg/daemon wires ingress, admission, the composed router, dispatch, relay, forwarding, the at-most-once guard, metrics and the administration API; cmd/flamingomountd runs it and drains on SIGTERM. Control state is static files until the control package lands.

--- /dev/null
+++ b/pkg/daemon/admin.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/admin"
+	"github.com/flamingomount/flamingomount/pkg/burn"
+	"github.com/flamingomount/flamingomount/pkg/metrics"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/admission"
+	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/usage"
+)
+
+// Build is the daemon's version; the linker may set it.
+var Build = "development"
+
+func newRecorder(d *Daemon) *recorder {
+	return &recorder{
+		log:     d.opts.Log,
+		metrics: metrics.New(d.gauges),
+		self:    d.self.Region,
+		now:     d.opts.Now,
+		book:    usage.NewBook(),
+		burn:    burn.NewState(d.self, d.started),
+	}
+}
+
+func (d *Daemon) newAdmin() http.Handler {
+	return admin.New(admin.Sources{
+		Snapshot: d.control.Load,
+		Status:   d.status,
+		Queues:   d.queues,
+		Orders:   d.orders,
+		Explain:  d.explain,
+		Validate: validateBundle,
+		Usage:    d.recorder.usage,
+		Burn:     func() (burn.DaemonReport, error) { return d.recorder.report() },
+		Metrics:  d.recorder.metrics.Handler(),
+		Now:      d.opts.Now,
+	}, admin.Options{})
+}
+
+// validateBundle says that bundles are not checked here; the tool does it.
+func validateBundle([]byte) admin.Validation {
+	return admin.Validation{Problems: []string{"this daemon does not validate bundles: use the command-line tool"}}
+}
+
+func (d *Daemon) status() admin.Status {
+	view := d.control.Load()
+	status := admin.Status{Self: d.self, Build: Build, Started: d.started, Paused: view.Paused, Ready: true}
+	switch {
+	case view.Config == nil:
+		status.Ready, status.NotReady = false, "no configuration was accepted yet"
+	case view.Paused:
+		status.Ready, status.NotReady = false, "the daemon was paused and refreshes what it knows"
+	case view.Draining:
+		status.Ready, status.NotReady = false, "the daemon is leaving"
+	}
+	if view.Config != nil {
+		status.Config = admin.ConfigStatus{
+			Revision: view.Config.Revision, Hash: view.Config.Hash, PublishedAt: view.Config.PublishedAt,
+		}
+	}
+	status.Drain = admin.DrainStatus{Draining: view.Draining, InFlight: int(d.inFlight.Load())}
+	if ends := d.drainEnds.Load(); ends > 0 {
+		status.Drain.EndsBy = time.UnixMilli(ends)
+	}
+	return status
+}
+
+func (d *Daemon) queues() admin.Queues {
+	answer := admin.Queues{Ranks: make([]admin.QueueStatus, types.RankCount)}
+	for _, rank := range types.Ranks() {
+		answer.Ranks[rank].Rank = rank
+	}
+	d.gates.each(func(controller *admission.Controller) {
+		for _, rank := range types.Ranks() {
+			status := &answer.Ranks[rank]
+			status.Waiting += controller.Queued(rank)
+			status.Running += controller.Running(rank)
+			status.Organisations += controller.ActiveOrgs()
+		}
+	})
+	return answer
+}
+
+func (d *Daemon) orders() admin.Orders {
+	return admin.Orders{Running: d.guard.InFlight()}
+}
+
+func (d *Daemon) explain(req *request.Request) (route.Decision, *types.Failure) {
+	return d.router.Route(route.Input{
+		Request: req, Snapshot: d.control.Load(), Now: d.opts.Now(), Rand: d.opts.Rand, Explain: true,
+	})
+}
+
+// gauges reads the control state for metrics.
+func (d *Daemon) gauges() metrics.Gauges {
+	view := d.control.Load()
+	gauges := metrics.Gauges{
+		Quarantined: len(view.Quarantine), Queued: d.gates.waiting(), OrdersHeld: d.guard.InFlight(),
+		Draining: view.Draining, Ready: view.Config != nil && !view.Paused && !view.Draining,
+	}
+	if view.Config != nil {
+		gauges.Revision = view.Config.Revision
+	}
+	for i := range view.Members {
+		switch view.Members[i].State {
+		case snapshot.MemberAlive:
+			gauges.MembersAlive++
+		case snapshot.MemberSuspect:
+			gauges.MembersSuspect++
+		}
+	}
+	for _, endpoints := range view.Endpoints {
+		countEndpoints(&gauges, endpoints)
+	}
+	return gauges
+}
+
+func countEndpoints(gauges *metrics.Gauges, endpoints []*snapshot.Endpoint) {
+	for _, endpoint := range endpoints {
+		switch endpoint.State {
+		case snapshot.EndpointReady:
+			gauges.EndpointsReady++
+		case snapshot.EndpointEjected:
+			gauges.EndpointsEjected++
+		case snapshot.EndpointLeaving:
+			gauges.EndpointsLeaving++
+		}
+	}
+}
--- /dev/null
+++ b/pkg/daemon/attempts.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/control"
+	"github.com/flamingomount/flamingomount/pkg/control/event"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/dispatch"
+	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// attemptObserver tells the control state how attempts ended.
+type attemptObserver struct {
+	control control.Submitter
+	now     func() time.Time
+}
+
+var _ dispatch.Observer = (*attemptObserver)(nil)
+
+// AttemptStarted does nothing.
+func (*attemptObserver) AttemptStarted(*request.Request, *snapshot.Endpoint) {}
+
+// AttemptEnded submits an event; attempts at other daemons are left out.
+func (o *attemptObserver) AttemptEnded(report dispatch.Report) {
+	if report.Endpoint == nil {
+		return
+	}
+	finished := event.AttemptFinished{
+		At:             report.Ended,
+		Endpoint:       report.Endpoint.ID,
+		Service:        report.Endpoint.Service,
+		Request:        report.Request.ID,
+		Attempt:        report.Attempt,
+		Fingerprint:    report.Request.Fingerprint,
+		Rank:           report.Request.Rank,
+		Verdict:        report.Verdict,
+		Code:           codeOf(report.Kind),
+		Connected:      report.Progress != outcome.NotConnected,
+		ConnectionLost: report.Kind == dispatch.KindBroke,
+		Leaving:        report.Kind == dispatch.KindLeaving,
+		Duration:       report.Ended.Sub(report.Started),
+	}
+	if report.Endpoint.Counters != nil {
+		finished.OthersInFlight = int(report.Endpoint.Counters.InFlight.Load())
+	}
+	o.control.Submit(finished)
+}
+
+// codeOf returns the reason of a failed attempt; empty after a success.
+func codeOf(kind dispatch.Kind) types.Code {
+	switch kind {
+	case dispatch.KindSucceeded:
+		return ""
+	case dispatch.KindInvalid:
+		return types.CodeAnswerIncomplete
+	case dispatch.KindRefused:
+		return types.CodeOverloaded
+	case dispatch.KindLeaving:
+		return types.CodeDraining
+	case dispatch.KindTimeout:
+		return types.CodeDeadline
+	case dispatch.KindCallerGone:
+		return types.CodeCallerGone
+	default:
+		return types.CodeEndpointFailed
+	}
+}
--- /dev/null
+++ b/pkg/daemon/gates.go
@@ -0,0 +1,172 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/admission"
+	"github.com/flamingomount/flamingomount/pkg/stage/admission/gate"
+	"github.com/flamingomount/flamingomount/pkg/stage/limit"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// tickInterval is how often waiting requests are looked through and capacities
+// are set anew.
+const tickInterval = 200 * time.Millisecond
+
+// gates holds the admission gate of each service that is in use.
+type gates struct {
+	snapshot func() *snapshot.Snapshot
+	build    func(service types.ServiceName) admission.Admitter
+	now      func() time.Time
+
+	mu        sync.RWMutex
+	byService map[types.ServiceName]*serviceGate
+}
+
+// serviceGate is the gate of one service and the controller behind it.
+type serviceGate struct {
+	*gate.Gate
+	admitter admission.Admitter
+}
+
+func newGates(opts *Options, current func() *snapshot.Snapshot) *gates {
+	g := &gates{
+		snapshot:  current,
+		build:     opts.NewAdmitter,
+		now:       opts.Now,
+		byService: make(map[types.ServiceName]*serviceGate),
+	}
+	if g.build == nil {
+		g.build = func(types.ServiceName) admission.Admitter {
+			return admission.New(admissionOptions(current().Config), opts.Rand)
+		}
+	}
+	return g
+}
+
+func admissionOptions(config *published.Configuration) admission.Options {
+	if config == nil {
+		return admission.Options{}
+	}
+	return admission.Options{PatientFloor: config.Policy.PatientFloor}
+}
+
+// acquire waits until the request may run.
+func (g *gates) acquire(ctx context.Context, req *request.Request) (*gate.Pass, *types.Failure) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	return g.of(req.Service.Name).Acquire(ctx, admission.Offer{
+		Rank:     req.Rank,
+		Org:      req.Org.Name,
+		Share:    req.Org.Share,
+		Cost:     float64(req.InputTokens + req.OutputTokens),
+		Bytes:    int64(len(req.Body)),
+		Deadline: req.Deadline,
+	})
+}
+
+func (g *gates) of(service types.ServiceName) *serviceGate {
+	g.mu.RLock()
+	found := g.byService[service]
+	g.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if found = g.byService[service]; found == nil {
+		admitter := g.build(service)
+		found = &serviceGate{Gate: gate.New(admitter, g.now), admitter: admitter}
+		found.SetCapacity(capacityOf(g.snapshot(), service))
+		g.byService[service] = found
+	}
+	return found
+}
+
+// tick sets capacities anew and refuses requests that waited too long.
+func (g *gates) tick() {
+	view := g.snapshot()
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for service, one := range g.byService {
+		one.SetCapacity(capacityOf(view, service))
+		one.Tick()
+	}
+}
+
+// run ticks until ctx ends.
+func (g *gates) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			g.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// capacityOf returns how many requests of the service this daemon may have
+// running: its limits at the region's ready endpoints, or its fair share of
+// their slots where there is no limit yet. It is at least one, so that the
+// router and not the queue refuses a request when no endpoint is left.
+func capacityOf(view *snapshot.Snapshot, service types.ServiceName) int {
+	daemons := daemonsOf(view)
+	total := 0.0
+	for _, endpoint := range view.Endpoints[service] {
+		if endpoint.State != snapshot.EndpointReady || endpoint.Region != view.Self.Region {
+			continue
+		}
+		own := 0.0
+		if endpoint.Counters != nil {
+			own = float64(endpoint.Counters.Limit.Load())
+		}
+		if own == 0 {
+			own = limit.Fair(endpoint.Slots, daemons)
+		}
+		total += own
+	}
+	return max(int(total), 1)
+}
+
+// daemonsOf counts the daemons that share the region's endpoints.
+func daemonsOf(view *snapshot.Snapshot) int {
+	daemons := 1
+	for i := range view.Members {
+		member := &view.Members[i]
+		live := member.State == snapshot.MemberAlive || member.State == snapshot.MemberListed
+		if live && member.Region == view.Self.Region {
+			daemons++
+		}
+	}
+	return daemons
+}
+
+// waiting counts queued requests by rank, over all services.
+func (g *gates) waiting() [types.RankCount]int {
+	var sum [types.RankCount]int
+	g.each(func(controller *admission.Controller) {
+		for _, rank := range types.Ranks() {
+			sum[rank] += controller.Queued(rank)
+		}
+	})
+	return sum
+}
+
+// each reads every controller.
+func (g *gates) each(read func(*admission.Controller)) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, one := range g.byService {
+		if controller, ok := one.admitter.(*admission.Controller); ok {
+			one.Read(func() { read(controller) })
+		}
+	}
+}
--- a/pkg/stage/dispatch/attempt.go
+++ b/pkg/stage/dispatch/attempt.go
@@ -116,6 +116,7 @@
 		Attempt:   a.id,
 		Kind:      a.kind,
 		Verdict:   a.verdict(),
+		Progress:  a.evidence.Progress,
 		Status:    a.evidence.Status,
 		Started:   a.started,
 		FirstByte: a.begun,
--- a/pkg/stage/dispatch/report.go
+++ b/pkg/stage/dispatch/report.go
@@ -5,6 +5,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -57,6 +58,8 @@
 	Attempt types.AttemptID
 	Kind    Kind
 	Verdict types.Verdict
+	// Progress is how far the attempt got.
+	Progress outcome.Progress
 	// Status is the HTTP status; zero when no response began.
 	Status  int
 	Started time.Time
--- a/pkg/stage/relay/caller.go
+++ b/pkg/stage/relay/caller.go
@@ -61,6 +61,8 @@
 	committed bool
 	streaming bool
 	broken    bool
+	// entryName translates the entries that a failure names; nil for none.
+	entryName func(types.VMID) types.VMID
 }
 
 // NewCaller wraps the response writer of one request.
@@ -84,13 +86,32 @@
 	return c.broken
 }
 
+// NameEntries sets how the entries that a failure names are translated into
+// addresses that callers can use.
+func (c *Caller) NameEntries(name func(types.VMID) types.VMID) {
+	c.entryName = name
+}
+
+// withNames returns the failure with its entries translated.
+func (c *Caller) withNames(failure *types.Failure) *types.Failure {
+	if c.entryName == nil || len(failure.Entries) == 0 {
+		return failure
+	}
+	named := *failure
+	named.Entries = make([]types.VMID, len(failure.Entries))
+	for i, entry := range failure.Entries {
+		named.Entries[i] = c.entryName(entry)
+	}
+	return &named
+}
+
 // Fail ends the request with a failure. Before any byte was sent it is an
 // error response; inside a stream it is a last event, after which the
 // connection must be aborted.
 func (c *Caller) Fail(failure *types.Failure) {
 	if !c.committed {
 		c.committed = true
-		WriteFailure(c.writer, c.requestID, failure)
+		WriteFailure(c.writer, c.requestID, c.withNames(failure))
 		return
 	}
 	c.broken = true
