Add tests of the daemon before stand-ins; close servers before waiting for them

Cause: a drain that was cut off waited for a server that nobody had closed, so that Run did not return (seen in go test ./pkg/daemon, which hung). Change: Run closes what is open before it waits; tests over real loopback connections for faults of engines, orders, residency and bad input.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -346,11 +346,10 @@
 // to other entries, and finishes every request in flight. The end of abort, or
 // the drain limit, cuts off what is left. A graceful stop returns nil.
 func (d *Daemon) Run(stop, abort context.Context) error {
-	defer d.cleanup()
 	background, cancel := context.WithCancel(abort)
-	defer cancel()
 	var running conc.WaitGroup
 	defer running.Wait()
+	defer d.cleanup()
 	defer cancel()
 	running.Go(func() { d.gates.run(background) })
 	running.Go(func() { d.runControl(background) })
--- /dev/null
+++ b/pkg/daemon/fleet_test.go
@@ -0,0 +1,262 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/daemon"
+	"github.com/flamingomount/flamingomount/pkg/platform"
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/settings"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/ingress"
+	"github.com/flamingomount/flamingomount/pkg/standin/engine"
+	"github.com/flamingomount/flamingomount/pkg/standin/plain"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestDaemon(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "daemon")
+}
+
+const (
+	model      types.ServiceName = "quotes"
+	orders     types.ServiceName = "orders"
+	credential                   = "secret-of-bagmati"
+	homeRegion types.Region      = "kathmandu"
+	farRegion  types.Region      = "pokhara"
+)
+
+// lockedRand is a seeded source for concurrent use.
+type lockedRand struct {
+	mu     sync.Mutex
+	source *rand.Rand
+}
+
+func (l *lockedRand) Uint64() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.source.Uint64()
+}
+
+// fleet is a few daemons before stand-ins, on loopback.
+type fleet struct {
+	config  *published.Configuration
+	listing platform.VMListing
+	engines []*engine.Engine
+	workers []*plain.Worker
+	entries []*entry
+	log     *lockedBuffer
+}
+
+// entry is one running daemon.
+type entry struct {
+	*daemon.Daemon
+	control *daemon.StaticControl
+	url     string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+// lockedBuffer gathers log lines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
+func testConfig() *published.Configuration {
+	regions := []types.Region{homeRegion, farRegion}
+	return &published.Configuration{
+		Revision: 7,
+		Services: map[types.ServiceName]*published.Service{
+			model: {Name: model, Team: "sales", Kind: published.KindModel, Regions: regions, MaxBodyBytes: 1 << 16},
+			orders: {
+				Name: orders, Team: "sales", Kind: published.KindPlain, Regions: regions,
+				Calls: []published.Call{{Method: "GET", PathPrefix: "/stock", Repeatable: true}},
+			},
+		},
+		Orgs: map[types.OrgName]*published.Organisation{"bagmati": {Name: "bagmati", Share: 1}},
+		Credentials: map[published.CredentialHash]*published.Credential{
+			ingress.HashCredential(credential): {Org: "bagmati", Services: []types.ServiceName{model, orders}},
+		},
+		Policy: published.Policy{RetryBudget: 10},
+	}
+}
+
+func newFleet() *fleet {
+	return &fleet{config: testConfig(), log: new(lockedBuffer)}
+}
+
+func (f *fleet) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func (f *fleet) addEngine(opts engine.Options) *engine.Engine {
+	opts.TokenInterval = time.Millisecond
+	one := engine.New(opts)
+	f.engines = append(f.engines, one)
+	f.addEndpoint(opts.ID, model, f.serve(one))
+	return one
+}
+
+func (f *fleet) addWorker(id types.EndpointID) *plain.Worker {
+	one := plain.New(id)
+	f.workers = append(f.workers, one)
+	f.addEndpoint(id, orders, f.serve(one))
+	return one
+}
+
+func (f *fleet) addEndpoint(id types.EndpointID, service types.ServiceName, address string) {
+	f.listing.VMs = append(f.listing.VMs, platform.VM{
+		Role: platform.RoleEndpoint, Region: homeRegion, DataCentre: "dc-1",
+		Address: address, Endpoint: id, Service: service, Slots: 8,
+	})
+}
+
+// start runs one daemon in each of the regions given.
+func (f *fleet) start(regions ...types.Region) {
+	callers := make([]net.Listener, len(regions))
+	peers := make([]net.Listener, len(regions))
+	for i, region := range regions {
+		callers[i], peers[i] = listenLoopback(), listenLoopback()
+		f.listing.VMs = append(f.listing.VMs, platform.VM{
+			Role: platform.RoleEntry, Region: region, DataCentre: "dc-1",
+			Peer: types.VMID(peers[i].Addr().String()), Address: callers[i].Addr().String(),
+		})
+	}
+	for i, region := range regions {
+		f.startOne(region, types.BootID("boot-"+string(rune('a'+i))), callers[i], peers[i])
+	}
+	f.connect()
+}
+
+func listenLoopback() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+func (f *fleet) startOne(region types.Region, boot types.BootID, caller, peer net.Listener) {
+	s := settings.Defaults()
+	s.Region, s.DataCentre = string(region), "dc-1"
+	s.Timeouts.DrainNotice = 0
+	self := snapshot.Self{
+		Incarnation: types.Incarnation{VM: types.VMID(peer.Addr().String()), Boot: boot},
+		Region:      region, DataCentre: "dc-1", CallerAddress: caller.Addr().String(),
+	}
+	log := logrus.New()
+	log.SetOutput(f.log)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	e := &entry{control: daemon.NewStaticControl(self, f.config, f.listing), url: "http://" + self.CallerAddress}
+	one, err := daemon.New(daemon.Options{
+		Settings: &s, Control: e.control, Boot: boot, Log: log,
+		Keys:           []daemon.Key{{ID: "k1", Secret: bytes.Repeat([]byte("k"), 32)}},
+		Rand:           &lockedRand{source: rand.New(rand.NewPCG(1, uint64(len(f.entries))))},
+		CallerListener: caller, PeerListener: peer,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	e.Daemon = one
+	var stop context.Context
+	stop, e.stop = context.WithCancel(context.Background())
+	abort, abortNow := context.WithCancel(context.Background())
+	e.ended = make(chan error, 1)
+	var running conc.WaitGroup
+	running.Go(func() { e.ended <- one.Run(stop, abort) })
+	DeferCleanup(func() {
+		abortNow()
+		e.stop()
+		running.Wait()
+	})
+	f.entries = append(f.entries, e)
+}
+
+// connect tells each daemon the others' boot IDs.
+func (f *fleet) connect() {
+	for _, e := range f.entries {
+		var members []snapshot.Member
+		for _, other := range f.entries {
+			if other == e {
+				continue
+			}
+			self := other.Self()
+			members = append(members, snapshot.Member{
+				Incarnation: self.Incarnation, Region: self.Region, DataCentre: self.DataCentre,
+				CallerAddress: self.CallerAddress, State: snapshot.MemberAlive,
+			})
+		}
+		e.control.Update(func(view *snapshot.Snapshot) { view.Members = members })
+	}
+}
+
+// reply is an answer as a caller received it.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	readErr error
+}
+
+// header is one header field of a call.
+type header struct {
+	name, value string
+}
+
+func call(method, url, body string, fields ...header) reply {
+	GinkgoHelper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	request, err := http.NewRequest(method, url, reader)
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+credential)
+	for _, field := range fields {
+		request.Header.Set(field.name, field.value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), readErr: err}
+}
+
+// decodeTicket returns the readable part of a ticket.
+func decodeTicket(ticket string) string {
+	parts := strings.Split(ticket, ".")
+	data, err := base64.RawURLEncoding.DecodeString(parts[len(parts)-2])
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
