--- a/internal/fakeworld/engine.go
+++ b/internal/fakeworld/engine.go
@@ -1,6 +1,7 @@
 package fakeworld
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/control/cacheview"
@@ -92,6 +93,20 @@
 	e.world.clock.after(whole, func() { e.ifRunning(j, func() { e.finish(j) }) })
 }
 
+// cancel ends an attempt whose caller is gone, wherever it is.
+func (e *Engine) cancel(j *job) {
+	rank := j.call.Request.Rank
+	if i := slices.Index(e.queue[rank], j); i >= 0 {
+		e.queue[rank] = slices.Delete(e.queue[rank], i, i+1)
+	} else if _, running := e.running[j]; running {
+		delete(e.running, j)
+	} else {
+		return
+	}
+	j.ended(types.NewFailure(types.MayHaveRun, types.CodeDeadline, "the deadline passed"))
+	e.fill()
+}
+
 func (e *Engine) ifRunning(j *job, then func()) {
 	if _, running := e.running[j]; running && j.boot == e.boot {
 		then()
--- /dev/null
+++ b/internal/fakeworld/stats.go
@@ -0,0 +1,166 @@
+package fakeworld
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// RankStats holds the figures of one rank over the measured time.
+type RankStats struct {
+	Offered int
+	InTime  int
+	Late    int
+	// Refused calls were told that they were not run; Failed ones may have.
+	Refused  int
+	Failed   int
+	Attempts int
+	// Away is the number of calls sent to another region.
+	Away int
+	// Tokens is the output of the calls answered in time.
+	Tokens    int
+	latencies []float64
+	firsts    []float64
+	// slotSamples sums the slots held at each sample.
+	slotSamples int
+}
+
+// Stats holds the figures of one run.
+type Stats struct {
+	Ranks [types.RankCount]RankStats
+	// Blocks counts prompt blocks of measured calls; CachedBlocks those found
+	// in a cache.
+	Blocks       int
+	CachedBlocks int
+	// slots sums the slots that were up at each sample.
+	slots int
+	// occupied holds the occupied share of each engine at each sample.
+	occupied []float64
+	closed   bool
+}
+
+func newStats() *Stats {
+	return &Stats{}
+}
+
+func (s *Stats) offered(call *Call) {
+	if call.measured && call.Resends == 0 {
+		s.Ranks[call.Request.Rank].Offered++
+	}
+}
+
+func (s *Stats) prefix(call *Call, hits int) {
+	if call.measured {
+		s.Blocks += len(call.Request.Prefix)
+		s.CachedBlocks += hits
+	}
+}
+
+func (s *Stats) answered(call *Call, failure *types.Failure, now time.Time) {
+	if !call.measured {
+		return
+	}
+	r := &s.Ranks[call.Request.Rank]
+	r.Attempts += call.Attempts
+	if call.Away > 0 {
+		r.Away++
+	}
+	switch {
+	case failure != nil && call.History == types.NotRun:
+		r.Refused++
+	case failure != nil:
+		r.Failed++
+	case now.After(call.Request.Deadline):
+		r.Late++
+		r.record(call, now)
+	default:
+		r.InTime++
+		r.Tokens += call.Request.OutputTokens
+		r.record(call, now)
+	}
+}
+
+func (r *RankStats) record(call *Call, now time.Time) {
+	r.latencies = append(r.latencies, now.Sub(call.Request.Arrived).Seconds())
+	r.firsts = append(r.firsts, call.FirstToken.Sub(call.Request.Arrived).Seconds())
+}
+
+// occupancy samples who holds the slots of an engine.
+func (s *Stats) occupancy(w *World, e *Engine) {
+	if s.closed || e.down || w.clock.now.Sub(Epoch) < w.Config.Warmup {
+		return
+	}
+	s.slots += e.Slots
+	for j := range e.running {
+		s.Ranks[j.call.Request.Rank].slotSamples++
+	}
+	s.occupied = append(s.occupied, float64(len(e.running)+e.queued())/float64(e.Slots))
+}
+
+func (s *Stats) closeWindow() {
+	s.closed = true
+}
+
+// Share is the share of slot time that the rank held.
+func (s *Stats) Share(rank types.Rank) float64 {
+	return ratio(s.Ranks[rank].slotSamples, s.slots)
+}
+
+// HitRate is the share of prompt blocks found in a cache.
+func (s *Stats) HitRate() float64 {
+	return ratio(s.CachedBlocks, s.Blocks)
+}
+
+// LoadP99 is the 99th percentile of an engine's running and queued requests per
+// slot.
+func (s *Stats) LoadP99() float64 {
+	return Quantile(s.occupied, 0.99)
+}
+
+// Goodput is the output, in tokens, of all calls answered in time.
+func (s *Stats) Goodput() int {
+	total := 0
+	for _, r := range s.Ranks {
+		total += r.Tokens
+	}
+	return total
+}
+
+// Answered is the number of calls that got a whole answer, late or not.
+func (r *RankStats) Answered() int { return len(r.latencies) }
+
+// InTimeShare is the share of offered calls answered in time.
+func (r *RankStats) InTimeShare() float64 { return ratio(r.InTime, r.Offered) }
+
+// AwayShare is the share of offered calls sent to another region.
+func (r *RankStats) AwayShare() float64 { return ratio(r.Away, r.Offered) }
+
+// ExtraAttempts is the attempts beyond the first over the offered calls.
+func (r *RankStats) ExtraAttempts() float64 {
+	return ratio(max(r.Attempts-r.Answered()-r.Failed, 0), r.Offered)
+}
+
+// Latency is a quantile, in seconds, of the time to the whole answer.
+func (r *RankStats) Latency(q float64) float64 { return Quantile(r.latencies, q) }
+
+// FirstToken is a quantile, in seconds, of the time to the first token.
+func (r *RankStats) FirstToken(q float64) float64 { return Quantile(r.firsts, q) }
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Quantile returns the q-quantile of the values by the nearest rank; NaN when
+// there are none.
+func Quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
