--- /dev/null
+++ b/pkg/stage/retry/retry_test.go
@@ -0,0 +1,182 @@
+package retry_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestRetry(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+var start = time.Date(2026, 10, 1, 8, 0, 0, 0, time.UTC)
+
+const share = 0.1
+
+func newRequest(content byte) *request.Request {
+	return &request.Request{
+		Service: &published.Service{Name: "quotes"}, Org: &published.Organisation{Name: "bagmati"},
+		Rank: types.RankUrgent, Repeatable: true, Deadline: start.Add(10 * time.Second),
+		Fingerprint: request.Fingerprint{content},
+	}
+}
+
+func failed(verdict types.Verdict, code types.Code) *types.Failure {
+	return types.NewFailure(verdict, code, "test")
+}
+
+func input(req *request.Request, failure *types.Failure) retry.Input {
+	return retry.Input{
+		Request: req, Failure: failure, History: failure.Verdict, Attempts: 1,
+		Now: start, Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+func funded() *retry.Policy {
+	policy := retry.New(retry.Options{})
+	for range 100 {
+		policy.Offer(newRequest(0), share, start)
+	}
+	return policy
+}
+
+var _ = Describe("Decide", func() {
+	DescribeTable("follows the verdict of the whole history",
+		func(change func(*retry.Input), want bool) {
+			in := input(newRequest(1), failed(types.MayHaveRun, types.CodeEndpointFailed))
+			change(&in)
+			Expect(funded().Decide(in).Again).To(Equal(want))
+		},
+		Entry("repeatable work that may have run", func(*retry.Input) {}, true),
+		Entry("an order that may have run", func(in *retry.Input) { in.Request.Repeatable = false }, false),
+		Entry("an order that was not run", func(in *retry.Input) {
+			in.Request.Repeatable = false
+			in.History = types.NotRun
+		}, true),
+		Entry("an order whose earlier attempt may have run", func(in *retry.Input) {
+			in.Request.Repeatable = false
+			in.Failure = failed(types.NotRun, types.CodeOverloaded)
+			in.History, in.Attempts = types.MayHaveRun, 2
+		}, false),
+		Entry("a caller that has part of the answer", func(in *retry.Input) { in.AnswerBegun = true }, false),
+		Entry("a request that ran", func(in *retry.Input) { in.History = types.Ran }, false),
+		Entry("a forwarded request", func(in *retry.Input) { in.Request.Path = []types.Incarnation{{VM: "a"}} }, false),
+		Entry("a caller's own retry", func(in *retry.Input) { in.Resend = true }, false),
+		Entry("a quarantined request", func(in *retry.Input) { in.Failure.Code = types.CodeQuarantined }, false),
+		Entry("a third attempt made", func(in *retry.Input) { in.Attempts = 3 }, false),
+		Entry("too little time left", func(in *retry.Input) { in.Expected = 11 * time.Second }, false),
+		Entry("advice to wait past the deadline", func(in *retry.Input) { in.Failure.RetryAfter = time.Minute }, false),
+	)
+
+	It("reroutes once, free of charge, when a leaving endpoint refuses", func() {
+		policy := retry.New(retry.Options{})
+		in := input(newRequest(1), failed(types.NotRun, types.CodeDraining))
+		in.Request.Path = []types.Incarnation{{VM: "a"}}
+		Expect(policy.Decide(in).Again).To(BeTrue())
+		in.Attempts = 2
+		Expect(policy.Decide(in).Again).To(BeFalse())
+	})
+
+	It("knows a caller's resend by its content or its client's header", func() {
+		policy := retry.New(retry.Options{})
+		req := newRequest(7)
+		Expect(policy.Offer(req, share, start)).To(BeFalse())
+		policy.Failed(req, start)
+		Expect(policy.Offer(req, share, start.Add(time.Second))).To(BeTrue())
+		Expect(policy.Offer(req, share, start.Add(time.Minute))).To(BeFalse())
+
+		marked := newRequest(8)
+		marked.Header = request.Header{types.HeaderRetryCount: {"1"}}
+		Expect(policy.Offer(marked, share, start)).To(BeTrue())
+	})
+
+	It("never spends more than the share of offered requests, whatever fails", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			policy := retry.New(retry.Options{})
+			latencies := retry.NewLatencies()
+			for range 100 {
+				latencies.Add(100 * time.Millisecond)
+			}
+			offered, extra := 0, 0
+			steps := rapid.IntRange(1, 400).Draw(t, "steps")
+			for i := range steps {
+				req := newRequest(byte(rapid.IntRange(0, 255).Draw(t, "content")))
+				req.Repeatable = rapid.Bool().Draw(t, "repeatable")
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				resend := policy.Offer(req, share, now)
+				if !resend {
+					offered++
+				}
+				if _, hedge := policy.HedgeAfter(req, resend, latencies, now); hedge && policy.TakeHedge(req.Service.Name) {
+					extra++
+				}
+				in := input(req, failed(types.NotRun, types.CodeEndpointFailed))
+				in.Resend, in.Now = resend, now
+				for policy.Decide(in).Again {
+					extra++
+					in.Attempts++
+				}
+				policy.Failed(req, now)
+			}
+			if float64(extra) > share*float64(offered) {
+				t.Fatalf("%d extra attempts over %d offered", extra, offered)
+			}
+		})
+	})
+})
+
+var _ = Describe("HedgeAfter", func() {
+	known := func() *retry.Latencies {
+		latencies := retry.NewLatencies()
+		for i := range 100 {
+			latencies.Add(time.Duration(i+1) * 10 * time.Millisecond)
+		}
+		return latencies
+	}
+
+	It("waits for the 95th percentile", func() {
+		delay, ok := retry.New(retry.Options{}).HedgeAfter(newRequest(1), false, known(), start)
+		Expect(ok).To(BeTrue())
+		Expect(delay).To(BeNumerically("~", 950*time.Millisecond, 10*time.Millisecond))
+	})
+
+	DescribeTable("hedges nothing else",
+		func(change func(*request.Request), resend bool, latencies func() *retry.Latencies) {
+			req := newRequest(1)
+			change(req)
+			_, ok := retry.New(retry.Options{}).HedgeAfter(req, resend, latencies(), start)
+			Expect(ok).To(BeFalse())
+		},
+		Entry("orders", func(r *request.Request) { r.Repeatable = false }, false, known),
+		Entry("patient work", func(r *request.Request) { r.Rank = types.RankPatient }, false, known),
+		Entry("forwarded work", func(r *request.Request) { r.Path = []types.Incarnation{{VM: "a"}} }, false, known),
+		Entry("resends", func(*request.Request) {}, true, known),
+		Entry("work with little time left", func(r *request.Request) { r.Deadline = start.Add(time.Second) }, false, known),
+		Entry("before enough is known", func(*request.Request) {}, false, retry.NewLatencies),
+	)
+})
+
+func BenchmarkDecide(b *testing.B) {
+	policy := retry.New(retry.Options{})
+	req := newRequest(1)
+	in := input(req, failed(types.NotRun, types.CodeEndpointFailed))
+	for b.Loop() {
+		policy.Offer(req, 1, start)
+		policy.Decide(in)
+	}
+}
--- /dev/null
+++ b/pkg/stage/spill/options.go
@@ -0,0 +1,69 @@
+package spill
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Options configures a Planner. A zero field takes its default.
+type Options struct {
+	// MinGain is the time that a neutral deployment wants to win by sending a
+	// request away; default 250 ms.
+	MinGain time.Duration
+	// KeepShare is the share of the gain, 0 to 1, at which a flow that is
+	// being sent away comes back; default 0.5.
+	KeepShare float64
+	// MaxAge is the age at which a region's summary stops being of use;
+	// default 5 s.
+	MaxAge time.Duration
+	// AgeFactor is how much predicted wait a summary's age adds; default 0.2.
+	AgeFactor float64
+	// PrefillTokensPerSecond is how fast a region prefills a prompt that its
+	// caches do not hold; default 8000.
+	PrefillTokensPerSecond float64
+	// OutputTokenBytes is the size of a streamed token; default 8.
+	OutputTokenBytes int
+	// ReturnRamp is how long a region that was out of touch takes to be sent
+	// its full share again; default 30 s.
+	ReturnRamp time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MinGain, 250*time.Millisecond)
+	setDefault(&o.KeepShare, 0.5)
+	setDefault(&o.MaxAge, 5*time.Second)
+	setDefault(&o.AgeFactor, 0.2)
+	setDefault(&o.PrefillTokensPerSecond, 8000)
+	setDefault(&o.OutputTokenBytes, 8)
+	setDefault(&o.ReturnRamp, 30*time.Second)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// reluctance is how much more than the neutral gain a deployment wants before
+// it sends a request of the rank away. Cost and the share sent away raise it;
+// the weight of the urgent tail lowers it for urgent requests and that of
+// floods for patient ones.
+func reluctance(weights published.Weights, rank types.Rank) float64 {
+	against := (weightOr1(weights.Cost) + weightOr1(weights.SentAway)) / 2
+	if rank == types.RankUrgent {
+		return against / weightOr1(weights.UrgentTail)
+	}
+	return against / weightOr1(weights.Flood)
+}
+
+// weightOr1 treats an unpublished weight as neutral.
+func weightOr1(weight float64) float64 {
+	if weight <= 0 {
+		return 1
+	}
+	return weight
+}
