--- a/pkg/control/quarantine/claim.go
+++ b/pkg/control/quarantine/claim.go
@@ -25,6 +25,23 @@
 	Endpoint types.EndpointID `json:"endpoint"`
 	// DeadlineMillis ends the claim, in milliseconds since 1970.
 	DeadlineMillis int64 `json:"deadline_ms"`
+	// Known is what the claimant knows of the content, so that an owner that
+	// has just started learns it.
+	Known []Entry `json:"known,omitempty"`
+}
+
+// maxKnown bounds the entries that go with a claim.
+const maxKnown = 8
+
+// NewClaim returns a claim with what this daemon knows of the content.
+func (t *Tracker) NewClaim(content request.Fingerprint, endpoint types.EndpointID, deadline time.Time) Claim {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := slices.SortedFunc(slices.Values(t.evidence.content[content]), compareEntries)
+	return Claim{
+		Content: Hash(content), Endpoint: endpoint,
+		DeadlineMillis: deadline.UnixMilli(), Known: known[:min(len(known), maxKnown)],
+	}
 }
 
 // Outcome tells how an attempt that had a claim ended.
@@ -53,6 +70,9 @@
 	AnswerRun AnswerKind = "run"
 	// AnswerRunAt: it may run on Answer.Endpoint only, where a copy runs.
 	AnswerRunAt AnswerKind = "run_at"
+	// AnswerRunAlone: it is a suspect and may run on the endpoint that was
+	// named if the endpoint's owner reserves it, see Reserve.
+	AnswerRunAlone AnswerKind = "run_alone"
 	// AnswerElsewhere: the endpoint has another suspect; name another.
 	AnswerElsewhere AnswerKind = "elsewhere"
 	// AnswerWait: ask again after Answer.Wait.
@@ -76,15 +96,21 @@
 type claim struct {
 	endpoint types.EndpointID
 	copies   int
-	suspect  bool
 	until    time.Time
 }
 
+// reservation is an endpoint that runs a suspect.
+type reservation struct {
+	content Hash
+	until   time.Time
+}
+
 // Acquire answers a claim. Only the content's owner is asked.
 func (t *Tracker) Acquire(asked Claim, now time.Time) Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fingerprint := request.Fingerprint(asked.Content)
+	t.merge(asked.Known[:min(len(asked.Known), maxKnown)], now)
 	standing := t.standing(fingerprint, now)
 	switch standing.State {
 	case StateQuarantined:
@@ -104,20 +130,22 @@
 		running.until = later(running.until, time.UnixMilli(asked.DeadlineMillis))
 		return Answer{Kind: AnswerRunAt, Endpoint: running.endpoint}
 	}
-	return t.grant(asked, false, now)
+	return t.grant(asked, now)
 }
 
 func (t *Tracker) acquireSuspect(asked Claim, running *claim, standing Standing, now time.Time) Answer {
 	if running != nil {
 		return Answer{Kind: AnswerWait, WaitMillis: claimPoll.Milliseconds()}
 	}
-	if standing.Isolated && t.hasSuspect(asked.Endpoint, now) {
-		return Answer{Kind: AnswerElsewhere}
+	answer := t.grant(asked, now)
+	if answer.Kind == AnswerRun && standing.Isolated {
+		answer.Kind = AnswerRunAlone
 	}
-	return t.grant(asked, true, now)
+	return answer
 }
 
-func (t *Tracker) grant(asked Claim, suspect bool, now time.Time) Answer {
+// grant records a claim. When there are too many the caller waits.
+func (t *Tracker) grant(asked Claim, now time.Time) Answer {
 	if len(t.claims) >= t.options.ClaimCapacity {
 		t.dropExpired(now)
 	}
@@ -125,12 +153,40 @@
 		return Answer{Kind: AnswerWait, WaitMillis: claimPoll.Milliseconds()}
 	}
 	t.claims[request.Fingerprint(asked.Content)] = &claim{
-		endpoint: asked.Endpoint, copies: 1, suspect: suspect,
+		endpoint: asked.Endpoint, copies: 1,
 		until: time.UnixMilli(asked.DeadlineMillis),
 	}
 	return Answer{Kind: AnswerRun}
 }
 
+// Reserve answers a claim to run a suspect on an endpoint, which runs one
+// suspect at a time. Only the endpoint's owner is asked, that is the first of
+// Owners(EndpointKey(endpoint)) in the endpoint's region.
+func (t *Tracker) Reserve(asked Claim, now time.Time) Answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held, reserved := t.reserved[asked.Endpoint]
+	if reserved && held.content != asked.Content && now.Before(held.until) {
+		return Answer{Kind: AnswerElsewhere}
+	}
+	t.reserved[asked.Endpoint] = reservation{asked.Content, time.UnixMilli(asked.DeadlineMillis)}
+	return Answer{Kind: AnswerRun}
+}
+
+// Unreserve ends a reservation, however the attempt ended.
+func (t *Tracker) Unreserve(endpoint types.EndpointID, content Hash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reserved[endpoint].content == content {
+		delete(t.reserved, endpoint)
+	}
+}
+
+// EndpointKey is the key under which Owners ranks the owners of an endpoint.
+func EndpointKey(endpoint types.EndpointID) uint64 {
+	return xxhash.Sum64String(string(endpoint))
+}
+
 // Release takes a claim back.
 func (t *Tracker) Release(release Release, now time.Time) {
 	t.mu.Lock()
@@ -160,15 +216,6 @@
 	return held
 }
 
-func (t *Tracker) hasSuspect(endpoint types.EndpointID, now time.Time) bool {
-	for _, held := range t.claims {
-		if held.suspect && held.endpoint == endpoint && now.Before(held.until) {
-			return true
-		}
-	}
-	return false
-}
-
 func (t *Tracker) dropExpired(now time.Time) {
 	for fingerprint, held := range t.claims {
 		if !now.Before(held.until) {
--- a/pkg/control/quarantine/tracker.go
+++ b/pkg/control/quarantine/tracker.go
@@ -4,20 +4,22 @@
 // when.
 //
 // A content that was on a crashed endpoint is held until the daemons have told
-// each other, then run again alone among the suspects on its endpoint. It is
+// each other, then run again as the only suspect on its endpoint. It is
 // quarantined when it is the only content that was in QuarantineAfter crashes,
-// or was in one more than that. Contents that shared a crash with a quarantined
-// one are excused.
+// or was in one more than that, whoever else was. A crash that it shared with a
+// quarantined content is otherwise not held against it.
 //
-// Copies of one content at several daemons ask one owner, see Owner, which lets
+// Copies of one content at several daemons ask one owner, see Owners, which lets
 // them run on a single endpoint at a time until the content has run to its end.
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 const (
@@ -98,6 +100,7 @@
 	mu       sync.Mutex
 	evidence *evidence
 	claims   map[request.Fingerprint]*claim
+	reserved map[types.EndpointID]reservation
 	proven   *provenSet
 }
 
@@ -108,6 +111,7 @@
 		options:  options,
 		evidence: newEvidence(options.Capacity),
 		claims:   make(map[request.Fingerprint]*claim),
+		reserved: make(map[types.EndpointID]reservation),
 		proven:   newProvenSet(),
 	}
 }
@@ -123,7 +127,11 @@
 	if at, ok := t.evidence.quarantinedAt(fingerprint); ok && now.Before(at.Add(t.options.For)) {
 		return Standing{State: StateQuarantined, Until: at.Add(t.options.For)}
 	}
-	crashes := t.unexcused(fingerprint, now)
+	all := t.recent(fingerprint, now)
+	crashes := t.unexcused(all)
+	if len(all) > t.options.After {
+		crashes = all
+	}
 	if len(crashes) == 0 {
 		return Standing{}
 	}
@@ -140,12 +148,18 @@
 	return Standing{State: StateSuspect, Crashes: len(crashes), Isolated: isolated}
 }
 
-// unexcused returns the crashes that are held against a content: recent ones
-// which it did not share with a quarantined content.
-func (t *Tracker) unexcused(fingerprint request.Fingerprint, now time.Time) []Entry {
+// recent returns the crashes of a content that have not expired.
+func (t *Tracker) recent(fingerprint request.Fingerprint, now time.Time) []Entry {
+	return slices.DeleteFunc(t.evidence.crashes(fingerprint), func(crash Entry) bool {
+		return now.Sub(crash.at()) >= t.options.For
+	})
+}
+
+// unexcused returns the crashes that were not shared with a quarantined content.
+func (t *Tracker) unexcused(crashes []Entry) []Entry {
 	var found []Entry
-	for _, crash := range t.evidence.crashes(fingerprint) {
-		if now.Sub(crash.at()) < t.options.For && !t.excused(crash) {
+	for _, crash := range crashes {
+		if !t.excused(crash) {
 			found = append(found, crash)
 		}
 	}
@@ -182,7 +196,7 @@
 // crashes itself.
 func (t *Tracker) hasRival(crash Entry, now time.Time) bool {
 	for _, other := range t.evidence.sharing(crash) {
-		if len(t.unexcused(other, now)) >= t.options.After {
+		if len(t.unexcused(t.recent(other, now))) >= t.options.After {
 			return true
 		}
 	}
@@ -190,7 +204,8 @@
 }
 
 // Crashed records that attempts with these contents broke off when an endpoint
-// crashed. The daemon reports it to the contents' owners as well.
+// crashed. The daemon reports it to the owners of the contents and of the
+// endpoint as well.
 func (t *Tracker) Crashed(report CrashReport, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -202,6 +217,7 @@
 		delete(t.claims, request.Fingerprint(hash))
 		t.proven.remove(request.Fingerprint(hash))
 	}
+	delete(t.reserved, report.Endpoint)
 	t.evidence.expire(now.Add(-t.options.For))
 }
 
@@ -210,14 +226,18 @@
 func (t *Tracker) Merge(digest Digest, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.merge(digest.Entries[:min(len(digest.Entries), MaxDigestEntries)], now)
+	t.evidence.expire(now.Add(-t.options.For))
+}
+
+func (t *Tracker) merge(entries []Entry, now time.Time) {
 	latest := now.Add(maxClockSkew)
-	for _, entry := range digest.Entries[:min(len(digest.Entries), MaxDigestEntries)] {
+	for _, entry := range entries {
 		known := entry.Kind == KindCrash || entry.Kind == KindCompleted || entry.Kind == KindQuarantined
 		if known && !entry.at().After(latest) {
 			t.evidence.add(entry)
 		}
 	}
-	t.evidence.expire(now.Add(-t.options.For))
 }
 
 // maxClockSkew bounds how far another daemon's clock may be ahead.
