--- /dev/null
+++ b/pkg/stage/spill/spill_test.go
@@ -0,0 +1,248 @@
+package spill_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestSpill(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "spill")
+}
+
+var start = time.Date(2026, 10, 1, 8, 0, 0, 0, time.UTC)
+
+const (
+	here  types.Region = "kathmandu"
+	there types.Region = "pokhara"
+	third types.Region = "biratnagar"
+)
+
+var (
+	bagmati = published.Weights{Cost: 3, SentAway: 3, UrgentTail: 1, Flood: 1}
+	kandy   = published.Weights{Cost: 1, SentAway: 1, UrgentTail: 3, Flood: 3}
+)
+
+func view(weights published.Weights, now time.Time) *snapshot.Snapshot {
+	services := []snapshot.ServiceSummary{
+		{Service: "quotes", Rank: types.RankUrgent, FreeSlots: 10},
+		{Service: "quotes", Rank: types.RankPatient, FreeSlots: 10},
+	}
+	return &snapshot.Snapshot{
+		Self: snapshot.Self{Incarnation: types.Incarnation{VM: "10.0.0.1:7000"}, Region: here},
+		Config: &published.Configuration{
+			Policy: published.Policy{LinkShare: 0.5, Weights: weights},
+			Links: []published.Link{
+				{From: here, To: there, OneWay: 55 * time.Millisecond, BitsPerSecond: 140e6},
+				{From: here, To: third, OneWay: 55 * time.Millisecond, BitsPerSecond: 140e6},
+			},
+		},
+		Regions: map[types.Region]*snapshot.RegionSummary{
+			there: {Region: there, TakenAt: now, ReceivedAt: now, Services: services},
+		},
+	}
+}
+
+func input(change func(*spill.Input)) spill.Input {
+	in := spill.Input{
+		Request: &request.Request{
+			Service: &published.Service{Name: "quotes", Regions: []types.Region{here, there}},
+			Org:     &published.Organisation{Name: "co-op"}, Rank: types.RankUrgent, Repeatable: true,
+			Deadline: start.Add(time.Minute), InputTokens: 4000, Body: make([]byte, 16000),
+		},
+		Snapshot: view(published.Weights{}, start), WaitHere: 5 * time.Second, Now: start,
+	}
+	change(&in)
+	return in
+}
+
+func decide(change func(*spill.Input)) spill.Decision {
+	decision, failure := spill.New(spill.Options{}).Decide(input(change))
+	Expect(failure).To(BeNil())
+	return decision
+}
+
+var _ = Describe("Decide", func() {
+	It("sends a request away when it gains enough", func() {
+		Expect(decide(func(*spill.Input) {}).Region).To(Equal(there))
+	})
+
+	DescribeTable("keeps it here",
+		func(change func(*spill.Input)) {
+			decision := decide(change)
+			Expect(decision.Region).To(BeEmpty())
+			Expect(decision.Reason).NotTo(BeEmpty())
+		},
+		Entry("room here", func(in *spill.Input) { in.WaitHere = 0 }),
+		Entry("forwarded already", func(in *spill.Input) { in.Request.Path = []types.Incarnation{{VM: "a"}} }),
+		Entry("the service may not use the region", func(in *spill.Input) { in.Request.Service.Regions = []types.Region{here} }),
+		Entry("an order, whose owner is here", func(in *spill.Input) { in.Request.Repeatable = false }),
+		Entry("an organisation at home", func(in *spill.Input) { in.Request.Org.Home = here }),
+		Entry("a small gain", func(in *spill.Input) { in.WaitHere = 300 * time.Millisecond }),
+		Entry("a warm cache here", func(in *spill.Input) {
+			in.WaitHere = 800 * time.Millisecond
+			in.WarmTokens = 4000
+		}),
+		Entry("an old summary", func(in *spill.Input) { in.Now = start.Add(6 * time.Second) }),
+		Entry("no summary", func(in *spill.Input) { in.Snapshot.Regions = nil }),
+		Entry("no published link", func(in *spill.Input) { in.Snapshot.Config.Links = nil }),
+		Entry("no room there", func(in *spill.Input) { in.Snapshot.Regions[there].Services[0].FreeSlots = 0 }),
+		Entry("as long a wait there", func(in *spill.Input) { in.Snapshot.Regions[there].Services[0].Wait = 5 * time.Second }),
+	)
+
+	DescribeTable("binds an organisation to its home region",
+		func(change func(*spill.Input), want types.Region, code types.Code) {
+			in := input(func(in *spill.Input) {
+				in.Request.Org.Home, in.WaitHere = there, 0
+				change(in)
+			})
+			decision, failure := spill.New(spill.Options{}).Decide(in)
+			Expect(decision.Region).To(Equal(want))
+			if code != "" {
+				Expect(failure.Code).To(Equal(code))
+				Expect(failure.Verdict).To(Equal(types.NotRun))
+			}
+		},
+		Entry("it goes home", func(*spill.Input) {}, there, types.Code("")),
+		Entry("home is cut off", func(in *spill.Input) { in.Snapshot.Regions = nil }, types.Region(""), types.CodeResidency),
+		Entry("it was forwarded here", func(in *spill.Input) { in.Request.Path = []types.Incarnation{{VM: "a"}} }, types.Region(""), types.CodeLoop),
+		Entry("the service may not go there", func(in *spill.Input) { in.Request.Service.Regions = []types.Region{here} }, types.Region(""), types.CodeResidency),
+	)
+
+	It("sends away sooner under Kandy's weights than under Bagmati's", func() {
+		threshold := func(weights published.Weights, rank types.Rank) time.Duration {
+			for wait := time.Duration(0); wait < 10*time.Second; wait += 10 * time.Millisecond {
+				decision := decide(func(in *spill.Input) {
+					in.Request.Rank, in.WaitHere, in.Snapshot = rank, wait, view(weights, start)
+				})
+				if decision.Region != "" {
+					return wait
+				}
+			}
+			return 10 * time.Second
+		}
+		for _, rank := range types.Ranks() {
+			Expect(threshold(kandy, rank)).To(BeNumerically("<", 250*time.Millisecond))
+			Expect(threshold(bagmati, rank)).To(BeNumerically(">", 750*time.Millisecond))
+		}
+	})
+
+	It("rescues an urgent request that would be late here, whatever the weights", func() {
+		late := func(in *spill.Input) {
+			in.Snapshot, in.WaitHere = view(bagmati, start), 700*time.Millisecond
+			in.Request.Deadline = start.Add(600 * time.Millisecond)
+		}
+		Expect(decide(late).Region).To(Equal(there))
+	})
+
+	It("keeps sending until the gain has fallen to half", func() {
+		planner := spill.New(spill.Options{})
+		at := func(wait time.Duration) types.Region {
+			decision, _ := planner.Decide(input(func(in *spill.Input) { in.WaitHere = wait }))
+			return decision.Region
+		}
+		Expect(at(300 * time.Millisecond)).To(BeEmpty())
+		Expect(at(400 * time.Millisecond)).To(Equal(there))
+		Expect(at(300 * time.Millisecond)).To(Equal(there))
+		Expect(at(200 * time.Millisecond)).To(BeEmpty())
+		Expect(at(300 * time.Millisecond)).To(BeEmpty())
+	})
+
+	It("sends a region that came back a growing share of its room", func() {
+		planner := spill.New(spill.Options{})
+		sentAt := func(now time.Time) int {
+			sent := 0
+			for range 100 {
+				decision, _ := planner.Decide(input(func(in *spill.Input) { in.Snapshot, in.Now = view(kandy, now), now }))
+				if decision.Region != "" {
+					sent++
+				}
+			}
+			return sent
+		}
+		Expect(sentAt(start)).To(Equal(10))
+		back := start.Add(time.Hour)
+		Expect(sentAt(back)).To(Equal(1))
+		// 4/30 of ten slots, rounded up.
+		Expect(sentAt(back.Add(4 * time.Second))).To(Equal(2))
+		for s := 8; s < 30; s += 4 {
+			sentAt(back.Add(time.Duration(s) * time.Second))
+		}
+		Expect(sentAt(back.Add(32 * time.Second))).To(Equal(10))
+	})
+
+	It("shares the room and the link among the daemons of the region", func() {
+		total := 0
+		for daemon := range 8 {
+			planner := spill.New(spill.Options{})
+			for range 20 {
+				decision, _ := planner.Decide(input(func(in *spill.Input) {
+					in.Snapshot.Self.Incarnation.VM = types.VMID(fmt.Sprint("vm", daemon))
+					for other := range 8 {
+						member := snapshot.Member{Region: here, Incarnation: types.Incarnation{VM: types.VMID(fmt.Sprint("vm", other))}}
+						in.Snapshot.Members = append(in.Snapshot.Members, member)
+					}
+				}))
+				if decision.Region != "" {
+					total++
+				}
+			}
+		}
+		Expect(total).To(Equal(10))
+	})
+
+	It("never loops, leaves the allowed regions or exceeds the link's share, for any input", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			planner := spill.New(spill.Options{})
+			const rate = 140e6 / 8 / 2 // bytes per second
+			now, largest, bytes := start, 0, 0
+			for range rapid.IntRange(1, 100).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				in := input(func(in *spill.Input) { in.Snapshot, in.Now = view(kandy, now), now })
+				in.Request.Body = make([]byte, rapid.IntRange(0, 2_000_000).Draw(t, "body"))
+				in.WaitHere = time.Duration(rapid.IntRange(0, 20_000).Draw(t, "wait")) * time.Millisecond
+				in.MustLeave = rapid.Bool().Draw(t, "must")
+				in.Request.Service.Regions = rapid.SampledFrom([][]types.Region{nil, {here}, {here, there}, {there, third}}).Draw(t, "allowed")
+				if rapid.Bool().Draw(t, "forwarded") {
+					in.Request.Path = []types.Incarnation{{VM: "a"}}
+				}
+				decision, _ := planner.Decide(in)
+				if decision.Region == "" {
+					continue
+				}
+				largest, bytes = max(largest, len(in.Request.Body)), bytes+len(in.Request.Body)
+				if len(in.Request.Path) > 0 || !in.Request.Service.Allows(decision.Region) || decision.Region == here {
+					t.Fatalf("sent to %q", decision.Region)
+				}
+				if limit := rate*(now.Sub(start).Seconds()+1) + float64(largest); float64(bytes) > limit {
+					t.Fatalf("%d bytes sent, limit %.0f", bytes, limit)
+				}
+			}
+		})
+	})
+})
+
+func BenchmarkDecide(b *testing.B) {
+	planner := spill.New(spill.Options{})
+	in := input(func(*spill.Input) {})
+	for b.Loop() {
+		if _, failure := planner.Decide(in); failure != nil {
+			b.Fatal(failure)
+		}
+	}
+}
--- a/pkg/stage/spill/summary.go
+++ b/pkg/stage/spill/summary.go
@@ -56,7 +56,8 @@
 	entries := entriesHere(in.Snapshot)
 	room := float64(service.FreeSlots) * p.rampShare(summary.Region, in.Now) / float64(entries)
 	whole := int(room)
-	// The daemons take turns with the fraction of a slot that is left.
+	// The daemons take turns with the fraction of their parts; all of them
+	// together round up.
 	turn := (int(summary.TakenAt.UnixMilli()/turnLength.Milliseconds()) + place(in.Snapshot)) % entries
 	if float64(turn) < (room-float64(whole))*float64(entries) {
 		whole++
