--- a/pkg/bundle/build.go
+++ b/pkg/bundle/build.go
@@ -18,7 +18,7 @@
 	if config.Revision == 0 {
 		return nil, fmt.Errorf("%w: revision 0 can't be published", ErrMalformed)
 	}
-	b := &Bundle{Blobs: map[Hash][]byte{}}
+	b := &Bundle{Blobs: map[Hash][]byte{}, Packs: map[Hash][]byte{}}
 	core, err := b.add("the core", coreOf(config))
 	if err != nil {
 		return nil, err
@@ -80,10 +80,28 @@
 			return err
 		}
 		indexes[i] = hash
+		if err := b.addPack(hash, index); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+func (b *Bundle) addPack(hash Hash, index Index) error {
+	pack := Pack{Blobs: []json.RawMessage{b.Blobs[hash]}}
+	for _, leaf := range index.Leaves {
+		if leaf != "" {
+			pack.Blobs = append(pack.Blobs, b.Blobs[leaf])
+		}
+	}
+	data, err := json.Marshal(pack)
+	if err != nil {
+		return fmt.Errorf("%w: pack: %v", ErrMalformed, err)
+	}
+	b.Packs[hash] = data
+	return checkSize("the pack of index "+string(hash), data)
+}
+
 func leavesOf(config *published.Configuration) []Leaf {
 	leaves := make([]Leaf, leafCount)
 	for name, org := range config.Orgs {
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -12,6 +12,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/platform"
@@ -24,6 +25,8 @@
 	ManifestKey = "manifest"
 	// blobKeyPrefix precedes a blob's hash in its key.
 	blobKeyPrefix = "blob-"
+	// packKeyPrefix precedes the hash of an index in the key of its pack.
+	packKeyPrefix = "pack-"
 	// format is the version of the bundle's encoding.
 	format = 1
 	// indexCount and leavesPerIndex give the tree's width.
@@ -46,12 +49,27 @@
 	return blobKeyPrefix + string(hash)
 }
 
-// HashOfKey returns the blob hash that a key names; false for another key.
-func HashOfKey(key string) (Hash, bool) {
-	if len(key) <= len(blobKeyPrefix) || key[:len(blobKeyPrefix)] != blobKeyPrefix {
-		return "", false
+// PackKey returns the configuration service's key of an index's pack.
+func PackKey(index Hash) string {
+	return packKeyPrefix + string(index)
+}
+
+// Pack is an index blob together with all its leaves, in one value, for readers
+// that hold none of them.
+type Pack struct {
+	Blobs []json.RawMessage `json:"blobs"`
+}
+
+// ParseKey returns the hash that a key names and whether it names a pack; false
+// for a key of another kind.
+func ParseKey(key string) (hash Hash, pack, ok bool) {
+	if rest, found := strings.CutPrefix(key, blobKeyPrefix); found {
+		return Hash(rest), false, true
+	}
+	if rest, found := strings.CutPrefix(key, packKeyPrefix); found {
+		return Hash(rest), true, true
 	}
-	return Hash(key[len(blobKeyPrefix):]), true
+	return "", false, false
 }
 
 // Manifest names one revision of the configuration, whole.
@@ -100,6 +118,25 @@
 type Bundle struct {
 	Signed Signed
 	Blobs  map[Hash][]byte
+	// Packs holds one encoded Pack for each index.
+	Packs map[Hash][]byte
+}
+
+// Values returns every key and value that the configuration service has to
+// hold for this bundle.
+func (b *Bundle) Values() (map[string][]byte, error) {
+	manifest, err := json.Marshal(b.Signed)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	values := map[string][]byte{ManifestKey: manifest}
+	for hash, data := range b.Blobs {
+		values[BlobKey(hash)] = data
+	}
+	for hash, data := range b.Packs {
+		values[PackKey(hash)] = data
+	}
+	return values, nil
 }
 
 // Signed is a manifest with its signatures. Manifest is kept as the exact bytes
--- a/pkg/bundle/open.go
+++ b/pkg/bundle/open.go
@@ -24,26 +24,37 @@
 	return data, ok
 }
 
+// Need names a blob that has to be fetched.
+type Need struct {
+	Hash Hash
+	// Index is true for an index blob. A reader that holds none of its leaves
+	// reads the pack of the index, which holds them all in one value.
+	Index bool
+}
+
+// Empty reports whether the tree holds no configuration.
+func (t *Tree) Empty() bool { return len(t.raw) == 0 }
+
 // Missing lists the blobs that the manifest needs next and that neither the
 // tree nor have holds. Leaves are known only once their index is there, so it
 // is asked again until it returns none. An error means that a blob is not what
 // its place in the tree says.
-func (t *Tree) Missing(m Manifest, have map[Hash][]byte) ([]Hash, error) {
-	var missing []Hash
+func (t *Tree) Missing(m Manifest, have map[Hash][]byte) ([]Need, error) {
+	var missing []Need
 	holds := func(hash Hash) bool {
 		_, inTree := t.raw[hash]
 		_, fetched := have[hash]
 		return inTree || fetched
 	}
 	if !holds(m.Core) {
-		missing = append(missing, m.Core)
+		missing = append(missing, Need{Hash: m.Core})
 	}
 	for _, hash := range m.Indexes {
 		if hash == "" {
 			continue
 		}
 		if !holds(hash) {
-			missing = append(missing, hash)
+			missing = append(missing, Need{Hash: hash, Index: true})
 			continue
 		}
 		if t.indexes[hash] != nil {
@@ -55,7 +66,7 @@
 		}
 		for _, leaf := range index.Leaves {
 			if leaf != "" && !holds(leaf) {
-				missing = append(missing, leaf)
+				missing = append(missing, Need{Hash: leaf})
 			}
 		}
 	}
--- a/pkg/control/entries/entries.go
+++ b/pkg/control/entries/entries.go
@@ -9,8 +9,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -102,7 +101,7 @@
 		if d, ok := distances[entry.Region]; ok {
 			distance = d
 		}
-		out = append(out, candidate{entry, t, distance, weight(q.Caller, entry.VM)})
+		out = append(out, candidate{entry, t, distance, rendezvous.Weight(q.Caller, entry.VM)})
 	}
 	if self, ok := selfEntry(snap); ok {
 		add(self, tierHeard)
@@ -195,13 +194,3 @@
 	}
 	return distances
 }
-
-// weight is the rendezvous weight of a VM for a caller.
-func weight(caller string, vm types.VMID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(caller)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(vm))
-	return d.Sum64()
-}
--- a/pkg/control/event/event.go
+++ b/pkg/control/event/event.go
@@ -62,7 +62,9 @@
 
 // ListRead brings one reading of the platform's VM list.
 type ListRead struct {
-	At      time.Time
+	At time.Time
+	// AskedAt is when the reading began.
+	AskedAt time.Time
 	Listing platform.VMListing
 }
 
@@ -83,6 +85,8 @@
 type ConfigFailed struct {
 	At  time.Time
 	Key string
+	// TimedOut is true for a watch that ended without a change.
+	TimedOut bool
 }
 
 // PeerMessage brings an authenticated message of another daemon. Reply is true
--- /dev/null
+++ b/pkg/control/membership/merge.go
@@ -0,0 +1,112 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/peer"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Heard takes a message of another daemon: what it says about itself and what
+// it passes on about others.
+func (s *State) Heard(now time.Time, msg *peer.Message) {
+	s.heardSender(now, msg)
+	for _, u := range msg.Members {
+		if u.Incarnation.VM == s.opts.Self.Incarnation.VM {
+			s.heardAboutSelf(u)
+			continue
+		}
+		s.merge(now, u)
+	}
+}
+
+func (s *State) heardSender(now time.Time, msg *peer.Message) {
+	m := s.members[msg.From.VM]
+	if m == nil {
+		return // the VM list names it later
+	}
+	state := snapshot.MemberAlive
+	if msg.Leaving {
+		state = snapshot.MemberLeaving
+	}
+	u := peer.MemberUpdate{Incarnation: msg.From, State: state, Beat: msg.Beat, Revision: msg.Revision}
+	if !m.supersededBy(u) {
+		return
+	}
+	m.probedAt, m.misses = time.Time{}, 0
+	m.HeardAt = now
+	s.merge(now, u)
+}
+
+// heardAboutSelf refutes a suspicion of this incarnation.
+func (s *State) heardAboutSelf(u peer.MemberUpdate) {
+	if u.Incarnation != s.opts.Self.Incarnation || u.State != snapshot.MemberSuspect {
+		return
+	}
+	s.beat = max(s.beat, u.Beat)
+	s.enqueue(s.selfUpdate(), true)
+}
+
+// merge applies an update if it is news, and passes it on when it changes the
+// member's incarnation or state.
+func (s *State) merge(now time.Time, u peer.MemberUpdate) {
+	m := s.members[u.Incarnation.VM]
+	if m == nil || !m.supersededBy(u) {
+		return
+	}
+	isNews := m.Incarnation != u.Incarnation || m.State != u.State
+	urgent := isNews && (u.State == snapshot.MemberSuspect || u.State == snapshot.MemberLeaving)
+	if m.State == snapshot.MemberSuspect && u.State == snapshot.MemberAlive {
+		m.spareUntil = now.Add(s.opts.SuspectAgain)
+	}
+	if m.Incarnation != u.Incarnation {
+		m.spareUntil = time.Time{}
+		m.misses = 0
+	}
+	m.Incarnation, m.State, m.beat = u.Incarnation, u.State, u.Beat
+	m.Revision = max(m.Revision, u.Revision)
+	if isNews {
+		s.changed = true
+		if m.Region == s.opts.Self.Region {
+			s.enqueue(updateOf(m), urgent)
+		}
+	}
+}
+
+// supersededBy reports whether u is newer than what is known. Beats grow also
+// over restarts of a VM, so a late message of an earlier incarnation is older.
+// A leaving incarnation stays leaving.
+func (m *member) supersededBy(u peer.MemberUpdate) bool {
+	if u.Incarnation != m.Incarnation {
+		return u.Beat > m.beat
+	}
+	if m.State == snapshot.MemberLeaving {
+		return u.State == snapshot.MemberLeaving && u.Beat >= m.beat
+	}
+	if u.State == snapshot.MemberLeaving {
+		return true
+	}
+	if u.Beat == m.beat {
+		return severity[u.State] > severity[m.State]
+	}
+	return u.Beat > m.beat
+}
+
+// severity orders the states that two updates of the same beat name.
+var severity = map[snapshot.MemberState]int{
+	snapshot.MemberListed: 0, snapshot.MemberAlive: 1, snapshot.MemberSuspect: 2, snapshot.MemberLeaving: 3,
+}
+
+func updateOf(m *member) peer.MemberUpdate {
+	return peer.MemberUpdate{Incarnation: m.Incarnation, State: m.State, Beat: m.beat, Revision: m.Revision}
+}
+
+// Place says where a member is; false when the VM list does not name it.
+func (s *State) Place(vm types.VMID) (types.Region, types.DataCentre, bool) {
+	m := s.members[vm]
+	if m == nil {
+		return "", "", false
+	}
+	return m.Region, m.DataCentre, true
+}
