--- a/pkg/bundle/open.go
+++ b/pkg/bundle/open.go
@@ -183,3 +183,14 @@
 	config, _, err := (&Tree{}).Open(manifest, hash, b.Blobs)
 	return config, err
 }
+
+// OpenUnchecked returns the configuration of a bundle without checking its
+// signatures. It is for the publishing side only.
+func (b *Bundle) OpenUnchecked() (*published.Configuration, error) {
+	manifest, err := b.Signed.Decode()
+	if err != nil {
+		return nil, err
+	}
+	config, _, err := (&Tree{}).Open(manifest, HashOf(b.Signed.Manifest), b.Blobs)
+	return config, err
+}
--- /dev/null
+++ b/pkg/cli/publish/publish.go
@@ -0,0 +1,17 @@
+// Package publish holds the commands of the publishing step: bundle build, sign,
+// verify, diff and keygen, and config check. They read and write local files
+// only; uploading the written values is the operators' own step.
+package publish
+
+import (
+	"github.com/spf13/cobra"
+)
+
+// Commands returns the commands of the package.
+func Commands() []*cobra.Command {
+	bundleGroup := &cobra.Command{Use: "bundle", Short: "Build, sign, verify and compare configuration bundles"}
+	bundleGroup.AddCommand(buildCommand(), signCommand(), verifyCommand(), diffCommand(), keygenCommand())
+	configGroup := &cobra.Command{Use: "config", Short: "Check the operators' files"}
+	configGroup.AddCommand(checkCommand())
+	return []*cobra.Command{bundleGroup, configGroup}
+}
