--- /dev/null
+++ b/pkg/control/drain/drain_test.go
@@ -0,0 +1,131 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/flamingomount/flamingomount/pkg/control/drain"
+)
+
+func TestDrain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "drain")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(after time.Duration) time.Time { return start.Add(after) }
+
+var _ = Describe("Daemon", func() {
+	options := drain.Options{Announce: 2 * time.Second, TicketWindow: 5 * time.Second, Limit: time.Minute}
+
+	It("announces, refuses new work, waits for requests and tickets, then stops", func() {
+		d := drain.NewDaemon(options)
+		Expect(d.Step(at(0), 3)).To(Equal(drain.Serving))
+		d.Signal(at(0))
+		Expect(d.Step(at(time.Second), 0)).To(Equal(drain.Announced), "callers still hold an older entry answer")
+		Expect(d.Step(at(2*time.Second), 0)).To(Equal(drain.Finishing), "tickets are outstanding")
+		Expect(d.Step(at(6*time.Second), 1)).To(Equal(drain.Finishing), "a request is in flight")
+		Expect(d.Step(at(7*time.Second), 0)).To(Equal(drain.Stopped))
+		Expect(d.Cause()).To(Equal(drain.CauseFinished))
+	})
+
+	It("ends at the published limit, and at once on a second signal", func() {
+		limited := drain.NewDaemon(options)
+		limited.SetLimit(10 * time.Second)
+		limited.Signal(at(0))
+		Expect(limited.Step(at(10*time.Second), 1)).To(Equal(drain.Stopped))
+		Expect(limited.Cause()).To(Equal(drain.CauseLimit))
+
+		forced := drain.NewDaemon(options)
+		forced.Signal(at(0))
+		forced.Signal(at(time.Second))
+		Expect(forced.Step(at(time.Second), 1)).To(Equal(drain.Stopped))
+		Expect(forced.Cause()).To(Equal(drain.CauseForced))
+	})
+
+	It("begins when the VM list says so and is not ended by a list that takes it back", func() {
+		d := drain.NewDaemon(options)
+		d.Listed(at(0), false)
+		Expect(d.Phase()).To(Equal(drain.Serving))
+		d.Listed(at(0), true)
+		d.Listed(at(time.Second), true)
+		d.Listed(at(time.Second), false)
+		Expect(d.Phase()).To(Equal(drain.Announced))
+	})
+
+	It("never goes back and never stops by itself with requests in flight before the limit", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			d := drain.NewDaemon(options)
+			d.Signal(at(0))
+			elapsed, phase := time.Duration(0), d.Phase()
+			for range 30 {
+				elapsed += time.Duration(rapid.IntRange(-500, 3000).Draw(t, "ms")) * time.Millisecond
+				inFlight := rapid.IntRange(0, 2).Draw(t, "in flight")
+				next := d.Step(at(elapsed), inFlight)
+				if next < phase {
+					t.Fatalf("went back from %s to %s", phase, next)
+				}
+				if next == drain.Stopped && phase != drain.Stopped && inFlight > 0 && elapsed < options.Limit {
+					t.Fatalf("stopped with %d in flight after %s", inFlight, elapsed)
+				}
+				phase = next
+			}
+		})
+	})
+})
+
+var _ = Describe("Endpoints", func() {
+	const id = "orders-1"
+	listed := []drain.Listing{{Endpoint: id}}
+	leaving := []drain.Listing{{Endpoint: id, Leaving: true}}
+
+	It("honours the endpoint's own sign before and against the lagging VM list", func() {
+		e := drain.NewEndpoints(time.Minute)
+		e.Listed(at(0), listed)
+		_, gone := e.Leaving(at(0), id)
+		Expect(gone).To(BeFalse())
+		e.Observe(at(time.Second), id, drain.SignRefusal)
+		e.Listed(at(2*time.Second), listed)
+		departure, gone := e.Leaving(at(2*time.Second), id)
+		Expect(gone).To(BeTrue())
+		Expect(departure).To(Equal(drain.Departure{Sign: drain.SignRefusal, At: at(time.Second)}))
+		e.Listed(at(3*time.Second), leaving)
+		departure, _ = e.Leaving(at(3*time.Second), id)
+		Expect(departure.Sign).To(Equal(drain.SignRefusal), "the earliest sign stays")
+	})
+
+	It("honours the VM list alone", func() {
+		e := drain.NewEndpoints(0)
+		e.Listed(at(0), listed)
+		e.Listed(at(time.Second), leaving)
+		e.Listed(at(2*time.Second), leaving)
+		departure, gone := e.Leaving(at(2*time.Second), id)
+		Expect(gone).To(BeTrue())
+		Expect(departure).To(Equal(drain.Departure{Sign: drain.SignListed, At: at(time.Second)}))
+		e.Listed(at(3*time.Second), nil)
+		departure, _ = e.Leaving(at(3*time.Second), id)
+		Expect(departure.Sign).To(Equal(drain.SignUnlisted))
+	})
+
+	It("takes an endpoint back after it was gone, or when its sign was not renewed", func() {
+		e := drain.NewEndpoints(time.Minute)
+		e.Listed(at(0), listed)
+		e.Observe(at(0), id, drain.SignReport)
+		e.Observe(at(30*time.Second), id, drain.SignReport)
+		_, gone := e.Leaving(at(80*time.Second), id)
+		Expect(gone).To(BeTrue(), "renewed")
+		_, gone = e.Leaving(at(90*time.Second), id)
+		Expect(gone).To(BeFalse(), "expired")
+
+		e.Observe(at(100*time.Second), id, drain.SignReport)
+		e.Listed(at(101*time.Second), nil)
+		e.Listed(at(102*time.Second), listed)
+		_, gone = e.Leaving(at(102*time.Second), id)
+		Expect(gone).To(BeFalse(), "replaced")
+	})
+})
