--- a/pkg/control/once/ledger.go
+++ b/pkg/control/once/ledger.go
@@ -143,3 +143,9 @@
 	decision.Reissue = true
 	return decision
 }
+
+// Remembers reports whether the ledger holds a record of the ticket.
+func (l *Ledger) Remembers(id ticket.ID) bool {
+	_, ok := l.records.byID[id]
+	return ok
+}
