Lift not-run refusals that did not ask the owner; send orders where they can run

Cause: a refusal by ingress, admission or a forwarding daemon says NotRun of one send, though an earlier send of the same ticket may have run. And a fresh ticket named this daemon even where its region had no ready order worker, so that the caller would be refused again.

Change: once.BeforeLedger turns such a NotRun into MayHaveRun when the request carries a ticket; ingress, forwarding and admission in front of the guard have to use it. once.OwnerFor prefers regions with a ready endpoint of the service.

Conclusion: the rule is here; wiring it into ingress and forward is open.

--- a/pkg/control/once/ledger_test.go
+++ b/pkg/control/once/ledger_test.go
@@ -206,6 +206,36 @@
 	})
 })
 
+var _ = Describe("OwnerFor", func() {
+	It("leaves a region without a ready endpoint for one that has some", func() {
+		wide := &published.Service{Name: "orders", Regions: []types.Region{"kathmandu", "pokhara", "biratnagar"}}
+		near := &snapshot.Endpoint{Region: "kathmandu", State: snapshot.EndpointReady}
+		far := &snapshot.Endpoint{Region: "pokhara", State: snapshot.EndpointReady}
+		known := *view
+		known.Endpoints = map[types.ServiceName][]*snapshot.Endpoint{"orders": {near, far}}
+		ownerFor := func(service *published.Service) types.Incarnation {
+			owner, ok := once.OwnerFor(ticket.ID{}, service, &known)
+			Expect(ok).To(BeTrue())
+			return owner
+		}
+		Expect(ownerFor(wide)).To(Equal(self))
+		near.State = snapshot.EndpointLeaving
+		Expect(ownerFor(wide)).To(Equal(abroad))
+		Expect(ownerFor(service)).To(Equal(self), "the data may not go abroad")
+	})
+})
+
+var _ = Describe("BeforeLedger", func() {
+	It("takes back not-run from a refusal that did not ask the owner", func() {
+		refusal := types.NewFailure(types.NotRun, types.CodeOverloaded, "full")
+		o := order(1, self, at(30))
+		Expect(once.BeforeLedger(o.Key, "", refusal).Verdict).To(Equal(types.MayHaveRun))
+		Expect(once.BeforeLedger("", o.Key, refusal).Verdict).To(Equal(types.MayHaveRun))
+		Expect(once.BeforeLedger("order-17", "", refusal)).To(BeIdenticalTo(refusal))
+		Expect(refusal.Verdict).To(Equal(types.NotRun))
+	})
+})
+
 var _ = Describe("ContentOf", func() {
 	It("tells apart requests whose parts only run together", func() {
 		a := &request.Request{Service: service, Method: "POST", URLPath: "/a", Query: "b"}
