--- /dev/null
+++ b/pkg/control/load.go
@@ -0,0 +1,14 @@
+package control
+
+import "github.com/flamingomount/flamingomount/pkg/snapshot"
+
+// Snapshots gives the newest snapshot to traffic goroutines.
+type Snapshots interface {
+	// Load returns the newest snapshot; it is never nil.
+	Load() *snapshot.Snapshot
+}
+
+var _ Snapshots = (*Control)(nil)
+
+// Load implements Snapshots.
+func (c *Control) Load() *snapshot.Snapshot { return c.holder.Load() }
