--- a/pkg/bundle/build.go
+++ b/pkg/bundle/build.go
@@ -39,7 +39,10 @@
 }
 
 func coreOf(c *published.Configuration) Core {
-	return Core{Regions: c.Regions, Links: c.Links, Services: c.Services, Policy: c.Policy, Placement: c.Placement}
+	return Core{
+		Regions: c.Regions, Links: c.Links, Services: c.Services, Policy: c.Policy, Placement: c.Placement,
+		Administrators: c.Administrators,
+	}
 }
 
 // add encodes a value as a blob; map keys are sorted by the encoder, so equal
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -80,7 +80,8 @@
 	// first. It is for operators; daemons do not walk it.
 	Previous    Hash      `json:"previous,omitempty"`
 	PublishedAt time.Time `json:"published_at"`
-	// Core is the blob of regions, links, policy, services and placement.
+	// Core is the blob of regions, links, policy, services, placement and
+	// administrators.
 	Core Hash `json:"core"`
 	// Indexes name the index blobs of organisations and credentials; an empty
 	// hash stands for an index with nothing in it.
@@ -94,6 +95,8 @@
 	Services  map[types.ServiceName]*published.Service         `json:"services"`
 	Policy    published.Policy                                 `json:"policy"`
 	Placement map[types.ServiceName]published.PlacementRequest `json:"placement"`
+
+	Administrators map[published.CredentialHash]*published.Administrator `json:"administrators,omitempty"`
 }
 
 // Index names the leaves of one part of the name space; an empty hash stands
--- a/pkg/bundle/source/deployment.go
+++ b/pkg/bundle/source/deployment.go
@@ -125,3 +125,33 @@
 	}
 	return true
 }
+
+func (l *loader) addAdministrator(file string, entry *administratorEntry) {
+	const prefix = "administrators."
+	line := entry.Name.Line
+	if !isSHA256(entry.SHA256.Value) {
+		l.report(file, max(line, entry.SHA256.Line), prefix+"sha256", "must be the SHA-256 of the credential, as %d lower-case hex digits", sha256HexLength)
+		return
+	}
+	if !l.define(file, entry.SHA256.Line, prefix+"sha256", kindCredential, entry.SHA256.Value) {
+		return
+	}
+	if entry.Name.Value == "" {
+		l.report(file, line, prefix+"name", "must not be empty")
+	}
+	switch entry.Role.Value {
+	case published.RoleOperator:
+		if entry.Team.set() {
+			l.report(file, entry.Team.Line, prefix+"team", "an operator belongs to no team")
+		}
+	case published.RoleTeam:
+		if entry.Team.Value == "" {
+			l.report(file, line, prefix+"team", "must name the team that the administrator belongs to")
+		}
+	default:
+		l.report(file, max(line, entry.Role.Line), prefix+"role", "is %q; it must be %q or %q", entry.Role.Value, published.RoleOperator, published.RoleTeam)
+	}
+	l.config.Administrators[published.CredentialHash(entry.SHA256.Value)] = &published.Administrator{
+		Name: entry.Name.Value, Role: entry.Role.Value, Team: entry.Team.Value,
+	}
+}
--- a/pkg/bundle/source/file.go
+++ b/pkg/bundle/source/file.go
@@ -7,6 +7,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -47,6 +48,7 @@
 	Deadlines          byRank[field[time.Duration]]             `yaml:"deadlines"`
 	Objectives         byRank[objectiveEntry]                   `yaml:"objectives"`
 	MaxBodyBytes       field[int64]                             `yaml:"max_body_bytes"`
+	CostPerThousand    field[float64]                           `yaml:"cost_per_thousand_tokens"`
 	WeightBytes        field[int64]                             `yaml:"weight_bytes"`
 	Replicas           field[map[types.Region]replicasByRegion] `yaml:"replicas"`
 
@@ -54,7 +56,8 @@
 	Links   []linkEntry   `yaml:"links"`
 	Policy  *policyEntry  `yaml:"policy"`
 
-	Organisations []orgEntry `yaml:"organisations"`
+	Organisations  []orgEntry           `yaml:"organisations"`
+	Administrators []administratorEntry `yaml:"administrators"`
 }
 
 type replicasByRegion map[types.ModelVersion]int
@@ -75,6 +78,8 @@
 	InTime        field[float64]       `yaml:"in_time"`
 	FirstToken    field[time.Duration] `yaml:"first_token"`
 	BetweenTokens field[time.Duration] `yaml:"between_tokens"`
+	LatencyShare  field[float64]       `yaml:"latency_share"`
+	Finished      field[float64]       `yaml:"finished"`
 }
 
 type regionEntry struct {
@@ -120,3 +125,10 @@
 	Services []field[types.ServiceName] `yaml:"services"`
 	MaxRank  field[types.Rank]          `yaml:"max_rank"`
 }
+
+type administratorEntry struct {
+	Name   field[string]         `yaml:"name"`
+	SHA256 field[string]         `yaml:"sha256"`
+	Role   field[published.Role] `yaml:"role"`
+	Team   field[types.TeamName] `yaml:"team"`
+}
--- a/pkg/bundle/source/load.go
+++ b/pkg/bundle/source/load.go
@@ -41,7 +41,9 @@
 		Orgs:        map[types.OrgName]*published.Organisation{},
 		Credentials: map[published.CredentialHash]*published.Credential{},
 		Placement:   map[types.ServiceName]published.PlacementRequest{},
-		Policy:      defaultPolicy(),
+
+		Administrators: map[published.CredentialHash]*published.Administrator{},
+		Policy:         defaultPolicy(),
 	}}
 	for _, file := range files {
 		doc, problems := decode(file)
@@ -62,7 +64,8 @@
 }
 
 func (l *loader) addDocument(file string, doc *document) {
-	empty := !doc.Service.set() && len(doc.Regions) == 0 && len(doc.Links) == 0 && doc.Policy == nil && len(doc.Organisations) == 0
+	empty := !doc.Service.set() && len(doc.Regions) == 0 && len(doc.Links) == 0 && doc.Policy == nil &&
+		len(doc.Organisations) == 0 && len(doc.Administrators) == 0
 	if empty {
 		l.report(file, 0, "", "the file defines no service, regions, links, policy or organisations")
 	}
@@ -83,6 +86,9 @@
 	for i := range doc.Organisations {
 		l.addOrg(file, &doc.Organisations[i])
 	}
+	for i := range doc.Administrators {
+		l.addAdministrator(file, &doc.Administrators[i])
+	}
 }
 
 func (l *loader) report(file string, line int, field, format string, args ...any) {
--- a/pkg/bundle/source/service.go
+++ b/pkg/bundle/source/service.go
@@ -43,6 +43,7 @@
 	l.addObjective(file, "objectives.urgent", doc.Objectives.Urgent, &s.Objectives[types.RankUrgent])
 	l.addObjective(file, "objectives.patient", doc.Objectives.Patient, &s.Objectives[types.RankPatient])
 	positive(l, file, "max_body_bytes", doc.MaxBodyBytes, &s.MaxBodyBytes)
+	positive(l, file, "cost_per_thousand_tokens", doc.CostPerThousand, &s.CostPerThousandTokens)
 	l.config.Services[name] = s
 	l.addPlacement(file, doc, s)
 }
@@ -105,6 +106,8 @@
 	l.share(file, name+".in_time", entry.InTime, &into.InTime)
 	positive(l, file, name+".first_token", entry.FirstToken, &into.FirstToken)
 	positive(l, file, name+".between_tokens", entry.BetweenTokens, &into.BetweenTokens)
+	l.share(file, name+".latency_share", entry.LatencyShare, &into.LatencyShare)
+	l.share(file, name+".finished", entry.Finished, &into.Finished)
 }
 
 func (l *loader) addPlacement(file string, doc *document, s *published.Service) {
