--- a/pkg/bundle/open.go
+++ b/pkg/bundle/open.go
@@ -91,8 +91,8 @@
 		Regions: core.Regions, Links: core.Links, Services: core.Services,
 		Policy: core.Policy, Placement: core.Placement,
 		Administrators: core.Administrators,
-		Orgs:        make(map[types.OrgName]*published.Organisation, len(t.leaves)),
-		Credentials: make(map[published.CredentialHash]*published.Credential, len(t.leaves)),
+		Orgs:           make(map[types.OrgName]*published.Organisation, len(t.leaves)),
+		Credentials:    make(map[published.CredentialHash]*published.Credential, len(t.leaves)),
 	}
 	for _, hash := range m.Indexes {
 		if hash == "" {
