--- /dev/null
+++ b/internal/fakenet/publisher.go
@@ -0,0 +1,113 @@
+package fakenet
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/bundle"
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+const manifestKey = bundle.ManifestKey
+
+// publisher makes signed bundles of a growing revision.
+type publisher struct {
+	signer   bundle.Signer
+	config   *published.Configuration
+	previous bundle.Hash
+	count    int
+}
+
+// testSigner returns a signing key made of the seed.
+func testSigner(seed uint64) bundle.Signer {
+	material := make([]byte, ed25519.SeedSize)
+	binary.LittleEndian.PutUint64(material, seed)
+	return bundle.Signer{ID: "test", Key: ed25519.NewKeyFromSeed(material)}
+}
+
+func publicKey(s bundle.Signer) ed25519.PublicKey {
+	return s.Key.Public().(ed25519.PublicKey)
+}
+
+func newPublisher(n *Network) publisher {
+	return publisher{signer: n.signer, config: Configuration(max(n.opts.Organisations, 4), n.opts.Layout)}
+}
+
+// Configuration returns a configuration of revision 0 with so many organisations
+// with one credential each, seven model services and the layout's regions.
+func Configuration(organisations int, layout []Place) *published.Configuration {
+	config := &published.Configuration{
+		PublishedAt: epoch,
+		Regions:     map[types.Region]*published.Region{}, Services: map[types.ServiceName]*published.Service{},
+		Orgs: map[types.OrgName]*published.Organisation{}, Credentials: map[published.CredentialHash]*published.Credential{},
+		Placement: map[types.ServiceName]published.PlacementRequest{},
+	}
+	var regions []types.Region
+	for _, place := range layout {
+		if config.Regions[place.Region] == nil {
+			config.Regions[place.Region] = &published.Region{Name: place.Region, DataCentres: []types.DataCentre{place.DataCentre}}
+			regions = append(regions, place.Region)
+		}
+	}
+	var services []types.ServiceName
+	for i := range 7 {
+		name := types.ServiceName(fmt.Sprintf("model-%d", i))
+		services = append(services, name)
+		config.Services[name] = &published.Service{
+			Name: name, Team: "assistants", Kind: published.KindModel, Versions: []types.ModelVersion{"2026-10"},
+			Regions: regions, Deadlines: [types.RankCount]time.Duration{10 * time.Second, 10 * time.Minute}, MaxBodyBytes: 4 << 20,
+		}
+	}
+	for i := range organisations {
+		org := &published.Organisation{Name: types.OrgName(fmt.Sprintf("organisation-%05d", i)), Share: 1}
+		config.Orgs[org.Name] = org
+		sum := sha256.Sum256([]byte(org.Name))
+		config.Credentials[published.CredentialHash(hex.EncodeToString(sum[:]))] = &published.Credential{Org: org.Name, Services: services[:2]}
+	}
+	return config
+}
+
+// next returns the values of the next revision.
+func (p *publisher) next() (types.Revision, map[string][]byte) {
+	p.change()
+	p.config.Revision++
+	return p.config.Revision, p.values()
+}
+
+// conflict returns the values of the present revision with another content.
+func (p *publisher) conflict() map[string][]byte {
+	p.change()
+	return p.values()
+}
+
+// change gives one organisation another share.
+func (p *publisher) change() {
+	p.count++
+	name := types.OrgName(fmt.Sprintf("organisation-%05d", p.count%len(p.config.Orgs)))
+	changed := *p.config.Orgs[name]
+	changed.Share = float64(p.count)
+	config := *p.config
+	config.Orgs = maps.Clone(config.Orgs)
+	config.Orgs[name] = &changed
+	p.config = &config
+}
+
+func (p *publisher) values() map[string][]byte {
+	built, err := bundle.Build(p.config, p.previous)
+	if err != nil {
+		panic(err) // the fixed configuration always fits
+	}
+	built.Signed = bundle.Sign(built.Signed, p.signer)
+	p.previous = bundle.HashOf(built.Signed.Manifest)
+	values, err := built.Values()
+	if err != nil {
+		panic(err)
+	}
+	return values
+}
--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -183,7 +183,7 @@
 	case manifest.Revision == s.Revision() && string(hash) != s.Hash():
 		s.alarm(now, "refused revision %s with hash %s: already accepted with %s", manifest.Revision, hash, s.Hash())
 	case manifest.Revision <= s.Revision():
-	case manifest.Revision < s.floor && !s.opts.IgnoreFloor:
+	case manifest.Revision < s.floor:
 		// The service is stale: a peer has a newer revision.
 	case s.next != nil && manifest.Revision == s.next.manifest.Revision && hash != s.next.hash:
 		s.alarm(now, "refused revision %s with hash %s: already fetching %s", manifest.Revision, hash, s.next.hash)
@@ -248,7 +248,7 @@
 	if s.settled || s.accepted.config == nil {
 		return
 	}
-	if s.Revision() < s.floor && !s.opts.IgnoreFloor {
+	if s.Revision() < s.floor {
 		return
 	}
 	if s.heardReady || now.Sub(s.started) >= s.opts.SettlingTime {
--- a/pkg/control/configsync/options.go
+++ b/pkg/control/configsync/options.go
@@ -44,9 +44,6 @@
 	ReadsPerSecond float64
 	// MaxBlobs bounds the blobs of one question to a peer; default 32.
 	MaxBlobs int
-	// IgnoreFloor accepts revisions below the floor that peers named. It is
-	// unsafe, and there only to show that the checkers notice.
-	IgnoreFloor bool
 }
 
 func (o Options) withDefaults() Options {
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,11 +51,13 @@
 // Control is the control goroutine's front. Its methods are safe for concurrent
 // use.
 type Control struct {
-	opts    Options
-	queue   chan queued
-	holder  *snapshot.Holder
-	calls   chan struct{} // one token for each call in flight
-	metrics *metrics
+	opts   Options
+	queue  chan queued
+	holder *snapshot.Holder
+	calls  chan struct{} // one token for each call in flight
+	// steppedAt is when the control goroutine last handled an event.
+	steppedAt atomic.Pointer[time.Time]
+	metrics   *metrics
 }
 
 var (
@@ -90,6 +93,15 @@
 	return c.enqueue(queued{event: e})
 }
 
+// Stalled reports whether the control goroutine has not run for so long that
+// the process may have been paused. Traffic goroutines ask it before an act that
+// must not rest on old knowledge: after a pause they may run before the control
+// goroutine has noticed.
+func (c *Control) Stalled(now time.Time) bool {
+	last := c.steppedAt.Load()
+	return last == nil || now.Sub(*last) >= node.DefaultPauseGap
+}
+
 func (c *Control) enqueue(q queued) bool {
 	select {
 	case c.queue <- q:
@@ -139,6 +151,8 @@
 
 func (c *Control) step(ctx context.Context, calls *conc.WaitGroup, state *node.Node, q queued) {
 	out := state.Handle(q.event)
+	now := time.Now()
+	c.steppedAt.Store(&now)
 	if out.Snapshot != nil {
 		c.holder.Store(out.Snapshot)
 		revision, _ := state.Revision()
--- a/pkg/control/event/event.go
+++ b/pkg/control/event/event.go
@@ -14,6 +14,8 @@
 
 // Event is one input of the control state. The set of events is closed.
 type Event interface {
+	// Time is when the event happened.
+	Time() time.Time
 	isEvent()
 }
 
@@ -127,6 +129,39 @@
 func (DrainStarted) isEvent()    {}
 func (FloorSeen) isEvent()       {}
 
+// Time implements Event.
+func (e Tick) Time() time.Time { return e.Now }
+
+// Time implements Event.
+func (e AttemptFinished) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e LoadReported) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ListRead) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ListFailed) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ConfigRead) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ConfigFailed) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e PeerMessage) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e PeerFailed) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e DrainStarted) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e FloorSeen) Time() time.Time { return e.At }
+
 // Compile-time checks that every event is one.
 var (
 	_ Event = Tick{}
--- a/pkg/control/membership/membership.go
+++ b/pkg/control/membership/membership.go
@@ -38,6 +38,8 @@
 	misses      int
 	// spareUntil is until when this daemon does not suspect the member again.
 	spareUntil time.Time
+	// stateAt is when State last changed.
+	stateAt time.Time
 	// listedLeaving is true when the VM list says that the VM leaves.
 	listedLeaving bool
 }
--- a/pkg/control/membership/merge.go
+++ b/pkg/control/membership/merge.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/peer"
@@ -55,6 +56,9 @@
 	if m == nil || !m.supersededBy(u) {
 		return
 	}
+	if u.State == snapshot.MemberSuspect && m.Region != s.opts.Self.Region {
+		return // each region judges its own members; see SetRemote
+	}
 	isNews := m.Incarnation != u.Incarnation || m.State != u.State
 	urgent := isNews && (u.State == snapshot.MemberSuspect || u.State == snapshot.MemberLeaving)
 	if m.State == snapshot.MemberSuspect && u.State == snapshot.MemberAlive {
@@ -67,7 +71,7 @@
 	m.Incarnation, m.State, m.beat = u.Incarnation, u.State, u.Beat
 	m.Revision = max(m.Revision, u.Revision)
 	if isNews {
-		s.changed = true
+		s.changed, m.stateAt = true, now
 		if m.Region == s.opts.Self.Region {
 			s.enqueue(updateOf(m), urgent)
 		}
@@ -110,3 +114,30 @@
 	}
 	return m.Region, m.DataCentre, true
 }
+
+// remoteGrace is how much younger than a leave a summary must be to say that the
+// VM is back: the summary's author may not have heard of the leave at once.
+const remoteGrace = 15 * time.Second
+
+// SetRemote takes what another region's summary says of its members: those in
+// out leave or are suspected there, the others are in service.
+func (s *State) SetRemote(now time.Time, region types.Region, takenAt time.Time, out []types.VMID) {
+	if region == s.opts.Self.Region {
+		return
+	}
+	for vm, m := range s.members {
+		if m.Region != region {
+			continue
+		}
+		usable := m.State == snapshot.MemberAlive || m.State == snapshot.MemberListed
+		switch isOut := slices.Contains(out, vm); {
+		case isOut && usable:
+			m.State, m.stateAt = snapshot.MemberSuspect, now
+			s.changed = true
+		case !isOut && !usable && takenAt.After(m.stateAt.Add(remoteGrace)):
+			m.State, m.stateAt = snapshot.MemberListed, now
+			m.Incarnation.Boot = ""
+			s.changed = true
+		}
+	}
+}
--- a/pkg/control/membership/probe.go
+++ b/pkg/control/membership/probe.go
@@ -56,7 +56,7 @@
 	if now.Before(m.spareUntil) {
 		return
 	}
-	m.State = snapshot.MemberSuspect
+	m.State, m.stateAt = snapshot.MemberSuspect, now
 	// The suspicion holds against all that was heard before the silence.
 	m.beat = max(m.beat, uint64(m.silentSince.UnixMilli()))
 	m.spareUntil = now.Add(s.opts.SuspectAgain)
--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -30,7 +30,7 @@
 	draining bool
 	pause    pause
 	listTime listPacer
-	lastTick event.Tick
+	clock    clock
 	out      Output
 }
 
@@ -45,6 +45,7 @@
 		endpoints: endpoints.New(),
 		current:   &snapshot.Snapshot{TakenAt: now, Self: opts.Self},
 		dirty:     true,
+		clock:     clock{now: now, wall: now.Round(0)},
 	}
 	return n
 }
@@ -52,6 +53,7 @@
 // Handle takes one event and returns what is to be done.
 func (n *Node) Handle(e event.Event) Output {
 	n.out = Output{}
+	n.noticePause(e)
 	now := n.apply(e)
 	n.publish(now)
 	n.out.Alarms = n.config.TakeAlarms()
@@ -104,7 +106,7 @@
 		n.config.SetFloor(e.Revision)
 		return e.At
 	}
-	return n.lastTick.Now
+	return n.clock.now
 }
 
 func (n *Node) attemptFinished(e event.AttemptFinished) {
@@ -121,8 +123,7 @@
 
 func (n *Node) tick(e event.Tick) {
 	now := e.Now
-	n.noticePause(e)
-	n.lastTick = e
+	n.afterPause(now)
 	n.tickHealth(now)
 	n.regions.Expire(now)
 	n.endpoints.Expire(now)
@@ -186,6 +187,12 @@
 
 // publish builds a new snapshot when something changed.
 func (n *Node) publish(now time.Time) {
+	if n.regions.TakeChanged() {
+		n.dirty = true
+		for _, summary := range n.regions.Others() {
+			n.members.SetRemote(now, summary.Region, summary.TakenAt, summary.Out)
+		}
+	}
 	if n.members.TakeChanged() {
 		n.view, n.dirty = n.members.Members(), true
 	}
@@ -196,9 +203,6 @@
 		n.dirty = true
 		n.announce(now)
 	}
-	if n.regions.TakeChanged() {
-		n.dirty = true
-	}
 	if !n.dirty {
 		return
 	}
--- a/pkg/control/node/options.go
+++ b/pkg/control/node/options.go
@@ -80,7 +80,7 @@
 func (o Options) withDefaults() Options {
 	o.Config.Self, o.Membership.Self, o.Regions.Self = o.Self, o.Self, o.Self
 	o.ListEvery = cmp.Or(o.ListEvery, 2*time.Second)
-	o.PauseGap = cmp.Or(o.PauseGap, 2*time.Second)
+	o.PauseGap = cmp.Or(o.PauseGap, DefaultPauseGap)
 	o.Fanout = cmp.Or(o.Fanout, 3)
 	if o.Headroom == nil {
 		o.Headroom = FreeSlots
@@ -88,6 +88,9 @@
 	return o
 }
 
+// DefaultPauseGap is the gap between two events that counts as a pause.
+const DefaultPauseGap = 2 * time.Second
+
 // TickEvery is the time between two ticks that a node expects.
 const TickEvery = 250 * time.Millisecond
 
--- a/pkg/control/node/pause.go
+++ b/pkg/control/node/pause.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/control/event"
@@ -22,30 +23,44 @@
 // askEvery is the time between two rounds of questions after a pause.
 const askEvery = 500 * time.Millisecond
 
-// noticePause compares this tick with the last one. The wall clock also counts,
-// since a monotonic clock may stand still while the VM is suspended.
-func (n *Node) noticePause(e event.Tick) {
-	last := n.lastTick
-	if !last.Now.IsZero() {
-		gap := max(e.Now.Sub(last.Now), e.Wall.Sub(last.Wall))
-		if gap >= n.opts.PauseGap {
-			n.pause = pause{active: true, since: e.Now}
-			n.dirty = true
-		}
+// clock is the newest time that events brought.
+type clock struct {
+	now  time.Time
+	wall time.Time
+}
+
+// noticePause compares the event's time with the newest one before it. Ticks
+// come often, so that a long gap means that the process stood still. The wall
+// clock also counts, since a monotonic clock may stop while the VM is suspended.
+func (n *Node) noticePause(e event.Event) {
+	now := e.Time()
+	gap := now.Sub(n.clock.now)
+	if tick, ok := e.(event.Tick); ok {
+		gap = max(gap, tick.Wall.Sub(n.clock.wall))
+		n.clock.wall = tick.Wall
+	}
+	if now.After(n.clock.now) {
+		n.clock.now = now
 	}
+	if gap >= n.opts.PauseGap {
+		n.pause = pause{active: true, since: now}
+		n.dirty = true
+	}
+}
+
+// afterPause asks peers until this daemon has heard what it missed, or until it
+// has asked for long enough, as when its region is cut off.
+func (n *Node) afterPause(now time.Time) {
 	if !n.pause.active {
 		return
 	}
-	limit := n.opts.Config.SettlingTime
-	if limit == 0 {
-		limit = defaultSettling
-	}
+	limit := cmp.Or(n.opts.Config.SettlingTime, defaultSettling)
 	upToDate := n.config.Revision() >= n.config.Floor()
-	if (n.pause.peer && n.pause.list && upToDate) || e.Now.Sub(n.pause.since) >= limit {
+	if (n.pause.peer && n.pause.list && upToDate) || now.Sub(n.pause.since) >= limit {
 		n.pause, n.dirty = pause{}, true
 		return
 	}
-	n.askAfterPause(e.Now)
+	n.askAfterPause(now)
 }
 
 // defaultSettling bounds a pause's refresh when no settling time is set.
--- a/pkg/control/regions/regions.go
+++ b/pkg/control/regions/regions.go
@@ -127,7 +127,7 @@
 	s.nextOwn = now.Add(s.opts.Refresh)
 	own := &snapshot.RegionSummary{
 		Region: s.opts.Self.Region, Revision: revision, TakenAt: now.Round(0), ReceivedAt: now,
-		Entries: s.entries(members), Services: services(),
+		Entries: s.entries(members), Out: s.out(members), Services: services(),
 	}
 	s.summaries[own.Region] = own
 	s.changed = true
@@ -144,6 +144,18 @@
 	return entries
 }
 
+// out lists the members of the own region that leave or are suspected.
+func (s *State) out(members []snapshot.Member) []types.VMID {
+	var out []types.VMID
+	for i := range members {
+		m := &members[i]
+		if m.Region == s.opts.Self.Region && !usable(m.State) {
+			out = append(out, m.Incarnation.VM)
+		}
+	}
+	return out
+}
+
 // Digests names the newest summary of each region, sorted by region.
 func (s *State) Digests() []peer.SummaryDigest {
 	out := make([]peer.SummaryDigest, 0, len(s.summaries))
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -169,6 +169,8 @@
 	ReceivedAt time.Time        `json:"received_at"`
 	Entries    []types.VMID     `json:"entries"`
 	Services   []ServiceSummary `json:"services"`
+	// Out lists daemons of the region that leave or are suspected.
+	Out []types.VMID `json:"out,omitempty"`
 }
 
 // ServiceSummary is the room that a region has for one service and rank.
