Run the daemon over the live control state

Cause: the daemon ran on static files only; the control state, ejection and endpoint reports were not joined to it.

The engine stand-in names its newest event, so that a restart is seen.

--- a/pkg/control/cacheview/cacheview.go
+++ b/pkg/control/cacheview/cacheview.go
@@ -169,6 +169,18 @@
 	delete(v.endpoints, id)
 }
 
+// Retain forgets the endpoints that keep refuses; true when there were any.
+func (v *View) Retain(keep func(types.EndpointID) bool) bool {
+	forgot := false
+	for id := range v.endpoints {
+		if !keep(id) {
+			v.Forget(id)
+			forgot = true
+		}
+	}
+	return forgot
+}
+
 func (v *View) store(id types.EndpointID, ep *endpointView, prefix uint64) {
 	if e := ep.entries[prefix]; e != nil {
 		v.order.MoveToBack(e.global)
--- a/pkg/control/endpoints/endpoints.go
+++ b/pkg/control/endpoints/endpoints.go
@@ -76,6 +76,12 @@
 	s.vms, s.changed = listed, true
 }
 
+// Listed reports whether the VM list holds the endpoint.
+func (s *State) Listed(id types.EndpointID) bool {
+	_, listed := s.vms[id]
+	return listed
+}
+
 // SetLoad takes a load report; one that is older than the last is ignored.
 func (s *State) SetLoad(id types.EndpointID, load snapshot.Load) {
 	if _, listed := s.vms[id]; !listed || !load.TakenAt.After(s.loads[id].TakenAt) {
--- a/pkg/control/event/event.go
+++ b/pkg/control/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/cacheview"
 	"github.com/flamingomount/flamingomount/pkg/peer"
 	"github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -53,6 +54,8 @@
 	OthersInFlight int
 	// Duration is how long the attempt took.
 	Duration time.Duration
+	// PerToken is the mean time of a streamed token; zero for whole answers.
+	PerToken time.Duration
 }
 
 // LoadReported brings the load that an endpoint reports of itself.
@@ -62,6 +65,13 @@
 	Load     snapshot.Load
 }
 
+// CacheEventsRead brings cache events of a model engine.
+type CacheEventsRead struct {
+	At       time.Time
+	Endpoint types.EndpointID
+	Batch    cacheview.Batch
+}
+
 // ListRead brings one reading of the platform's VM list.
 type ListRead struct {
 	At time.Time
@@ -120,6 +130,7 @@
 func (Tick) isEvent()            {}
 func (AttemptFinished) isEvent() {}
 func (LoadReported) isEvent()    {}
+func (CacheEventsRead) isEvent() {}
 func (ListRead) isEvent()        {}
 func (ListFailed) isEvent()      {}
 func (ConfigRead) isEvent()      {}
@@ -138,6 +149,9 @@
 // Time implements Event.
 func (e LoadReported) Time() time.Time { return e.At }
 
+// Time implements Event.
+func (e CacheEventsRead) Time() time.Time { return e.At }
+
 // Time implements Event.
 func (e ListRead) Time() time.Time { return e.At }
 
--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/cacheview"
 	"github.com/flamingomount/flamingomount/pkg/control/configsync"
 	"github.com/flamingomount/flamingomount/pkg/control/endpoints"
 	"github.com/flamingomount/flamingomount/pkg/control/event"
@@ -22,6 +23,8 @@
 	regions   *regions.State
 	list      vmlist.State
 	endpoints *endpoints.State
+	caches    *cacheview.View
+	prefixes  snapshot.PrefixIndex // the caches as of their last change
 
 	view     []snapshot.Member // the members as of their last change
 	back     map[types.ServiceName][]*snapshot.Endpoint
@@ -43,6 +46,7 @@
 		members:   membership.New(opts.Membership, opts.Rand, now),
 		regions:   regions.New(opts.Regions, opts.Rand, now),
 		endpoints: endpoints.New(),
+		caches:    cacheview.New(cacheview.Options{}),
 		current:   &snapshot.Snapshot{TakenAt: now, Self: opts.Self},
 		dirty:     true,
 		clock:     clock{now: now, wall: now.Round(0)},
@@ -98,6 +102,9 @@
 	case event.LoadReported:
 		n.endpoints.SetLoad(e.Endpoint, e.Load)
 		return e.At
+	case event.CacheEventsRead:
+		n.cacheEventsRead(e)
+		return e.At
 	case event.DrainStarted:
 		n.draining, n.dirty = true, true
 		n.members.Leave()
@@ -109,6 +116,20 @@
 	return n.clock.now
 }
 
+// cacheEventsRead takes cache events of an endpoint that is still listed.
+func (n *Node) cacheEventsRead(e event.CacheEventsRead) {
+	if !n.endpoints.Listed(e.Endpoint) {
+		return
+	}
+	n.caches.Apply(e.Endpoint, e.Batch)
+	n.publishCaches()
+}
+
+func (n *Node) publishCaches() {
+	n.prefixes = n.caches.Publish()
+	n.dirty = true
+}
+
 func (n *Node) attemptFinished(e event.AttemptFinished) {
 	if e.Leaving {
 		n.endpoints.MarkLeaving(e.At, e.At, e.Endpoint)
@@ -176,6 +197,9 @@
 	listing := n.list.Listing()
 	n.members.SetList(listing)
 	n.endpoints.SetList(listing)
+	if n.caches.Retain(n.endpoints.Listed) {
+		n.publishCaches()
+	}
 	for _, vm := range n.members.Pick(n.opts.Fanout) {
 		msg := n.message(now)
 		if change := n.list.Newest(); change != nil {
@@ -225,7 +249,7 @@
 	snap := &snapshot.Snapshot{
 		TakenAt: now, Self: n.opts.Self, Config: n.config.InForce(),
 		Endpoints: n.back, Members: n.view, Regions: n.regions.Others(),
-		Draining: n.draining, Paused: n.pause.active,
+		Draining: n.draining, Paused: n.pause.active, Prefixes: n.prefixes,
 	}
 	if n.opts.Quarantine != nil {
 		snap.Quarantine = n.opts.Quarantine.Active(now)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"net/http"
 	"os"
@@ -32,10 +33,12 @@
 
 // Daemon is one entry of the gateway.
 type Daemon struct {
-	opts     Options
-	self     snapshot.Self
-	started  time.Time
-	control  Control
+	opts    Options
+	self    snapshot.Self
+	started time.Time
+	control Control
+	// peerTLS is nil when daemons talk in plain HTTP.
+	peerTLS  *tls.Config
 	router   route.Router
 	gates    *gates
 	guard    *onceguard.Guard
@@ -109,6 +112,10 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
+	d.recorder = newRecorder(d)
+	if err := d.loadPeerTLS(); err != nil {
+		return err
+	}
 	if err := d.provisionControl(); err != nil {
 		return err
 	}
@@ -170,14 +177,29 @@
 		d.control = d.opts.Control
 		return nil
 	}
-	if !d.opts.Settings.Static.Enabled() {
-		return eris.New("this build needs static files: set static.configuration and static.vm_list")
+	if d.opts.Settings.Static.Enabled() {
+		control, err := loadStatic(d.self, d.opts.Settings.Static)
+		d.control = control
+		return err
+	}
+	control, err := newLive(liveOptions{
+		self: d.self, opts: &d.opts, security: d.peerTLS, metrics: d.recorder.metrics.Registerer(),
+	})
+	d.control = control
+	return err
+}
+
+// loadPeerTLS reads the certificate for talking to other daemons, if any.
+func (d *Daemon) loadPeerTLS() error {
+	files := d.opts.Settings.Peer.TLS
+	if !files.Enabled() {
+		return nil
 	}
-	control, err := loadStatic(d.self, d.opts.Settings.Static)
+	loaded, err := tlsfiles.Load(files.Certificate, files.Key, files.Authorities, nil)
 	if err != nil {
 		return err
 	}
-	d.control = control
+	d.peerTLS = loaded.Client()
 	return nil
 }
 
@@ -187,13 +209,9 @@
 		return eris.Wrap(err, "peer keys")
 	}
 	d.router = d.opts.Router
-	d.recorder = newRecorder(d)
 	d.gates = newGates(&d.opts, d.control.Load)
 	d.guard = onceguard.New(onceguard.Options{Self: d.self.Incarnation, Keyring: keyring, Now: d.opts.Now})
-	dispatcher, err := d.newDispatcher()
-	if err != nil {
-		return err
-	}
+	dispatcher := d.newDispatcher()
 	d.handler = &handler{
 		snapshot:   d.control.Load,
 		gates:      d.gates,
@@ -217,15 +235,11 @@
 	}.WithDefaults()
 }
 
-func (d *Daemon) newDispatcher() (*dispatch.Dispatcher, error) {
+func (d *Daemon) newDispatcher() *dispatch.Dispatcher {
 	peers := dispatch.NewTransport(false)
 	scheme := "http"
-	if files := d.opts.Settings.Peer.TLS; files.Enabled() {
-		loaded, err := tlsfiles.Load(files.Certificate, files.Key, files.Authorities, nil)
-		if err != nil {
-			return nil, err
-		}
-		peers.TLSClientConfig = loaded.Client()
+	if d.peerTLS != nil {
+		peers.TLSClientConfig = d.peerTLS
 		scheme = "https"
 	}
 	sender := forward.NewSender(forward.SenderOptions{
@@ -245,7 +259,7 @@
 		Limits:        d.relayLimits(),
 		Now:           d.opts.Now,
 		Rand:          d.opts.Rand,
-	}), nil
+	})
 }
 
 func (d *Daemon) floorSeen(revision types.Revision) {
--- /dev/null
+++ b/pkg/daemon/live.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ed25519"
+	crand "crypto/rand"
+	"crypto/tls"
+	"encoding/base64"
+	"encoding/binary"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/bundle"
+	"github.com/flamingomount/flamingomount/pkg/bundle/keyfile"
+	"github.com/flamingomount/flamingomount/pkg/control"
+	"github.com/flamingomount/flamingomount/pkg/control/configsync"
+	"github.com/flamingomount/flamingomount/pkg/control/ejection"
+	"github.com/flamingomount/flamingomount/pkg/control/node"
+	"github.com/flamingomount/flamingomount/pkg/control/outlier"
+	"github.com/flamingomount/flamingomount/pkg/loadpoll"
+	"github.com/flamingomount/flamingomount/pkg/peer"
+	"github.com/flamingomount/flamingomount/pkg/peer/peerhttp"
+	"github.com/flamingomount/flamingomount/pkg/platform/httpplatform"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+)
+
+// liveControl is control state that reads the platform, talks to other daemons
+// and reads the endpoints' reports.
+type liveControl struct {
+	*control.Control
+	client  *peerhttp.Client
+	handler http.Handler
+	poller  *loadpoll.Poller
+}
+
+var _ Control = (*liveControl)(nil)
+
+// liveOptions is what live control state needs beside the daemon's options.
+type liveOptions struct {
+	self     snapshot.Self
+	opts     *Options
+	security *tls.Config
+	metrics  prometheus.Registerer
+}
+
+func newLive(with liveOptions) (*liveControl, error) {
+	keys, err := publisherKeys(with.opts.Settings.Bundle.PublicKeys)
+	if err != nil {
+		return nil, err
+	}
+	guard, err := peerGuard(with)
+	if err != nil {
+		return nil, err
+	}
+	metrics := peerhttp.NewMetrics(with.metrics)
+	live := &liveControl{client: peerhttp.NewClient(guard, metrics, with.opts.Now, with.security)}
+	platform := httpplatform.New(with.opts.Settings.Platform.URL, &http.Client{})
+	live.Control, err = control.New(control.Options{
+		Node: node.Options{
+			Self:     with.self,
+			Rand:     rand.New(rand.NewPCG(randomSeed(), randomSeed())),
+			Config:   configsync.Options{Keys: keys},
+			Outliers: ejection.New(outlier.Options{}),
+		},
+		Config:  platform,
+		VMs:     platform,
+		Peers:   live.client,
+		Log:     with.opts.Log,
+		Metrics: with.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	live.handler = peerhttp.NewHandler(guard, live.Control, metrics, with.opts.Now)
+	live.poller = loadpoll.New(loadpoll.Options{Snapshot: live.Load, Submit: live.Submit, Now: with.opts.Now})
+	return live, nil
+}
+
+// publisherKeys decodes the keys under which bundles are accepted.
+func publisherKeys(encoded []string) (bundle.Keys, error) {
+	if len(encoded) == 0 {
+		return nil, eris.New("bundle.public_keys: got nothing, accepts the publisher's ed25519 public keys in base64")
+	}
+	keys := make(bundle.Keys, len(encoded))
+	for _, text := range encoded {
+		raw, err := base64.StdEncoding.DecodeString(text)
+		if err != nil || len(raw) != ed25519.PublicKeySize {
+			return nil, eris.Errorf("bundle.public_keys: got %q, accepts %d bytes in base64", text, ed25519.PublicKeySize)
+		}
+		key := ed25519.PublicKey(raw)
+		keys[keyfile.IDOf(key)] = key
+	}
+	return keys, nil
+}
+
+func peerGuard(with liveOptions) (*peer.Guard, error) {
+	keys := peer.Keys{
+		Current:  peer.KeyID(with.opts.Keys[0].ID),
+		Accepted: make(map[peer.KeyID][]byte, len(with.opts.Keys)),
+	}
+	for _, key := range with.opts.Keys {
+		keys.Accepted[peer.KeyID(key.ID)] = key.Secret
+	}
+	if err := keys.Validate(); err != nil {
+		return nil, eris.Wrap(err, "peer keys")
+	}
+	return peer.NewGuard(with.self.Incarnation.VM, keys, with.opts.Now(), randomSeed()), nil
+}
+
+func randomSeed() uint64 {
+	var seed [8]byte
+	_, _ = crand.Read(seed[:]) // never fails: see crypto/rand
+	return binary.LittleEndian.Uint64(seed[:])
+}
+
+// Run owns the control state and reads reports until ctx ends.
+func (l *liveControl) Run(ctx context.Context) error {
+	var polling conc.WaitGroup
+	defer l.client.CloseIdle()
+	defer polling.Wait()
+	polling.Go(func() { l.poller.Run(ctx) })
+	return l.Control.Run(ctx)
+}
+
+// Peers handles the messages of other daemons.
+func (l *liveControl) Peers() http.Handler {
+	return l.handler
+}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -133,6 +133,11 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// Registerer takes further metrics of the daemon's parts.
+func (m *Metrics) Registerer() prometheus.Registerer {
+	return m.registry
+}
+
 // Names returns the names of all metrics of this project that m can export.
 func (m *Metrics) Names() []string {
 	names := []string{
--- a/pkg/peer/peerhttp/peerhttp.go
+++ b/pkg/peer/peerhttp/peerhttp.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"time"
@@ -56,16 +57,26 @@
 
 // Client sends messages to other daemons.
 type Client struct {
+	scheme  string
 	guard   *peer.Guard
 	http    *http.Client
 	metrics *Metrics
 	wall    func() time.Time
 }
 
-// NewClient returns a client. Wall reads the wall clock.
-func NewClient(guard *peer.Guard, metrics *Metrics, wall func() time.Time) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	return &Client{guard: guard, metrics: metrics, wall: wall, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+// NewClient returns a client. Wall reads the wall clock. A nil security means
+// plain HTTP.
+func NewClient(guard *peer.Guard, metrics *Metrics, wall func() time.Time, security *tls.Config) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout,
+		DisableCompression: true, TLSClientConfig: security,
+	}
+	scheme := "http://"
+	if security != nil {
+		scheme = "https://"
+	}
+	client := &http.Client{Transport: transport, Timeout: requestTimeout}
+	return &Client{scheme: scheme, guard: guard, metrics: metrics, wall: wall, http: client}
 }
 
 // Send sends a message and returns the authenticated answer.
@@ -74,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	url := "http://" + string(msg.To) + Path
+	url := c.scheme + string(msg.To) + Path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(sealed.Body))
 	if err != nil {
 		return nil, eris.Wrap(err, "peer request")
--- a/pkg/standin/engine/cache.go
+++ b/pkg/standin/engine/cache.go
@@ -97,6 +97,17 @@
 	return events
 }
 
+// newest returns the number of the newest event that is older than lag; zero
+// when there is none.
+func (c *prefixCache) newest(now time.Time, lag time.Duration) uint64 {
+	for i := len(c.events) - 1; i >= 0; i-- {
+		if now.Sub(c.events[i].at) >= lag {
+			return c.events[i].Seq
+		}
+	}
+	return 0
+}
+
 // share returns the used share of the cache, 0 to 1.
 func (c *prefixCache) share() float64 {
 	return float64(len(c.used)) / float64(c.limit)
--- a/pkg/standin/engine/reports.go
+++ b/pkg/standin/engine/reports.go
@@ -63,12 +63,9 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	e.mu.Lock()
 	events := e.cache.since(after, time.Now(), e.opts.ReportLag, e.opts.DropEvents)
+	next := e.cache.newest(time.Now(), e.opts.ReportLag)
 	e.mu.Unlock()
-	answer := eventsAnswer{Events: events, Next: after}
-	if len(events) > 0 {
-		answer.Next = events[len(events)-1].Seq
-	}
-	writeJSON(w, answer)
+	writeJSON(w, eventsAnswer{Events: events, Next: next})
 }
 
 // Order asks an engine to load or unload a version or to change its role.
