--- a/pkg/stage/retry/budget.go
+++ b/pkg/stage/retry/budget.go
@@ -6,17 +6,24 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// budgetBurst is the number of extra attempts that a budget saves up at most.
-const budgetBurst = 10.0
+const (
+	// budgetBurst is the number of extra attempts that a budget saves up at
+	// most.
+	budgetBurst = 10.0
+	// StartCredit is the number of requests that a budget is credited with
+	// before the first one, so that a daemon which has just started can retry.
+	StartCredit = 100
+)
 
 // Budget bounds the extra attempts, retries and hedges alike, of one service at
 // one daemon. Each offered request deposits a share of a token and each extra
-// attempt takes a whole one. It starts empty, so the extra attempts never
-// exceed the share of the requests offered since the start. It is safe for
+// attempt takes a whole one, so the extra attempts never exceed the share of
+// StartCredit and the requests offered since the start. It is safe for
 // concurrent use.
 type Budget struct {
-	mu     sync.Mutex
-	tokens float64
+	mu       sync.Mutex
+	credited bool
+	tokens   float64
 }
 
 // Deposit credits the budget with one offered request; share is the published
@@ -24,7 +31,12 @@
 func (b *Budget) Deposit(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+max(share, 0), budgetBurst)
+	share = max(share, 0)
+	if !b.credited {
+		b.credited = true
+		b.tokens = StartCredit * share
+	}
+	b.tokens = min(b.tokens+share, budgetBurst)
 }
 
 // Take takes one extra attempt if more than reserve would be left after it,
--- a/pkg/stage/retry/retry.go
+++ b/pkg/stage/retry/retry.go
@@ -112,7 +112,7 @@
 		return Decision{Reason: reason}
 	}
 	if isReroute(in) {
-		return Decision{Again: true, Reason: "endpoint is leaving and did not run it"}
+		return Decision{Again: true, Reason: "endpoint is leaving or can't be reached and did not run it"}
 	}
 	if in.Resend {
 		return Decision{Reason: "caller retries itself"}
@@ -150,18 +150,19 @@
 	return ""
 }
 
-// isReroute reports whether the attempt was refused by a leaving endpoint. That
-// cost no work and is not charged, but it is allowed once a request only.
+// isReroute reports whether the attempt was refused by a leaving endpoint or
+// found no connection to it. That cost no work and is not charged, but it is
+// allowed once a request only.
 func isReroute(in Input) bool {
-	return in.Failure.Code == types.CodeDraining &&
-		in.Failure.Verdict == types.NotRun && in.Attempts == 1
+	cheap := in.Failure.Code == types.CodeDraining || in.Failure.Code == types.CodeUnreachable
+	return cheap && in.Failure.Verdict == types.NotRun && in.Attempts == 1
 }
 
 // isRetryable reports whether another endpoint may do better.
 func isRetryable(code types.Code) bool {
 	switch code {
 	case types.CodeEndpointFailed, types.CodeAnswerIncomplete, types.CodeOverloaded,
-		types.CodeDraining, types.CodeNotReady:
+		types.CodeDraining, types.CodeNotReady, types.CodeUnreachable:
 		return true
 	}
 	return false
@@ -170,7 +171,7 @@
 // delay returns the delay before the next attempt, spread evenly between half
 // and one and a half times its mean.
 func (p *Policy) delay(in Input) time.Duration {
-	if in.Failure.Code == types.CodeDraining {
+	if isReroute(in) {
 		return 0
 	}
 	mean := p.options.BaseDelay << min(max(in.Attempts-1, 0), 16)
--- a/pkg/types/verdict.go
+++ b/pkg/types/verdict.go
@@ -78,6 +78,7 @@
 	CodeDraining         Code = "draining"
 	CodeNotReady         Code = "not_ready"
 	CodeEndpointFailed   Code = "endpoint_failed"
+	CodeUnreachable      Code = "endpoint_unreachable"
 	CodeAnswerIncomplete Code = "answer_incomplete"
 	CodeCallerGone       Code = "caller_gone"
 	CodeInternal         Code = "internal"
@@ -164,6 +165,7 @@
 	CodeDraining:         503,
 	CodeNotReady:         503,
 	CodeEndpointFailed:   502,
+	CodeUnreachable:      502,
 	CodeAnswerIncomplete: 502,
 	CodeCallerGone:       499,
 	CodeInternal:         statusInternal,
