Reserve slots for urgent demand and judge stale reports by what all daemons did

Change: urgent requests are bounded by their own count, patient ones leave what urgent requests use lately and a reserve; a stale report gives way to the mean, corrected as if every daemon had spread its requests as this one has; ramping endpoints count in part; goodput counts answers inside the window.

--- a/internal/fakeworld/clock.go
+++ b/internal/fakeworld/clock.go
@@ -69,9 +69,12 @@
 	})
 }
 
-// runUntil runs all events up to the time.
-func (c *clock) runUntil(end time.Time) {
+// runUntil runs all events up to the time, or until done reports true.
+func (c *clock) runUntil(end time.Time, done func() bool) {
 	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		if done() {
+			return
+		}
 		next := heap.Pop(&c.events).(event)
 		c.now = next.at
 		next.run()
--- a/internal/fakeworld/daemon.go
+++ b/internal/fakeworld/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
 	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/stage/score"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -25,6 +26,7 @@
 	admitter admission.Admitter
 	retrier  Retrier
 	cache    *cacheview.View
+	ramp     *score.Ramp
 	views    map[types.EndpointID]*endpointView
 	order    []*endpointView
 	waiting  map[admission.ID]*passage
@@ -195,7 +197,7 @@
 	capacity := 0.0
 	for _, view := range d.order {
 		if view.endpoint.State == snapshot.EndpointReady {
-			capacity += view.limit.Share()
+			capacity += view.limit.Share() * d.ramp.Share(view.endpoint, now)
 		}
 	}
 	d.decided(d.admitter.SetCapacity(int(capacity), now))
--- a/internal/fakeworld/stats.go
+++ b/internal/fakeworld/stats.go
@@ -18,9 +18,7 @@
 	Failed   int
 	Attempts int
 	// Away is the number of calls sent to another region.
-	Away int
-	// Tokens is the output of the calls answered in time.
-	Tokens    int
+	Away      int
 	latencies []float64
 	firsts    []float64
 	// slotSamples sums the slots held at each sample.
@@ -34,6 +32,13 @@
 	// in a cache.
 	Blocks       int
 	CachedBlocks int
+	// WindowTokens is the output of all calls answered in time inside the
+	// measured time, whenever they arrived.
+	WindowTokens int
+	// pending counts the offered calls without an outcome.
+	pending int
+	// warmedUp is when the measured time begins.
+	warmedUp time.Time
 	// slots sums the slots that were up at each sample.
 	slots int
 	// occupied holds the occupied share of each engine at each sample.
@@ -41,11 +46,14 @@
 	closed   bool
 }
 
-func newStats() *Stats {
-	return &Stats{}
+func newStats(warmup time.Duration) *Stats {
+	return &Stats{warmedUp: Epoch.Add(warmup)}
 }
 
 func (s *Stats) offered(call *Call) {
+	if call.Resends == 0 {
+		s.pending++
+	}
 	if call.measured && call.Resends == 0 {
 		s.Ranks[call.Request.Rank].Offered++
 	}
@@ -59,6 +67,11 @@
 }
 
 func (s *Stats) answered(call *Call, failure *types.Failure, now time.Time) {
+	s.pending--
+	inTime := failure == nil && !now.After(call.Request.Deadline)
+	if inTime && !s.closed && !now.Before(s.warmedUp) {
+		s.WindowTokens += call.Request.OutputTokens
+	}
 	if !call.measured {
 		return
 	}
@@ -72,12 +85,11 @@
 		r.Refused++
 	case failure != nil:
 		r.Failed++
-	case now.After(call.Request.Deadline):
+	case !inTime:
 		r.Late++
 		r.record(call, now)
 	default:
 		r.InTime++
-		r.Tokens += call.Request.OutputTokens
 		r.record(call, now)
 	}
 }
@@ -119,15 +131,6 @@
 	return Quantile(s.occupied, 0.99)
 }
 
-// Goodput is the output, in tokens, of all calls answered in time.
-func (s *Stats) Goodput() int {
-	total := 0
-	for _, r := range s.Ranks {
-		total += r.Tokens
-	}
-	return total
-}
-
 // Answered is the number of calls that got a whole answer, late or not.
 func (r *RankStats) Answered() int { return len(r.latencies) }
 
@@ -148,6 +151,12 @@
 // FirstToken is a quantile, in seconds, of the time to the first token.
 func (r *RankStats) FirstToken(q float64) float64 { return Quantile(r.firsts, q) }
 
+// RefusedShare is the share of offered calls refused as not run.
+func (r *RankStats) RefusedShare() float64 { return ratio(r.Refused, r.Offered) }
+
+// FailedShare is the share of offered calls that failed and may have run.
+func (r *RankStats) FailedShare() float64 { return ratio(r.Failed, r.Offered) }
+
 func ratio(part, whole int) float64 {
 	if whole == 0 {
 		return 0
--- a/internal/fakeworld/world.go
+++ b/internal/fakeworld/world.go
@@ -10,6 +10,7 @@
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/limit"
+	"github.com/flamingomount/flamingomount/pkg/stage/score"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -43,7 +44,7 @@
 		Config: config, system: system, clock: clock{now: Epoch},
 		rand: newRand(config.Seed, worldSeed), cacheRand: newRand(config.Seed, cacheSeed),
 		regions: map[types.Region]*regionWorld{}, engines: map[types.EndpointID]*Engine{},
-		links: map[linkKey]*link{}, stats: newStats(),
+		links: map[linkKey]*link{}, stats: newStats(config.Warmup),
 	}
 	w.publish()
 	for i, region := range config.Regions {
@@ -114,7 +115,7 @@
 	random := newRand(w.Config.Seed, daemonSeed+uint64(index*len(w.Config.Regions)*1000+i))
 	d := &Daemon{
 		world: w, rand: random, router: w.system.Router(), admitter: w.system.Admitter(w.Config.Policy, random),
-		retrier: w.system.Retrier(), cache: cacheview.New(cacheview.Options{}),
+		retrier: w.system.Retrier(), cache: cacheview.New(cacheview.Options{}), ramp: score.NewRamp(score.RampOptions{}),
 		views: map[types.EndpointID]*endpointView{}, waiting: map[admissionID]*passage{},
 		Snapshot: &snapshot.Snapshot{
 			TakenAt: Epoch, Config: w.published, Self: snapshot.Self{Incarnation: self, Region: region.Name},
@@ -211,9 +212,10 @@
 	for _, s := range w.Config.Streams {
 		longest = max(longest, s.Deadline)
 	}
-	w.clock.runUntil(Epoch.Add(w.Config.Duration))
+	w.clock.runUntil(Epoch.Add(w.Config.Duration), func() bool { return false })
 	w.stats.closeWindow()
-	w.clock.runUntil(Epoch.Add(w.Config.Duration + longest))
+	answered := func() bool { return w.stats.pending == 0 }
+	w.clock.runUntil(Epoch.Add(w.Config.Duration+longest), answered)
 	return w.stats
 }
 
--- a/pkg/stage/admission/admission.go
+++ b/pkg/stage/admission/admission.go
@@ -95,10 +95,14 @@
 	// PatientFloor is the share of capacity, 0 to 1, that waiting patient
 	// requests keep. Negative means none; default 0.1.
 	PatientFloor float64
-	// UrgentReserve is the share of capacity, 0 to 1, that patient requests
-	// above the floor leave free for urgent ones. Negative means none; default
-	// 0.03.
+	// UrgentReserve is how many slots patient requests above the floor leave
+	// to urgent ones beyond what those use on average, as a multiple of the
+	// square root of that average. Negative means none; default 0.8.
 	UrgentReserve float64
+	// MaxWaitShare is the share, 0 to 1, of the time left after a request's own
+	// work that it may be predicted to wait; beyond it the request is refused at
+	// once. Default 0.5 for urgent and 0.9 for patient requests.
+	MaxWaitShare [types.RankCount]float64
 	// MaxRetryAfter bounds the advice to refused callers, by rank. Default
 	// 10 s for urgent and 120 s for patient requests.
 	MaxRetryAfter [types.RankCount]time.Duration
@@ -108,7 +112,9 @@
 	defaultMaxQueued          = 4096
 	defaultMaxBytes           = 48 << 20
 	defaultPatientFloor       = 0.1
-	defaultUrgentReserve      = 0.03
+	defaultUrgentReserve      = 0.8
+	defaultUrgentWaitShare    = 0.5
+	defaultPatientWaitShare   = 0.9
 	defaultUrgentRetryAfter   = 10 * time.Second
 	defaultPatientRetryAfter  = 120 * time.Second
 	minRetryAfter             = time.Second
@@ -131,7 +137,13 @@
 		o.UrgentReserve = defaultUrgentReserve
 	}
 	o.PatientFloor = min(max(o.PatientFloor, 0), 1)
-	o.UrgentReserve = min(max(o.UrgentReserve, 0), 1)
+	o.UrgentReserve = max(o.UrgentReserve, 0)
+	if o.MaxWaitShare[types.RankUrgent] <= 0 {
+		o.MaxWaitShare[types.RankUrgent] = defaultUrgentWaitShare
+	}
+	if o.MaxWaitShare[types.RankPatient] <= 0 {
+		o.MaxWaitShare[types.RankPatient] = defaultPatientWaitShare
+	}
 	if o.MaxRetryAfter[types.RankUrgent] <= 0 {
 		o.MaxRetryAfter[types.RankUrgent] = defaultUrgentRetryAfter
 	}
@@ -159,6 +171,7 @@
 	counts [types.RankCount]int
 	hold   [types.RankCount]holdEstimate
 	floor  floorCredit
+	demand demandEstimate
 	advice [types.RankCount]time.Time
 	seq    uint64
 	out    []Decision
@@ -258,7 +271,7 @@
 func (c *Controller) Tick(now time.Time) []Decision {
 	c.begin(now)
 	for _, rank := range types.Ranks() {
-		latest := now.Add(c.hold[rank].expected() / 2)
+		latest := now.Add(c.hold[rank].cautious())
 		for {
 			it := c.queues[rank].expired(latest)
 			if it == nil {
@@ -275,6 +288,7 @@
 // begin starts an event: it brings the floor's account up to now.
 func (c *Controller) begin(now time.Time) {
 	c.out = nil
+	c.demand.advance(now, min(c.counts[types.RankUrgent]+c.queues[types.RankUrgent].len(), c.capacity))
 	owed := c.options.PatientFloor * float64(c.capacity)
 	c.floor.advance(now, owed-float64(c.counts[types.RankPatient]), c.queues[types.RankPatient].len() > 0)
 }
--- a/pkg/stage/admission/refuse.go
+++ b/pkg/stage/admission/refuse.go
@@ -19,7 +19,7 @@
 	}
 	free := c.capacity - len(c.running)
 	if rank == types.RankPatient {
-		free -= c.reserveSlots()
+		free = min(free, c.capacity-c.urgentSlots()-c.counts[types.RankPatient])
 	}
 	return max(free, 0)
 }
@@ -84,7 +84,8 @@
 	}
 	ahead = min(ahead, (own+1)*shares/o.Share)
 	wait := c.drainTime(o.Rank, ahead)
-	return now.Add(wait + c.hold[o.Rank].expected()).After(o.Deadline)
+	left := o.Deadline.Sub(now) - c.hold[o.Rank].cautious()
+	return float64(wait) > c.options.MaxWaitShare[o.Rank]*float64(left)
 }
 
 // makeRoom keeps the queue bounded: when it is full, the organisation with the
--- a/pkg/stage/score/load.go
+++ b/pkg/stage/score/load.go
@@ -9,10 +9,10 @@
 
 // LoadOptions sets the load scorer.
 type LoadOptions struct {
-	// Mixing is the age at which a report counts half; the other half is the
-	// mean of the candidates. Default 1 s.
+	// Mixing is the age at which a report counts half where many daemons share
+	// the endpoints. Default 1 s.
 	Mixing time.Duration
-	// Hold is the time a request keeps a slot when nothing waits. Default 1 s.
+	// Hold is the time a request keeps a slot when nothing waits. Default 2 s.
 	Hold time.Duration
 	// Slowdown is what a full batch adds to a request's time. Default 0.5 s.
 	Slowdown time.Duration
@@ -23,7 +23,7 @@
 
 const (
 	defaultMixing      = time.Second
-	defaultHold        = time.Second
+	defaultHold        = 2 * time.Second
 	defaultSlowdown    = 500 * time.Millisecond
 	defaultFullPenalty = 5 * time.Second
 )
@@ -58,13 +58,12 @@
 
 // Add adds the predicted wait and slowdown.
 func (l *Load) Add(in *route.Input, eps []*snapshot.Endpoint, costs []float64) {
-	mean := meanOccupancy(eps)
-	daemons := float64(entries(in.Snapshot))
+	c := l.context(in, eps)
 	slowdown := l.options.Slowdown.Seconds()
 	hold := l.options.Hold.Seconds()
 	for i, ep := range eps {
 		slots := float64(max(ep.Slots, 1))
-		load := l.estimate(in.Now, ep, mean*slots, daemons)
+		load := c.estimate(ep, slots)
 		costs[i] += slowdown * min(load/slots, 1)
 		if load+1 > slots {
 			costs[i] += hold * (load + 1 - slots) / slots
@@ -75,19 +74,59 @@
 	}
 }
 
-// estimate predicts the requests at the endpoint now.
-func (l *Load) estimate(now time.Time, ep *snapshot.Endpoint, mean, daemons float64) float64 {
-	own := 0.0
-	if ep.Counters != nil {
-		own = float64(ep.Counters.InFlight.Load())
+// loadContext is what the estimates of one decision share.
+type loadContext struct {
+	now    time.Time
+	mixing time.Duration
+	// mean and ownMean are the reported load and this daemon's own load per
+	// slot over the candidates.
+	mean    float64
+	ownMean float64
+	daemons float64
+	// others is the share of the daemons that are not this one.
+	others float64
+}
+
+func (l *Load) context(in *route.Input, eps []*snapshot.Endpoint) loadContext {
+	daemons := float64(entries(in.Snapshot))
+	return loadContext{
+		now: in.Now, mixing: l.options.Mixing, mean: meanOccupancy(eps), ownMean: meanOwn(eps),
+		daemons: daemons, others: (daemons - 1) / daemons,
 	}
+}
+
+// estimate predicts the requests at the endpoint now. As a report ages, what
+// other daemons have sent since counts for more than the report: it falls back
+// on the mean of the candidates, corrected as if every daemon had spread its
+// requests as this one has.
+func (c *loadContext) estimate(ep *snapshot.Endpoint, slots float64) float64 {
+	own := ownInFlight(ep)
+	alike := (own - c.ownMean*slots) * c.daemons
 	if ep.Load.TakenAt.IsZero() {
-		return own * daemons
+		return max(c.mean*slots+alike, own)
+	}
+	age := max(c.now.Sub(ep.Load.TakenAt), 0)
+	trust := 1 / (1 + c.others*float64(age)/float64(c.mixing))
+	reported := float64(ep.Load.Running+ep.Load.Queued) + sinceReport(ep)
+	guess := c.mean*slots + alike
+	return max(guess+(reported-guess)*trust, own)
+}
+
+func ownInFlight(ep *snapshot.Endpoint) float64 {
+	if ep.Counters == nil {
+		return 0
+	}
+	return float64(ep.Counters.InFlight.Load())
+}
+
+// meanOwn is this daemon's own load per slot over the candidates.
+func meanOwn(eps []*snapshot.Endpoint) float64 {
+	load, slots := 0.0, 0
+	for _, ep := range eps {
+		load += ownInFlight(ep)
+		slots += max(ep.Slots, 1)
 	}
-	age := max(now.Sub(ep.Load.TakenAt), 0)
-	trust := float64(l.options.Mixing) / float64(l.options.Mixing+age)
-	reported := float64(ep.Load.Running + ep.Load.Queued)
-	return max(mean+(reported-mean)*trust+sinceReport(ep), own)
+	return load / float64(max(slots, 1))
 }
 
 // sinceReport is the change of this daemon's own attempts since the report.
--- a/pkg/stage/score/ramp.go
+++ b/pkg/stage/score/ramp.go
@@ -49,15 +49,19 @@
 // Add penalises ramping endpoints by chance.
 func (r *Ramp) Add(in *route.Input, eps []*snapshot.Endpoint, costs []float64) {
 	for i, ep := range eps {
-		if ep.RampStart.IsZero() {
-			continue
-		}
-		share := float64(in.Now.Sub(ep.RampStart)) / float64(r.options.Duration)
-		if share >= 1 {
-			continue
-		}
-		if route.Float64(in.Rand) >= max(share, r.options.MinShare) {
+		share := r.Share(ep, in.Now)
+		if share < 1 && route.Float64(in.Rand) >= share {
 			costs[i] += rampPenalty
 		}
 	}
 }
+
+// Share is the part of its full share, 0 to 1, that the endpoint takes now. A
+// daemon's capacity counts a ramping endpoint by the same part.
+func (r *Ramp) Share(ep *snapshot.Endpoint, now time.Time) float64 {
+	if ep.RampStart.IsZero() {
+		return 1
+	}
+	passed := float64(now.Sub(ep.RampStart)) / float64(r.options.Duration)
+	return min(max(passed, r.options.MinShare), 1)
+}
