Add the try command: the whole path on loopback

Cause: a newcomer needs to see the product work without anything outside, and the parts had not been seen to work together.

--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -7,6 +7,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/cli/fleet"
 	"github.com/flamingomount/flamingomount/pkg/cli/publish"
+	"github.com/flamingomount/flamingomount/pkg/cli/trial"
 )
 
 // NewRoot returns the tool's root command with every command below it.
@@ -19,5 +20,6 @@
 	}
 	root.AddCommand(publish.Commands()...)
 	root.AddCommand(fleet.Commands()...)
+	root.AddCommand(trial.Command())
 	return root
 }
