Give a failed connection its own code; make the daemon's specs pass

Cause: an unreachable endpoint is not run and may be rerouted for free, but dispatch still gave it the code of a failed endpoint. The specs used endpoints without the version that the service names, and took the ticket's issuer for its owner. Change: CodeUnreachable from dispatch; the specs' fleet names versions and reads the owner from the ticket.

--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -235,7 +235,7 @@
 		owner.stop()
 		Eventually(owner.ended, "5s").Should(Receive(BeNil()))
 		got := order(other, key)
-		Expect(failureOf(got).Verdict).To(Equal(types.MayHaveRun))
+		Expect(failureOf(got).Verdict).To(Equal(types.MayHaveRun), got.body)
 		Expect(worker.Runs(key)).To(BeZero())
 	})
 })
@@ -295,7 +295,7 @@
 func (f *fleet) ownerOf(ticket string) (owner, other *entry) {
 	GinkgoHelper()
 	for i, e := range f.entries {
-		if strings.Contains(decodeTicket(ticket), string(e.Self().Incarnation.Boot)) {
+		if ticketOwner(ticket) == e.Self().Incarnation {
 			return e, f.entries[(i+1)%len(f.entries)]
 		}
 	}
--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/base64"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -97,7 +98,8 @@
 	return &published.Configuration{
 		Revision: 7,
 		Services: map[types.ServiceName]*published.Service{
-			model: {Name: model, Team: "sales", Kind: published.KindModel, Regions: regions, MaxBodyBytes: 1 << 16},
+			model: {Name: model, Team: "sales", Kind: published.KindModel, Regions: regions,
+				Versions: []types.ModelVersion{"v1"}, MaxBodyBytes: 1 << 16},
 			orders: {
 				Name: orders, Team: "sales", Kind: published.KindPlain, Regions: regions,
 				Calls: []published.Call{{Method: "GET", PathPrefix: "/stock", Repeatable: true}},
@@ -140,8 +142,13 @@
 }
 
 func (f *fleet) addEndpoint(id types.EndpointID, service types.ServiceName, address string) {
+	version := types.ModelVersion("")
+	if service == model {
+		version = "v1"
+	}
 	f.listing.VMs = append(f.listing.VMs, platform.VM{
-		Role: platform.RoleEndpoint, Region: homeRegion, DataCentre: "dc-1",
+		Version: version,
+		Role:    platform.RoleEndpoint, Region: homeRegion, DataCentre: "dc-1",
 		Address: address, Endpoint: id, Service: service, Slots: 8,
 	})
 }
@@ -253,10 +260,15 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(data), readErr: err}
 }
 
-// decodeTicket returns the readable part of a ticket.
-func decodeTicket(ticket string) string {
+// ticketOwner returns the incarnation that a ticket binds to.
+func ticketOwner(ticket string) types.Incarnation {
+	GinkgoHelper()
 	parts := strings.Split(ticket, ".")
 	data, err := base64.RawURLEncoding.DecodeString(parts[len(parts)-2])
 	Expect(err).NotTo(HaveOccurred())
-	return string(data)
+	var claims struct {
+		Owner types.Incarnation `json:"owner"`
+	}
+	Expect(json.Unmarshal(data, &claims)).To(Succeed())
+	return claims.Owner
 }
--- a/pkg/stage/dispatch/pass.go
+++ b/pkg/stage/dispatch/pass.go
@@ -180,7 +180,7 @@
 	}
 	if a.evidence.Progress == outcome.NotConnected {
 		a.kind = KindConnectFailed
-		return a.failure(types.CodeEndpointFailed, "no connection to the endpoint", err)
+		return a.failure(types.CodeUnreachable, "no connection to the endpoint", err)
 	}
 	a.kind = KindBroke
 	return a.failure(types.CodeEndpointFailed, "the endpoint's connection broke", err)
