--- /dev/null
+++ b/pkg/stage/relay/relay_test.go
@@ -0,0 +1,133 @@
+package relay_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+func stream(body string) *http.Response {
+	return &http.Response{
+		StatusCode: http.StatusOK,
+		Header:     http.Header{"Content-Type": {"text/event-stream"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body:       io.NopCloser(strings.NewReader(body)),
+	}
+}
+
+const token = `data: {"choices":[{"delta":{"content":"a"}}]}` + "\n\n"
+
+var _ = Describe("Stream", func() {
+	pass := func(body string) (*httptest.ResponseRecorder, *relay.Caller, relay.Result) {
+		recorder := httptest.NewRecorder()
+		caller := relay.NewCaller(recorder, "r1", relay.Limits{MaxEventBytes: 1 << 10})
+		return recorder, caller, caller.Stream(stream(body), func() {})
+	}
+
+	It("passes whole events on and counts tokens", func() {
+		recorder, _, result := pass(": hello\n\n" + token + token + "data: [DONE]\n\n")
+		Expect(result).To(Equal(relay.Result{End: relay.EndWhole, Tokens: 2}))
+		Expect(recorder.Body.String()).To(Equal(": hello\n\n" + token + token + "data: [DONE]\n\n"))
+		Expect(recorder.Header()).NotTo(HaveKey("X-Hop"))
+	})
+
+	DescribeTable("ends in a broken answer, without any part of a broken event",
+		func(tail string, want error) {
+			recorder, caller, result := pass(token + tail)
+			Expect(result.End).To(Equal(relay.EndSource))
+			Expect(errors.Is(result.Err, want)).To(BeTrue(), "%v", result.Err)
+			Expect(recorder.Body.String()).To(Equal(token))
+			caller.Fail(types.NewFailure(types.MayHaveRun, types.CodeAnswerIncomplete, "broke"))
+			Expect(caller.Broken()).To(BeTrue())
+			Expect(recorder.Body.String()).To(ContainSubstring(`"verdict":"may-have-run"`))
+			Expect(recorder.Body.String()).NotTo(ContainSubstring("[DONE]"))
+		},
+		Entry("no terminal event", "", relay.ErrTruncated),
+		Entry("half an event", `data: {"cho`, relay.ErrTruncated),
+		Entry("an event without its end", strings.TrimSuffix(token, "\n"), relay.ErrTruncated),
+		Entry("a terminal event without its end", "data: [DONE]", relay.ErrTruncated),
+		Entry("garbage", "data: \x00\n\n", relay.ErrGarbage),
+		Entry("an event that is too large", "data: "+strings.Repeat("x", 2<<10), relay.ErrEventTooLarge),
+		Entry("an engine's error", `data: {"error":{"message":"out of memory"}}`+"\n\n", relay.ErrStreamFailed),
+	)
+
+	It("sends nothing before the first whole event", func() {
+		_, caller, result := pass(`data: {"choices`)
+		Expect(result.End).To(Equal(relay.EndSource))
+		Expect(caller.Committed()).To(BeFalse())
+	})
+})
+
+var _ = Describe("Hold", func() {
+	answer := func(length int64, body io.Reader) *http.Response {
+		return &http.Response{StatusCode: 200, ContentLength: length, Header: http.Header{}, Body: io.NopCloser(body)}
+	}
+	It("refuses an answer whose end can't be told", func() {
+		_, err := relay.Hold(answer(-1, strings.NewReader("x")), relay.Limits{}, func() {})
+		Expect(errors.Is(err, relay.ErrUndelimited)).To(BeTrue())
+	})
+	It("refuses an answer that broke off", func() {
+		_, err := relay.Hold(answer(9, iotest.ErrReader(io.ErrUnexpectedEOF)), relay.Limits{}, func() {})
+		Expect(errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue())
+	})
+	It("keeps no more than its limit", func() {
+		held, err := relay.Hold(answer(100, strings.NewReader(strings.Repeat("x", 100))), relay.Limits{MaxWholeBytes: 10}, func() {})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.Whole).To(BeFalse())
+		Expect(held.Body).To(HaveLen(10))
+	})
+})
+
+// FuzzEventReader checks that every event is made of whole lines of the input,
+// in order, and that the input's way of arriving makes no difference.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte(token + "data: [DONE]\n\n"))
+	f.Add([]byte("data: a\r\ndata:b\r\n\r\n:c\n\nevent: x\ndata\n\n"))
+	f.Add([]byte("\n\n\ndata: [DONE]"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		whole := readEvents(bytes.NewReader(input))
+		slow := readEvents(iotest.OneByteReader(bytes.NewReader(input)))
+		if len(whole) != len(slow) {
+			t.Fatalf("%d events at once, %d byte by byte", len(whole), len(slow))
+		}
+		rest := input
+		for i, event := range whole {
+			if event != slow[i] {
+				t.Fatalf("event %d differs: %q, %q", i, event, slow[i])
+			}
+			at := bytes.Index(rest, []byte(event))
+			if at < 0 || strings.Trim(string(rest[:at]), "\r\n") != "" {
+				t.Fatalf("event %q is not the next part of the input", event)
+			}
+			rest = rest[at+len(event):]
+		}
+	})
+}
+
+func readEvents(source io.Reader) []string {
+	const limit = 1 << 12
+	reader := relay.NewEventReader(source, limit)
+	var events []string
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return events
+		}
+		events = append(events, string(event.Raw))
+	}
+}
