Keep headroom when limits grow and a larger urgent reserve

Cause: limits grew until engines queued and so handed the urgent reserve out to patient requests. Change: beyond the fair share a limit grows only while a tenth of the slots is free; the reserve is 1.4 deviations; reports lose half their weight in 250 ms.

--- a/pkg/stage/admission/admission.go
+++ b/pkg/stage/admission/admission.go
@@ -112,7 +112,7 @@
 	defaultMaxQueued          = 4096
 	defaultMaxBytes           = 48 << 20
 	defaultPatientFloor       = 0.1
-	defaultUrgentReserve      = 0.8
+	defaultUrgentReserve      = 1.4
 	defaultUrgentWaitShare    = 0.5
 	defaultPatientWaitShare   = 0.9
 	defaultUrgentRetryAfter   = 10 * time.Second
--- a/pkg/stage/limit/limit.go
+++ b/pkg/stage/limit/limit.go
@@ -20,6 +20,9 @@
 	// in several reports counts once; twice a report's age counts when that is
 	// longer. Default 1 s.
 	Cooldown time.Duration
+	// Headroom is the share of an endpoint's slots that must be free for the
+	// limit to grow beyond the fair share. Default 0.1.
+	Headroom float64
 	// Slack is the share of an endpoint's slots that may be queued there
 	// before the limit falls. Default 0.05.
 	Slack float64
@@ -30,6 +33,7 @@
 	defaultMaxBackoff = 0.3
 	defaultCooldown   = time.Second
 	defaultSlack      = 0.05
+	defaultHeadroom   = 0.1
 	// usedShare is the share of the limit that must be in use for it to grow.
 	usedShare = 0.8
 	// growShare is the part of its share of the free slots that a daemon takes
@@ -49,6 +53,9 @@
 	if o.Cooldown <= 0 {
 		o.Cooldown = defaultCooldown
 	}
+	if o.Headroom <= 0 || o.Headroom >= 1 {
+		o.Headroom = defaultHeadroom
+	}
 	if o.Slack <= 0 {
 		o.Slack = defaultSlack
 	}
@@ -100,17 +107,28 @@
 // Report adapts the limit to a load report.
 func (a *AIMD) Report(r Report, now time.Time) {
 	slots := float64(max(r.Slots, 1))
+	fair := Fair(r.Slots, r.Daemons)
 	excess := float64(r.Queued) - a.options.Slack*slots
 	switch {
 	case excess > 0:
 		a.decrease(min(excess/slots, a.options.MaxBackoff), r.TakenAt, now)
-	case r.Running < r.Slots && float64(r.InFlight) >= usedShare*a.limit:
-		a.limit += growShare * float64(r.Slots-r.Running) / float64(max(r.Daemons, 1))
+	case float64(r.InFlight) >= usedShare*a.limit:
+		a.grow(slots-float64(r.Running), slots, fair, float64(max(r.Daemons, 1)))
 	}
-	fair := Fair(r.Slots, r.Daemons)
 	a.limit = min(max(a.limit, a.options.MinShare*fair), slots)
 }
 
+// grow takes a part of this daemon's share of the free slots. Up to the fair
+// share any free slot will do; beyond it the endpoint keeps its headroom.
+func (a *AIMD) grow(free, slots, fair, daemons float64) {
+	if a.limit >= fair {
+		free -= a.options.Headroom * slots
+	}
+	if free > 0 {
+		a.limit += growShare * free / daemons
+	}
+}
+
 // Refused lowers the limit because the endpoint refused an attempt.
 func (a *AIMD) Refused(now time.Time) {
 	a.decrease(refusedBackoff, now, now)
--- a/pkg/stage/score/load.go
+++ b/pkg/stage/score/load.go
@@ -10,7 +10,7 @@
 // LoadOptions sets the load scorer.
 type LoadOptions struct {
 	// Mixing is the age at which a report counts half where many daemons share
-	// the endpoints. Default 1 s.
+	// the endpoints. Default 250 ms.
 	Mixing time.Duration
 	// Hold is the time a request keeps a slot when nothing waits. Default 2 s.
 	Hold time.Duration
@@ -22,7 +22,7 @@
 }
 
 const (
-	defaultMixing      = time.Second
+	defaultMixing      = 250 * time.Millisecond
 	defaultHold        = 2 * time.Second
 	defaultSlowdown    = 500 * time.Millisecond
 	defaultFullPenalty = 5 * time.Second
--- a/tools/measure/scenario/affinity.go
+++ b/tools/measure/scenario/affinity.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"time"
+
 	"github.com/flamingomount/flamingomount/internal/fakeworld"
 	"github.com/flamingomount/flamingomount/pkg/route/pipeline"
 	"github.com/flamingomount/flamingomount/pkg/stage/score"
@@ -10,6 +12,12 @@
 // it matters where a prompt runs.
 const smallCache = 800
 
+// Late and lossy cache events.
+const (
+	lateEvents = 10 * time.Second
+	lostEvents = 0.2
+)
+
 var affinity = Scenario{
 	Name:  "affinity",
 	About: "ways to keep prompts near their cached prefixes, in small caches",
@@ -18,6 +26,8 @@
 		config.CacheBlocks = smallCache
 		load, pace, prefix := score.NewLoad(score.LoadOptions{}), score.NewPace(score.PaceOptions{}), score.NewPrefix(score.PrefixOptions{})
 		shards, bounded := score.NewShards(score.ShardOptions{}), score.NewBounded(score.BoundedOptions{})
+		late := config
+		late.CacheEventDelay, late.CacheEventLoss = lateEvents, lostEvents
 		oracle := config
 		oracle.CacheEventDelay, oracle.CacheEventLoss = 0, 0
 		return []Row{
@@ -27,6 +37,7 @@
 			affinityRow("bounded rendezvous", config, load, pace, bounded),
 			affinityRow("events + shards", config, load, pace, prefix, shards),
 			affinityRow("events + bounded", config, load, pace, prefix, bounded),
+			affinityRow("events 10 s late, 20% lost + shards", late, load, pace, prefix, shards),
 			affinityRow("oracle: immediate events + shards", oracle, load, pace, prefix, shards),
 			affinityRow("oracle: immediate events + bounded", oracle, load, pace, prefix, bounded),
 			run("naive", config, fakeworld.Naive(), nil),
--- a/tools/measure/scenario/scenario.go
+++ b/tools/measure/scenario/scenario.go
@@ -31,7 +31,7 @@
 
 // registry lists every scenario in the order of the tables.
 var registry = []Scenario{
-	steady, patientFlood, urgentFlood, bothFloods, overload, halfLost, lagging, slowEndpoint, affinity,
+	steady, patientFlood, urgentFlood, bothFloods, overload, halfLost, lagging, slowEndpoint, affinity, picking,
 }
 
 // All lists every scenario.
