--- a/internal/oncehistory/caller.go
+++ b/internal/oncehistory/caller.go
@@ -27,7 +27,9 @@
 	// best is the strongest verdict told for the present key.
 	best  types.Verdict
 	heard bool
-	done  bool
+	// unsent is true while the present key was sent on one connection only.
+	unsent bool
+	done   bool
 }
 
 // place begins a new order.
@@ -87,7 +89,7 @@
 	o.asks++
 	answered := false
 	index := o.entry()
-	o.w.toDaemon(o.region, index, func(d *daemon) {
+	o.w.toDaemon(o.region, index, true, func(d *daemon) {
 		text := d.issue()
 		o.w.transmit(d.vm.region, o.region, false, func() {
 			answered = true
@@ -120,17 +122,40 @@
 // use makes k the order's key and sends it, sometimes to two entries at once.
 func (o *order) use(k key, index int) {
 	o.key, o.keys, o.sends, o.best, o.heard = k, o.keys+1, 0, types.NotRun, false
-	o.attempt(index)
+	if o.w.config.Way == WayTicket {
+		o.firstAttempt(index)
+	} else {
+		o.attempt(index)
+	}
 	if o.w.chance(o.w.config.Faults.Resend) {
 		o.send(k, o.w.rng.IntN(len(o.w.vms)))
 	}
 }
 
+// firstAttempt sends a fresh ticket. When the only connection so far was
+// refused the caller knows that nothing was sent, and takes another ticket.
+func (o *order) firstAttempt(index int) {
+	o.unsent = true
+	o.sends++
+	k := o.key
+	o.transmit(k, index, false, func() {
+		if o.unsent && o.key == k {
+			o.key = ""
+			o.ask()
+		}
+	})
+	o.tryAgainAfterTimeout()
+}
+
 // attempt sends the present key and tries again elsewhere without an answer.
 func (o *order) attempt(index int) {
 	o.sends++
+	o.send(o.key, index)
+	o.tryAgainAfterTimeout()
+}
+
+func (o *order) tryAgainAfterTimeout() {
 	sent, k := o.sends, o.key
-	o.send(k, index)
 	o.w.after(callerTimeout, func() {
 		if !o.done && o.key == k && o.sends == sent && sent < maxSends {
 			o.attempt(o.entry())
@@ -140,11 +165,16 @@
 
 // send sends a key once.
 func (o *order) send(k key, index int) {
-	o.w.toDaemon(o.region, index, func(d *daemon) {
+	o.unsent = false
+	o.transmit(k, index, true, func() {})
+}
+
+func (o *order) transmit(k key, index int, duplicable bool, refused func()) {
+	o.w.toDaemon(o.region, index, duplicable, func(d *daemon) {
 		d.handle(message{key: k, order: o.id, respond: func(a answer) {
 			o.w.transmit(d.vm.region, o.region, false, func() { o.receive(k, a) })
 		}})
-	}, func() {})
+	}, refused)
 }
 
 // sendBare sends the order without a ticket.
@@ -155,7 +185,7 @@
 	bare := key("order-" + strconv.Itoa(o.id))
 	index := o.entry()
 	answered := false
-	o.w.toDaemon(o.region, index, func(d *daemon) {
+	o.w.toDaemon(o.region, index, true, func(d *daemon) {
 		d.handle(message{key: bare, order: o.id, respond: func(a answer) {
 			o.w.transmit(d.vm.region, o.region, false, func() {
 				answered = true
@@ -178,7 +208,7 @@
 	if o.done || k != o.key {
 		return
 	}
-	o.heard = true
+	o.heard, o.unsent = true, false
 	o.best = o.best.Merge(a.verdict)
 	switch a.verdict {
 	case types.Ran:
--- a/internal/oncehistory/daemon.go
+++ b/internal/oncehistory/daemon.go
@@ -171,7 +171,8 @@
 }
 
 func (d *daemon) checkBounds() {
-	if d.ledger.Len() > maxRecords || d.ledger.AnswerBytes() > maxAnswerBytes {
+	bounds := d.w.config.Ledger.WithDefaults()
+	if d.ledger.Len() > bounds.MaxRecords || d.ledger.AnswerBytes() > bounds.MaxAnswerBytes {
 		d.w.check.fail(RuleMemory, fmt.Sprintf("%d records, %d bytes", d.ledger.Len(), d.ledger.AnswerBytes()))
 	}
 }
@@ -213,7 +214,7 @@
 	}
 	unknown := answer{verdict: types.MayHaveRun, code: types.CodeOwnerUnknown}
 	path := append(append([]types.Incarnation(nil), m.path...), d.self)
-	d.w.toDaemon(d.vm.region, indexOf(owner.VM), func(peer *daemon) {
+	d.w.toDaemon(d.vm.region, indexOf(owner.VM), true, func(peer *daemon) {
 		back := func(a answer) { d.w.transmit(peer.vm.region, d.vm.region, false, func() { respond(a) }) }
 		peer.handle(message{key: m.key, order: m.order, path: path, respond: back})
 	}, func() { respond(unknown) })
--- a/internal/oncehistory/history.go
+++ b/internal/oncehistory/history.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/once"
 	"github.com/flamingomount/flamingomount/pkg/control/ticket"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -32,6 +33,11 @@
 	}
 }
 
+// SmallLedger returns bounds so small that random histories meet them.
+func SmallLedger() once.Options {
+	return once.Options{Retain: 20 * time.Second, MaxRecords: 400, MaxAnswerBytes: 40_000}
+}
+
 // Config is one history.
 type Config struct {
 	Seed   uint64
@@ -47,12 +53,17 @@
 	PerSecond int
 	// Bare is the share of orders, 0 to 1, that start without a ticket.
 	Bare float64
+	// Ledger bounds the ledgers of WayTicket; see SmallLedger.
+	Ledger once.Options
 	// ListLag bounds how late a daemon reads the published VM list, and
 	// Settle is the settling time; both for WayRendezvous.
 	ListLag time.Duration
 	Settle  time.Duration
 	// Hold bounds how long a caller keeps a ticket before it uses it.
 	Hold time.Duration
+	// Linger is how long a draining daemon stays at least; zero means
+	// DefaultLinger.
+	Linger time.Duration
 	// OutcomesOnly leaves out the check of RuleOwner, so that a planted fault
 	// has to show in what ran and what callers were told.
 	OutcomesOnly bool
@@ -65,6 +76,9 @@
 // DefaultPerSecond is the default rate of new orders.
 const DefaultPerSecond = 20
 
+// DefaultLinger covers the lifetime of a ticket.
+const DefaultLinger = ticket.DefaultWindow + 10*time.Second
+
 // DefaultVMs is the number of entry VMs in a history.
 const DefaultVMs = 8
 
@@ -109,6 +123,9 @@
 	if config.PerSecond == 0 {
 		config.PerSecond = DefaultPerSecond
 	}
+	if config.Linger == 0 {
+		config.Linger = DefaultLinger
+	}
 	secret := bytes.Repeat([]byte("k"), ticket.MinSecretBytes)
 	keyring, err := ticket.NewKeyring(ticket.Key{ID: "test", Secret: secret})
 	if err != nil {
--- a/internal/oncehistory/history_test.go
+++ b/internal/oncehistory/history_test.go
@@ -24,7 +24,7 @@
 func random(seed uint64, way oncehistory.Way, mutant oncehistory.Mutant) oncehistory.Config {
 	return oncehistory.Config{
 		Seed: seed, Way: way, Mutant: mutant, Steps: steps, Faults: oncehistory.RandomFaults(),
-		Bare: 0.3, Settle: 10 * time.Second, ListLag: time.Second,
+		Bare: 0.3, Settle: 10 * time.Second, ListLag: time.Second, Ledger: oncehistory.SmallLedger(),
 	}
 }
 
--- a/internal/oncehistory/scenario.go
+++ b/internal/oncehistory/scenario.go
@@ -28,7 +28,6 @@
 const (
 	scenarioStart = warmUp + 20*time.Second
 	restartAfter  = 5 * time.Second
-	drainLasts    = 40 * time.Second
 	rollingGap    = 50 * time.Second
 	cutLasts      = time.Minute
 )
@@ -80,7 +79,7 @@
 	next := *d.view
 	next.Draining = true
 	d.view = &next
-	w.after(drainLasts, func() { w.leave(d, delist) })
+	w.after(w.config.Linger, func() { w.leave(d, delist) })
 }
 
 func (w *world) leave(d *daemon, delist bool) {
--- a/internal/oncehistory/ways.go
+++ b/internal/oncehistory/ways.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,25 +29,15 @@
 	WayNaive Way = "naive"
 )
 
-// The bounds of every ledger in a history; small, so that they are met.
-const (
-	maxRecords     = 400
-	maxAnswerBytes = 40_000
-	retain         = 20 * time.Second
-)
-
 func (w *world) newLedger(d *daemon) decider {
 	switch w.config.Way {
 	case WayRendezvous:
-		return &rendezvous{memory: newMemory(), d: d, settled: d.clock(), published: w.publishedVMs()}
+		first := reading{published: w.publishedVMs(), at: d.clock()}
+		return &rendezvous{memory: newMemory(), d: d, readings: []reading{first}}
 	case WayNaive:
 		return newMemory()
 	}
-	return once.NewLedger(d.self, w.keyring, ledgerOptions())
-}
-
-func ledgerOptions() once.Options {
-	return once.Options{Retain: retain, MaxRecords: maxRecords, MaxAnswerBytes: maxAnswerBytes}
+	return once.NewLedger(d.self, w.keyring, w.config.Ledger)
 }
 
 // memory is the naive way: a map of one daemon, of whatever size.
@@ -108,10 +99,14 @@
 type rendezvous struct {
 	*memory
 	d *daemon
-	// published is the VM list as last read and settled when it, or the
-	// incarnation, changed.
+	// readings holds the VM lists that were read, the first one at boot.
+	readings []reading
+}
+
+// reading is the published VM list as read at a time.
+type reading struct {
 	published []int
-	settled   time.Time
+	at        time.Time
 }
 
 var _ decider = (*rendezvous)(nil)
@@ -119,7 +114,7 @@
 // Begin runs a key of this daemon that was issued after ownership settled.
 func (r *rendezvous) Begin(now time.Time, order once.Order, view *snapshot.Snapshot) once.Decision {
 	id := idOf(order.Key)
-	owner := ownerOf(order.Key, r.published)
+	owner := ownerOf(order.Key, r.readings[len(r.readings)-1].published)
 	if owner != r.d.vm.index {
 		if len(order.Path) > 0 {
 			return refuseMayHaveRun(id, types.CodeLoop)
@@ -129,8 +124,7 @@
 	if _, ok := r.known[id]; !ok {
 		millis, err := strconv.ParseInt(strings.SplitN(order.Key, "-", 2)[0], 10, 64)
 		issued := time.UnixMilli(millis)
-		old := !issued.After(r.settled.Add(r.d.w.config.settle()))
-		if err != nil || old || issued.After(now.Add(futureTolerance)) {
+		if err != nil || !r.settled(order.Key, issued) || issued.After(now.Add(futureTolerance)) {
 			return refuseMayHaveRun(id, types.CodeOwnerGone)
 		}
 	}
@@ -146,19 +140,24 @@
 	r.known[id] = &memoryRecord{outcome: outcome}
 }
 
-// read takes in a newer reading of the published VM list.
-func (r *rendezvous) read(published []int) {
-	if len(published) == len(r.published) {
-		same := true
-		for i := range published {
-			same = same && published[i] == r.published[i]
+// settled reports whether this incarnation has owned the key under every list
+// that was read less than the settling time before the key was issued.
+func (r *rendezvous) settled(k string, issued time.Time) bool {
+	for i := len(r.readings) - 1; ; i-- {
+		if issued.After(r.readings[i].at.Add(r.d.w.config.settle())) {
+			return true
 		}
-		if same {
-			return
+		if i == 0 || ownerOf(k, r.readings[i-1].published) != r.d.vm.index {
+			return false
 		}
 	}
-	r.published = published
-	r.settled = r.d.clock()
+}
+
+// read takes in a newer reading of the published VM list.
+func (r *rendezvous) read(published []int) {
+	if !slices.Equal(published, r.readings[len(r.readings)-1].published) {
+		r.readings = append(r.readings, reading{published: published, at: r.d.clock()})
+	}
 }
 
 func ownerOf(k string, published []int) int {
--- a/internal/oncehistory/world.go
+++ b/internal/oncehistory/world.go
@@ -133,12 +133,14 @@
 const maxDelay = 45 * time.Second
 
 // toDaemon sends to whatever daemon runs on the VM when the message arrives.
-func (w *world) toDaemon(from, index int, deliver func(*daemon), refused func()) {
+// A send that is not duplicable is made on one connection by a transport that
+// does not repeat it: when that is refused, nothing was sent.
+func (w *world) toDaemon(from, index int, duplicable bool, deliver func(*daemon), refused func()) {
 	if w.chance(w.config.Faults.Misdeliver) {
 		index = w.rng.IntN(len(w.vms))
 	}
 	target := w.vms[index]
-	w.transmit(from, target.region, true, func() {
+	w.transmit(from, target.region, duplicable, func() {
 		if target.current == nil {
 			w.transmit(target.region, from, false, refused)
 			return
--- a/pkg/control/once/ledger.go
+++ b/pkg/control/once/ledger.go
@@ -26,7 +26,7 @@
 
 // NewLedger returns the empty ledger of a new incarnation.
 func NewLedger(self types.Incarnation, keyring *ticket.Keyring, options Options) *Ledger {
-	return &Ledger{self: self, keyring: keyring, options: options.withDefaults(), records: newRecords()}
+	return &Ledger{self: self, keyring: keyring, options: options.WithDefaults(), records: newRecords()}
 }
 
 // SetKeyring replaces the keys after a rotation.
--- a/pkg/control/once/once.go
+++ b/pkg/control/once/once.go
@@ -147,7 +147,8 @@
 	DefaultMaxAnswerBytes = 32 << 20
 )
 
-func (o Options) withDefaults() Options {
+// WithDefaults returns the options with zero values replaced.
+func (o Options) WithDefaults() Options {
 	if o.Retain == 0 {
 		o.Retain = DefaultRetain
 	}
