--- /dev/null
+++ b/pkg/stage/limit/limit.go
@@ -0,0 +1,126 @@
+// Package limit adapts how many requests a daemon keeps in flight at one
+// endpoint. Daemons share endpoints without talking to each other: each raises
+// its limit while the endpoint keeps up and lowers it when the endpoint's queue
+// grows, so that their limits settle near equal shares of its slots.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Options sets a limiter.
+type Options struct {
+	// MinShare is the lowest limit, as a part of the fair share. Default 0.25.
+	MinShare float64
+	// MaxBackoff is the largest part of the limit that one decrease takes.
+	// Default 0.3.
+	MaxBackoff float64
+	// Cooldown is the least time between two decreases, so that one queue seen
+	// in several reports counts once; twice a report's age counts when that is
+	// longer. Default 1 s.
+	Cooldown time.Duration
+	// Slack is the share of an endpoint's slots that may be queued there
+	// before the limit falls. Default 0.05.
+	Slack float64
+}
+
+const (
+	defaultMinShare   = 0.25
+	defaultMaxBackoff = 0.3
+	defaultCooldown   = time.Second
+	defaultSlack      = 0.05
+	// usedShare is the share of the limit that must be in use for it to grow.
+	usedShare = 0.8
+	// growShare is the part of its share of the free slots that a daemon takes
+	// with one report.
+	growShare = 0.5
+	// refusedBackoff is the part of the limit that a refusal takes.
+	refusedBackoff = 0.1
+)
+
+func (o *Options) setDefaults() {
+	if o.MinShare <= 0 {
+		o.MinShare = defaultMinShare
+	}
+	if o.MaxBackoff <= 0 || o.MaxBackoff >= 1 {
+		o.MaxBackoff = defaultMaxBackoff
+	}
+	if o.Cooldown <= 0 {
+		o.Cooldown = defaultCooldown
+	}
+	if o.Slack <= 0 {
+		o.Slack = defaultSlack
+	}
+}
+
+// Fair is one daemon's equal share of an endpoint's slots.
+func Fair(slots, daemons int) float64 {
+	return float64(max(slots, 1)) / float64(max(daemons, 1))
+}
+
+// Report is what one load report tells the limiter.
+type Report struct {
+	TakenAt time.Time
+	Slots   int
+	Running int
+	Queued  int
+	// InFlight is how many attempts this daemon has at the endpoint.
+	InFlight int
+	// Daemons is how many daemons share the endpoint, this one included.
+	Daemons int
+}
+
+// AIMD raises a limit by a share of the free slots and lowers it by a factor.
+// Limits are fractions, since many daemons share few slots. It is a pure state
+// machine for one endpoint; the zero value is not usable.
+type AIMD struct {
+	options   Options
+	limit     float64
+	decreased time.Time
+}
+
+// NewAIMD builds a limiter that starts with the fair share of the slots.
+func NewAIMD(o Options, slots, daemons int) *AIMD {
+	o.setDefaults()
+	return &AIMD{options: o, limit: Fair(slots, daemons)}
+}
+
+// Share is the present limit as a fraction; the capacity of a daemon is the sum
+// over its endpoints, rounded down.
+func (a *AIMD) Share() float64 {
+	return a.limit
+}
+
+// Limit is the present limit rounded up, as snapshot.Counters.Limit holds it.
+func (a *AIMD) Limit() int {
+	return int(math.Ceil(a.limit))
+}
+
+// Report adapts the limit to a load report.
+func (a *AIMD) Report(r Report, now time.Time) {
+	slots := float64(max(r.Slots, 1))
+	excess := float64(r.Queued) - a.options.Slack*slots
+	switch {
+	case excess > 0:
+		a.decrease(min(excess/slots, a.options.MaxBackoff), r.TakenAt, now)
+	case r.Running < r.Slots && float64(r.InFlight) >= usedShare*a.limit:
+		a.limit += growShare * float64(r.Slots-r.Running) / float64(max(r.Daemons, 1))
+	}
+	fair := Fair(r.Slots, r.Daemons)
+	a.limit = min(max(a.limit, a.options.MinShare*fair), slots)
+}
+
+// Refused lowers the limit because the endpoint refused an attempt.
+func (a *AIMD) Refused(now time.Time) {
+	a.decrease(refusedBackoff, now, now)
+}
+
+func (a *AIMD) decrease(part float64, takenAt, now time.Time) {
+	cooldown := max(a.options.Cooldown, 2*now.Sub(takenAt))
+	if !a.decreased.IsZero() && now.Sub(a.decreased) < cooldown {
+		return
+	}
+	a.decreased = now
+	a.limit *= 1 - part
+}
--- a/tools/histories/main.go
+++ b/tools/histories/main.go
@@ -1,8 +1,9 @@
-// Command histories plays long random histories against the deciding packages
-// with any seed, and measures what the rules cost.
+// Command histories drives the daemons' decisions through random faults and
+// checks the invariants after each step. Each subcommand drives one part.
 package main
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -10,12 +11,23 @@
 
 func main() {
 	root := &cobra.Command{
-		Use:          "histories",
-		Short:        "Plays random histories on injected time and network",
-		SilenceUsage: true,
+		Use:           "histories",
+		Short:         "Check invariants over long random histories",
+		SilenceUsage:  true,
+		SilenceErrors: true,
 	}
-	root.AddCommand(newOnceCommand(), newOnceCostCommand())
-	if root.Execute() != nil {
+	root.AddCommand(commands()...)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
+
+// commands lists the subcommands, one file each.
+func commands() []*cobra.Command {
+	return []*cobra.Command{
+		controlCommand(),
+		onceCommand(),
+		onceCostCommand(),
+	}
+}
--- a/tools/histories/once.go
+++ b/tools/histories/once.go
@@ -20,8 +20,8 @@
 	bare  float64
 }
 
-// newOnceCommand returns the command that plays histories of orders.
-func newOnceCommand() *cobra.Command {
+// onceCommand returns the command that plays histories of orders.
+func onceCommand() *cobra.Command {
 	options := onceOptions{}
 	command := &cobra.Command{
 		Use:   "once",
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// newOnceCostCommand returns the command that measures availability.
-func newOnceCostCommand() *cobra.Command {
+// onceCostCommand returns the command that measures availability.
+func onceCostCommand() *cobra.Command {
 	var seed uint64
 	var seeds int
 	command := &cobra.Command{
