Send requests to another region before they queue here

Cause: the spill planner was not joined to the daemon, and a router that runs after admission can't weigh the wait.

Change: before admission the handler asks the planner with the wait that admission predicts; a request that the other region did not run is admitted here. Gauges for the retry and link budgets read the real ones.

Conclusion: one hop, residency checked by sender and receiver.

--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -11,6 +11,7 @@
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
+	"github.com/flamingomount/flamingomount/pkg/stage/retry"
 	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/pkg/usage"
 )
@@ -103,7 +104,11 @@
 	view := d.control.Load()
 	gauges := metrics.Gauges{
 		Quarantined: len(view.Quarantine), Queued: d.gates.waiting(), OrdersHeld: d.guard.InFlight(),
-		Draining: view.Draining, Ready: view.Config != nil && !view.Paused && !view.Draining,
+		LinkBudgetBytes: d.planner.LinkBytes(),
+		Draining:        view.Draining, Ready: view.Config != nil && !view.Paused && !view.Draining,
+	}
+	if budget, ok := d.opts.Retrier.(*retry.Policy); ok {
+		gauges.RetryBudget = budget.Tokens()
 	}
 	if view.Config != nil {
 		gauges.Revision = view.Config.Revision
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/flamingomount/flamingomount/pkg/stage/onceguard"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/tlsfiles"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -43,6 +44,7 @@
 	gates    *gates
 	guard    *onceguard.Guard
 	recorder *recorder
+	planner  *spill.Planner
 	handler  *handler
 	caller   *server
 	peer     *server
@@ -211,12 +213,14 @@
 	d.router = d.opts.Router
 	d.gates = newGates(&d.opts, d.control.Load)
 	d.guard = onceguard.New(onceguard.Options{Self: d.self.Incarnation, Keyring: keyring, Now: d.opts.Now})
+	d.planner = spill.New(spill.Options{})
 	dispatcher := d.newDispatcher()
 	d.handler = &handler{
 		snapshot:   d.control.Load,
 		gates:      d.gates,
 		dispatcher: dispatcher,
 		guard:      d.guard,
+		planner:    d.planner,
 		recorder:   d.recorder,
 		limits:     d.relayLimits(),
 		floorSeen:  d.floorSeen,
--- a/pkg/daemon/handler.go
+++ b/pkg/daemon/handler.go
@@ -13,6 +13,7 @@
 	"github.com/flamingomount/flamingomount/pkg/stage/ingress"
 	"github.com/flamingomount/flamingomount/pkg/stage/onceguard"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -23,10 +24,12 @@
 	gates      *gates
 	dispatcher *dispatch.Dispatcher
 	guard      *onceguard.Guard
-	recorder   *recorder
-	limits     relay.Limits
-	floorSeen  func(types.Revision)
-	now        func() time.Time
+	// planner decides what is sent to other regions; nil sends nothing.
+	planner   *spill.Planner
+	recorder  *recorder
+	limits    relay.Limits
+	floorSeen func(types.Revision)
+	now       func() time.Time
 }
 
 var (
@@ -56,6 +59,9 @@
 
 // run passes a request through admission and dispatch.
 func (h *handler) run(ctx context.Context, req *request.Request, caller *relay.Caller) result {
+	if ended, served := h.sendAway(ctx, req, caller); served {
+		return ended
+	}
 	offered := h.now()
 	pass, failure := h.gates.acquire(ctx, req)
 	queued := h.now().Sub(offered)
--- a/pkg/stage/dispatch/dispatch.go
+++ b/pkg/stage/dispatch/dispatch.go
@@ -129,6 +129,20 @@
 	return run.finish(run.loop(ctx))
 }
 
+// SendAway offers the request to an entry of another region. Served is false
+// when it was not run there and nothing was written to the caller, who may
+// still be served here.
+func (d *Dispatcher) SendAway(ctx context.Context, req *request.Request, region types.Region, caller *relay.Caller) (summary Summary, served bool) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	run := &run{d: d, req: req, caller: caller, ctx: ctx}
+	failure := run.attempt(ctx, route.Decision{Region: region}, types.Incarnation{})
+	if failure != nil && run.verdict == types.NotRun && !caller.Committed() && ctx.Err() == nil {
+		return run.summary, false
+	}
+	return run.finish(failure), true
+}
+
 // Forward sends the request to the one incarnation that may run it, once. When
 // it can't be reached the verdict is MayHaveRun, since the request may have
 // reached it before by another way.
--- a/pkg/stage/retry/budget.go
+++ b/pkg/stage/retry/budget.go
@@ -74,3 +74,20 @@
 	}
 	return budget
 }
+
+// Tokens returns the extra attempts that may be made now, over all services.
+func (b *Budgets) Tokens() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var sum float64
+	for _, budget := range b.byService {
+		sum += budget.left()
+	}
+	return sum
+}
+
+func (b *Budget) left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
--- a/pkg/stage/retry/retry.go
+++ b/pkg/stage/retry/retry.go
@@ -77,6 +77,11 @@
 	p.recent.add(req, now)
 }
 
+// Tokens returns the extra attempts that may be made now, over all services.
+func (p *Policy) Tokens() float64 {
+	return p.budgets.Tokens()
+}
+
 // Input is what a retry decision depends on.
 type Input struct {
 	Request *request.Request
--- a/pkg/stage/spill/spill.go
+++ b/pkg/stage/spill/spill.go
@@ -273,3 +273,15 @@
 	p.flowOf(in.Request, chosen.region).sent++
 	p.region(chosen.region).budget.bytes -= chosen.bytes
 }
+
+// LinkBytes returns what this daemon may send to other regions now, in bytes,
+// over all links that it has used.
+func (p *Planner) LinkBytes() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum float64
+	for _, state := range p.regions {
+		sum += max(state.budget.bytes, 0)
+	}
+	return sum
+}
--- a/pkg/standin/deployment/deployment_test.go
+++ b/pkg/standin/deployment/deployment_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/standin/deployment"
 	"github.com/flamingomount/flamingomount/pkg/standin/engine"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 func TestDeployment(t *testing.T) {
@@ -66,15 +67,14 @@
 var _ = Describe("a deployment on loopback", func() {
 	It("serves a caller of every entry and keeps serving after an engine's crash", func() {
 		one, _ := start(twoRegions())
-		body := `{"model":"liner-assistant","max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
 		for _, entry := range one.Entries() {
-			resp, text := post(entry, "/v1/chat/completions", body)
+			resp, text := post(entry, "/v1/chat/completions", question)
 			Expect(resp.StatusCode).To(Equal(200), text)
 			Expect(text).To(ContainSubstring(engine.Tokens("hello", 4)[3]))
 		}
 		one.CrashEndpoint("kathmandu-engine-1")
 		for range 20 {
-			resp, text := post(one.Entries()[0], "/v1/chat/completions", body)
+			resp, text := post(one.Entries()[0], "/v1/chat/completions", question)
 			Expect(resp.StatusCode).To(Equal(200), text)
 		}
 	})
@@ -85,3 +85,34 @@
 		Expect(one.Wait(ctx, func(e *deployment.Entry) bool { return e.Load().Config.Revision == 2 })).To(Succeed())
 	})
 })
+
+const question = `{"model":"liner-assistant","max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
+
+var _ = Describe("requests between regions", func() {
+	noEnginesHere := func(allowed ...types.Region) deployment.Plan {
+		plan := twoRegions()
+		plan.Regions[0].Engines = 0
+		plan.Config.Services[deployment.Model].Regions = allowed
+		return plan
+	}
+
+	It("sends a request away when no endpoint is left here, once, and says who ran it", func() {
+		one, ctx := start(noEnginesHere("kathmandu", "pokhara"))
+		hears := func(e *deployment.Entry) bool { return len(e.Load().Regions) == 1 }
+		Expect(one.Wait(ctx, hears)).To(Succeed())
+		resp, text := post(one.Entries()[0], "/v1/chat/completions", question)
+		Expect(resp.StatusCode).To(Equal(200), text)
+		Expect(resp.Header.Get(types.HeaderServedBy)).To(Equal("pokhara-engine-1"))
+		Expect(resp.Header.Get(types.HeaderVerdict)).To(Equal("ran"))
+	})
+
+	It("keeps data in the regions that the service lists, and says that the request was not run", func() {
+		one, ctx := start(noEnginesHere("kathmandu"))
+		hears := func(e *deployment.Entry) bool { return len(e.Load().Regions) == 1 }
+		Expect(one.Wait(ctx, hears)).To(Succeed())
+		resp, _ := post(one.Entries()[0], "/v1/chat/completions", question)
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(resp.Header.Get(types.HeaderVerdict)).To(Equal("not-run"))
+		Expect(one.Engines["pokhara-engine-1"].Total()).To(BeZero())
+	})
+})
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -188,6 +188,17 @@
 	return e.served[id]
 }
 
+// Total returns how many attempts began to run here.
+func (e *Engine) Total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := 0
+	for _, attempts := range e.served {
+		total += attempts
+	}
+	return total
+}
+
 // condition is what the engine shows at one moment.
 type condition struct {
 	fault   Fault
