--- a/pkg/route/pipeline/pipeline.go
+++ b/pkg/route/pipeline/pipeline.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
@@ -34,6 +36,13 @@
 // Router is the composed router.
 type Router struct {
 	options Options
+	scratch sync.Pool
+}
+
+// scratch is the working memory of one decision.
+type scratch struct {
+	kept  []*snapshot.Endpoint
+	costs []float64
 }
 
 var _ route.Router = (*Router)(nil)
@@ -49,28 +58,26 @@
 	if o.Policy == nil {
 		o.Policy = pick.NearBest{}
 	}
-	return &Router{options: o}
+	return &Router{options: o, scratch: sync.Pool{New: func() any { return &scratch{} }}}
 }
 
-// usualEndpoints is the number of endpoints for which a decision allocates
-// nothing.
-const usualEndpoints = 64
-
 // Route filters, scores and picks. A request bound to another region goes
 // there; a request that may not run here is refused with the verdict NotRun.
 func (r *Router) Route(in route.Input) (route.Decision, *types.Failure) {
 	if decision, failure, done := routeHome(&in); done {
 		return decision, failure
 	}
-	var room [usualEndpoints]*snapshot.Endpoint
-	kept, failure := r.options.Filters.Select(&in, room[:0])
+	memory := r.scratch.Get().(*scratch)
+	defer r.release(memory)
+	kept, failure := r.options.Filters.Select(&in, memory.kept)
+	memory.kept = kept
 	if region, reason, ok := r.spill(&in, kept, failure); ok {
 		return route.Decision{Region: region, Reason: reason, Trace: r.trace(&in)}, nil
 	}
 	if failure != nil {
 		return route.Decision{Trace: r.trace(&in)}, failure
 	}
-	return r.choose(&in, kept), nil
+	return r.choose(&in, memory), nil
 }
 
 // spill asks the spill decision, unless the request was forwarded already, was
@@ -89,13 +96,18 @@
 	return region, reason, true
 }
 
-func (r *Router) choose(in *route.Input, kept []*snapshot.Endpoint) route.Decision {
-	var room [usualEndpoints]float64
-	costs := room[:0]
-	if len(kept) > usualEndpoints {
-		costs = make([]float64, len(kept))
-	}
-	costs = costs[:len(kept)]
+// release returns the memory without the endpoints, which may be gone by the
+// next decision.
+func (r *Router) release(memory *scratch) {
+	clear(memory.kept)
+	memory.kept = memory.kept[:0]
+	r.scratch.Put(memory)
+}
+
+func (r *Router) choose(in *route.Input, memory *scratch) route.Decision {
+	kept := memory.kept
+	memory.costs = slices.Grow(memory.costs[:0], len(kept))
+	costs := memory.costs[:len(kept)]
 	var trace []route.Step
 	if in.Explain {
 		trace = append(r.trace(in), r.options.Scorers.Explain(in, kept, costs)...)
--- a/pkg/stage/candidates/candidates.go
+++ b/pkg/stage/candidates/candidates.go
@@ -21,6 +21,9 @@
 	Name() string
 	// Keep reports whether the endpoint may run the request.
 	Keep(in *route.Input, ep *snapshot.Endpoint) bool
+	// Idle reports whether the filter keeps every endpoint for this request,
+	// so that it need not be asked about each.
+	Idle(in *route.Input) bool
 	// Code is the failure code when this filter removes the last endpoint.
 	Code() types.Code
 }
@@ -44,10 +47,12 @@
 		return kept, types.NewFailure(types.NotRun, types.CodeUnknownService, "the request names no published service")
 	}
 	start := len(kept)
+	var room [maxFilters]Filter
+	active := c.active(in, room[:0])
 	furthest := 0
 	for _, ep := range in.Snapshot.Endpoints[in.Request.Service.Name] {
-		refusedBy := c.firstRefusal(in, ep)
-		if refusedBy == len(c) {
+		refusedBy := active.firstRefusal(in, ep)
+		if refusedBy == len(active) {
 			kept = append(kept, ep)
 			continue
 		}
@@ -56,7 +61,20 @@
 	if len(kept) > start {
 		return kept, nil
 	}
-	return kept, c.failure(in, furthest)
+	return kept, active.failure(in, furthest)
+}
+
+// maxFilters is the number of filters for which a selection allocates nothing.
+const maxFilters = 16
+
+// active appends the filters that may remove endpoints for this request.
+func (c Chain) active(in *route.Input, filters Chain) Chain {
+	for _, filter := range c {
+		if !filter.Idle(in) {
+			filters = append(filters, filter)
+		}
+	}
+	return filters
 }
 
 // firstRefusal returns the index of the filter that removes the endpoint, or
--- a/pkg/stage/candidates/drain.go
+++ b/pkg/stage/candidates/drain.go
@@ -21,6 +21,11 @@
 	return ep.State != snapshot.EndpointLeaving
 }
 
+// Idle returns false.
+func (Drain) Idle(_ *route.Input) bool {
+	return false
+}
+
 // Code returns CodeNoEndpoint.
 func (Drain) Code() types.Code {
 	return types.CodeNoEndpoint
--- a/pkg/stage/candidates/health.go
+++ b/pkg/stage/candidates/health.go
@@ -21,6 +21,11 @@
 	return ep.State != snapshot.EndpointEjected && ep.State != snapshot.EndpointGone
 }
 
+// Idle returns false.
+func (Health) Idle(_ *route.Input) bool {
+	return false
+}
+
 // Code returns CodeNoEndpoint.
 func (Health) Code() types.Code {
 	return types.CodeNoEndpoint
--- a/pkg/stage/candidates/home.go
+++ b/pkg/stage/candidates/home.go
@@ -26,6 +26,11 @@
 	return org.Home == "" || org.Home == ep.Region
 }
 
+// Idle reports whether the organisation has no home.
+func (Home) Idle(in *route.Input) bool {
+	return in.Request.Org != nil && in.Request.Org.Home == ""
+}
+
 // Code returns CodeResidency.
 func (Home) Code() types.Code {
 	return types.CodeResidency
--- a/pkg/stage/candidates/quarantine.go
+++ b/pkg/stage/candidates/quarantine.go
@@ -18,8 +18,13 @@
 	return "quarantine"
 }
 
-// Keep reports whether the endpoint passes.
-func (Quarantine) Keep(in *route.Input, ep *snapshot.Endpoint) bool {
+// Keep reports whether the request may run anywhere.
+func (q Quarantine) Keep(in *route.Input, _ *snapshot.Endpoint) bool {
+	return q.Idle(in)
+}
+
+// Idle reports whether the request is not quarantined.
+func (Quarantine) Idle(in *route.Input) bool {
 	if len(in.Snapshot.Quarantine) == 0 || in.Request.Fingerprint == (request.Fingerprint{}) {
 		return true
 	}
--- a/pkg/stage/candidates/region.go
+++ b/pkg/stage/candidates/region.go
@@ -22,6 +22,11 @@
 	return ep.Region == in.Snapshot.Self.Region
 }
 
+// Idle returns false.
+func (Region) Idle(_ *route.Input) bool {
+	return false
+}
+
 // Code returns CodeNoEndpoint.
 func (Region) Code() types.Code {
 	return types.CodeNoEndpoint
--- a/pkg/stage/candidates/residency.go
+++ b/pkg/stage/candidates/residency.go
@@ -22,6 +22,11 @@
 	return ep.Region != "" && in.Request.Service.Allows(ep.Region)
 }
 
+// Idle returns false.
+func (Residency) Idle(_ *route.Input) bool {
+	return false
+}
+
 // Code returns CodeResidency.
 func (Residency) Code() types.Code {
 	return types.CodeResidency
--- a/pkg/stage/candidates/service.go
+++ b/pkg/stage/candidates/service.go
@@ -21,6 +21,11 @@
 	return ep.Service == in.Request.Service.Name
 }
 
+// Idle returns false.
+func (Service) Idle(_ *route.Input) bool {
+	return false
+}
+
 // Code returns CodeNoEndpoint.
 func (Service) Code() types.Code {
 	return types.CodeNoEndpoint
--- a/pkg/stage/candidates/tried.go
+++ b/pkg/stage/candidates/tried.go
@@ -23,6 +23,11 @@
 	return !slices.Contains(in.Tried, ep.ID)
 }
 
+// Idle reports whether no endpoint has been tried.
+func (Tried) Idle(in *route.Input) bool {
+	return len(in.Tried) == 0
+}
+
 // Code returns CodeNoEndpoint.
 func (Tried) Code() types.Code {
 	return types.CodeNoEndpoint
--- a/pkg/stage/candidates/version.go
+++ b/pkg/stage/candidates/version.go
@@ -32,6 +32,11 @@
 	return slices.Contains(service.Versions, ep.Version)
 }
 
+// Idle returns false.
+func (Version) Idle(_ *route.Input) bool {
+	return false
+}
+
 // Code returns CodeNoEndpoint.
 func (Version) Code() types.Code {
 	return types.CodeNoEndpoint
--- a/pkg/stage/score/bounded.go
+++ b/pkg/stage/score/bounded.go
@@ -48,7 +48,11 @@
 		return
 	}
 	key := requestKey(in.Request.Prefix)
-	bound := meanOccupancy(eps) * b.options.Bound
+	var total occupancy
+	for _, ep := range eps {
+		total.add(float64(ep.Load.Running+ep.Load.Queued), ep.Slots)
+	}
+	bound := total.mean() * b.options.Bound
 	chosen := -1
 	var best uint64
 	for i, ep := range eps {
--- a/pkg/stage/score/load.go
+++ b/pkg/stage/score/load.go
@@ -89,10 +89,31 @@
 
 func (l *Load) context(in *route.Input, eps []*snapshot.Endpoint) loadContext {
 	daemons := float64(entries(in.Snapshot))
-	return loadContext{
-		now: in.Now, mixing: l.options.Mixing, mean: meanOccupancy(eps), ownMean: meanOwn(eps),
-		daemons: daemons, others: (daemons - 1) / daemons,
+	c := loadContext{now: in.Now, mixing: l.options.Mixing, daemons: daemons, others: (daemons - 1) / daemons}
+	reported, own := occupancy{}, occupancy{}
+	for _, ep := range eps {
+		own.add(ownInFlight(ep), ep.Slots)
+		if !ep.Load.TakenAt.IsZero() {
+			reported.add(float64(ep.Load.Running+ep.Load.Queued), ep.Slots)
+		}
 	}
+	c.mean, c.ownMean = reported.mean(), own.mean()
+	return c
+}
+
+// occupancy adds up requests and slots.
+type occupancy struct {
+	load  float64
+	slots int
+}
+
+func (o *occupancy) add(load float64, slots int) {
+	o.load += load
+	o.slots += max(slots, 1)
+}
+
+func (o *occupancy) mean() float64 {
+	return o.load / float64(max(o.slots, 1))
 }
 
 // estimate predicts the requests at the endpoint now. As a report ages, what
@@ -119,16 +140,6 @@
 	return float64(ep.Counters.InFlight.Load())
 }
 
-// meanOwn is this daemon's own load per slot over the candidates.
-func meanOwn(eps []*snapshot.Endpoint) float64 {
-	load, slots := 0.0, 0
-	for _, ep := range eps {
-		load += ownInFlight(ep)
-		slots += max(ep.Slots, 1)
-	}
-	return load / float64(max(slots, 1))
-}
-
 // sinceReport is the change of this daemon's own attempts since the report.
 func sinceReport(ep *snapshot.Endpoint) float64 {
 	c := ep.Counters
@@ -140,22 +151,6 @@
 	return float64(sent - done)
 }
 
-// meanOccupancy is the reported load per slot over the candidates.
-func meanOccupancy(eps []*snapshot.Endpoint) float64 {
-	load, slots := 0, 0
-	for _, ep := range eps {
-		if ep.Load.TakenAt.IsZero() {
-			continue
-		}
-		load += ep.Load.Running + ep.Load.Queued
-		slots += max(ep.Slots, 1)
-	}
-	if slots == 0 {
-		return 0
-	}
-	return float64(load) / float64(slots)
-}
-
 // full reports whether this daemon has reached its limit at the endpoint.
 func full(ep *snapshot.Endpoint) bool {
 	if ep.Counters == nil {
