--- a/pkg/stage/ingress/entries.go
+++ b/pkg/stage/ingress/entries.go
@@ -14,7 +14,8 @@
 	entries.Answer
 	// Ticket is for the next request that may not be repeated. It binds that
 	// request to the entry at TicketEntry; empty when none can be issued.
-	Ticket      string `json:"ticket,omitempty"`
+	Ticket string `json:"ticket,omitempty"`
+	// TicketEntry is the best entry, or this one if the query says owner=self.
 	TicketEntry string `json:"ticket_entry,omitempty"`
 }
 
@@ -51,7 +52,11 @@
 	if s.opts.Tickets == nil {
 		return answer
 	}
+	own := c.r.URL.Query().Get("owner") == "self"
 	for _, entry := range answer.Entries {
+		if own && entry.VM != c.view.Self.Incarnation.VM {
+			continue
+		}
 		if entry.Boot == "" {
 			continue
 		}
