Isolate requests that crash endpoints, across daemons

Cause: quarantine decisions were not joined to the daemon; each daemon tried a fatal request on its own.

Change: pkg/stage/isolate asks before each attempt whether a content may run and where; the daemon that GET /v1/entries ranks first for the caller in the region answers, over the peers' authenticated messages; pkg/control/crashes spreads what was learned with the heartbeats; published limits take effect when a configuration is accepted. Attempts that ended in a broken connection are reported to the owners of the content and of the endpoint.

Conclusion: within the bound of 3; the caller is told not run, 422, and other requests of the same caller are served.

--- a/pkg/control/node/messages.go
+++ b/pkg/control/node/messages.go
@@ -27,7 +27,7 @@
 		Members:     n.members.Updates(), Endpoints: n.endpoints.Fresh(),
 	}
 	if n.opts.Quarantine != nil {
-		msg.Quarantine = n.opts.Quarantine.Marks(now)
+		msg.Crashes = n.opts.Quarantine.Fresh()
 	}
 	return msg
 }
@@ -48,7 +48,7 @@
 	for _, sign := range msg.Endpoints {
 		n.endpoints.MarkLeaving(now, sign.SeenAt, sign.Endpoint)
 	}
-	if n.opts.Quarantine != nil && len(msg.Quarantine) > 0 && n.opts.Quarantine.Merge(now, msg.From, msg.Quarantine) {
+	if n.opts.Quarantine != nil && n.opts.Quarantine.Merge(now, msg.Crashes) {
 		n.dirty = true
 	}
 	if e.Reply {
--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -225,6 +225,9 @@
 	}
 	if n.config.TakeChanged() {
 		n.dirty = true
+		if config := n.config.InForce(); config != nil && n.opts.Quarantine != nil {
+			n.opts.Quarantine.SetPolicy(config.Policy)
+		}
 		n.announce(now)
 	}
 	if !n.dirty {
--- a/pkg/control/node/options.go
+++ b/pkg/control/node/options.go
@@ -12,8 +12,10 @@
 	"github.com/flamingomount/flamingomount/pkg/control/endpoints"
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/control/membership"
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/control/regions"
 	"github.com/flamingomount/flamingomount/pkg/peer"
+	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -38,10 +40,12 @@
 	Observe(e event.AttemptFinished) bool
 	// Active returns the quarantined fingerprints and their end.
 	Active(now time.Time) map[request.Fingerprint]time.Time
-	// Marks returns what to attach to the next message; few or none.
-	Marks(now time.Time) []peer.QuarantineMark
-	// Merge takes a peer's marks; true when the quarantine changed.
-	Merge(now time.Time, from types.Incarnation, marks []peer.QuarantineMark) bool
+	// Fresh returns what to attach to the next message; few or none.
+	Fresh() []quarantine.Entry
+	// Merge takes what a peer knows; true when the quarantine changed.
+	Merge(now time.Time, entries []quarantine.Entry) bool
+	// SetPolicy takes the published limits of a new configuration.
+	SetPolicy(policy published.Policy)
 	// Tick lets time pass; true when the quarantine changed.
 	Tick(now time.Time) bool
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -253,7 +253,12 @@
 		Now:      d.opts.Now,
 		Rand:     d.opts.Rand,
 	})
+	var isolator dispatch.Isolator
+	if live, ok := d.control.(*liveControl); ok {
+		isolator = live.isolator()
+	}
 	return dispatch.New(dispatch.Options{
+		Isolator:      isolator,
 		Router:        d.router,
 		Snapshot:      d.control.Load,
 		Retrier:       d.opts.Retrier,
--- a/pkg/daemon/live.go
+++ b/pkg/daemon/live.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
@@ -18,20 +19,26 @@
 	"github.com/flamingomount/flamingomount/pkg/bundle/keyfile"
 	"github.com/flamingomount/flamingomount/pkg/control"
 	"github.com/flamingomount/flamingomount/pkg/control/configsync"
+	"github.com/flamingomount/flamingomount/pkg/control/crashes"
 	"github.com/flamingomount/flamingomount/pkg/control/ejection"
 	"github.com/flamingomount/flamingomount/pkg/control/node"
 	"github.com/flamingomount/flamingomount/pkg/control/outlier"
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/loadpoll"
 	"github.com/flamingomount/flamingomount/pkg/peer"
 	"github.com/flamingomount/flamingomount/pkg/peer/peerhttp"
 	"github.com/flamingomount/flamingomount/pkg/platform/httpplatform"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/isolate"
 )
 
 // liveControl is control state that reads the platform, talks to other daemons
 // and reads the endpoints' reports.
 type liveControl struct {
 	*control.Control
+	self    snapshot.Self
+	now     func() time.Time
+	tracker *quarantine.Tracker
 	client  *peerhttp.Client
 	handler http.Handler
 	poller  *loadpoll.Poller
@@ -57,7 +64,12 @@
 		return nil, err
 	}
 	metrics := peerhttp.NewMetrics(with.metrics)
-	live := &liveControl{client: peerhttp.NewClient(guard, metrics, with.opts.Now, with.security)}
+	live := &liveControl{
+		self:    with.self,
+		now:     with.opts.Now,
+		tracker: quarantine.New(quarantine.Options{}),
+		client:  peerhttp.NewClient(guard, metrics, with.opts.Now, with.security),
+	}
 	platform := httpplatform.New(with.opts.Settings.Platform.URL, &http.Client{})
 	live.Control, err = control.New(control.Options{
 		Node: node.Options{
@@ -65,6 +77,8 @@
 			Rand:     rand.New(rand.NewPCG(randomSeed(), randomSeed())),
 			Config:   configsync.Options{Keys: keys},
 			Outliers: ejection.New(outlier.Options{}),
+
+			Quarantine: crashes.New(live.tracker),
 		},
 		Config:  platform,
 		VMs:     platform,
@@ -75,7 +89,8 @@
 	if err != nil {
 		return nil, err
 	}
-	live.handler = peerhttp.NewHandler(guard, live.Control, metrics, with.opts.Now)
+	answerer := &isolationAnswerer{live: live, next: live.Control}
+	live.handler = peerhttp.NewHandler(guard, answerer, metrics, with.opts.Now)
 	live.poller = loadpoll.New(loadpoll.Options{Snapshot: live.Load, Submit: live.Submit, Now: with.opts.Now})
 	return live, nil
 }
@@ -130,3 +145,13 @@
 func (l *liveControl) Peers() http.Handler {
 	return l.handler
 }
+
+// isolator returns the guard against requests that crash endpoints.
+func (l *liveControl) isolator() *isolate.Guard {
+	return isolate.New(isolate.Options{
+		Tracker:  l.tracker,
+		Snapshot: l.Load,
+		Sender:   &isolationSender{live: l},
+		Now:      l.now,
+	})
+}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/platform"
-	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -66,8 +66,13 @@
 
 	// Endpoints are signs that endpoints leave.
 	Endpoints []EndpointSign `json:"endpoints,omitempty"`
-	// Quarantine holds quarantined fingerprints.
-	Quarantine []QuarantineMark `json:"quarantine,omitempty"`
+	// Crashes holds what the sender lately learned of requests that crash
+	// endpoints.
+	Crashes []quarantine.Entry `json:"crashes,omitempty"`
+	// Isolation asks the receiver whether a request may run; the answer holds
+	// IsolationAnswer. Such a message holds nothing else.
+	Isolation       *quarantine.Question `json:"isolation,omitempty"`
+	IsolationAnswer *quarantine.Answer   `json:"isolation_answer,omitempty"`
 }
 
 // MemberUpdate is what one daemon passes on about another one.
@@ -102,11 +107,3 @@
 	// SeenAt is when the sign was seen.
 	SeenAt time.Time `json:"seen_at"`
 }
-
-// QuarantineMark is one quarantined fingerprint.
-type QuarantineMark struct {
-	Fingerprint request.Fingerprint `json:"fp"`
-	Until       time.Time           `json:"until"`
-	// Crashes is how many endpoints the request is known to have crashed.
-	Crashes int `json:"crashes"`
-}
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -37,6 +37,9 @@
 	Path []types.Incarnation
 	// Floor is the highest configuration revision named on the way here.
 	Floor types.Revision
+	// CallerKey is a stable key of the caller: equal for its resends. It ranks
+	// the entries for the caller and the owners of its contents.
+	CallerKey string
 	// Fingerprint identifies the content.
 	Fingerprint Fingerprint
 	// Prefix holds the hashes of the growing prefixes of the prompt, shortest
--- a/pkg/stage/dispatch/dispatch.go
+++ b/pkg/stage/dispatch/dispatch.go
@@ -53,6 +53,10 @@
 	Prepare(ctx context.Context, req *request.Request, to Destination) (*http.Request, *types.Failure)
 }
 
+// elsewhereDelay is the wait before another endpoint is sought when the copy of
+// a request runs where this daemon can't send it.
+const elsewhereDelay = 100 * time.Millisecond
+
 // Options configures a Dispatcher.
 type Options struct {
 	Router   route.Router
@@ -61,6 +65,8 @@
 	Retrier Retrier
 	// Observer may be nil.
 	Observer Observer
+	// Isolator may be nil: then every content may run anywhere.
+	Isolator Isolator
 	// Forwarder may be nil: then nothing is sent to another region.
 	Forwarder Forwarder
 	// Transport runs attempts of repeatable requests; nil means
--- a/pkg/stage/dispatch/run.go
+++ b/pkg/stage/dispatch/run.go
@@ -33,6 +33,8 @@
 	// verdict.
 	stated bool
 	resend bool
+	// kind is how the last attempt ended.
+	kind Kind
 	// version is the version that the stream so far came from.
 	version types.ModelVersion
 }
@@ -45,7 +47,15 @@
 		if failure != nil {
 			return firstFailure(last, failure)
 		}
-		last = r.attempt(ctx, decision, types.Incarnation{})
+		entered, failure := r.enter(ctx, decision)
+		if failure != nil {
+			return failure
+		}
+		if !entered.allowed {
+			continue
+		}
+		last = r.attempt(ctx, entered.decision, types.Incarnation{})
+		entered.leave(r.kind)
 		if last == nil {
 			return nil
 		}
@@ -86,6 +96,7 @@
 	a.owner = owner
 	r.note(a)
 	failure := a.do(ctx)
+	r.kind = a.kind
 	r.verdict = r.verdict.Merge(a.verdict())
 	r.stated = a.evidence.PeerStated
 	r.tokens += a.tokens
--- a/pkg/stage/forward/envelope.go
+++ b/pkg/stage/forward/envelope.go
@@ -53,6 +53,7 @@
 	Ticket       string              `json:"ticket,omitempty"`
 	Path         []types.Incarnation `json:"path"`
 	Floor        types.Revision      `json:"floor"`
+	CallerKey    string              `json:"caller_key,omitempty"`
 	Fingerprint  request.Fingerprint `json:"fingerprint"`
 	Prefix       []uint64            `json:"prefix,omitempty"`
 	Streamed     bool                `json:"streamed,omitempty"`
--- a/pkg/stage/forward/receiver.go
+++ b/pkg/stage/forward/receiver.go
@@ -134,7 +134,7 @@
 		Arrived: now, Deadline: now.Add(time.Duration(e.LeftMS) * time.Millisecond),
 		Repeatable: e.Repeatable,
 		Key:        e.Key, Ticket: e.Ticket, Path: e.Path, Floor: e.Floor,
-		Fingerprint: e.Fingerprint, Prefix: e.Prefix, Streamed: e.Streamed, Version: e.Version,
+		CallerKey: e.CallerKey, Fingerprint: e.Fingerprint, Prefix: e.Prefix, Streamed: e.Streamed, Version: e.Version,
 		InputTokens: e.InputTokens, OutputTokens: e.OutputTokens,
 		Method: e.Method, URLPath: e.URLPath, Query: e.Query, Header: e.Header, Body: body,
 	}, nil
--- a/pkg/stage/forward/sender.go
+++ b/pkg/stage/forward/sender.go
@@ -82,7 +82,7 @@
 		LeftMS: max(req.Deadline.Sub(now).Milliseconds(), 1), Repeatable: req.Repeatable,
 		Key: req.Key, Ticket: req.Ticket,
 		Path:  append(append([]types.Incarnation(nil), req.Path...), view.Self.Incarnation),
-		Floor: max(req.Floor, revisionOf(view)), Fingerprint: req.Fingerprint, Prefix: req.Prefix,
+		Floor: max(req.Floor, revisionOf(view)), CallerKey: req.CallerKey, Fingerprint: req.Fingerprint, Prefix: req.Prefix,
 		Streamed: req.Streamed, Version: req.Version,
 		InputTokens: req.InputTokens, OutputTokens: req.OutputTokens,
 		Method: req.Method, URLPath: req.URLPath, Query: req.Query,
--- a/pkg/stage/ingress/entries.go
+++ b/pkg/stage/ingress/entries.go
@@ -40,13 +40,18 @@
 	return entries.List(view, query)
 }
 
-// entriesAnswer builds the answer to GET /v1/entries. Callers of one credential
-// are told apart by their IP address, so that they spread too.
-func (s *Server) entriesAnswer(c *call, service *published.Service) EntriesAnswer {
+// callerKey tells callers apart by credential and IP address, so that the
+// callers of one credential spread over the entries too.
+func (c *call) callerKey() string {
 	host, _, _ := net.SplitHostPort(c.r.RemoteAddr)
+	return string(c.who.hash) + "/" + host
+}
+
+// entriesAnswer builds the answer to GET /v1/entries.
+func (s *Server) entriesAnswer(c *call, service *published.Service) EntriesAnswer {
 	query := entries.Query{Lifetime: s.opts.Limits.EntriesLifetime}
 	answer := EntriesAnswer{
-		Answer: listEntries(string(c.who.hash)+"/"+host, service, c.who.org, c.view, query),
+		Answer: listEntries(c.callerKey(), service, c.who.org, c.view, query),
 	}
 	if s.opts.Tickets == nil {
 		return answer
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -282,10 +282,13 @@
 		Arrived:  c.arrived,
 		Deadline: c.arrived.Add(allowed),
 		Floor:    c.view.Config.Revision,
-		Method:   c.r.Method,
-		URLPath:  c.r.URL.Path,
-		Query:    c.r.URL.RawQuery,
-		Header:   request.Header(c.r.Header),
+
+		CallerKey: c.callerKey(),
+
+		Method:  c.r.Method,
+		URLPath: c.r.URL.Path,
+		Query:   c.r.URL.RawQuery,
+		Header:  request.Header(c.r.Header),
 	}, nil
 }
 
--- a/pkg/standin/deployment/deployment_test.go
+++ b/pkg/standin/deployment/deployment_test.go
@@ -12,6 +12,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/flamingomount/flamingomount/pkg/standin/deployment"
 	"github.com/flamingomount/flamingomount/pkg/standin/engine"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -116,3 +118,40 @@
 		Expect(one.Engines["pokhara-engine-1"].Total()).To(BeZero())
 	})
 })
+
+var _ = Describe("a request that crashes endpoints", func() {
+	fatal := strings.Replace(question, "hello", engine.CrashMark, 1)
+
+	It("costs at most three engines although its caller resends it to every entry at once, and is then quarantined", func() {
+		plan := twoRegions()
+		plan.Regions = []deployment.RegionPlan{{Region: "kathmandu", Daemons: 4, Engines: 8}}
+		plan.Config = deployment.Config(1, "kathmandu")
+		plan.Config.Policy.QuarantineFor = time.Hour
+		plan.Engine.CrashOnMark = true
+		one, ctx := start(plan)
+		const resends = 4
+		for range resends {
+			var callers conc.WaitGroup
+			for _, entry := range one.Entries() {
+				callers.Go(func() { post(entry, "/v1/chat/completions", fatal) })
+			}
+			callers.Wait()
+		}
+		dead := 0
+		for _, each := range one.Engines {
+			if each.Dead() {
+				dead++
+			}
+		}
+		GinkgoWriter.Printf("%d engines lost\n", dead)
+		Expect(dead).To(BeNumerically("<=", 3))
+		Expect(one.Wait(ctx, func(e *deployment.Entry) bool { return len(e.Load().Quarantine) == 1 })).To(Succeed())
+		for _, entry := range one.Entries() {
+			resp, text := post(entry, "/v1/chat/completions", fatal)
+			Expect(resp.StatusCode).To(Equal(422), text)
+			Expect(resp.Header.Get(types.HeaderVerdict)).To(Equal("not-run"))
+			resp, text = post(entry, "/v1/chat/completions", question)
+			Expect(resp.StatusCode).To(Equal(200), text)
+		}
+	})
+})
