Keep the virtual shards and move bounded rendezvous to the measurements

Cause: one of the two ways to keep prompts near their caches has to go. Change: the shards scorer stays; bounded rendezvous becomes a comparison of the affinity scenario. Endpoints may carry their hash.

--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -83,7 +83,10 @@
 
 // Endpoint is one back end.
 type Endpoint struct {
-	ID         types.EndpointID
+	ID types.EndpointID
+	// Hash spreads endpoints for rendezvous hashing; zero means that it is
+	// computed from the ID at each use. See score.HashEndpoint.
+	Hash       uint64
 	Address    string // "ip:port" of its HTTP interface
 	Region     types.Region
 	DataCentre types.DataCentre
--- a/pkg/stage/score/load.go
+++ b/pkg/stage/score/load.go
@@ -61,35 +61,41 @@
 	c := l.context(in, eps)
 	slowdown := l.options.Slowdown.Seconds()
 	hold := l.options.Hold.Seconds()
+	penalty := l.options.FullPenalty.Seconds()
 	for i, ep := range eps {
 		slots := float64(max(ep.Slots, 1))
-		load := c.estimate(ep, slots)
-		costs[i] += slowdown * min(load/slots, 1)
-		if load+1 > slots {
-			costs[i] += hold * (load + 1 - slots) / slots
+		occupied := c.estimate(ep, slots) / slots
+		if occupied < 1 {
+			costs[i] += slowdown * occupied
+		} else {
+			costs[i] += slowdown
+		}
+		if over := occupied + 1/slots - 1; over > 0 {
+			costs[i] += hold * over
 		}
 		if full(ep) {
-			costs[i] += l.options.FullPenalty.Seconds()
+			costs[i] += penalty
 		}
 	}
 }
 
 // loadContext is what the estimates of one decision share.
 type loadContext struct {
-	now    time.Time
-	mixing time.Duration
+	now time.Time
 	// mean and ownMean are the reported load and this daemon's own load per
 	// slot over the candidates.
 	mean    float64
 	ownMean float64
 	daemons float64
-	// others is the share of the daemons that are not this one.
-	others float64
+	// distrust is how fast a report loses weight, per nanosecond: the share of
+	// the daemons that are not this one over the mixing time.
+	distrust float64
 }
 
 func (l *Load) context(in *route.Input, eps []*snapshot.Endpoint) loadContext {
 	daemons := float64(entries(in.Snapshot))
-	c := loadContext{now: in.Now, mixing: l.options.Mixing, daemons: daemons, others: (daemons - 1) / daemons}
+	distrust := (daemons - 1) / daemons / float64(l.options.Mixing)
+	c := loadContext{now: in.Now, daemons: daemons, distrust: distrust}
 	reported, own := occupancy{}, occupancy{}
 	for _, ep := range eps {
 		own.add(ownInFlight(ep), ep.Slots)
@@ -123,14 +129,19 @@
 func (c *loadContext) estimate(ep *snapshot.Endpoint, slots float64) float64 {
 	own := ownInFlight(ep)
 	alike := (own - c.ownMean*slots) * c.daemons
-	if ep.Load.TakenAt.IsZero() {
-		return max(c.mean*slots+alike, own)
+	load := c.mean*slots + alike
+	if !ep.Load.TakenAt.IsZero() {
+		trust := 1.0
+		if age := c.now.Sub(ep.Load.TakenAt); age > 0 {
+			trust = 1 / (1 + float64(age)*c.distrust)
+		}
+		reported := float64(ep.Load.Running+ep.Load.Queued) + SinceReport(ep)
+		load += (reported - load) * trust
+	}
+	if load < own {
+		return own
 	}
-	age := max(c.now.Sub(ep.Load.TakenAt), 0)
-	trust := 1 / (1 + c.others*float64(age)/float64(c.mixing))
-	reported := float64(ep.Load.Running+ep.Load.Queued) + sinceReport(ep)
-	guess := c.mean*slots + alike
-	return max(guess+(reported-guess)*trust, own)
+	return load
 }
 
 func ownInFlight(ep *snapshot.Endpoint) float64 {
@@ -140,8 +151,8 @@
 	return float64(ep.Counters.InFlight.Load())
 }
 
-// sinceReport is the change of this daemon's own attempts since the report.
-func sinceReport(ep *snapshot.Endpoint) float64 {
+// SinceReport is the change of this daemon's own attempts since the report.
+func SinceReport(ep *snapshot.Endpoint) float64 {
 	c := ep.Counters
 	if c == nil {
 		return 0
--- a/pkg/stage/score/shards.go
+++ b/pkg/stage/score/shards.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // ShardOptions sets the shards scorer.
@@ -58,7 +59,7 @@
 		return
 	}
 	seed := xxhash.Sum64String(string(in.Request.Org.Name))
-	shard := requestKey(in.Request.Prefix) % uint64(s.shardCount(in, eps))
+	shard := RequestKey(in.Request.Prefix) % uint64(s.shardCount(in, eps))
 	first, second := rendezvous(eps, mix(seed+shard))
 	outside := s.options.Outside.Seconds()
 	for i := range eps {
@@ -81,7 +82,8 @@
 	return min(count, len(eps))
 }
 
-func requestKey(prefix []uint64) uint64 {
+// RequestKey is the key of a prompt within its organisation.
+func RequestKey(prefix []uint64) uint64 {
 	return mix(prefix[min(len(prefix)-1, keyBlock)])
 }
 
@@ -91,7 +93,7 @@
 	first, second = -1, -1
 	var best, next uint64
 	for i, ep := range eps {
-		hash := mix(xxhash.Sum64String(string(ep.ID)) ^ key)
+		hash := mix(endpointHash(ep) ^ key)
 		switch {
 		case first < 0 || hash > best:
 			second, next = first, best
@@ -103,6 +105,32 @@
 	return first, second
 }
 
+// Rendezvous returns the index of the endpoint with the highest hash of endpoint
+// and key among those that pass; -1 when none does.
+func Rendezvous(eps []*snapshot.Endpoint, key uint64, pass func(ep *snapshot.Endpoint) bool) int {
+	chosen := -1
+	var best uint64
+	for i, ep := range eps {
+		hash := mix(endpointHash(ep) ^ key)
+		if (chosen < 0 || hash > best) && pass(ep) {
+			chosen, best = i, hash
+		}
+	}
+	return chosen
+}
+
+// HashEndpoint is the value of snapshot.Endpoint.Hash for an ID.
+func HashEndpoint(id types.EndpointID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
+func endpointHash(ep *snapshot.Endpoint) uint64 {
+	if ep.Hash != 0 {
+		return ep.Hash
+	}
+	return HashEndpoint(ep.ID)
+}
+
 // mix spreads the bits of a hash (the finaliser of SplitMix64).
 func mix(x uint64) uint64 {
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
