--- a/pkg/stage/admission/start.go
+++ b/pkg/stage/admission/start.go
@@ -15,7 +15,7 @@
 			return
 		}
 		it := c.queues[rank].head()
-		if it.offer.Deadline.Before(now.Add(c.hold[rank].cautious())) {
+		if !it.offer.Deadline.After(now.Add(c.hold[rank].cautious())) {
 			c.queues[rank].take(it)
 			c.overloaded(it.offer, now, "the request waited until its deadline was out of reach")
 			continue
@@ -59,13 +59,14 @@
 
 // burst is how far a short rise of urgent requests may exceed the daemon's
 // limit: the engines are shared with other daemons, whose urgent requests do
-// not rise at the same moment. A lasting rise gets none.
+// not rise at the same moment. A lasting or a steep rise gets none.
 func (c *Controller) burst(limit int) int {
 	mean := c.demand.mean
-	if mean >= burstBelow*float64(limit) {
+	size := int(math.Ceil(burstDeviations * math.Sqrt(mean)))
+	if mean >= burstBelow*float64(limit) || c.queues[types.RankUrgent].len() > size {
 		return 0
 	}
-	return int(math.Ceil(burstDeviations * math.Sqrt(mean)))
+	return size
 }
 
 const (
--- /dev/null
+++ b/pkg/stage/limit/limit_test.go
@@ -0,0 +1,79 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/stage/limit"
+)
+
+func TestLimit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limit")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// settle lets daemons that always use their whole limit share one endpoint.
+func settle(slots int, limits []*limit.AIMD) float64 {
+	sum := 0.0
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * 250 * time.Millisecond)
+		sum = 0
+		for _, l := range limits {
+			sum += l.Share()
+		}
+		running := min(int(sum), slots)
+		for _, l := range limits {
+			l.Report(limit.Report{
+				TakenAt: now, Slots: slots, Running: running, Queued: int(sum) - running,
+				InFlight: l.Limit(), Daemons: len(limits),
+			}, now)
+		}
+	}
+	return sum
+}
+
+var _ = Describe("AIMD", func() {
+	It("brings the sum of all limits close to the slots, from above and below", func() {
+		for _, believed := range []int{4, 12, 40} {
+			var limits []*limit.AIMD
+			for range 12 {
+				limits = append(limits, limit.NewAIMD(limit.Options{}, 16, believed))
+			}
+			Expect(settle(16, limits)).To(BeNumerically("~", 16, 2), "%d daemons believed", believed)
+		}
+	})
+
+	It("counts one queue once, however many reports show it", func() {
+		l := limit.NewAIMD(limit.Options{}, 16, 1)
+		for range 10 {
+			l.Report(limit.Report{TakenAt: start, Slots: 16, Running: 16, Queued: 4, InFlight: 16, Daemons: 1}, start)
+		}
+		Expect(l.Share()).To(BeNumerically(">", 16*0.7))
+		Expect(l.Share()).To(BeNumerically("<", 16))
+	})
+
+	It("does not grow on what it does not use", func() {
+		l := limit.NewAIMD(limit.Options{}, 16, 4)
+		l.Report(limit.Report{TakenAt: start, Slots: 16, Daemons: 4}, start)
+		Expect(l.Share()).To(Equal(4.0))
+	})
+})
+
+var _ = Describe("Pace", func() {
+	It("learns that an endpoint is slow and forgets it while nothing is measured", func() {
+		var pace limit.Pace
+		now := start
+		for range 50 {
+			now = now.Add(time.Second)
+			pace.Observe(3*time.Second, time.Second, now)
+		}
+		slow := pace.At(now)
+		Expect(slow).To(BeNumerically(">", 2000))
+		Expect(pace.At(now.Add(10 * time.Minute))).To(BeNumerically("<", 1200))
+	})
+})
