Score a sample of many endpoints and those that hold the prompt

Cause: scoring 500 endpoints took most of a decision's time. Change: beyond 128 candidates an even random sample of 64 is scored, with the endpoints that the prefix and shards scorers nominate. The number of shards no longer depends on the number of candidates.

--- a/pkg/route/pipeline/pipeline.go
+++ b/pkg/route/pipeline/pipeline.go
@@ -41,8 +41,9 @@
 
 // scratch is the working memory of one decision.
 type scratch struct {
-	kept  []*snapshot.Endpoint
-	costs []float64
+	kept   []*snapshot.Endpoint
+	scored []*snapshot.Endpoint
+	costs  []float64
 }
 
 var _ route.Router = (*Router)(nil)
@@ -100,12 +101,14 @@
 // next decision.
 func (r *Router) release(memory *scratch) {
 	clear(memory.kept)
-	memory.kept = memory.kept[:0]
+	clear(memory.scored)
+	memory.kept, memory.scored = memory.kept[:0], memory.scored[:0]
 	r.scratch.Put(memory)
 }
 
 func (r *Router) choose(in *route.Input, memory *scratch) route.Decision {
-	kept := memory.kept
+	memory.scored = r.options.Scorers.Sample(in, memory.kept, memory.scored)
+	kept := memory.scored
 	memory.costs = slices.Grow(memory.costs[:0], len(kept))
 	costs := memory.costs[:len(kept)]
 	var trace []route.Step
--- a/pkg/stage/score/prefix.go
+++ b/pkg/stage/score/prefix.go
@@ -1,6 +1,7 @@
 package score
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/route"
@@ -44,30 +45,43 @@
 	if in.Snapshot.Prefixes == nil {
 		return
 	}
-	var credited [maxHolders]int
-	count := 0
+	var room [maxHolders]holder
+	for _, h := range holders(in, eps, room[:0]) {
+		costs[h.index] -= p.options.PerBlock.Seconds() * float64(h.blocks)
+	}
+}
+
+// Nominate appends the holders.
+func (p *Prefix) Nominate(in *route.Input, eps []*snapshot.Endpoint, nominated []int) []int {
+	if in.Snapshot.Prefixes == nil {
+		return nominated
+	}
+	var room [maxHolders]holder
+	for _, h := range holders(in, eps, room[:0]) {
+		nominated = append(nominated, h.index)
+	}
+	return nominated
+}
+
+// holder is a candidate that holds a prefix of the prompt.
+type holder struct {
+	index  int
+	blocks int
+}
+
+// holders appends the candidates with the longest cached prefixes, each once.
+func holders(in *route.Input, eps []*snapshot.Endpoint, found []holder) []holder {
 	for blocks := len(in.Request.Prefix); blocks > 0; blocks-- {
-		saved := p.options.PerBlock.Seconds() * float64(blocks)
 		for _, id := range in.Snapshot.Prefixes.Holders(in.Request.Prefix[blocks-1]) {
-			i, found := find(eps, id)
-			if !found || contains(credited[:count], i) {
+			i, known := find(eps, id)
+			if !known || slices.ContainsFunc(found, func(h holder) bool { return h.index == i }) {
 				continue
 			}
-			costs[i] -= saved
-			credited[count] = i
-			count++
-			if count == maxHolders {
-				return
+			found = append(found, holder{index: i, blocks: blocks})
+			if len(found) == maxHolders {
+				return found
 			}
 		}
 	}
-}
-
-func contains(list []int, wanted int) bool {
-	for _, value := range list {
-		if value == wanted {
-			return true
-		}
-	}
-	return false
+	return found
 }
--- a/pkg/stage/score/score.go
+++ b/pkg/stage/score/score.go
@@ -24,6 +24,13 @@
 	Add(in *route.Input, eps []*snapshot.Endpoint, costs []float64)
 }
 
+// Nominator is a scorer that knows which endpoints it would favour, so that they
+// are scored even when only a sample of the others is.
+type Nominator interface {
+	// Nominate appends indexes of eps.
+	Nominate(in *route.Input, eps []*snapshot.Endpoint, nominated []int) []int
+}
+
 // Chain adds up the costs of its scorers.
 type Chain []Scorer
 
@@ -40,6 +47,35 @@
 	}
 }
 
+// sampleSize is the number of endpoints beside the nominated ones that are
+// scored.
+const sampleSize = 64
+
+// Sample appends the endpoints that are worth scoring, sorted by ID: all of a few,
+// or an even random sample of many and those that the scorers nominate.
+func (c Chain) Sample(in *route.Input, eps, sample []*snapshot.Endpoint) []*snapshot.Endpoint {
+	if len(eps) <= 2*sampleSize {
+		return append(sample, eps...)
+	}
+	var room [2 * sampleSize]int
+	chosen := room[:0]
+	step := float64(len(eps)) / sampleSize
+	offset := route.Float64(in.Rand) * step
+	for i := range sampleSize {
+		chosen = append(chosen, min(int(offset+float64(i)*step), len(eps)-1))
+	}
+	for _, scorer := range c {
+		if nominator, ok := scorer.(Nominator); ok {
+			chosen = nominator.Nominate(in, eps, chosen)
+		}
+	}
+	slices.Sort(chosen)
+	for _, i := range slices.Compact(chosen) {
+		sample = append(sample, eps[i])
+	}
+	return sample
+}
+
 // Explain returns one step for each scorer and endpoint. It draws from the
 // random source as Costs does.
 func (c Chain) Explain(in *route.Input, eps []*snapshot.Endpoint, costs []float64) []route.Step {
--- a/pkg/stage/score/shards.go
+++ b/pkg/stage/score/shards.go
@@ -1,7 +1,6 @@
 package score
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,9 +57,7 @@
 	if len(in.Request.Prefix) == 0 || in.Request.Org == nil {
 		return
 	}
-	seed := xxhash.Sum64String(string(in.Request.Org.Name))
-	shard := RequestKey(in.Request.Prefix) % uint64(s.shardCount(in, eps))
-	first, second := rendezvous(eps, mix(seed+shard))
+	first, second := rendezvous(eps, s.shard(in, eps[0].Slots))
 	outside := s.options.Outside.Seconds()
 	for i := range eps {
 		if i != first && i != second {
@@ -69,17 +66,36 @@
 	}
 }
 
-// shardCount is the number of the organisation's shards: a power of two, at
-// most the number of endpoints.
-func (s *Shards) shardCount(in *route.Input, eps []*snapshot.Endpoint) int {
+// Nominate appends the endpoints of the shard.
+func (s *Shards) Nominate(in *route.Input, eps []*snapshot.Endpoint, nominated []int) []int {
+	if len(in.Request.Prefix) == 0 || in.Request.Org == nil {
+		return nominated
+	}
+	first, second := rendezvous(eps, s.shard(in, eps[0].Slots))
+	if second < 0 {
+		return append(nominated, first)
+	}
+	return append(nominated, first, second)
+}
+
+// shard is the key of the request's virtual shard.
+func (s *Shards) shard(in *route.Input, slots int) uint64 {
+	org := xxhash.Sum64String(string(in.Request.Org.Name))
+	return mix(org + RequestKey(in.Request.Prefix)%s.shardCount(in, slots))
+}
+
+// maxShards bounds the shards of one organisation.
+const maxShards = 1024
+
+// shardCount is the number of the organisation's shards, a power of two.
+func (s *Shards) shardCount(in *route.Input, slots int) uint64 {
 	load := float64(in.Request.OrgRunning * entries(in.Snapshot))
-	slots := float64(max(eps[0].Slots, 1))
-	wanted := load / (slots * s.options.Fill)
-	if wanted <= 1 {
-		return 1
+	wanted := min(load/(float64(max(slots, 1))*s.options.Fill), maxShards)
+	count := uint64(1)
+	for float64(count) < wanted {
+		count *= 2
 	}
-	count := 1 << int(math.Ceil(math.Log2(wanted)))
-	return min(count, len(eps))
+	return count
 }
 
 // RequestKey is the key of a prompt within its organisation.
