--- a/pkg/control/once/ledger.go
+++ b/pkg/control/once/ledger.go
@@ -26,7 +26,7 @@
 
 // NewLedger returns the empty ledger of a new incarnation.
 func NewLedger(self types.Incarnation, keyring *ticket.Keyring, options Options) *Ledger {
-	return &Ledger{self: self, keyring: keyring, options: options.withDefaults(), records: newRecords()}
+	return &Ledger{self: self, keyring: keyring, options: options.WithDefaults(), records: newRecords()}
 }
 
 // SetKeyring replaces the keys after a rotation.
@@ -143,3 +143,9 @@
 	decision.Reissue = true
 	return decision
 }
+
+// Remembers reports whether the ledger holds a record of the ticket.
+func (l *Ledger) Remembers(id ticket.ID) bool {
+	_, ok := l.records.byID[id]
+	return ok
+}
