Let one tracker turn reports and attempts into limits, pace and capacity

Cause: the fake daemon kept limits, pace and counts itself; the real one needs the same code. Conclusion: the daemon can call Note, Report, Ended and Capacity.

--- a/internal/fakeworld/daemon.go
+++ b/internal/fakeworld/daemon.go
@@ -9,9 +9,7 @@
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
-	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
-	"github.com/flamingomount/flamingomount/pkg/stage/score"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -26,21 +24,12 @@
 	admitter admission.Admitter
 	retrier  Retrier
 	cache    *cacheview.View
-	ramp     *score.Ramp
-	views    map[types.EndpointID]*endpointView
-	order    []*endpointView
+	tracker  *loadview.Tracker
+	byID     map[types.EndpointID]*snapshot.Endpoint
 	waiting  map[admission.ID]*passage
 	lastID   admission.ID
 }
 
-// endpointView is the control state of one endpoint.
-type endpointView struct {
-	endpoint *snapshot.Endpoint
-	limit    *limit.AIMD
-	pace     limit.Pace
-	history  loadview.History
-}
-
 // passage is a call inside one daemon.
 type passage struct {
 	call   *Call
@@ -130,8 +119,7 @@
 		d.world.system.Attempted(d, p.call, ep.ID, failure)
 	}
 	if failure == nil {
-		view := d.views[ep.ID]
-		ep.Counters.Pace.Store(view.pace.Observe(now.Sub(sent), expected(p.call.Request), now))
+		d.tracker.Ended(ep, d.sharing(), now.Sub(sent), expected(p.call.Request), now)
 		d.cache.Assume(ep.ID, p.call.Request.Prefix)
 		p.call.History = types.Ran
 		d.end(p, nil, true)
@@ -164,28 +152,22 @@
 	d.decided(d.admitter.Done(admission.Completion{ID: p.id, Useful: useful}, d.world.clock.now))
 }
 
+// sharing is the number of daemons that share the endpoints.
+func (d *Daemon) sharing() int {
+	return len(d.Snapshot.Members) + 1
+}
+
 // report takes in a load report.
 func (d *Daemon) report(id types.EndpointID, load snapshot.Load) {
-	view := d.views[id]
-	ep := view.endpoint
+	ep := d.byID[id]
 	ep.Load = load
-	if counts, known := view.history.At(load.TakenAt); known {
-		ep.Counters.SentAtReport.Store(counts.Sent)
-		ep.Counters.DoneAtReport.Store(counts.Done)
-	}
-	view.limit.Report(limit.Report{
-		TakenAt: load.TakenAt, Slots: ep.Slots, Running: load.Running, Queued: load.Queued,
-		InFlight: int(ep.Counters.InFlight.Load()), Daemons: len(d.Snapshot.Members) + 1,
-	}, d.world.clock.now)
-	ep.Counters.Limit.Store(int64(view.limit.Limit()))
-	ep.Counters.Pace.Store(view.pace.At(d.world.clock.now))
+	d.tracker.Report(ep, d.sharing(), d.world.clock.now)
 }
 
 // note remembers the counters for reports that arrive later.
 func (d *Daemon) note() {
-	for _, view := range d.order {
-		c := view.endpoint.Counters
-		view.history.Add(loadview.Counts{At: d.world.clock.now, Sent: c.Sent.Load(), Done: c.Done.Load()})
+	for _, ep := range d.Snapshot.Endpoints[Service] {
+		d.tracker.Note(ep, d.sharing(), d.world.clock.now)
 	}
 }
 
@@ -194,19 +176,14 @@
 	now := d.world.clock.now
 	d.Snapshot.TakenAt = now
 	d.Snapshot.Prefixes = d.cache.Publish()
-	capacity := 0.0
-	for _, view := range d.order {
-		if view.endpoint.State == snapshot.EndpointReady {
-			capacity += view.limit.Share() * d.ramp.Share(view.endpoint, now)
-		}
-	}
-	d.decided(d.admitter.SetCapacity(int(capacity), now))
+	capacity := d.tracker.Capacity(d.Snapshot.Endpoints[Service], d.Snapshot.Self.Region, d.sharing(), now)
+	d.decided(d.admitter.SetCapacity(capacity, now))
 	d.decided(d.admitter.Tick(now))
 }
 
 // health takes in that an engine went down or came back.
 func (d *Daemon) health(id types.EndpointID, down bool) {
-	ep := d.views[id].endpoint
+	ep := d.byID[id]
 	if down {
 		ep.State = snapshot.EndpointEjected
 		ep.Reason = "down"
@@ -219,7 +196,7 @@
 }
 
 func (d *Daemon) cacheEvents(id types.EndpointID, batch cacheview.Batch) {
-	if d.views[id].endpoint.State == snapshot.EndpointReady {
+	if d.byID[id].State == snapshot.EndpointReady {
 		d.cache.Apply(id, batch)
 	}
 }
--- a/internal/fakeworld/world.go
+++ b/internal/fakeworld/world.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/control/cacheview"
+	"github.com/flamingomount/flamingomount/pkg/control/loadview"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/limit"
@@ -115,8 +116,8 @@
 	random := newRand(w.Config.Seed, daemonSeed+uint64(index*len(w.Config.Regions)*1000+i))
 	d := &Daemon{
 		world: w, rand: random, router: w.system.Router(), admitter: w.system.Admitter(w.Config.Policy, random),
-		retrier: w.system.Retrier(), cache: cacheview.New(cacheview.Options{}), ramp: score.NewRamp(score.RampOptions{}),
-		views: map[types.EndpointID]*endpointView{}, waiting: map[admissionID]*passage{},
+		retrier: w.system.Retrier(), cache: cacheview.New(cacheview.Options{}), tracker: loadview.NewTracker(limit.Options{}),
+		byID: map[types.EndpointID]*snapshot.Endpoint{}, waiting: map[admissionID]*passage{},
 		Snapshot: &snapshot.Snapshot{
 			TakenAt: Epoch, Config: w.published, Self: snapshot.Self{Incarnation: self, Region: region.Name},
 			Endpoints: map[types.ServiceName][]*snapshot.Endpoint{}, Regions: map[types.Region]*snapshot.RegionSummary{},
@@ -130,7 +131,7 @@
 		}
 	}
 	for _, engine := range w.regions[region.Name].engines {
-		d.addView(engine, region)
+		d.addEndpoint(engine)
 	}
 	d.tick()
 	phase := tickEvery * time.Duration(i) / time.Duration(region.Daemons)
@@ -143,17 +144,13 @@
 	return types.Incarnation{VM: types.VMID(fmt.Sprintf("%s-daemon-%d", region, i)), Boot: "1"}
 }
 
-func (d *Daemon) addView(engine *Engine, region Region) {
-	view := &endpointView{
-		endpoint: &snapshot.Endpoint{
-			ID: engine.ID, Region: engine.Region, Service: Service, Version: "1", Slots: engine.Slots,
-			Counters: &snapshot.Counters{},
-		},
-		limit: limit.NewAIMD(limit.Options{}, engine.Slots, region.Daemons),
+func (d *Daemon) addEndpoint(engine *Engine) {
+	ep := &snapshot.Endpoint{
+		ID: engine.ID, Region: engine.Region, Service: Service, Version: "1", Slots: engine.Slots,
+		Hash: score.HashEndpoint(engine.ID), Counters: &snapshot.Counters{},
 	}
-	d.views[engine.ID] = view
-	d.order = append(d.order, view)
-	d.Snapshot.Endpoints[Service] = append(d.Snapshot.Endpoints[Service], view.endpoint)
+	d.byID[engine.ID] = ep
+	d.Snapshot.Endpoints[Service] = append(d.Snapshot.Endpoints[Service], ep)
 }
 
 // arrive brings a call to a random daemon of its region.
--- a/pkg/control/loadview/loadview_test.go
+++ b/pkg/control/loadview/loadview_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/flamingomount/flamingomount/pkg/control/loadview"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 )
 
 func TestLoadview(t *testing.T) {
@@ -31,3 +33,26 @@
 		Expect(oldest.Sent).To(Equal(int64(136)))
 	})
 })
+
+var _ = Describe("Tracker", func() {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+	It("corrects a late report by the attempts since it was taken, and counts ready endpoints of the region", func() {
+		t := loadview.NewTracker(limit.Options{})
+		ep := &snapshot.Endpoint{ID: "a", Region: "here", Slots: 16, Counters: &snapshot.Counters{}}
+		for i := range 6 {
+			ep.Counters.Sent.Store(int64(10 * i))
+			t.Note(ep, 4, start.Add(time.Duration(i)*time.Second))
+		}
+		ep.Load = snapshot.Load{TakenAt: start.Add(2 * time.Second), Running: 3}
+		t.Report(ep, 4, start.Add(5*time.Second))
+		Expect(ep.Counters.SentAtReport.Load()).To(Equal(int64(20)))
+		Expect(ep.Counters.Limit.Load()).To(Equal(int64(4)))
+
+		returning := &snapshot.Endpoint{ID: "b", Region: "here", Slots: 16, RampStart: start.Add(-15 * time.Second), Counters: &snapshot.Counters{}}
+		leaving := &snapshot.Endpoint{ID: "c", Region: "here", Slots: 16, State: snapshot.EndpointLeaving, Counters: &snapshot.Counters{}}
+		away := &snapshot.Endpoint{ID: "d", Region: "there", Slots: 16, Counters: &snapshot.Counters{}}
+		all := []*snapshot.Endpoint{ep, returning, leaving, away}
+		Expect(t.Capacity(all, "here", 4, start)).To(Equal(4 + 2))
+	})
+})
