--- /dev/null
+++ b/pkg/daemon/bench_test.go
@@ -0,0 +1,262 @@
+package daemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/daemon"
+	"github.com/flamingomount/flamingomount/pkg/platform"
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/settings"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// benchEngine answers without work of its own, so that what is measured is the
+// daemon, the two ends of its connections and the Go HTTP stack.
+type benchEngine struct {
+	// events is the number of token events of a stream.
+	events int
+	// hold, when set, keeps streams open after their first event.
+	hold chan struct{}
+}
+
+const (
+	benchAnswer = `{"id":"c","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"ok"},"finish_reason":"stop"}]}`
+	benchEvent  = `data: {"id":"c","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"token "},"finish_reason":null}]}` + "\n\n"
+)
+
+// ServeHTTP answers one request.
+func (e *benchEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(types.HeaderAttemptID, r.Header.Get(types.HeaderAttemptID))
+	if e.events == 0 {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, benchAnswer)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for range e.events {
+		_, _ = io.WriteString(w, benchEvent)
+		_ = control.Flush()
+		if e.hold != nil {
+			select {
+			case <-e.hold:
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// benchFleet is the size of what the daemon knows.
+type benchFleet struct {
+	endpoints, organisations int
+}
+
+// startBench runs a daemon before an engine and returns the daemon's address.
+func startBench(b *testing.B, one *benchEngine, size benchFleet) string {
+	b.Helper()
+	caller, peer, behind := benchListener(b), benchListener(b), benchListener(b)
+	engineServer := &http.Server{Handler: one}
+	config := testConfig()
+	config.Services[model].MaxBodyBytes = 1 << 20
+	for i := range size.organisations {
+		name := types.OrgName(fmt.Sprintf("org-%d", i))
+		config.Orgs[name] = &published.Organisation{Name: name, Share: 1}
+	}
+	listing := platform.VMListing{}
+	for i := range size.endpoints {
+		listing.VMs = append(listing.VMs, platform.VM{
+			Role: platform.RoleEndpoint, Region: homeRegion, DataCentre: "dc-1", Address: behind.Addr().String(),
+			Endpoint: types.EndpointID(fmt.Sprintf("e%05d", i)), Service: model, Version: "v1", Slots: 20_000,
+		})
+	}
+	s := settings.Defaults()
+	s.Region, s.DataCentre = string(homeRegion), "dc-1"
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := snapshot.Self{
+		Incarnation: types.Incarnation{VM: types.VMID(peer.Addr().String()), Boot: "b"},
+		Region:      homeRegion, DataCentre: "dc-1", CallerAddress: caller.Addr().String(),
+	}
+	entry, err := daemon.New(daemon.Options{
+		Settings: &s, Control: daemon.NewStaticControl(self, config, listing), Boot: "b", Log: log,
+		Keys:           []daemon.Key{{ID: "k1", Secret: bytes.Repeat([]byte("k"), 32)}},
+		Rand:           &lockedRand{source: rand.New(rand.NewPCG(1, 2))},
+		CallerListener: caller, PeerListener: peer,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	running.Go(func() { _ = engineServer.Serve(behind) })
+	running.Go(func() { _ = entry.Run(ctx, ctx) })
+	b.Cleanup(func() {
+		cancel()
+		_ = engineServer.Close()
+		running.Wait()
+	})
+	return caller.Addr().String()
+}
+
+func benchListener(b *testing.B) net.Listener {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return listener
+}
+
+func rawRequest(address string, streamed bool) string {
+	body := `{"model":"quotes","messages":[{"role":"user","content":"which tube?"}],"max_tokens":16}`
+	if streamed {
+		body = strings.Replace(body, "}", `}`, 1)
+		body = strings.TrimSuffix(body, "}") + `,"stream":true}`
+	}
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"+
+		"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", address, credential, len(body), body)
+}
+
+// processCPU returns the CPU time that this process has used.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// exchange sends one raw request and reads its answer to the end.
+func exchange(b *testing.B, conn net.Conn, reader *bufio.Reader, raw string) int64 {
+	if _, err := io.WriteString(conn, raw); err != nil {
+		b.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		b.Fatalf("status %d, %v", response.StatusCode, err)
+	}
+	return n
+}
+
+// measure runs an exchange b.N times over one connection and reports the CPU
+// time of the whole process for each.
+func measure(b *testing.B, address, raw string) time.Duration {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 50 {
+		exchange(b, conn, reader, raw)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	before := processCPU()
+	for range b.N {
+		exchange(b, conn, reader, raw)
+	}
+	used := processCPU() - before
+	b.StopTimer()
+	return used / time.Duration(b.N)
+}
+
+// serveDirect runs the engine without a daemon, for comparison.
+func serveDirect(b *testing.B, one *benchEngine) string {
+	b.Helper()
+	listener := benchListener(b)
+	server := &http.Server{Handler: one}
+	var running conc.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	b.Cleanup(func() {
+		_ = server.Close()
+		running.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// BenchmarkWhole measures a small whole request. The figure cpu-us/op is the
+// process's CPU time; the daemon's own is the difference to "direct".
+func BenchmarkWhole(b *testing.B) {
+	b.Run("direct", func(b *testing.B) {
+		address := serveDirect(b, &benchEngine{})
+		b.ReportMetric(float64(measure(b, address, rawRequest(address, false)).Microseconds()), "cpu-us/op")
+	})
+	for _, size := range []benchFleet{{8, 100}, {2100, 39_000}} {
+		b.Run(fmt.Sprintf("endpoints=%d/organisations=%d", size.endpoints, size.organisations), func(b *testing.B) {
+			address := startBench(b, &benchEngine{}, size)
+			b.ReportMetric(float64(measure(b, address, rawRequest(address, false)).Microseconds()), "cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkStream measures streams of 1,000 token events, each flushed by the
+// engine on its own. The figure cpu-us/event is the process's CPU time.
+func BenchmarkStream(b *testing.B) {
+	const events = 1000
+	run := func(b *testing.B, address string) {
+		used := measure(b, address, rawRequest(address, true))
+		b.ReportMetric(float64(used.Nanoseconds())/1e3/events, "cpu-us/event")
+	}
+	b.Run("direct", func(b *testing.B) {
+		run(b, serveDirect(b, &benchEngine{events: events}))
+	})
+	b.Run("daemon", func(b *testing.B) {
+		run(b, startBench(b, &benchEngine{events: events}, benchFleet{8, 100}))
+	})
+}
+
+// BenchmarkOpenStreams holds streams open at once and reports the memory of the
+// process, which holds the callers' and the engine's ends too.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 10_000
+	hold := make(chan struct{})
+	address := startBench(b, &benchEngine{events: 2, hold: hold}, benchFleet{8, 100})
+	raw := rawRequest(address, true)
+	for range b.N {
+		conns := make([]net.Conn, 0, streams)
+		line := make([]byte, 1)
+		for range streams {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.WriteString(conn, raw); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.ReadFull(conn, line); err != nil || line[0] != 'H' {
+				b.Fatalf("stream did not start: %v", err)
+			}
+			conns = append(conns, conn)
+		}
+		runtime.GC()
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		b.ReportMetric(float64(memory.Sys)/(1<<20), "MiB-from-system")
+		b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/(1<<20), "MiB-in-use")
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+}
