Let a daemon validate a bundle as if it were published

Cause: POST /admin/v1/validate answered that this daemon does not validate. Change: it checks signatures, hashes and revision against the keys and the revision in force; the tool sends a bundle directory. Reading a bundle directory has one place, pkg/bundle/bundledir. Conclusion: a bad bundle is named before it is published.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -34,8 +34,9 @@
 	Orders func() Orders
 	// Explain routes a made-up request with a trace.
 	Explain func(*request.Request) (route.Decision, *types.Failure)
-	// Validate checks a bundle against this build.
-	Validate func(bundle []byte) Validation
+	// Validate checks a bundle against this build, the keys that the daemon
+	// accepts and the revision in force.
+	Validate func(values map[string][]byte) Validation
 	Usage    func(team types.TeamName) []usage.Line
 	Burn     func() (burn.DaemonReport, error)
 	// Metrics serves the Prometheus scrape.
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -76,7 +76,7 @@
 		Explain: func(r *request.Request) (route.Decision, *types.Failure) {
 			return route.Decision{Endpoint: snap.Endpoints[r.Service.Name][0], Reason: "least loaded"}, nil
 		},
-		Validate: func([]byte) admin.Validation { return admin.Validation{Problems: []string{"not signed"}} },
+		Validate: func(map[string][]byte) admin.Validation { return admin.Validation{Problems: []string{"not signed"}} },
 		Usage:    book.Lines,
 		Burn:     func() (burn.DaemonReport, error) { return counts.Report(now) },
 		Metrics:  http.NotFoundHandler(),
--- a/pkg/admin/answers.go
+++ b/pkg/admin/answers.go
@@ -127,6 +127,12 @@
 	Steps []route.Step `json:"steps"`
 }
 
+// BundleUpload is the body of POST /admin/v1/validate: the values that the
+// publisher would hand to the configuration service, by key.
+type BundleUpload struct {
+	Values map[string][]byte `json:"values"`
+}
+
 // Validation is the answer of POST /admin/v1/validate.
 type Validation struct {
 	Valid    bool           `json:"valid"`
--- a/pkg/admin/operations.go
+++ b/pkg/admin/operations.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -227,11 +228,16 @@
 }
 
 func runValidate(a *API, _ *published.Administrator, r *http.Request) (any, *Problem) {
-	bundle, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBundleBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBundleBytes))
 	if err != nil {
 		return nil, &Problem{Code: types.CodeTooLarge, Message: "the bundle is larger than 64 MiB or can't be read"}
 	}
-	return a.sources.Validate(bundle), nil
+	var upload BundleUpload
+	err = json.Unmarshal(data, &upload)
+	if err != nil {
+		return nil, &Problem{Code: types.CodeBadRequest, Message: `want JSON {"values":{key:base64}}: ` + err.Error()}
+	}
+	return a.sources.Validate(upload.Values), nil
 }
 
 func runUsage(a *API, who *published.Administrator, _ *http.Request) (any, *Problem) {
--- a/pkg/cli/fleet/inspect.go
+++ b/pkg/cli/fleet/inspect.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"time"
 
@@ -15,6 +15,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/admin"
 	"github.com/flamingomount/flamingomount/pkg/admin/adminclient"
+	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 )
 
 func statusCommand() *cobra.Command {
@@ -104,14 +105,18 @@
 }
 
 func validateCommand() *cobra.Command {
-	var file string
+	var dir string
 	run := func(ctx context.Context, f *flags, out io.Writer) error {
-		bundle, err := os.ReadFile(file)
+		values, err := bundledir.ReadValues(dir)
 		if err != nil {
-			return eris.Wrap(err, "read bundle")
+			return err
+		}
+		body, err := json.Marshal(admin.BundleUpload{Values: values})
+		if err != nil {
+			return eris.Wrap(err, "encode bundle")
 		}
 		valid := true
-		call := adminclient.Call{Method: http.MethodPost, Path: "/admin/v1/validate", Body: bundle}
+		call := adminclient.Call{Method: http.MethodPost, Path: "/admin/v1/validate", Body: body}
 		err = ask(ctx, f, out, call, "DAEMON\tVALID\tREVISION\tPROBLEM", func(w io.Writer, address string, v *admin.Validation) {
 			valid = valid && v.Valid
 			fmt.Fprintf(w, "%s\t%t\t%s\t\n", address, v.Valid, v.Revision)
@@ -125,7 +130,7 @@
 		return err
 	}
 	cmd := newCommand("validate", "Ask daemons whether they would accept a bundle", run)
-	cmd.Flags().StringVar(&file, "bundle", "", "bundle file")
+	cmd.Flags().StringVar(&dir, "bundle", "", "directory of the bundle")
 	_ = cmd.MarkFlagRequired("bundle")
 	return cmd
 }
--- a/pkg/cli/publish/build.go
+++ b/pkg/cli/publish/build.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/flamingomount/flamingomount/pkg/bundle"
+	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 	"github.com/flamingomount/flamingomount/pkg/bundle/source"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -68,7 +69,7 @@
 		}
 		return revision, "", nil
 	}
-	previous, err := readBundle(f.previous)
+	previous, err := bundledir.Read(f.previous)
 	if err != nil {
 		return 0, "", err
 	}
--- a/pkg/cli/publish/diff.go
+++ b/pkg/cli/publish/diff.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/flamingomount/flamingomount/pkg/bundle"
+	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 	"github.com/flamingomount/flamingomount/pkg/published"
 )
 
@@ -48,7 +49,7 @@
 
 // openUnchecked opens a bundle that may not be signed yet.
 func openUnchecked(dir string) (*published.Configuration, error) {
-	b, err := readBundle(dir)
+	b, err := bundledir.Read(dir)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/cli/publish/files.go
+++ b/pkg/cli/publish/files.go
@@ -76,25 +76,6 @@
 	return eris.Wrap(err, "write the manifest")
 }
 
-func readBundle(dir string) (*bundle.Bundle, error) {
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, eris.Wrap(err, "read the bundle's directory")
-	}
-	values := map[string][]byte{}
-	for _, entry := range entries {
-		if entry.IsDir() {
-			continue
-		}
-		data, err := os.ReadFile(filepath.Join(dir, entry.Name()))
-		if err != nil {
-			return nil, eris.Wrap(err, "read the bundle")
-		}
-		values[entry.Name()] = data
-	}
-	return bundle.FromValues(values)
-}
-
 func readKeys(paths []string) (bundle.Keys, error) {
 	keys := bundle.Keys{}
 	for _, path := range paths {
--- a/pkg/cli/publish/sign.go
+++ b/pkg/cli/publish/sign.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/flamingomount/flamingomount/pkg/bundle"
+	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 )
 
 func signCommand() *cobra.Command {
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := readBundle(dir)
+	b, err := bundledir.Read(dir)
 	if err != nil {
 		return err
 	}
--- a/pkg/cli/publish/verify.go
+++ b/pkg/cli/publish/verify.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/flamingomount/flamingomount/pkg/bundle"
+	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 )
 
 func verifyCommand() *cobra.Command {
@@ -29,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := readBundle(dir)
+	b, err := bundledir.Read(dir)
 	if err != nil {
 		return err
 	}
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -4,7 +4,10 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/flamingomount/flamingomount/pkg/admin"
+	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/burn"
 	"github.com/flamingomount/flamingomount/pkg/metrics"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -37,7 +40,7 @@
 		Queues:   d.queues,
 		Orders:   d.orders,
 		Explain:  d.explain,
-		Validate: validateBundle,
+		Validate: d.validate,
 		Usage:    d.recorder.usage,
 		Burn:     func() (burn.DaemonReport, error) { return d.recorder.report() },
 		Metrics:  d.recorder.metrics.Handler(),
@@ -45,9 +48,31 @@
 	}, admin.Options{})
 }
 
-// validateBundle says that bundles are not checked here; the tool does it.
-func validateBundle([]byte) admin.Validation {
-	return admin.Validation{Problems: []string{"this daemon does not validate bundles: use the command-line tool"}}
+// validate checks a bundle as if it were published now.
+func (d *Daemon) validate(values map[string][]byte) admin.Validation {
+	found := admin.Validation{Problems: []string{}}
+	problem := func(err error) admin.Validation {
+		found.Problems = append(found.Problems, err.Error())
+		return found
+	}
+	keys, err := publisherKeys(d.opts.Settings.Bundle.PublicKeys)
+	if err != nil {
+		return problem(err)
+	}
+	built, err := bundle.FromValues(values)
+	if err != nil {
+		return problem(err)
+	}
+	config, err := bundle.OpenAll(built, keys)
+	if err != nil {
+		return problem(err)
+	}
+	found.Revision = config.Revision
+	if current := d.control.Load().Config; current != nil && config.Revision <= current.Revision {
+		return problem(eris.Errorf("revision %s is not above %s, which is in force", config.Revision, current.Revision))
+	}
+	found.Valid = true
+	return found
 }
 
 func (d *Daemon) status() admin.Status {
