--- a/pkg/stage/admission/admission.go
+++ b/pkg/stage/admission/admission.go
@@ -97,7 +97,7 @@
 	PatientFloor float64
 	// UrgentReserve is how many slots patient requests above the floor leave
 	// to urgent ones beyond what those use on average, as a multiple of the
-	// square root of that average. Negative means none; default 0.8.
+	// square root of that average. Negative means none; default 1.8.
 	UrgentReserve float64
 	// MaxWaitShare is the share, 0 to 1, of the time left after a request's own
 	// work that it may be predicted to wait; beyond it the request is refused at
@@ -112,7 +112,7 @@
 	defaultMaxQueued          = 4096
 	defaultMaxBytes           = 48 << 20
 	defaultPatientFloor       = 0.1
-	defaultUrgentReserve      = 1.4
+	defaultUrgentReserve      = 1.8
 	defaultUrgentWaitShare    = 0.5
 	defaultPatientWaitShare   = 0.9
 	defaultUrgentRetryAfter   = 10 * time.Second
--- a/tools/measure/scenario/floods.go
+++ b/tools/measure/scenario/floods.go
@@ -1,5 +1,7 @@
 package scenario
 
+import "slices"
+
 // The offered load of floods, in multiples of capacity.
 const (
 	floodPatient = 5.0
@@ -10,7 +12,8 @@
 	Name:  "patient-flood",
 	About: "patient work at 5 times capacity beside the peak's urgent work",
 	Run: func(seed uint64) []Row {
-		return both(offered(seed, peakUrgent, floodPatient), nil)
+		rows := both(offered(seed, peakUrgent, floodPatient), nil)
+		return relative(rows, both(offered(seed, peakUrgent, peakPatient), nil), "urgent p99 s", "urgent p99 over steady")
 	},
 }
 
@@ -29,3 +32,13 @@
 		return both(offered(seed, floodUrgent, floodPatient), nil)
 	},
 }
+
+// relative adds to each row one figure divided by the same figure of a reference.
+func relative(rows, reference []Row, figure, name string) []Row {
+	for i := range rows {
+		column := slices.IndexFunc(rows[i].Figures, func(f Figure) bool { return f.Name == figure })
+		ratio := rows[i].Figures[column].Value / reference[i].Figures[column].Value
+		rows[i].Figures = append(rows[i].Figures, Figure{Name: name, Value: ratio})
+	}
+	return rows
+}
