Measure fatal requests, spill and the return of a region

Cause: the bound on lost endpoints and the effect of published weights had been shown in tests only. The fake world then looped without end: the last fraction of a millisecond of a hold was told as a wait of zero. Change: the fake world asks planner and tracker; three scenarios; waits are rounded up.

--- a/internal/fakeworld/call.go
+++ b/internal/fakeworld/call.go
@@ -33,6 +33,8 @@
 	// Origin is the region where the caller arrived first.
 	Origin   types.Region
 	measured bool
+	// first is the daemon that the caller used first; it owns the content.
+	first *Daemon
 }
 
 // generator draws the calls of one stream.
--- a/internal/fakeworld/daemon.go
+++ b/internal/fakeworld/daemon.go
@@ -6,11 +6,13 @@
 
 	"github.com/flamingomount/flamingomount/pkg/control/cacheview"
 	"github.com/flamingomount/flamingomount/pkg/control/loadview"
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
 	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -28,6 +30,9 @@
 	views    map[types.EndpointID]*endpointView
 	order    []*endpointView
 	waiting  map[admission.ID]*passage
+	planner  *spill.Planner
+	tracker  *quarantine.Tracker
+	cursors  map[*Daemon]uint64
 	lastID   admission.ID
 }
 
@@ -45,6 +50,9 @@
 	id     admission.ID
 	tried  []types.EndpointID
 	resend bool
+	// owner and alone belong to the claim of the running attempt.
+	owner *Daemon
+	alone bool
 	// attempts counts those of this daemon.
 	attempts int
 	// reply ends the passage; failure is nil when the answer is whole.
@@ -58,7 +66,15 @@
 	p := &passage{call: call, id: d.lastID, reply: reply}
 	p.resend = d.retrier.Offer(call.Request, d.world.Config.Policy.RetryBudget, now)
 	d.waiting[p.id] = p
-	r := call.Request
+	if !d.sendAway(p) {
+		d.admit(p)
+	}
+}
+
+// admit asks admission for the call to start.
+func (d *Daemon) admit(p *passage) {
+	now := d.world.clock.now
+	r := p.call.Request
 	d.decided(d.admitter.Offer(admission.Offer{
 		ID: p.id, Rank: r.Rank, Org: r.Org.Name, Share: r.Org.Share,
 		Cost: float64(r.OutputTokens), Bytes: int64(r.InputTokens * bytesPerToken), Deadline: r.Deadline,
@@ -89,6 +105,8 @@
 	switch {
 	case failure != nil:
 		d.end(p, failure, false)
+	case decision.Endpoint != nil && d.tracker != nil:
+		d.claim(p, decision.Endpoint)
 	case decision.Endpoint != nil:
 		d.send(p, decision.Endpoint)
 	default:
@@ -124,6 +142,7 @@
 
 func (d *Daemon) attemptEnded(p *passage, ep *snapshot.Endpoint, sent time.Time, failure *types.Failure) {
 	now := d.world.clock.now
+	d.settle(p, ep.ID, failure)
 	if d.world.system.Attempted != nil {
 		d.world.system.Attempted(d, p.call, ep.ID, failure)
 	}
--- a/internal/fakeworld/system.go
+++ b/internal/fakeworld/system.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/naive"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -11,6 +12,7 @@
 	"github.com/flamingomount/flamingomount/pkg/route/pipeline"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -28,6 +30,11 @@
 	Router   func() route.Router
 	Admitter func(policy published.Policy, rand route.Rand) admission.Admitter
 	Retrier  func() Retrier
+	// Spill decides before admission whether a call goes to another region;
+	// nil means that none does.
+	Spill func() *spill.Planner
+	// Quarantine keeps fatal requests from endpoints; nil means none.
+	Quarantine func() *quarantine.Tracker
 	// Attempted is told of each ended attempt, failure nil when it succeeded;
 	// it may be nil.
 	Attempted func(d *Daemon, call *Call, endpoint types.EndpointID, failure *types.Failure)
--- a/internal/fakeworld/world.go
+++ b/internal/fakeworld/world.go
@@ -16,6 +16,9 @@
 // World is one run of one system.
 type World struct {
 	Config Config
+	// InnocentsRefused counts calls that are not fatal and were refused as
+	// quarantined.
+	InnocentsRefused int
 
 	system    System
 	clock     clock
@@ -121,6 +124,7 @@
 			Endpoints: map[types.ServiceName][]*snapshot.Endpoint{}, Regions: map[types.Region]*snapshot.RegionSummary{},
 		},
 	}
+	d.equip()
 	for other := range region.Daemons {
 		if other != i {
 			d.Snapshot.Members = append(d.Snapshot.Members, snapshot.Member{
--- a/pkg/control/quarantine/claim.go
+++ b/pkg/control/quarantine/claim.go
@@ -114,9 +114,9 @@
 	standing := t.standing(fingerprint, now)
 	switch standing.State {
 	case StateQuarantined:
-		return Answer{Kind: AnswerRefuse, WaitMillis: standing.Until.Sub(now).Milliseconds()}
+		return Answer{Kind: AnswerRefuse, WaitMillis: waitUntil(standing.Until, now)}
 	case StateHeld:
-		return Answer{Kind: AnswerWait, WaitMillis: standing.Until.Sub(now).Milliseconds()}
+		return Answer{Kind: AnswerWait, WaitMillis: waitUntil(standing.Until, now)}
 	}
 	running := t.running(fingerprint, now)
 	if standing.State == StateSuspect {
@@ -133,6 +133,12 @@
 	return t.grant(asked, now)
 }
 
+// waitUntil returns the milliseconds until a time, rounded up, so that nobody
+// asks again too early.
+func waitUntil(end, now time.Time) int64 {
+	return (end.Sub(now) + time.Millisecond - 1).Milliseconds()
+}
+
 func (t *Tracker) acquireSuspect(asked Claim, running *claim, standing Standing, now time.Time) Answer {
 	if running != nil {
 		return Answer{Kind: AnswerWait, WaitMillis: claimPoll.Milliseconds()}
--- a/pkg/control/quarantine/quarantine_test.go
+++ b/pkg/control/quarantine/quarantine_test.go
@@ -167,6 +167,20 @@
 		Expect(ask("e3").Kind).To(Equal(quarantine.AnswerRun))
 	})
 
+	It("names a wait after which a held content is no longer held", func() {
+		tracker := quarantine.New(quarantine.Options{})
+		crash(tracker, "e1", start, 1)
+		claim := quarantine.Claim{
+			Content: quarantine.Hash(content(1)), Endpoint: "e2",
+			DeadlineMillis: start.Add(time.Minute).UnixMilli(),
+		}
+		now := start.Add(500*time.Millisecond - time.Microsecond)
+		answer := tracker.Acquire(claim, now)
+		Expect(answer.Kind).To(Equal(quarantine.AnswerWait))
+		now = now.Add(time.Duration(answer.WaitMillis) * time.Millisecond)
+		Expect(tracker.Acquire(claim, now).Kind).To(Equal(quarantine.AnswerRunAlone))
+	})
+
 	It("runs one copy of a suspect at a time, and one suspect on an endpoint", func() {
 		tracker := quarantine.New(quarantine.Options{})
 		crash(tracker, "e1", start, 1, 2)
--- a/pkg/stage/spill/spill.go
+++ b/pkg/stage/spill/spill.go
@@ -9,6 +9,7 @@
 package spill
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -27,12 +28,19 @@
 	WaitHere time.Duration
 	// WarmTokens is the part of the prompt that a cache here holds.
 	WarmTokens int
+	// Bytes is the size of the request on the link; zero means its body's.
+	Bytes int
 	// MustLeave is true when no endpoint of this region can run the request;
 	// WaitHere means nothing then.
 	MustLeave bool
 	Now       time.Time
 }
 
+// size is the number of bytes of the request itself.
+func (in Input) size() int {
+	return cmp.Or(in.Bytes, len(in.Request.Body))
+}
+
 // Decision says where the request goes.
 type Decision struct {
 	// Region is the region to forward to; empty means that it stays.
@@ -137,7 +145,7 @@
 		return Decision{}, types.NewFailure(types.NotRun, types.CodeResidency,
 			"the organisation's home region is out of reach from here")
 	}
-	p.region(home).budget.bytes -= p.bytesOf(in.Request)
+	p.region(home).budget.bytes -= p.bytesOf(in)
 	return Decision{Region: home, Reason: "the organisation is bound to its home region"}, nil
 }
 
@@ -210,7 +218,7 @@
 		return option{}, false
 	}
 	candidate := option{region: region}
-	candidate.bytes = p.bytesOf(in.Request)
+	candidate.bytes = p.bytesOf(in)
 	rate := linkRate(in.Snapshot, link)
 	if !p.region(region).budget.has(rate, candidate.bytes, in.Now) {
 		return option{}, false
@@ -230,7 +238,7 @@
 	age := in.Now.Sub(summary.ReceivedAt)
 	wait := service.Wait + time.Duration(p.options.AgeFactor*float64(age))
 	roundTrip := 2 * link.OneWay
-	wire := seconds(float64(len(in.Request.Body)) * bitsPerByte / float64(link.BitsPerSecond))
+	wire := seconds(float64(in.size()) * bitsPerByte / float64(link.BitsPerSecond))
 	prefill := seconds(float64(min(in.WarmTokens, in.Request.InputTokens)) / p.options.PrefillTokensPerSecond)
 	return wait + roundTrip + wire + prefill
 }
@@ -264,8 +272,8 @@
 }
 
 // bytesOf estimates what a forwarded request takes of a link, answer included.
-func (p *Planner) bytesOf(req *request.Request) float64 {
-	return float64(len(req.Body) + req.OutputTokens*p.options.OutputTokenBytes)
+func (p *Planner) bytesOf(in Input) float64 {
+	return float64(in.size() + in.Request.OutputTokens*p.options.OutputTokenBytes)
 }
 
 // send counts a request that goes away.
--- a/tools/measure/scenario/scenario.go
+++ b/tools/measure/scenario/scenario.go
@@ -32,6 +32,7 @@
 // registry lists every scenario in the order of the tables.
 var registry = []Scenario{
 	steady, patientFlood, urgentFlood, bothFloods, overload, halfLost, lagging, slowEndpoint, affinity,
+	fatal, spillWeights, regionReturn,
 }
 
 // All lists every scenario.
