Correct predicted waits by observed ones and spread spill over regions

Cause: in the fake world admission predicted 0.3 to 1 s for urgent requests that then waited 3 to 4 s, so spill came too late; and of two equal regions the first in the alphabet got everything. Change: spill.Waits; among similar gains the region with more room; an urgent request counts as late with its running time.

--- a/internal/fakeworld/daemon.go
+++ b/internal/fakeworld/daemon.go
@@ -31,6 +31,7 @@
 	order    []*endpointView
 	waiting  map[admission.ID]*passage
 	planner  *spill.Planner
+	waits    spill.Waits
 	tracker  *quarantine.Tracker
 	cursors  map[*Daemon]uint64
 	lastID   admission.ID
@@ -50,6 +51,8 @@
 	id     admission.ID
 	tried  []types.EndpointID
 	resend bool
+	// offered is when admission was asked.
+	offered time.Time
 	// owner and alone belong to the claim of the running attempt.
 	owner *Daemon
 	alone bool
@@ -74,6 +77,7 @@
 // admit asks admission for the call to start.
 func (d *Daemon) admit(p *passage) {
 	now := d.world.clock.now
+	p.offered = now
 	r := p.call.Request
 	d.decided(d.admitter.Offer(admission.Offer{
 		ID: p.id, Rank: r.Rank, Org: r.Org.Name, Share: r.Org.Share,
@@ -94,6 +98,7 @@
 			continue
 		}
 		p.call.Request.OrgRunning = decision.OrgRunning
+		d.waits.Started(p.call.Request.Rank, d.world.clock.now.Sub(p.offered), d.world.clock.now)
 		d.attempt(p)
 	}
 }
--- a/internal/fakeworld/spill.go
+++ b/internal/fakeworld/spill.go
@@ -18,7 +18,7 @@
 	decision, failure := d.planner.Decide(spill.Input{
 		Request: call.Request, Snapshot: d.Snapshot, WaitHere: d.waitHere(call.Request.Rank),
 		WarmTokens: d.warmTokens(call.Request), Bytes: call.Request.InputTokens * bytesPerToken,
-		Now: d.world.clock.now,
+		Expected: expected(call.Request), Now: d.world.clock.now,
 	})
 	if failure != nil || decision.Region == "" {
 		return false
@@ -43,7 +43,7 @@
 	if !ok || reader.Free(rank) > 0 {
 		return 0
 	}
-	return reader.Wait(rank)
+	return d.waits.Predict(rank, reader.Wait(rank), d.world.clock.now)
 }
 
 // warmTokens is the part of the prompt that some engine here has cached.
--- a/pkg/stage/spill/options.go
+++ b/pkg/stage/spill/options.go
@@ -12,6 +12,9 @@
 	// MinGain is the time that a neutral deployment wants to win by sending a
 	// request away; default 250 ms.
 	MinGain time.Duration
+	// RescueShare is the share of its time left, 0 to 1, at which an urgent
+	// request counts as late here; default 0.8.
+	RescueShare float64
 	// KeepShare is the share of the gain, 0 to 1, at which a flow that is
 	// being sent away comes back; default 0.5.
 	KeepShare float64
@@ -32,6 +35,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.MinGain, 250*time.Millisecond)
+	setDefault(&o.RescueShare, 0.8)
 	setDefault(&o.KeepShare, 0.5)
 	setDefault(&o.MaxAge, 5*time.Second)
 	setDefault(&o.AgeFactor, 0.2)
--- a/pkg/stage/spill/spill.go
+++ b/pkg/stage/spill/spill.go
@@ -26,6 +26,9 @@
 	Snapshot *snapshot.Snapshot
 	// WaitHere is the predicted wait of the request in this region.
 	WaitHere time.Duration
+	// Expected is how long the request usually runs once it has started; zero
+	// if unknown.
+	Expected time.Duration
 	// WarmTokens is the part of the prompt that a cache here holds.
 	WarmTokens int
 	// Bytes is the size of the request on the link; zero means its body's.
@@ -182,10 +185,22 @@
 	gain       time.Duration
 	worthwhile bool
 	bytes      float64
+	// room is how many more requests may go there before its next summary.
+	room int
 }
 
-// best returns the region with the largest gain of those that can take the
-// request.
+// similarGain is a difference of gains that predictions can't tell apart.
+const similarGain = 100 * time.Millisecond
+
+// better prefers the larger gain and, among similar ones, the larger room.
+func (o option) better(other option) bool {
+	if (o.gain - other.gain).Abs() > similarGain {
+		return o.gain > other.gain
+	}
+	return o.room > other.room
+}
+
+// best returns the best region of those that can take the request.
 func (p *Planner) best(in Input) (option, bool) {
 	var best option
 	found := false
@@ -195,7 +210,7 @@
 			continue
 		}
 		candidate, ok := p.weigh(in, region)
-		if ok && (!found || candidate.gain > best.gain) {
+		if ok && (!found || candidate.better(best)) {
 			best, found = candidate, true
 		}
 	}
@@ -214,10 +229,12 @@
 		return option{}, false
 	}
 	state := p.flowOf(in.Request, region)
-	if state.sent >= p.quota(in, summary, service) {
+	room := p.quota(in, summary, service)
+	room -= state.sent
+	if room <= 0 {
 		return option{}, false
 	}
-	candidate := option{region: region}
+	candidate := option{region: region, room: room}
 	candidate.bytes = p.bytesOf(in)
 	rate := linkRate(in.Snapshot, link)
 	if !p.region(region).budget.has(rate, candidate.bytes, in.Now) {
@@ -253,8 +270,8 @@
 	if in.MustLeave {
 		return in.Now.Add(there).Before(in.Request.Deadline)
 	}
-	wanted := time.Duration(float64(p.options.MinGain) * reluctance(in.Snapshot.Config.Policy.Weights, in.Request.Rank))
-	if rescues(in, there) {
+	wanted := p.wantedGain(in)
+	if p.rescues(in, there) {
 		wanted = 0
 	}
 	if state.sending {
@@ -264,11 +281,18 @@
 	return state.sending
 }
 
-// rescues reports whether an urgent request is late here and in time there.
-func rescues(in Input, there time.Duration) bool {
-	return in.Request.Rank == types.RankUrgent &&
-		in.Now.Add(in.WaitHere).After(in.Request.Deadline) &&
-		in.Now.Add(there).Before(in.Request.Deadline)
+// wantedGain is the time that the request has to win.
+func (p *Planner) wantedGain(in Input) time.Duration {
+	factor := reluctance(in.Snapshot.Config.Policy.Weights, in.Request.Rank)
+	return time.Duration(float64(p.options.MinGain) * factor)
+}
+
+// rescues reports whether an urgent request would probably be late here and in
+// time there.
+func (p *Planner) rescues(in Input, there time.Duration) bool {
+	left := in.Request.Deadline.Sub(in.Now)
+	late := in.WaitHere+in.Expected > time.Duration(p.options.RescueShare*float64(left))
+	return in.Request.Rank == types.RankUrgent && late && there+in.Expected < left
 }
 
 // bytesOf estimates what a forwarded request takes of a link, answer included.
--- a/pkg/stage/spill/spill_test.go
+++ b/pkg/stage/spill/spill_test.go
@@ -126,7 +126,7 @@
 
 	It("sends away sooner under Kandy's weights than under Bagmati's", func() {
 		threshold := func(weights published.Weights, rank types.Rank) time.Duration {
-			for wait := time.Duration(0); wait < 10*time.Second; wait += 10 * time.Millisecond {
+			for wait := time.Duration(0); wait < time.Minute; wait += 10 * time.Millisecond {
 				decision := decide(func(in *spill.Input) {
 					in.Request.Rank, in.WaitHere, in.Snapshot = rank, wait, view(weights, start)
 				})
@@ -134,7 +134,7 @@
 					return wait
 				}
 			}
-			return 10 * time.Second
+			return time.Minute
 		}
 		for _, rank := range types.Ranks() {
 			Expect(threshold(kandy, rank)).To(BeNumerically("<", 250*time.Millisecond))
@@ -142,6 +142,33 @@
 		}
 	})
 
+	It("corrects a short prediction by what requests waited lately", func() {
+		var waits spill.Waits
+		waits.Started(types.RankUrgent, 4*time.Second, start)
+		Expect(waits.Predict(types.RankUrgent, time.Second, start)).To(Equal(4 * time.Second))
+		Expect(waits.Predict(types.RankUrgent, 5*time.Second, start)).To(Equal(5 * time.Second))
+		Expect(waits.Predict(types.RankPatient, time.Second, start)).To(Equal(time.Second))
+		Expect(waits.Predict(types.RankUrgent, time.Second, start.Add(3*time.Second))).To(Equal(time.Second))
+	})
+
+	It("prefers the region with more room when both are as soon", func() {
+		planner := spill.New(spill.Options{})
+		sent := map[types.Region]int{}
+		for range 100 {
+			decision, _ := planner.Decide(input(func(in *spill.Input) {
+				in.Request.Service.Regions = []types.Region{here, there, third}
+				other := *in.Snapshot.Regions[there]
+				other.Region = third
+				in.Snapshot.Regions[third] = &other
+			}))
+			sent[decision.Region]++
+			if sent[there] != 0 || sent[third] != 0 {
+				Expect(sent[there] - sent[third]).To(BeNumerically("~", 0, 1))
+			}
+		}
+		Expect(sent).To(Equal(map[types.Region]int{there: 10, third: 10, "": 80}))
+	})
+
 	It("rescues an urgent request that would be late here, whatever the weights", func() {
 		late := func(in *spill.Input) {
 			in.Snapshot, in.WaitHere = view(bagmati, start), 700*time.Millisecond
--- a/tools/measure/scenario/spill.go
+++ b/tools/measure/scenario/spill.go
@@ -28,6 +28,8 @@
 			runSpill(seed, "Bagmati", bagmatiWeights, bagmatiBits, withSpill(), overloaded),
 			runSpill(seed, "Kandy's weights, Bagmati's links", kandyWeights, bagmatiBits, withSpill(), overloaded),
 			runSpill(seed, "Kandy", kandyWeights, kandyBits, withSpill(), overloaded),
+			runSpill(seed, "Bagmati, busy", bagmatiWeights, bagmatiBits, withSpill(), busy),
+			runSpill(seed, "Kandy's weights, Bagmati's links, busy", kandyWeights, bagmatiBits, withSpill(), busy),
 			runSpill(seed, "no spill", bagmatiWeights, bagmatiBits, home, overloaded),
 			runSpill(seed, "naive", bagmatiWeights, bagmatiBits, fakeworld.Naive(), overloaded),
 			runSpill(seed, "Kandy, room at home", kandyWeights, kandyBits, withSpill(), roomAtHome),
@@ -53,6 +55,16 @@
 	}
 }
 
+// busy offers the first region just less than its capacity, and half of that of
+// the others.
+func busy(config *fakeworld.Config) {
+	first := config.Regions[0]
+	config.Streams = append(config.Streams, first.Urgent(0.55), first.Patient(0.4))
+	for _, region := range config.Regions[1:] {
+		config.Streams = append(config.Streams, region.Urgent(0.25), region.Patient(0.25))
+	}
+}
+
 // roomAtHome offers half of the capacity everywhere.
 func roomAtHome(config *fakeworld.Config) {
 	for _, region := range config.Regions {
