--- a/internal/fakeworld/quarantine.go
+++ b/internal/fakeworld/quarantine.go
@@ -25,8 +25,12 @@
 	if d.world.system.Spill != nil {
 		d.planner = d.world.system.Spill()
 	}
+	if d.world.system.Outlier != nil {
+		d.detector = d.world.system.Outlier()
+		d.detector.Track(d.Snapshot.Endpoints)
+	}
 	if d.world.system.Quarantine != nil {
-		d.tracker, d.cursors = d.world.system.Quarantine(), map[*Daemon]uint64{}
+		d.fatal, d.cursors = d.world.system.Quarantine(), map[*Daemon]uint64{}
 		d.world.clock.every(digestEvery, digestEvery, d.tellDigest)
 	}
 }
@@ -35,9 +39,9 @@
 func (d *Daemon) tellDigest() {
 	all := d.world.everyDaemon()
 	to := all[d.world.rand.IntN(len(all))]
-	digest := d.tracker.Digest(d.cursors[to])
+	digest := d.fatal.Digest(d.cursors[to])
 	d.cursors[to] = digest.Next
-	d.tell(to, func() { to.tracker.Merge(digest, d.world.clock.now) })
+	d.tell(to, func() { to.fatal.Merge(digest, d.world.clock.now) })
 }
 
 func (w *World) everyDaemon() []*Daemon {
@@ -70,9 +74,9 @@
 		p.call.first = d
 	}
 	owner := p.call.first
-	asked := d.tracker.NewClaim(contentOf(p.call), ep.ID, p.call.Request.Deadline)
+	asked := d.fatal.NewClaim(contentOf(p.call), ep.ID, p.call.Request.Deadline)
 	d.tell(owner, func() {
-		answer := owner.tracker.Acquire(asked, d.world.clock.now)
+		answer := owner.fatal.Acquire(asked, d.world.clock.now)
 		owner.tell(d, func() { d.claimed(p, ep, owner, answer) })
 	})
 }
@@ -99,21 +103,21 @@
 
 // runAt runs a copy beside the first one, if that is in this region.
 func (d *Daemon) runAt(p *passage, id types.EndpointID) {
-	view := d.views[id]
-	if view == nil || view.endpoint.State != snapshot.EndpointReady {
+	ep := d.byID[id]
+	if ep == nil || ep.State != snapshot.EndpointReady {
 		d.settle(p, id, types.NewFailure(types.NotRun, types.CodeNoEndpoint, "copy runs elsewhere"))
 		d.later(p, claimAgain)
 		return
 	}
-	d.send(p, view.endpoint)
+	d.send(p, ep)
 }
 
 // reserve asks the endpoint's owner to run a suspect.
 func (d *Daemon) reserve(p *passage, ep *snapshot.Endpoint) {
 	owner := d.world.endpointOwner(ep)
-	asked := d.tracker.NewClaim(contentOf(p.call), ep.ID, p.call.Request.Deadline)
+	asked := d.fatal.NewClaim(contentOf(p.call), ep.ID, p.call.Request.Deadline)
 	d.tell(owner, func() {
-		answer := owner.tracker.Reserve(asked, d.world.clock.now)
+		answer := owner.fatal.Reserve(asked, d.world.clock.now)
 		owner.tell(d, func() {
 			if answer.Kind == quarantine.AnswerRun {
 				p.alone = true
@@ -137,7 +141,7 @@
 
 // settle tells the owners how an attempt ended.
 func (d *Daemon) settle(p *passage, id types.EndpointID, failure *types.Failure) {
-	if d.tracker == nil || p.owner == nil {
+	if d.fatal == nil || p.owner == nil {
 		return
 	}
 	now := d.world.clock.now
@@ -146,7 +150,7 @@
 	if failure != nil && failure.Verdict == types.MayHaveRun && failure.Code == types.CodeEndpointFailed {
 		report := quarantine.CrashReport{Endpoint: id, Contents: []quarantine.Hash{hash}, AtMillis: now.UnixMilli()}
 		for _, to := range []*Daemon{d, owner, guard} {
-			d.tell(to, func() { to.tracker.Crashed(report, d.world.clock.now) })
+			d.tell(to, func() { to.fatal.Crashed(report, d.world.clock.now) })
 		}
 		return
 	}
@@ -155,10 +159,10 @@
 		outcome = quarantine.OutcomeCompleted
 	}
 	release := quarantine.Release{Content: hash, Outcome: outcome}
-	d.tell(owner, func() { owner.tracker.Release(release, d.world.clock.now) })
+	d.tell(owner, func() { owner.fatal.Release(release, d.world.clock.now) })
 	if p.alone {
 		p.alone = false
-		d.tell(guard, func() { guard.tracker.Unreserve(id, hash) })
+		d.tell(guard, func() { guard.fatal.Unreserve(id, hash) })
 	}
 }
 
--- a/internal/fakeworld/system.go
+++ b/internal/fakeworld/system.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/outlier"
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/naive"
 	"github.com/flamingomount/flamingomount/pkg/published"
@@ -35,6 +36,9 @@
 	Spill func() *spill.Planner
 	// Quarantine keeps fatal requests from endpoints; nil means none.
 	Quarantine func() *quarantine.Tracker
+	// Outlier finds bad endpoints by the daemon's own attempts; nil means that
+	// the world tells of endpoints that are down.
+	Outlier func() *outlier.Detector
 	// Attempted is told of each ended attempt, failure nil when it succeeded;
 	// it may be nil.
 	Attempted func(d *Daemon, call *Call, endpoint types.EndpointID, failure *types.Failure)
--- a/pkg/control/event/event.go
+++ b/pkg/control/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/cacheview"
 	"github.com/flamingomount/flamingomount/pkg/peer"
 	"github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -14,6 +15,8 @@
 
 // Event is one input of the control state. The set of events is closed.
 type Event interface {
+	// Time is when the event happened.
+	Time() time.Time
 	isEvent()
 }
 
@@ -51,6 +54,8 @@
 	OthersInFlight int
 	// Duration is how long the attempt took.
 	Duration time.Duration
+	// PerToken is the mean time of a streamed token; zero for whole answers.
+	PerToken time.Duration
 }
 
 // LoadReported brings the load that an endpoint reports of itself.
@@ -60,9 +65,18 @@
 	Load     snapshot.Load
 }
 
+// CacheEventsRead brings cache events of a model engine.
+type CacheEventsRead struct {
+	At       time.Time
+	Endpoint types.EndpointID
+	Batch    cacheview.Batch
+}
+
 // ListRead brings one reading of the platform's VM list.
 type ListRead struct {
-	At      time.Time
+	At time.Time
+	// AskedAt is when the reading began.
+	AskedAt time.Time
 	Listing platform.VMListing
 }
 
@@ -83,6 +97,8 @@
 type ConfigFailed struct {
 	At  time.Time
 	Key string
+	// TimedOut is true for a watch that ended without a change.
+	TimedOut bool
 }
 
 // PeerMessage brings an authenticated message of another daemon. Reply is true
@@ -114,6 +130,7 @@
 func (Tick) isEvent()            {}
 func (AttemptFinished) isEvent() {}
 func (LoadReported) isEvent()    {}
+func (CacheEventsRead) isEvent() {}
 func (ListRead) isEvent()        {}
 func (ListFailed) isEvent()      {}
 func (ConfigRead) isEvent()      {}
@@ -123,6 +140,42 @@
 func (DrainStarted) isEvent()    {}
 func (FloorSeen) isEvent()       {}
 
+// Time implements Event.
+func (e Tick) Time() time.Time { return e.Now }
+
+// Time implements Event.
+func (e AttemptFinished) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e LoadReported) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e CacheEventsRead) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ListRead) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ListFailed) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ConfigRead) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e ConfigFailed) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e PeerMessage) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e PeerFailed) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e DrainStarted) Time() time.Time { return e.At }
+
+// Time implements Event.
+func (e FloorSeen) Time() time.Time { return e.At }
+
 // Compile-time checks that every event is one.
 var (
 	_ Event = Tick{}
--- a/tools/measure/scenario/scenario.go
+++ b/tools/measure/scenario/scenario.go
@@ -31,8 +31,8 @@
 
 // registry lists every scenario in the order of the tables.
 var registry = []Scenario{
-	steady, patientFlood, urgentFlood, bothFloods, overload, halfLost, lagging, slowEndpoint, affinity,
-	fatal, spillWeights, regionReturn,
+	steady, patientFlood, urgentFlood, bothFloods, overload, halfLost, lagging, slowEndpoint, affinity, picking,
+	fatal, spillWeights, regionReturn, halfUnseen, slowUnseen,
 }
 
 // All lists every scenario.
@@ -79,9 +79,11 @@
 		{"urgent p99 s", urgent.Latency(0.99)},
 		{"urgent first token p99 s", urgent.FirstToken(0.99)},
 		{"urgent in time %", percent * urgent.InTimeShare()},
+		{"urgent refused %", percent * urgent.RefusedShare()},
+		{"urgent failed %", percent * urgent.FailedShare()},
 		{"patient in time %", percent * patient.InTimeShare()},
 		{"patient slot share %", percent * s.Share(types.RankPatient)},
-		{"goodput tokens/s", float64(s.Goodput()) / seconds},
+		{"goodput tokens/s", float64(s.WindowTokens) / seconds},
 		{"engine load p99", s.LoadP99()},
 		{"prefix hits %", percent * s.HitRate()},
 		{"extra attempts %", percent * extraAttempts(s)},
