Eject an endpoint at its first refused connection

Cause: eight daemons find out six dead endpoints each for itself; two refusals each cost requests. Change: ConsecutiveUnreachable is 1.

--- a/pkg/control/outlier/outlier.go
+++ b/pkg/control/outlier/outlier.go
@@ -20,7 +20,7 @@
 	// the endpoint ramps up.
 	ConsecutiveFailures int
 	// ConsecutiveUnreachable ejects an endpoint that refuses connections;
-	// default 2.
+	// default 1.
 	ConsecutiveUnreachable int
 	// SlowFactor ejects an endpoint whose mean slowness is larger than this
 	// multiple of its peers' median; default 2.5.
@@ -46,7 +46,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.ConsecutiveFailures, 5)
-	setDefault(&o.ConsecutiveUnreachable, 2)
+	setDefault(&o.ConsecutiveUnreachable, 1)
 	setDefault(&o.SlowFactor, 2.5)
 	setDefault(&o.MinSamples, 20)
 	setDefault(&o.MaxEjected, 0.34)
