--- a/tools/histories/main.go
+++ b/tools/histories/main.go
@@ -27,5 +27,7 @@
 func commands() []*cobra.Command {
 	return []*cobra.Command{
 		controlCommand(),
+		onceCommand(),
+		onceCostCommand(),
 	}
 }
