--- a/pkg/bundle/source/file.go
+++ b/pkg/bundle/source/file.go
@@ -3,6 +3,8 @@
 package source
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -27,7 +29,13 @@
 // UnmarshalYAML notes the line of the value.
 func (f *field[T]) UnmarshalYAML(node *yaml.Node) error {
 	f.Line = node.Line
-	return node.Decode(&f.Value)
+	err := node.Decode(&f.Value)
+	var typed *yaml.TypeError
+	if err == nil || errors.As(err, &typed) {
+		return err
+	}
+	// An error of this type lets the decoder go on and report the rest too.
+	return &yaml.TypeError{Errors: []string{fmt.Sprintf("line %d: %v", node.Line, err)}}
 }
 
 // set reports whether the file gives the value.
--- a/pkg/peer/peerhttp/peerhttp_test.go
+++ b/pkg/peer/peerhttp/peerhttp_test.go
@@ -95,7 +95,7 @@
 	ts.Listener = countingListener{listener, &s.read, &s.written}
 	ts.Start()
 	s.clientGuard = peer.NewGuard(callerVM, keys, started, 1)
-	s.client = peerhttp.NewClient(s.clientGuard, peerhttp.NewMetrics(nil), time.Now)
+	s.client = peerhttp.NewClient(s.clientGuard, peerhttp.NewMetrics(nil), time.Now, nil)
 	s.stop = func() { s.client.CloseIdle(); ts.Close() }
 	return s
 }
