--- a/internal/fakenet/platform.go
+++ b/internal/fakenet/platform.go
@@ -241,3 +241,15 @@
 	c.inThis++
 	c.Peak = max(c.Peak, c.inThis)
 }
+
+// Frozen is what readers saw at one time.
+type Frozen map[string]platform.Value
+
+// Freeze returns what readers see now.
+func (c *ConfigService) Freeze() Frozen { return Frozen(c.shown()) }
+
+// Thaw makes readers see what they saw at an earlier time.
+func (c *ConfigService) Thaw(old Frozen) {
+	c.stale = old
+	c.wake()
+}
--- a/pkg/control/endpoints/endpoints.go
+++ b/pkg/control/endpoints/endpoints.go
@@ -107,7 +107,7 @@
 	s.signs[id] = seenAt
 	s.changed = true
 	if !vm.Leaving {
-		const copies = 6
+		const copies = 10
 		s.fresh = append(s.fresh, freshSign{peer.EndpointSign{Endpoint: id, SeenAt: seenAt.Round(0)}, copies})
 	}
 	return true
--- a/pkg/control/node/messages.go
+++ b/pkg/control/node/messages.go
@@ -45,9 +45,7 @@
 	n.heardPeer(now, msg)
 	n.takeList(now, msg)
 	n.regions.Merge(now, msg.Summaries)
-	for _, sign := range msg.Endpoints {
-		n.endpoints.MarkLeaving(now, sign.SeenAt, sign.Endpoint)
-	}
+	n.takeSigns(now, msg.Endpoints)
 	if n.opts.Quarantine != nil && len(msg.Quarantine) > 0 && n.opts.Quarantine.Merge(now, msg.From, msg.Quarantine) {
 		n.dirty = true
 	}
@@ -58,6 +56,17 @@
 	n.out.Reply = n.answer(now, msg)
 }
 
+// takeSigns takes signs that endpoints leave, and passes news on at once.
+func (n *Node) takeSigns(now time.Time, signs []peer.EndpointSign) {
+	isNews := false
+	for _, sign := range signs {
+		isNews = n.endpoints.MarkLeaving(now, sign.SeenAt, sign.Endpoint) || isNews
+	}
+	if isNews {
+		n.tellSome(now)
+	}
+}
+
 func (n *Node) heardPeer(now time.Time, msg *peer.Message) {
 	n.members.Heard(now, msg)
 	holder := configsync.Holder{VM: msg.From.VM, Region: msg.Region, DataCentre: msg.DataCentre, Revision: msg.Revision}
--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -131,8 +131,8 @@
 }
 
 func (n *Node) attemptFinished(e event.AttemptFinished) {
-	if e.Leaving {
-		n.endpoints.MarkLeaving(e.At, e.At, e.Endpoint)
+	if e.Leaving && n.endpoints.MarkLeaving(e.At, e.At, e.Endpoint) {
+		n.tellSome(e.At)
 	}
 	if n.opts.Outliers != nil && n.opts.Outliers.Observe(e) {
 		n.back, n.dirty = nil, true
@@ -263,6 +263,12 @@
 	if n.config.Revision() == 0 {
 		return
 	}
+	n.tellSome(now)
+}
+
+// tellSome sends a message to a few members of the region at once, for news
+// that must not wait for the next heartbeat.
+func (n *Node) tellSome(now time.Time) {
 	for _, vm := range n.members.Pick(n.opts.Fanout) {
 		n.send(now, vm, n.message(now))
 	}
