--- a/internal/fakenet/daemon.go
+++ b/internal/fakenet/daemon.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/control/configsync"
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/control/node"
@@ -69,7 +68,7 @@
 	self := snapshot.Self{Incarnation: d.incarnation, Region: d.Region, DataCentre: d.DataCentre, CallerAddress: d.Address}
 	d.node = node.New(node.Options{
 		Self: self, Rand: rand.New(rand.NewPCG(seed, 2)),
-		Config: configsync.Options{Keys: bundle.Keys{n.signer.ID: publicKey(n.signer)}},
+		Config: configsync.Options{Keys: n.Config.publisher.Keys()},
 	}, n.now)
 	n.checker.started(d)
 	phase := time.Duration(n.rng.Int64N(int64(node.TickEvery)))
--- a/internal/fakenet/platform.go
+++ b/internal/fakenet/platform.go
@@ -100,7 +100,7 @@
 // ConfigService is the configuration service: it can be down or stale.
 type ConfigService struct {
 	net       *Network
-	publisher publisher
+	publisher *Publisher
 	values    map[string]platform.Value
 	version   uint64
 	watches   []*watch
@@ -122,12 +122,12 @@
 }
 
 func newConfigService(n *Network) *ConfigService {
-	return &ConfigService{net: n, publisher: newPublisher(n), values: map[string]platform.Value{}}
+	return &ConfigService{net: n, publisher: newPublisher(n.signer, n.opts), values: map[string]platform.Value{}}
 }
 
 // Publish publishes the next revision, in which one organisation differs.
 func (c *ConfigService) Publish() types.Revision {
-	revision, values := c.publisher.next()
+	revision, values := c.publisher.Next()
 	c.put(values)
 	return revision
 }
--- a/internal/fakenet/publisher.go
+++ b/internal/fakenet/publisher.go
@@ -17,8 +17,8 @@
 
 const manifestKey = bundle.ManifestKey
 
-// publisher makes signed bundles of a growing revision.
-type publisher struct {
+// Publisher makes signed bundles of a growing revision.
+type Publisher struct {
 	signer   bundle.Signer
 	config   *published.Configuration
 	previous bundle.Hash
@@ -40,9 +40,19 @@
 	return s.Key.Public().(ed25519.PublicKey)
 }
 
-func newPublisher(n *Network) publisher {
-	config := Configuration(max(n.opts.Organisations, minOrganisations), n.opts.Thinning, n.opts.Layout)
-	return publisher{signer: n.signer, config: config, names: slices.Sorted(maps.Keys(config.Orgs))}
+// NewPublisher returns a publisher of so many organisations.
+func NewPublisher(seed uint64, organisations int, layout []Place) *Publisher {
+	return newPublisher(testSigner(seed), Options{Organisations: organisations, Layout: layout})
+}
+
+func newPublisher(signer bundle.Signer, opts Options) *Publisher {
+	config := Configuration(max(opts.Organisations, minOrganisations), opts.Thinning, opts.Layout)
+	return &Publisher{signer: signer, config: config, names: slices.Sorted(maps.Keys(config.Orgs))}
+}
+
+// Keys returns the publisher's public key.
+func (p *Publisher) Keys() bundle.Keys {
+	return bundle.Keys{p.signer.ID: publicKey(p.signer)}
 }
 
 // Configuration returns a configuration of revision 0 with so many organisations
@@ -84,21 +94,21 @@
 	return config
 }
 
-// next returns the values of the next revision.
-func (p *publisher) next() (types.Revision, map[string][]byte) {
+// Next returns the next revision and its values; one organisation differs.
+func (p *Publisher) Next() (types.Revision, map[string][]byte) {
 	p.change()
 	p.config.Revision++
 	return p.config.Revision, p.values()
 }
 
 // conflict returns the values of the present revision with another content.
-func (p *publisher) conflict() map[string][]byte {
+func (p *Publisher) conflict() map[string][]byte {
 	p.change()
 	return p.values()
 }
 
 // change gives one organisation another share.
-func (p *publisher) change() {
+func (p *Publisher) change() {
 	p.count++
 	name := p.names[p.count%len(p.names)]
 	changed := *p.config.Orgs[name]
@@ -109,7 +119,7 @@
 	p.config = &config
 }
 
-func (p *publisher) values() map[string][]byte {
+func (p *Publisher) values() map[string][]byte {
 	built, err := bundle.Build(p.config, p.previous)
 	if err != nil {
 		panic(err) // the fixed configuration always fits
--- a/pkg/bundle/keyfile/keyfile.go
+++ b/pkg/bundle/keyfile/keyfile.go
@@ -6,6 +6,7 @@
 	"crypto/ed25519"
 	"crypto/sha256"
 	"crypto/x509"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/pem"
 	"fmt"
@@ -97,3 +98,19 @@
 	}
 	return keys, nil
 }
+
+// Setting returns a public key in the form of the daemons' settings: the key's
+// bytes in base64. The PEM must hold exactly one key.
+func Setting(public []byte) (string, error) {
+	keys, err := ParseKeys(public)
+	if err != nil {
+		return "", err
+	}
+	if len(keys) != 1 {
+		return "", eris.Errorf("%d public keys; one is needed", len(keys))
+	}
+	for _, key := range keys {
+		return base64.StdEncoding.EncodeToString(key), nil
+	}
+	return "", nil
+}
--- a/pkg/cli/publish/keygen.go
+++ b/pkg/cli/publish/keygen.go
@@ -35,7 +35,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(cmd.OutOrStdout(), "key %s\n", signer.ID)
+	encoded, err := keyfile.Setting(public)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "key %s\nfor the daemons' setting bundle.public_keys: %s\n", signer.ID, encoded)
 	return err
 }
 
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -20,6 +20,8 @@
 	thinning      int
 	trials        int
 	steady        int
+	live          []int
+	liveChanges   int
 }
 
 func main() {
@@ -35,6 +37,8 @@
 	cmd.Flags().IntVar(&opts.thinning, "thinning", 16, "hold the organisations of every so-manieth leaf only")
 	cmd.Flags().IntVar(&opts.trials, "trials", 10, "trials of each failure")
 	cmd.Flags().IntVar(&opts.steady, "steady", 120, "simulated seconds of the steady state")
+	cmd.Flags().IntSliceVar(&opts.live, "live", nil, "numbers of real daemons over loopback to measure instead")
+	cmd.Flags().IntVar(&opts.liveChanges, "live-changes", 3, "changes published to the real daemons, one each 16.6 s")
 	if err := cmd.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -42,6 +46,9 @@
 }
 
 func run(cmd *cobra.Command, opts options) error {
+	if len(opts.live) > 0 {
+		return runLive(cmd.OutOrStdout(), opts)
+	}
 	var rows []row
 	for _, size := range opts.sizes {
 		measured, err := measure(opts, size)
