Set limits, pace and capacity from reports and attempts

Cause: the daemon ran with fixed shares of the endpoints' slots; the adaptive limits and the pace were computed nowhere, and a published patient floor took effect only for services first used after it.

--- a/pkg/daemon/attempts.go
+++ b/pkg/daemon/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/control"
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
@@ -14,8 +13,8 @@
 
 // attemptObserver tells the control state how attempts ended.
 type attemptObserver struct {
-	control control.Submitter
-	now     func() time.Time
+	control Control
+	loads   *loads
 }
 
 var _ dispatch.Observer = (*attemptObserver)(nil)
@@ -28,6 +27,7 @@
 	if report.Endpoint == nil {
 		return
 	}
+	o.loads.ended(report, o.control.Load())
 	finished := event.AttemptFinished{
 		At:             report.Ended,
 		Endpoint:       report.Endpoint.ID,
@@ -43,6 +43,9 @@
 		Leaving:        report.Kind == dispatch.KindLeaving,
 		Duration:       report.Ended.Sub(report.Started),
 	}
+	if report.Tokens > 1 {
+		finished.PerToken = report.Ended.Sub(report.FirstByte) / time.Duration(report.Tokens-1)
+	}
 	if report.Endpoint.Counters != nil {
 		finished.OthersInFlight = int(report.Endpoint.Counters.InFlight.Load())
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -263,7 +263,7 @@
 		Router:        d.router,
 		Snapshot:      d.control.Load,
 		Retrier:       d.opts.Retrier,
-		Observer:      &attemptObserver{control: d.control, now: d.opts.Now},
+		Observer:      &attemptObserver{control: d.control, loads: d.gates.loads},
 		Forwarder:     sender,
 		PeerTransport: peers,
 		Limits:        d.relayLimits(),
--- a/pkg/daemon/gates.go
+++ b/pkg/daemon/gates.go
@@ -10,7 +10,6 @@
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission/gate"
-	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -23,6 +22,7 @@
 	snapshot func() *snapshot.Snapshot
 	build    func(service types.ServiceName) admission.Admitter
 	now      func() time.Time
+	loads    *loads
 
 	mu        sync.RWMutex
 	byService map[types.ServiceName]*serviceGate
@@ -39,6 +39,7 @@
 		snapshot:  current,
 		build:     opts.NewAdmitter,
 		now:       opts.Now,
+		loads:     newLoads(),
 		byService: make(map[types.ServiceName]*serviceGate),
 	}
 	if g.build == nil {
@@ -82,7 +83,7 @@
 	if found = g.byService[service]; found == nil {
 		admitter := g.build(service)
 		found = &serviceGate{Gate: gate.New(admitter, g.now), admitter: admitter}
-		found.SetCapacity(capacityOf(g.snapshot(), service))
+		found.SetCapacity(g.loads.capacity(g.snapshot(), service, g.now()))
 		g.byService[service] = found
 	}
 	return found
@@ -90,15 +91,26 @@
 
 // tick sets capacities anew and refuses requests that waited too long.
 func (g *gates) tick() {
-	view := g.snapshot()
+	view, now := g.snapshot(), g.now()
+	g.loads.refresh(view, now)
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	for service, one := range g.byService {
-		one.SetCapacity(capacityOf(view, service))
+		one.SetCapacity(g.loads.capacity(view, service, now))
+		one.setFloor(view.Config)
 		one.Tick()
 	}
 }
 
+// setFloor takes the published share of the patient rank.
+func (s *serviceGate) setFloor(config *published.Configuration) {
+	controller, ok := s.admitter.(*admission.Controller)
+	if !ok || config == nil {
+		return
+	}
+	s.Read(func() { controller.SetPatientFloor(config.Policy.PatientFloor) })
+}
+
 // run ticks until ctx ends.
 func (g *gates) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -113,29 +125,6 @@
 	}
 }
 
-// capacityOf returns how many requests of the service this daemon may have
-// running: its limits at the region's ready endpoints, or its fair share of
-// their slots where there is no limit yet. It is at least one, so that the
-// router and not the queue refuses a request when no endpoint is left.
-func capacityOf(view *snapshot.Snapshot, service types.ServiceName) int {
-	daemons := daemonsOf(view)
-	total := 0.0
-	for _, endpoint := range view.Endpoints[service] {
-		if endpoint.State != snapshot.EndpointReady || endpoint.Region != view.Self.Region {
-			continue
-		}
-		own := 0.0
-		if endpoint.Counters != nil {
-			own = float64(endpoint.Counters.Limit.Load())
-		}
-		if own == 0 {
-			own = limit.Fair(endpoint.Slots, daemons)
-		}
-		total += own
-	}
-	return max(int(total), 1)
-}
-
 // daemonsOf counts the daemons that share the region's endpoints.
 func daemonsOf(view *snapshot.Snapshot) int {
 	daemons := 1
--- a/pkg/stage/admission/admission.go
+++ b/pkg/stage/admission/admission.go
@@ -285,6 +285,15 @@
 	return c.out
 }
 
+// SetPatientFloor sets the share of capacity, 0 to 1, that waiting patient
+// requests keep. Zero means the default.
+func (c *Controller) SetPatientFloor(share float64) {
+	if share <= 0 {
+		share = defaultPatientFloor
+	}
+	c.options.PatientFloor = min(share, 1)
+}
+
 // begin starts an event: it brings the floor's account up to now.
 func (c *Controller) begin(now time.Time) {
 	c.out = nil
