Give engines the orders of the published placement

Cause: the placement plan was computed by nobody who could give an order.

Change: pkg/engineorders reads what the region's engines hold, every 5 s while all is well and every 0.4 s while one differs, and gives the orders that are due and that rendezvous hashing assigns to this daemon. The plan is made over all regions' engines, so that the turns at the weight store hold for the fleet.

Conclusion: orders follow the published revision and nothing else.

--- a/pkg/daemon/live.go
+++ b/pkg/daemon/live.go
@@ -24,6 +24,7 @@
 	"github.com/flamingomount/flamingomount/pkg/control/node"
 	"github.com/flamingomount/flamingomount/pkg/control/outlier"
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
+	"github.com/flamingomount/flamingomount/pkg/engineorders"
 	"github.com/flamingomount/flamingomount/pkg/loadpoll"
 	"github.com/flamingomount/flamingomount/pkg/peer"
 	"github.com/flamingomount/flamingomount/pkg/peer/peerhttp"
@@ -42,6 +43,7 @@
 	client  *peerhttp.Client
 	handler http.Handler
 	poller  *loadpoll.Poller
+	issuer  *engineorders.Issuer
 }
 
 var _ Control = (*liveControl)(nil)
@@ -92,6 +94,7 @@
 	answerer := &isolationAnswerer{live: live, next: live.Control}
 	live.handler = peerhttp.NewHandler(guard, answerer, metrics, with.opts.Now)
 	live.poller = loadpoll.New(loadpoll.Options{Snapshot: live.Load, Submit: live.Submit, Now: with.opts.Now})
+	live.issuer = engineorders.New(engineorders.Options{Snapshot: live.Load, Now: with.opts.Now, Log: with.opts.Log})
 	return live, nil
 }
 
@@ -132,12 +135,14 @@
 	return binary.LittleEndian.Uint64(seed[:])
 }
 
-// Run owns the control state and reads reports until ctx ends.
+// Run owns the control state, reads reports and gives engines their orders until
+// ctx ends.
 func (l *liveControl) Run(ctx context.Context) error {
-	var polling conc.WaitGroup
+	var beside conc.WaitGroup
 	defer l.client.CloseIdle()
-	defer polling.Wait()
-	polling.Go(func() { l.poller.Run(ctx) })
+	defer beside.Wait()
+	beside.Go(func() { l.poller.Run(ctx) })
+	beside.Go(func() { l.issuer.Run(ctx) })
 	return l.Control.Run(ctx)
 }
 
--- a/pkg/standin/deployment/deployment_test.go
+++ b/pkg/standin/deployment/deployment_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/standin/deployment"
 	"github.com/flamingomount/flamingomount/pkg/standin/engine"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -172,3 +173,38 @@
 		}
 	})
 })
+
+var _ = Describe("orders to engines", func() {
+	DescribeTable("bring every engine to the published placement",
+		func(checksFencing bool) {
+			const next types.ModelVersion = "2026-11"
+			plan := twoRegions()
+			plan.Regions = []deployment.RegionPlan{{Region: "kathmandu", Daemons: 2, Engines: 3}}
+			plan.Config = deployment.Config(1, "kathmandu")
+			plan.Engine.ChecksFencing = checksFencing
+			one, ctx := start(plan)
+			wanted := deployment.Config(2, "kathmandu")
+			wanted.Regions["kathmandu"].WeightStore = true
+			wanted.Policy.WeightStoreBytesPerSecond = 1 << 20
+			wanted.Services[deployment.Model].Versions = []types.ModelVersion{deployment.Version, next}
+			wanted.Placement = map[types.ServiceName]published.PlacementRequest{deployment.Model: {
+				Replicas:    map[types.Region]map[types.ModelVersion]int{"kathmandu": {deployment.Version: 2, next: 1}},
+				WeightBytes: 1 << 20,
+			}}
+			Expect(one.Publish(wanted)).To(Succeed())
+			Expect(one.Wait(ctx, func(*deployment.Entry) bool {
+				moved := 0
+				for _, each := range one.Engines {
+					state := each.State()
+					if state.Version == next && state.Fencing == 2 {
+						moved++
+					}
+				}
+				Expect(moved).To(BeNumerically("<=", 1))
+				return moved == 1
+			})).To(Succeed())
+		},
+		Entry("engines that check fencing numbers", true),
+		Entry("engines that ignore them", false),
+	)
+})
