--- a/internal/fakenet/daemon.go
+++ b/internal/fakenet/daemon.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/control/configsync"
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/control/node"
@@ -62,14 +61,14 @@
 func (d *Daemon) Start() {
 	n := d.net
 	n.boots++
-	d.incarnation = types.Incarnation{VM: d.VM, Boot: types.BootID(fmt.Sprintf("b%d", n.boots))}
+	d.incarnation = types.Incarnation{VM: d.VM, Boot: types.BootID(fmt.Sprintf("%08x%08d", n.rng.Uint32(), n.boots))}
 	d.up, d.draining, d.pausedUntil = true, false, time.Time{}
 	seed := n.rng.Uint64()
 	d.guard = peer.NewGuard(d.VM, n.keys, n.now, seed)
 	self := snapshot.Self{Incarnation: d.incarnation, Region: d.Region, DataCentre: d.DataCentre, CallerAddress: d.Address}
 	d.node = node.New(node.Options{
 		Self: self, Rand: rand.New(rand.NewPCG(seed, 2)),
-		Config: configsync.Options{Keys: bundle.Keys{n.signer.ID: publicKey(n.signer)}},
+		Config: configsync.Options{Keys: n.Config.publisher.Keys()},
 	}, n.now)
 	n.checker.started(d)
 	phase := time.Duration(n.rng.Int64N(int64(node.TickEvery)))
--- a/internal/fakenet/publisher.go
+++ b/internal/fakenet/publisher.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/bundle"
@@ -16,14 +17,18 @@
 
 const manifestKey = bundle.ManifestKey
 
-// publisher makes signed bundles of a growing revision.
-type publisher struct {
+// Publisher makes signed bundles of a growing revision.
+type Publisher struct {
 	signer   bundle.Signer
 	config   *published.Configuration
 	previous bundle.Hash
 	count    int
+	names    []types.OrgName
 }
 
+// minOrganisations is published when the options ask for fewer.
+const minOrganisations = 4
+
 // testSigner returns a signing key made of the seed.
 func testSigner(seed uint64) bundle.Signer {
 	material := make([]byte, ed25519.SeedSize)
@@ -35,13 +40,26 @@
 	return s.Key.Public().(ed25519.PublicKey)
 }
 
-func newPublisher(n *Network) publisher {
-	return publisher{signer: n.signer, config: Configuration(max(n.opts.Organisations, 4), n.opts.Layout)}
+// NewPublisher returns a publisher of so many organisations.
+func NewPublisher(seed uint64, organisations int, layout []Place) *Publisher {
+	return newPublisher(testSigner(seed), Options{Organisations: organisations, Layout: layout})
+}
+
+func newPublisher(signer bundle.Signer, opts Options) *Publisher {
+	config := Configuration(max(opts.Organisations, minOrganisations), opts.Thinning, opts.Layout)
+	return &Publisher{signer: signer, config: config, names: slices.Sorted(maps.Keys(config.Orgs))}
+}
+
+// Keys returns the publisher's public key.
+func (p *Publisher) Keys() bundle.Keys {
+	return bundle.Keys{p.signer.ID: publicKey(p.signer)}
 }
 
 // Configuration returns a configuration of revision 0 with so many organisations
-// with one credential each, seven model services and the layout's regions.
-func Configuration(organisations int, layout []Place) *published.Configuration {
+// with one credential each, seven model services and the layout's regions. With
+// a thinning above 1 it keeps only the organisations of every so-manieth leaf:
+// the leaves that are left have their full size.
+func Configuration(organisations, thinning int, layout []Place) *published.Configuration {
 	config := &published.Configuration{
 		PublishedAt: epoch,
 		Regions:     map[types.Region]*published.Region{}, Services: map[types.ServiceName]*published.Service{},
@@ -66,6 +84,9 @@
 	}
 	for i := range organisations {
 		org := &published.Organisation{Name: types.OrgName(fmt.Sprintf("organisation-%05d", i)), Share: 1}
+		if bundle.LeafOf(org.Name)%max(thinning, 1) != 0 {
+			continue
+		}
 		config.Orgs[org.Name] = org
 		sum := sha256.Sum256([]byte(org.Name))
 		config.Credentials[published.CredentialHash(hex.EncodeToString(sum[:]))] = &published.Credential{Org: org.Name, Services: services[:2]}
@@ -73,23 +94,23 @@
 	return config
 }
 
-// next returns the values of the next revision.
-func (p *publisher) next() (types.Revision, map[string][]byte) {
+// Next returns the next revision and its values; one organisation differs.
+func (p *Publisher) Next() (types.Revision, map[string][]byte) {
 	p.change()
 	p.config.Revision++
 	return p.config.Revision, p.values()
 }
 
 // conflict returns the values of the present revision with another content.
-func (p *publisher) conflict() map[string][]byte {
+func (p *Publisher) conflict() map[string][]byte {
 	p.change()
 	return p.values()
 }
 
 // change gives one organisation another share.
-func (p *publisher) change() {
+func (p *Publisher) change() {
 	p.count++
-	name := types.OrgName(fmt.Sprintf("organisation-%05d", p.count%len(p.config.Orgs)))
+	name := p.names[p.count%len(p.names)]
 	changed := *p.config.Orgs[name]
 	changed.Share = float64(p.count)
 	config := *p.config
@@ -98,7 +119,7 @@
 	p.config = &config
 }
 
-func (p *publisher) values() map[string][]byte {
+func (p *Publisher) values() map[string][]byte {
 	built, err := bundle.Build(p.config, p.previous)
 	if err != nil {
 		panic(err) // the fixed configuration always fits
--- a/internal/fakeworld/stats.go
+++ b/internal/fakeworld/stats.go
@@ -17,6 +17,8 @@
 	Refused  int
 	Failed   int
 	Attempts int
+	// Extra is the attempts beyond the first one of each call.
+	Extra int
 	// Away is the number of calls sent to another region.
 	Away      int
 	latencies []float64
@@ -77,6 +79,7 @@
 	}
 	r := &s.Ranks[call.Request.Rank]
 	r.Attempts += call.Attempts
+	r.Extra += max(call.Attempts-1, 0)
 	if call.Away > 0 {
 		r.Away++
 	}
@@ -142,7 +145,7 @@
 
 // ExtraAttempts is the attempts beyond the first over the offered calls.
 func (r *RankStats) ExtraAttempts() float64 {
-	return ratio(max(r.Attempts-r.Answered()-r.Failed, 0), r.Offered)
+	return ratio(r.Extra, r.Offered)
 }
 
 // Latency is a quantile, in seconds, of the time to the whole answer.
--- a/internal/fakeworld/world.go
+++ b/internal/fakeworld/world.go
@@ -18,6 +18,9 @@
 // World is one run of one system.
 type World struct {
 	Config Config
+	// InnocentsRefused counts calls that are not fatal and were refused as
+	// quarantined.
+	InnocentsRefused int
 
 	system    System
 	clock     clock
@@ -133,6 +136,7 @@
 	for _, engine := range w.regions[region.Name].engines {
 		d.addEndpoint(engine)
 	}
+	d.equip()
 	d.tick()
 	phase := tickEvery * time.Duration(i) / time.Duration(region.Daemons)
 	w.clock.every(phase, tickEvery, d.tick)
