Test certificates that are replaced and peers that are strangers

Cause: TLS on callers' and peers' sides must reload without a restart. Change: specs of pkg/tlsfiles with an injected clock. Conclusion: a half-written pair keeps the old certificate in use.

--- /dev/null
+++ b/pkg/tlsfiles/tlsfiles_test.go
@@ -0,0 +1,139 @@
+package tlsfiles_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/tlsfiles"
+)
+
+func TestTLSFiles(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "tlsfiles")
+}
+
+// files are the paths of one certificate, which is its own authority.
+type files struct {
+	certificate, key string
+}
+
+func newFiles() files {
+	dir := GinkgoT().TempDir()
+	return files{certificate: filepath.Join(dir, "c.pem"), key: filepath.Join(dir, "k.pem")}
+}
+
+// write creates a certificate with the serial number and a modification time.
+func (f files) write(serial int64, modified time.Time) {
+	GinkgoHelper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	Expect(err).NotTo(HaveOccurred())
+	keyData, err := x509.MarshalPKCS8PrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	for path, block := range map[string]*pem.Block{
+		f.certificate: {Type: "CERTIFICATE", Bytes: certificate},
+		f.key:         {Type: "PRIVATE KEY", Bytes: keyData},
+	} {
+		Expect(os.WriteFile(path, pem.EncodeToMemory(block), 0o600)).To(Succeed())
+		Expect(os.Chtimes(path, modified, modified)).To(Succeed())
+	}
+}
+
+// handshake connects to the server configuration and returns the certificate
+// that the server shows.
+func handshake(server, client *tls.Config) (*x509.Certificate, error) {
+	near, far := net.Pipe()
+	var running conc.WaitGroup
+	defer running.Wait()
+	running.Go(func() {
+		conn := tls.Server(far, server)
+		_ = conn.Handshake()
+		_, _ = conn.Write([]byte("x"))
+		_ = far.Close()
+	})
+	conn := tls.Client(near, client)
+	defer func() { _ = near.Close() }()
+	if err := conn.Handshake(); err != nil {
+		return nil, err
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		return nil, err
+	}
+	return conn.ConnectionState().PeerCertificates[0], nil
+}
+
+var _ = Describe("Files", func() {
+	now := time.Unix(1_800_000_000, 0)
+	clock := func() time.Time { return now }
+	anyServer := &tls.Config{InsecureSkipVerify: true} // The specs look at the certificate itself.
+
+	It("shows a replaced certificate without a restart, and the old one while the new is not readable", func() {
+		f := newFiles()
+		f.write(1, now)
+		loaded, err := tlsfiles.Load(f.certificate, f.key, "", clock)
+		Expect(err).NotTo(HaveOccurred())
+		shown, err := handshake(loaded.Server(), anyServer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(shown.SerialNumber.Int64()).To(Equal(int64(1)))
+
+		f.write(2, now.Add(time.Minute))
+		Expect(os.WriteFile(f.key, []byte("half"), 0o600)).To(Succeed())
+		now = now.Add(2 * time.Second)
+		shown, err = handshake(loaded.Server(), anyServer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(shown.SerialNumber.Int64()).To(Equal(int64(1)))
+
+		f.write(3, now.Add(2*time.Minute))
+		now = now.Add(2 * time.Second)
+		shown, err = handshake(loaded.Server(), anyServer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(shown.SerialNumber.Int64()).To(Equal(int64(3)))
+	})
+
+	It("refuses a peer without a certificate of the authorities", func() {
+		own, stranger := newFiles(), newFiles()
+		own.write(1, now)
+		stranger.write(2, now)
+		server, err := tlsfiles.Load(own.certificate, own.key, own.certificate, clock)
+		Expect(err).NotTo(HaveOccurred())
+		other, err := tlsfiles.Load(stranger.certificate, stranger.key, own.certificate, clock)
+		Expect(err).NotTo(HaveOccurred())
+		toPeer := func(f *tlsfiles.Files) *tls.Config {
+			config := f.Client()
+			config.ServerName = "127.0.0.1"
+			return config
+		}
+		_, err = handshake(server.Server(), toPeer(server))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = handshake(server.Server(), toPeer(other))
+		Expect(err).To(HaveOccurred())
+		_, err = handshake(server.Server(), anyServer)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("names the file that can't be loaded", func() {
+		_, err := tlsfiles.Load("/missing/c.pem", "/missing/k.pem", "", nil)
+		Expect(err).To(MatchError(ContainSubstring("/missing/")))
+	})
+})
