--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -65,6 +65,8 @@
 	workers []*plain.Worker
 	entries []*entry
 	log     *lockedBuffer
+	// tune changes the settings of each daemon; nil for none.
+	tune func(*settings.Settings)
 }
 
 // entry is one running daemon.
@@ -181,6 +183,9 @@
 	s := settings.Defaults()
 	s.Region, s.DataCentre = string(region), "dc-1"
 	s.Timeouts.DrainNotice = 0
+	if f.tune != nil {
+		f.tune(&s)
+	}
 	self := snapshot.Self{
 		Incarnation: types.Incarnation{VM: types.VMID(peer.Addr().String()), Boot: boot},
 		Region:      region, DataCentre: "dc-1", CallerAddress: caller.Addr().String(),
