Keep the request's log fields under any formatter

Cause: the deployment for tests formats logs with logrus's own JSON formatter, which does not know the typed line and would have logged an empty object. Change: the line marshals itself; the deployment uses the daemon's formatter. Conclusion: no log field is lost.

--- a/pkg/daemon/requestline.go
+++ b/pkg/daemon/requestline.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"encoding/json"
+
 	"github.com/flamingomount/flamingomount/pkg/jsonlog"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -14,7 +16,10 @@
 	revision types.Revision
 }
 
-var _ jsonlog.Line = (*requestLine)(nil)
+var (
+	_ jsonlog.Line   = (*requestLine)(nil)
+	_ json.Marshaler = (*requestLine)(nil)
+)
 
 // AppendFields appends the fields of the line.
 func (l *requestLine) AppendFields(dst []byte) []byte {
@@ -42,3 +47,10 @@
 	}
 	return dst
 }
+
+// MarshalJSON returns the fields as an object, for other formatters.
+func (l *requestLine) MarshalJSON() ([]byte, error) {
+	object := l.AppendFields(nil)
+	object[0] = '{'
+	return append(object, '}'), nil
+}
--- a/pkg/standin/deployment/deployment.go
+++ b/pkg/standin/deployment/deployment.go
@@ -21,6 +21,7 @@
 	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/bundle/keyfile"
 	"github.com/flamingomount/flamingomount/pkg/daemon"
+	"github.com/flamingomount/flamingomount/pkg/jsonlog"
 	api "github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/standin/engine"
@@ -324,7 +325,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(jsonlog.Formatter{})
 	return log
 }
 
