Close four gaps of the traffic path

Cause, found by reading: a write deadline outlives its request on a kept connection, since the server never resets it; a failure told to a caller whose connection had failed waited for a second write timeout; a request that waited in admission was routed by the service's file of its arrival, also after a region was taken away; and a stream with tool calls or several choices could be resumed at a wrong token. Change: each way of answering sets its own deadline; a broken caller is left alone; dispatch takes service and organisation from the configuration in force before each attempt; streams whose events are not one token each are not resumed.

--- a/pkg/stage/dispatch/attempt.go
+++ b/pkg/stage/dispatch/attempt.go
@@ -27,6 +27,8 @@
 	started  time.Time
 	begun    time.Time
 	tokens   int
+	// irregular is true when the stream can't be resumed at a token.
+	irregular bool
 
 	// mu guards conn, which the transport's goroutines set.
 	mu   sync.Mutex
--- a/pkg/stage/dispatch/dispatch_test.go
+++ b/pkg/stage/dispatch/dispatch_test.go
@@ -162,6 +162,42 @@
 	})
 })
 
+// serviceRecorder refuses everything and records the service that it was given.
+type serviceRecorder struct {
+	service *published.Service
+}
+
+// Route records the service.
+func (r *serviceRecorder) Route(in route.Input) (route.Decision, *types.Failure) {
+	r.service = in.Request.Service
+	return route.Decision{}, types.NewFailure(types.NotRun, types.CodeNoEndpoint, "none")
+}
+
+var _ = Describe("a request that waited while the configuration changed", func() {
+	It("follows the configuration in force", func() {
+		req := newRequest(true, "x")
+		current := *req.Service
+		current.Regions = []types.Region{"pokhara"}
+		config := &published.Configuration{
+			Services: map[types.ServiceName]*published.Service{"orders": &current},
+			Orgs:     map[types.OrgName]*published.Organisation{"bagmati": req.Org},
+		}
+		router := new(serviceRecorder)
+		d := dispatch.New(dispatch.Options{
+			Router:   router,
+			Snapshot: func() *snapshot.Snapshot { return &snapshot.Snapshot{Config: config} },
+			Rand:     rand.New(rand.NewPCG(1, 2)),
+		})
+		run(d, req)
+		Expect(router.service).To(BeIdenticalTo(&current))
+
+		delete(config.Services, "orders")
+		summary, _ := run(d, req)
+		Expect(summary.Failure.Code).To(Equal(types.CodeUnknownService))
+		Expect(summary.Verdict).To(Equal(types.NotRun))
+	})
+})
+
 var _ = Describe("an attempt", func() {
 	serve := func(handler http.HandlerFunc) *dispatch.Dispatcher {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/stage/dispatch/pass.go
+++ b/pkg/stage/dispatch/pass.go
@@ -56,6 +56,7 @@
 	}
 	result := a.run.caller.Stream(response, cancel)
 	a.tokens = result.Tokens
+	a.irregular = result.Tokens > 0 && !result.Resumable
 	if result.End == relay.EndWhole {
 		a.evidence.Progress = outcome.ResponseWhole
 		return nil
--- a/pkg/stage/dispatch/run.go
+++ b/pkg/stage/dispatch/run.go
@@ -33,6 +33,8 @@
 	// verdict.
 	stated bool
 	resend bool
+	// irregular is true when the stream so far can't be resumed at a token.
+	irregular bool
 	// kind is how the last attempt ended.
 	kind Kind
 	// version is the version that the stream so far came from.
@@ -75,6 +77,10 @@
 }
 
 func (r *run) route() (route.Decision, *types.Failure) {
+	view := r.d.opts.Snapshot()
+	if failure := r.refresh(view); failure != nil {
+		return route.Decision{}, failure
+	}
 	req := r.req
 	if r.tokens > 0 && req.Version != r.version {
 		pinned := *req
@@ -83,13 +89,33 @@
 	}
 	return r.d.opts.Router.Route(route.Input{
 		Request:  req,
-		Snapshot: r.d.opts.Snapshot(),
+		Snapshot: view,
 		Tried:    r.tried,
 		Now:      r.d.opts.Now(),
 		Rand:     r.d.opts.Rand,
 	})
 }
 
+// refresh makes the request follow the configuration in force, which may have
+// changed while it waited: a region that was taken away is not used any more.
+func (r *run) refresh(view *snapshot.Snapshot) *types.Failure {
+	if view.Config == nil || view.Config.Services[r.req.Service.Name] == r.req.Service {
+		return nil
+	}
+	service, known := view.Config.Services[r.req.Service.Name]
+	if !known || service.Kind != r.req.Service.Kind {
+		return types.NewFailure(types.NotRun, types.CodeUnknownService, "the service is not published any more")
+	}
+	org, known := view.Config.Orgs[r.req.Org.Name]
+	if !known {
+		return types.NewFailure(types.NotRun, types.CodeForbidden, "the organisation is not published any more")
+	}
+	current := *r.req
+	current.Service, current.Org = service, org
+	r.req = &current
+	return nil
+}
+
 // attempt makes one attempt and relays its answer.
 func (r *run) attempt(ctx context.Context, decision route.Decision, owner types.Incarnation) *types.Failure {
 	a := newAttempt(r, decision)
@@ -100,6 +126,7 @@
 	r.verdict = r.verdict.Merge(a.verdict())
 	r.stated = a.evidence.PeerStated
 	r.tokens += a.tokens
+	r.irregular = r.irregular || a.irregular
 	r.noteFirst(a)
 	r.summary.Tokens = r.tokens
 	if a.tokens > 0 {
@@ -127,7 +154,7 @@
 	if r.summary.Attempts >= maxAttempts || !outcome.MayRepeat(r.req.Repeatable, r.verdict) {
 		return false
 	}
-	if r.caller.Committed() && r.tokens == 0 {
+	if r.caller.Committed() && (r.tokens == 0 || r.irregular) {
 		return false
 	}
 	decision := r.d.opts.Retrier.Decide(retry.Input{
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -349,6 +349,7 @@
 		relay.WriteFailure(w, "", types.AsFailure(err))
 		return
 	}
+	relay.ExtendWriteDeadline(w, relay.DefaultWriteTimeout)
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(data)
 }
--- a/pkg/stage/relay/caller.go
+++ b/pkg/stage/relay/caller.go
@@ -109,6 +109,9 @@
 // error response; inside a stream it is a last event, after which the
 // connection must be aborted.
 func (c *Caller) Fail(failure *types.Failure) {
+	if c.broken {
+		return
+	}
 	if !c.committed {
 		c.committed = true
 		WriteFailure(c.writer, c.requestID, c.withNames(failure))
--- a/pkg/stage/relay/failure.go
+++ b/pkg/stage/relay/failure.go
@@ -40,6 +40,7 @@
 // WriteFailure sends a failure as an error response. The header may not have
 // been sent yet.
 func WriteFailure(w http.ResponseWriter, id types.RequestID, failure *types.Failure) {
+	ExtendWriteDeadline(w, DefaultWriteTimeout)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(types.HeaderVerdict, failure.Verdict.String())
@@ -58,6 +59,12 @@
 	_, _ = w.Write(body)
 }
 
+// ExtendWriteDeadline bounds the next writes. The server does not reset the
+// deadline that an earlier request left on the connection.
+func ExtendWriteDeadline(w http.ResponseWriter, timeout time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
+}
+
 func failureBody(id types.RequestID, failure *types.Failure) []byte {
 	body := ErrorBody{Error: ErrorDetail{
 		Message:   failure.Message,
--- a/pkg/stage/relay/relay_test.go
+++ b/pkg/stage/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -41,7 +42,7 @@
 
 	It("passes whole events on and counts tokens", func() {
 		recorder, _, result := pass(": hello\n\n" + token + token + "data: [DONE]\n\n")
-		Expect(result).To(Equal(relay.Result{End: relay.EndWhole, Tokens: 2}))
+		Expect(result).To(Equal(relay.Result{End: relay.EndWhole, Tokens: 2, Resumable: true}))
 		Expect(recorder.Body.String()).To(Equal(": hello\n\n" + token + token + "data: [DONE]\n\n"))
 		Expect(recorder.Header()).NotTo(HaveKey("X-Hop"))
 	})
@@ -66,6 +67,17 @@
 		Entry("an engine's error", `data: {"error":{"message":"out of memory"}}`+"\n\n", relay.ErrStreamFailed),
 	)
 
+	DescribeTable("tells whether the number of tokens is a place to resume at",
+		func(events string, want bool) {
+			_, _, result := pass(events)
+			Expect(result.Resumable).To(Equal(want))
+		},
+		Entry("tokens after a role", `data: {"choices":[{"delta":{"role":"assistant"}}]}`+"\n\n"+token, true),
+		Entry("a tool call between tokens", token+`data: {"choices":[{"delta":{"tool_calls":[]}}]}`+"\n\n"+token, false),
+		Entry("two choices", `data: {"choices":[{"delta":{"content":"a"}},{"delta":{"content":"b"}}]}`+"\n\n", false),
+		Entry("no token", ": comment\n\n", false),
+	)
+
 	It("sends nothing before the first whole event", func() {
 		_, caller, result := pass(`data: {"choices`)
 		Expect(result.End).To(Equal(relay.EndSource))
@@ -73,6 +85,47 @@
 	})
 })
 
+// deadlineRecorder records the write deadline of a connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+// SetWriteDeadline records the deadline.
+func (d *deadlineRecorder) SetWriteDeadline(deadline time.Time) error {
+	d.deadline = deadline
+	return nil
+}
+
+var _ = Describe("a failure", func() {
+	It("replaces the write deadline that an earlier request left on the connection", func() {
+		past := time.Now().Add(-time.Hour)
+		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), deadline: past}
+		relay.WriteFailure(recorder, "r1", types.NewFailure(types.NotRun, types.CodeOverloaded, "full"))
+		Expect(recorder.deadline).To(BeTemporally(">", past.Add(time.Hour)))
+	})
+
+	It("writes nothing more to a caller whose connection failed", func() {
+		recorder := httptest.NewRecorder()
+		caller := relay.NewCaller(failingWriter{recorder}, "r1", relay.Limits{})
+		result := caller.Stream(stream(token), func() {})
+		Expect(result.End).To(Equal(relay.EndCaller))
+		caller.Fail(types.NewFailure(types.MayHaveRun, types.CodeCallerGone, "gone"))
+		Expect(recorder.Body.Len()).To(BeZero())
+		Expect(caller.Broken()).To(BeTrue())
+	})
+})
+
+// failingWriter fails every write.
+type failingWriter struct {
+	*httptest.ResponseRecorder
+}
+
+// Write fails.
+func (failingWriter) Write([]byte) (int, error) {
+	return 0, io.ErrClosedPipe
+}
+
 var _ = Describe("Hold", func() {
 	answer := func(length int64, body io.Reader) *http.Response {
 		return &http.Response{StatusCode: 200, ContentLength: length, Header: http.Header{}, Body: io.NopCloser(body)}
--- a/pkg/stage/relay/stream.go
+++ b/pkg/stage/relay/stream.go
@@ -33,6 +33,10 @@
 	Err error
 	// Tokens is the number of token events that were passed on.
 	Tokens int
+	// Resumable is true when Tokens is a place at which an engine can resume:
+	// each event that was passed on since the first token carried one token
+	// of the only choice.
+	Resumable bool
 }
 
 // ErrStreamFailed means that the endpoint reported an error inside its stream.
@@ -103,6 +107,9 @@
 	reader *EventReader
 	chunk  chunk
 	tokens int
+	// irregular is true once an event was passed on after which the number
+	// of tokens does not tell how far the engine is.
+	irregular bool
 }
 
 // pass sends one event on and reports whether the stream is over.
@@ -135,10 +142,19 @@
 	if len(s.chunk.Error) > 0 && string(s.chunk.Error) != "null" {
 		return ErrStreamFailed
 	}
-	if s.chunk.hasToken() {
+	s.count()
+	return nil
+}
+
+// count counts the event's token.
+func (s *stream) count() {
+	token := s.chunk.hasToken()
+	if len(s.chunk.Choices) > 1 || (!token && s.tokens > 0) {
+		s.irregular = true
+	}
+	if token {
 		s.tokens++
 	}
-	return nil
 }
 
 func (s *stream) send(raw []byte, terminal bool) error {
@@ -163,5 +179,5 @@
 }
 
 func (s *stream) result(end End, err error) Result {
-	return Result{End: end, Err: err, Tokens: s.tokens}
+	return Result{End: end, Err: err, Tokens: s.tokens, Resumable: !s.irregular && s.tokens > 0}
 }
