Correct why failures set a write deadline

Change: comment and name of the spec. The deadline itself stays: refusals and short answers had none and could be held by a caller that reads nothing.

--- a/pkg/stage/relay/failure.go
+++ b/pkg/stage/relay/failure.go
@@ -59,8 +59,8 @@
 	_, _ = w.Write(body)
 }
 
-// ExtendWriteDeadline bounds the next writes. The server does not reset the
-// deadline that an earlier request left on the connection.
+// ExtendWriteDeadline bounds the writes of a short answer, so that a caller that
+// reads nothing holds its connection for no longer.
 func ExtendWriteDeadline(w http.ResponseWriter, timeout time.Duration) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 }
--- a/pkg/stage/relay/relay_test.go
+++ b/pkg/stage/relay/relay_test.go
@@ -98,7 +98,7 @@
 }
 
 var _ = Describe("a failure", func() {
-	It("replaces the write deadline that an earlier request left on the connection", func() {
+	It("sets a write deadline of its own", func() {
 		past := time.Now().Add(-time.Hour)
 		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), deadline: past}
 		relay.WriteFailure(recorder, "r1", types.NewFailure(types.NotRun, types.CodeOverloaded, "full"))
