Measure one organisation's flood beside the others

Cause: fair shares between organisations need a figure. Change: scenario one-org-flood; figures by stream.

--- a/internal/fakeworld/stats.go
+++ b/internal/fakeworld/stats.go
@@ -35,6 +35,8 @@
 	// WindowTokens is the output of all calls answered in time inside the
 	// measured time, whenever they arrived.
 	WindowTokens int
+	// streams counts offered calls and those answered in time by stream.
+	streams map[string]streamStats
 	// pending counts the offered calls without an outcome.
 	pending int
 	// warmedUp is when the measured time begins.
@@ -47,7 +49,19 @@
 }
 
 func newStats(warmup time.Duration) *Stats {
-	return &Stats{warmedUp: Epoch.Add(warmup)}
+	return &Stats{warmedUp: Epoch.Add(warmup), streams: map[string]streamStats{}}
+}
+
+// streamStats holds the figures of one stream.
+type streamStats struct {
+	offered int
+	inTime  int
+}
+
+// StreamInTime is the share of a stream's offered calls answered in time.
+func (s *Stats) StreamInTime(name string) float64 {
+	stream := s.streams[name]
+	return ratio(stream.inTime, stream.offered)
 }
 
 func (s *Stats) offered(call *Call) {
@@ -75,6 +89,12 @@
 	if !call.measured {
 		return
 	}
+	stream := s.streams[call.Stream.Name]
+	stream.offered++
+	if inTime {
+		stream.inTime++
+	}
+	s.streams[call.Stream.Name] = stream
 	r := &s.Ranks[call.Request.Rank]
 	r.Attempts += call.Attempts
 	if call.Away > 0 {
--- a/tools/measure/scenario/scenario.go
+++ b/tools/measure/scenario/scenario.go
@@ -31,7 +31,7 @@
 
 // registry lists every scenario in the order of the tables.
 var registry = []Scenario{
-	steady, patientFlood, urgentFlood, bothFloods, overload, halfLost, lagging, slowEndpoint, affinity, picking,
+	steady, patientFlood, urgentFlood, bothFloods, oneOrgFlood, overload, halfLost, lagging, slowEndpoint, affinity, picking,
 }
 
 // All lists every scenario.
@@ -59,12 +59,17 @@
 
 // run runs one system and returns the usual figures.
 func run(variant string, config fakeworld.Config, system fakeworld.System, arrange func(w *fakeworld.World)) Row {
+	return Row{Variant: variant, Figures: figures(config, simulate(config, system, arrange))}
+}
+
+// simulate runs one system in a world of its own.
+func simulate(config fakeworld.Config, system fakeworld.System, arrange func(w *fakeworld.World)) *fakeworld.Stats {
 	config.Streams = slices.Clone(config.Streams)
 	w := fakeworld.New(config, system)
 	if arrange != nil {
 		arrange(w)
 	}
-	return Row{Variant: variant, Figures: figures(config, w.Run())}
+	return w.Run()
 }
 
 const percent = 100
