--- a/internal/fakeworld/config.go
+++ b/internal/fakeworld/config.go
@@ -32,6 +32,9 @@
 	RestartAfter time.Duration
 	// SummaryEvery is how often regions tell each other of their room.
 	SummaryEvery time.Duration
+	// FirstShare is the share of a region's calls, 0 to 1, that its first daemon
+	// gets beside its even share of the rest.
+	FirstShare float64
 	// Streams is the offered work.
 	Streams []Stream
 	// Warmup is not measured. Duration is the time of arrivals, warm-up
--- a/internal/fakeworld/system.go
+++ b/internal/fakeworld/system.go
@@ -10,6 +10,7 @@
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/route/pipeline"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
+	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -28,6 +29,8 @@
 	Router   func() route.Router
 	Admitter func(policy published.Policy, rand route.Rand) admission.Admitter
 	Retrier  func() Retrier
+	// Limits sets the limits at endpoints; the zero value is the default.
+	Limits limit.Options
 	// Attempted is told of each ended attempt, failure nil when it succeeded;
 	// it may be nil.
 	Attempted func(d *Daemon, call *Call, endpoint types.EndpointID, failure *types.Failure)
--- a/internal/fakeworld/world.go
+++ b/internal/fakeworld/world.go
@@ -10,7 +10,6 @@
 	"github.com/flamingomount/flamingomount/pkg/control/loadview"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
-	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/stage/score"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -116,7 +115,7 @@
 	random := newRand(w.Config.Seed, daemonSeed+uint64(index*len(w.Config.Regions)*1000+i))
 	d := &Daemon{
 		world: w, rand: random, router: w.system.Router(), admitter: w.system.Admitter(w.Config.Policy, random),
-		retrier: w.system.Retrier(), cache: cacheview.New(cacheview.Options{}), tracker: loadview.NewTracker(limit.Options{}),
+		retrier: w.system.Retrier(), cache: cacheview.New(cacheview.Options{}), tracker: loadview.NewTracker(w.system.Limits),
 		byID: map[types.EndpointID]*snapshot.Endpoint{}, waiting: map[admissionID]*passage{},
 		Snapshot: &snapshot.Snapshot{
 			TakenAt: Epoch, Config: w.published, Self: snapshot.Self{Incarnation: self, Region: region.Name},
@@ -156,6 +155,10 @@
 // arrive brings a call to a random daemon of its region.
 func (w *World) arrive(call *Call) {
 	daemons := w.regions[call.Origin].daemons
+	if w.Config.FirstShare > 0 && w.rand.Float64() < w.Config.FirstShare {
+		w.Present(call, daemons[0])
+		return
+	}
 	w.Present(call, daemons[w.rand.IntN(len(daemons))])
 }
 
--- a/pkg/stage/admission/admission_test.go
+++ b/pkg/stage/admission/admission_test.go
@@ -133,3 +133,26 @@
 		Expect(outcomes(got)).To(Equal(map[admission.ID]admission.Outcome{2: admission.Refused}))
 	})
 })
+
+// BenchmarkOffer measures one offer and one completion while one request of each
+// organisation waits.
+func BenchmarkOffer(b *testing.B) {
+	for _, orgs := range []int{100, 4_000, 39_000} {
+		b.Run(fmt.Sprintf("waiting_orgs=%d", orgs), func(b *testing.B) {
+			c := newController(admission.Options{MaxQueued: [2]int{0, 2 * orgs}}, 1)
+			names := make([]string, orgs)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+				c.Offer(offer(i, types.RankPatient, names[i]), start)
+			}
+			running := admission.ID(0)
+			next := orgs
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Offer(offer(next, types.RankPatient, names[next%orgs]), start)
+				next++
+				running = c.Done(admission.Completion{ID: running}, start)[0].ID
+			}
+		})
+	}
+}
--- a/tools/measure/scenario/scenario.go
+++ b/tools/measure/scenario/scenario.go
@@ -31,7 +31,7 @@
 
 // registry lists every scenario in the order of the tables.
 var registry = []Scenario{
-	steady, patientFlood, urgentFlood, bothFloods, oneOrgFlood, overload, halfLost, lagging, slowEndpoint, affinity, picking,
+	steady, patientFlood, urgentFlood, bothFloods, oneOrgFlood, overload, halfLost, lagging, slowEndpoint, affinity, picking, uneven,
 }
 
 // All lists every scenario.
