--- a/internal/fakeworld/daemon.go
+++ b/internal/fakeworld/daemon.go
@@ -6,10 +6,13 @@
 
 	"github.com/flamingomount/flamingomount/pkg/control/cacheview"
 	"github.com/flamingomount/flamingomount/pkg/control/loadview"
+	"github.com/flamingomount/flamingomount/pkg/control/outlier"
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -27,6 +30,11 @@
 	tracker  *loadview.Tracker
 	byID     map[types.EndpointID]*snapshot.Endpoint
 	waiting  map[admission.ID]*passage
+	planner  *spill.Planner
+	waits    spill.Waits
+	detector *outlier.Detector
+	fatal    *quarantine.Tracker
+	cursors  map[*Daemon]uint64
 	lastID   admission.ID
 }
 
@@ -36,6 +44,11 @@
 	id     admission.ID
 	tried  []types.EndpointID
 	resend bool
+	// offered is when admission was asked.
+	offered time.Time
+	// owner and alone belong to the claim of the running attempt.
+	owner *Daemon
+	alone bool
 	// attempts counts those of this daemon.
 	attempts int
 	// reply ends the passage; failure is nil when the answer is whole.
@@ -49,7 +62,16 @@
 	p := &passage{call: call, id: d.lastID, reply: reply}
 	p.resend = d.retrier.Offer(call.Request, d.world.Config.Policy.RetryBudget, now)
 	d.waiting[p.id] = p
-	r := call.Request
+	if !d.sendAway(p) {
+		d.admit(p)
+	}
+}
+
+// admit asks admission for the call to start.
+func (d *Daemon) admit(p *passage) {
+	now := d.world.clock.now
+	p.offered = now
+	r := p.call.Request
 	d.decided(d.admitter.Offer(admission.Offer{
 		ID: p.id, Rank: r.Rank, Org: r.Org.Name, Share: r.Org.Share,
 		Cost: float64(r.OutputTokens), Bytes: int64(r.InputTokens * bytesPerToken), Deadline: r.Deadline,
@@ -69,6 +91,7 @@
 			continue
 		}
 		p.call.Request.OrgRunning = decision.OrgRunning
+		d.waits.Started(p.call.Request.Rank, d.world.clock.now.Sub(p.offered), d.world.clock.now)
 		d.attempt(p)
 	}
 }
@@ -80,6 +103,8 @@
 	switch {
 	case failure != nil:
 		d.end(p, failure, false)
+	case decision.Endpoint != nil && d.fatal != nil:
+		d.claim(p, decision.Endpoint)
 	case decision.Endpoint != nil:
 		d.send(p, decision.Endpoint)
 	default:
@@ -115,6 +140,8 @@
 
 func (d *Daemon) attemptEnded(p *passage, ep *snapshot.Endpoint, sent time.Time, failure *types.Failure) {
 	now := d.world.clock.now
+	d.settle(p, ep.ID, failure)
+	d.observe(p, ep.ID, sent, failure)
 	if d.world.system.Attempted != nil {
 		d.world.system.Attempted(d, p.call, ep.ID, failure)
 	}
@@ -176,13 +203,18 @@
 	now := d.world.clock.now
 	d.Snapshot.TakenAt = now
 	d.Snapshot.Prefixes = d.cache.Publish()
+	d.applyOutliers()
 	capacity := d.tracker.Capacity(d.Snapshot.Endpoints[Service], d.Snapshot.Self.Region, d.sharing(), now)
 	d.decided(d.admitter.SetCapacity(capacity, now))
 	d.decided(d.admitter.Tick(now))
 }
 
-// health takes in that an engine went down or came back.
+// health takes in that an engine went down or came back. A daemon with a
+// detector finds out for itself.
 func (d *Daemon) health(id types.EndpointID, down bool) {
+	if d.detector != nil {
+		return
+	}
 	ep := d.byID[id]
 	if down {
 		ep.State = snapshot.EndpointEjected
--- a/internal/fakeworld/system.go
+++ b/internal/fakeworld/system.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/outlier"
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/naive"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -12,6 +14,7 @@
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
 	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -31,6 +34,14 @@
 	Retrier  func() Retrier
 	// Limits sets the limits at endpoints; the zero value is the default.
 	Limits limit.Options
+	// Spill decides before admission whether a call goes to another region;
+	// nil means that none does.
+	Spill func() *spill.Planner
+	// Quarantine keeps fatal requests from endpoints; nil means none.
+	Quarantine func() *quarantine.Tracker
+	// Outlier finds bad endpoints by the daemon's own attempts; nil means that
+	// the world tells of endpoints that are down.
+	Outlier func() *outlier.Detector
 	// Attempted is told of each ended attempt, failure nil when it succeeded;
 	// it may be nil.
 	Attempted func(d *Daemon, call *Call, endpoint types.EndpointID, failure *types.Failure)
--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -131,8 +131,8 @@
 }
 
 func (n *Node) attemptFinished(e event.AttemptFinished) {
-	if e.Leaving {
-		n.endpoints.MarkLeaving(e.At, e.At, e.Endpoint)
+	if e.Leaving && n.endpoints.MarkLeaving(e.At, e.At, e.Endpoint) {
+		n.tellSome(e.At)
 	}
 	if n.opts.Outliers != nil && n.opts.Outliers.Observe(e) {
 		n.back, n.dirty = nil, true
@@ -225,6 +225,9 @@
 	}
 	if n.config.TakeChanged() {
 		n.dirty = true
+		if config := n.config.InForce(); config != nil && n.opts.Quarantine != nil {
+			n.opts.Quarantine.SetPolicy(config.Policy)
+		}
 		n.announce(now)
 	}
 	if !n.dirty {
@@ -257,16 +260,20 @@
 	return snap
 }
 
-// announce pushes a newly accepted revision to a few members of the region.
+// announce tells a few members of the region that a new revision is accepted;
+// they ask for it when they lack it.
 func (n *Node) announce(now time.Time) {
-	signed := n.config.SignedManifest()
-	if signed == nil {
+	if n.config.Revision() == 0 {
 		return
 	}
+	n.tellSome(now)
+}
+
+// tellSome sends a message to a few members of the region at once, for news
+// that must not wait for the next heartbeat.
+func (n *Node) tellSome(now time.Time) {
 	for _, vm := range n.members.Pick(n.opts.Fanout) {
-		msg := n.message(now)
-		msg.Manifest = signed
-		n.send(now, vm, msg)
+		n.send(now, vm, n.message(now))
 	}
 }
 
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/platform"
-	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -29,7 +29,8 @@
 	// Revision is the configuration that the sender has accepted; zero when
 	// it has none. It is a floor for the receiver.
 	Revision types.Revision `json:"rev,omitempty"`
-	// ManifestHash is the hash of the sender's signed manifest.
+	// ManifestHash is the beginning of the hash of the sender's manifest, long
+	// enough to notice two manifests of one revision.
 	ManifestHash string `json:"hash,omitempty"`
 	// Established is true when the sender is ready for traffic.
 	Established bool `json:"est,omitempty"`
@@ -59,6 +60,8 @@
 	// ListChange is the difference between two versions of the VM list.
 	ListChange *ListChange `json:"list_change,omitempty"`
 
+	// Exchange asks for the summaries that Digests lack, and offers the same.
+	Exchange bool `json:"exchange,omitempty"`
 	// Digests name the newest summary that the sender has of each region.
 	Digests []SummaryDigest `json:"digests,omitempty"`
 	// Summaries are region summaries that the receiver lacks.
@@ -66,8 +69,13 @@
 
 	// Endpoints are signs that endpoints leave.
 	Endpoints []EndpointSign `json:"endpoints,omitempty"`
-	// Quarantine holds quarantined fingerprints.
-	Quarantine []QuarantineMark `json:"quarantine,omitempty"`
+	// Crashes holds what the sender lately learned of requests that crash
+	// endpoints.
+	Crashes []quarantine.Entry `json:"crashes,omitempty"`
+	// Isolation asks the receiver whether a request may run; the answer holds
+	// IsolationAnswer. Such a message holds nothing else.
+	Isolation       *quarantine.Question `json:"isolation,omitempty"`
+	IsolationAnswer *quarantine.Answer   `json:"isolation_answer,omitempty"`
 }
 
 // MemberUpdate is what one daemon passes on about another one.
@@ -102,11 +110,3 @@
 	// SeenAt is when the sign was seen.
 	SeenAt time.Time `json:"seen_at"`
 }
-
-// QuarantineMark is one quarantined fingerprint.
-type QuarantineMark struct {
-	Fingerprint request.Fingerprint `json:"fp"`
-	Until       time.Time           `json:"until"`
-	// Crashes is how many endpoints the request is known to have crashed.
-	Crashes int `json:"crashes"`
-}
--- a/pkg/standin/deployment/deployment_test.go
+++ b/pkg/standin/deployment/deployment_test.go
@@ -12,6 +12,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/flamingomount/flamingomount/pkg/standin/deployment"
 	"github.com/flamingomount/flamingomount/pkg/standin/engine"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -88,6 +90,25 @@
 
 const question = `{"model":"liner-assistant","max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
 
+// hearsOfRoom reports whether the other region has told the entry that engines
+// are free there; its first summary may be older than its VM list. Entries of
+// pokhara have engines of their own.
+func hearsOfRoom(entry *deployment.Entry) bool {
+	if entry.Self().Region == "pokhara" {
+		return true
+	}
+	summary := entry.Load().Regions["pokhara"]
+	if summary == nil {
+		return false
+	}
+	for _, service := range summary.Services {
+		if service.Service == deployment.Model && service.FreeSlots > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 var _ = Describe("requests between regions", func() {
 	noEnginesHere := func(allowed ...types.Region) deployment.Plan {
 		plan := twoRegions()
@@ -98,8 +119,7 @@
 
 	It("sends a request away when no endpoint is left here, once, and says who ran it", func() {
 		one, ctx := start(noEnginesHere("kathmandu", "pokhara"))
-		hears := func(e *deployment.Entry) bool { return len(e.Load().Regions) == 1 }
-		Expect(one.Wait(ctx, hears)).To(Succeed())
+		Expect(one.Wait(ctx, hearsOfRoom)).To(Succeed())
 		resp, text := post(one.Entries()[0], "/v1/chat/completions", question)
 		Expect(resp.StatusCode).To(Equal(200), text)
 		Expect(resp.Header.Get(types.HeaderServedBy)).To(Equal("pokhara-engine-1"))
@@ -108,11 +128,47 @@
 
 	It("keeps data in the regions that the service lists, and says that the request was not run", func() {
 		one, ctx := start(noEnginesHere("kathmandu"))
-		hears := func(e *deployment.Entry) bool { return len(e.Load().Regions) == 1 }
-		Expect(one.Wait(ctx, hears)).To(Succeed())
+		Expect(one.Wait(ctx, hearsOfRoom)).To(Succeed())
 		resp, _ := post(one.Entries()[0], "/v1/chat/completions", question)
 		Expect(resp.StatusCode).To(Equal(503))
 		Expect(resp.Header.Get(types.HeaderVerdict)).To(Equal("not-run"))
 		Expect(one.Engines["pokhara-engine-1"].Total()).To(BeZero())
 	})
 })
+
+var _ = Describe("a request that crashes endpoints", func() {
+	fatal := strings.Replace(question, "hello", engine.CrashMark, 1)
+
+	It("costs at most three engines although its caller resends it to every entry at once, and is then quarantined", func() {
+		plan := twoRegions()
+		plan.Regions = []deployment.RegionPlan{{Region: "kathmandu", Daemons: 4, Engines: 8}}
+		plan.Config = deployment.Config(1, "kathmandu")
+		plan.Config.Policy.QuarantineFor = time.Hour
+		plan.Engine.CrashOnMark = true
+		one, ctx := start(plan)
+		const resends = 4
+		for range resends {
+			var callers conc.WaitGroup
+			for _, entry := range one.Entries() {
+				callers.Go(func() { post(entry, "/v1/chat/completions", fatal) })
+			}
+			callers.Wait()
+		}
+		dead := 0
+		for _, each := range one.Engines {
+			if each.Dead() {
+				dead++
+			}
+		}
+		GinkgoWriter.Printf("%d engines lost\n", dead)
+		Expect(dead).To(BeNumerically("<=", 3))
+		Expect(one.Wait(ctx, func(e *deployment.Entry) bool { return len(e.Load().Quarantine) == 1 })).To(Succeed())
+		for _, entry := range one.Entries() {
+			resp, text := post(entry, "/v1/chat/completions", fatal)
+			Expect(resp.StatusCode).To(Equal(422), text)
+			Expect(resp.Header.Get(types.HeaderVerdict)).To(Equal("not-run"))
+			resp, text = post(entry, "/v1/chat/completions", question)
+			Expect(resp.StatusCode).To(Equal(200), text)
+		}
+	})
+})
--- a/tools/measure/scenario/scenario.go
+++ b/tools/measure/scenario/scenario.go
@@ -31,7 +31,9 @@
 
 // registry lists every scenario in the order of the tables.
 var registry = []Scenario{
-	steady, patientFlood, urgentFlood, bothFloods, oneOrgFlood, overload, halfLost, lagging, slowEndpoint, affinity, picking, uneven,
+	steady, patientFlood, urgentFlood, bothFloods, oneOrgFlood, overload, halfLost, lagging, uneven,
+	slowEndpoint, affinity, picking,
+	fatal, spillWeights, regionReturn, halfUnseen, slowUnseen,
 }
 
 // All lists every scenario.
