--- a/internal/fakeworld/system.go
+++ b/internal/fakeworld/system.go
@@ -12,6 +12,7 @@
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/route/pipeline"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
+	"github.com/flamingomount/flamingomount/pkg/stage/limit"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
 	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -31,6 +32,8 @@
 	Router   func() route.Router
 	Admitter func(policy published.Policy, rand route.Rand) admission.Admitter
 	Retrier  func() Retrier
+	// Limits sets the limits at endpoints; the zero value is the default.
+	Limits limit.Options
 	// Spill decides before admission whether a call goes to another region;
 	// nil means that none does.
 	Spill func() *spill.Planner
