Let patient requests wait for a share of their time before they go away

Change: a patient request waits here for 5% of the time it has left, times what the weights ask for, up to half of it.

--- a/pkg/stage/spill/options.go
+++ b/pkg/stage/spill/options.go
@@ -12,6 +12,12 @@
 	// MinGain is the time that a neutral deployment wants to win by sending a
 	// request away; default 250 ms.
 	MinGain time.Duration
+	// PatienceShare is the share of its time left, 0 to 1, that a patient
+	// request of a neutral deployment waits here to keep it off the links;
+	// default 0.05. The published weights scale it, up to MaxPatience.
+	PatienceShare float64
+	// MaxPatience bounds that share; default 0.5.
+	MaxPatience float64
 	// RescueShare is the share of its time left, 0 to 1, at which an urgent
 	// request counts as late here; default 0.8.
 	RescueShare float64
@@ -35,6 +41,8 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.MinGain, 250*time.Millisecond)
+	setDefault(&o.PatienceShare, 0.05)
+	setDefault(&o.MaxPatience, 0.5)
 	setDefault(&o.RescueShare, 0.8)
 	setDefault(&o.KeepShare, 0.5)
 	setDefault(&o.MaxAge, 5*time.Second)
--- a/pkg/stage/spill/spill.go
+++ b/pkg/stage/spill/spill.go
@@ -281,10 +281,17 @@
 	return state.sending
 }
 
-// wantedGain is the time that the request has to win.
+// wantedGain is the time that the request has to win. A patient request waits
+// for a share of the time that it has left.
 func (p *Planner) wantedGain(in Input) time.Duration {
 	factor := reluctance(in.Snapshot.Config.Policy.Weights, in.Request.Rank)
-	return time.Duration(float64(p.options.MinGain) * factor)
+	wanted := time.Duration(float64(p.options.MinGain) * factor)
+	if in.Request.Rank == types.RankUrgent {
+		return wanted
+	}
+	share := min(p.options.PatienceShare*factor, p.options.MaxPatience)
+	left := in.Request.Deadline.Sub(in.Now)
+	return max(wanted, time.Duration(share*float64(left)))
 }
 
 // rescues reports whether an urgent request would probably be late here and in
