--- a/pkg/control/quarantine/tracker.go
+++ b/pkg/control/quarantine/tracker.go
@@ -9,8 +9,14 @@
 // or was in one more than that, whoever else was. A crash that it shared with a
 // quarantined content is otherwise not held against it.
 //
-// Copies of one content at several daemons ask one owner, see Owners, which lets
-// them run on a single endpoint at a time until the content has run to its end.
+// Copies of one content at several daemons of a region ask one owner, see Owners,
+// which lets them run on a single endpoint at a time until the content has run to
+// its end. A suspect asks its owner in the whole fleet as well, so that it runs in
+// one region at a time. A crash is told to the caller's owner in every region, to
+// the fleet's owner and to the endpoint's; a daemon that starts takes over what
+// another one knows before it answers. With that, one content costs at most one
+// endpoint in each region that runs it before the first crash is heard of there,
+// and at least After in all; with three regions that is three.
 package quarantine
 
 import (
