--- a/pkg/control/node/messages.go
+++ b/pkg/control/node/messages.go
@@ -20,7 +20,7 @@
 func (n *Node) message(now time.Time) *peer.Message {
 	msg := &peer.Message{
 		From: n.opts.Self.Incarnation, Region: n.opts.Self.Region, DataCentre: n.opts.Self.DataCentre,
-		Revision: n.config.Revision(), ManifestHash: n.config.Hash(),
+		Revision: n.config.Revision(), ManifestHash: n.config.ShortHash(),
 		Established: n.config.InForce() != nil && !n.pause.active,
 		Beat:        n.members.Beat(now), Leaving: n.members.Leaving(),
 		ListVersion: n.list.Version(),
@@ -35,7 +35,7 @@
 // heartbeat returns a message that also offers to exchange summaries.
 func (n *Node) heartbeat(now time.Time) *peer.Message {
 	msg := n.message(now)
-	msg.Digests = n.regions.Digests()
+	msg.Exchange, msg.Digests = true, n.regions.Digests()
 	return msg
 }
 
@@ -45,9 +45,7 @@
 	n.heardPeer(now, msg)
 	n.takeList(now, msg)
 	n.regions.Merge(now, msg.Summaries)
-	for _, sign := range msg.Endpoints {
-		n.endpoints.MarkLeaving(now, sign.SeenAt, sign.Endpoint)
-	}
+	n.takeSigns(now, msg.Endpoints)
 	if n.opts.Quarantine != nil && n.opts.Quarantine.Merge(now, msg.Crashes) {
 		n.dirty = true
 	}
@@ -58,6 +56,17 @@
 	n.out.Reply = n.answer(now, msg)
 }
 
+// takeSigns takes signs that endpoints leave, and passes news on at once.
+func (n *Node) takeSigns(now time.Time, signs []peer.EndpointSign) {
+	isNews := false
+	for _, sign := range signs {
+		isNews = n.endpoints.MarkLeaving(now, sign.SeenAt, sign.Endpoint) || isNews
+	}
+	if isNews {
+		n.tellSome(now)
+	}
+}
+
 func (n *Node) heardPeer(now time.Time, msg *peer.Message) {
 	n.members.Heard(now, msg)
 	holder := configsync.Holder{VM: msg.From.VM, Region: msg.Region, DataCentre: msg.DataCentre, Revision: msg.Revision}
@@ -87,17 +96,20 @@
 	if update, ok := n.members.About(msg.From.VM); ok {
 		reply.Members = append(reply.Members, update)
 	}
-	if msg.WantManifest && msg.Revision < n.config.Revision() {
-		reply.Manifest = n.config.SignedManifest()
+	if msg.WantManifest {
+		reply.Manifest, reply.Blobs = n.config.Newer(msg.Revision)
 	}
 	if msg.WantList {
 		reply.ListChange, reply.Listing = n.list.Since(msg.ListVersion)
 	}
-	if msg.Digests != nil {
+	if msg.Exchange {
+		reply.Exchange = true
 		reply.Summaries = n.regions.Newer(msg.Digests)
 		reply.Digests = n.regions.Digests()
 	}
-	reply.Blobs = n.blobs(msg.WantBlobs)
+	if len(msg.WantBlobs) > 0 {
+		reply.Blobs = n.blobs(msg.WantBlobs)
+	}
 	return reply
 }
 
@@ -119,7 +131,7 @@
 
 // sendNewer sends summaries that the answering peer turned out to lack.
 func (n *Node) sendNewer(now time.Time, reply *peer.Message) {
-	if reply.Digests == nil {
+	if !reply.Exchange {
 		return
 	}
 	newer := n.regions.Newer(reply.Digests)
