Bound a fatal request over regions, not in each of them

Cause: the guard asked an owner in its own region only; three regions could lose two endpoints each to one request. Change: a suspect asks its owner in the whole fleet as well, and a crash is told to the caller's owner in every region. While the fleet's owner is out of reach the region decides alone. Conclusion: an entry that starts does not yet take over what others know; that is left.

--- a/pkg/stage/isolate/isolate.go
+++ b/pkg/stage/isolate/isolate.go
@@ -2,7 +2,9 @@
 // asks, before each attempt, whether the content may run on the endpoint now,
 // and tells how the attempt ended. The daemon that the caller's key ranks first
 // in the region answers for the caller's contents, so that copies of one request
-// at several daemons meet; a caller that uses its first entry costs no message.
+// at several daemons meet; a caller that uses its first entry costs no message. A
+// content that was in a crash asks its owner in the whole fleet too, so that it
+// runs in one region at a time.
 //
 // When no owner can be reached the daemon answers itself: a partition inside a
 // region weakens the bound on lost endpoints, never the service.
@@ -10,8 +12,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/pkg/control/entries"
@@ -62,8 +66,11 @@
 	Endpoint types.EndpointID
 	guard    *Guard
 	claim    quarantine.Claim
+	key      string
 	owner    types.VMID
-	alone    bool
+	// fleet is the suspect's owner in the whole fleet while it holds a claim.
+	fleet types.VMID
+	alone bool
 }
 
 // Ending is how an attempt ended.
@@ -85,7 +92,7 @@
 	claim := g.opts.Tracker.NewClaim(req.Fingerprint, endpoint.ID, req.Deadline)
 	for {
 		owner, answer := g.acquire(ctx, req, claim)
-		permit := &Permit{Endpoint: endpoint.ID, guard: g, claim: claim, owner: owner}
+		permit := &Permit{Endpoint: endpoint.ID, guard: g, claim: claim, key: keyOf(req), owner: owner}
 		switch answer.Kind {
 		case quarantine.AnswerRun:
 			return permit, false, nil
@@ -106,18 +113,84 @@
 	}
 }
 
-// enterAlone reserves the endpoint for a suspect.
+// enterAlone lets a suspect run in one region of the fleet at a time and as the
+// only suspect on its endpoint.
 func (g *Guard) enterAlone(ctx context.Context, permit *Permit) (*Permit, bool, *types.Failure) {
-	permit.alone = true
+	if answer := g.claimInFleet(ctx, permit); answer.Kind != quarantine.AnswerRun {
+		permit.Leave(Ended)
+		if answer.Kind == quarantine.AnswerRefuse {
+			return nil, false, refused(answer)
+		}
+		wait := max(time.Duration(answer.WaitMillis)*time.Millisecond, againAfter)
+		return nil, true, waitFor(ctx, wait)
+	}
 	answer := g.ask(ctx, g.endpointOwner(permit.Endpoint), quarantine.Question{Reserve: &permit.claim})
 	if answer.Kind == quarantine.AnswerRun {
+		permit.alone = true
 		return permit, false, nil
 	}
-	permit.alone = false
 	permit.Leave(Ended)
 	return nil, true, waitFor(ctx, againAfter)
 }
 
+// claimInFleet asks the suspect's owner in the whole fleet; the answer is
+// AnswerRun when it may run. While that owner is out of reach the region decides
+// alone.
+func (g *Guard) claimInFleet(ctx context.Context, permit *Permit) quarantine.Answer {
+	owner := g.fleetOwner(permit.key)
+	if owner == permit.owner {
+		return quarantine.Answer{Kind: quarantine.AnswerRun}
+	}
+	question := quarantine.Question{Acquire: &permit.claim}
+	var answer quarantine.Answer
+	if owner == g.self() {
+		answer = g.opts.Tracker.Ask(question, g.opts.Now())
+	} else {
+		var err error
+		if answer, err = g.send(ctx, owner, question); err != nil {
+			return quarantine.Answer{Kind: quarantine.AnswerRun}
+		}
+	}
+	switch answer.Kind {
+	case quarantine.AnswerRun, quarantine.AnswerRunAlone:
+		permit.fleet = owner
+		return quarantine.Answer{Kind: quarantine.AnswerRun}
+	case quarantine.AnswerRunAt:
+		// A first copy runs elsewhere; this one is counted and given back.
+		permit.fleet = owner
+	}
+	return answer
+}
+
+// fleetOwner ranks all live daemons for a key.
+func (g *Guard) fleetOwner(key string) types.VMID {
+	view := g.opts.Snapshot()
+	live := []types.VMID{view.Self.Incarnation.VM}
+	for i := range view.Members {
+		if view.Members[i].State == snapshot.MemberAlive {
+			live = append(live, view.Members[i].Incarnation.VM)
+		}
+	}
+	return quarantine.Owners(xxhash.Sum64String(key), live, 1)[0]
+}
+
+// told lists who hears of a crash: this daemon, the owner that was asked, the
+// owners of the endpoint and of the suspect in the fleet, and the caller's owner
+// in every region.
+func (g *Guard) told(p *Permit) []types.VMID {
+	list := []types.VMID{g.self(), p.owner, g.endpointOwner(p.Endpoint), g.fleetOwner(p.key)}
+	view := g.opts.Snapshot()
+	regions := map[types.Region]bool{}
+	for i := range view.Members {
+		regions[view.Members[i].Region] = true
+	}
+	for region := range regions {
+		list = append(list, g.ownersIn(region, p.key, 1)...)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 func refused(answer quarantine.Answer) *types.Failure {
 	failure := types.NewFailure(types.NotRun, types.CodeQuarantined, "the request crashed endpoints and is quarantined")
 	failure.RetryAfter = time.Duration(answer.WaitMillis) * time.Millisecond
@@ -165,10 +238,14 @@
 
 // owners ranks the daemons of this region for a key as GET /v1/entries does.
 func (g *Guard) owners(key string, limit int) []types.VMID {
+	return g.ownersIn(g.opts.Snapshot().Self.Region, key, limit)
+}
+
+func (g *Guard) ownersIn(region types.Region, key string, limit int) []types.VMID {
 	view := g.opts.Snapshot()
 	ranked := entries.List(view, entries.Query{
 		Caller:  key,
-		Allowed: []types.Region{view.Self.Region},
+		Allowed: []types.Region{region},
 		Limit:   limit,
 	})
 	owners := make([]types.VMID, 0, limit)
@@ -215,7 +292,7 @@
 		report := quarantine.CrashReport{
 			Endpoint: p.Endpoint, Contents: []quarantine.Hash{p.claim.Content}, AtMillis: now.UnixMilli(),
 		}
-		g.tell(quarantine.Question{Crash: &report}, g.self(), p.owner, g.endpointOwner(p.Endpoint))
+		g.tell(quarantine.Question{Crash: &report}, g.told(p)...)
 		return
 	}
 	outcome := quarantine.OutcomeEnded
@@ -224,6 +301,9 @@
 	}
 	release := quarantine.Release{Content: p.claim.Content, Outcome: outcome}
 	g.tell(quarantine.Question{Release: &release}, p.owner)
+	if p.fleet != "" {
+		g.tell(quarantine.Question{Release: &release}, p.fleet)
+	}
 	if p.alone {
 		g.tell(quarantine.Question{Unreserve: &p.claim}, g.endpointOwner(p.Endpoint))
 	}
