Test the guard with daemons of three regions

Cause: pkg/stage/isolate had no test of its own. Change: nine guards in three regions, one fatal request at each at once. Conclusion: the bound holds over regions.

--- /dev/null
+++ b/pkg/stage/isolate/isolate_test.go
@@ -0,0 +1,159 @@
+package isolate_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/isolate"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestIsolate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "isolate")
+}
+
+const (
+	entriesPerRegion   = 3
+	endpointsPerRegion = 6
+	// maxLost is the number of endpoints that one request may cost.
+	maxLost = 3
+)
+
+var regionNames = []types.Region{"colombo", "singapore", "frankfurt"}
+
+// fleet holds daemons of three regions that reach each other directly.
+type fleet struct {
+	guards   map[types.VMID]*isolate.Guard
+	trackers map[types.VMID]*quarantine.Tracker
+	views    map[types.VMID]*snapshot.Snapshot
+
+	mu   sync.Mutex
+	down map[types.EndpointID]bool
+}
+
+// Ask implements isolate.Sender.
+func (f *fleet) Ask(_ context.Context, to types.VMID, question quarantine.Question) (quarantine.Answer, error) {
+	tracker := f.trackers[to]
+	if tracker == nil {
+		return quarantine.Answer{}, errors.New("no such daemon")
+	}
+	return tracker.Ask(question, time.Now()), nil
+}
+
+func newFleet() *fleet {
+	f := &fleet{
+		guards: map[types.VMID]*isolate.Guard{}, trackers: map[types.VMID]*quarantine.Tracker{},
+		views: map[types.VMID]*snapshot.Snapshot{},
+		down:  map[types.EndpointID]bool{},
+	}
+	var members []snapshot.Member
+	for _, region := range regionNames {
+		for i := range entriesPerRegion {
+			vm := types.VMID(fmt.Sprintf("%s-%d", region, i))
+			members = append(members, snapshot.Member{
+				Incarnation: types.Incarnation{VM: vm, Boot: "1"}, Region: region,
+				CallerAddress: string(vm), State: snapshot.MemberAlive,
+			})
+		}
+	}
+	for i, self := range members {
+		vm := self.Incarnation.VM
+		f.views[vm] = &snapshot.Snapshot{Self: snapshot.Self{Incarnation: self.Incarnation, Region: self.Region, CallerAddress: string(vm)}}
+		f.views[vm].Members = append(append(f.views[vm].Members, members[:i]...), members[i+1:]...)
+		f.trackers[vm] = quarantine.New(quarantine.Options{})
+		f.guards[vm] = isolate.New(isolate.Options{
+			Tracker: f.trackers[vm], Snapshot: func() *snapshot.Snapshot { return f.views[vm] }, Sender: f, Now: time.Now,
+		})
+	}
+	return f
+}
+
+// free returns an endpoint of the region that has not crashed.
+func (f *fleet) free(region types.Region, turn int) *snapshot.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range endpointsPerRegion {
+		id := types.EndpointID(fmt.Sprintf("%s-e%d", region, (i+turn)%endpointsPerRegion))
+		if !f.down[id] {
+			return &snapshot.Endpoint{ID: id, Region: region}
+		}
+	}
+	return nil
+}
+
+// crash takes the endpoint down together with everything that runs on it.
+func (f *fleet) crash(id types.EndpointID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[id] = true
+}
+
+func (f *fleet) lost() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.down)
+}
+
+// send presents the fatal request to one daemon, which tries until it is
+// refused for good.
+func (f *fleet) send(vm types.VMID, turn int) *types.Failure {
+	region := f.views[vm].Self.Region
+	req := &request.Request{
+		Org: &published.Organisation{Name: "kandy"}, Fingerprint: request.Fingerprint{0xff},
+		Repeatable: true, Deadline: time.Now().Add(time.Minute),
+	}
+	for {
+		endpoint := f.free(region, turn)
+		if endpoint == nil {
+			return nil
+		}
+		permit, elsewhere, failure := f.guards[vm].Enter(context.Background(), req, endpoint)
+		switch {
+		case failure != nil:
+			return failure
+		case elsewhere:
+			turn++
+		default:
+			f.crash(permit.Endpoint)
+			permit.Leave(isolate.Crashed)
+		}
+	}
+}
+
+var _ = Describe("a fatal request sent to every entry of three regions at once", func() {
+	It("costs few endpoints and is refused as not run everywhere", func() {
+		f := newFleet()
+		var wg conc.WaitGroup
+		failures := make(chan *types.Failure, len(f.guards))
+		turn := 0
+		for vm := range f.guards {
+			turn++
+			at := turn
+			wg.Go(func() { failures <- f.send(vm, at) })
+		}
+		wg.Wait()
+		close(failures)
+		for failure := range failures {
+			Expect(failure).NotTo(BeNil())
+			Expect(failure.Code).To(Equal(types.CodeQuarantined))
+			Expect(failure.Verdict).To(Equal(types.NotRun))
+		}
+		for _, guard := range f.guards {
+			guard.Wait()
+		}
+		Expect(f.lost()).To(And(BeNumerically(">=", 2), BeNumerically("<=", maxLost)))
+	})
+})
