--- a/pkg/control/entries/entries_test.go
+++ b/pkg/control/entries/entries_test.go
@@ -1,6 +1,7 @@
 package entries_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -17,6 +18,9 @@
 
 func TestEntries(t *testing.T) {
 	RegisterFailHandler(Fail)
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
 	RunSpecs(t, "entries")
 }
 
