--- a/pkg/stage/score/score.go
+++ b/pkg/stage/score/score.go
@@ -24,6 +24,13 @@
 	Add(in *route.Input, eps []*snapshot.Endpoint, costs []float64)
 }
 
+// Nominator is a scorer that knows which endpoints it would favour, so that they
+// are scored even when only a sample of the others is.
+type Nominator interface {
+	// Nominate appends indexes of eps.
+	Nominate(in *route.Input, eps []*snapshot.Endpoint, nominated []int) []int
+}
+
 // Chain adds up the costs of its scorers.
 type Chain []Scorer
 
@@ -40,6 +47,48 @@
 	}
 }
 
+// sampleSize is the number of endpoints beside the nominated ones that are
+// scored.
+const sampleSize = 64
+
+// Memory is the working memory of one decision; it can be used again.
+type Memory struct {
+	// Endpoints are the endpoints to score, sorted by ID.
+	Endpoints []*snapshot.Endpoint
+	chosen    []int
+}
+
+// Sample sets m.Endpoints to those that are worth scoring: all of a few, or an even
+// random sample of many and those that the scorers nominate.
+func (c Chain) Sample(in *route.Input, eps []*snapshot.Endpoint, m *Memory) {
+	if len(eps) <= 2*sampleSize {
+		m.Endpoints = append(m.Endpoints[:0], eps...)
+		return
+	}
+	m.chosen = evenly(in.Rand, len(eps), m.chosen[:0])
+	for _, scorer := range c {
+		if nominator, ok := scorer.(Nominator); ok {
+			m.chosen = nominator.Nominate(in, eps, m.chosen)
+		}
+	}
+	slices.Sort(m.chosen)
+	m.Endpoints = m.Endpoints[:0]
+	for _, i := range slices.Compact(m.chosen) {
+		m.Endpoints = append(m.Endpoints, eps[i])
+	}
+}
+
+// evenly appends sampleSize of the indexes below count, evenly spaced from a
+// random one.
+func evenly(rand route.Rand, count int, chosen []int) []int {
+	step := float64(count) / sampleSize
+	offset := route.Float64(rand) * step
+	for i := range sampleSize {
+		chosen = append(chosen, min(int(offset+float64(i)*step), count-1))
+	}
+	return chosen
+}
+
 // Explain returns one step for each scorer and endpoint. It draws from the
 // random source as Costs does.
 func (c Chain) Explain(in *route.Input, eps []*snapshot.Endpoint, costs []float64) []route.Step {
