Tell other regions of a leave at once and of a crash sooner

Change: a leaving daemon tells one member of each other region, who pass it on; a relay makes a new summary when other members are out; the blobs that an incomplete revision leaves behind are bounded. Conclusion: a leave is honoured everywhere within seconds; a crash in another region still waits for the exchange of summaries.

--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -217,9 +217,13 @@
 	}
 }
 
+// maxKeptBlobs bounds the blobs that one candidate inherits from another one
+// that was never complete.
+const maxKeptBlobs = 2 * bundle.Leaves
+
 func (s *State) setCandidate(now time.Time, c *candidate) {
 	c.have, c.reading = map[bundle.Hash][]byte{}, map[string]time.Time{}
-	if s.next != nil {
+	if s.next != nil && len(s.next.have) < maxKeptBlobs {
 		c.have = s.next.have
 	}
 	s.next = c
--- a/pkg/control/membership/merge.go
+++ b/pkg/control/membership/merge.go
@@ -72,7 +72,7 @@
 	m.Revision = max(m.Revision, u.Revision)
 	if isNews {
 		s.changed, m.stateAt = true, now
-		if m.Region == s.opts.Self.Region {
+		if m.Region == s.opts.Self.Region || u.State == snapshot.MemberLeaving {
 			s.enqueue(updateOf(m), urgent)
 		}
 	}
--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -108,6 +108,7 @@
 	case event.DrainStarted:
 		n.draining, n.dirty = true, true
 		n.members.Leave()
+		n.tellLeaving(e.At)
 		return e.At
 	case event.FloorSeen:
 		n.config.SetFloor(e.Revision)
@@ -269,6 +270,15 @@
 	n.tellSome(now)
 }
 
+// tellLeaving tells a few members of the own region, and one of each other one,
+// that this daemon leaves; they pass it on.
+func (n *Node) tellLeaving(now time.Time) {
+	n.tellSome(now)
+	for _, vm := range n.regions.OneOfEach(n.view) {
+		n.send(now, vm, n.message(now))
+	}
+}
+
 // tellSome sends a message to a few members of the region at once, for news
 // that must not wait for the next heartbeat.
 func (n *Node) tellSome(now time.Time) {
--- a/pkg/control/regions/regions.go
+++ b/pkg/control/regions/regions.go
@@ -88,6 +88,17 @@
 		return "", false
 	}
 	s.nextContact = now.Add(s.opts.Contact)
+	byRegion := s.others(members)
+	if len(byRegion) == 0 {
+		return "", false
+	}
+	region := s.nextRegion(byRegion)
+	vms := byRegion[region]
+	return vms[s.rng.IntN(len(vms))], true
+}
+
+// others groups the usable members of the other regions.
+func (s *State) others(members []snapshot.Member) map[types.Region][]types.VMID {
 	byRegion := map[types.Region][]types.VMID{}
 	for i := range members {
 		m := &members[i]
@@ -95,12 +106,18 @@
 			byRegion[m.Region] = append(byRegion[m.Region], m.Incarnation.VM)
 		}
 	}
-	if len(byRegion) == 0 {
-		return "", false
+	return byRegion
+}
+
+// OneOfEach draws one usable member of each other region.
+func (s *State) OneOfEach(members []snapshot.Member) []types.VMID {
+	byRegion := s.others(members)
+	var out []types.VMID
+	for _, region := range slices.Sorted(maps.Keys(byRegion)) {
+		vms := byRegion[region]
+		out = append(out, vms[s.rng.IntN(len(vms))])
 	}
-	region := s.nextRegion(byRegion)
-	vms := byRegion[region]
-	return vms[s.rng.IntN(len(vms))], true
+	return out
 }
 
 func (s *State) nextRegion(byRegion map[types.Region][]types.VMID) types.Region {
@@ -119,15 +136,19 @@
 }
 
 // Refresh makes the own region's summary when this daemon is a relay and the
-// last one is old. Services is called only then.
+// last one is old, or names other daemons as out. Services is called only then.
 func (s *State) Refresh(now time.Time, members []snapshot.Member, revision types.Revision, services func() []snapshot.ServiceSummary) {
-	if now.Before(s.nextOwn) || !s.IsRelay(members) {
+	last := s.summaries[s.opts.Self.Region]
+	out := s.out(members)
+	due := !now.Before(s.nextOwn)
+	isNews := last != nil && !slices.Equal(out, last.Out) && now.Sub(last.ReceivedAt) >= s.opts.Contact
+	if (!due && !isNews) || !s.IsRelay(members) {
 		return
 	}
 	s.nextOwn = now.Add(s.opts.Refresh)
 	own := &snapshot.RegionSummary{
 		Region: s.opts.Self.Region, Revision: revision, TakenAt: now.Round(0), ReceivedAt: now,
-		Entries: s.entries(members), Out: s.out(members), Services: services(),
+		Entries: s.entries(members), Out: out, Services: services(),
 	}
 	s.summaries[own.Region] = own
 	s.changed = true
