Lift refusals before the ledger in ingress and forward; accept tickets as keys

Cause: ingress refused an idempotency key over 256 bytes, and a ticket is longer, so that a ticket sent as Idempotency-Key got 400. And 413, 429 or 503 from ingress or from the receiver of a forwarded order said not-run of a ticket that may have run before.

Change: the bound is ticket.MaxTextBytes; ingress and the receiver pass their refusals through once.BeforeLedger; the sender names the ticket in X-Ticket.

Conclusion: not-run of an order comes from the owner's ledger only.

--- a/pkg/stage/forward/receiver.go
+++ b/pkg/stage/forward/receiver.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/once"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
@@ -77,12 +78,12 @@
 	w.Header().Set(types.HeaderAttemptID, incoming.Header.Get(types.HeaderAttemptID))
 	defer r.requests.Add(-1)
 	if r.requests.Add(1) > r.opts.MaxRequests {
-		relay.WriteFailure(w, "", types.NewFailure(types.NotRun, types.CodeOverloaded, "too many forwarded requests at once"))
+		refuse(w, incoming, types.NewFailure(types.NotRun, types.CodeOverloaded, "too many forwarded requests at once"))
 		return
 	}
 	req, failure := r.receive(w, incoming)
 	if failure != nil {
-		relay.WriteFailure(w, "", failure)
+		refuse(w, incoming, failure)
 		return
 	}
 	caller := relay.NewCaller(w, req.ID, r.opts.RelayLimits)
@@ -92,6 +93,12 @@
 	}
 }
 
+// refuse answers a request that is not passed on. Its verdict says nothing
+// about earlier sends of a request that may not be repeated.
+func refuse(w http.ResponseWriter, incoming *http.Request, failure *types.Failure) {
+	relay.WriteFailure(w, "", once.BeforeLedger("", incoming.Header.Get(types.HeaderTicket), failure))
+}
+
 func (r *Receiver) receive(w http.ResponseWriter, incoming *http.Request) (*request.Request, *types.Failure) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(r.opts.BodyTimeout))
--- a/pkg/stage/forward/sender.go
+++ b/pkg/stage/forward/sender.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/url"
@@ -71,6 +72,9 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: http.Header{HeaderEnvelope: {sealed}},
 	}
+	if !req.Repeatable {
+		outgoing.Header.Set(types.HeaderTicket, cmp.Or(req.Ticket, req.Key))
+	}
 	return outgoing.WithContext(ctx), nil
 }
 
--- a/pkg/stage/ingress/head.go
+++ b/pkg/stage/ingress/head.go
@@ -7,12 +7,13 @@
 	"strings"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/ticket"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// maxKeyBytes bounds an idempotency key.
-const maxKeyBytes = 256
+// maxKeyBytes bounds an idempotency key, which may be a ticket.
+const maxKeyBytes = ticket.MaxTextBytes
 
 // rankOf returns the most urgent rank that the service, the credential and the
 // caller's own header all allow.
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/flamingomount/flamingomount/pkg/control/once"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
@@ -129,6 +130,8 @@
 
 // refuse answers a call that goes no further. The body, if any, stays unread.
 func (s *Server) refuse(c *call, failure *types.Failure) {
+	key, ticket := c.r.Header.Get(types.HeaderIdempotencyKey), c.r.Header.Get(types.HeaderTicket)
+	failure = once.BeforeLedger(key, ticket, failure)
 	if s.opts.Observer != nil {
 		s.opts.Observer.Refused(c.id, c.service, failure)
 	}
