--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
+	"github.com/flamingomount/flamingomount/pkg/jsonlog"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/route/pipeline"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
@@ -27,6 +28,7 @@
 	"github.com/flamingomount/flamingomount/pkg/stage/onceguard"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/tlsfiles"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -43,6 +45,7 @@
 	gates    *gates
 	guard    *onceguard.Guard
 	recorder *recorder
+	planner  *spill.Planner
 	handler  *handler
 	caller   *server
 	peer     *server
@@ -92,7 +95,7 @@
 func NewLog(level string) *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log.SetFormatter(jsonlog.Formatter{})
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		log.SetLevel(parsed)
 	}
@@ -211,12 +214,14 @@
 	d.router = d.opts.Router
 	d.gates = newGates(&d.opts, d.control.Load)
 	d.guard = onceguard.New(onceguard.Options{Self: d.self.Incarnation, Keyring: keyring, Now: d.opts.Now})
+	d.planner = spill.New(spill.Options{})
 	dispatcher := d.newDispatcher()
 	d.handler = &handler{
 		snapshot:   d.control.Load,
 		gates:      d.gates,
 		dispatcher: dispatcher,
 		guard:      d.guard,
+		planner:    d.planner,
 		recorder:   d.recorder,
 		limits:     d.relayLimits(),
 		floorSeen:  d.floorSeen,
@@ -249,11 +254,16 @@
 		Now:      d.opts.Now,
 		Rand:     d.opts.Rand,
 	})
+	var isolator dispatch.Isolator
+	if live, ok := d.control.(*liveControl); ok {
+		isolator = live.isolator()
+	}
 	return dispatch.New(dispatch.Options{
+		Isolator:      isolator,
 		Router:        d.router,
 		Snapshot:      d.control.Load,
 		Retrier:       d.opts.Retrier,
-		Observer:      &attemptObserver{control: d.control, now: d.opts.Now},
+		Observer:      &attemptObserver{control: d.control, loads: d.gates.loads},
 		Forwarder:     sender,
 		PeerTransport: peers,
 		Limits:        d.relayLimits(),
@@ -360,11 +370,10 @@
 // to other entries, and finishes every request in flight. The end of abort, or
 // the drain limit, cuts off what is left. A graceful stop returns nil.
 func (d *Daemon) Run(stop, abort context.Context) error {
-	defer d.cleanup()
 	background, cancel := context.WithCancel(abort)
-	defer cancel()
 	var running conc.WaitGroup
 	defer running.Wait()
+	defer d.cleanup()
 	defer cancel()
 	running.Go(func() { d.gates.run(background) })
 	running.Go(func() { d.runControl(background) })
--- a/pkg/stage/candidates/candidates.go
+++ b/pkg/stage/candidates/candidates.go
@@ -21,6 +21,9 @@
 	Name() string
 	// Keep reports whether the endpoint may run the request.
 	Keep(in *route.Input, ep *snapshot.Endpoint) bool
+	// Idle reports whether the filter keeps every endpoint for this request,
+	// so that it need not be asked about each.
+	Idle(in *route.Input) bool
 	// Code is the failure code when this filter removes the last endpoint.
 	Code() types.Code
 }
@@ -35,7 +38,7 @@
 
 // Select appends to kept the endpoints of the request's service that pass every
 // filter, in the snapshot's order. When none passes, the failure has the code
-// of the filter that let the fewest endpoints through.
+// of the filter that removed the last one.
 func (c Chain) Select(in *route.Input, kept []*snapshot.Endpoint) ([]*snapshot.Endpoint, *types.Failure) {
 	if in.Snapshot == nil || in.Snapshot.Config == nil {
 		return kept, types.NewFailure(types.NotRun, types.CodeNotReady, "no configuration is in force yet")
@@ -44,19 +47,35 @@
 		return kept, types.NewFailure(types.NotRun, types.CodeUnknownService, "the request names no published service")
 	}
 	start := len(kept)
-	furthest := 0
-	for _, ep := range in.Snapshot.Endpoints[in.Request.Service.Name] {
-		refusedBy := c.firstRefusal(in, ep)
-		if refusedBy == len(c) {
-			kept = append(kept, ep)
+	kept = append(kept, in.Snapshot.Endpoints[in.Request.Service.Name]...)
+	for _, filter := range c {
+		if filter.Idle(in) {
 			continue
 		}
-		furthest = max(furthest, refusedBy)
+		kept = retain(in, filter, kept, start)
+		if len(kept) == start {
+			return kept, failure(in, filter)
+		}
 	}
-	if len(kept) > start {
-		return kept, nil
+	if len(kept) == start {
+		return kept, types.NewFailure(types.NotRun, types.CodeNoEndpoint, "no endpoint is known")
 	}
-	return kept, c.failure(in, furthest)
+	return kept, nil
+}
+
+// retain removes the endpoints from start on that the filter refuses.
+func retain(in *route.Input, filter Filter, eps []*snapshot.Endpoint, start int) []*snapshot.Endpoint {
+	next := start
+	for i := start; i < len(eps); i++ {
+		if !filter.Keep(in, eps[i]) {
+			continue
+		}
+		if next != i {
+			eps[next] = eps[i]
+		}
+		next++
+	}
+	return eps[:next]
 }
 
 // firstRefusal returns the index of the filter that removes the endpoint, or
@@ -70,15 +89,12 @@
 	return len(c)
 }
 
-func (c Chain) failure(in *route.Input, furthest int) *types.Failure {
+// failure tells that the filter removed the last endpoint.
+func failure(in *route.Input, filter Filter) *types.Failure {
 	if !in.Request.Service.Allows(in.Snapshot.Self.Region) {
 		message := fmt.Sprintf("service %q may not use region %q", in.Request.Service.Name, in.Snapshot.Self.Region)
 		return types.NewFailure(types.NotRun, types.CodeResidency, message)
 	}
-	if len(c) == 0 {
-		return types.NewFailure(types.NotRun, types.CodeNoEndpoint, "no endpoint is known")
-	}
-	filter := c[furthest]
 	message := fmt.Sprintf("no endpoint of service %q passes the %s filter", in.Request.Service.Name, filter.Name())
 	return types.NewFailure(types.NotRun, filter.Code(), message)
 }
--- a/pkg/stage/dispatch/dispatch.go
+++ b/pkg/stage/dispatch/dispatch.go
@@ -53,6 +53,10 @@
 	Prepare(ctx context.Context, req *request.Request, to Destination) (*http.Request, *types.Failure)
 }
 
+// elsewhereDelay is the wait before another endpoint is sought when the copy of
+// a request runs where this daemon can't send it.
+const elsewhereDelay = 100 * time.Millisecond
+
 // Options configures a Dispatcher.
 type Options struct {
 	Router   route.Router
@@ -61,6 +65,8 @@
 	Retrier Retrier
 	// Observer may be nil.
 	Observer Observer
+	// Isolator may be nil: then every content may run anywhere.
+	Isolator Isolator
 	// Forwarder may be nil: then nothing is sent to another region.
 	Forwarder Forwarder
 	// Transport runs attempts of repeatable requests; nil means
@@ -129,6 +135,20 @@
 	return run.finish(run.loop(ctx))
 }
 
+// SendAway offers the request to an entry of another region. Served is false
+// when it was not run there and nothing was written to the caller, who may
+// still be served here.
+func (d *Dispatcher) SendAway(ctx context.Context, req *request.Request, region types.Region, caller *relay.Caller) (summary Summary, served bool) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	run := &run{d: d, req: req, caller: caller, ctx: ctx}
+	failure := run.attempt(ctx, route.Decision{Region: region}, types.Incarnation{})
+	if failure != nil && run.verdict == types.NotRun && !caller.Committed() && ctx.Err() == nil {
+		return run.summary, false
+	}
+	return run.finish(failure), true
+}
+
 // Forward sends the request to the one incarnation that may run it, once. When
 // it can't be reached the verdict is MayHaveRun, since the request may have
 // reached it before by another way.
--- a/pkg/stage/ingress/entries.go
+++ b/pkg/stage/ingress/entries.go
@@ -14,7 +14,8 @@
 	entries.Answer
 	// Ticket is for the next request that may not be repeated. It binds that
 	// request to the entry at TicketEntry; empty when none can be issued.
-	Ticket      string `json:"ticket,omitempty"`
+	Ticket string `json:"ticket,omitempty"`
+	// TicketEntry is the best entry, or this one if the query says owner=self.
 	TicketEntry string `json:"ticket_entry,omitempty"`
 }
 
@@ -40,18 +41,27 @@
 	return entries.List(view, query)
 }
 
-// entriesAnswer builds the answer to GET /v1/entries. Callers of one credential
-// are told apart by their IP address, so that they spread too.
-func (s *Server) entriesAnswer(c *call, service *published.Service) EntriesAnswer {
+// callerKey tells callers apart by credential and IP address, so that the
+// callers of one credential spread over the entries too.
+func (c *call) callerKey() string {
 	host, _, _ := net.SplitHostPort(c.r.RemoteAddr)
+	return string(c.who.hash) + "/" + host
+}
+
+// entriesAnswer builds the answer to GET /v1/entries.
+func (s *Server) entriesAnswer(c *call, service *published.Service) EntriesAnswer {
 	query := entries.Query{Lifetime: s.opts.Limits.EntriesLifetime}
 	answer := EntriesAnswer{
-		Answer: listEntries(string(c.who.hash)+"/"+host, service, c.who.org, c.view, query),
+		Answer: listEntries(c.callerKey(), service, c.who.org, c.view, query),
 	}
 	if s.opts.Tickets == nil {
 		return answer
 	}
+	own := c.r.URL.Query().Get("owner") == "self"
 	for _, entry := range answer.Entries {
+		if own && entry.VM != c.view.Self.Incarnation.VM {
+			continue
+		}
 		if entry.Boot == "" {
 			continue
 		}
--- a/pkg/stage/score/load.go
+++ b/pkg/stage/score/load.go
@@ -10,7 +10,7 @@
 // LoadOptions sets the load scorer.
 type LoadOptions struct {
 	// Mixing is the age at which a report counts half where many daemons share
-	// the endpoints. Default 1 s.
+	// the endpoints. Default 250 ms.
 	Mixing time.Duration
 	// Hold is the time a request keeps a slot when nothing waits. Default 2 s.
 	Hold time.Duration
@@ -22,7 +22,7 @@
 }
 
 const (
-	defaultMixing      = time.Second
+	defaultMixing      = 250 * time.Millisecond
 	defaultHold        = 2 * time.Second
 	defaultSlowdown    = 500 * time.Millisecond
 	defaultFullPenalty = 5 * time.Second
@@ -61,38 +61,65 @@
 	c := l.context(in, eps)
 	slowdown := l.options.Slowdown.Seconds()
 	hold := l.options.Hold.Seconds()
+	penalty := l.options.FullPenalty.Seconds()
 	for i, ep := range eps {
 		slots := float64(max(ep.Slots, 1))
-		load := c.estimate(ep, slots)
-		costs[i] += slowdown * min(load/slots, 1)
-		if load+1 > slots {
-			costs[i] += hold * (load + 1 - slots) / slots
+		occupied := c.estimate(ep, slots) / slots
+		if occupied < 1 {
+			costs[i] += slowdown * occupied
+		} else {
+			costs[i] += slowdown
+		}
+		if over := occupied + 1/slots - 1; over > 0 {
+			costs[i] += hold * over
 		}
 		if full(ep) {
-			costs[i] += l.options.FullPenalty.Seconds()
+			costs[i] += penalty
 		}
 	}
 }
 
 // loadContext is what the estimates of one decision share.
 type loadContext struct {
-	now    time.Time
-	mixing time.Duration
+	now time.Time
 	// mean and ownMean are the reported load and this daemon's own load per
 	// slot over the candidates.
 	mean    float64
 	ownMean float64
 	daemons float64
-	// others is the share of the daemons that are not this one.
-	others float64
+	// distrust is how fast a report loses weight, per nanosecond: the share of
+	// the daemons that are not this one over the mixing time.
+	distrust float64
 }
 
 func (l *Load) context(in *route.Input, eps []*snapshot.Endpoint) loadContext {
 	daemons := float64(entries(in.Snapshot))
-	return loadContext{
-		now: in.Now, mixing: l.options.Mixing, mean: meanOccupancy(eps), ownMean: meanOwn(eps),
-		daemons: daemons, others: (daemons - 1) / daemons,
+	distrust := (daemons - 1) / daemons / float64(l.options.Mixing)
+	c := loadContext{now: in.Now, daemons: daemons, distrust: distrust}
+	reported, own := occupancy{}, occupancy{}
+	for _, ep := range eps {
+		own.add(ownInFlight(ep), ep.Slots)
+		if !ep.Load.TakenAt.IsZero() {
+			reported.add(float64(ep.Load.Running+ep.Load.Queued), ep.Slots)
+		}
 	}
+	c.mean, c.ownMean = reported.mean(), own.mean()
+	return c
+}
+
+// occupancy adds up requests and slots.
+type occupancy struct {
+	load  float64
+	slots int
+}
+
+func (o *occupancy) add(load float64, slots int) {
+	o.load += load
+	o.slots += max(slots, 1)
+}
+
+func (o *occupancy) mean() float64 {
+	return o.load / float64(max(o.slots, 1))
 }
 
 // estimate predicts the requests at the endpoint now. As a report ages, what
@@ -102,14 +129,19 @@
 func (c *loadContext) estimate(ep *snapshot.Endpoint, slots float64) float64 {
 	own := ownInFlight(ep)
 	alike := (own - c.ownMean*slots) * c.daemons
-	if ep.Load.TakenAt.IsZero() {
-		return max(c.mean*slots+alike, own)
+	load := c.mean*slots + alike
+	if !ep.Load.TakenAt.IsZero() {
+		trust := 1.0
+		if age := c.now.Sub(ep.Load.TakenAt); age > 0 {
+			trust = 1 / (1 + float64(age)*c.distrust)
+		}
+		reported := float64(ep.Load.Running+ep.Load.Queued) + SinceReport(ep)
+		load += (reported - load) * trust
+	}
+	if load < own {
+		return own
 	}
-	age := max(c.now.Sub(ep.Load.TakenAt), 0)
-	trust := 1 / (1 + c.others*float64(age)/float64(c.mixing))
-	reported := float64(ep.Load.Running+ep.Load.Queued) + sinceReport(ep)
-	guess := c.mean*slots + alike
-	return max(guess+(reported-guess)*trust, own)
+	return load
 }
 
 func ownInFlight(ep *snapshot.Endpoint) float64 {
@@ -119,18 +151,8 @@
 	return float64(ep.Counters.InFlight.Load())
 }
 
-// meanOwn is this daemon's own load per slot over the candidates.
-func meanOwn(eps []*snapshot.Endpoint) float64 {
-	load, slots := 0.0, 0
-	for _, ep := range eps {
-		load += ownInFlight(ep)
-		slots += max(ep.Slots, 1)
-	}
-	return load / float64(max(slots, 1))
-}
-
-// sinceReport is the change of this daemon's own attempts since the report.
-func sinceReport(ep *snapshot.Endpoint) float64 {
+// SinceReport is the change of this daemon's own attempts since the report.
+func SinceReport(ep *snapshot.Endpoint) float64 {
 	c := ep.Counters
 	if c == nil {
 		return 0
@@ -140,22 +162,6 @@
 	return float64(sent - done)
 }
 
-// meanOccupancy is the reported load per slot over the candidates.
-func meanOccupancy(eps []*snapshot.Endpoint) float64 {
-	load, slots := 0, 0
-	for _, ep := range eps {
-		if ep.Load.TakenAt.IsZero() {
-			continue
-		}
-		load += ep.Load.Running + ep.Load.Queued
-		slots += max(ep.Slots, 1)
-	}
-	if slots == 0 {
-		return 0
-	}
-	return float64(load) / float64(slots)
-}
-
 // full reports whether this daemon has reached its limit at the endpoint.
 func full(ep *snapshot.Endpoint) bool {
 	if ep.Counters == nil {
--- a/pkg/stage/score/shards.go
+++ b/pkg/stage/score/shards.go
@@ -1,13 +1,13 @@
 package score
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // ShardOptions sets the shards scorer.
@@ -57,9 +57,7 @@
 	if len(in.Request.Prefix) == 0 || in.Request.Org == nil {
 		return
 	}
-	seed := xxhash.Sum64String(string(in.Request.Org.Name))
-	shard := requestKey(in.Request.Prefix) % uint64(s.shardCount(in, eps))
-	first, second := rendezvous(eps, mix(seed+shard))
+	first, second := rendezvous(eps, s.shard(in, eps[0].Slots))
 	outside := s.options.Outside.Seconds()
 	for i := range eps {
 		if i != first && i != second {
@@ -68,20 +66,40 @@
 	}
 }
 
-// shardCount is the number of the organisation's shards: a power of two, at
-// most the number of endpoints.
-func (s *Shards) shardCount(in *route.Input, eps []*snapshot.Endpoint) int {
+// Nominate appends the endpoints of the shard.
+func (s *Shards) Nominate(in *route.Input, eps []*snapshot.Endpoint, nominated []int) []int {
+	if len(in.Request.Prefix) == 0 || in.Request.Org == nil {
+		return nominated
+	}
+	first, second := rendezvous(eps, s.shard(in, eps[0].Slots))
+	if second < 0 {
+		return append(nominated, first)
+	}
+	return append(nominated, first, second)
+}
+
+// shard is the key of the request's virtual shard.
+func (s *Shards) shard(in *route.Input, slots int) uint64 {
+	org := xxhash.Sum64String(string(in.Request.Org.Name))
+	return mix(org + RequestKey(in.Request.Prefix)%s.shardCount(in, slots))
+}
+
+// maxShards bounds the shards of one organisation.
+const maxShards = 1024
+
+// shardCount is the number of the organisation's shards, a power of two.
+func (s *Shards) shardCount(in *route.Input, slots int) uint64 {
 	load := float64(in.Request.OrgRunning * entries(in.Snapshot))
-	slots := float64(max(eps[0].Slots, 1))
-	wanted := load / (slots * s.options.Fill)
-	if wanted <= 1 {
-		return 1
+	wanted := min(load/(float64(max(slots, 1))*s.options.Fill), maxShards)
+	count := uint64(1)
+	for float64(count) < wanted {
+		count *= 2
 	}
-	count := 1 << int(math.Ceil(math.Log2(wanted)))
-	return min(count, len(eps))
+	return count
 }
 
-func requestKey(prefix []uint64) uint64 {
+// RequestKey is the key of a prompt within its organisation.
+func RequestKey(prefix []uint64) uint64 {
 	return mix(prefix[min(len(prefix)-1, keyBlock)])
 }
 
@@ -91,7 +109,7 @@
 	first, second = -1, -1
 	var best, next uint64
 	for i, ep := range eps {
-		hash := mix(xxhash.Sum64String(string(ep.ID)) ^ key)
+		hash := mix(endpointHash(ep) ^ key)
 		switch {
 		case first < 0 || hash > best:
 			second, next = first, best
@@ -103,6 +121,32 @@
 	return first, second
 }
 
+// Rendezvous returns the index of the endpoint with the highest hash of endpoint
+// and key among those that pass; -1 when none does.
+func Rendezvous(eps []*snapshot.Endpoint, key uint64, pass func(ep *snapshot.Endpoint) bool) int {
+	chosen := -1
+	var best uint64
+	for i, ep := range eps {
+		hash := mix(endpointHash(ep) ^ key)
+		if (chosen < 0 || hash > best) && pass(ep) {
+			chosen, best = i, hash
+		}
+	}
+	return chosen
+}
+
+// HashEndpoint is the value of snapshot.Endpoint.Hash for an ID.
+func HashEndpoint(id types.EndpointID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
+func endpointHash(ep *snapshot.Endpoint) uint64 {
+	if ep.Hash != 0 {
+		return ep.Hash
+	}
+	return HashEndpoint(ep.ID)
+}
+
 // mix spreads the bits of a hash (the finaliser of SplitMix64).
 func mix(x uint64) uint64 {
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
