--- a/pkg/daemon/bench_test.go
+++ b/pkg/daemon/bench_test.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -202,6 +203,52 @@
 	return used / time.Duration(b.N)
 }
 
+// measureBusy runs b.N exchanges over many connections at once, as on a daemon
+// that is busy, and returns the CPU time of the whole process for each.
+func measureBusy(b *testing.B, address, raw string, callers int) time.Duration {
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	conns := make([]net.Conn, callers)
+	for i := range conns {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		conns[i] = conn
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	before := processCPU()
+	var running conc.WaitGroup
+	for _, conn := range conns {
+		running.Go(func() {
+			reader := bufio.NewReader(conn)
+			for left.Add(-1) >= 0 {
+				exchange(b, conn, reader, raw)
+			}
+		})
+	}
+	running.Wait()
+	used := processCPU() - before
+	b.StopTimer()
+	return used / time.Duration(b.N)
+}
+
+// BenchmarkWholeBusy measures small whole requests of 32 callers at once, so
+// that no processor looks for work in vain.
+func BenchmarkWholeBusy(b *testing.B) {
+	const callers = 32
+	b.Run("direct", func(b *testing.B) {
+		address := serveDirect(b, &benchEngine{})
+		b.ReportMetric(float64(measureBusy(b, address, rawRequest(address, false), callers).Microseconds()), "cpu-us/op")
+	})
+	b.Run("daemon", func(b *testing.B) {
+		address := startBench(b, &benchEngine{}, benchFleet{2100, 39_000, 7, 17})
+		b.ReportMetric(float64(measureBusy(b, address, rawRequest(address, false), callers).Microseconds()), "cpu-us/op")
+	})
+}
+
 // serveDirect runs the engine without a daemon, for comparison.
 func serveDirect(b *testing.B, one *benchEngine) string {
 	b.Helper()
