Send orders to their owner over TLS; fuzz the envelope

Cause: a new spec with TLS on both sides showed that an order sent to another daemon than its owner failed with 502, 'certificate signed by unknown authority': requests that may not be repeated took the transport for endpoints, which knows no peer certificates. Ruled out: the receiver and the certificate. Change: dispatch has a fresh transport for peers too. Conclusion: TLS between daemons works for orders as well.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -241,10 +241,10 @@
 }
 
 func (d *Daemon) newDispatcher() *dispatch.Dispatcher {
-	peers := dispatch.NewTransport(false)
+	peers, freshPeers := dispatch.NewTransport(false), dispatch.NewTransport(true)
 	scheme := "http"
 	if d.peerTLS != nil {
-		peers.TLSClientConfig = d.peerTLS
+		peers.TLSClientConfig, freshPeers.TLSClientConfig = d.peerTLS, d.peerTLS.Clone()
 		scheme = "https"
 	}
 	sender := forward.NewSender(forward.SenderOptions{
@@ -259,16 +259,17 @@
 		isolator = live.isolator()
 	}
 	return dispatch.New(dispatch.Options{
-		Isolator:      isolator,
-		Router:        d.router,
-		Snapshot:      d.control.Load,
-		Retrier:       d.opts.Retrier,
-		Observer:      &attemptObserver{control: d.control, loads: d.gates.loads},
-		Forwarder:     sender,
-		PeerTransport: peers,
-		Limits:        d.relayLimits(),
-		Now:           d.opts.Now,
-		Rand:          d.opts.Rand,
+		Isolator:           isolator,
+		Router:             d.router,
+		Snapshot:           d.control.Load,
+		Retrier:            d.opts.Retrier,
+		Observer:           &attemptObserver{control: d.control, loads: d.gates.loads},
+		Forwarder:          sender,
+		PeerTransport:      peers,
+		FreshPeerTransport: freshPeers,
+		Limits:             d.relayLimits(),
+		Now:                d.opts.Now,
+		Rand:               d.opts.Rand,
 	})
 }
 
--- a/pkg/stage/dispatch/attempt.go
+++ b/pkg/stage/dispatch/attempt.go
@@ -130,10 +130,12 @@
 func (a *attempt) transport() http.RoundTripper {
 	opts := &a.run.d.opts
 	switch {
-	case !a.run.req.Repeatable:
-		return opts.FreshTransport
+	case a.endpoint == nil && !a.run.req.Repeatable:
+		return opts.FreshPeerTransport
 	case a.endpoint == nil:
 		return opts.PeerTransport
+	case !a.run.req.Repeatable:
+		return opts.FreshTransport
 	default:
 		return opts.Transport
 	}
--- a/pkg/stage/dispatch/dispatch.go
+++ b/pkg/stage/dispatch/dispatch.go
@@ -75,8 +75,10 @@
 	// FreshTransport runs attempts of requests that may not be repeated, each
 	// on a connection of its own; nil means NewTransport(true).
 	FreshTransport http.RoundTripper
-	// PeerTransport runs attempts at other daemons; nil means Transport.
-	PeerTransport http.RoundTripper
+	// PeerTransport and FreshPeerTransport run attempts at other daemons; nil
+	// means Transport and FreshTransport.
+	PeerTransport      http.RoundTripper
+	FreshPeerTransport http.RoundTripper
 	Limits        relay.Limits
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
@@ -100,6 +102,9 @@
 	if opts.PeerTransport == nil {
 		opts.PeerTransport = opts.Transport
 	}
+	if opts.FreshPeerTransport == nil {
+		opts.FreshPeerTransport = opts.FreshTransport
+	}
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
--- a/pkg/stage/forward/forward_test.go
+++ b/pkg/stage/forward/forward_test.go
@@ -102,3 +102,20 @@
 		Entry("no configuration", func(_ *forward.Envelope, v *snapshot.Snapshot) { v.Config = nil }, types.CodeNotReady, types.NotRun),
 	)
 })
+
+// FuzzOpen checks that nothing opens but what was sealed.
+func FuzzOpen(f *testing.F) {
+	sealed, err := forward.Seal(keys[0], envelope(), []byte("body"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sealed, []byte("body"))
+	f.Add("new..", []byte(""))
+	f.Add("old.e30.AAAA", []byte("body"))
+	f.Fuzz(func(t *testing.T, text string, body []byte) {
+		_, err := forward.Open(keys, text, body, now)
+		if (err == nil) != (text == sealed && string(body) == "body") {
+			t.Fatalf("opened %q: %v", text, err)
+		}
+	})
+}
