--- a/pkg/standin/deployment/deployment.go
+++ b/pkg/standin/deployment/deployment.go
@@ -4,6 +4,7 @@
 package deployment
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
@@ -44,10 +45,17 @@
 
 // Plan describes a deployment.
 type Plan struct {
-	Config  *published.Configuration
-	Model   types.ServiceName
-	Orders  types.ServiceName
+	// Config is published at the start, or Values when Config is nil.
+	Config *published.Configuration
+	Values map[string][]byte
+	Model  types.ServiceName
+	Orders types.ServiceName
+	// Version is what the engines hold; empty means the package's Version.
+	Version types.ModelVersion
 	Regions []RegionPlan
+	// Signer signs what Publish publishes; nil means a key of the package's
+	// own. The daemons accept its public key.
+	Signer *bundle.Signer
 	// Engine is the template of all engines; ID, Model and Version are set.
 	Engine engine.Options
 	// DrainNotice is how long a stopping daemon still takes requests.
@@ -89,6 +97,9 @@
 		plan:   plan,
 		signer: signer(),
 	}
+	if plan.Signer != nil {
+		d.signer = *plan.Signer
+	}
 	if err := d.start(); err != nil {
 		d.Close()
 		return nil, err
@@ -119,7 +130,7 @@
 			return err
 		}
 	}
-	if err := d.Publish(d.plan.Config); err != nil {
+	if err := d.publishFirst(); err != nil {
 		return err
 	}
 	for _, region := range d.plan.Regions {
@@ -132,12 +143,20 @@
 	return nil
 }
 
+func (d *Deployment) publishFirst() error {
+	if d.plan.Config == nil {
+		d.PublishValues(d.plan.Values)
+		return nil
+	}
+	return d.Publish(d.plan.Config)
+}
+
 func (d *Deployment) startEndpoints(region RegionPlan) error {
-	versions := d.plan.Config.Services[d.plan.Model].Versions
+	version := cmp.Or(d.plan.Version, Version)
 	for i := range region.Engines {
 		opts := d.plan.Engine
 		opts.ID = types.EndpointID(fmt.Sprintf("%s-engine-%d", region.Region, i+1))
-		opts.Model, opts.Version = d.plan.Model, versions[0]
+		opts.Model, opts.Version = d.plan.Model, version
 		if opts.Slots == 0 {
 			opts.Slots = engine.DefaultSlots
 		}
@@ -259,14 +278,20 @@
 	if err != nil {
 		return err
 	}
+	d.PublishValues(values)
+	d.previous = bundle.HashOf(built.Signed.Manifest)
+	return nil
+}
+
+// PublishValues hands a bundle's values to the configuration service, the
+// manifest last.
+func (d *Deployment) PublishValues(values map[string][]byte) {
 	for key, data := range values {
 		if key != bundle.ManifestKey {
 			d.Platform.Publish(key, data)
 		}
 	}
 	d.Platform.Publish(bundle.ManifestKey, values[bundle.ManifestKey])
-	d.previous = bundle.HashOf(built.Signed.Manifest)
-	return nil
 }
 
 // Entries returns the running entries.
