--- a/pkg/stage/candidates/candidates.go
+++ b/pkg/stage/candidates/candidates.go
@@ -21,6 +21,8 @@
 	Name() string
 	// Keep reports whether the endpoint may run the request.
 	Keep(in *route.Input, ep *snapshot.Endpoint) bool
+	// Retain removes the endpoints that may not, in place, keeping their order.
+	Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint
 	// Idle reports whether the filter keeps every endpoint for this request,
 	// so that it need not be asked about each.
 	Idle(in *route.Input) bool
@@ -52,7 +54,7 @@
 		if filter.Idle(in) {
 			continue
 		}
-		kept = retain(in, filter, kept, start)
+		kept = kept[:start+len(filter.Retain(in, kept[start:]))]
 		if len(kept) == start {
 			return kept, failure(in, filter)
 		}
@@ -63,17 +65,14 @@
 	return kept, nil
 }
 
-// retain removes the endpoints from start on that the filter refuses.
-func retain(in *route.Input, filter Filter, eps []*snapshot.Endpoint, start int) []*snapshot.Endpoint {
-	next := start
-	for i := start; i < len(eps); i++ {
-		if !filter.Keep(in, eps[i]) {
-			continue
-		}
-		if next != i {
-			eps[next] = eps[i]
+// retain is small enough to be inlined with its function.
+func retain(eps []*snapshot.Endpoint, keep func(ep *snapshot.Endpoint) bool) []*snapshot.Endpoint {
+	next := 0
+	for _, ep := range eps {
+		if keep(ep) {
+			eps[next] = ep
+			next++
 		}
-		next++
 	}
 	return eps[:next]
 }
--- a/pkg/stage/candidates/health.go
+++ b/pkg/stage/candidates/health.go
@@ -30,3 +30,8 @@
 func (Health) Code() types.Code {
 	return types.CodeNoEndpoint
 }
+
+// Retain keeps the endpoints that pass.
+func (f Health) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
--- a/pkg/stage/candidates/home.go
+++ b/pkg/stage/candidates/home.go
@@ -35,3 +35,8 @@
 func (Home) Code() types.Code {
 	return types.CodeResidency
 }
+
+// Retain keeps the endpoints that pass.
+func (f Home) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
--- a/pkg/stage/candidates/quarantine.go
+++ b/pkg/stage/candidates/quarantine.go
@@ -36,3 +36,8 @@
 func (Quarantine) Code() types.Code {
 	return types.CodeQuarantined
 }
+
+// Retain keeps the endpoints that pass.
+func (f Quarantine) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
--- a/pkg/stage/candidates/region.go
+++ b/pkg/stage/candidates/region.go
@@ -31,3 +31,8 @@
 func (Region) Code() types.Code {
 	return types.CodeNoEndpoint
 }
+
+// Retain keeps the endpoints that pass.
+func (f Region) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
--- a/pkg/stage/candidates/residency.go
+++ b/pkg/stage/candidates/residency.go
@@ -31,3 +31,8 @@
 func (Residency) Code() types.Code {
 	return types.CodeResidency
 }
+
+// Retain keeps the endpoints that pass.
+func (f Residency) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
--- a/pkg/stage/candidates/service.go
+++ b/pkg/stage/candidates/service.go
@@ -30,3 +30,8 @@
 func (Service) Code() types.Code {
 	return types.CodeNoEndpoint
 }
+
+// Retain keeps the endpoints that pass.
+func (f Service) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
--- a/pkg/stage/candidates/tried.go
+++ b/pkg/stage/candidates/tried.go
@@ -32,3 +32,8 @@
 func (Tried) Code() types.Code {
 	return types.CodeNoEndpoint
 }
+
+// Retain keeps the endpoints that pass.
+func (f Tried) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
--- a/pkg/stage/candidates/version.go
+++ b/pkg/stage/candidates/version.go
@@ -41,3 +41,8 @@
 func (Version) Code() types.Code {
 	return types.CodeNoEndpoint
 }
+
+// Retain keeps the endpoints that pass.
+func (f Version) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
