--- a/pkg/stage/candidates/quarantine.go
+++ b/pkg/stage/candidates/quarantine.go
@@ -19,8 +19,8 @@
 }
 
 // Keep reports whether the request may run anywhere.
-func (q Quarantine) Keep(in *route.Input, _ *snapshot.Endpoint) bool {
-	return q.Idle(in)
+func (f Quarantine) Keep(in *route.Input, _ *snapshot.Endpoint) bool {
+	return f.Idle(in)
 }
 
 // Idle reports whether the request is not quarantined.
--- a/tools/measure/scenario/picking.go
+++ b/tools/measure/scenario/picking.go
@@ -19,7 +19,7 @@
 		config := offered(seed, peakUrgent, peakPatient)
 		config.Regions[0].Daemons = 21
 		config.ReportDelay = time.Second
-		rows := []Row{pickRow("two choices", config, pick.TwoChoices{})}
+		rows := []Row{pickRow("two choices", config, twoChoices{})}
 		for _, slack := range pickSlacks {
 			rows = append(rows, pickRow(fmt.Sprintf("near best, %v", slack), config, pick.NearBest{Slack: slack}))
 		}
