Find a suspect's owner in regions known from the list only

Cause: daemons of other regions are known as listed, not alive, so each region had a fleet's owner of its own. Change: listed members count, two owners are tried, and the test's daemons see other regions as real ones do.

--- a/pkg/stage/isolate/isolate.go
+++ b/pkg/stage/isolate/isolate.go
@@ -134,51 +134,63 @@
 }
 
 // claimInFleet asks the suspect's owner in the whole fleet; the answer is
-// AnswerRun when it may run. While that owner is out of reach the region decides
-// alone.
+// AnswerRun when it may run. While no such owner can be reached the region
+// decides alone.
 func (g *Guard) claimInFleet(ctx context.Context, permit *Permit) quarantine.Answer {
-	owner := g.fleetOwner(permit.key)
-	if owner == permit.owner {
-		return quarantine.Answer{Kind: quarantine.AnswerRun}
-	}
 	question := quarantine.Question{Acquire: &permit.claim}
-	var answer quarantine.Answer
-	if owner == g.self() {
-		answer = g.opts.Tracker.Ask(question, g.opts.Now())
-	} else {
-		var err error
-		if answer, err = g.send(ctx, owner, question); err != nil {
-			return quarantine.Answer{Kind: quarantine.AnswerRun}
+	for _, owner := range g.fleetOwners(permit.key) {
+		if owner == permit.owner {
+			break
+		}
+		answer, err := g.askOne(ctx, owner, question)
+		if err != nil {
+			continue
 		}
+		return permit.inFleet(owner, answer)
 	}
+	return quarantine.Answer{Kind: quarantine.AnswerRun}
+}
+
+// inFleet notes what the fleet's owner answered.
+func (p *Permit) inFleet(owner types.VMID, answer quarantine.Answer) quarantine.Answer {
 	switch answer.Kind {
 	case quarantine.AnswerRun, quarantine.AnswerRunAlone:
-		permit.fleet = owner
+		p.fleet = owner
 		return quarantine.Answer{Kind: quarantine.AnswerRun}
 	case quarantine.AnswerRunAt:
-		// A first copy runs elsewhere; this one is counted and given back.
-		permit.fleet = owner
+		// A first copy runs elsewhere; this one was counted and is given back.
+		p.fleet = owner
 	}
 	return answer
 }
 
-// fleetOwner ranks all live daemons for a key.
-func (g *Guard) fleetOwner(key string) types.VMID {
+// askOne asks a daemon, which may be this one.
+func (g *Guard) askOne(ctx context.Context, to types.VMID, question quarantine.Question) (quarantine.Answer, error) {
+	if to == g.self() {
+		return g.opts.Tracker.Ask(question, g.opts.Now()), nil
+	}
+	return g.send(ctx, to, question)
+}
+
+// fleetOwners ranks the daemons of all regions for a key. Those of other regions
+// are known from the published list only, so the first may be gone.
+func (g *Guard) fleetOwners(key string) []types.VMID {
 	view := g.opts.Snapshot()
-	live := []types.VMID{view.Self.Incarnation.VM}
+	usable := []types.VMID{view.Self.Incarnation.VM}
 	for i := range view.Members {
-		if view.Members[i].State == snapshot.MemberAlive {
-			live = append(live, view.Members[i].Incarnation.VM)
+		state := view.Members[i].State
+		if state == snapshot.MemberAlive || state == snapshot.MemberListed {
+			usable = append(usable, view.Members[i].Incarnation.VM)
 		}
 	}
-	return quarantine.Owners(xxhash.Sum64String(key), live, 1)[0]
+	return quarantine.Owners(xxhash.Sum64String(key), usable, maxOwners)
 }
 
 // told lists who hears of a crash: this daemon, the owner that was asked, the
 // owners of the endpoint and of the suspect in the fleet, and the caller's owner
 // in every region.
 func (g *Guard) told(p *Permit) []types.VMID {
-	list := []types.VMID{g.self(), p.owner, g.endpointOwner(p.Endpoint), g.fleetOwner(p.key)}
+	list := append(g.fleetOwners(p.key), g.self(), p.owner, g.endpointOwner(p.Endpoint))
 	view := g.opts.Snapshot()
 	regions := map[types.Region]bool{}
 	for i := range view.Members {
--- a/pkg/stage/isolate/isolate_test.go
+++ b/pkg/stage/isolate/isolate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -71,8 +72,11 @@
 	}
 	for i, self := range members {
 		vm := self.Incarnation.VM
-		f.views[vm] = &snapshot.Snapshot{Self: snapshot.Self{Incarnation: self.Incarnation, Region: self.Region, CallerAddress: string(vm)}}
-		f.views[vm].Members = append(append(f.views[vm].Members, members[:i]...), members[i+1:]...)
+		f.views[vm] = &snapshot.Snapshot{
+			Self:    snapshot.Self{Incarnation: self.Incarnation, Region: self.Region, CallerAddress: string(vm)},
+			Config:  &published.Configuration{},
+			Members: seenFrom(self.Region, slices.Delete(slices.Clone(members), i, i+1)),
+		}
 		f.trackers[vm] = quarantine.New(quarantine.Options{})
 		f.guards[vm] = isolate.New(isolate.Options{
 			Tracker: f.trackers[vm], Snapshot: func() *snapshot.Snapshot { return f.views[vm] }, Sender: f, Now: time.Now,
@@ -81,6 +85,17 @@
 	return f
 }
 
+// seenFrom gives members of other regions the state in which a daemon knows
+// them: from the published list only.
+func seenFrom(region types.Region, members []snapshot.Member) []snapshot.Member {
+	for i := range members {
+		if members[i].Region != region {
+			members[i].State = snapshot.MemberListed
+		}
+	}
+	return members
+}
+
 // free returns an endpoint of the region that has not crashed.
 func (f *fleet) free(region types.Region, turn int) *snapshot.Endpoint {
 	f.mu.Lock()
