Let a daemon that starts learn all evidence of crashes

Change: each message between daemons carries two known entries in turn as well, none while nothing has crashed. Conclusion: until the round is through, the bound rests on what claims carry.

--- a/pkg/control/crashes/crashes.go
+++ b/pkg/control/crashes/crashes.go
@@ -18,6 +18,9 @@
 	copies = 12
 	// maxFresh bounds the entries of one message.
 	maxFresh = 16
+	// repeated is how many known entries a message carries besides the new
+	// ones, in turn, so that a daemon that has just started learns them all.
+	repeated = 2
 	// maxWaiting bounds the entries that wait to be passed on.
 	maxWaiting = 1024
 )
@@ -29,6 +32,8 @@
 	// cursor is behind the last entry that was taken from the tracker.
 	cursor uint64
 	fresh  []passing
+	// repeatedTo is behind the last entry that was repeated.
+	repeatedTo uint64
 	active map[request.Fingerprint]time.Time
 }
 
@@ -60,7 +65,8 @@
 	return s.active
 }
 
-// Fresh returns the entries to attach to the next message.
+// Fresh returns the entries to attach to the next message: new ones, and a few
+// known ones in turn.
 func (s *Spread) Fresh() []quarantine.Entry {
 	var entries []quarantine.Entry
 	for i := range s.fresh[:min(len(s.fresh), maxFresh)] {
@@ -68,7 +74,17 @@
 		entries = append(entries, s.fresh[i].entry)
 	}
 	s.fresh = slices.DeleteFunc(s.fresh, func(p passing) bool { return p.left <= 0 })
-	return entries
+	return append(entries, s.repeat()...)
+}
+
+// repeat returns the next entries of the round through all that is known.
+func (s *Spread) repeat() []quarantine.Entry {
+	digest := s.tracker.DigestOf(s.repeatedTo, repeated)
+	s.repeatedTo = digest.Next
+	if len(digest.Entries) == 0 {
+		s.repeatedTo = 0
+	}
+	return digest.Entries
 }
 
 // Merge takes what a peer knows; true when the quarantine changed.
--- a/pkg/control/quarantine/tracker.go
+++ b/pkg/control/quarantine/tracker.go
@@ -251,9 +251,14 @@
 
 // Digest returns what this daemon learned since a cursor, which starts at zero.
 func (t *Tracker) Digest(after uint64) Digest {
+	return t.DigestOf(after, MaxDigestEntries)
+}
+
+// DigestOf is Digest with another bound on the entries.
+func (t *Tracker) DigestOf(after uint64, limit int) Digest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	entries, next := t.evidence.since(after, MaxDigestEntries)
+	entries, next := t.evidence.since(after, limit)
 	return Digest{Entries: entries, Next: next}
 }
 
