Correct predicted waits in the daemon by observed ones

Change: the daemon's gates record real waits and predict by spill.Waits. Not measured with real daemons.

--- a/pkg/control/crashes/crashes.go
+++ b/pkg/control/crashes/crashes.go
@@ -34,7 +34,7 @@
 	fresh  []passing
 	// repeatedTo is behind the last entry that was repeated.
 	repeatedTo uint64
-	active map[request.Fingerprint]time.Time
+	active     map[request.Fingerprint]time.Time
 }
 
 // passing is an entry that still has to be passed on.
--- a/pkg/daemon/gates.go
+++ b/pkg/daemon/gates.go
@@ -10,6 +10,7 @@
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission"
 	"github.com/flamingomount/flamingomount/pkg/stage/admission/gate"
+	"github.com/flamingomount/flamingomount/pkg/stage/spill"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -32,6 +33,8 @@
 type serviceGate struct {
 	*gate.Gate
 	admitter admission.Admitter
+	// waits holds how long requests really waited, for predictions.
+	waits spill.Waits
 }
 
 func newGates(opts *Options, current func() *snapshot.Snapshot) *gates {
@@ -61,7 +64,8 @@
 func (g *gates) acquire(ctx context.Context, req *request.Request) (*gate.Pass, *types.Failure) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	return g.of(req.Service.Name).Acquire(ctx, admission.Offer{
+	one, offered := g.of(req.Service.Name), g.now()
+	pass, failure := one.Acquire(ctx, admission.Offer{
 		Rank:     req.Rank,
 		Org:      req.Org.Name,
 		Share:    req.Org.Share,
@@ -69,6 +73,11 @@
 		Bytes:    int64(len(req.Body)),
 		Deadline: req.Deadline,
 	})
+	if failure == nil {
+		now := g.now()
+		one.waits.Started(req.Rank, now.Sub(offered), now)
+	}
+	return pass, failure
 }
 
 func (g *gates) of(service types.ServiceName) *serviceGate {
--- a/pkg/daemon/spill.go
+++ b/pkg/daemon/spill.go
@@ -69,11 +69,12 @@
 	if !ok {
 		return 0
 	}
-	var wait time.Duration
+	room, wait := false, time.Duration(0)
 	one.Read(func() {
-		if controller.Free(req.Rank) == 0 {
-			wait = controller.Wait(req.Rank)
-		}
+		room, wait = controller.Free(req.Rank) > 0, controller.Wait(req.Rank)
 	})
-	return wait
+	if room {
+		return 0
+	}
+	return one.waits.Predict(req.Rank, wait, g.now())
 }
