Show the capacity table after each size

Cause: a run of the largest size took over ten minutes and showed nothing until its end; it was stopped without a result. Conclusion: the same figures, sooner.

--- a/internal/fakenet/checker.go
+++ b/internal/fakenet/checker.go
@@ -197,7 +197,10 @@
 
 // Names reports whether a daemon's answers name a VM as an entry.
 func Names(d *Daemon, vm types.VMID) bool {
-	return named(d)[vm]
+	if snap := d.Snapshot(); d.namedFrom != snap {
+		d.namedFrom, d.named = snap, named(d)
+	}
+	return d.named[vm]
 }
 
 // named holds the VMs that a daemon's answers name.
--- a/internal/fakenet/daemon.go
+++ b/internal/fakenet/daemon.go
@@ -26,6 +26,9 @@
 	up          bool
 	pausedUntil time.Time
 	draining    bool
+	// named holds the VMs that the snapshot namedFrom makes the answers name.
+	named     map[types.VMID]bool
+	namedFrom *snapshot.Snapshot
 	// Stats count since the daemon was made, over all its incarnations.
 	Stats Stats
 }
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"text/tabwriter"
 
@@ -56,10 +57,19 @@
 			return err
 		}
 		rows = append(rows, measured)
+		// A large size takes long: show what there is after each.
+		if err := printTable(cmd.OutOrStdout(), rows); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// printTable writes the table of the sizes measured so far.
+func printTable(out io.Writer, rows []row) error {
 	const padding = 2
-	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, padding, ' ', 0)
-	for _, line := range table(rows) {
+	w := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
+	for _, line := range append(table(rows), "") {
 		if _, err := fmt.Fprintln(w, line); err != nil {
 			return err
 		}
