--- a/pkg/control/drain/daemon.go
+++ b/pkg/control/drain/daemon.go
@@ -1,5 +1,5 @@
-// Package drain decides how a daemon leaves and when an endpoint counts as
-// leaving. It reads no clock: each call is told the time.
+// Package drain decides how a daemon leaves. It reads no clock: each call is
+// told the time. Endpoints that leave are the matter of package endpoints.
 package drain
 
 import "time"
@@ -51,7 +51,7 @@
 type Options struct {
 	// Announce is how long callers may still act on an older entry answer: the
 	// lifetime of an entry answer and the delay until peers have heard. The
-	// default is DefaultAnnounce.
+	// default is DefaultAnnounce; a negative value means no wait.
 	Announce time.Duration
 	// TicketWindow is how long a ticket may be used to start a request; the
 	// daemon stays until the tickets that name it have expired. The default is
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -14,7 +14,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/pool"
 
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
@@ -402,48 +401,3 @@
 		d.opts.Log.WithError(err).Error("control state ended")
 	}
 }
-
-// drain stops gracefully within the drain limit.
-func (d *Daemon) drain(abort context.Context) error {
-	limit := d.drainLimit()
-	d.drainEnds.Store(d.opts.Now().Add(limit).UnixMilli())
-	ctx, cancel := context.WithTimeout(abort, limit)
-	defer cancel()
-	d.control.Submit(event.DrainStarted{At: d.opts.Now()})
-	d.opts.Log.WithField("limit_s", limit.Seconds()).Info("daemon drains")
-	d.caller.http.SetKeepAlivesEnabled(false)
-	sleep(ctx, d.opts.Settings.Timeouts.DrainNotice)
-	if err := d.shutdownAll(ctx, d.caller); err != nil {
-		return err
-	}
-	if err := d.waitForOrders(ctx); err != nil {
-		return err
-	}
-	return d.shutdownAll(ctx, d.servers()[1:]...)
-}
-
-func (d *Daemon) drainLimit() time.Duration {
-	if config := d.control.Load().Config; config != nil && config.Policy.DrainLimit > 0 {
-		return config.Policy.DrainLimit
-	}
-	return d.opts.Settings.Timeouts.Drain
-}
-
-func (d *Daemon) shutdownAll(ctx context.Context, servers ...*server) error {
-	stopping := pool.New().WithErrors()
-	for _, s := range servers {
-		stopping.Go(func() error { return s.shutdown(ctx) })
-	}
-	return stopping.Wait()
-}
-
-// waitForOrders waits for runs whose caller has left.
-func (d *Daemon) waitForOrders(ctx context.Context) error {
-	const poll = 10 * time.Millisecond
-	for d.guard.InFlight() > 0 {
-		if !sleep(ctx, poll) {
-			return eris.New("requests that may not be repeated were cut off")
-		}
-	}
-	return nil
-}
--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -181,6 +181,7 @@
 	s := settings.Defaults()
 	s.Region, s.DataCentre = string(region), "dc-1"
 	s.Timeouts.DrainNotice = 0
+	s.Timeouts.DrainTickets = 0
 	self := snapshot.Self{
 		Incarnation: types.Incarnation{VM: types.VMID(peer.Addr().String()), Boot: boot},
 		Region:      region, DataCentre: "dc-1", CallerAddress: caller.Addr().String(),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -119,6 +119,9 @@
 	// DrainNotice is how long a stopping daemon still takes new requests,
 	// while callers learn to use other entries.
 	DrainNotice time.Duration `yaml:"drain_notice" validate:"min=0,max=10m" accepts:"0s to 10m"`
+	// DrainTickets is how long a stopping daemon at least answers for the
+	// tickets that name it, to callers or through other daemons.
+	DrainTickets time.Duration `yaml:"drain_tickets" validate:"min=0,max=10m" accepts:"0s to 10m"`
 }
 
 // Log sets what is logged.
@@ -148,7 +151,7 @@
 			Write:       30 * time.Second,
 			Request:     2 * time.Minute,
 			Drain:       10 * time.Minute,
-			DrainNotice: 5 * time.Second,
+			DrainNotice: 5 * time.Second, DrainTickets: 30 * time.Second,
 		},
 		Log: Log{Level: "info"},
 	}
--- a/pkg/stage/dispatch/pass.go
+++ b/pkg/stage/dispatch/pass.go
@@ -140,6 +140,7 @@
 	failure := a.failure(body.Error.Code, body.Error.Message, nil)
 	failure.Status = response.StatusCode
 	failure.Entries = body.Error.Entries
+	failure.Ticket = body.Error.Ticket
 	failure.RetryAfter = retryAfter(response.Header)
 	return failure
 }
--- a/pkg/standin/deployment/deployment.go
+++ b/pkg/standin/deployment/deployment.go
@@ -51,6 +51,9 @@
 	Engine engine.Options
 	// DrainNotice is how long a stopping daemon still takes requests.
 	DrainNotice time.Duration
+	// DrainTickets is how long a stopping daemon at least answers for the
+	// tickets that name it.
+	DrainTickets time.Duration
 	// Log receives the daemons' JSON lines; nil discards them.
 	Log io.Writer
 }
--- a/pkg/standin/deployment/entry.go
+++ b/pkg/standin/deployment/entry.go
@@ -33,6 +33,7 @@
 	s.Platform.URL = d.url
 	s.Bundle.PublicKeys = []string{d.publicKey()}
 	s.Timeouts.DrainNotice = d.plan.DrainNotice
+	s.Timeouts.DrainTickets = d.plan.DrainTickets
 	listeners, err := listen()
 	if err != nil {
 		return nil, err
