--- a/pkg/stage/candidates/quarantine.go
+++ b/pkg/stage/candidates/quarantine.go
@@ -19,8 +19,8 @@
 }
 
 // Keep reports whether the request may run anywhere.
-func (q Quarantine) Keep(in *route.Input, _ *snapshot.Endpoint) bool {
-	return q.Idle(in)
+func (f Quarantine) Keep(in *route.Input, _ *snapshot.Endpoint) bool {
+	return f.Idle(in)
 }
 
 // Idle reports whether the request is not quarantined.
@@ -36,3 +36,8 @@
 func (Quarantine) Code() types.Code {
 	return types.CodeQuarantined
 }
+
+// Retain keeps the endpoints that pass.
+func (f Quarantine) Retain(in *route.Input, eps []*snapshot.Endpoint) []*snapshot.Endpoint {
+	return retain(eps, func(ep *snapshot.Endpoint) bool { return f.Keep(in, ep) })
+}
