Test requests that another region runs, over one real hop

Cause: streams, verdicts and refusals must cross a hop between daemons unchanged, and the receiver must not forward again whatever its router says. Change: specs with two daemons in two regions and a router that sends away.

--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -24,6 +25,7 @@
 	"github.com/flamingomount/flamingomount/pkg/jsonlog"
 	"github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/settings"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/ingress"
@@ -67,6 +69,10 @@
 	log     *lockedBuffer
 	// tune changes the settings of each daemon; nil for none.
 	tune func(*settings.Settings)
+	// router replaces the daemons' router; nil for none.
+	router route.Router
+	// endpointRegion is where endpoints are; empty means homeRegion.
+	endpointRegion types.Region
 }
 
 // entry is one running daemon.
@@ -151,7 +157,7 @@
 	}
 	f.listing.VMs = append(f.listing.VMs, platform.VM{
 		Version: version,
-		Role:    platform.RoleEndpoint, Region: homeRegion, DataCentre: "dc-1",
+		Role:    platform.RoleEndpoint, Region: cmp.Or(f.endpointRegion, homeRegion), DataCentre: "dc-1",
 		Address: address, Endpoint: id, Service: service, Slots: 8,
 	})
 }
@@ -196,7 +202,7 @@
 	log.SetFormatter(jsonlog.Formatter{})
 	e := &entry{control: daemon.NewStaticControl(self, f.config, f.listing), url: "http://" + self.CallerAddress}
 	one, err := daemon.New(daemon.Options{
-		Settings: &s, Control: e.control, Boot: boot, Log: log,
+		Settings: &s, Control: e.control, Boot: boot, Log: log, Router: f.router,
 		Keys:           []daemon.Key{{ID: "k1", Secret: bytes.Repeat([]byte("k"), 32)}},
 		Rand:           &lockedRand{source: rand.New(rand.NewPCG(1, uint64(len(f.entries))))},
 		CallerListener: caller, PeerListener: peer,
