Explain, print and check a daemon's settings with the tool

Cause: the settings were documented in comments only, and could be checked only by starting a daemon.

--- a/pkg/cli/publish/publish.go
+++ b/pkg/cli/publish/publish.go
@@ -5,13 +5,16 @@
 
 import (
 	"github.com/spf13/cobra"
+
+	"github.com/flamingomount/flamingomount/pkg/cli/reference"
 )
 
 // Commands returns the commands of the package.
 func Commands() []*cobra.Command {
 	bundleGroup := &cobra.Command{Use: "bundle", Short: "Build, sign, verify and compare configuration bundles"}
 	bundleGroup.AddCommand(buildCommand(), signCommand(), verifyCommand(), diffCommand(), keygenCommand())
-	configGroup := &cobra.Command{Use: "config", Short: "Check the operators' files"}
+	configGroup := &cobra.Command{Use: "config", Short: "Check the operators' files and explain the daemon's settings"}
 	configGroup.AddCommand(checkCommand())
+	configGroup.AddCommand(reference.Commands()...)
 	return []*cobra.Command{bundleGroup, configGroup}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -9,8 +9,8 @@
 // name, the check and, in words, what the field accepts.
 type Settings struct {
 	// Region and DataCentre are the daemon's own place.
-	Region     string   `yaml:"region" validate:"required" accepts:"the name of a published region"`
-	DataCentre string   `yaml:"data_centre" validate:"required" accepts:"the name of a published data centre"`
+	Region     string   `yaml:"region" validate:"required" accepts:"the name of a published region" effect:"the region that the daemon serves first and reports to others"`
+	DataCentre string   `yaml:"data_centre" validate:"required" accepts:"the name of a published data centre" effect:"the data centre; daemons of one data centre share the reading of the configuration"`
 	Caller     Listener `yaml:"caller"`
 	Peer       Peer     `yaml:"peer"`
 	Admin      Admin    `yaml:"admin"`
@@ -25,22 +25,22 @@
 // Listener is an address for callers.
 type Listener struct {
 	// Address is where the daemon listens, "ip:port".
-	Address string `yaml:"address" validate:"required,ip_port" accepts:"an address ip:port"`
+	Address string `yaml:"address" validate:"required,ip_port" accepts:"an address ip:port" effect:"where callers reach the daemon"`
 	// Advertise is the address that others are told, "ip:port"; empty means
 	// Address.
-	Advertise string `yaml:"advertise" validate:"omitempty,ip_port" accepts:"an address ip:port, or nothing to use the address field"`
+	Advertise string `yaml:"advertise" validate:"omitempty,ip_port" accepts:"an address ip:port, or nothing to use the address field" effect:"the address that callers and other daemons are told"`
 	TLS       TLS    `yaml:"tls"`
 }
 
 // TLS names the files of a certificate and its key. Both empty means plain
 // HTTP. The files are read again when they change.
 type TLS struct {
-	Certificate string `yaml:"certificate" validate:"required_with=Key" accepts:"the path of a PEM file, together with key"`
-	Key         string `yaml:"key" validate:"required_with=Certificate" accepts:"the path of a PEM file, together with certificate"`
+	Certificate string `yaml:"certificate" validate:"required_with=Key" accepts:"the path of a PEM file, together with key" effect:"serves TLS with this certificate; the file is read again when it changes"`
+	Key         string `yaml:"key" validate:"required_with=Certificate" accepts:"the path of a PEM file, together with certificate" effect:"the key of the certificate"`
 	// Authorities is the path of a PEM file with the certificates that the
 	// other side's certificate must derive from; empty means that peers do
 	// not use TLS and callers need no certificate.
-	Authorities string `yaml:"authorities" accepts:"the path of a PEM file"`
+	Authorities string `yaml:"authorities" accepts:"the path of a PEM file" effect:"demands of the other side a certificate derived from one of these"`
 }
 
 // Enabled reports whether a certificate is set.
@@ -50,43 +50,43 @@
 
 // Peer is the daemon's address for other daemons and the keys they share.
 type Peer struct {
-	Address   string `yaml:"address" validate:"required,ip_port" accepts:"an address ip:port"`
-	Advertise string `yaml:"advertise" validate:"omitempty,ip_port" accepts:"an address ip:port, or nothing to use the address field"`
+	Address   string `yaml:"address" validate:"required,ip_port" accepts:"an address ip:port" effect:"where other daemons reach the daemon; it is also the identity of the VM"`
+	Advertise string `yaml:"advertise" validate:"omitempty,ip_port" accepts:"an address ip:port, or nothing to use the address field" effect:"the address that other daemons are told, when it differs"`
 	TLS       TLS    `yaml:"tls"`
 	// Keys authenticate daemons to each other and sign tickets: the first one
 	// signs, all verify.
-	Keys []Key `yaml:"keys" validate:"required,min=1,max=4,dive" accepts:"one to four keys"`
+	Keys []Key `yaml:"keys" validate:"required,min=1,max=4,dive" accepts:"one to four keys" effect:"the keys that authenticate daemons and tickets: the first one signs, all verify"`
 }
 
 // Key is a secret that all daemons of a deployment share.
 type Key struct {
-	ID string `yaml:"id" validate:"required,alphanum,max=32" accepts:"1 to 32 letters and digits"`
+	ID string `yaml:"id" validate:"required,alphanum,max=32" accepts:"1 to 32 letters and digits" effect:"names the key in messages and tickets"`
 	// File is the path of a file with the secret in base64, at least 32 bytes.
-	File string `yaml:"file" validate:"required" accepts:"the path of a file with at least 32 bytes in base64"`
+	File string `yaml:"file" validate:"required" accepts:"the path of a file with at least 32 bytes in base64" effect:"the secret; every daemon of the deployment has the same"`
 }
 
 // Admin is the address of metrics, health and the administration API.
 type Admin struct {
-	Address string `yaml:"address" validate:"omitempty,ip_port" accepts:"an address ip:port, or nothing for none"`
+	Address string `yaml:"address" validate:"omitempty,ip_port" accepts:"an address ip:port, or nothing for none" effect:"serves metrics, health and the administration API; nothing serves none"`
 }
 
 // Platform names the platform's services.
 type Platform struct {
 	// URL is the base of the configuration service, the VM list, the weight
 	// store and the client directory.
-	URL string `yaml:"url" validate:"omitempty,http_url" accepts:"an http:// or https:// URL, unless static files are set"`
+	URL string `yaml:"url" validate:"omitempty,http_url" accepts:"an http:// or https:// URL, unless static files are set" effect:"where the configuration service, the VM list, the client directory and the weight store are read"`
 }
 
 // Bundle says how published bundles are recognised.
 type Bundle struct {
 	// PublicKeys are the publisher's ed25519 keys in base64.
-	PublicKeys []string `yaml:"public_keys" validate:"omitempty,max=4,dive,base64" accepts:"up to four ed25519 public keys in base64"`
+	PublicKeys []string `yaml:"public_keys" validate:"omitempty,max=4,dive,base64" accepts:"up to four ed25519 public keys in base64" effect:"configurations signed by one of these keys are accepted; list the old and the new one while keys rotate"`
 }
 
 // Static names files that take the platform's place in a trial.
 type Static struct {
-	Configuration string `yaml:"configuration" validate:"required_with=VMList" accepts:"the path of a JSON file, together with vm_list"`
-	VMList        string `yaml:"vm_list" validate:"required_with=Configuration" accepts:"the path of a JSON file, together with configuration"`
+	Configuration string `yaml:"configuration" validate:"required_with=VMList" accepts:"the path of a JSON file, together with vm_list" effect:"a configuration that never changes, for a trial without a platform"`
+	VMList        string `yaml:"vm_list" validate:"required_with=Configuration" accepts:"the path of a JSON file, together with configuration" effect:"a VM list that never changes, for a trial without a platform"`
 }
 
 // Enabled reports whether the files are set.
@@ -96,37 +96,37 @@
 
 // Limits bounds what the daemon takes on.
 type Limits struct {
-	Requests     int64 `yaml:"requests" validate:"min=1,max=1000000" accepts:"1 to 1000000 requests at once"`
-	Connections  int   `yaml:"connections" validate:"min=1,max=1000000" accepts:"1 to 1000000 connections at once"`
-	HeaderBytes  int   `yaml:"header_bytes" validate:"min=1024,max=1048576" accepts:"1024 to 1048576 bytes"`
-	BodyBytes    int64 `yaml:"body_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes"`
-	BodyMemory   int64 `yaml:"body_memory" validate:"min=1048576" accepts:"at least 1048576 bytes"`
-	AnswerBytes  int64 `yaml:"answer_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes"`
-	EventBytes   int   `yaml:"event_bytes" validate:"min=1024,max=16777216" accepts:"1024 to 16777216 bytes"`
-	PeerRequests int64 `yaml:"peer_requests" validate:"min=1,max=1000000" accepts:"1 to 1000000 requests at once"`
+	Requests     int64 `yaml:"requests" validate:"min=1,max=1000000" accepts:"1 to 1000000 requests at once" effect:"requests of callers at once; more are refused as not run"`
+	Connections  int   `yaml:"connections" validate:"min=1,max=1000000" accepts:"1 to 1000000 connections at once" effect:"connections of callers at once; more wait to be accepted"`
+	HeaderBytes  int   `yaml:"header_bytes" validate:"min=1024,max=1048576" accepts:"1024 to 1048576 bytes" effect:"the size of a request head; larger ones are refused"`
+	BodyBytes    int64 `yaml:"body_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes" effect:"the size of a request body; larger ones are refused"`
+	BodyMemory   int64 `yaml:"body_memory" validate:"min=1048576" accepts:"at least 1048576 bytes" effect:"the memory of all request bodies together; more are refused as not run"`
+	AnswerBytes  int64 `yaml:"answer_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes" effect:"the size up to which an answer is held whole before it is passed on"`
+	EventBytes   int   `yaml:"event_bytes" validate:"min=1024,max=16777216" accepts:"1024 to 16777216 bytes" effect:"the size of one event of a stream; larger ones break it off"`
+	PeerRequests int64 `yaml:"peer_requests" validate:"min=1,max=1000000" accepts:"1 to 1000000 requests at once" effect:"requests forwarded by other daemons at once; more are refused as not run"`
 }
 
 // Timeouts bounds how long the daemon waits.
 type Timeouts struct {
-	Header  time.Duration `yaml:"header" validate:"min=100ms,max=10m" accepts:"100ms to 10m"`
-	Body    time.Duration `yaml:"body" validate:"min=100ms,max=1h" accepts:"100ms to 1h"`
-	Idle    time.Duration `yaml:"idle" validate:"min=1s,max=1h" accepts:"1s to 1h"`
-	Answer  time.Duration `yaml:"answer" validate:"min=1s,max=1h" accepts:"1s to 1h"`
-	Write   time.Duration `yaml:"write" validate:"min=100ms,max=1h" accepts:"100ms to 1h"`
-	Request time.Duration `yaml:"request" validate:"min=100ms,max=24h" accepts:"100ms to 24h"`
+	Header  time.Duration `yaml:"header" validate:"min=100ms,max=10m" accepts:"100ms to 10m" effect:"the time to send a request head"`
+	Body    time.Duration `yaml:"body" validate:"min=100ms,max=1h" accepts:"100ms to 1h" effect:"the time to send a request body"`
+	Idle    time.Duration `yaml:"idle" validate:"min=1s,max=1h" accepts:"1s to 1h" effect:"how long an idle connection is kept"`
+	Answer  time.Duration `yaml:"answer" validate:"min=1s,max=1h" accepts:"1s to 1h" effect:"the silence of an endpoint after which an answer counts as broken"`
+	Write   time.Duration `yaml:"write" validate:"min=100ms,max=1h" accepts:"100ms to 1h" effect:"the time that a caller may take to read what was written to it"`
+	Request time.Duration `yaml:"request" validate:"min=100ms,max=24h" accepts:"100ms to 24h" effect:"the deadline of a request whose service publishes none"`
 	// Drain bounds a graceful stop; a published drain limit replaces it.
-	Drain time.Duration `yaml:"drain" validate:"min=1s,max=24h" accepts:"1s to 24h"`
+	Drain time.Duration `yaml:"drain" validate:"min=1s,max=24h" accepts:"1s to 24h" effect:"bounds a graceful stop when no limit is published"`
 	// DrainNotice is how long a stopping daemon still takes new requests,
 	// while callers learn to use other entries.
-	DrainNotice time.Duration `yaml:"drain_notice" validate:"min=0,max=10m" accepts:"0s to 10m"`
+	DrainNotice time.Duration `yaml:"drain_notice" validate:"min=0,max=10m" accepts:"0s to 10m" effect:"how long a stopping daemon still takes requests while callers turn to other entries"`
 	// DrainTickets is how long a stopping daemon at least answers for the
 	// tickets that name it, to callers or through other daemons.
-	DrainTickets time.Duration `yaml:"drain_tickets" validate:"min=0,max=10m" accepts:"0s to 10m"`
+	DrainTickets time.Duration `yaml:"drain_tickets" validate:"min=0,max=10m" accepts:"0s to 10m" effect:"how long a stopping daemon at least answers for the tickets that name it"`
 }
 
 // Log sets what is logged.
 type Log struct {
-	Level string `yaml:"level" validate:"oneof=debug info warn error" accepts:"debug, info, warn or error"`
+	Level string `yaml:"level" validate:"oneof=debug info warn error" accepts:"debug, info, warn or error" effect:"the least severe lines that are logged"`
 }
 
 // Defaults returns the settings before a file is read. Fields that are zero
