Show where the configuration in force came from

Cause: the administration API had fields for origin, confirmation and the last refusal that nothing filled, and two age gauges were always zero. Conclusion: an operator sees whether the service still confirms the revision.

--- a/pkg/admin/answers.go
+++ b/pkg/admin/answers.go
@@ -32,7 +32,7 @@
 	Revision    types.Revision `json:"revision"`
 	Hash        string         `json:"hash"`
 	PublishedAt time.Time      `json:"published_at"`
-	// Origin says where it came from: "service" or the peer's address.
+	// Origin says where it came from: "service", "peer", or "files" for a trial without a platform.
 	Origin string `json:"origin"`
 	// ConfirmedAt is when its being the newest was last confirmed.
 	ConfirmedAt time.Time `json:"confirmed_at"`
--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -29,6 +31,10 @@
 	service    serviceReader
 	nextAsk    time.Time
 	alarms     []Alarm
+	// fromService, refused and confirmed make the origin.
+	fromService bool
+	refused     string
+	confirmed   *atomic.Int64
 	// conflictAt is when peers' disagreement was last reported.
 	conflictAt time.Time
 }
@@ -77,7 +83,7 @@
 
 // New returns a state that has accepted nothing.
 func New(opts Options, rng *rand.Rand, now time.Time) *State {
-	s := &State{opts: opts.withDefaults(), rng: rng, started: now, heardAt: now}
+	s := &State{confirmed: &atomic.Int64{}, opts: opts.withDefaults(), rng: rng, started: now, heardAt: now}
 	s.accepted.tree = &bundle.Tree{}
 	s.service.init(now, s.opts)
 	return s
@@ -168,6 +174,9 @@
 	if ready {
 		s.heardReady = true
 	}
+	if peer.Revision != 0 && peer.Revision == s.Revision() && hash == s.ShortHash() {
+		s.confirm(now)
+	}
 	if peer.Revision != 0 && peer.Revision == s.Revision() && hash != s.ShortHash() && now.Sub(s.conflictAt) > conflictEvery {
 		s.conflictAt = now
 		s.alarm(now, "peer %s holds revision %s with hash %s..., this daemon with %s", peer.VM, peer.Revision, hash, s.Hash())
@@ -205,7 +214,9 @@
 	switch {
 	case manifest.Revision == s.Revision() && string(hash) != s.Hash():
 		s.alarm(now, "refused revision %s with hash %s: already accepted with %s", manifest.Revision, hash, s.Hash())
-	case manifest.Revision <= s.Revision():
+	case manifest.Revision == s.Revision():
+		s.confirm(now)
+	case manifest.Revision < s.Revision():
 	case manifest.Revision < s.floor:
 		// The service is stale: a peer has a newer revision.
 	case s.next != nil && manifest.Revision == s.next.manifest.Revision && hash != s.next.hash:
@@ -262,10 +273,26 @@
 		before: s.Revision(), added: tree.Added(c.have),
 	}
 	s.next, s.holders = nil, nil
+	s.fromService = c.fromService
 	s.changed = true
+	s.confirm(now)
 	s.settle(now)
 }
 
+// confirm notes that somebody named the revision in force as the newest.
+func (s *State) confirm(now time.Time) {
+	s.confirmed.Store(now.UnixMilli())
+}
+
+// Origin tells where the accepted configuration came from; nil when there is
+// none.
+func (s *State) Origin() *snapshot.ConfigOrigin {
+	if s.accepted.config == nil {
+		return nil
+	}
+	return &snapshot.ConfigOrigin{FromService: s.fromService, Refused: s.refused, Confirmed: s.confirmed}
+}
+
 func (s *State) refuse(now time.Time, c *candidate, err error) {
 	s.alarm(now, "refused revision %s whole: %v", c.manifest.Revision, err)
 	s.next = nil
@@ -290,6 +317,8 @@
 const maxAlarms = 16
 
 func (s *State) alarm(now time.Time, format string, args ...any) {
+	s.refused = now.UTC().Format(time.RFC3339) + " " + fmt.Sprintf(format, args...)
+	s.changed = true
 	if len(s.alarms) < maxAlarms {
 		s.alarms = append(s.alarms, Alarm{At: now, Text: fmt.Sprintf(format, args...)})
 	}
--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -251,7 +251,7 @@
 		}
 	}
 	snap := &snapshot.Snapshot{
-		TakenAt: now, Self: n.opts.Self, Config: n.config.InForce(),
+		TakenAt: now, Self: n.opts.Self, Config: n.config.InForce(), Origin: n.config.Origin(),
 		Endpoints: n.back, Members: n.view, Regions: n.regions.Others(),
 		Draining: n.draining, Paused: n.pause.active, Prefixes: n.prefixes,
 	}
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -89,8 +89,14 @@
 	if view.Config != nil {
 		status.Config = admin.ConfigStatus{
 			Revision: view.Config.Revision, Hash: view.Config.Hash, PublishedAt: view.Config.PublishedAt,
+			Origin: "files",
 		}
 	}
+	if view.Origin != nil {
+		status.Config.Origin = originOf(view.Origin)
+		status.Config.ConfirmedAt = time.UnixMilli(view.Origin.Confirmed.Load())
+		status.Config.Refused = view.Origin.Refused
+	}
 	status.Drain = admin.DrainStatus{Draining: view.Draining, InFlight: int(d.inFlight.Load())}
 	if ends := d.drainEnds.Load(); ends > 0 {
 		status.Drain.EndsBy = time.UnixMilli(ends)
@@ -98,6 +104,13 @@
 	return status
 }
 
+func originOf(origin *snapshot.ConfigOrigin) string {
+	if origin.FromService {
+		return "service"
+	}
+	return "peer"
+}
+
 func (d *Daemon) queues() admin.Queues {
 	answer := admin.Queues{Ranks: make([]admin.QueueStatus, types.RankCount)}
 	for _, rank := range types.Ranks() {
@@ -138,10 +151,14 @@
 	if view.Config != nil {
 		gauges.Revision = view.Config.Revision
 	}
+	if view.Origin != nil {
+		gauges.ConfigAge = d.opts.Now().Sub(time.UnixMilli(view.Origin.Confirmed.Load()))
+	}
 	for i := range view.Members {
 		switch view.Members[i].State {
 		case snapshot.MemberAlive:
 			gauges.MembersAlive++
+			gauges.OldestPeer = max(gauges.OldestPeer, d.opts.Now().Sub(view.Members[i].HeardAt))
 		case snapshot.MemberSuspect:
 			gauges.MembersSuspect++
 		}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -21,6 +21,8 @@
 	Self Self
 	// Config is the configuration in force; nil until one was accepted.
 	Config *published.Configuration
+	// Origin tells where Config came from; nil until one was accepted.
+	Origin *ConfigOrigin
 	// Endpoints lists the endpoints of each service in every region, sorted
 	// by ID.
 	Endpoints map[types.ServiceName][]*Endpoint
@@ -47,6 +49,19 @@
 	Holders(prefix uint64) []types.EndpointID
 }
 
+// ConfigOrigin tells where the configuration in force came from. Confirmed
+// changes after publication, by atomic operations.
+type ConfigOrigin struct {
+	// FromService is true when the configuration service was read, false when
+	// a peer passed it on.
+	FromService bool
+	// Refused is what was refused last, and why; empty for nothing.
+	Refused string
+	// Confirmed is when the service or a peer last named the same revision and
+	// hash, in Unix milliseconds.
+	Confirmed *atomic.Int64
+}
+
 // Self is the place and identity of the daemon that owns the snapshot.
 type Self struct {
 	Incarnation types.Incarnation `json:"incarnation"`
