--- a/pkg/stage/dispatch/attempt.go
+++ b/pkg/stage/dispatch/attempt.go
@@ -27,6 +27,8 @@
 	started  time.Time
 	begun    time.Time
 	tokens   int
+	// irregular is true when the stream can't be resumed at a token.
+	irregular bool
 
 	// mu guards conn, which the transport's goroutines set.
 	mu   sync.Mutex
@@ -128,10 +130,12 @@
 func (a *attempt) transport() http.RoundTripper {
 	opts := &a.run.d.opts
 	switch {
-	case !a.run.req.Repeatable:
-		return opts.FreshTransport
+	case a.endpoint == nil && !a.run.req.Repeatable:
+		return opts.FreshPeerTransport
 	case a.endpoint == nil:
 		return opts.PeerTransport
+	case !a.run.req.Repeatable:
+		return opts.FreshTransport
 	default:
 		return opts.Transport
 	}
--- a/pkg/stage/dispatch/pass.go
+++ b/pkg/stage/dispatch/pass.go
@@ -56,6 +56,7 @@
 	}
 	result := a.run.caller.Stream(response, cancel)
 	a.tokens = result.Tokens
+	a.irregular = result.Tokens > 0 && !result.Resumable
 	if result.End == relay.EndWhole {
 		a.evidence.Progress = outcome.ResponseWhole
 		return nil
@@ -140,6 +141,7 @@
 	failure := a.failure(body.Error.Code, body.Error.Message, nil)
 	failure.Status = response.StatusCode
 	failure.Entries = body.Error.Entries
+	failure.Ticket = body.Error.Ticket
 	failure.RetryAfter = retryAfter(response.Header)
 	return failure
 }
