--- a/pkg/control/quarantine/evidence.go
+++ b/pkg/control/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,10 +16,19 @@
 	capacity int
 	entries  map[Entry]uint64 // to the local sequence number of arrival
 	sequence uint64
+	// arrivals lists entries in the order of arrival, removed ones too until
+	// they are too many.
+	arrivals []arrival
 	content  map[request.Fingerprint][]Entry
 	endpoint map[types.EndpointID][]Entry
 }
 
+// arrival is an entry with the number of its arrival.
+type arrival struct {
+	sequence uint64
+	entry    Entry
+}
+
 func newEvidence(capacity int) *evidence {
 	return &evidence{
 		capacity: capacity,
@@ -34,6 +44,7 @@
 	}
 	e.sequence++
 	e.entries[entry] = e.sequence
+	e.arrivals = append(e.arrivals, arrival{e.sequence, entry})
 	fingerprint := request.Fingerprint(entry.Fingerprint)
 	e.content[fingerprint] = append(e.content[fingerprint], entry)
 	if entry.Kind == KindCrash {
@@ -58,6 +69,9 @@
 
 func (e *evidence) remove(entry Entry) {
 	delete(e.entries, entry)
+	if len(e.arrivals) > 2*e.capacity {
+		e.arrivals = slices.DeleteFunc(e.arrivals, func(a arrival) bool { return !e.holds(a) })
+	}
 	fingerprint := request.Fingerprint(entry.Fingerprint)
 	e.content[fingerprint] = without(e.content[fingerprint], entry)
 	if len(e.content[fingerprint]) == 0 {
@@ -88,20 +102,27 @@
 // since returns the entries that arrived after a cursor, oldest arrival first,
 // at most limit of them, and the cursor behind them.
 func (e *evidence) since(cursor uint64, limit int) ([]Entry, uint64) {
+	start, _ := slices.BinarySearchFunc(e.arrivals, cursor+1, func(a arrival, sequence uint64) int {
+		return cmp.Compare(a.sequence, sequence)
+	})
 	var found []Entry
-	for entry, sequence := range e.entries {
-		if sequence > cursor {
-			found = append(found, entry)
+	for _, next := range e.arrivals[start:] {
+		if len(found) == limit {
+			break
+		}
+		cursor = next.sequence
+		if e.holds(next) {
+			found = append(found, next.entry)
 		}
-	}
-	slices.SortFunc(found, func(a, b Entry) int { return int(e.entries[a]) - int(e.entries[b]) })
-	found = found[:min(len(found), limit)]
-	if len(found) > 0 {
-		cursor = e.entries[found[len(found)-1]]
 	}
 	return found, cursor
 }
 
+// holds reports whether an arrival has not been removed since.
+func (e *evidence) holds(a arrival) bool {
+	return e.entries[a.entry] == a.sequence
+}
+
 // crashes returns the crashes of a fingerprint that no later completion
 // excuses, one for each crash of an endpoint, oldest first.
 func (e *evidence) crashes(fingerprint request.Fingerprint) []Entry {
