--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -183,6 +183,7 @@
 	s := settings.Defaults()
 	s.Region, s.DataCentre = string(region), "dc-1"
 	s.Timeouts.DrainNotice = 0
+	s.Timeouts.DrainTickets = 0
 	if f.tune != nil {
 		f.tune(&s)
 	}
