--- a/pkg/stage/dispatch/dispatch.go
+++ b/pkg/stage/dispatch/dispatch.go
@@ -79,7 +79,7 @@
 	// means Transport and FreshTransport.
 	PeerTransport      http.RoundTripper
 	FreshPeerTransport http.RoundTripper
-	Limits        relay.Limits
+	Limits             relay.Limits
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Rand must be safe for concurrent use.
