Bound the orders that one organisation may have remembered

Cause: one organisation's flood of orders could fill a daemon's ledger, and each refusal raised a floor that killed the unused tickets of all others.

Change: an organisation may hold a quarter of the records by default, and floors are kept by organisation.

Conclusion: a flood of one organisation leaves three quarters to the others.

--- a/pkg/control/once/bench_test.go
+++ b/pkg/control/once/bench_test.go
@@ -83,7 +83,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	ledger := once.NewLedger(self, ring, once.Options{})
+	ledger := once.NewLedger(self, ring, once.Options{MaxOrgRecords: len(orders)})
 	for _, order := range orders {
 		decision := ledger.Begin(at(0), order, view)
 		ledger.Finish(at(1), decision.ID, ranWith(""))
--- a/pkg/control/once/ledger.go
+++ b/pkg/control/once/ledger.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"maps"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/control/ticket"
@@ -17,16 +18,18 @@
 	records *records
 	// clock is the latest time seen; it never goes back.
 	clock time.Time
-	// floor refuses tickets that the ledger had no room to remember: an
-	// unknown ticket with StartBy at or before it never starts.
-	floor time.Time
+	// floors refuses tickets that the ledger had no room to remember: an
+	// unknown ticket of the organisation with StartBy at or before its floor
+	// never starts. Floors that the clock has passed are dropped.
+	floors map[types.OrgName]time.Time
 	// draining never becomes false again.
 	draining bool
 }
 
 // NewLedger returns the empty ledger of a new incarnation.
 func NewLedger(self types.Incarnation, keyring *ticket.Keyring, options Options) *Ledger {
-	return &Ledger{self: self, keyring: keyring, options: options.WithDefaults(), records: newRecords()}
+	return &Ledger{self: self, keyring: keyring, options: options.WithDefaults(), records: newRecords(),
+		floors: make(map[types.OrgName]time.Time)}
 }
 
 // SetKeyring replaces the keys after a rotation.
@@ -90,25 +93,29 @@
 	case !claims.StartBy.After(l.records.forgotten):
 		return refuse(claims, types.MayHaveRun, types.CodeTicketExpired,
 			"the ticket expired so long ago that its request is no longer remembered")
-	case !claims.StartBy.After(l.clock), !claims.StartBy.After(l.floor):
+	case !claims.StartBy.After(l.clock), !claims.StartBy.After(l.floors[claims.Org]):
 		return reissue(claims, types.CodeTicketExpired, "the ticket expired before the request was started")
 	case l.draining:
 		return reissue(claims, types.CodeDraining, "this daemon is leaving and starts nothing new")
 	case claims.StartBy.After(l.clock.Add(l.options.MaxAhead)):
 		return refuse(claims, types.MayHaveRun, types.CodeTicketExpired,
 			"the ticket's time lies too far ahead of this daemon's clock: ask for a new ticket")
-	case len(l.records.byID) >= l.options.MaxRecords:
+	case len(l.records.byID) >= l.options.MaxRecords, l.records.byOrg[claims.Org] >= l.options.MaxOrgRecords:
 		return l.refuseFull(claims)
 	}
-	l.records.add(&record{id: claims.ID, content: order.Content, startBy: claims.StartBy, running: true})
+	l.records.add(&record{id: claims.ID, org: claims.Org, content: order.Content, startBy: claims.StartBy, running: true})
 	return Decision{Action: ActionRun, ID: claims.ID, Floor: claims.Floor}
 }
 
 // refuseFull refuses a ticket that there is no room to remember. The floor
-// makes the refusal final, at the price of refusing older unused tickets too.
+// makes the refusal final, at the price of refusing the organisation's older
+// unused tickets too.
 func (l *Ledger) refuseFull(claims ticket.Claims) Decision {
-	if claims.StartBy.After(l.floor) {
-		l.floor = claims.StartBy
+	if _, ok := l.floors[claims.Org]; !ok {
+		maps.DeleteFunc(l.floors, func(_ types.OrgName, floor time.Time) bool { return !floor.After(l.clock) })
+	}
+	if claims.StartBy.After(l.floors[claims.Org]) {
+		l.floors[claims.Org] = claims.StartBy
 	}
 	return reissue(claims, types.CodeOverloaded, "this daemon remembers as many requests as it may")
 }
--- a/pkg/control/once/ledger_test.go
+++ b/pkg/control/once/ledger_test.go
@@ -67,7 +67,7 @@
 var _ = Describe("Ledger", func() {
 	var ledger *once.Ledger
 	BeforeEach(func() {
-		ledger = once.NewLedger(self, testKeyring(), once.Options{Retain: time.Minute, MaxRecords: 2, MaxAnswerBytes: 300})
+		ledger = once.NewLedger(self, testKeyring(), once.Options{Retain: time.Minute, MaxRecords: 2, MaxOrgRecords: 2, MaxAnswerBytes: 300})
 	})
 	begin := func(seconds int, o once.Order) once.Decision { return ledger.Begin(at(seconds), o, view) }
 
@@ -142,6 +142,23 @@
 		Expect(ledger.Len()).To(BeZero(), "the clock of the ledger does not go back")
 	})
 
+	It("refuses an organisation over its share and leaves the tickets of others alone", func() {
+		ledger = once.NewLedger(self, testKeyring(), once.Options{MaxRecords: 8})
+		other := order(9, self, at(30))
+		other.Org = "other"
+		claims, err := testKeyring().Verify(other.Key)
+		Expect(err).NotTo(HaveOccurred())
+		claims.Org = "other"
+		other.Key, err = testKeyring().Sign(claims)
+		Expect(err).NotTo(HaveOccurred())
+		for number := range byte(2) {
+			Expect(begin(0, order(number, self, at(30))).Action).To(Equal(once.ActionRun))
+		}
+		expectFailure(begin(0, order(3, self, at(40))), types.NotRun, types.CodeOverloaded)
+		expectFailure(begin(0, order(4, self, at(35))), types.NotRun, types.CodeTicketExpired)
+		Expect(begin(0, other).Action).To(Equal(once.ActionRun))
+	})
+
 	It("drops the oldest answers over the bound but not the knowledge that they ran", func() {
 		for number := range byte(2) {
 			id := begin(0, order(number, self, at(30))).ID
--- a/pkg/control/once/once.go
+++ b/pkg/control/once/once.go
@@ -134,6 +134,9 @@
 	// MaxRecords bounds the remembered requests. The default is
 	// DefaultMaxRecords.
 	MaxRecords int
+	// MaxOrgRecords bounds the remembered requests of one organisation, so that
+	// its flood leaves room for others. The default is a quarter of MaxRecords.
+	MaxOrgRecords int
 	// MaxAnswerBytes bounds all remembered answers together. The default is
 	// DefaultMaxAnswerBytes.
 	MaxAnswerBytes int
@@ -147,6 +150,9 @@
 	DefaultMaxAnswerBytes = 32 << 20
 )
 
+// orgsInFull is how many organisations fill a ledger by default.
+const orgsInFull = 4
+
 // WithDefaults returns the options with zero values replaced.
 func (o Options) WithDefaults() Options {
 	if o.Retain == 0 {
@@ -158,6 +164,9 @@
 	if o.MaxRecords == 0 {
 		o.MaxRecords = DefaultMaxRecords
 	}
+	if o.MaxOrgRecords == 0 {
+		o.MaxOrgRecords = max(o.MaxRecords/orgsInFull, 1)
+	}
 	if o.MaxAnswerBytes == 0 {
 		o.MaxAnswerBytes = DefaultMaxAnswerBytes
 	}
--- a/pkg/control/once/records.go
+++ b/pkg/control/once/records.go
@@ -12,6 +12,7 @@
 // record is what the owner remembers of one ticket.
 type record struct {
 	id      ticket.ID
+	org     types.OrgName
 	content ContentHash
 	startBy time.Time
 	running bool
@@ -30,6 +31,7 @@
 // records holds the remembered tickets and a bounded amount of answers.
 type records struct {
 	byID    map[ticket.ID]*record
+	byOrg   map[types.OrgName]int // number of records
 	expiry  expiryHeap
 	answers *list.List // of *record, oldest answer first
 	bytes   int
@@ -38,11 +40,12 @@
 }
 
 func newRecords() *records {
-	return &records{byID: make(map[ticket.ID]*record), answers: list.New()}
+	return &records{byID: make(map[ticket.ID]*record), byOrg: make(map[types.OrgName]int), answers: list.New()}
 }
 
 func (s *records) add(r *record) {
 	s.byID[r.id] = r
+	s.byOrg[r.org]++
 	heap.Push(&s.expiry, r)
 }
 
@@ -94,6 +97,10 @@
 	s.dropAnswer(r)
 	heap.Remove(&s.expiry, r.index)
 	delete(s.byID, r.id)
+	s.byOrg[r.org]--
+	if s.byOrg[r.org] == 0 {
+		delete(s.byOrg, r.org)
+	}
 }
 
 // expiryHeap orders records by StartBy.
