--- a/pkg/control/node/messages.go
+++ b/pkg/control/node/messages.go
@@ -50,7 +50,7 @@
 		n.dirty = true
 	}
 	if e.Reply {
-		n.sendNewer(now, msg)
+		n.sendWanted(now, msg)
 		return
 	}
 	n.out.Reply = n.answer(now, msg)
@@ -103,9 +103,8 @@
 		reply.ListChange, reply.Listing = n.list.Since(msg.ListVersion)
 	}
 	if msg.Exchange {
-		reply.Exchange = true
 		reply.Summaries = n.regions.Newer(msg.Digests)
-		reply.Digests = n.regions.Digests()
+		reply.WantSummaries = n.regions.Lacking(msg.Digests)
 	}
 	if len(msg.WantBlobs) > 0 {
 		reply.Blobs = n.blobs(msg.WantBlobs)
@@ -129,17 +128,14 @@
 	return blobs
 }
 
-// sendNewer sends summaries that the answering peer turned out to lack.
-func (n *Node) sendNewer(now time.Time, reply *peer.Message) {
-	if !reply.Exchange {
-		return
-	}
-	newer := n.regions.Newer(reply.Digests)
-	if len(newer) == 0 {
+// sendWanted sends summaries that the answering peer turned out to lack.
+func (n *Node) sendWanted(now time.Time, reply *peer.Message) {
+	wanted := n.regions.Of(reply.WantSummaries)
+	if len(wanted) == 0 {
 		return
 	}
 	msg := n.message(now)
-	msg.Summaries = newer
+	msg.Summaries = wanted
 	n.send(now, reply.From.VM, msg)
 }
 
--- a/pkg/control/regions/regions.go
+++ b/pkg/control/regions/regions.go
@@ -205,6 +205,29 @@
 	return out
 }
 
+// Lacking lists the regions of which the digests name a newer summary.
+func (s *State) Lacking(digests []peer.SummaryDigest) []types.Region {
+	var out []types.Region
+	for _, d := range digests {
+		known := s.summaries[d.Region]
+		if known == nil || known.TakenAt.UnixMilli() < d.TakenAt {
+			out = append(out, d.Region)
+		}
+	}
+	return out[:min(len(out), s.opts.MaxSummaries)]
+}
+
+// Of returns the summaries of the regions that are known.
+func (s *State) Of(regions []types.Region) []snapshot.RegionSummary {
+	var out []snapshot.RegionSummary
+	for _, region := range regions[:min(len(regions), s.opts.MaxSummaries)] {
+		if summary := s.summaries[region]; summary != nil {
+			out = append(out, *summary)
+		}
+	}
+	return out
+}
+
 // Merge takes summaries of a message; an older one than the known is ignored.
 func (s *State) Merge(now time.Time, summaries []snapshot.RegionSummary) {
 	for i := range summaries {
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -60,8 +60,11 @@
 	// ListChange is the difference between two versions of the VM list.
 	ListChange *ListChange `json:"list_change,omitempty"`
 
-	// Exchange asks for the summaries that Digests lack, and offers the same.
+	// Exchange asks for the summaries that are newer than Digests.
 	Exchange bool `json:"exchange,omitempty"`
+	// WantSummaries names the regions of which the answering daemon lacks the
+	// newest summary.
+	WantSummaries []types.Region `json:"want_summaries,omitempty"`
 	// Digests name the newest summary that the sender has of each region.
 	Digests []SummaryDigest `json:"digests,omitempty"`
 	// Summaries are region summaries that the receiver lacks.
