--- a/internal/replacement/caller_test.go
+++ b/internal/replacement/caller_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,6 +39,8 @@
 	verdict string
 	ticket  string
 	body    string
+	// wait is the Retry-After of a refusal.
+	wait time.Duration
 }
 
 func (c *caller) call(method, address, path, key, body string) (response, error) {
@@ -62,8 +65,9 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
+	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
 	return response{
-		status: resp.StatusCode, verdict: resp.Header.Get(types.HeaderVerdict),
+		wait: time.Duration(seconds) * time.Second, status: resp.StatusCode, verdict: resp.Header.Get(types.HeaderVerdict),
 		ticket: resp.Header.Get(types.HeaderTicket), body: string(data),
 	}, err
 }
@@ -140,7 +144,7 @@
 		case fresh && refused(err), err == nil && got.verdict == types.NotRun.String():
 			result.key = ""
 		}
-		time.Sleep(pauseTries)
+		time.Sleep(max(pauseTries, got.wait))
 	}
 	return result, last
 }
@@ -160,7 +164,7 @@
 		if !refused(err) && (err != nil || got.status == http.StatusOK || got.verdict != types.NotRun.String()) {
 			return got, err
 		}
-		time.Sleep(pauseTries)
+		time.Sleep(max(pauseTries, got.wait))
 	}
 	return got, err
 }
