--- a/pkg/control/endpoints/endpoints.go
+++ b/pkg/control/endpoints/endpoints.go
@@ -11,6 +11,7 @@
 	"github.com/flamingomount/flamingomount/pkg/peer"
 	"github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
+	"github.com/flamingomount/flamingomount/pkg/stage/score"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -147,7 +148,7 @@
 		e := &snapshot.Endpoint{
 			ID: id, Address: vm.Address, Region: vm.Region, DataCentre: vm.DataCentre,
 			Service: vm.Service, Version: vm.Version, Slots: vm.Slots,
-			Load: s.loads[id], Counters: s.counters[id],
+			Load: s.loads[id], Counters: s.counters[id], Hash: score.HashEndpoint(id),
 		}
 		s.setState(e, &vm, now, health)
 		view[vm.Service] = append(view[vm.Service], e)
--- a/pkg/daemon/live.go
+++ b/pkg/daemon/live.go
@@ -146,6 +146,19 @@
 	return l.Control.Run(ctx)
 }
 
+// Load returns the newest snapshot, as a paused one while the control goroutine
+// has not run for so long that the process may have been paused: after a pause
+// traffic goroutines may run before the control goroutine has noticed.
+func (l *liveControl) Load() *snapshot.Snapshot {
+	current := l.Control.Load()
+	if current.Paused || !l.Stalled(l.now()) {
+		return current
+	}
+	paused := *current
+	paused.Paused = true
+	return &paused
+}
+
 // Peers handles the messages of other daemons.
 func (l *liveControl) Peers() http.Handler {
 	return l.handler
