Read the VM list only when it has changed; keep the placement plan

Cause: at 360 daemons the first reader of each data centre would receive the whole VM list every 2 s, computed at some 300 KB/s; and a daemon made the placement plan anew every 5 s although it grows with the square of a region's engines.

Change: the platform client sends the list's entity tag and takes 304 for no change; the order issuer keeps its plan until configuration or workers change.

--- a/pkg/control/placement/placement_test.go
+++ b/pkg/control/placement/placement_test.go
@@ -236,3 +236,13 @@
 		placement.NewPlan(cfg, list)
 	}
 }
+
+// BenchmarkNewPlanOfFleet plans 2,100 engines in two regions.
+func BenchmarkNewPlanOfFleet(b *testing.B) {
+	const each = 1050
+	list := append(workers(store, "v1", each), workers(remote, "v1", each)...)
+	cfg := config(map[types.Region]map[types.ModelVersion]int{store: {"v1": each / 2, "v2": each / 2}, remote: {"v2": each}})
+	for b.Loop() {
+		placement.NewPlan(cfg, list)
+	}
+}
--- a/pkg/engineorders/engineorders.go
+++ b/pkg/engineorders/engineorders.go
@@ -21,6 +21,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/control/placement"
 	"github.com/flamingomount/flamingomount/pkg/platform"
+	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -57,6 +58,12 @@
 type Issuer struct {
 	opts   Options
 	client *http.Client
+
+	// plan was made from config and workers; it is made anew when either
+	// changes.
+	plan    *placement.Plan
+	config  *published.Configuration
+	workers []platform.VM
 }
 
 // New returns an issuer.
@@ -99,7 +106,7 @@
 		return false
 	}
 	workers := workersOf(view)
-	plan := placement.NewPlan(view.Config, workers)
+	plan := i.planFor(view.Config, workers)
 	workers = slices.DeleteFunc(workers, func(vm platform.VM) bool { return vm.Region != view.Self.Region })
 	own := slices.DeleteFunc(slices.Clone(workers), func(vm platform.VM) bool { return !responsible(view, vm.Endpoint) })
 	if !differs(plan, i.observe(ctx, plan, own)) {
@@ -114,6 +121,15 @@
 	return true
 }
 
+// planFor returns the plan of a configuration and a list of workers.
+func (i *Issuer) planFor(config *published.Configuration, workers []platform.VM) *placement.Plan {
+	if i.plan == nil || i.config != config || !slices.Equal(i.workers, workers) {
+		i.config, i.workers = config, slices.Clone(workers)
+		i.plan = placement.NewPlan(config, workers)
+	}
+	return i.plan
+}
+
 // workersOf lists the endpoints of all regions as the platform does: the turns
 // at the weight store are for the whole fleet.
 func workersOf(view *snapshot.Snapshot) []platform.VM {
--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,10 +25,16 @@
 // watchWait is how long the service may hold one watch open.
 const watchWait = 30 * time.Second
 
-// Client reads the platform at one base address.
+// Client reads the platform at one base address. It is safe for concurrent use.
 type Client struct {
 	base string
 	http *http.Client
+
+	// mu guards listing, the VM list that was read last, and tag, its entity
+	// tag; an empty tag means none.
+	mu      sync.Mutex
+	listing platform.VMListing
+	tag     string
 }
 
 var (
@@ -73,11 +80,28 @@
 	return value, err
 }
 
-// List returns all VMs.
+// List returns all VMs. A platform that gives the list an entity tag sends it
+// again only when it has changed. The caller must not change the list.
 func (c *Client) List(ctx context.Context) (platform.VMListing, error) {
+	c.mu.Lock()
+	known, tag := c.listing, c.tag
+	c.mu.Unlock()
+	header := http.Header{}
+	if tag != "" {
+		header.Set("If-None-Match", tag)
+	}
 	var listing platform.VMListing
-	err := c.get(ctx, "/vms", nil, &listing)
-	return listing, err
+	answered, err := c.getIf(ctx, "/vms", nil, header, &listing)
+	if err != nil {
+		return platform.VMListing{}, err
+	}
+	if answered == nil {
+		return known, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listing, c.tag = listing, answered.Get("ETag")
+	return listing, nil
 }
 
 // DirectoryAnswer is the client directory's answer.
@@ -106,29 +130,41 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, query url.Values, into any) error {
+	_, err := c.getIf(ctx, path, query, nil, into)
+	return err
+}
+
+// getIf reads a value and returns the answer's header; nil when the platform
+// says that the value has not changed.
+func (c *Client) getIf(ctx context.Context, path string, query url.Values, header http.Header, into any) (http.Header, error) {
 	address := c.base + path
 	if len(query) > 0 {
 		address += "?" + query.Encode()
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return eris.Wrap(err, "build platform request")
+		return nil, eris.Wrap(err, "build platform request")
+	}
+	for name, values := range header {
+		req.Header[name] = values
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return eris.Wrapf(platform.ErrUnavailable, "read %s: %v", path, err)
+		return nil, eris.Wrapf(platform.ErrUnavailable, "read %s: %v", path, err)
 	}
-	defer resp.Body.Close()
-	switch resp.StatusCode {
-	case http.StatusOK:
-	case http.StatusNotFound:
-		return eris.Wrapf(platform.ErrNotFound, "read %s", path)
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode == http.StatusOK:
+	case resp.StatusCode == http.StatusNotModified && header.Get("If-None-Match") != "":
+		return nil, nil
+	case resp.StatusCode == http.StatusNotFound:
+		return nil, eris.Wrapf(platform.ErrNotFound, "read %s", path)
 	default:
-		return eris.Wrapf(platform.ErrUnavailable, "read %s: status %d", path, resp.StatusCode)
+		return nil, eris.Wrapf(platform.ErrUnavailable, "read %s: status %d", path, resp.StatusCode)
 	}
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into)
 	if err != nil {
-		return eris.Wrapf(platform.ErrUnavailable, "read %s: %v", path, err)
+		return nil, eris.Wrapf(platform.ErrUnavailable, "read %s: %v", path, err)
 	}
-	return nil
+	return resp.Header, nil
 }
--- a/pkg/standin/platform/platform.go
+++ b/pkg/standin/platform/platform.go
@@ -35,6 +35,7 @@
 	weights map[weightKey]int64
 	down    bool
 	calls   int64
+	lists   int64
 	changed chan struct{}
 }
 
@@ -127,6 +128,13 @@
 	return p.calls
 }
 
+// ListsSent returns how often the whole VM list was sent.
+func (p *Platform) ListsSent() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lists
+}
+
 // wake lets every waiting watch look again. The caller holds the lock.
 func (p *Platform) wake() {
 	close(p.changed)
@@ -194,7 +202,7 @@
 	writeJSON(w, found.value)
 }
 
-func (p *Platform) serveVMs(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	p.mu.Lock()
 	shown, down := p.shown, p.down
 	p.mu.Unlock()
@@ -202,6 +210,15 @@
 		http.Error(w, "VM list is down", http.StatusServiceUnavailable)
 		return
 	}
+	tag := `"` + strconv.FormatUint(shown.Version, 10) + `"`
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	p.mu.Lock()
+	p.lists++
+	p.mu.Unlock()
 	writeJSON(w, shown)
 }
 
