Let a fresh VM start from its peers while the platform is down

Cause: without the VM list a fresh daemon knew nobody to ask; the control state could take seeds, but no setting named any.

Change: setting peer.seeds. Tests on loopback: with the platform down a fresh entry learns revision and endpoints from a peer and serves; before a service that serves an older revision again it takes the newer one from its peers.

Conclusion: an entry can be replaced during an outage of the platform.

--- a/pkg/daemon/live.go
+++ b/pkg/daemon/live.go
@@ -31,6 +31,7 @@
 	"github.com/flamingomount/flamingomount/pkg/platform/httpplatform"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/isolate"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // liveControl is control state that reads the platform, talks to other daemons
@@ -76,6 +77,7 @@
 	live.Control, err = control.New(control.Options{
 		Node: node.Options{
 			Self:     with.self,
+			Seeds:    seedsOf(with.opts.Settings.Peer.Seeds),
 			Rand:     rand.New(rand.NewPCG(randomSeed(), randomSeed())),
 			Config:   configsync.Options{Keys: keys},
 			Outliers: ejection.New(outlier.Options{}),
@@ -98,6 +100,14 @@
 	return live, nil
 }
 
+func seedsOf(addresses []string) []types.VMID {
+	seeds := make([]types.VMID, len(addresses))
+	for i, address := range addresses {
+		seeds[i] = types.VMID(address)
+	}
+	return seeds
+}
+
 // publisherKeys decodes the keys under which bundles are accepted.
 func publisherKeys(encoded []string) (bundle.Keys, error) {
 	if len(encoded) == 0 {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -53,6 +53,9 @@
 	Address   string `yaml:"address" validate:"required,ip_port" accepts:"an address ip:port" effect:"where other daemons reach the daemon; it is also the identity of the VM"`
 	Advertise string `yaml:"advertise" validate:"omitempty,ip_port" accepts:"an address ip:port, or nothing to use the address field" effect:"the address that other daemons are told, when it differs"`
 	TLS       TLS    `yaml:"tls"`
+	// Seeds are other daemons' peer addresses, asked while the VM list can't be
+	// read.
+	Seeds []string `yaml:"seeds" validate:"omitempty,max=16,dive,ip_port" accepts:"up to sixteen addresses ip:port" effect:"other daemons to ask for configuration and VM list while the platform can't be read"`
 	// Keys authenticate daemons to each other and sign tickets: the first one
 	// signs, all verify.
 	Keys []Key `yaml:"keys" validate:"required,min=1,max=4,dive" accepts:"one to four keys" effect:"the keys that authenticate daemons and tickets: the first one signs, all verify"`
--- a/pkg/standin/deployment/deployment_test.go
+++ b/pkg/standin/deployment/deployment_test.go
@@ -91,6 +91,39 @@
 
 const question = `{"model":"liner-assistant","max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
 
+var _ = Describe("while the platform is down", func() {
+	It("keeps serving, and a fresh VM learns revision and endpoints from its peers", func() {
+		plan := twoRegions()
+		plan.Config.Revision = 5
+		one, ctx := start(plan)
+		one.Platform.SetDown(true)
+		fresh, err := one.StartEntry("kathmandu")
+		Expect(err).NotTo(HaveOccurred())
+		knows := func(e *deployment.Entry) bool {
+			view := e.Load()
+			return view.Config != nil && !view.Paused && len(view.Endpoints[deployment.Model]) == 3
+		}
+		Expect(one.Wait(ctx, knows)).To(Succeed())
+		Expect(fresh.Load().Config.Revision).To(BeEquivalentTo(5))
+		for _, entry := range one.Entries() {
+			resp, text := post(entry, "/v1/chat/completions", question)
+			Expect(resp.StatusCode).To(Equal(200), text)
+		}
+	})
+
+	It("never goes back to the older revision that a stale service serves to a fresh VM", func() {
+		one, ctx := start(twoRegions())
+		Expect(one.Publish(deployment.Config(2, "kathmandu", "pokhara"))).To(Succeed())
+		second := func(e *deployment.Entry) bool { return e.Load().Config != nil && e.Load().Config.Revision == 2 }
+		Expect(one.Wait(ctx, second)).To(Succeed())
+		one.Platform.Republish(1)
+		fresh, err := one.StartEntry("kathmandu")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(one.Wait(ctx, func(e *deployment.Entry) bool { return e.Load().Config != nil })).To(Succeed())
+		Expect(fresh.Load().Config.Revision).To(BeEquivalentTo(2))
+	})
+})
+
 // hearsOfRoom reports whether the other region has told the entry that engines
 // are free there; its first summary may be older than its VM list. Entries of
 // pokhara have engines of their own.
--- a/pkg/standin/deployment/entry.go
+++ b/pkg/standin/deployment/entry.go
@@ -31,6 +31,9 @@
 	s := settings.Defaults()
 	s.Region, s.DataCentre = string(region), string(dataCentre(region))
 	s.Platform.URL = d.url
+	for _, entry := range d.Entries() {
+		s.Peer.Seeds = append(s.Peer.Seeds, string(entry.Self().Incarnation.VM))
+	}
 	s.Bundle.PublicKeys = []string{d.publicKey()}
 	s.Timeouts.DrainNotice = d.plan.DrainNotice
 	s.Timeouts.DrainTickets = d.plan.DrainTickets
--- a/pkg/standin/platform/platform.go
+++ b/pkg/standin/platform/platform.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	values  map[string]api.Value
 	frozen  map[string]api.Value
+	past    map[string][][]byte
 	listing api.VMListing
 	shown   api.VMListing
 	weights map[weightKey]int64
@@ -52,6 +53,7 @@
 		router:  httprouter.New(),
 		limiter: rate.NewLimiter(DefaultReadsPerSecond, DefaultReadsPerSecond),
 		values:  make(map[string]api.Value),
+		past:    make(map[string][][]byte),
 		weights: make(map[weightKey]int64),
 		changed: make(chan struct{}),
 	}
@@ -73,6 +75,20 @@
 	defer p.mu.Unlock()
 	version := p.values[key].Version + 1
 	p.values[key] = api.Value{Data: data, Version: version}
+	p.past[key] = append(p.past[key], data)
+	p.wake()
+}
+
+// Republish serves the value of each key that was published as the n-th one
+// again, as a stale copy of the service does; versions go on.
+func (p *Platform) Republish(n uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, past := range p.past {
+		if n >= 1 && n <= uint64(len(past)) {
+			p.values[key] = api.Value{Data: past[n-1], Version: p.values[key].Version + 1}
+		}
+	}
 	p.wake()
 }
 
