Number the placement by its own revision

Change: bundle build sets placement_revision to the new revision only when placement, versions, regions, links or the weight store's rate have changed; the fencing number follows it, and so does the issuer's kept plan.

Conclusion: a change that does not concern placement costs the engines nothing.

--- a/pkg/bundle/build.go
+++ b/pkg/bundle/build.go
@@ -42,7 +42,7 @@
 func coreOf(c *published.Configuration) Core {
 	return Core{
 		Regions: c.Regions, Links: c.Links, Services: c.Services, Policy: c.Policy, Placement: c.Placement,
-		Administrators: c.Administrators,
+		Administrators: c.Administrators, PlacementRevision: c.PlacementRevision,
 	}
 }
 
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -98,6 +98,8 @@
 	Placement map[types.ServiceName]published.PlacementRequest `json:"placement"`
 
 	Administrators map[published.CredentialHash]*published.Administrator `json:"administrators,omitempty"`
+
+	PlacementRevision types.Revision `json:"placement_revision,omitempty"`
 }
 
 // Index names the leaves of one part of the name space; an empty hash stands
--- a/pkg/bundle/open.go
+++ b/pkg/bundle/open.go
@@ -103,9 +103,9 @@
 		Revision: m.Revision, Hash: string(manifestHash), PublishedAt: m.PublishedAt,
 		Regions: core.Regions, Links: core.Links, Services: core.Services,
 		Policy: core.Policy, Placement: core.Placement,
-		Administrators: core.Administrators,
-		Orgs:           make(map[types.OrgName]*published.Organisation, len(t.leaves)),
-		Credentials:    make(map[published.CredentialHash]*published.Credential, len(t.leaves)),
+		Administrators: core.Administrators, PlacementRevision: core.PlacementRevision,
+		Orgs:        make(map[types.OrgName]*published.Organisation, len(t.leaves)),
+		Credentials: make(map[published.CredentialHash]*published.Credential, len(t.leaves)),
 	}
 	for _, hash := range m.Indexes {
 		if hash == "" {
--- a/pkg/cli/publish/build.go
+++ b/pkg/cli/publish/build.go
@@ -10,6 +10,7 @@
 	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 	"github.com/flamingomount/flamingomount/pkg/bundle/source"
+	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -36,7 +37,7 @@
 }
 
 func (f *buildFlags) run(cmd *cobra.Command, args []string) error {
-	revision, previous, err := f.follow()
+	revision, previous, before, err := f.follow()
 	if err != nil {
 		return err
 	}
@@ -48,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	config.FollowPlacement(before)
 	built, err := bundle.Build(config, previous)
 	if err != nil {
 		return err
@@ -60,28 +62,29 @@
 	return err
 }
 
-// follow returns the revision to build and the hash of the manifest before it.
-func (f *buildFlags) follow() (types.Revision, bundle.Hash, error) {
+// follow returns the revision to build, and hash and configuration of the
+// bundle before it; the configuration is nil for a first bundle.
+func (f *buildFlags) follow() (types.Revision, bundle.Hash, *published.Configuration, error) {
 	revision := types.Revision(f.revision)
 	if f.previous == "" {
 		if revision == 0 {
-			return 0, "", eris.New("give --previous, or --revision for a first bundle")
+			return 0, "", nil, eris.New("give --previous, or --revision for a first bundle")
 		}
-		return revision, "", nil
+		return revision, "", nil, nil
 	}
 	previous, err := bundledir.Read(f.previous)
 	if err != nil {
-		return 0, "", err
+		return 0, "", nil, err
 	}
-	manifest, err := previous.Signed.Decode()
+	before, err := previous.OpenUnchecked()
 	if err != nil {
-		return 0, "", err
+		return 0, "", nil, err
 	}
 	if revision == 0 {
-		revision = manifest.Revision + 1
+		revision = before.Revision + 1
 	}
-	if revision <= manifest.Revision {
-		return 0, "", eris.Errorf("revision %s is not above the previous bundle's %s", revision, manifest.Revision)
+	if revision <= before.Revision {
+		return 0, "", nil, eris.Errorf("revision %s is not above the previous bundle's %s", revision, before.Revision)
 	}
-	return revision, bundle.HashOf(previous.Signed.Manifest), nil
+	return revision, bundle.HashOf(previous.Signed.Manifest), before, nil
 }
--- a/pkg/control/placement/placement.go
+++ b/pkg/control/placement/placement.go
@@ -3,8 +3,8 @@
 //
 // The desired placement is a function of the published configuration and the
 // published list of workers alone, so that two daemons that act at once give
-// the same orders. The fencing number of an order is the configuration's
-// revision, which only the publisher moves. Orders state what is desired, are
+// the same orders. The fencing number of an order is the revision that last
+// changed what the placement depends on, which only the publisher moves. Orders state what is desired, are
 // compared with what the engine reports, and are given again until it agrees;
 // an engine that ignores fencing numbers is put right that way.
 package placement
@@ -61,7 +61,7 @@
 // taken in hash order.
 func NewPlan(config *published.Configuration, workers []platform.VM) *Plan {
 	plan := &Plan{
-		Revision: config.Revision,
+		Revision: config.Fencing(),
 		Desired:  make(map[types.EndpointID]Assignment),
 		workers:  make(map[types.EndpointID]platform.VM),
 	}
--- a/pkg/engineorders/engineorders.go
+++ b/pkg/engineorders/engineorders.go
@@ -59,10 +59,9 @@
 	opts   Options
 	client *http.Client
 
-	// plan was made from config and workers; it is made anew when either
-	// changes.
+	// plan was made for workers; it is made anew when they or the revision of
+	// the placement change.
 	plan    *placement.Plan
-	config  *published.Configuration
 	workers []platform.VM
 }
 
@@ -123,8 +122,8 @@
 
 // planFor returns the plan of a configuration and a list of workers.
 func (i *Issuer) planFor(config *published.Configuration, workers []platform.VM) *placement.Plan {
-	if i.plan == nil || i.config != config || !slices.Equal(i.workers, workers) {
-		i.config, i.workers = config, slices.Clone(workers)
+	if i.plan == nil || i.plan.Revision != config.Fencing() || !slices.Equal(i.workers, workers) {
+		i.workers = slices.Clone(workers)
 		i.plan = placement.NewPlan(config, workers)
 	}
 	return i.plan
--- a/pkg/published/published.go
+++ b/pkg/published/published.go
@@ -4,6 +4,7 @@
 package published
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -25,6 +26,9 @@
 	Revision types.Revision `json:"revision"`
 	// Hash is the content hash of the signed manifest, in hex.
 	Hash string `json:"hash"`
+	// PlacementRevision is the revision that last changed what the placement of
+	// models depends on; the fencing number of orders. Zero means Revision.
+	PlacementRevision types.Revision `json:"placement_revision,omitempty"`
 	// PublishedAt is the publisher's clock; for display only.
 	PublishedAt    time.Time                              `json:"published_at"`
 	Regions        map[types.Region]*Region               `json:"regions"`
@@ -37,6 +41,41 @@
 	Placement      map[types.ServiceName]PlacementRequest `json:"placement"`
 }
 
+// Fencing returns the fencing number of orders to engines.
+func (c *Configuration) Fencing() types.Revision {
+	if c.PlacementRevision == 0 || c.PlacementRevision > c.Revision {
+		return c.Revision
+	}
+	return c.PlacementRevision
+}
+
+// FollowPlacement sets PlacementRevision: that of the configuration before when
+// nothing has changed that the placement of models depends on, else Revision.
+func (c *Configuration) FollowPlacement(before *Configuration) {
+	c.PlacementRevision = c.Revision
+	if before != nil && samePlacement(before, c) {
+		c.PlacementRevision = before.Fencing()
+	}
+}
+
+// samePlacement compares what the placement of models depends on.
+func samePlacement(a, b *Configuration) bool {
+	return reflect.DeepEqual(a.Placement, b.Placement) &&
+		reflect.DeepEqual(a.Regions, b.Regions) &&
+		reflect.DeepEqual(a.Links, b.Links) &&
+		a.Policy.LinkShare == b.Policy.LinkShare &&
+		a.Policy.WeightStoreBytesPerSecond == b.Policy.WeightStoreBytesPerSecond &&
+		reflect.DeepEqual(versionsOf(a), versionsOf(b))
+}
+
+func versionsOf(c *Configuration) map[types.ServiceName]Service {
+	versions := make(map[types.ServiceName]Service, len(c.Services))
+	for name, service := range c.Services {
+		versions[name] = Service{Kind: service.Kind, Versions: service.Versions, Regions: service.Regions}
+	}
+	return versions
+}
+
 // Region is a published region with its data centres.
 type Region struct {
 	Name        types.Region       `json:"name"`
--- /dev/null
+++ b/pkg/published/published_test.go
@@ -0,0 +1,56 @@
+package published_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/published"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestPublished(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "published")
+}
+
+func revision(number types.Revision) *published.Configuration {
+	return &published.Configuration{
+		Revision:  number,
+		Services:  map[types.ServiceName]*published.Service{"quotes": {Name: "quotes", Versions: []types.ModelVersion{"v1"}}},
+		Placement: map[types.ServiceName]published.PlacementRequest{"quotes": {WeightBytes: 1}},
+	}
+}
+
+var _ = Describe("the fencing number of orders", func() {
+	DescribeTable("follows what the placement depends on",
+		func(change func(*published.Configuration), want types.Revision) {
+			first, second := revision(4), revision(5)
+			first.FollowPlacement(nil)
+			change(second)
+			second.FollowPlacement(first)
+			Expect(first.Fencing()).To(BeEquivalentTo(4))
+			Expect(second.Fencing()).To(Equal(want))
+		},
+		Entry("a new organisation", func(c *published.Configuration) {
+			c.Orgs = map[types.OrgName]*published.Organisation{"a": {Name: "a"}}
+		}, types.Revision(4)),
+		Entry("another number of engines", func(c *published.Configuration) {
+			c.Placement["quotes"] = published.PlacementRequest{WeightBytes: 2}
+		}, types.Revision(5)),
+		Entry("another version", func(c *published.Configuration) {
+			c.Services["quotes"].Versions = []types.ModelVersion{"v2"}
+		}, types.Revision(5)),
+		Entry("another rate of the weight store", func(c *published.Configuration) {
+			c.Policy.WeightStoreBytesPerSecond = 9
+		}, types.Revision(5)),
+	)
+
+	It("is the revision when the publisher set none, or one from the future", func() {
+		config := revision(7)
+		Expect(config.Fencing()).To(BeEquivalentTo(7))
+		config.PlacementRevision = 8
+		Expect(config.Fencing()).To(BeEquivalentTo(7))
+	})
+})
