Rank engines once for each version in the placement plan

Cause: the plan sought the most suitable free engine anew for each replica, which grows with the square of a region's engines. Change: engines are sorted once for each wanted version, and the first free one is taken; the order is total, so that the plan is the same.

--- a/pkg/control/placement/placement.go
+++ b/pkg/control/placement/placement.go
@@ -116,6 +116,10 @@
 		free[worker.Endpoint] = worker
 	}
 	given := make([]int, len(wishes))
+	ranked := make([][]platform.VM, len(wishes))
+	for i, wish := range wishes {
+		ranked[i] = rank(workers, wish.assignment, wishes)
+	}
 	for round := 1; ; round++ {
 		wanted := false
 		for i, wish := range wishes {
@@ -123,7 +127,8 @@
 				continue
 			}
 			wanted = true
-			if p.give(wish.assignment, wishes, free) {
+			ranked[i] = p.give(wish.assignment, ranked[i], free)
+			if len(ranked[i]) > 0 {
 				given[i]++
 			}
 		}
@@ -138,23 +143,30 @@
 	}
 }
 
-// give assigns a free engine, the most suitable one, and reports whether there
-// was any.
-func (p *Plan) give(assignment Assignment, wishes []wish, free map[types.EndpointID]platform.VM) bool {
-	candidates := slices.Collect(maps.Values(free))
-	if len(candidates) == 0 {
-		return false
-	}
-	best := slices.MinFunc(candidates, func(a, b platform.VM) int {
+// rank sorts the engines by how well they suit an assignment, best first.
+func rank(workers []platform.VM, assignment Assignment, wishes []wish) []platform.VM {
+	return slices.SortedFunc(slices.Values(workers), func(a, b platform.VM) int {
 		return cmp.Or(
 			cmp.Compare(effort(a, assignment, wishes), effort(b, assignment, wishes)),
 			cmp.Compare(weight(b.Endpoint, assignment), weight(a.Endpoint, assignment)),
 			cmp.Compare(a.Endpoint, b.Endpoint),
 		)
 	})
-	delete(free, best.Endpoint)
-	p.Desired[best.Endpoint] = assignment
-	return true
+}
+
+// give assigns the first engine of the ranking that is free. It returns the
+// ranking from that engine on; empty when none was free.
+func (p *Plan) give(assignment Assignment, ranked []platform.VM, free map[types.EndpointID]platform.VM) []platform.VM {
+	for len(ranked) > 0 {
+		endpoint := ranked[0].Endpoint
+		if _, isFree := free[endpoint]; isFree {
+			delete(free, endpoint)
+			p.Desired[endpoint] = assignment
+			return ranked
+		}
+		ranked = ranked[1:]
+	}
+	return nil
 }
 
 // The efforts of giving an assignment to an engine, least first.
