Fill the administration API's counts of orders and of admission's capacity

Cause: the answers had fields that nothing filled, and the gauge of remembered orders counted running ones only. Change: the guard and the admission controller tell their counts; the walk reads both calls.

--- a/pkg/admin/answers.go
+++ b/pkg/admin/answers.go
@@ -111,7 +111,7 @@
 	// Running and Finished count remembered requests that may not be repeated.
 	Running  int `json:"running"`
 	Finished int `json:"finished"`
-	// Bytes is the memory that they hold; LimitBytes bounds it.
+	// Bytes is the memory of their answers; LimitBytes bounds it.
 	Bytes      int64 `json:"bytes"`
 	LimitBytes int64 `json:"limit_bytes"`
 }
--- a/pkg/cli/walk_test.go
+++ b/pkg/cli/walk_test.go
@@ -16,6 +16,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/pkg/admin"
+	"github.com/flamingomount/flamingomount/pkg/admin/adminclient"
 	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 	"github.com/flamingomount/flamingomount/pkg/bundle/keyfile"
 	"github.com/flamingomount/flamingomount/pkg/cli"
@@ -209,8 +211,24 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(string(page)).To(ContainSubstring("liner-orders"))
 	Expect(o.ask("usage")).To(ContainSubstring("quotations"))
+
+	By("reading admission and the order memory")
+	queues := administration[admin.Queues](ctx, o, "queues")
+	Expect(queues.Ranks[0].Capacity).To(BeNumerically(">", 0))
+	Expect(administration[admin.Orders](ctx, o, "orders").LimitBytes).To(BeNumerically(">", 0))
 })
 
+// administration reads one answer of the first entry's administration API.
+func administration[T any](ctx context.Context, o *operator, name string) *T {
+	fleet := adminclient.Fleet{
+		Addresses:  []string{o.all.Entries()[0].AdminURL()},
+		Credential: deployment.AdminCredential,
+	}
+	reply := adminclient.Ask[T](ctx, fleet, adminclient.Call{Method: http.MethodGet, Path: "/admin/v1/" + name})[0]
+	Expect(reply.Error).To(BeEmpty())
+	return reply.Answer
+}
+
 func leaving(entry *deployment.Entry, id types.EndpointID) bool {
 	for _, endpoint := range entry.Load().Endpoints[deployment.Model] {
 		if endpoint.ID == id {
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -9,6 +9,7 @@
 	"github.com/flamingomount/flamingomount/pkg/admin"
 	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/burn"
+	"github.com/flamingomount/flamingomount/pkg/control/once"
 	"github.com/flamingomount/flamingomount/pkg/metrics"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/route"
@@ -116,13 +117,18 @@
 			status.Waiting += controller.Queued(rank)
 			status.Running += controller.Running(rank)
 			status.Organisations += controller.ActiveOrgs()
+			status.Capacity += controller.Capacity()
 		}
 	})
 	return answer
 }
 
 func (d *Daemon) orders() admin.Orders {
-	return admin.Orders{Running: d.guard.InFlight()}
+	counts := d.guard.Counts()
+	return admin.Orders{
+		Running: counts.Running, Finished: counts.Finished,
+		Bytes: int64(counts.AnswerBytes), LimitBytes: once.DefaultMaxAnswerBytes,
+	}
 }
 
 func (d *Daemon) explain(req *request.Request) (route.Decision, *types.Failure) {
@@ -133,11 +139,12 @@
 
 // gauges reads the control state for metrics.
 func (d *Daemon) gauges() metrics.Gauges {
+	orders := d.guard.Counts()
 	view := d.control.Load()
 	gauges := metrics.Gauges{
-		Quarantined: len(view.Quarantine), Queued: d.gates.waiting(), OrdersHeld: d.guard.InFlight(),
+		Quarantined: len(view.Quarantine), Queued: d.gates.waiting(), OrdersHeld: orders.Running + orders.Finished,
 		LinkBudgetBytes: d.planner.LinkBytes(),
-		Draining:        view.Draining, Ready: view.Config != nil && !view.Paused && !view.Draining,
+		Draining:        view.Draining, Ready: view.NotReady() == "",
 	}
 	if budget, ok := d.opts.Retrier.(*retry.Policy); ok {
 		gauges.RetryBudget = budget.Tokens()
--- a/pkg/stage/admission/refuse.go
+++ b/pkg/stage/admission/refuse.go
@@ -24,6 +24,11 @@
 	return max(free, 0)
 }
 
+// Capacity is how many requests may run at once, all ranks together.
+func (c *Controller) Capacity() int {
+	return c.capacity
+}
+
 // Queued is the number of waiting requests of the rank.
 func (c *Controller) Queued(rank types.Rank) int {
 	return c.queues[rank].len()
--- a/pkg/stage/onceguard/guard.go
+++ b/pkg/stage/onceguard/guard.go
@@ -122,6 +122,26 @@
 	return len(g.attempts)
 }
 
+// Counts is what a guard remembers.
+type Counts struct {
+	// Running and Finished count requests.
+	Running  int
+	Finished int
+	// AnswerBytes is the memory of remembered answers, in bytes.
+	AnswerBytes int
+}
+
+// Counts returns what the guard remembers now.
+func (g *Guard) Counts() Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Counts{
+		Running:     len(g.attempts),
+		Finished:    max(g.ledger.Len()-len(g.attempts), 0),
+		AnswerBytes: g.ledger.AnswerBytes(),
+	}
+}
+
 // Wait returns when every run has ended. Do must not be called meanwhile.
 func (g *Guard) Wait() {
 	g.runs.Wait()
