--- a/pkg/cli/walk_test.go
+++ b/pkg/cli/walk_test.go
@@ -212,6 +212,10 @@
 	Expect(string(page)).To(ContainSubstring("liner-orders"))
 	Expect(o.ask("usage")).To(ContainSubstring("quotations"))
 
+	By("marking a daemon that does not answer")
+	dead := o.ask("status", "--daemon", "127.0.0.1:1")
+	Expect(dead).To(ContainSubstring("no answer from http://127.0.0.1:1"))
+
 	By("reading admission and the order memory")
 	queues := administration[admin.Queues](ctx, o, "queues")
 	Expect(queues.Ranks[0].Capacity).To(BeNumerically(">", 0))
