--- a/pkg/cli/walk_test.go
+++ b/pkg/cli/walk_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
 	"os"
@@ -216,6 +217,9 @@
 	dead := o.ask("status", "--daemon", "127.0.0.1:1")
 	Expect(dead).To(ContainSubstring("no answer from http://127.0.0.1:1"))
 
+	By("reading JSON")
+	Expect(json.Valid([]byte(o.ask("status", "--output", "json")))).To(BeTrue())
+
 	By("reading admission and the order memory")
 	queues := administration[admin.Queues](ctx, o, "queues")
 	Expect(queues.Ranks[0].Capacity).To(BeNumerically(">", 0))
--- a/pkg/daemon/record.go
+++ b/pkg/daemon/record.go
@@ -34,6 +34,7 @@
 // record takes one request that passed ingress.
 func (r *recorder) record(req *request.Request, ended result, view *snapshot.Snapshot) {
 	outcome := r.outcome(req, ended)
+	outcome.Cost = usage.Cost(outcome, req.Service)
 	r.metrics.Record(outcome)
 	r.mu.Lock()
 	r.book.Record(outcome, req.Service)
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -61,6 +61,7 @@
 	attempts  *prometheus.CounterVec
 	sentAway  *prometheus.CounterVec
 	tokens    *prometheus.CounterVec
+	cost      *prometheus.CounterVec
 	seconds   *prometheus.HistogramVec
 	first     *prometheus.HistogramVec
 	between   *prometheus.HistogramVec
@@ -78,12 +79,13 @@
 		attempts:  counter("attempts_total", "Attempts at endpoints.", labels...),
 		sentAway:  counter("requests_sent_away_total", "Requests that another region ran.", labels...),
 		tokens:    counter("tokens_total", "Tokens read (input, an estimate) and generated (output).", "service", "rank", "direction"),
+		cost:      counter("cost_total", "Cost of requests, in the unit of the published prices.", labels...),
 		seconds:   histogram("request_duration_seconds", "Time to the whole answer.", requestBuckets, labels...),
 		first:     histogram("first_token_seconds", "Time to the first byte of the answer.", firstBuckets, labels...),
 		between:   histogram("between_tokens_seconds", "Mean time between streamed tokens.", tokenBuckets, labels...),
 		queueTime: histogram("queue_duration_seconds", "Time spent in admission.", requestBuckets, labels...),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.sentAway, m.tokens, m.seconds, m.first, m.between, m.queueTime)
+	m.registry.MustRegister(m.requests, m.attempts, m.sentAway, m.tokens, m.cost, m.seconds, m.first, m.between, m.queueTime)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(&gaugeCollector{gauges: gauges})
 	return m
@@ -115,6 +117,7 @@
 	if outcome.SentAway {
 		m.sentAway.WithLabelValues(service, rank).Inc()
 	}
+	m.cost.WithLabelValues(service, rank).Add(outcome.Cost)
 	if outcome.Verdict != types.NotRun {
 		m.tokens.WithLabelValues(service, rank, "input").Add(float64(outcome.InputTokens))
 		m.tokens.WithLabelValues(service, rank, "output").Add(float64(outcome.OutputTokens))
@@ -141,7 +144,7 @@
 // Names returns the names of all metrics of this project that m can export.
 func (m *Metrics) Names() []string {
 	names := []string{
-		"requests_total", "attempts_total", "requests_sent_away_total", "tokens_total",
+		"requests_total", "attempts_total", "requests_sent_away_total", "tokens_total", "cost_total",
 		"request_duration_seconds", "first_token_seconds", "between_tokens_seconds", "queue_duration_seconds",
 	}
 	for _, gauge := range gaugeList {
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -31,6 +31,8 @@
 	BetweenTokens time.Duration
 	InputTokens   int
 	OutputTokens  int
+	// Cost is in the unit of the published price.
+	Cost float64
 	// Attempts counts attempts at endpoints, hedges included.
 	Attempts int
 	// SentAway is true when another region ran the request.
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -71,10 +71,15 @@
 	}
 	line.InputTokens += uint64(max(outcome.InputTokens, 0))
 	line.OutputTokens += uint64(max(outcome.OutputTokens, 0))
-	line.Cost += costOf(outcome, service)
+	line.Cost += Cost(outcome, service)
 }
 
-func costOf(outcome request.Outcome, service *published.Service) float64 {
+// Cost returns what a request cost, in the unit of the published price; zero
+// for one that was not run.
+func Cost(outcome request.Outcome, service *published.Service) float64 {
+	if outcome.Verdict == types.NotRun {
+		return 0
+	}
 	price := service.CostPerThousandTokens
 	if price == 0 {
 		price = 1
