--- a/pkg/cli/fleet/fleet.go
+++ b/pkg/cli/fleet/fleet.go
@@ -1,6 +1,6 @@
 // Package fleet holds the commands that ask running daemons: status, members,
-// endpoints, explain, validate, usage and report. Each asks several daemons at
-// once and marks those that did not answer.
+// endpoints, queues, quarantine, orders, explain, validate, usage and report.
+// Each asks several daemons at once and marks those that did not answer.
 package fleet
 
 import (
@@ -45,6 +45,9 @@
 		statusCommand(),
 		membersCommand(),
 		endpointsCommand(),
+		queuesCommand(),
+		quarantineCommand(),
+		ordersCommand(),
 		explainCommand(),
 		validateCommand(),
 		usageCommand(),
--- a/pkg/cli/walk_test.go
+++ b/pkg/cli/walk_test.go
@@ -17,8 +17,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/flamingomount/flamingomount/pkg/admin"
-	"github.com/flamingomount/flamingomount/pkg/admin/adminclient"
 	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 	"github.com/flamingomount/flamingomount/pkg/bundle/keyfile"
 	"github.com/flamingomount/flamingomount/pkg/cli"
@@ -220,23 +218,12 @@
 	By("reading JSON")
 	Expect(json.Valid([]byte(o.ask("status", "--output", "json")))).To(BeTrue())
 
-	By("reading admission and the order memory")
-	queues := administration[admin.Queues](ctx, o, "queues")
-	Expect(queues.Ranks[0].Capacity).To(BeNumerically(">", 0))
-	Expect(administration[admin.Orders](ctx, o, "orders").LimitBytes).To(BeNumerically(">", 0))
+	By("reading admission, the quarantine and the order memory")
+	Expect(o.ask("queues")).To(MatchRegexp(`urgent\s+0\s+0\s+0\s+[1-9]`))
+	Expect(o.ask("quarantine")).To(ContainSubstring("FINGERPRINT"))
+	Expect(o.ask("orders")).To(MatchRegexp(`0\s+0\s+0\s+[1-9]`))
 })
 
-// administration reads one answer of the first entry's administration API.
-func administration[T any](ctx context.Context, o *operator, name string) *T {
-	fleet := adminclient.Fleet{
-		Addresses:  []string{o.all.Entries()[0].AdminURL()},
-		Credential: deployment.AdminCredential,
-	}
-	reply := adminclient.Ask[T](ctx, fleet, adminclient.Call{Method: http.MethodGet, Path: "/admin/v1/" + name})[0]
-	Expect(reply.Error).To(BeEmpty())
-	return reply.Answer
-}
-
 func leaving(entry *deployment.Entry, id types.EndpointID) bool {
 	for _, endpoint := range entry.Load().Endpoints[deployment.Model] {
 		if endpoint.ID == id {
