Hash credentials in one place

Cause: the hash under which a credential is published was written four times. Change: published.HashCredential serves ingress, administration, the loopback deployment and the tests.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -1,9 +1,7 @@
 package admin
 
 import (
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -78,12 +76,6 @@
 	a.router.ServeHTTP(w, r)
 }
 
-// HashCredential returns the hash under which a credential is published.
-func HashCredential(credential string) published.CredentialHash {
-	sum := sha256.Sum256([]byte(credential))
-	return published.CredentialHash(hex.EncodeToString(sum[:]))
-}
-
 // authenticated finds out who asks before the operation runs.
 func (a *API) authenticated(op operation) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -111,7 +103,7 @@
 	if !found {
 		return nil
 	}
-	hash := HashCredential(credential)
+	hash := published.HashCredential(credential)
 	if a.opts.OperatorHash != "" && subtle.ConstantTimeCompare([]byte(hash), []byte(a.opts.OperatorHash)) == 1 {
 		return &published.Administrator{Name: "local operator", Role: published.RoleOperator}
 	}
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -45,8 +45,8 @@
 				"orders": {Name: "orders", Team: "warehouse"},
 			},
 			Administrators: map[published.CredentialHash]*published.Administrator{
-				admin.HashCredential(operator): {Name: "op", Role: published.RoleOperator},
-				admin.HashCredential(team):     {Name: "sales", Role: published.RoleTeam, Team: "sales"},
+				published.HashCredential(operator): {Name: "op", Role: published.RoleOperator},
+				published.HashCredential(team):     {Name: "sales", Role: published.RoleTeam, Team: "sales"},
 			},
 		},
 		Endpoints: map[types.ServiceName][]*snapshot.Endpoint{
@@ -172,7 +172,7 @@
 	It("lets the local operator in before any configuration is in force", func() {
 		from := sources(testSnapshot())
 		from.Snapshot = func() *snapshot.Snapshot { return &snapshot.Snapshot{} }
-		api = admin.New(from, admin.Options{OperatorHash: admin.HashCredential("local")})
+		api = admin.New(from, admin.Options{OperatorHash: published.HashCredential("local")})
 		Expect(call(api, "GET", "/admin/v1/status", "local").Code).To(Equal(200))
 		Expect(call(api, "GET", "/admin/v1/status", operator).Code).To(Equal(401))
 	})
--- a/pkg/cli/walk_test.go
+++ b/pkg/cli/walk_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -20,6 +18,7 @@
 	"github.com/flamingomount/flamingomount/pkg/bundle/bundledir"
 	"github.com/flamingomount/flamingomount/pkg/bundle/keyfile"
 	"github.com/flamingomount/flamingomount/pkg/cli"
+	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/standin/deployment"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -76,16 +75,12 @@
 func (o *operator) path(name string) string { return filepath.Join(o.dir, name) }
 
 func (o *operator) write(name, text string) {
-	text = strings.NewReplacer("ADMIN", hash(deployment.AdminCredential), "CALLER", hash(deployment.Credential)).Replace(text)
+	text = strings.NewReplacer("ADMIN", string(published.HashCredential(deployment.AdminCredential)),
+		"CALLER", string(published.HashCredential(deployment.Credential))).Replace(text)
 	Expect(os.MkdirAll(filepath.Dir(o.path(name)), 0o755)).To(Succeed())
 	Expect(os.WriteFile(o.path(name), []byte(text), 0o600)).To(Succeed())
 }
 
-func hash(credential string) string {
-	sum := sha256.Sum256([]byte(credential))
-	return hex.EncodeToString(sum[:])
-}
-
 // run runs one command of the tool and returns what it printed.
 func (o *operator) run(args ...string) (string, error) {
 	var out bytes.Buffer
--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -28,7 +28,6 @@
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/settings"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
-	"github.com/flamingomount/flamingomount/pkg/stage/ingress"
 	"github.com/flamingomount/flamingomount/pkg/standin/engine"
 	"github.com/flamingomount/flamingomount/pkg/standin/plain"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -116,7 +115,7 @@
 		},
 		Orgs: map[types.OrgName]*published.Organisation{"bagmati": {Name: "bagmati", Share: 1}},
 		Credentials: map[published.CredentialHash]*published.Credential{
-			ingress.HashCredential(credential): {Org: "bagmati", Services: []types.ServiceName{model, orders}},
+			published.HashCredential(credential): {Org: "bagmati", Services: []types.ServiceName{model, orders}},
 		},
 		Policy: published.Policy{RetryBudget: 10},
 	}
--- a/pkg/published/published.go
+++ b/pkg/published/published.go
@@ -4,6 +4,8 @@
 package published
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"reflect"
 	"time"
 
@@ -170,6 +172,12 @@
 // CredentialHash is the hex SHA-256 of a caller's credential.
 type CredentialHash string
 
+// HashCredential returns the hash under which a credential is published.
+func HashCredential(credential string) CredentialHash {
+	sum := sha256.Sum256([]byte(credential))
+	return CredentialHash(hex.EncodeToString(sum[:]))
+}
+
 // Credential names what the bearer of a credential may do.
 type Credential struct {
 	Org      types.OrgName       `json:"organisation"`
--- a/pkg/stage/ingress/identity.go
+++ b/pkg/stage/ingress/identity.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
@@ -29,7 +27,7 @@
 	if !isBearer {
 		return identity{}, unauthenticated("the Authorization header must be of the form Bearer CREDENTIAL")
 	}
-	hash := HashCredential(secret)
+	hash := published.HashCredential(secret)
 	credential, known := config.Credentials[hash]
 	if !known {
 		return identity{}, unauthenticated("unknown credential")
@@ -45,12 +43,6 @@
 	return types.NewFailure(types.NotRun, types.CodeUnauthenticated, message)
 }
 
-// HashCredential returns the hash under which a credential is published.
-func HashCredential(secret string) published.CredentialHash {
-	sum := sha256.Sum256([]byte(secret))
-	return published.CredentialHash(hex.EncodeToString(sum[:]))
-}
-
 // mayUse reports whether the credential names the service.
 func (i identity) mayUse(name types.ServiceName) bool {
 	for _, allowed := range i.credential.Services {
--- a/pkg/standin/deployment/config.go
+++ b/pkg/standin/deployment/config.go
@@ -1,8 +1,6 @@
 package deployment
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/published"
@@ -38,10 +36,10 @@
 		Services:    services(regions),
 		Orgs:        map[types.OrgName]*published.Organisation{Org: {Name: Org, Share: 1}},
 		Credentials: map[published.CredentialHash]*published.Credential{
-			hash(Credential): {Org: Org, Services: []types.ServiceName{Model, Orders}, MaxRank: types.RankUrgent},
+			published.HashCredential(Credential): {Org: Org, Services: []types.ServiceName{Model, Orders}, MaxRank: types.RankUrgent},
 		},
 		Administrators: map[published.CredentialHash]*published.Administrator{
-			hash(AdminCredential): {Name: "loopback", Role: published.RoleOperator},
+			published.HashCredential(AdminCredential): {Name: "loopback", Role: published.RoleOperator},
 		},
 		Policy: published.Policy{
 			PatientFloor: 0.1, RetryBudget: 0.1, LinkShare: 0.5,
@@ -75,8 +73,3 @@
 		},
 	}
 }
-
-func hash(credential string) published.CredentialHash {
-	sum := sha256.Sum256([]byte(credential))
-	return published.CredentialHash(hex.EncodeToString(sum[:]))
-}
