Take option defaults with cmp.Or in ejection and spill

Cause: both packages had the same setDefault; the standard library has it. Conclusion: behaviour is the same.

--- a/pkg/control/outlier/outlier.go
+++ b/pkg/control/outlier/outlier.go
@@ -8,6 +8,7 @@
 package outlier
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
@@ -45,25 +46,18 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConsecutiveFailures, 5)
-	setDefault(&o.ConsecutiveUnreachable, 1)
-	setDefault(&o.SlowFactor, 2.5)
-	setDefault(&o.MinSamples, 20)
-	setDefault(&o.MaxEjected, 0.34)
-	setDefault(&o.MaxUnreachable, 0.75)
-	setDefault(&o.BaseEjection, 10*time.Second)
-	setDefault(&o.MaxEjection, 5*time.Minute)
-	setDefault(&o.Ramp, 30*time.Second)
+	o.ConsecutiveFailures = cmp.Or(o.ConsecutiveFailures, 5)
+	o.ConsecutiveUnreachable = cmp.Or(o.ConsecutiveUnreachable, 1)
+	o.SlowFactor = cmp.Or(o.SlowFactor, 2.5)
+	o.MinSamples = cmp.Or(o.MinSamples, 20)
+	o.MaxEjected = cmp.Or(o.MaxEjected, 0.34)
+	o.MaxUnreachable = cmp.Or(o.MaxUnreachable, 0.75)
+	o.BaseEjection = cmp.Or(o.BaseEjection, 10*time.Second)
+	o.MaxEjection = cmp.Or(o.MaxEjection, 5*time.Minute)
+	o.Ramp = cmp.Or(o.Ramp, 30*time.Second)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Outcome is how an attempt at an endpoint ended.
 type Outcome uint8
 
--- a/pkg/stage/spill/options.go
+++ b/pkg/stage/spill/options.go
@@ -1,6 +1,7 @@
 package spill
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/published"
@@ -40,26 +41,19 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MinGain, 250*time.Millisecond)
-	setDefault(&o.PatienceShare, 0.05)
-	setDefault(&o.MaxPatience, 0.5)
-	setDefault(&o.RescueShare, 0.8)
-	setDefault(&o.KeepShare, 0.5)
-	setDefault(&o.MaxAge, 5*time.Second)
-	setDefault(&o.AgeFactor, 0.2)
-	setDefault(&o.PrefillTokensPerSecond, 8000)
-	setDefault(&o.OutputTokenBytes, 8)
-	setDefault(&o.ReturnRamp, 30*time.Second)
+	o.MinGain = cmp.Or(o.MinGain, 250*time.Millisecond)
+	o.PatienceShare = cmp.Or(o.PatienceShare, 0.05)
+	o.MaxPatience = cmp.Or(o.MaxPatience, 0.5)
+	o.RescueShare = cmp.Or(o.RescueShare, 0.8)
+	o.KeepShare = cmp.Or(o.KeepShare, 0.5)
+	o.MaxAge = cmp.Or(o.MaxAge, 5*time.Second)
+	o.AgeFactor = cmp.Or(o.AgeFactor, 0.2)
+	o.PrefillTokensPerSecond = cmp.Or(o.PrefillTokensPerSecond, 8000)
+	o.OutputTokenBytes = cmp.Or(o.OutputTokenBytes, 8)
+	o.ReturnRamp = cmp.Or(o.ReturnRamp, 30*time.Second)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // reluctance is how much more than the neutral gain a deployment wants before
 // it sends a request of the rank away. Cost and the share sent away raise it;
 // the weight of the urgent tail lowers it for urgent requests and that of
