--- a/cmd/flamingomountd/main.go
+++ b/cmd/flamingomountd/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/daemon"
 	"github.com/flamingomount/flamingomount/pkg/settings"
+	"github.com/flamingomount/flamingomount/platform"
 )
 
 // Exit statuses.
@@ -28,7 +29,7 @@
 	}
 	fmt.Fprintln(os.Stderr, err)
 	var problems settings.Problems
-	if errors.As(err, &problems) {
+	if errors.As(err, &problems) || errors.Is(err, platform.ErrSettings) {
 		os.Exit(exitSettings)
 	}
 	os.Exit(exitFailure)
@@ -47,6 +48,7 @@
 		},
 	}
 	command.Flags().StringVar(&file, "settings", "/etc/flamingomount/daemon.yaml", "path of the settings file")
+	command.AddCommand(newPlatformCommand())
 	return command
 }
 
--- /dev/null
+++ b/cmd/flamingomountd/platform.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"cmp"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/flamingomount/flamingomount/platform"
+)
+
+// newPlatformCommand runs an entry on the users' platform.
+func newPlatformCommand() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Runs one entry on the users' platform, with the settings file that it writes",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			const usualPath = "/etc/flamingomount/local.toml"
+			return platform.Run(cmp.Or(file, os.Getenv(platform.SettingsVariable), usualPath), os.Stdout)
+		},
+	}
+	command.Flags().StringVar(&file, "settings", "", "path of the settings file; default: $"+platform.SettingsVariable)
+	return command
+}
--- /dev/null
+++ b/pkg/gateway/balance/endpoint.go
@@ -0,0 +1,187 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+)
+
+// Limits of what one endpoint is trusted with.
+const (
+	// engineOvercommit and plainOvercommit are how many requests all daemons
+	// together keep at an endpoint, relative to its slots: engines batch, so a
+	// short queue keeps them busy; plain endpoints have short requests.
+	engineOvercommit = 1.5
+	plainOvercommit  = 3.0
+	// urgentOvercommit is how far requests of rank 0 may exceed that, since
+	// endpoints admit them first.
+	urgentOvercommit = 2.0
+	// minCap keeps every daemon able to send.
+	minCap = 2
+	// minSharers is the least number of daemons that a cold endpoint's rate is
+	// divided by: a daemon that has just started does not know the others.
+	minSharers = 3
+	// coldMargin keeps the sum of the shares below the bound.
+	coldMargin = 0.85
+
+	baseSuspension = 250 * time.Millisecond
+	maxSuspension  = 4 * time.Second
+	// reuseSuspension is how long an address that belongs to another endpoint
+	// is left alone; the published entry is corrected in this time.
+	reuseSuspension = 3 * time.Second
+	// refusedPause is the pause after an endpoint said that it is full.
+	refusedPause = 100 * time.Millisecond
+	// breaksToSuspend is the number of broken answers in a row after which an
+	// endpoint is taken to be down.
+	breaksToSuspend = 3
+	errorWeight     = 0.15
+	// restartSlack is added to the cold time after a suspected restart.
+	restartSlack = time.Second
+)
+
+// state is what this daemon knows of one endpoint from its own attempts.
+type state struct {
+	placed  catalog.Placed
+	service *catalog.Service
+
+	inFlight int
+	// unread is the prompt work, in tokens, of requests without an answer yet.
+	unread float64
+	// sends holds the times of the last sends while cold, oldest first.
+	sends []time.Time
+	// failures and breaks count connection failures and broken answers in a row.
+	failures int
+	breaks   int
+	// suspendedUntil ends a suspension; probing allows one request after it.
+	suspendedUntil time.Time
+	probing        bool
+	// errorRate is the smoothed share of failed attempts.
+	errorRate float64
+	// lastHead is when an answer last began.
+	lastHead time.Time
+	// oldestUnanswered is when the requests without an answer began to wait.
+	unanswered      int
+	unansweredSince time.Time
+	// restartedColdUntil is set when the endpoint came back after a failure.
+	restartedColdUntil time.Time
+}
+
+// slots is how many requests the endpoint runs at once.
+func (s *state) slots() int {
+	if s.placed.Slots > 0 {
+		return s.placed.Slots
+	}
+	if s.service != nil && s.service.Engine != nil && s.service.Engine.Slots > 0 {
+		return s.service.Engine.Slots
+	}
+	return 1
+}
+
+func (s *state) isEngine() bool {
+	return s.service != nil && s.service.Engine != nil
+}
+
+// limit is how many requests of a rank this daemon may keep at the endpoint.
+func (s *state) limit(rank, daemons int) int {
+	over := plainOvercommit
+	if s.isEngine() {
+		over = engineOvercommit
+	}
+	if rank == 0 {
+		over *= urgentOvercommit
+	}
+	share := float64(s.slots()) * over / float64(max(daemons, 1))
+	return max(int(share+0.999), minCap)
+}
+
+// cold reports whether the endpoint is cold at a time.
+func (s *state) cold(now time.Time) bool {
+	if s.service == nil || s.service.ColdPerSecond <= 0 {
+		return false
+	}
+	return now.Before(s.placed.ColdUntil) || now.Before(s.restartedColdUntil)
+}
+
+// coldRoom reports whether a cold endpoint bears another request of this daemon
+// now: the daemons share its rate without talking to each other.
+func (s *state) coldRoom(bounds Bounds, daemons int, now time.Time) bool {
+	s.sends = recent(s.sends, now)
+	total := s.service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack
+	share := int(total * coldMargin / float64(max(daemons, minSharers)))
+	return len(s.sends) < max(share, 1)
+}
+
+// recent drops the times that are older than the window of the cold rate.
+func recent(sends []time.Time, now time.Time) []time.Time {
+	const window = 1050 * time.Millisecond
+	drop := 0
+	for drop < len(sends) && now.Sub(sends[drop]) > window {
+		drop++
+	}
+	return sends[drop:]
+}
+
+// suspended reports whether the endpoint is left alone now.
+func (s *state) suspended(now time.Time) bool {
+	if now.Before(s.suspendedUntil) {
+		return true
+	}
+	return s.probing && s.inFlight > 0
+}
+
+// stalled is how long requests have waited at the endpoint while it began no
+// answer at all.
+func (s *state) stalled(now time.Time) time.Duration {
+	if s.unanswered == 0 {
+		return 0
+	}
+	since := s.unansweredSince
+	if s.lastHead.After(since) {
+		since = s.lastHead
+	}
+	return now.Sub(since)
+}
+
+// ended takes the result of an attempt.
+func (s *state) ended(result Result, now time.Time) {
+	switch result {
+	case Succeeded:
+		s.healthy(now)
+		s.errorRate *= 1 - errorWeight
+	case ServerError:
+		s.healthy(now)
+		s.errorRate += errorWeight * (1 - s.errorRate)
+	case Refused:
+		s.suspend(refusedPause, now)
+	case Misdirected:
+		s.suspend(reuseSuspension, now)
+	case ConnectFailed:
+		s.failures++
+		s.suspend(min(baseSuspension<<min(s.failures-1, 8), maxSuspension), now)
+		s.probing = true
+	case Broke:
+		s.errorRate += errorWeight * (1 - s.errorRate)
+		s.breaks++
+		if s.breaks >= breaksToSuspend {
+			s.suspend(baseSuspension, now)
+		}
+	case Invalid:
+		s.errorRate += errorWeight * (1 - s.errorRate)
+	case Abandoned:
+	}
+}
+
+// healthy ends a suspension. An endpoint that could not be reached before may
+// have restarted and be cold.
+func (s *state) healthy(now time.Time) {
+	if s.failures > 0 && s.service != nil && s.service.ColdPerSecond > 0 {
+		s.restartedColdUntil = now.Add(s.service.ColdStart + restartSlack)
+	}
+	s.failures, s.breaks, s.probing = 0, 0, false
+}
+
+func (s *state) suspend(pause time.Duration, now time.Time) {
+	if until := now.Add(pause); until.After(s.suspendedUntil) {
+		s.suspendedUntil = until
+	}
+}
--- /dev/null
+++ b/pkg/gateway/balance/gate.go
@@ -0,0 +1,156 @@
+package balance
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// grantInterval is how often waiting requests are looked through beside the
+// moments at which a place becomes free: cold rates and suspensions end by
+// themselves.
+const grantInterval = 50 * time.Millisecond
+
+// Gate lets goroutines ask a Pool. It is safe for concurrent use.
+type Gate struct {
+	now  func() time.Time
+	mu   sync.Mutex
+	pool *Pool
+}
+
+// NewGate builds a gate before a pool, which the gate owns from now on.
+func NewGate(pool *Pool, now func() time.Time) *Gate {
+	return &Gate{pool: pool, now: now}
+}
+
+// Update takes what is published and how many daemons share the endpoints.
+func (g *Gate) Update(view *catalog.View, daemons int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Update(view, daemons)
+	g.pool.GrantAll(g.now())
+}
+
+// Try places a request that must not wait. Both results are nil when there is
+// no room now.
+func (g *Gate) Try(ask Ask) (*Place, *Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if g.pool.queueOf(ask.Service).ahead(ask.Rank) > 0 {
+		return nil, nil
+	}
+	return g.pool.Place(ask, now)
+}
+
+// Acquire places a request and waits for room if needed. It returns an error
+// only when ctx ended.
+func (g *Gate) Acquire(ctx context.Context, ask Ask) (*Place, *Refusal, error) {
+	place, waiter, refusal := g.enter(ask)
+	if waiter == nil {
+		return place, refusal, nil
+	}
+	timer := time.NewTimer(waiter.Until.Sub(g.now()))
+	defer timer.Stop()
+	select {
+	case place := <-waiter.Granted:
+		return place, nil, nil
+	case <-timer.C:
+		place, refusal := g.leave(waiter)
+		return place, refusal, nil
+	case <-ctx.Done():
+		if place, _ := g.leave(waiter); place != nil {
+			g.Done(place, Abandoned)
+		}
+		return nil, nil, ctx.Err()
+	}
+}
+
+func (g *Gate) enter(ask Ask) (*Place, *Waiter, *Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if g.pool.queueOf(ask.Service).ahead(ask.Rank) == 0 {
+		place, refusal := g.pool.Place(ask, now)
+		if place != nil || refusal != nil {
+			return place, nil, refusal
+		}
+	}
+	waiter, refusal := g.pool.Wait(ask, now)
+	return nil, waiter, refusal
+}
+
+// leave withdraws a waiting request, unless it was granted in the meantime.
+func (g *Gate) leave(waiter *Waiter) (*Place, *Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case place := <-waiter.Granted:
+		return place, nil
+	default:
+		return nil, g.pool.GiveUp(waiter)
+	}
+}
+
+// Head notes that the endpoint began its answer.
+func (g *Gate) Head(place *Place) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Head(place, g.now())
+}
+
+// Done frees the place and gives it to a waiting request.
+func (g *Gate) Done(place *Place, result Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.pool.Done(place, result, now)
+	g.pool.Grant(place.ask.Service, now)
+}
+
+// Usable counts the region's endpoints of a service that may run requests.
+func (g *Gate) Usable(service types.ServiceName) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Usable(service, g.now())
+}
+
+// Loads tells what this daemon has in flight and waiting, sorted by service.
+func (g *Gate) Loads() []members.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var loads []members.Load
+	for service, count := range g.pool.InFlight() {
+		if waiting := g.pool.Waiting(service); count > 0 || waiting > 0 {
+			loads = append(loads, members.Load{Service: service, InFlight: count, Waiting: waiting})
+		}
+	}
+	slices.SortFunc(loads, func(a, b members.Load) int { return cmp.Compare(a.Service, b.Service) })
+	return loads
+}
+
+// Run gives room to waiting requests until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(grantInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			g.grantWaiting()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gate) grantWaiting() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.GrantAll(g.now())
+}
--- /dev/null
+++ b/pkg/gateway/balance/pool.go
@@ -0,0 +1,214 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Pool holds the endpoints of the own region. It is not safe for concurrent use.
+type Pool struct {
+	region   types.Region
+	bounds   Bounds
+	view     *catalog.View
+	daemons  int
+	states   map[types.EndpointID]*state
+	services map[types.ServiceName][]*state
+	warm     warmth
+	queues   map[types.ServiceName]*queue
+}
+
+// NewPool returns a pool without endpoints.
+func NewPool(region types.Region, bounds Bounds) *Pool {
+	return &Pool{
+		region: region, bounds: bounds, daemons: 1,
+		states:   make(map[types.EndpointID]*state),
+		services: make(map[types.ServiceName][]*state),
+		warm:     newWarmth(),
+		queues:   make(map[types.ServiceName]*queue),
+	}
+}
+
+// Update takes what is published and how many daemons share the endpoints.
+func (p *Pool) Update(view *catalog.View, daemons int) {
+	p.daemons = max(daemons, 1)
+	if view == p.view {
+		return
+	}
+	p.view = view
+	clear(p.services)
+	states := make(map[types.EndpointID]*state, len(p.states))
+	for name, endpoints := range view.Endpoints {
+		for _, placed := range endpoints {
+			if placed.Region != p.region {
+				continue
+			}
+			one := p.stateOf(placed)
+			if view.Config != nil {
+				one.service = view.Config.Services[name]
+			}
+			states[placed.ID] = one
+			p.services[name] = append(p.services[name], one)
+		}
+	}
+	p.states = states
+}
+
+// stateOf keeps what is known of an endpoint while it is the same one.
+func (p *Pool) stateOf(placed catalog.Placed) *state {
+	known := p.states[placed.ID]
+	if known == nil || known.placed.Born != placed.Born || known.placed.Address != placed.Address {
+		return &state{placed: placed}
+	}
+	known.placed = placed
+	return known
+}
+
+// Usable counts the region's endpoints of a service that may run requests.
+func (p *Pool) Usable(service types.ServiceName, now time.Time) int {
+	count := 0
+	for _, one := range p.services[service] {
+		if !one.suspended(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Place chooses an endpoint for the request. A nil place means that none has
+// room now; refusal is set when waiting would not help.
+func (p *Pool) Place(ask Ask, now time.Time) (*Place, *Refusal) {
+	eligible := p.filter(ask, now)
+	if len(eligible) == 0 {
+		return nil, p.noEndpoint(ask)
+	}
+	home := homeOf(ask, eligible)
+	chosen := p.cheapest(ask, eligible, home, now)
+	if chosen == nil {
+		return nil, nil
+	}
+	return p.take(ask, chosen, chosen == home, now), nil
+}
+
+// noEndpoint tells a service without endpoints from one whose endpoints were
+// all tried or are suspended.
+func (p *Pool) noEndpoint(ask Ask) *Refusal {
+	for _, one := range p.services[ask.Service] {
+		if !slices.Contains(ask.Tried, one.placed.ID) {
+			return nil
+		}
+	}
+	return &Refusal{Reason: "no endpoint of the service may run it here", NoEndpoint: true, RetryAfter: refusedPause * 5}
+}
+
+// filter returns the endpoints that may run the request at all. When every
+// endpoint is suspended, a fault of them all is likelier than each being down:
+// then the one whose suspension ends first is tried.
+func (p *Pool) filter(ask Ask, now time.Time) []*state {
+	var eligible []*state
+	var soonest *state
+	for _, one := range p.services[ask.Service] {
+		if slices.Contains(ask.Tried, one.placed.ID) {
+			continue
+		}
+		if !one.suspended(now) {
+			eligible = append(eligible, one)
+			continue
+		}
+		if one.inFlight == 0 && (soonest == nil || one.suspendedUntil.Before(soonest.suspendedUntil)) {
+			soonest = one
+		}
+	}
+	if len(eligible) == 0 && soonest != nil && soonest.suspendedUntil.Sub(now) < baseSuspension {
+		eligible = append(eligible, soonest)
+	}
+	return eligible
+}
+
+// cheapest scores the endpoints that have room and returns the best one; nil
+// when none has room.
+func (p *Pool) cheapest(ask Ask, eligible []*state, home *state, now time.Time) *state {
+	var best *state
+	var bestCost float64
+	for _, one := range eligible {
+		if one.inFlight >= one.limit(ask.Rank, p.daemons) {
+			continue
+		}
+		if one.cold(now) && !one.coldRoom(p.bounds, p.daemons, now) {
+			continue
+		}
+		cost := p.cost(ask, one, one == home, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = one, cost
+		}
+	}
+	return best
+}
+
+// take books the request at the endpoint.
+func (p *Pool) take(ask Ask, one *state, home bool, now time.Time) *Place {
+	place := &Place{Endpoint: one.placed, ask: ask, unread: p.unread(ask, one, home), takenAt: now}
+	one.inFlight++
+	one.unread += place.unread
+	if one.unanswered == 0 {
+		one.unansweredSince = now
+	}
+	one.unanswered++
+	if one.cold(now) {
+		one.sends = append(one.sends, now)
+	}
+	if ask.Prefix != 0 {
+		p.warm.note(ask.Prefix, one.placed.ID, now)
+	}
+	return place
+}
+
+// Head notes that the endpoint began its answer.
+func (p *Pool) Head(place *Place, now time.Time) {
+	if place.headSeen {
+		return
+	}
+	place.headSeen = true
+	one := p.states[place.Endpoint.ID]
+	if one == nil {
+		return
+	}
+	one.unread = max(one.unread-place.unread, 0)
+	one.unanswered = max(one.unanswered-1, 0)
+	one.lastHead = now
+}
+
+// Done frees the place.
+func (p *Pool) Done(place *Place, result Result, now time.Time) {
+	if place.finished {
+		return
+	}
+	place.finished = true
+	one := p.states[place.Endpoint.ID]
+	if one == nil {
+		return
+	}
+	if !place.headSeen {
+		place.headSeen = true
+		one.unread = max(one.unread-place.unread, 0)
+		one.unanswered = max(one.unanswered-1, 0)
+	}
+	one.inFlight = max(one.inFlight-1, 0)
+	one.ended(result, now)
+	if result == Succeeded {
+		p.queueOf(place.ask.Service).served(now.Sub(place.takenAt))
+	}
+}
+
+// InFlight counts the requests at the region's endpoints, by service.
+func (p *Pool) InFlight() map[types.ServiceName]int {
+	counts := make(map[types.ServiceName]int, len(p.services))
+	for name, states := range p.services {
+		for _, one := range states {
+			counts[name] += one.inFlight
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/pkg/gateway/balance/queue.go
@@ -0,0 +1,154 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Limits of waiting.
+const (
+	// maxWaiting bounds the requests that wait for one service.
+	maxWaiting = 512
+	// objectiveShare is the part of its objective that a request may wait.
+	objectiveShare = 0.6
+	// leftShare is the part of the time left that a request may wait.
+	leftShare = 0.5
+	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
+	minRetryAfter = 150 * time.Millisecond
+	maxRetryAfter = 1500 * time.Millisecond
+	holdWeight    = 0.1
+	// startHold is the service time assumed before one was seen.
+	startHold = 200 * time.Millisecond
+)
+
+// Waiter is a request that waits for room. Gate hands it its outcome.
+type Waiter struct {
+	Ask Ask
+	// Until is when the request is refused if it still waits.
+	Until time.Time
+	seq   uint64
+	// Granted receives the place; it holds one value.
+	Granted chan *Place
+}
+
+// queue holds the waiting requests of one service, the most urgent first.
+type queue struct {
+	waiting []*Waiter
+	seq     uint64
+	// hold is the smoothed time that a request keeps its place, in seconds.
+	hold float64
+}
+
+func (p *Pool) queueOf(service types.ServiceName) *queue {
+	found := p.queues[service]
+	if found == nil {
+		found = &queue{hold: startHold.Seconds()}
+		p.queues[service] = found
+	}
+	return found
+}
+
+// served takes the time that a request kept its place.
+func (q *queue) served(took time.Duration) {
+	q.hold += holdWeight * (took.Seconds() - q.hold)
+}
+
+// order puts urgent requests first, then those with the earlier deadline.
+func order(a, b *Waiter) int {
+	return cmp.Or(cmp.Compare(a.Ask.Rank, b.Ask.Rank), a.Ask.Deadline.Compare(b.Ask.Deadline), cmp.Compare(a.seq, b.seq))
+}
+
+// ahead counts the waiting requests that go before one of the rank.
+func (q *queue) ahead(rank int) int {
+	count := 0
+	for _, waiter := range q.waiting {
+		if waiter.Ask.Rank <= rank {
+			count++
+		}
+	}
+	return count
+}
+
+// maxWait is how long a request may wait and still be of use.
+func maxWait(ask Ask, now time.Time) time.Duration {
+	left := time.Duration(float64(ask.Deadline.Sub(now)) * leftShare)
+	if ask.Objective <= 0 {
+		return left
+	}
+	return min(left, time.Duration(float64(ask.Objective)*objectiveShare))
+}
+
+// Wait queues a request that found no room, or refuses it when it would wait
+// for too long.
+func (p *Pool) Wait(ask Ask, now time.Time) (*Waiter, *Refusal) {
+	q := p.queueOf(ask.Service)
+	predicted := p.predictedWait(ask)
+	allowed := maxWait(ask, now)
+	if predicted > allowed || len(q.waiting) >= maxWaiting {
+		return nil, p.overloaded(ask)
+	}
+	q.seq++
+	waiter := &Waiter{Ask: ask, Until: now.Add(allowed), seq: q.seq, Granted: make(chan *Place, 1)}
+	at, _ := slices.BinarySearchFunc(q.waiting, waiter, order)
+	q.waiting = slices.Insert(q.waiting, at, waiter)
+	return waiter, nil
+}
+
+// predictedWait is the time until the requests ahead have found room.
+func (p *Pool) predictedWait(ask Ask) time.Duration {
+	q := p.queueOf(ask.Service)
+	room := 0
+	for _, one := range p.services[ask.Service] {
+		room += one.limit(ask.Rank, p.daemons)
+	}
+	seconds := float64(q.ahead(ask.Rank)+1) * q.hold / float64(max(room, 1))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (p *Pool) overloaded(ask Ask) *Refusal {
+	wait := min(max(p.predictedWait(ask), minRetryAfter), maxRetryAfter)
+	return &Refusal{Reason: "the service has no room in time", RetryAfter: wait}
+}
+
+// GiveUp removes a waiting request and tells why it is refused.
+func (p *Pool) GiveUp(waiter *Waiter) *Refusal {
+	q := p.queueOf(waiter.Ask.Service)
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiter) bool { return other == waiter })
+	return p.overloaded(waiter.Ask)
+}
+
+// Grant gives room to waiting requests of a service, the most urgent first.
+func (p *Pool) Grant(service types.ServiceName, now time.Time) {
+	q := p.queues[service]
+	if q == nil {
+		return
+	}
+	granted := 0
+	for _, waiter := range q.waiting {
+		place, _ := p.Place(waiter.Ask, now)
+		if place == nil {
+			break
+		}
+		waiter.Granted <- place
+		granted++
+	}
+	q.waiting = slices.Delete(q.waiting, 0, granted)
+}
+
+// GrantAll gives room to waiting requests of every service.
+func (p *Pool) GrantAll(now time.Time) {
+	for service := range p.queues {
+		p.Grant(service, now)
+	}
+}
+
+// Waiting counts the requests that wait for a service.
+func (p *Pool) Waiting(service types.ServiceName) int {
+	if q := p.queues[service]; q != nil {
+		return len(q.waiting)
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/gateway/balance/score.go
@@ -0,0 +1,103 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Weights of the score, in seconds.
+const (
+	// readRate is how many prompt tokens an engine reads in a second.
+	readRate = 55_000.0
+	// runCost is what each request that runs at an engine adds to another one.
+	runCost = 0.002
+	// slotCost is what a full endpoint adds to a request of a plain service.
+	slotCost = 0.05
+	// errorCost is what an endpoint that fails every request would add.
+	errorCost = 1.0
+	// stallAfter is how long an endpoint may begin no answer before it is
+	// avoided, and stallCost what it then adds.
+	stallAfter = 700 * time.Millisecond
+	stallCost  = 2.0
+	// warmCredit is the part of a prefix that counts as cached at an endpoint
+	// which read it of late but is not the prefix's home.
+	warmCredit = 0.8
+	// coldCost keeps requests from cold endpoints while others are as good.
+	coldCost = 0.05
+	// othersShare is the part of this daemon's own load that each other daemon
+	// of the region is assumed to add.
+	othersShare = 0.6
+	// largePrefix is the size, in tokens, from which a prefix has a home.
+	largePrefix = 1000
+)
+
+// cost predicts the seconds that the request would take at the endpoint beyond
+// what it takes anywhere.
+func (p *Pool) cost(ask Ask, one *state, home bool, now time.Time) float64 {
+	others := 1 + othersShare*float64(p.daemons-1)
+	cost := one.errorRate * errorCost
+	if one.stalled(now) > stallAfter {
+		cost += stallCost
+	}
+	if one.cold(now) {
+		cost += coldCost
+	}
+	if !one.isEngine() {
+		return cost + slotCost*float64(one.inFlight)*others/float64(one.slots()) + tieBreak(one.placed.ID, now)
+	}
+	cost += p.unread(ask, one, home) / readRate
+	cost += one.unread * others / readRate
+	cost += runCost * float64(one.inFlight) * others
+	return cost + tieBreak(one.placed.ID, now)
+}
+
+// tieBreak spreads equal costs without a random source.
+func tieBreak(id types.EndpointID, now time.Time) float64 {
+	const smallest = 1e-6
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(id))
+	spread := (d.Sum64() ^ uint64(now.UnixNano())*0x9E3779B97F4A7C15) >> 40
+	return float64(spread) / (1 << 24) * smallest
+}
+
+// unread is how many prompt tokens the endpoint would have to read.
+func (p *Pool) unread(ask Ask, one *state, home bool) float64 {
+	cached := 0.0
+	switch {
+	case ask.Prefix == 0:
+	case home:
+		cached = float64(ask.PrefixTokens)
+	case p.warm.holds(ask.Prefix, one.placed.ID):
+		cached = float64(ask.PrefixTokens) * warmCredit
+	}
+	return max(float64(ask.PromptTokens)-cached, 0)
+}
+
+// homeOf returns the endpoint that a large prefix belongs to: the first by
+// rendezvous among the eligible ones, which every daemon finds alike.
+func homeOf(ask Ask, eligible []*state) *state {
+	if ask.PrefixTokens < largePrefix {
+		return nil
+	}
+	var first *state
+	var highest uint64
+	for _, one := range eligible {
+		if weight := prefixWeight(ask.Prefix, one.placed.ID); first == nil || weight > highest {
+			first, highest = one, weight
+		}
+	}
+	return first
+}
+
+func prefixWeight(prefix uint64, id types.EndpointID) uint64 {
+	hash := xxhash.Sum64String(string(id)) ^ prefix
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+	hash *= 0xc4ceb9fe1a85ec53
+	return hash ^ hash>>33
+}
--- /dev/null
+++ b/pkg/gateway/catalog/view.go
@@ -0,0 +1,79 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// evacuationSlack is added to the cold time of endpoints whose data centre was
+// taken back, for the way of the news.
+const evacuationSlack = time.Second
+
+// View is an immutable reading of a State.
+type View struct {
+	// Config is nil until a configuration is known.
+	Config *Config
+	// Complete is the revision up to which every change is included.
+	Complete  uint64
+	Endpoints map[types.ServiceName][]Placed
+	Evacuated map[types.DataCentre]bool
+}
+
+// Placed is an endpoint that takes requests.
+type Placed struct {
+	*Endpoint
+	// ColdUntil is when the endpoint stops being cold; it may be in the past.
+	ColdUntil time.Time
+}
+
+// View returns what is in force: endpoints that are neither draining, gone nor
+// in a data centre that is being evacuated, sorted by ID.
+func (s *State) View() *View {
+	view := &View{
+		Config:    s.config,
+		Complete:  s.complete,
+		Endpoints: make(map[types.ServiceName][]Placed),
+		Evacuated: make(map[types.DataCentre]bool),
+	}
+	for _, known := range s.items {
+		if known.Evacuated != "" {
+			view.Evacuated[known.Evacuated] = true
+		}
+	}
+	for _, known := range s.items {
+		endpoint := known.Endpoint
+		if known.Deleted {
+			endpoint = known.expired
+		}
+		if endpoint == nil || endpoint.Draining || view.Evacuated[endpoint.DataCentre] {
+			continue
+		}
+		placed := Placed{Endpoint: endpoint, ColdUntil: s.coldUntil(endpoint, known.learnt)}
+		view.Endpoints[endpoint.Service] = append(view.Endpoints[endpoint.Service], placed)
+	}
+	for _, endpoints := range view.Endpoints {
+		slices.SortFunc(endpoints, func(a, b Placed) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return view
+}
+
+// coldUntil is the later of the announced end of the cold time and the one
+// that follows an evacuation.
+func (s *State) coldUntil(endpoint *Endpoint, learnt time.Time) time.Time {
+	var until time.Time
+	if endpoint.Cold > 0 {
+		until = learnt.Add(endpoint.Cold)
+	}
+	ended, evacuated := s.evacuationEnded[endpoint.DataCentre]
+	if !evacuated || s.config == nil || s.config.Services[endpoint.Service] == nil {
+		return until
+	}
+	after := ended.Add(s.config.Services[endpoint.Service].ColdStart + evacuationSlack)
+	if after.After(until) {
+		return after
+	}
+	return until
+}
--- /dev/null
+++ b/pkg/gateway/control/control.go
@@ -0,0 +1,347 @@
+// Package control owns what a daemon believes: the published records, the other
+// daemons, and the contents that crash endpoints. One goroutine owns all of it,
+// takes events, and publishes immutable snapshots that traffic goroutines read
+// without a lock.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Intervals of the control goroutine.
+const (
+	// heartbeatInterval is the time between two heartbeats of a daemon.
+	heartbeatInterval = 500 * time.Millisecond
+	// eventBuffer bounds the events that wait for the control goroutine.
+	eventBuffer = 256
+)
+
+// Peers sends messages to other daemons.
+type Peers interface {
+	// Send sends a message and returns the answer.
+	Send(ctx context.Context, to types.VMID, message *Message) (*Message, error)
+}
+
+// Options configures a Control.
+type Options struct {
+	Self  members.Member
+	Seeds []types.VMID
+	Store Store
+	Peers Peers
+	// Published is called with each new snapshot; it must not block.
+	Published func(*Snapshot)
+	// Loads returns what the daemon has in flight; it must not block.
+	Loads func() []members.Load
+	Log   logrus.FieldLogger
+	Now   func() time.Time
+	Rand  route.Rand
+}
+
+// Control owns the control state.
+type Control struct {
+	opts   Options
+	events chan func(now time.Time)
+	holder holder
+	// sends limits the messages under way.
+	sends chan struct{}
+
+	// The fields below belong to the control goroutine.
+	state   *catalog.State
+	table   *members.Table
+	crashes *crashLog
+	// newsAt is when the store was last heard of, by origin of the news.
+	newsAt  map[types.VMID]time.Time
+	newest  types.VMID
+	reading bool
+	dirty   bool
+	ctx     context.Context
+	work    conc.WaitGroup
+}
+
+// New returns control state with an empty snapshot.
+func New(opts Options) *Control {
+	const maxSends = 64
+	c := &Control{
+		opts:    opts,
+		events:  make(chan func(time.Time), eventBuffer),
+		sends:   make(chan struct{}, maxSends),
+		state:   catalog.NewState(),
+		table:   members.New(opts.Self, opts.Seeds),
+		crashes: newCrashLog(),
+		newsAt:  make(map[types.VMID]time.Time),
+	}
+	c.publish(opts.Now())
+	return c
+}
+
+// Load returns the newest snapshot.
+func (c *Control) Load() *Snapshot {
+	return c.holder.load()
+}
+
+// submit hands an event to the control goroutine; it blocks while many wait.
+func (c *Control) submit(ctx context.Context, event func(now time.Time)) bool {
+	select {
+	case c.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// offer hands an event to the control goroutine, or drops it when many wait.
+func (c *Control) offer(event func(now time.Time)) {
+	select {
+	case c.events <- event:
+	default:
+		c.opts.Log.Warn("control event dropped: too many are waiting")
+	}
+}
+
+// Run owns the state until ctx ends.
+func (c *Control) Run(ctx context.Context) {
+	c.ctx = ctx
+	defer c.work.Wait()
+	reader := newReader(c)
+	c.work.Go(func() { reader.run(ctx) })
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	c.tick(c.opts.Now())
+	for {
+		select {
+		case event := <-c.events:
+			event(c.opts.Now())
+			c.drainEvents()
+		case <-ticker.C:
+			c.tick(c.opts.Now())
+		case <-ctx.Done():
+			return
+		}
+		if c.dirty {
+			c.publish(c.opts.Now())
+		}
+	}
+}
+
+// drainEvents handles what waits, so that one snapshot shows all of it.
+func (c *Control) drainEvents() {
+	for range len(c.events) {
+		event := <-c.events
+		event(c.opts.Now())
+	}
+}
+
+// tick sends heartbeats and lets time pass for every part.
+func (c *Control) tick(now time.Time) {
+	c.state.Expire(now)
+	c.table.Forget(now)
+	c.crashes.expire(now)
+	c.table.Beat(c.opts.Loads())
+	for _, vm := range c.table.Targets(now, c.opts.Rand) {
+		c.send(vm, c.message(now))
+	}
+	c.dirty = true
+}
+
+// publish builds a new snapshot.
+func (c *Control) publish(now time.Time) {
+	c.dirty = false
+	previous := c.holder.load()
+	next := &Snapshot{
+		Self:       c.table.Self(),
+		Members:    c.table.Live(now),
+		RegionPeak: c.table.Peak(),
+		NewsAt:     c.newsAt[c.newest],
+		Suspects:   c.crashes.suspects(),
+	}
+	if previous == nil || c.state.TakeChanged() {
+		next.View = c.state.View()
+	} else {
+		next.View = previous.View
+	}
+	if next.View.Config != nil && next.Self.State == members.Starting {
+		c.table.SetState(members.Serving)
+		next.Self = c.table.Self()
+	}
+	c.holder.store(next)
+	c.opts.Published(next)
+	logChanges(c.opts.Log, previous, next)
+}
+
+// message is the heartbeat that is sent now.
+func (c *Control) message(now time.Time) *Message {
+	message := &Message{
+		From:     c.table.Self().VM,
+		Members:  c.table.Rows(now),
+		Complete: c.state.Complete(),
+		Crashes:  c.crashes.recent(now),
+	}
+	if at, known := c.newsAt[c.newest]; known {
+		message.Origin, message.NewsAge = c.newest, now.Sub(at)
+	}
+	return message
+}
+
+// send sends a message and takes the answer as an event.
+func (c *Control) send(to types.VMID, message *Message) {
+	select {
+	case c.sends <- struct{}{}:
+	default:
+		c.opts.Log.WithField("to", to).Warn("peer message dropped: too many are under way")
+		return
+	}
+	c.work.Go(func() {
+		defer func() { <-c.sends }()
+		answer, err := c.opts.Peers.Send(c.ctx, to, message)
+		if err != nil {
+			c.submit(c.ctx, func(now time.Time) { c.unreachable(to, err, now) })
+			return
+		}
+		c.submit(c.ctx, func(now time.Time) { c.take(answer, now) })
+	})
+}
+
+func (c *Control) unreachable(vm types.VMID, err error, now time.Time) {
+	c.table.Failed(vm, now)
+	c.dirty = true
+	c.opts.Log.WithError(err).WithField("to", vm).Debug("peer could not be reached")
+}
+
+// Receive takes a message of another daemon and returns the answer.
+func (c *Control) Receive(ctx context.Context, message *Message) *Message {
+	answers := make(chan *Message, 1)
+	ok := c.submit(ctx, func(now time.Time) {
+		behind := message.Complete
+		c.take(message, now)
+		answer := c.message(now)
+		if c.state.Complete() > behind {
+			delta := c.state.Since(behind, now)
+			answer.Delta = &delta
+		}
+		answers <- answer
+	})
+	if !ok {
+		return nil
+	}
+	select {
+	case answer := <-answers:
+		return answer
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// take merges what another daemon told. When it knows more of the store than it
+// told, it is asked.
+func (c *Control) take(message *Message, now time.Time) {
+	c.table.Merge(message.Members, now)
+	c.dirty = true
+	for _, crash := range message.Crashes {
+		c.crashes.add(crash, now)
+	}
+	if message.Delta != nil {
+		c.state.Apply(*message.Delta, now)
+	}
+	if message.Complete > c.state.Complete() {
+		c.send(message.From, c.message(now))
+		return
+	}
+	if message.Origin != "" {
+		c.heard(message.Origin, now.Add(-message.NewsAge))
+	}
+}
+
+// heard notes when a daemon last read the store.
+func (c *Control) heard(origin types.VMID, at time.Time) {
+	if at.After(c.newsAt[origin]) {
+		c.newsAt[origin] = at
+	}
+	if c.newest == "" || c.newsAt[origin].After(c.newsAt[c.newest]) {
+		c.newest = origin
+	}
+}
+
+// news tells how old the news of the store are.
+func (c *Control) news(now time.Time) members.News {
+	return members.News{
+		Any:   now.Sub(c.newsAt[c.newest]),
+		First: now.Sub(c.newsAt[c.table.FirstReader(now)]),
+	}
+}
+
+// spread tells the daemons of the own region, and one of each other region, what
+// was just read from the store.
+func (c *Control) spread(delta catalog.Delta, now time.Time) {
+	self := c.table.Self()
+	toldRegions := map[types.Region]bool{}
+	for _, member := range c.table.Live(now) {
+		near := member.Region == self.Region
+		if !near && (len(delta.Records) == 0 || toldRegions[member.Region]) {
+			continue
+		}
+		toldRegions[member.Region] = true
+		message := c.message(now)
+		message.Members, message.Crashes = nil, nil
+		message.Delta = &delta
+		c.send(member.VM, message)
+	}
+}
+
+// Leave tells every daemon that this one leaves.
+func (c *Control) Leave(ctx context.Context) {
+	c.submit(ctx, func(now time.Time) {
+		c.table.SetState(members.Leaving)
+		c.table.Beat(c.opts.Loads())
+		c.dirty = true
+		for _, member := range c.table.Live(now) {
+			message := c.message(now)
+			message.Members = []members.Member{c.table.Self()}
+			c.send(member.VM, message)
+		}
+	})
+}
+
+// SetSeeds takes seeds that have changed.
+func (c *Control) SetSeeds(seeds []types.VMID) {
+	c.offer(func(time.Time) { c.table.SetSeeds(seeds) })
+}
+
+// Crashed notes that an endpoint broke off while it ran a content, and tells the
+// other daemons once the content looks like the cause.
+func (c *Control) Crashed(content request.Fingerprint, attempt string) {
+	c.offer(func(now time.Time) {
+		crash := Crash{Content: content, Attempt: attempt}
+		if !c.crashes.add(crash, now) {
+			return
+		}
+		c.dirty = true
+		for _, member := range c.table.Live(now) {
+			c.send(member.VM, &Message{
+				From: c.table.Self().VM, Complete: c.state.Complete(), Crashes: []Crash{crash},
+			})
+		}
+	})
+}
+
+// Completed notes that an endpoint answered a content.
+func (c *Control) Completed(content request.Fingerprint) {
+	c.offer(func(now time.Time) {
+		c.crashes.completed(content, now)
+		c.dirty = true
+	})
+}
+
+// Unreachable notes that a daemon could not be reached.
+func (c *Control) Unreachable(vm types.VMID, err error) {
+	c.offer(func(now time.Time) { c.unreachable(vm, err, now) })
+}
--- /dev/null
+++ b/pkg/gateway/control/log.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// logChanges writes one line for each thing that the daemon believes anew.
+func logChanges(log logrus.FieldLogger, before, after *Snapshot) {
+	if before == nil {
+		return
+	}
+	if before.View != after.View {
+		logConfig(log, before.View, after.View)
+		logEndpoints(log, before.View, after.View)
+		logEvacuations(log, before.View, after.View)
+	}
+	logMembers(log, before.Members, after.Members)
+	for content, quarantined := range after.Suspects {
+		if quarantined && !before.Suspects[content] {
+			log.WithField("content", content).Warn("content quarantined: it crashed several endpoints")
+		}
+	}
+}
+
+func logConfig(log logrus.FieldLogger, before, after *catalog.View) {
+	if after.Config == nil || before.Config == after.Config {
+		return
+	}
+	log.WithFields(logrus.Fields{
+		"version": after.Config.Version, "routes": len(after.Config.Routes), "revision": after.Complete,
+	}).Info("configuration in force")
+}
+
+func logEndpoints(log logrus.FieldLogger, before, after *catalog.View) {
+	known, current := endpointsOf(before), endpointsOf(after)
+	for id, endpoint := range current {
+		if _, found := known[id]; !found {
+			log.WithFields(logrus.Fields{
+				"endpoint": id, "service": endpoint.Service, "address": endpoint.Address, "data_centre": endpoint.DataCentre,
+				"cold_until": endpoint.ColdUntil, "revision": after.Complete,
+			}).Info("endpoint takes requests")
+		}
+	}
+	for id, endpoint := range known {
+		if _, found := current[id]; !found {
+			log.WithFields(logrus.Fields{
+				"endpoint": id, "service": endpoint.Service, "revision": after.Complete,
+			}).Info("endpoint takes no more requests")
+		}
+	}
+}
+
+func endpointsOf(view *catalog.View) map[types.EndpointID]catalog.Placed {
+	found := make(map[types.EndpointID]catalog.Placed)
+	for _, endpoints := range view.Endpoints {
+		for _, endpoint := range endpoints {
+			found[endpoint.ID] = endpoint
+		}
+	}
+	return found
+}
+
+func logEvacuations(log logrus.FieldLogger, before, after *catalog.View) {
+	for dc := range after.Evacuated {
+		if !before.Evacuated[dc] {
+			log.WithField("data_centre", dc).Warn("data centre is being evacuated")
+		}
+	}
+	for dc := range before.Evacuated {
+		if !after.Evacuated[dc] {
+			log.WithField("data_centre", dc).Info("data centre was taken back")
+		}
+	}
+}
+
+func logMembers(log logrus.FieldLogger, before, after []members.Member) {
+	known := make(map[types.VMID]members.Member, len(before))
+	for _, member := range before {
+		known[member.VM] = member
+	}
+	for _, member := range after {
+		if old, found := known[member.VM]; !found || old.State != member.State || old.Run != member.Run {
+			log.WithFields(logrus.Fields{"member": member.VM, "state": member.State, "region": member.Region}).Info("daemon seen")
+		}
+		delete(known, member.VM)
+	}
+	for vm := range known {
+		log.WithField("member", vm).Warn("daemon lost: no heartbeat in time")
+	}
+}
--- /dev/null
+++ b/pkg/gateway/control/peerhttp.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+const (
+	// MessagePath is where daemons take messages.
+	MessagePath = "/gateway/message"
+	// messageTimeout bounds an exchange: several round trips between regions.
+	messageTimeout = 900 * time.Millisecond
+	// maxMessageBytes bounds a message; a whole configuration fits.
+	maxMessageBytes = 8 << 20
+)
+
+// HTTPPeers exchanges messages as JSON over HTTP.
+type HTTPPeers struct {
+	transport http.RoundTripper
+}
+
+var _ Peers = (*HTTPPeers)(nil)
+
+// NewHTTPPeers returns a client for other daemons.
+func NewHTTPPeers(transport http.RoundTripper) *HTTPPeers {
+	return &HTTPPeers{transport: transport}
+}
+
+// Send implements Peers.
+func (p *HTTPPeers) Send(ctx context.Context, to types.VMID, message *Message) (*Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode message")
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to)+MessagePath, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "message to "+string(to))
+	}
+	response, err := p.transport.RoundTrip(outgoing)
+	if err != nil {
+		return nil, eris.Wrap(err, "message to "+string(to))
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("message to %s: status %d", to, response.StatusCode)
+	}
+	return readMessage(response.Body)
+}
+
+func readMessage(source io.Reader) (*Message, error) {
+	data, err := io.ReadAll(io.LimitReader(source, maxMessageBytes))
+	if err != nil {
+		return nil, eris.Wrap(err, "read message")
+	}
+	var message Message
+	if err := json.Unmarshal(data, &message); err != nil {
+		return nil, eris.Wrap(err, "decode message")
+	}
+	return &message, nil
+}
+
+// ServeMessage answers another daemon's message.
+func (c *Control) ServeMessage(w http.ResponseWriter, r *http.Request) {
+	message, err := readMessage(r.Body)
+	if err != nil {
+		http.Error(w, "the message can't be read", http.StatusBadRequest)
+		return
+	}
+	answer := c.Receive(r.Context(), message)
+	if answer == nil {
+		http.Error(w, "this daemon is stopping", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		c.opts.Log.WithError(err).Error("answer to a peer can't be encoded")
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A peer that is gone asks again.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/pkg/gateway/control/reader.go
@@ -0,0 +1,186 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+)
+
+// Store is the published state, which can only be read.
+type Store interface {
+	// ReadAll reads every record. Base is a revision that the reading shows at
+	// least.
+	ReadAll(ctx context.Context) (records []catalog.Record, base uint64, err error)
+	// Watch returns the changes after a revision, or an empty delta when there
+	// was none for the time of wait. It returns ErrHistoryLost when the changes
+	// are no longer known.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Delta, error)
+}
+
+// ErrHistoryLost means that the store no longer knows the changes asked for.
+var ErrHistoryLost = errors.New("the store no longer holds this history")
+
+// ErrBusy means that the store refused the call because of its rate limit.
+var ErrBusy = errors.New("the store refuses calls beyond its rate")
+
+// Times of reading.
+const (
+	// watchWait bounds one waiting call, so that a connection that went silent
+	// is noticed well before the bounds on changes.
+	watchWait = 1200 * time.Millisecond
+	// readTimeout bounds a reading of all records.
+	readTimeout = 1500 * time.Millisecond
+	// settleTime is how long after an outage entries of live endpoints may be
+	// missing.
+	settleTime = 2200 * time.Millisecond
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 600 * time.Millisecond
+	// idlePoll is how often a daemon that does not read looks whether it should.
+	idlePoll = 100 * time.Millisecond
+)
+
+// reader reads the store while this daemon is one of its region's readers.
+type reader struct {
+	control *Control
+	// complete is the revision of the last reading; zero asks for a whole one.
+	complete uint64
+	// down is true from a failed call to the next good one.
+	down      bool
+	settledAt time.Time
+	backoff   time.Duration
+}
+
+func newReader(c *Control) *reader {
+	return &reader{control: c}
+}
+
+func (r *reader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !r.mayRead(ctx) {
+			r.complete = 0
+			sleep(ctx, idlePoll)
+			continue
+		}
+		if err := r.step(ctx); err != nil && ctx.Err() == nil {
+			r.failed(ctx, err)
+		}
+	}
+}
+
+// mayRead asks the control goroutine, which knows how old the news are.
+func (r *reader) mayRead(ctx context.Context) bool {
+	answer := make(chan bool, 1)
+	ok := r.control.submit(ctx, func(now time.Time) {
+		c := r.control
+		reading := c.table.ShouldRead(c.reading, c.news(now), now)
+		if reading != c.reading {
+			c.opts.Log.WithField("reads", reading).Info("this daemon's part in reading the store changed")
+		}
+		c.reading = reading
+		if reading && r.complete == 0 && c.state.Complete() > 0 && !r.down {
+			r.complete = c.state.Complete()
+		}
+		answer <- reading
+	})
+	if !ok {
+		return false
+	}
+	select {
+	case may := <-answer:
+		return may
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// step makes one call to the store.
+func (r *reader) step(ctx context.Context) error {
+	if r.complete == 0 {
+		return r.readAll(ctx)
+	}
+	delta, err := r.control.opts.Store.Watch(ctx, r.complete, watchWait)
+	if err != nil {
+		return err
+	}
+	r.recovered()
+	grace := r.grace()
+	for i := range delta.Records {
+		if delta.Records[i].Deleted {
+			delta.Records[i].Grace = grace
+		}
+	}
+	r.complete = max(r.complete, delta.To)
+	r.control.submit(ctx, func(now time.Time) { r.control.watched(delta, now) })
+	return nil
+}
+
+func (r *reader) readAll(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	records, base, err := r.control.opts.Store.ReadAll(bounded)
+	if err != nil {
+		return err
+	}
+	r.recovered()
+	grace := r.grace()
+	r.complete = base
+	r.control.submit(ctx, func(now time.Time) { r.control.readWhole(records, base, grace, now) })
+	return nil
+}
+
+// recovered notes a good call; the first one after an outage begins the time in
+// which entries may still be missing.
+func (r *reader) recovered() {
+	if r.down {
+		r.control.opts.Log.Info("the store answers again")
+		r.settledAt = r.control.opts.Now().Add(settleTime)
+	}
+	r.down, r.backoff = false, 0
+}
+
+func (r *reader) grace() time.Duration {
+	return max(r.settledAt.Sub(r.control.opts.Now()), 0)
+}
+
+func (r *reader) failed(ctx context.Context, err error) {
+	if errors.Is(err, ErrHistoryLost) {
+		r.control.opts.Log.Info("the store dropped its history: reading all records")
+		r.complete = 0
+		return
+	}
+	if !errors.Is(err, ErrBusy) && !r.down {
+		r.down = true
+		r.control.opts.Log.WithError(err).Warn("the store does not answer")
+	}
+	r.backoff = min(max(r.backoff*2, minBackoff), maxBackoff)
+	sleep(ctx, r.backoff)
+}
+
+// sleep waits for the delay or the end of ctx.
+func sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// watched takes the changes that a watch returned.
+func (c *Control) watched(delta catalog.Delta, now time.Time) {
+	c.heard(c.table.Self().VM, now)
+	c.state.Apply(delta, now)
+	c.dirty = true
+	c.spread(delta, now)
+}
+
+// readWhole takes a reading of all records.
+func (c *Control) readWhole(records []catalog.Record, base uint64, grace time.Duration, now time.Time) {
+	c.heard(c.table.Self().VM, now)
+	before := c.state.Complete()
+	c.state.Replace(records, base, grace, now)
+	c.dirty = true
+	c.spread(c.state.Since(before, now), now)
+}
--- /dev/null
+++ b/pkg/gateway/entry/directory.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// maxEntries bounds the entries that a caller is told.
+const maxEntries = 64
+
+// Entries returns the addresses that a caller in a region should use for a
+// host: the serving daemons of its own region; when there are none, those of
+// regions that the host's routes may enter, and else any.
+func Entries(snap *control.Snapshot, host string, region types.Region) []string {
+	if near := addresses(snap.InRegion(region)); len(near) > 0 {
+		return near
+	}
+	var homes, all []members.Member
+	for _, member := range serving(snap) {
+		all = append(all, member)
+		if allowedBy(snap, host, member.Region) {
+			homes = append(homes, member)
+		}
+	}
+	if len(homes) > 0 {
+		return addresses(homes)
+	}
+	return addresses(all)
+}
+
+// serving returns every daemon that serves, this one included.
+func serving(snap *control.Snapshot) []members.Member {
+	var found []members.Member
+	if snap.Self.State == members.Serving {
+		found = append(found, snap.Self)
+	}
+	for _, member := range snap.Members {
+		if member.State == members.Serving {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+func allowedBy(snap *control.Snapshot, host string, region types.Region) bool {
+	if snap.View.Config == nil {
+		return true
+	}
+	homes := snap.View.Config.HomesOf(host)
+	if homes == nil {
+		return true
+	}
+	for _, home := range homes {
+		if home == region {
+			return true
+		}
+	}
+	return false
+}
+
+func addresses(found []members.Member) []string {
+	list := make([]string, 0, min(len(found), maxEntries))
+	for _, member := range found {
+		if len(list) == maxEntries {
+			break
+		}
+		list = append(list, member.Callers)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/gateway/entry/entry.go
@@ -0,0 +1,224 @@
+// Package entry runs one daemon of the gateway for traffic that is routed by
+// host and path: it wires control state, balancing and proxy, opens the
+// listeners, and stops gracefully.
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Settings is what a daemon is told at its start.
+type Settings struct {
+	VM         types.VMID
+	Region     types.Region
+	DataCentre types.DataCentre
+	// Callers, Peers and Metrics are the addresses to listen on, "ip:port";
+	// an empty Metrics opens none.
+	Callers string
+	Peers   string
+	Metrics string
+	// MetricsPath is the path of the metrics; empty means "/metrics".
+	MetricsPath string
+	Seeds       []types.VMID
+	// MemoryBytes is the memory that the process may use; zero means unknown.
+	MemoryBytes int64
+	// Grace is the time between the signal to stop and the end.
+	Grace time.Duration
+	Cold  balance.Bounds
+	// RetryRatio and RetrySlack bound the extra attempts of all daemons
+	// together: a share of the requests plus a number.
+	RetryRatio float64
+	RetrySlack float64
+}
+
+// Surface is a further listener, for questions that are not requests.
+type Surface struct {
+	Name    string
+	Address string
+	Handler http.Handler
+}
+
+// Options configures an Entry.
+type Options struct {
+	Settings Settings
+	Store    control.Store
+	Dialect  proxy.Dialect
+	// Surfaces returns further listeners of the entry; nil means none.
+	Surfaces func(*Entry) []Surface
+	// Output receives the log.
+	Output io.Writer
+}
+
+// Entry is one daemon.
+type Entry struct {
+	opts     Options
+	log      *logrus.Logger
+	lines    *lineWriter
+	control  *control.Control
+	gate     *balance.Gate
+	handler  *proxy.Handler
+	registry *prometheus.Registry
+	servers  []*server
+}
+
+// sharedRand draws from the runtime's source, which goroutines may share.
+type sharedRand struct{}
+
+// Uint64 implements route.Rand.
+func (sharedRand) Uint64() uint64 {
+	return rand.Uint64()
+}
+
+// memoryShare is the part of the process's memory at which the garbage
+// collector works harder.
+const memoryShare = 0.6
+
+// bodyShare is the part of the process's memory that request bodies may take.
+const bodyShare = 0.2
+
+// expectedDaemons is what the fixed part of the retry budget is divided by.
+const expectedDaemons = 8
+
+// New provisions an entry and opens its listeners. After an error nothing stays
+// open.
+func New(opts Options) (*Entry, error) {
+	s := opts.Settings
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
+	lines := newLineWriter()
+	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
+	e.gate = balance.NewGate(balance.NewPool(s.Region, s.Cold), time.Now)
+	e.control = control.New(control.Options{
+		Self: members.Member{
+			VM: s.VM, Run: uint64(time.Now().UnixMilli()), State: members.Starting,
+			Region: s.Region, DataCentre: s.DataCentre, Callers: s.Callers,
+		},
+		Seeds:     s.Seeds,
+		Store:     opts.Store,
+		Peers:     control.NewHTTPPeers(proxy.NewTransport()),
+		Loads:     e.gate.Loads,
+		Published: func(snap *control.Snapshot) { e.gate.Update(snap.View, snap.RegionPeak) },
+		Log:       e.log,
+		Now:       time.Now,
+		Rand:      sharedRand{},
+	})
+	e.handler = proxy.New(proxy.Options{
+		Snapshot: e.control.Load, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
+		Budgets:    proxy.NewBudgets(s.RetryRatio, s.RetrySlack/expectedDaemons),
+		BodyMemory: int64(float64(s.MemoryBytes) * bodyShare),
+		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedRand{},
+	})
+	if err := e.listen(); err != nil {
+		e.close()
+		return nil, err
+	}
+	return e, nil
+}
+
+// Snapshot returns what the daemon knows now.
+func (e *Entry) Snapshot() *control.Snapshot {
+	return e.control.Load()
+}
+
+// Log returns the entry's logger.
+func (e *Entry) Log() logrus.FieldLogger {
+	return e.log
+}
+
+// SetSeeds takes seeds that have changed.
+func (e *Entry) SetSeeds(seeds []types.VMID) {
+	e.control.SetSeeds(seeds)
+}
+
+func (e *Entry) listen() error {
+	s := e.opts.Settings
+	if err := e.open("callers", s.Callers, e.handler); err != nil {
+		return err
+	}
+	if err := e.open("peers", s.Peers, http.HandlerFunc(e.servePeer)); err != nil {
+		return err
+	}
+	if err := e.open("metrics", s.Metrics, e.metricsHandler()); err != nil {
+		return err
+	}
+	if e.opts.Surfaces == nil {
+		return nil
+	}
+	for _, surface := range e.opts.Surfaces(e) {
+		if err := e.open(surface.Name, surface.Address, surface.Handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// servePeer serves other daemons.
+func (e *Entry) servePeer(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case proxy.IsForwarded(r):
+		e.handler.ServeForwarded(w, r)
+	case r.URL.Path == control.MessagePath && r.Method == http.MethodPost:
+		e.control.ServeMessage(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (e *Entry) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	path := e.opts.Settings.MetricsPath
+	if path == "" {
+		path = "/metrics"
+	}
+	mux.Handle(path, promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// Run serves until stop ends, then stops gracefully within the grace time.
+func (e *Entry) Run(stop context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	var logging, running conc.WaitGroup
+	logging.Go(func() { e.lines.run(e.opts.Output, logged) })
+	defer logging.Wait()
+	defer close(logged)
+	defer running.Wait()
+	defer e.close()
+	defer cancel()
+	running.Go(func() { e.control.Run(background) })
+	running.Go(func() { e.gate.Run(background) })
+	failed := make(chan error, len(e.servers))
+	for _, one := range e.servers {
+		running.Go(func() {
+			if err := one.serve(); err != nil {
+				failed <- err
+			}
+		})
+	}
+	s := e.opts.Settings
+	e.log.WithFields(logrus.Fields{"vm": s.VM, "region": s.Region, "data_centre": s.DataCentre, "callers": s.Callers}).Info("daemon serves")
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	e.drain()
+	return nil
+}
--- /dev/null
+++ b/pkg/gateway/entry/server.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Limits of connections that others open.
+const (
+	// headerTimeout bounds the time to receive the head of a request.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than callers keep unused connections.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a head; the configuration may ask for less.
+	maxHeaderBytes = 64 << 10
+	keepAliveIdle  = 5 * time.Second
+	keepAliveEvery = 2 * time.Second
+	keepAliveCount = 3
+)
+
+// server is one listener with its HTTP server.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// open listens on an address; an empty one opens nothing.
+func (e *Entry) open(name, address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for %s on %s", name, address)
+	}
+	e.servers = append(e.servers, &server{name: name, listener: listener, http: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		// What callers do wrong on a connection is no news for operators.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}})
+	return nil
+}
+
+// serve serves until the server is closed.
+func (s *server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrapf(err, "serve %s", s.name)
+}
+
+// close ends every listener and connection.
+func (e *Entry) close() {
+	for _, one := range e.servers {
+		// Closing fails only for what is closed already.
+		_ = one.http.Close()
+		_ = one.listener.Close()
+	}
+}
--- /dev/null
+++ b/pkg/gateway/members/reader.go
@@ -0,0 +1,73 @@
+package members
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Limits of the choice of readers.
+const (
+	// StaleAfter is the age of the newest news of the store at which a daemon
+	// that is not its region's reader starts to read for itself. It is longer
+	// than one waiting call of a reader and short enough for the bounds on
+	// changes, which count from the store's acknowledgement.
+	StaleAfter = 1700 * time.Millisecond
+	// staleStep sets the daemons of a region apart, so that one takes over.
+	staleStep = 200 * time.Millisecond
+	readerKey = "store-reader"
+)
+
+// News is when the store was last heard of.
+type News struct {
+	// Any is the age of the newest news from any daemon, this one included.
+	Any time.Duration
+	// First is the age of the newest news that the region's first reader read.
+	First time.Duration
+}
+
+// ShouldRead reports whether this daemon reads the store itself: the first of
+// its region by rendezvous always does, the others when the news have become
+// old. A daemon that has begun goes on until the first one has fresh news.
+func (t *Table) ShouldRead(reading bool, news News, now time.Time) bool {
+	place := t.readerPlace(now)
+	if place == 0 {
+		return true
+	}
+	if reading {
+		return news.First > StaleAfter
+	}
+	return news.Any > StaleAfter+time.Duration(place-1)*staleStep
+}
+
+// readerPlace is this daemon's place among the live daemons of its region.
+func (t *Table) readerPlace(now time.Time) int {
+	own := rendezvous.Weight(readerKey, t.self.VM)
+	place := 0
+	for _, member := range t.Live(now) {
+		if member.Region != t.self.Region || member.State == Leaving {
+			continue
+		}
+		if rendezvous.Weight(readerKey, member.VM) > own {
+			place++
+		}
+	}
+	return place
+}
+
+// FirstReader returns the daemon of the own region that reads the store, which
+// may be this one.
+func (t *Table) FirstReader(now time.Time) types.VMID {
+	candidates := []types.VMID{t.self.VM}
+	for _, member := range t.Live(now) {
+		if member.Region == t.self.Region && member.State != Leaving {
+			candidates = append(candidates, member.VM)
+		}
+	}
+	return slices.MaxFunc(candidates, func(a, b types.VMID) int {
+		return cmp.Compare(rendezvous.Weight(readerKey, a), rendezvous.Weight(readerKey, b))
+	})
+}
--- /dev/null
+++ b/pkg/gateway/proxy/failure.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Header fields of failures between daemons.
+const (
+	// headerFailure names the code of a failure that a daemon made itself, so
+	// that the daemon which forwarded the request tells it from an endpoint's.
+	headerFailure = "X-Gateway-Failure"
+	// headerVerdict carries the failure's verdict.
+	headerVerdict = "X-Gateway-Verdict"
+)
+
+// failureStatus returns the status of a failure. Only a request that was not
+// run is answered with 503, which promises as much.
+func failureStatus(failure *types.Failure) int {
+	if failure.Verdict == types.NotRun {
+		switch failure.Code {
+		case types.CodeBadRequest, types.CodeUnknownService, types.CodeTooLarge:
+			return failure.Status
+		}
+		return http.StatusServiceUnavailable
+	}
+	if failure.Code == types.CodeDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// writeFailure answers a request with a failure of the gateway's own.
+func writeFailure(w http.ResponseWriter, id types.RequestID, failure *types.Failure, toPeer bool) {
+	relay.ExtendWriteDeadline(w, writeTimeout)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	if failure.RetryAfter > 0 && failure.Verdict == types.NotRun {
+		header.Set("Retry-After", seconds(failure.RetryAfter))
+	}
+	if toPeer {
+		header.Set(headerFailure, string(failure.Code))
+		header.Set(headerVerdict, failure.Verdict.String())
+	}
+	body, err := json.Marshal(relay.ErrorBody{Error: relay.ErrorDetail{
+		Message: failure.Message, Code: failure.Code, Verdict: failure.Verdict, RequestID: id,
+	}})
+	if err != nil {
+		body = []byte("{}")
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(failureStatus(failure))
+	// The caller may be gone, which its own side notices.
+	_, _ = w.Write(body)
+}
+
+// seconds formats a duration in seconds with fractions.
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
+}
+
+func notRun(code types.Code, message string, retryAfter time.Duration) *types.Failure {
+	failure := types.NewFailure(types.NotRun, code, message)
+	failure.RetryAfter = retryAfter
+	return failure
+}
--- /dev/null
+++ b/pkg/gateway/proxy/forward.go
@@ -0,0 +1,169 @@
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// headerForward carries the envelope of a request between daemons.
+const headerForward = "X-Gateway-Forward"
+
+// maxForwardedBody bounds the body of a forwarded request.
+const maxForwardedBody = 16 << 20
+
+// envelope is what the daemon that took a request from its caller tells the one
+// that runs it. The route travels with it, so that both act on one version.
+type envelope struct {
+	From    types.VMID        `json:"from"`
+	Route   *catalog.Route    `json:"route"`
+	Service types.ServiceName `json:"service"`
+	Model   bool              `json:"model,omitempty"`
+	// Attempts bounds the endpoints that the request may still be sent to.
+	Attempts int `json:"attempts"`
+	// Left is the time until the deadline.
+	Left time.Duration `json:"left"`
+	// CallerLimited is true when the caller named the time that it waits.
+	CallerLimited bool   `json:"caller_limited,omitempty"`
+	ResumeAfter   string `json:"resume_after,omitempty"`
+}
+
+// forward sends the request to a daemon of another region and relays what it
+// answers.
+func (r *run) forward(member members.Member) *types.Failure {
+	r.region = member.Region
+	r.hops++
+	r.tried = append(r.tried, types.EndpointID("daemon "+string(member.VM)))
+	var w wire
+	outgoing, err := r.forwardRequest(member, &w)
+	if err != nil {
+		return caused(types.NotRun, types.CodeInternal, "the request can't be forwarded", err)
+	}
+	response, err := r.h.opts.Transport.RoundTrip(outgoing)
+	if err != nil {
+		return r.hopUnanswered(member, &w, err)
+	}
+	defer closeBody(response)
+	if failure := r.hopFailure(response); failure != nil {
+		return failure
+	}
+	answer := r.h.opts.Dialect.Answer(response.StatusCode, response.Header)
+	if answer.ID != "" && answer.ID != r.req.ID {
+		failure, _ := r.invalid(&w, errOtherRequest)
+		return failure
+	}
+	failure, _ := r.judge(response, &w)
+	return failure
+}
+
+func (r *run) forwardRequest(member members.Member, w *wire) (*http.Request, error) {
+	note := envelope{
+		From: r.h.opts.Snapshot().Self.VM, Route: r.req.Route, Service: r.req.Service, Model: r.req.Model,
+		Attempts: r.req.Attempts - r.sent + 1, Left: r.req.Deadline.Sub(r.h.opts.Now()),
+		CallerLimited: !r.req.CallerUntil.IsZero(), ResumeAfter: r.lastEvent,
+	}
+	text, err := json.Marshal(note)
+	if err != nil {
+		return nil, err
+	}
+	header := r.req.Header.Clone()
+	header.Set(headerForward, string(text))
+	return r.outgoing(string(member.VM), header, w), nil
+}
+
+// hopUnanswered judges a hop without an answer.
+func (r *run) hopUnanswered(member members.Member, w *wire, err error) *types.Failure {
+	if w.connected() {
+		r.verdict = r.verdict.Merge(types.MayHaveRun)
+	}
+	if r.ctx.Err() != nil {
+		return r.timeUp(r.verdict)
+	}
+	if !w.connected() {
+		r.reached = false
+		r.h.opts.Reporter.Unreachable(member.VM, err)
+		return caused(types.NotRun, types.CodeUnreachable, "the other region can't be reached", err)
+	}
+	return caused(types.MayHaveRun, types.CodeEndpointFailed, "the connection to the other region broke", err)
+}
+
+// hopFailure returns the failure that the other daemon made itself; nil when it
+// relays an endpoint's answer.
+func (r *run) hopFailure(response *http.Response) *types.Failure {
+	code := response.Header.Get(headerFailure)
+	if code == "" {
+		return nil
+	}
+	verdict := types.MayHaveRun
+	if err := verdict.UnmarshalText([]byte(response.Header.Get(headerVerdict))); err != nil {
+		verdict = types.MayHaveRun
+	}
+	r.verdict = r.verdict.Merge(verdict)
+	r.reached = verdict != types.NotRun
+	failure := types.NewFailure(verdict, types.Code(code), "refused in the other region")
+	if wait, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
+		failure.RetryAfter = wait
+	}
+	// The failure's body is of no use; reading it keeps the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseHeadBytes))
+	return failure
+}
+
+// IsForwarded reports whether a request comes from another daemon's proxy.
+func IsForwarded(r *http.Request) bool {
+	return r.Header.Get(headerForward) != ""
+}
+
+// ServeForwarded serves a request that another daemon forwarded.
+func (h *Handler) ServeForwarded(w http.ResponseWriter, r *http.Request) {
+	req, err := h.openEnvelope(r)
+	if err != nil {
+		failure := types.NewFailure(types.NotRun, types.CodeBadRequest, err.Error())
+		writeFailure(w, "", failure, true)
+		return
+	}
+	h.held.Add(int64(len(req.Body)))
+	defer h.held.Add(-int64(len(req.Body)))
+	h.serve(r.Context(), w, req)
+}
+
+func (h *Handler) openEnvelope(r *http.Request) (*Request, error) {
+	var note envelope
+	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &note); err != nil {
+		return nil, eris.Wrap(err, "forwarded request")
+	}
+	if note.Route == nil || note.From == "" || note.Left <= 0 || note.Attempts <= 0 {
+		return nil, errors.New("forwarded request: the envelope is incomplete")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxForwardedBody))
+	if err != nil {
+		return nil, eris.Wrap(err, "forwarded request")
+	}
+	header := r.Header
+	header.Del(headerForward)
+	call, err := h.opts.Dialect.Call(header)
+	if err != nil {
+		return nil, eris.Wrap(err, "forwarded request")
+	}
+	if note.ResumeAfter != "" {
+		call.ResumeAfter = note.ResumeAfter
+	}
+	now := h.opts.Now()
+	req := &Request{
+		Call: call, Method: r.Method, Path: pathOf(r), Query: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+		Host: r.Host, Header: header, Body: body, Route: note.Route, Service: note.Service, Model: note.Model,
+		Attempts: note.Attempts, Arrived: now, Deadline: now.Add(note.Left), From: note.From,
+	}
+	if note.CallerLimited {
+		req.CallerUntil = req.Deadline
+	}
+	return req, nil
+}
--- /dev/null
+++ b/pkg/gateway/proxy/request.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"encoding/binary"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Request is one caller's request on its way through the gateway.
+type Request struct {
+	Call
+	Method string
+	// Path is the path as it was sent, still encoded; Query follows it.
+	Path       string
+	Query      string
+	ForceQuery bool
+	Host       string
+	// Header holds the caller's fields that go on to an endpoint.
+	Header http.Header
+	Body   []byte
+
+	Route   *catalog.Route
+	Service types.ServiceName
+	// Model is true when the service runs model engines.
+	Model bool
+	// Attempts bounds the endpoints that the request may be sent to.
+	Attempts int
+	Arrived  time.Time
+	// CallerUntil is when the caller stops waiting; zero when it did not say.
+	CallerUntil time.Time
+	// Deadline is the earlier of CallerUntil and the route's timeout.
+	Deadline time.Time
+	// From is the daemon that forwarded the request; empty when it came from
+	// its caller. A forwarded request is never forwarded again.
+	From types.VMID
+}
+
+// target returns the URL of the request at an address, with path and query as
+// they were sent.
+func (r *Request) target(address string) *url.URL {
+	return &url.URL{Scheme: "http", Host: address, Opaque: r.Path, RawQuery: r.Query, ForceQuery: r.ForceQuery}
+}
+
+// ask is what the request asks of the endpoints.
+func (r *Request) ask(tried []types.EndpointID) balance.Ask {
+	return balance.Ask{
+		Service:      r.Service,
+		Rank:         r.Route.Rank,
+		PromptTokens: r.PromptTokens,
+		OutputTokens: r.OutputTokens,
+		Prefix:       r.Prefix,
+		PrefixTokens: r.PrefixTokens,
+		Tried:        tried,
+		Deadline:     r.Deadline,
+		Objective:    r.Route.Objective,
+	}
+}
+
+// fingerprint identifies the content of the request, equal for its resends.
+func (r *Request) fingerprint() request.Fingerprint {
+	var print request.Fingerprint
+	digest := xxhash.New()
+	_, _ = digest.WriteString(r.Method + " " + r.Path + "?" + r.Query + "\n")
+	_, _ = digest.Write(r.Body)
+	binary.BigEndian.PutUint64(print[:8], digest.Sum64())
+	_, _ = digest.WriteString("\nsecond half")
+	binary.BigEndian.PutUint64(print[8:], digest.Sum64())
+	return print
+}
--- /dev/null
+++ b/pkg/gateway/proxy/run.go
@@ -0,0 +1,201 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Limits of further attempts.
+const (
+	// maxMissed bounds the attempts that reached no endpoint.
+	maxMissed = 3
+	// maxHops bounds the attempts at daemons of other regions.
+	maxHops = 2
+)
+
+// minTimeLeft is the least time left for another attempt to be worth sending.
+const minTimeLeft = 30 * time.Millisecond
+
+// run is one request on its way through its attempts.
+type run struct {
+	h   *Handler
+	ctx context.Context
+	req *Request
+	out *caller
+
+	tried []types.EndpointID
+	// sent counts the attempts that may have reached an endpoint, missed those
+	// that did not; reached tells of the last one.
+	sent    int
+	missed  int
+	reached bool
+	// hops counts the attempts at daemons of other regions.
+	hops    int
+	verdict types.Verdict
+	// lastEvent is the ID of the last event that the caller has; resumed is
+	// true when a part of a stream was sent.
+	lastEvent string
+	resumed   bool
+	// suspect is the content's fingerprint if an endpoint crashed on it before.
+	suspect     request.Fingerprint
+	quarantined bool
+	// last is an endpoint's failed but whole answer, kept in case no further
+	// attempt does better.
+	last *heldAnswer
+	// region is where the last attempt went; empty for the own region.
+	region types.Region
+	status int
+	// waited is the time spent before the last attempt was sent.
+	waited time.Duration
+}
+
+// checkSuspect looks whether the content is known to crash endpoints.
+func (r *run) checkSuspect(snap *control.Snapshot) {
+	if len(snap.Suspects) == 0 {
+		return
+	}
+	content := r.req.fingerprint()
+	quarantined, known := snap.Suspects[content]
+	if known {
+		r.suspect, r.quarantined = content, quarantined
+	}
+}
+
+// loop makes attempts until one succeeds or none may follow.
+func (r *run) loop() *types.Failure {
+	if r.quarantined {
+		return notRun(types.CodeQuarantined, "this content crashed several endpoints", 0)
+	}
+	r.h.opts.Budgets.Offered(r.req.Service)
+	for {
+		where, failure := r.place(r.h.opts.Snapshot())
+		if failure != nil {
+			return failure
+		}
+		failure = r.try(where)
+		if failure == nil || !r.again(failure) {
+			return failure
+		}
+	}
+}
+
+// try makes one attempt.
+func (r *run) try(where destination) *types.Failure {
+	r.waited = r.h.opts.Now().Sub(r.req.Arrived)
+	r.reached = true
+	r.sent++
+	var failure *types.Failure
+	if where.endpoint == nil {
+		failure = r.forward(where.member)
+	} else {
+		r.region = ""
+		failure = r.attempt(where.endpoint)
+	}
+	if !r.reached {
+		r.sent--
+		r.missed++
+	}
+	return failure
+}
+
+// again decides whether another attempt follows a failed one. An attempt that
+// reached no endpoint costs nothing, but there are few of them.
+func (r *run) again(failure *types.Failure) bool {
+	switch {
+	case r.ctx.Err() != nil || r.out.gone:
+		return false
+	case !outcome.MayRepeat(r.req.Route.Repeatable(), r.verdict):
+		return false
+	case r.out.committed && !r.canResume():
+		return false
+	case r.req.Deadline.Sub(r.h.opts.Now()) < minTimeLeft:
+		return false
+	case !r.reached:
+		return r.missed <= maxMissed
+	case r.sent >= r.req.Attempts || !retryable(failure.Code):
+		return false
+	}
+	return r.h.opts.Budgets.Take(r.req.Service)
+}
+
+// canResume reports whether a stream that broke off may go on elsewhere.
+func (r *run) canResume() bool {
+	return r.req.Route.Resumable && r.lastEvent != ""
+}
+
+func retryable(code types.Code) bool {
+	switch code {
+	case types.CodeEndpointFailed, types.CodeUnreachable, types.CodeAnswerIncomplete, types.CodeOverloaded, types.CodeDraining:
+		return true
+	}
+	return false
+}
+
+// finish answers what is still unanswered and notes how the request ended.
+func (r *run) finish(failure *types.Failure) {
+	if failure != nil && r.last != nil && !r.out.committed {
+		r.last.send(r.out)
+		failure = nil
+	}
+	if failure != nil {
+		final := *failure
+		final.Verdict = r.verdict.Merge(failure.Verdict)
+		r.status = failureStatus(&final)
+		r.out.fail(r.req.ID, &final)
+		failure = &final
+	}
+	r.record(failure)
+}
+
+// record counts the request and logs it.
+func (r *run) record(failure *types.Failure) {
+	took := r.h.opts.Now().Sub(r.req.Arrived)
+	r.h.opts.Metrics.finished(r.req, failure, took)
+	fields := logrus.Fields{
+		"request": r.req.ID, "route": r.req.Route.Name, "service": r.req.Service, "status": r.status,
+		"sent": r.sent, "verdict": r.verdict, "took_ms": took.Milliseconds(), "waited_ms": r.waited.Milliseconds(),
+	}
+	if len(r.tried) > 0 {
+		fields["endpoints"] = r.tried
+	}
+	if r.region != "" {
+		fields["region"] = r.region
+	}
+	if r.req.From != "" {
+		fields["from"] = r.req.From
+	}
+	if failure != nil {
+		fields["code"], fields["reason"] = failure.Code, failure.Message
+		if failure.Cause != nil {
+			fields["cause"] = failure.Cause.Error()
+		}
+	}
+	r.h.opts.Log.Request(fields, failure != nil || r.status >= http.StatusInternalServerError)
+}
+
+// timeUp tells a passed deadline from a caller that left.
+func (r *run) timeUp(verdict types.Verdict) *types.Failure {
+	if errors.Is(r.ctx.Err(), context.DeadlineExceeded) {
+		return types.NewFailure(verdict, types.CodeDeadline, "the time allowed is over")
+	}
+	return types.NewFailure(verdict, types.CodeCallerGone, "the caller closed its connection")
+}
+
+// refusal turns a refusal of the balancer into a failure.
+func refusalFailure(refusal *balance.Refusal) *types.Failure {
+	code := types.CodeOverloaded
+	if refusal.NoEndpoint {
+		code = types.CodeNoEndpoint
+	}
+	return notRun(code, refusal.Reason, refusal.RetryAfter)
+}
--- /dev/null
+++ b/pkg/gateway/proxy/stream.go
@@ -0,0 +1,54 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// stream relays events as they arrive. No part of an event is ever sent, so
+// that a stream can go on at another endpoint after the last whole one.
+func (r *run) stream(response *http.Response, w *wire) (*types.Failure, balance.Result) {
+	if !r.out.committed {
+		r.status = response.StatusCode
+		r.out.begin(response, -1)
+		if !r.out.flush() {
+			return r.callerGone(w)
+		}
+	}
+	events := newEventReader(response.Body)
+	for {
+		part, err := events.next()
+		if errors.Is(err, io.EOF) {
+			r.verdict = types.Ran
+			r.completed()
+			return nil, balance.Succeeded
+		}
+		if err != nil {
+			return r.brokeOff(w, err)
+		}
+		if !r.out.write(part) || !r.out.flush() {
+			return r.callerGone(w)
+		}
+		r.noteEvents(part)
+	}
+}
+
+// noteEvents keeps the ID of the last event sent.
+func (r *run) noteEvents(part []byte) {
+	eachEvent(part, func(event []byte) {
+		if id := r.h.opts.Dialect.EventID(event); id != "" {
+			r.lastEvent = id
+		}
+	})
+}
+
+// callerGone ends an attempt whose answer nobody takes.
+func (r *run) callerGone(w *wire) (*types.Failure, balance.Result) {
+	w.drop()
+	r.verdict = r.verdict.Merge(types.MayHaveRun)
+	return types.NewFailure(types.MayHaveRun, types.CodeCallerGone, "the caller stopped reading"), balance.Abandoned
+}
