Let a cold time end when the endpoint's first entry said

A cold endpoint rewrites its entry at each heartbeat with the time left; the state counted the time left from the first entry, so each rewrite ended the cold time earlier. Ruled out: the share of the rate by daemon (3 x 4 a second, below 17).

Change: the end is fixed when an entry arrives; a later entry of the same cold time never moves it.

--- /dev/null
+++ b/pkg/gateway/catalog/catalog_test.go
@@ -0,0 +1,170 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+const service = types.ServiceName("quotes")
+
+func endpointRecord(id string, revision uint64, change func(*catalog.Endpoint)) catalog.Record {
+	endpoint := &catalog.Endpoint{
+		ID: types.EndpointID(id), Service: service, Address: "10.0.0.1:80", DataCentre: "north-a", Region: "north", Slots: 4,
+	}
+	if change != nil {
+		change(endpoint)
+	}
+	return catalog.Record{Key: "servers/" + id, Revision: revision, Endpoint: endpoint}
+}
+
+func deltaOf(from uint64, records ...catalog.Record) catalog.Delta {
+	return catalog.Delta{From: from, To: records[len(records)-1].Revision, Records: records}
+}
+
+func configRecord(version, revision uint64) catalog.Record {
+	return catalog.Record{Key: "op/config", Revision: revision, Config: &catalog.Config{
+		Version:  version,
+		Routes:   []*catalog.Route{{Name: "r", Host: "a.example", Prefix: "/a/"}, {Name: "longer", Host: "a.example", Prefix: "/a/b/"}},
+		Services: map[types.ServiceName]*catalog.Service{service: {Name: service, ColdStart: 3 * time.Second, ColdPerSecond: 9}},
+	}}
+}
+
+var _ = Describe("State", func() {
+	var state *catalog.State
+
+	BeforeEach(func() { state = catalog.NewState() })
+
+	It("keeps the newest configuration when an older one arrives late", func() {
+		state.Apply(deltaOf(0, configRecord(7, 10)), start)
+		state.Apply(deltaOf(0, configRecord(5, 4)), start)
+		state.Apply(deltaOf(0, configRecord(6, 12)), start)
+		Expect(state.View().Config.Version).To(BeEquivalentTo(7))
+	})
+
+	It("knows no more than up to a gap", func() {
+		Expect(state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)).To(BeTrue())
+		Expect(state.Apply(deltaOf(5, endpointRecord("e2", 6, nil)), start)).To(BeFalse())
+		Expect(state.Complete()).To(BeEquivalentTo(3))
+		Expect(state.View().Endpoints[service]).To(HaveLen(2))
+	})
+
+	It("does not bring back an endpoint that was deleted at a later revision", func() {
+		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
+		state.Apply(catalog.Delta{From: 3, To: 5, Records: []catalog.Record{{Key: "servers/e1", Revision: 5, Deleted: true}}}, start)
+		state.Apply(catalog.Delta{From: 0, To: 3, Records: []catalog.Record{endpointRecord("e1", 3, nil)}}, start)
+		Expect(state.View().Endpoints[service]).To(BeEmpty())
+	})
+
+	It("finds in a whole reading what went while the history was lost", func() {
+		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil), endpointRecord("e2", 4, nil)), start)
+		state.Replace([]catalog.Record{endpointRecord("e2", 4, nil)}, 9, 0, start)
+		Expect(state.View().Endpoints[service]).To(HaveLen(1))
+		Expect(state.Complete()).To(BeEquivalentTo(9))
+	})
+
+	It("ignores a whole reading that is older than what it knows", func() {
+		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
+		state.Replace(nil, 2, 0, start)
+		Expect(state.View().Endpoints[service]).To(HaveLen(1))
+	})
+
+	It("uses an endpoint whose entry expired in an outage until the grace ends", func() {
+		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
+		state.Replace(nil, 9, 2*time.Second, start)
+		Expect(state.View().Endpoints[service]).To(HaveLen(1))
+		state.Expire(start.Add(1900 * time.Millisecond))
+		Expect(state.View().Endpoints[service]).To(HaveLen(1))
+		state.Expire(start.Add(2 * time.Second))
+		Expect(state.View().Endpoints[service]).To(BeEmpty())
+	})
+
+	It("gives no grace to an endpoint that was draining", func() {
+		state.Apply(deltaOf(0, endpointRecord("e1", 3, func(e *catalog.Endpoint) { e.Draining = true })), start)
+		state.Replace(nil, 9, 2*time.Second, start)
+		Expect(state.View().Endpoints[service]).To(BeEmpty())
+	})
+
+	It("passes the rest of the grace on to peers", func() {
+		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
+		state.Replace(nil, 9, 2*time.Second, start)
+		later := start.Add(1500 * time.Millisecond)
+		peer := catalog.NewState()
+		peer.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
+		Expect(peer.Apply(state.Since(3, later), later)).To(BeTrue())
+		Expect(peer.View().Endpoints[service]).To(HaveLen(1))
+		peer.Expire(later.Add(500 * time.Millisecond))
+		Expect(peer.View().Endpoints[service]).To(BeEmpty())
+	})
+
+	It("uses no endpoint of a data centre that is being evacuated, and paces them after it", func() {
+		state.Apply(deltaOf(0, configRecord(1, 2), endpointRecord("e1", 3, nil)), start)
+		state.Apply(catalog.Delta{From: 3, To: 4, Records: []catalog.Record{{Key: "op/evacuate/north-a", Revision: 4, Evacuated: "north-a"}}}, start)
+		Expect(state.View().Endpoints[service]).To(BeEmpty())
+		back := start.Add(8 * time.Second)
+		state.Apply(catalog.Delta{From: 4, To: 5, Records: []catalog.Record{{Key: "op/evacuate/north-a", Revision: 5, Deleted: true}}}, back)
+		Expect(state.View().Endpoints[service]).To(HaveLen(1))
+		Expect(state.View().Endpoints[service][0].ColdUntil).To(BeTemporally(">=", back.Add(3*time.Second)))
+	})
+
+	Describe("the cold time", func() {
+		cold := func(left time.Duration) func(*catalog.Endpoint) {
+			return func(e *catalog.Endpoint) { e.Cold = left }
+		}
+		coldUntil := func() time.Time { return state.View().Endpoints[service][0].ColdUntil }
+
+		It("does not end sooner because a later entry tells less time left", func() {
+			state.Apply(deltaOf(0, endpointRecord("e1", 3, cold(3*time.Second))), start)
+			later := start.Add(1300 * time.Millisecond)
+			state.Apply(deltaOf(3, endpointRecord("e1", 4, cold(1700*time.Millisecond))), later)
+			Expect(coldUntil()).To(BeTemporally("==", start.Add(3*time.Second)))
+		})
+
+		It("begins anew when the endpoint becomes cold again", func() {
+			state.Apply(deltaOf(0, endpointRecord("e1", 3, cold(time.Second))), start)
+			later := start.Add(5 * time.Second)
+			state.Apply(deltaOf(3, endpointRecord("e1", 4, cold(time.Second))), later)
+			Expect(coldUntil()).To(BeTemporally("==", later.Add(time.Second)))
+		})
+
+		It("ends when the entry says so", func() {
+			state.Apply(deltaOf(0, endpointRecord("e1", 3, cold(3*time.Second))), start)
+			state.Apply(deltaOf(3, endpointRecord("e1", 4, nil)), start.Add(time.Second))
+			Expect(coldUntil()).To(BeTemporally("<=", start.Add(time.Second)))
+		})
+	})
+})
+
+var _ = Describe("Config", func() {
+	It("prefers the longest prefix of the host", func() {
+		config := configRecord(1, 1).Config
+		config.Prepare()
+		Expect(config.Match("A.example", "/a/b/c").Name).To(Equal("longer"))
+		Expect(config.Match("a.example", "/a/c").Name).To(Equal("r"))
+		Expect(config.Match("a.example", "/b/")).To(BeNil())
+		Expect(config.Match("b.example", "/a/")).To(BeNil())
+	})
+
+	It("splits a route's requests by weight, each key always alike", func() {
+		route := &catalog.Route{Backends: []catalog.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+		counts := map[types.ServiceName]int{}
+		for i := range 5000 {
+			key := start.Add(time.Duration(i)).String()
+			Expect(route.ServiceFor(key)).To(Equal(route.ServiceFor(key)))
+			counts[route.ServiceFor(key)]++
+		}
+		Expect(counts["b"]).To(BeNumerically("~", 500, 100))
+	})
+})
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -28,6 +28,8 @@
 type item struct {
 	Record
 	learnt time.Time
+	// coldUntil is when the record's endpoint stops being cold.
+	coldUntil time.Time
 	// expired is the endpoint of a deleted record that is still used until
 	// graceEnds.
 	expired   *Endpoint
@@ -94,8 +96,8 @@
 	if record.Deleted && record.Grace > 0 && known.Endpoint != nil && !known.Endpoint.Draining {
 		next.expired, next.graceEnds = known.Endpoint, now.Add(record.Grace)
 	}
-	if record.Endpoint != nil && known.Endpoint != nil && sameStay(record.Endpoint, known.Endpoint) {
-		next.learnt = known.learnt
+	if record.Endpoint != nil && record.Endpoint.Cold > 0 {
+		next.coldUntil = coldEnd(record.Endpoint, known, now)
 	}
 	if known.Evacuated != "" && record.Evacuated == "" {
 		s.evacuationEnded[known.Evacuated] = now
@@ -108,10 +110,17 @@
 	}
 }
 
-// sameStay reports whether a newer entry says nothing new of the endpoint's
-// coldness, so that its end counts from the earlier one.
-func sameStay(next, known *Endpoint) bool {
-	return next.Born == known.Born && next.Address == known.Address && next.Cold <= known.Cold
+// coldEnd is when an endpoint stops being cold. Each record tells the time left
+// when it was written, so news of it come late and the earliest end counts,
+// unless the endpoint became cold anew.
+func coldEnd(endpoint *Endpoint, known item, now time.Time) time.Time {
+	end := now.Add(endpoint.Cold)
+	sameSpell := known.Endpoint != nil && known.Endpoint.Born == endpoint.Born &&
+		known.Endpoint.Address == endpoint.Address && known.coldUntil.After(now)
+	if sameSpell && known.coldUntil.Before(end) && endpoint.Cold <= known.Endpoint.Cold {
+		return known.coldUntil
+	}
+	return end
 }
 
 // Since returns the changes after a revision, for a peer that lags.
--- a/pkg/gateway/catalog/view.go
+++ b/pkg/gateway/catalog/view.go
@@ -51,7 +51,7 @@
 		if endpoint == nil || endpoint.Draining || view.Evacuated[endpoint.DataCentre] {
 			continue
 		}
-		placed := Placed{Endpoint: endpoint, ColdUntil: s.coldUntil(endpoint, known.learnt)}
+		placed := Placed{Endpoint: endpoint, ColdUntil: s.coldUntil(endpoint, known.coldUntil)}
 		view.Endpoints[endpoint.Service] = append(view.Endpoints[endpoint.Service], placed)
 	}
 	for _, endpoints := range view.Endpoints {
@@ -62,11 +62,7 @@
 
 // coldUntil is the later of the announced end of the cold time and the one
 // that follows an evacuation.
-func (s *State) coldUntil(endpoint *Endpoint, learnt time.Time) time.Time {
-	var until time.Time
-	if endpoint.Cold > 0 {
-		until = learnt.Add(endpoint.Cold)
-	}
+func (s *State) coldUntil(endpoint *Endpoint, until time.Time) time.Time {
 	ended, evacuated := s.evacuationEnded[endpoint.DataCentre]
 	if !evacuated || s.config == nil || s.config.Services[endpoint.Service] == nil {
 		return until
--- a/pkg/gateway/control/log.go
+++ b/pkg/gateway/control/log.go
@@ -38,6 +38,11 @@
 func logEndpoints(log logrus.FieldLogger, before, after *catalog.View) {
 	known, current := endpointsOf(before), endpointsOf(after)
 	for id, endpoint := range current {
+		if old, found := known[id]; found && !old.ColdUntil.Equal(endpoint.ColdUntil) {
+			log.WithFields(logrus.Fields{
+				"endpoint": id, "cold_until": endpoint.ColdUntil, "cold": endpoint.Cold.String(), "revision": after.Complete,
+			}).Info("endpoint's cold time changed")
+		}
 		if _, found := known[id]; !found {
 			log.WithFields(logrus.Fields{
 				"endpoint": id, "service": endpoint.Service, "address": endpoint.Address, "data_centre": endpoint.DataCentre,
