Give each large prefix one home in the whole fleet

Ruled out: balance inside a region (busiest over mean 1.2).

Change: requests with a large shared prefix go to a daemon of the region whose endpoint is the prefix's first by rendezvous, if that region has room; the daemon that owns the endpoint takes them.

--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -30,8 +31,8 @@
 	// othersShare is the part of this daemon's own load that each other daemon
 	// of the region is assumed to add.
 	othersShare = 0.6
-	// largePrefix is the size, in tokens, from which a prefix has a home.
-	largePrefix = 1000
+	// LargePrefix is the size, in tokens, from which a prefix has a home.
+	LargePrefix = 1000
 )
 
 // cost predicts the seconds that the request would take at the endpoint beyond
@@ -80,7 +81,7 @@
 // homeOf returns the endpoint that a large prefix belongs to: the first by
 // rendezvous among the eligible ones, which every daemon finds alike.
 func homeOf(ask Ask, eligible []*state) *state {
-	if ask.PrefixTokens < largePrefix {
+	if ask.PrefixTokens < LargePrefix {
 		return nil
 	}
 	var first *state
@@ -93,6 +94,23 @@
 	return first
 }
 
+// PrefixHome returns the endpoint, of any region that is allowed, that a large
+// prefix belongs to. Within its region it is the one that a Pool prefers.
+func PrefixHome(endpoints []catalog.Placed, prefix uint64, allowed func(types.Region) bool) (catalog.Placed, bool) {
+	var first catalog.Placed
+	var highest uint64
+	found := false
+	for _, one := range endpoints {
+		if !allowed(one.Region) {
+			continue
+		}
+		if weight := prefixWeight(prefix, one.ID); !found || weight > highest {
+			first, highest, found = one, weight, true
+		}
+	}
+	return first, found
+}
+
 func prefixWeight(prefix uint64, id types.EndpointID) uint64 {
 	hash := xxhash.Sum64String(string(id)) ^ prefix
 	hash ^= hash >> 33
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -67,7 +67,7 @@
 func (r *run) forwardRequest(member members.Member, w *wire) (*http.Request, error) {
 	note := envelope{
 		From: r.h.opts.Snapshot().Self.VM, Route: r.req.Route, Service: r.req.Service, Model: r.req.Model,
-		Attempts: r.req.Attempts - r.sent + 1, Left: r.req.Deadline.Sub(r.h.opts.Now()),
+		Attempts: r.req.Attempts - r.sent, Left: r.req.Deadline.Sub(r.h.opts.Now()),
 		CallerLimited: !r.req.CallerUntil.IsZero(), ResumeAfter: r.lastEvent,
 	}
 	text, err := json.Marshal(note)
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -1,6 +1,10 @@
 package proxy
 
 import (
+	"cmp"
+	"slices"
+
+	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -21,6 +25,9 @@
 	if !r.req.Route.Allows(snap.Self.Region) {
 		return r.elsewhere(snap)
 	}
+	if member, found := r.prefixHome(snap); found {
+		return destination{member: member}, nil
+	}
 	ask := r.req.ask(r.tried)
 	place, refusal := r.h.opts.Gate.Try(ask)
 	if place != nil {
@@ -42,6 +49,34 @@
 	return destination{endpoint: place}, nil
 }
 
+// prefixHome finds a daemon of the region where the request's large prefix is
+// kept, if that is another region with room. Every part of the fleet then reads
+// a prefix once, instead of once in each region.
+func (r *run) prefixHome(snap *control.Snapshot) (members.Member, bool) {
+	if r.req.From != "" || r.hops > 0 || r.sent > 0 || r.req.PrefixTokens < balance.LargePrefix {
+		return members.Member{}, false
+	}
+	home, found := balance.PrefixHome(snap.View.Endpoints[r.req.Service], r.req.Prefix, r.req.Route.Allows)
+	if !found || home.Region == snap.Self.Region {
+		return members.Member{}, false
+	}
+	if freePlaces(snap, r.req.Service)[home.Region].share() < homeRoom {
+		return members.Member{}, false
+	}
+	return ownerOf(home.ID, snap.InRegion(home.Region))
+}
+
+// ownerOf picks the daemon that sends an endpoint its large prompts, so that one
+// daemon knows how much the endpoint has to read.
+func ownerOf(endpoint types.EndpointID, serving []members.Member) (members.Member, bool) {
+	if len(serving) == 0 {
+		return members.Member{}, false
+	}
+	return slices.MaxFunc(serving, func(a, b members.Member) int {
+		return cmp.Compare(rendezvous.Weight(string(endpoint), a.VM), rendezvous.Weight(string(endpoint), b.VM))
+	}), true
+}
+
 // elsewhere finds a daemon for a request that may not run in this region.
 func (r *run) elsewhere(snap *control.Snapshot) (destination, *types.Failure) {
 	if r.req.From != "" {
@@ -68,6 +103,8 @@
 	// overflowRoom is for requests that could also wait here: news of the other
 	// region are late, and it keeps room for its own callers.
 	overflowRoom = 0.4
+	// homeRoom is for requests whose prefix is kept in the region.
+	homeRoom = 0.25
 	// mustRoom is for requests that can't run here.
 	mustRoom = 0.0
 )
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -93,14 +94,12 @@
 func (r *run) try(where destination) *types.Failure {
 	r.waited = r.h.opts.Now().Sub(r.req.Arrived)
 	r.reached = true
-	r.sent++
-	var failure *types.Failure
 	if where.endpoint == nil {
-		failure = r.forward(where.member)
-	} else {
-		r.region = ""
-		failure = r.attempt(where.endpoint)
+		return r.tryElsewhere(where.member)
 	}
+	r.region = ""
+	r.sent++
+	failure := r.attempt(where.endpoint)
 	if !r.reached {
 		r.sent--
 		r.missed++
@@ -108,6 +107,19 @@
 	return failure
 }
 
+// tryElsewhere makes an attempt at a daemon of another region. That one may use
+// every attempt that is left, and after a broken connection nobody knows how
+// many it used.
+func (r *run) tryElsewhere(member members.Member) *types.Failure {
+	failure := r.forward(member)
+	if r.reached {
+		r.sent = r.req.Attempts
+	} else {
+		r.missed++
+	}
+	return failure
+}
+
 // again decides whether another attempt follows a failed one. An attempt that
 // reached no endpoint costs nothing, but there are few of them.
 func (r *run) again(failure *types.Failure) bool {
