Read all records after the store has dropped its history

After a 410 the reader asked for a whole reading, but the next turn took the state's revision again and watched from there: 669 calls answered 410 until the compaction was over.

Change: whether all records have to be read is a flag of its own.

--- /dev/null
+++ b/pkg/gateway/control/control_test.go
@@ -0,0 +1,353 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+// patience bounds waits that end as soon as their condition holds.
+const patience = 30 * time.Second
+
+// copied returns a copy by way of the encoding between daemons.
+func copied[T any](value T) T {
+	data, err := json.Marshal(value)
+	Expect(err).NotTo(HaveOccurred())
+	var copy T
+	Expect(json.Unmarshal(data, &copy)).To(Succeed())
+	return copy
+}
+
+// fakeStore is a store in memory with the faults of the real one.
+type fakeStore struct {
+	mu      sync.Mutex
+	records map[string]catalog.Record
+	log     []catalog.Record
+	rev     uint64
+	// kept is the oldest revision whose successors are still known.
+	kept    uint64
+	down    bool
+	silent  bool
+	changed chan struct{}
+	reads   int
+}
+
+var errDown = errors.New("the store is down")
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{records: map[string]catalog.Record{}, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) put(record catalog.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	record.Revision = s.rev
+	if record.Deleted {
+		delete(s.records, record.Key)
+	} else {
+		s.records[record.Key] = record
+	}
+	s.log = append(s.log, record)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// ReadAll implements control.Store.
+func (s *fakeStore) ReadAll(context.Context) ([]catalog.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return nil, 0, errDown
+	}
+	var all []catalog.Record
+	for _, record := range s.records {
+		all = append(all, record)
+	}
+	return copied(all), s.rev, nil
+}
+
+// Watch implements control.Store.
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Delta, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		delta, changed, err := s.since(after)
+		if err != nil || len(delta.Records) > 0 {
+			return delta, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return delta, nil
+		case <-ctx.Done():
+			return delta, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) since(after uint64) (catalog.Delta, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delta := catalog.Delta{From: after, To: s.rev}
+	switch {
+	case s.down:
+		return delta, nil, errDown
+	case s.silent:
+		delta.To = after
+		return delta, make(chan struct{}), nil
+	case after < s.kept:
+		return delta, nil, control.ErrHistoryLost
+	}
+	for _, record := range s.log {
+		if record.Revision > after {
+			delta.Records = append(delta.Records, record)
+		}
+	}
+	return copied(delta), s.changed, nil
+}
+
+// fakePeers joins daemons in memory; cut ones can't be reached.
+type fakePeers struct {
+	mu      sync.Mutex
+	daemons map[types.VMID]*control.Control
+	cut     map[types.VMID]bool
+}
+
+// Send implements control.Peers.
+func (p *fakePeers) Send(ctx context.Context, to types.VMID, message *control.Message) (*control.Message, error) {
+	p.mu.Lock()
+	target, broken := p.daemons[to], p.cut[to] || p.cut[message.From]
+	p.mu.Unlock()
+	if target == nil || broken {
+		return nil, errors.New("unreachable")
+	}
+	answer := target.Receive(ctx, copied(message))
+	if answer == nil {
+		return nil, errors.New("stopping")
+	}
+	return copied(answer), nil
+}
+
+func (p *fakePeers) setCut(vm types.VMID, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[vm] = cut
+}
+
+// fleet is a few daemons before one store.
+type fleet struct {
+	store   *fakeStore
+	peers   *fakePeers
+	daemons []*control.Control
+	stop    func()
+}
+
+// newFleet starts a daemon for each address; stores may differ by daemon.
+func newFleet(store *fakeStore, storeOf func(types.VMID) control.Store, vms ...types.VMID) *fleet {
+	f := &fleet{store: store, peers: &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i, vm := range vms {
+		daemon := control.New(control.Options{
+			Self:  members.Member{VM: vm, Run: 1, State: members.Starting, Region: "north", DataCentre: "north-a", Callers: string(vm)},
+			Seeds: vms[:1], Store: storeOf(vm), Peers: f.peers,
+			Published: func(*control.Snapshot) {}, Loads: func() []members.Load { return nil },
+			Log: log, Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+		})
+		f.daemons = append(f.daemons, daemon)
+		f.peers.daemons[vm] = daemon
+	}
+	for _, daemon := range f.daemons {
+		running.Go(func() { daemon.Run(ctx) })
+	}
+	f.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	return f
+}
+
+func (f *fleet) versions() []uint64 {
+	var found []uint64
+	for _, daemon := range f.daemons {
+		if config := daemon.Load().View.Config; config != nil {
+			found = append(found, config.Version)
+		}
+	}
+	return found
+}
+
+func configAt(version uint64) catalog.Record {
+	return catalog.Record{Key: "op/config", Config: &catalog.Config{Version: version}}
+}
+
+func endpointAt(id string) catalog.Record {
+	return catalog.Record{Key: "servers/" + id, Endpoint: &catalog.Endpoint{ID: types.EndpointID(id), Service: "s", Region: "north"}}
+}
+
+var _ = Describe("Control", func() {
+	var store *fakeStore
+	same := func(types.VMID) control.Store { return store }
+
+	BeforeEach(func() { store = newFakeStore() })
+
+	It("brings a configuration to every daemon, and each newer one", func() {
+		store.put(configAt(3))
+		f := newFleet(store, same, "a:1", "b:1", "c:1")
+		defer f.stop()
+		Eventually(f.versions, patience).Should(Equal([]uint64{3, 3, 3}))
+		store.put(configAt(8))
+		Eventually(f.versions, patience).Should(Equal([]uint64{8, 8, 8}))
+	})
+
+	It("reads all records once when the store has dropped its history", func() {
+		store.put(configAt(3))
+		f := newFleet(store, same, "a:1")
+		defer f.stop()
+		Eventually(f.versions, patience).Should(Equal([]uint64{3}))
+		store.set(func() { store.silent = true })
+		store.put(configAt(4))
+		store.set(func() { store.silent, store.kept, store.reads = false, store.rev+1, 0 })
+		store.put(configAt(5))
+		Eventually(f.versions, patience).Should(Equal([]uint64{5}))
+		store.put(configAt(6))
+		Eventually(f.versions, patience).Should(Equal([]uint64{6}))
+		store.set(func() { Expect(store.reads).To(Equal(1)) })
+	})
+
+	It("finds that an endpoint left while the history was lost", func() {
+		store.put(configAt(1))
+		store.put(endpointAt("e1"))
+		f := newFleet(store, same, "a:1")
+		defer f.stop()
+		endpoints := func() int { return len(f.daemons[0].Load().View.Endpoints["s"]) }
+		Eventually(endpoints, patience).Should(Equal(1))
+		store.set(func() { store.silent = true })
+		store.put(catalog.Record{Key: "servers/e1", Deleted: true})
+		store.set(func() { store.silent, store.kept = false, store.rev+1 })
+		store.put(configAt(2))
+		Eventually(endpoints, patience).Should(BeZero())
+	})
+
+	It("learns from peers while its own way to the store is cut", func() {
+		cutOff := newFakeStore()
+		cutOff.down = true
+		f := newFleet(store, func(vm types.VMID) control.Store {
+			if vm == "a:1" {
+				return cutOff
+			}
+			return store
+		}, "a:1", "b:1", "c:1")
+		defer f.stop()
+		store.put(configAt(3))
+		Eventually(f.versions, patience).Should(Equal([]uint64{3, 3, 3}))
+		store.put(configAt(4))
+		Eventually(f.versions, patience).Should(Equal([]uint64{4, 4, 4}))
+	})
+
+	It("keeps what it knows while the store is down", func() {
+		store.put(configAt(3))
+		store.put(endpointAt("e1"))
+		f := newFleet(store, same, "a:1")
+		defer f.stop()
+		Eventually(f.versions, patience).Should(Equal([]uint64{3}))
+		store.set(func() { store.down = true })
+		Consistently(func() int { return len(f.daemons[0].Load().View.Endpoints["s"]) }, 2*time.Second).Should(Equal(1))
+	})
+
+	It("starts from its peers when the store is down", func() {
+		store.put(configAt(3))
+		lost := newFakeStore()
+		lost.down = true
+		f := newFleet(store, func(vm types.VMID) control.Store {
+			if vm == "b:1" {
+				return lost
+			}
+			return store
+		}, "a:1", "b:1")
+		defer f.stop()
+		Eventually(f.versions, patience).Should(Equal([]uint64{3, 3}))
+	})
+
+	It("takes a daemon that leaves out of the others' view", func() {
+		store.put(configAt(3))
+		f := newFleet(store, same, "a:1", "b:1")
+		defer f.stop()
+		serving := func() int { return len(f.daemons[0].Load().InRegion("north")) }
+		Eventually(serving, patience).Should(Equal(2))
+		f.daemons[1].Leave(context.Background())
+		Eventually(serving, patience).Should(Equal(1))
+	})
+
+	It("takes a daemon that fell silent out of the others' view, and back", func() {
+		store.put(configAt(3))
+		f := newFleet(store, same, "a:1", "b:1")
+		defer f.stop()
+		serving := func() int { return len(f.daemons[0].Load().InRegion("north")) }
+		Eventually(serving, patience).Should(Equal(2))
+		f.peers.setCut("b:1", true)
+		Eventually(serving, patience).Should(Equal(1))
+		f.peers.setCut("b:1", false)
+		Eventually(serving, patience).Should(Equal(2))
+	})
+
+	It("quarantines a content in the whole fleet after three crashes", func() {
+		store.put(configAt(3))
+		f := newFleet(store, same, "a:1", "b:1")
+		defer f.stop()
+		Eventually(func() int { return len(f.daemons[0].Load().Members) }, patience).Should(Equal(1))
+		content := request.Fingerprint{1}
+		f.daemons[0].Crashed(content, "x/e1")
+		f.daemons[1].Crashed(content, "y/e2")
+		f.daemons[1].Crashed(content, "y/e2")
+		Eventually(func() int { return len(f.daemons[0].Load().Suspects) }, patience).Should(Equal(1))
+		Expect(f.daemons[0].Load().Suspects[content]).To(BeFalse())
+		f.daemons[0].Crashed(content, "z/e3")
+		for _, daemon := range f.daemons {
+			Eventually(func() bool { return daemon.Load().Suspects[content] }, patience).Should(BeTrue())
+		}
+	})
+
+	It("clears a content that an endpoint has answered", func() {
+		f := newFleet(store, same, "a:1")
+		defer f.stop()
+		content := request.Fingerprint{1}
+		for _, attempt := range []string{"x", "y", "z"} {
+			f.daemons[0].Crashed(content, attempt)
+		}
+		Eventually(func() bool { return f.daemons[0].Load().Suspects[content] }, patience).Should(BeTrue())
+		f.daemons[0].Completed(content)
+		Eventually(func() bool { return f.daemons[0].Load().Suspects[content] }, patience).Should(BeFalse())
+	})
+})
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -44,8 +44,10 @@
 // reader reads the store while this daemon is one of its region's readers.
 type reader struct {
 	control *Control
-	// complete is the revision of the last reading; zero asks for a whole one.
+	// complete is the revision of the last reading.
 	complete uint64
+	// whole is true while all records have to be read.
+	whole bool
 	// down is true from a failed call to the next good one.
 	down      bool
 	settledAt time.Time
@@ -53,13 +55,13 @@
 }
 
 func newReader(c *Control) *reader {
-	return &reader{control: c}
+	return &reader{control: c, whole: true}
 }
 
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.mayRead(ctx) {
-			r.complete = 0
+			r.whole, r.complete = true, 0
 			sleep(ctx, idlePoll)
 			continue
 		}
@@ -79,8 +81,8 @@
 			c.opts.Log.WithField("reads", reading).Info("this daemon's part in reading the store changed")
 		}
 		c.reading = reading
-		if reading && r.complete == 0 && c.state.Complete() > 0 && !r.down {
-			r.complete = c.state.Complete()
+		if r.complete == 0 && c.state.Complete() > 0 {
+			r.whole, r.complete = false, c.state.Complete()
 		}
 		answer <- reading
 	})
@@ -97,7 +99,7 @@
 
 // step makes one call to the store.
 func (r *reader) step(ctx context.Context) error {
-	if r.complete == 0 {
+	if r.whole {
 		return r.readAll(ctx)
 	}
 	delta, err := r.control.opts.Store.Watch(ctx, r.complete, watchWait)
@@ -125,7 +127,7 @@
 	}
 	r.recovered()
 	grace := r.grace()
-	r.complete = base
+	r.whole, r.complete = false, base
 	r.control.submit(ctx, func(now time.Time) { r.control.readWhole(records, base, grace, now) })
 	return nil
 }
@@ -147,7 +149,7 @@
 func (r *reader) failed(ctx context.Context, err error) {
 	if errors.Is(err, ErrHistoryLost) {
 		r.control.opts.Log.Info("the store dropped its history: reading all records")
-		r.complete = 0
+		r.whole = true
 		return
 	}
 	if !errors.Is(err, ErrBusy) && !r.down {
