--- /dev/null
+++ b/pkg/gateway/balance/balance_test.go
@@ -0,0 +1,342 @@
+package balance_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+const (
+	engines = types.ServiceName("engines")
+	desk    = types.ServiceName("desk")
+)
+
+// view builds a view with endpoints of both services in one region.
+func view(engineCount, deskCount int, change func(*catalog.Placed)) *catalog.View {
+	v := &catalog.View{
+		Endpoints: map[types.ServiceName][]catalog.Placed{},
+		Config: &catalog.Config{Services: map[types.ServiceName]*catalog.Service{
+			engines: {Name: engines, ColdStart: 3 * time.Second, ColdPerSecond: 9.3, Engine: &catalog.Engine{Slots: 64, CacheTokens: 350_000}},
+			desk:    {Name: desk},
+		}},
+	}
+	add := func(service types.ServiceName, count, slots int) {
+		for i := range count {
+			id := types.EndpointID(fmt.Sprintf("%s-%d", service, i))
+			placed := catalog.Placed{Endpoint: &catalog.Endpoint{
+				ID: id, Service: service, Region: "north", DataCentre: "north-a", Slots: slots, Address: string(id) + ":80",
+			}}
+			if change != nil {
+				change(&placed)
+			}
+			v.Endpoints[service] = append(v.Endpoints[service], placed)
+		}
+	}
+	add(engines, engineCount, 64)
+	add(desk, deskCount, 6)
+	return v
+}
+
+func newPool(v *catalog.View, daemons int) *balance.Pool {
+	pool := balance.NewPool("north", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+	pool.Update(v, daemons)
+	return pool
+}
+
+func ask(service types.ServiceName, rank int) balance.Ask {
+	return balance.Ask{Service: service, Rank: rank, Deadline: start.Add(5 * time.Second), Objective: time.Second}
+}
+
+func withPrefix(prefix uint64) balance.Ask {
+	one := ask(engines, 0)
+	one.Prefix, one.PrefixTokens, one.PromptTokens = prefix, 13_300, 17_000
+	return one
+}
+
+func place(pool *balance.Pool, one balance.Ask, now time.Time) *balance.Place {
+	found, refusal := pool.Place(one, now)
+	ExpectWithOffset(1, refusal).To(BeNil())
+	return found
+}
+
+var _ = Describe("Pool", func() {
+	It("uses no endpoint of another region", func() {
+		pool := newPool(view(2, 0, func(p *catalog.Placed) { p.Region = "south" }), 1)
+		_, refusal := pool.Place(ask(engines, 0), start)
+		Expect(refusal.NoEndpoint).To(BeTrue())
+	})
+
+	It("keeps a large prefix at one endpoint, the same for every daemon", func() {
+		v := view(5, 0, nil)
+		one, other := newPool(v, 3), newPool(v, 3)
+		for prefix := range uint64(40) {
+			first := place(one, withPrefix(prefix+1), start)
+			second := place(other, withPrefix(prefix+1), start)
+			Expect(second.Endpoint.ID).To(Equal(first.Endpoint.ID))
+			one.Done(first, balance.Succeeded, start)
+			other.Done(second, balance.Succeeded, start)
+		}
+	})
+
+	It("agrees with the fleet's home of a prefix", func() {
+		v := view(5, 0, nil)
+		pool := newPool(v, 3)
+		everywhere := func(types.Region) bool { return true }
+		for prefix := range uint64(40) {
+			home, found := balance.PrefixHome(v.Endpoints[engines], prefix+1, everywhere)
+			Expect(found).To(BeTrue())
+			one := place(pool, withPrefix(prefix+1), start)
+			Expect(one.Endpoint.ID).To(Equal(home.ID))
+			pool.Done(one, balance.Succeeded, start)
+		}
+	})
+
+	It("moves few prefixes when an endpoint goes", func() {
+		everywhere := func(types.Region) bool { return true }
+		before, after := view(10, 0, nil), view(9, 0, nil)
+		moved := 0
+		for prefix := range uint64(500) {
+			a, _ := balance.PrefixHome(before.Endpoints[engines], prefix, everywhere)
+			b, _ := balance.PrefixHome(after.Endpoints[engines], prefix, everywhere)
+			if a.ID != b.ID {
+				moved++
+			}
+		}
+		Expect(moved).To(BeNumerically("~", 50, 30))
+	})
+
+	It("sends a prefix elsewhere when its home has much to read", func() {
+		pool := newPool(view(3, 0, nil), 1)
+		used := map[types.EndpointID]bool{}
+		for range 12 {
+			used[place(pool, withPrefix(7), start).Endpoint.ID] = true
+		}
+		Expect(len(used)).To(BeNumerically(">", 1))
+	})
+
+	It("spreads short requests evenly", func() {
+		pool := newPool(view(4, 0, nil), 1)
+		counts := map[types.EndpointID]int{}
+		for i := range 80 {
+			counts[place(pool, ask(engines, 2), start.Add(time.Duration(i))).Endpoint.ID]++
+		}
+		for _, count := range counts {
+			Expect(count).To(BeNumerically("~", 20, 1))
+		}
+	})
+
+	Describe("cold endpoints", func() {
+		coldView := func() *catalog.View {
+			return view(1, 0, func(p *catalog.Placed) { p.ColdUntil = start.Add(time.Minute) })
+		}
+
+		It("get no more than the bound in any second from daemons that can't ask each other", func() {
+			const daemons = 3
+			var sent []time.Time
+			v := coldView()
+			var pools []*balance.Pool
+			for range daemons {
+				pools = append(pools, newPool(v, daemons))
+			}
+			for step := range 4000 {
+				now := start.Add(time.Duration(step) * time.Millisecond)
+				for _, pool := range pools {
+					if one, _ := pool.Place(ask(engines, 0), now); one != nil {
+						sent = append(sent, now)
+						pool.Done(one, balance.Succeeded, now)
+					}
+				}
+			}
+			const bound = 9.3*1.5 + 3
+			for i := range sent {
+				count := 0
+				for _, other := range sent[i:] {
+					if other.Sub(sent[i]) < time.Second {
+						count++
+					}
+				}
+				Expect(float64(count)).To(BeNumerically("<=", bound))
+			}
+			Expect(len(sent)).To(BeNumerically(">", 30))
+		})
+
+		It("are bounded by a daemon that does not know the others yet", func() {
+			pool := newPool(coldView(), 1)
+			sent := 0
+			for range 50 {
+				if one, _ := pool.Place(ask(engines, 0), start); one != nil {
+					sent++
+				}
+			}
+			Expect(3 * sent).To(BeNumerically("<=", 16))
+		})
+
+		It("are assumed after an endpoint came back from a failure", func() {
+			pool := newPool(view(1, 0, nil), 3)
+			one := place(pool, ask(engines, 0), start)
+			pool.Done(one, balance.ConnectFailed, start)
+			back := start.Add(time.Second)
+			pool.Done(place(pool, ask(engines, 0), back), balance.Succeeded, back)
+			sent := 0
+			for range 50 {
+				if one, _ := pool.Place(ask(engines, 0), back); one != nil {
+					sent++
+				}
+			}
+			Expect(sent).To(BeNumerically("<=", 4))
+		})
+	})
+
+	Describe("health", func() {
+		It("avoids an endpoint that can't be reached, and tries it again with one request", func() {
+			pool := newPool(view(0, 2, nil), 1)
+			first := place(pool, ask(desk, 1), start)
+			pool.Done(first, balance.ConnectFailed, start)
+			for range 5 {
+				Expect(place(pool, ask(desk, 1), start).Endpoint.ID).NotTo(Equal(first.Endpoint.ID))
+			}
+			later := start.Add(time.Second)
+			probes := 0
+			for range 5 {
+				if place(pool, ask(desk, 1), later).Endpoint.ID == first.Endpoint.ID {
+					probes++
+				}
+			}
+			Expect(probes).To(Equal(1))
+		})
+
+		It("goes on using endpoints when all of them fail", func() {
+			pool := newPool(view(0, 2, nil), 1)
+			now := start
+			for range 200 {
+				now = now.Add(50 * time.Millisecond)
+				one := place(pool, ask(desk, 1), now)
+				Expect(one).NotTo(BeNil())
+				pool.Done(one, balance.ServerError, now)
+			}
+		})
+
+		It("prefers an endpoint that fails less", func() {
+			pool := newPool(view(0, 2, nil), 1)
+			now, counts := start, map[types.EndpointID]int{}
+			for range 400 {
+				now = now.Add(10 * time.Millisecond)
+				one := place(pool, ask(desk, 1), now)
+				counts[one.Endpoint.ID]++
+				result := balance.Succeeded
+				if one.Endpoint.ID == "desk-0" {
+					result = balance.ServerError
+				}
+				pool.Done(one, result, now)
+			}
+			Expect(counts["desk-0"]).To(BeNumerically("<", 40))
+		})
+
+		It("avoids an endpoint that takes requests and answers nothing", func() {
+			pool := newPool(view(2, 0, nil), 1)
+			hung := place(pool, ask(engines, 1), start)
+			later := start.Add(time.Second)
+			for range 20 {
+				Expect(place(pool, ask(engines, 1), later).Endpoint.ID).NotTo(Equal(hung.Endpoint.ID))
+			}
+		})
+
+		It("does not choose an endpoint twice for one request", func() {
+			pool := newPool(view(0, 2, nil), 1)
+			one := ask(desk, 1)
+			one.Tried = []types.EndpointID{"desk-0"}
+			Expect(place(pool, one, start).Endpoint.ID).To(BeEquivalentTo("desk-1"))
+			one.Tried = append(one.Tried, "desk-1")
+			_, refusal := pool.Place(one, start)
+			Expect(refusal.NoEndpoint).To(BeTrue())
+		})
+	})
+
+	Describe("overload", func() {
+		fill := func(pool *balance.Pool, rank int) int {
+			count := 0
+			for place(pool, ask(engines, rank), start) != nil {
+				count++
+			}
+			return count
+		}
+
+		It("leaves room for urgent requests when others have filled the endpoints", func() {
+			pool := newPool(view(2, 0, nil), 3)
+			Expect(fill(pool, 2)).To(BeNumerically(">=", 2*64/3))
+			Expect(place(pool, ask(engines, 0), start)).NotTo(BeNil())
+		})
+
+		It("keeps the daemons together near the slots", func() {
+			const daemons = 3
+			sum := 0
+			for range daemons {
+				sum += fill(newPool(view(2, 0, nil), daemons), 2)
+			}
+			Expect(sum).To(BeNumerically("<=", 2*(96+daemons)))
+		})
+
+		It("refuses at once what would wait for too long, and says when to return", func() {
+			pool := newPool(view(1, 0, nil), 3)
+			fill(pool, 2)
+			waiting := 0
+			var refusal *balance.Refusal
+			for refusal == nil && waiting < 2000 {
+				_, refusal = pool.Wait(ask(engines, 2), start)
+				waiting++
+			}
+			Expect(refusal).NotTo(BeNil())
+			Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+		})
+
+		It("gives room to the most urgent request that waits", func() {
+			pool := newPool(view(1, 0, nil), 3)
+			held := place(pool, ask(engines, 2), start)
+			fill(pool, 2)
+			low, _ := pool.Wait(ask(engines, 2), start)
+			high, _ := pool.Wait(ask(engines, 1), start)
+			pool.Done(held, balance.Succeeded, start)
+			pool.Grant(engines, start)
+			Expect(high.Granted).To(HaveLen(1))
+			Expect(low.Granted).To(BeEmpty())
+		})
+	})
+})
+
+var _ = Describe("Gate", func() {
+	It("loses no place when a waiting caller leaves", func() {
+		pool := newPool(view(0, 1, nil), 6)
+		gate := balance.NewGate(pool, func() time.Time { return start })
+		var held []*balance.Place
+		for {
+			one, _ := gate.Try(ask(desk, 1))
+			if one == nil {
+				break
+			}
+			held = append(held, one)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, _, err := gate.Acquire(ctx, ask(desk, 1))
+		Expect(err).To(HaveOccurred())
+		for _, one := range held {
+			gate.Done(one, balance.Succeeded)
+		}
+		Expect(gate.Loads()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/pkg/gateway/members/members_test.go
@@ -0,0 +1,143 @@
+package members_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestMembers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "members")
+}
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func member(vm types.VMID, beat uint64) members.Member {
+	return members.Member{VM: vm, Run: 1, Beat: beat, State: members.Serving, Region: "north", Callers: string(vm)}
+}
+
+func far(vm types.VMID, beat uint64) members.Member {
+	one := member(vm, beat)
+	one.Region = "south"
+	return one
+}
+
+var _ = Describe("Table", func() {
+	var table *members.Table
+	BeforeEach(func() { table = members.New(member("self:1", 0), []types.VMID{"self:1", "seed:1"}) })
+
+	It("counts a daemon as lost once its beat stands still, however often it is told", func() {
+		table.Merge([]members.Member{member("a:1", 5)}, start)
+		for i := range 10 {
+			table.Merge([]members.Member{member("a:1", 5)}, start.Add(time.Duration(i)*time.Second/2))
+		}
+		Expect(table.Live(start.Add(members.SilentAfter - time.Millisecond))).To(HaveLen(1))
+		Expect(table.Live(start.Add(members.SilentAfter))).To(BeEmpty())
+	})
+
+	It("never takes an older beat or an older run", func() {
+		later := member("a:1", 9)
+		later.State = members.Leaving
+		table.Merge([]members.Member{later}, start)
+		table.Merge([]members.Member{member("a:1", 8)}, start)
+		Expect(table.Live(start)[0].State).To(Equal(members.Leaving))
+		restarted := member("a:1", 1)
+		restarted.Run = 2
+		table.Merge([]members.Member{restarted}, start)
+		Expect(table.Live(start)[0].State).To(Equal(members.Serving))
+		table.Merge([]members.Member{later}, start)
+		Expect(table.Live(start)[0].Run).To(BeEquivalentTo(2))
+	})
+
+	It("outruns an earlier process on its VM whose clock was ahead", func() {
+		earlier := member("self:1", 900)
+		earlier.Run = 77
+		table.Merge([]members.Member{earlier}, start)
+		Expect(table.Self().Run).To(BeEquivalentTo(78))
+	})
+
+	It("asks its seeds while it knows nobody, and goes on asking unknown ones", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		Expect(table.Targets(start, random)).To(ConsistOf(types.VMID("seed:1")))
+		table.Merge([]members.Member{member("a:1", 1)}, start)
+		asked := 0
+		for range 16 {
+			table.Beat(nil)
+			for _, vm := range table.Targets(start, random) {
+				if vm == "seed:1" {
+					asked++
+				}
+			}
+		}
+		Expect(asked).To(Equal(2))
+	})
+
+	It("sends few heartbeats whatever the size of the fleet", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		var fleet []members.Member
+		for i := range 300 {
+			fleet = append(fleet, member(types.VMID("n"+time.Duration(i).String()), 1), far(types.VMID("s"+time.Duration(i).String()), 1))
+		}
+		table.Merge(fleet, start)
+		sent := 0
+		for range 24 {
+			table.Beat(nil)
+			sent += len(table.Targets(start, random))
+		}
+		Expect(sent).To(BeNumerically("<=", 24+8+3))
+	})
+
+	It("remembers how many daemons of its region were there at once", func() {
+		table.Merge([]members.Member{member("a:1", 1), member("b:1", 1), far("c:1", 1)}, start)
+		Expect(table.Peak()).To(Equal(3))
+		table.Merge([]members.Member{member("a:1", 2)}, start.Add(time.Minute))
+		Expect(table.Peak()).To(Equal(3))
+	})
+
+	Describe("reading the store", func() {
+		fresh := members.News{Any: 100 * time.Millisecond, First: 100 * time.Millisecond}
+		stale := members.News{Any: members.StaleAfter + time.Second, First: members.StaleAfter + time.Second}
+		tables := func() []*members.Table {
+			vms := []types.VMID{"a:1", "b:1", "c:1"}
+			var all []*members.Table
+			for _, vm := range vms {
+				one := members.New(member(vm, 1), nil)
+				for _, other := range vms {
+					one.Merge([]members.Member{member(other, 1)}, start)
+				}
+				all = append(all, one)
+			}
+			return all
+		}
+
+		It("is done by one daemon of a region while its news are fresh", func() {
+			readers := 0
+			for _, one := range tables() {
+				if one.ShouldRead(false, fresh, start) {
+					readers++
+				}
+			}
+			Expect(readers).To(Equal(1))
+		})
+
+		It("is taken over when the news have become old", func() {
+			for _, one := range tables() {
+				Expect(one.ShouldRead(false, stale, start)).To(BeTrue())
+			}
+		})
+
+		It("goes on at a daemon that took over until the first reader has news again", func() {
+			for _, one := range tables() {
+				another := members.News{Any: 0, First: stale.First}
+				Expect(one.ShouldRead(true, another, start)).To(BeTrue())
+			}
+		})
+	})
+})
