Keep traffic between data centres from growing with the fleet

Ruled out: forwarded requests (0.011 GB between regions).

Change: one daemon speaks for its data centre; a table tells another data centre only of its own and the receiver's daemons; readers tell one daemon of each other data centre, which passes it on; endpoints and entries of the own data centre come first; the waiting call to the store lasts as long as the bound on changes allows.

--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -11,6 +11,7 @@
 // Pool holds the endpoints of the own region. It is not safe for concurrent use.
 type Pool struct {
 	region   types.Region
+	dc       types.DataCentre
 	bounds   Bounds
 	view     *catalog.View
 	daemons  int
@@ -20,10 +21,10 @@
 	queues   map[types.ServiceName]*queue
 }
 
-// NewPool returns a pool without endpoints.
-func NewPool(region types.Region, bounds Bounds) *Pool {
+// NewPool returns a pool without endpoints for a daemon in a data centre.
+func NewPool(region types.Region, dc types.DataCentre, bounds Bounds) *Pool {
 	return &Pool{
-		region: region, bounds: bounds, daemons: 1,
+		region: region, dc: dc, bounds: bounds, daemons: 1,
 		states:   make(map[types.EndpointID]*state),
 		services: make(map[types.ServiceName][]*state),
 		warm:     newWarmth(),
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -28,6 +28,9 @@
 	warmCredit = 0.8
 	// coldCost keeps requests from cold endpoints while others are as good.
 	coldCost = 0.05
+	// otherDCCost keeps requests in the own data centre, since bytes between
+	// data centres are dear, until its endpoints are clearly busier.
+	otherDCCost = 0.15
 	// othersShare is the part of this daemon's own load that each other daemon
 	// of the region is assumed to add.
 	othersShare = 0.6
@@ -46,6 +49,9 @@
 	if one.cold(now) {
 		cost += coldCost
 	}
+	if one.placed.DataCentre != p.dc {
+		cost += otherDCCost
+	}
 	if !one.isEngine() {
 		return cost + slotCost*float64(one.inFlight)*others/float64(one.slots()) + tieBreak(one.placed.ID, now)
 	}
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -38,6 +38,10 @@
 	Seeds []types.VMID
 	Store Store
 	Peers Peers
+	// WatchWait bounds one waiting call to the store, so that a connection that
+	// went silent is noticed well before the bounds on changes; zero means
+	// DefaultWatchWait.
+	WatchWait time.Duration
 	// Published is called with each new snapshot; it must not block.
 	Published func(*Snapshot)
 	// Loads returns what the daemon has in flight; it must not block.
@@ -71,6 +75,9 @@
 // New returns control state with an empty snapshot.
 func New(opts Options) *Control {
 	const maxSends = 64
+	if opts.WatchWait == 0 {
+		opts.WatchWait = DefaultWatchWait
+	}
 	c := &Control{
 		opts:    opts,
 		events:  make(chan func(time.Time), eventBuffer),
@@ -148,7 +155,7 @@
 	c.crashes.expire(now)
 	c.table.Beat(c.opts.Loads())
 	for _, vm := range c.table.Targets(now, c.opts.Rand) {
-		c.send(vm, c.message(now))
+		c.send(vm, c.message(vm, now))
 	}
 	c.dirty = true
 }
@@ -178,11 +185,17 @@
 	logChanges(c.opts.Log, previous, next)
 }
 
-// message is the heartbeat that is sent now.
-func (c *Control) message(now time.Time) *Message {
+// message is the heartbeat that is sent to a daemon now.
+func (c *Control) message(to types.VMID, now time.Time) *Message {
+	message := c.note(now)
+	message.Members = c.table.RowsFor(to, now)
+	return message
+}
+
+// note is a message without the table.
+func (c *Control) note(now time.Time) *Message {
 	message := &Message{
 		From:     c.table.Self().VM,
-		Members:  c.table.Rows(now),
 		Complete: c.state.Complete(),
 		Crashes:  c.crashes.recent(now),
 	}
@@ -223,7 +236,7 @@
 	ok := c.submit(ctx, func(now time.Time) {
 		behind := message.Complete
 		c.take(message, now)
-		answer := c.message(now)
+		answer := c.message(message.From, now)
 		if c.state.Complete() > behind {
 			delta := c.state.Since(behind, now)
 			answer.Delta = &delta
@@ -253,12 +266,15 @@
 		c.state.Apply(*message.Delta, now)
 	}
 	if message.Complete > c.state.Complete() {
-		c.send(message.From, c.message(now))
+		c.send(message.From, c.note(now))
 		return
 	}
 	if message.Origin != "" {
 		c.heard(message.Origin, now.Add(-message.NewsAge))
 	}
+	if message.PassOn && message.Delta != nil {
+		c.pass(*message.Delta, message.Origin, now)
+	}
 }
 
 // heard notes when a daemon last read the store.
@@ -276,27 +292,41 @@
 	return members.News{
 		Any:   now.Sub(c.newsAt[c.newest]),
 		First: now.Sub(c.newsAt[c.table.FirstReader(now)]),
+		Wait:  c.opts.WatchWait,
 	}
 }
 
-// spread tells the daemons of the own region, and one of each other region, what
-// was just read from the store.
+// spread tells the daemons of the own data centre, and one of each other data
+// centre of the region, what was just read from the store; that one passes it
+// on. Other regions have readers of their own.
 func (c *Control) spread(delta catalog.Delta, now time.Time) {
 	self := c.table.Self()
-	toldRegions := map[types.Region]bool{}
+	c.pass(delta, self.VM, now)
+	told := map[types.DataCentre]bool{self.DataCentre: true}
 	for _, member := range c.table.Live(now) {
-		near := member.Region == self.Region
-		if !near && (len(delta.Records) == 0 || toldRegions[member.Region]) {
+		if member.Region != self.Region || told[member.DataCentre] || member.State == members.Leaving {
 			continue
 		}
-		toldRegions[member.Region] = true
-		message := c.message(now)
-		message.Members, message.Crashes = nil, nil
-		message.Delta = &delta
+		told[member.DataCentre] = true
+		message := c.note(now)
+		message.Delta, message.PassOn = &delta, true
 		c.send(member.VM, message)
 	}
 }
 
+// pass tells the daemons of the own data centre what the origin read.
+func (c *Control) pass(delta catalog.Delta, origin types.VMID, now time.Time) {
+	self := c.table.Self()
+	for _, member := range c.table.Live(now) {
+		if member.Region == self.Region && member.DataCentre == self.DataCentre {
+			message := c.note(now)
+			message.Origin, message.NewsAge = origin, now.Sub(c.newsAt[origin])
+			message.Delta = &delta
+			c.send(member.VM, message)
+		}
+	}
+}
+
 // Leave tells every daemon that this one leaves.
 func (c *Control) Leave(ctx context.Context) {
 	c.submit(ctx, func(now time.Time) {
@@ -304,7 +334,7 @@
 		c.table.Beat(c.opts.Loads())
 		c.dirty = true
 		for _, member := range c.table.Live(now) {
-			message := c.message(now)
+			message := c.note(now)
 			message.Members = []members.Member{c.table.Self()}
 			c.send(member.VM, message)
 		}
--- a/pkg/gateway/control/message.go
+++ b/pkg/gateway/control/message.go
@@ -23,6 +23,8 @@
 	NewsAge time.Duration `json:"news_age,omitempty"`
 	// Delta holds changes that the receiver may lack.
 	Delta *catalog.Delta `json:"delta,omitempty"`
+	// PassOn asks the receiver to tell Delta to its own data centre.
+	PassOn bool `json:"pass_on,omitempty"`
 	// Crashes names contents after which an endpoint crashed.
 	Crashes []Crash `json:"crashes,omitempty"`
 }
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -27,9 +27,8 @@
 
 // Times of reading.
 const (
-	// watchWait bounds one waiting call, so that a connection that went silent
-	// is noticed well before the bounds on changes.
-	watchWait = 1200 * time.Millisecond
+	// DefaultWatchWait is the default of Options.WatchWait.
+	DefaultWatchWait = 1200 * time.Millisecond
 	// readTimeout bounds a reading of all records.
 	readTimeout = 1500 * time.Millisecond
 	// settleTime is how long after an outage entries of live endpoints may be
@@ -102,7 +101,7 @@
 	if r.whole {
 		return r.readAll(ctx)
 	}
-	delta, err := r.control.opts.Store.Watch(ctx, r.complete, watchWait)
+	delta, err := r.control.opts.Store.Watch(ctx, r.complete, r.control.opts.WatchWait)
 	if err != nil {
 		return err
 	}
--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -9,12 +9,21 @@
 // maxEntries bounds the entries that a caller is told.
 const maxEntries = 64
 
-// Entries returns the addresses that a caller in a region should use for a
-// host: the serving daemons of its own region; when there are none, those of
-// regions that the host's routes may enter, and else any.
-func Entries(snap *control.Snapshot, host string, region types.Region) []string {
-	if near := addresses(snap.InRegion(region)); len(near) > 0 {
-		return near
+// minInside is the least number of serving daemons for a data centre to be
+// left to itself: with fewer, the loss of one would turn its callers away.
+const minInside = 2
+
+// Entries returns the addresses that a caller in a data centre should use for a
+// host: the serving daemons there; when there are few, those of its region; when
+// there are none, those of regions that the host's routes may enter, and else
+// any.
+func Entries(snap *control.Snapshot, host string, region types.Region, dc types.DataCentre) []string {
+	near := snap.InRegion(region)
+	if inside := inDataCentre(near, dc); len(inside) >= minInside {
+		return addresses(inside)
+	}
+	if len(near) > 0 {
+		return addresses(near)
 	}
 	var homes, all []members.Member
 	for _, member := range serving(snap) {
@@ -29,6 +38,16 @@
 	return addresses(all)
 }
 
+func inDataCentre(found []members.Member, dc types.DataCentre) []members.Member {
+	var inside []members.Member
+	for _, member := range found {
+		if member.DataCentre == dc {
+			inside = append(inside, member)
+		}
+	}
+	return inside
+}
+
 // serving returns every daemon that serves, this one included.
 func serving(snap *control.Snapshot) []members.Member {
 	var found []members.Member
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -38,6 +38,9 @@
 	Seeds       []types.VMID
 	// MemoryBytes is the memory that the process may use; zero means unknown.
 	MemoryBytes int64
+	// ConfigWithin is the time in which a change must be in force everywhere;
+	// zero means unknown.
+	ConfigWithin time.Duration
 	// Grace is the time between the signal to stop and the end.
 	Grace time.Duration
 	Cold  balance.Bounds
@@ -92,6 +95,10 @@
 // bodyShare is the part of the process's memory that request bodies may take.
 const bodyShare = 0.2
 
+// watchShare is the part of ConfigWithin that one waiting call to the store may
+// take: another daemon has to notice a silent reader and read in the rest.
+const watchShare = 0.4
+
 // expectedDaemons is what the fixed part of the retry budget is divided by.
 const expectedDaemons = 8
 
@@ -104,7 +111,7 @@
 	}
 	lines := newLineWriter()
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
-	e.gate = balance.NewGate(balance.NewPool(s.Region, s.Cold), time.Now)
+	e.gate = balance.NewGate(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Run: uint64(time.Now().UnixMilli()), State: members.Starting,
@@ -113,6 +120,7 @@
 		Seeds:     s.Seeds,
 		Store:     opts.Store,
 		Peers:     control.NewHTTPPeers(proxy.NewTransport()),
+		WatchWait: time.Duration(float64(s.ConfigWithin) * watchShare),
 		Loads:     e.gate.Loads,
 		Published: func(snap *control.Snapshot) { e.gate.Update(snap.View, snap.RegionPeak) },
 		Log:       e.log,
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -54,9 +55,13 @@
 
 // Limits of the table.
 const (
-	// SilentAfter is how long a beat may stand still before the daemon counts
-	// as unreachable: several heartbeats, some of them lost.
+	// SilentAfter is how long the beat of a daemon of the own data centre may
+	// stand still before it counts as unreachable: several heartbeats, some of
+	// them lost.
 	SilentAfter = 3500 * time.Millisecond
+	// farSilentAfter holds for other data centres, whose rows come by way of
+	// one daemon and less often.
+	farSilentAfter = 6 * time.Second
 	// forgetAfter is when a silent daemon is dropped from the table.
 	forgetAfter = 40 * time.Second
 )
@@ -153,15 +158,41 @@
 func (t *Table) Failed(vm types.VMID, now time.Time) {
 	known, found := t.rows[vm]
 	if found && now.Sub(known.heard) > SilentAfter/2 {
-		known.heard = now.Add(-SilentAfter)
+		known.heard = now.Add(-farSilentAfter)
 		t.rows[vm] = known
 	}
 }
 
-// Rows returns the live rows and the own one, for a heartbeat to another daemon.
-func (t *Table) Rows(now time.Time) []Member {
-	rows := append(t.Live(now), t.self)
-	slices.SortFunc(rows, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+// live reports whether the row's beat grew of late.
+func (t *Table) live(known row, now time.Time) bool {
+	limit := farSilentAfter
+	if t.near(known.Member) {
+		limit = SilentAfter
+	}
+	return now.Sub(known.heard) < limit
+}
+
+// near reports whether the daemon is in the own data centre.
+func (t *Table) near(member Member) bool {
+	return samePlace(member, t.self)
+}
+
+func samePlace(a, b Member) bool {
+	return a.Region == b.Region && a.DataCentre == b.DataCentre
+}
+
+// RowsFor returns the rows for a heartbeat to a daemon: every live one within
+// the data centre; to another one those of the own data centre, and those of
+// the receiver's, which may not have found each other yet.
+func (t *Table) RowsFor(vm types.VMID, now time.Time) []Member {
+	known, found := t.rows[vm]
+	inside := found && t.near(known.Member)
+	rows := []Member{t.self}
+	for _, member := range t.Live(now) {
+		if inside || !found || t.near(member) || samePlace(member, known.Member) {
+			rows = append(rows, member)
+		}
+	}
 	return rows
 }
 
@@ -169,7 +200,7 @@
 func (t *Table) Live(now time.Time) []Member {
 	var live []Member
 	for _, known := range t.rows {
-		if now.Sub(known.heard) < SilentAfter {
+		if t.live(known, now) {
 			live = append(live, known.Member)
 		}
 	}
@@ -182,7 +213,7 @@
 func (t *Table) inRegion(now time.Time) int {
 	count := 1
 	for _, known := range t.rows {
-		if known.Region == t.self.Region && now.Sub(known.heard) < SilentAfter {
+		if known.Region == t.self.Region && t.live(known, now) {
 			count++
 		}
 	}
@@ -195,23 +226,63 @@
 	return t.peak
 }
 
+// Beats between the heartbeats of one kind.
+const (
+	// regionEvery is for other data centres of the region, worldEvery for other
+	// regions, seedEvery for seeds that are not known.
+	regionEvery = 2
+	worldEvery  = 4
+	seedEvery   = 8
+)
+
 // Targets returns the daemons that the next heartbeat goes to: one of the own
-// region, on every third beat one of another region, and now and then a seed
-// that is not known, which joins tables that grew apart.
+// data centre each time, and now and then a seed that is not known, which joins
+// tables that grew apart. One daemon of each data centre, the first by
+// rendezvous, speaks to one daemon of each other data centre. So the traffic
+// between data centres does not grow with the daemons.
 func (t *Table) Targets(now time.Time, rand route.Rand) []types.VMID {
-	const othersEvery, seedsEvery = 3, 8
-	var targets []types.VMID
-	near, far := t.split(now)
-	targets = appendOne(targets, near, rand)
-	if t.self.Beat%othersEvery == 0 || len(near) == 0 {
-		targets = appendOne(targets, far, rand)
-	}
-	if len(near)+len(far) == 0 || t.self.Beat%seedsEvery == 0 {
+	inside, outside := t.split(now)
+	targets := appendOne(nil, inside, rand)
+	if t.speaks(now) {
+		for place, vms := range outside {
+			if t.self.Beat%beatsBetween(place.region == t.self.Region) == 0 {
+				targets = appendOne(targets, vms, rand)
+			}
+		}
+	}
+	if len(inside)+len(outside) == 0 || t.self.Beat%seedEvery == 0 {
 		targets = appendOne(targets, t.unknownSeeds(now), rand)
 	}
 	return targets
 }
 
+func beatsBetween(sameRegion bool) uint64 {
+	if sameRegion {
+		return regionEvery
+	}
+	return worldEvery
+}
+
+// speakerKey seeds the choice of the daemon that speaks for a data centre.
+const speakerKey = "speaker"
+
+// speaks reports whether this daemon speaks for its data centre.
+func (t *Table) speaks(now time.Time) bool {
+	own := rendezvous.Weight(speakerKey, t.self.VM)
+	for _, member := range t.Live(now) {
+		if t.near(member) && rendezvous.Weight(speakerKey, member.VM) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// place is a data centre of a region.
+type place struct {
+	region types.Region
+	dc     types.DataCentre
+}
+
 func appendOne(targets, from []types.VMID, rand route.Rand) []types.VMID {
 	if len(from) == 0 {
 		return targets
@@ -219,22 +290,26 @@
 	return append(targets, from[route.IntN(rand, len(from))])
 }
 
-func (t *Table) split(now time.Time) (near, far []types.VMID) {
+// split returns the live daemons of the own data centre, and those of each
+// other one.
+func (t *Table) split(now time.Time) (inside []types.VMID, outside map[place][]types.VMID) {
+	outside = make(map[place][]types.VMID)
 	for _, member := range t.Live(now) {
-		if member.Region == t.self.Region {
-			near = append(near, member.VM)
-		} else {
-			far = append(far, member.VM)
+		if t.near(member) {
+			inside = append(inside, member.VM)
+			continue
 		}
+		at := place{region: member.Region, dc: member.DataCentre}
+		outside[at] = append(outside[at], member.VM)
 	}
-	return near, far
+	return inside, outside
 }
 
 func (t *Table) unknownSeeds(now time.Time) []types.VMID {
 	var unknown []types.VMID
 	for _, seed := range t.seeds {
 		known, found := t.rows[seed]
-		if !found || now.Sub(known.heard) >= SilentAfter {
+		if !found || !t.live(known, now) {
 			unknown = append(unknown, seed)
 		}
 	}
--- a/pkg/gateway/members/reader.go
+++ b/pkg/gateway/members/reader.go
@@ -11,11 +11,10 @@
 
 // Limits of the choice of readers.
 const (
-	// StaleAfter is the age of the newest news of the store at which a daemon
-	// that is not its region's reader starts to read for itself. It is longer
-	// than one waiting call of a reader and short enough for the bounds on
-	// changes, which count from the store's acknowledgement.
-	StaleAfter = 1700 * time.Millisecond
+	// staleSlack is what the age of the newest news of the store may exceed one
+	// waiting call by before a daemon that is not its region's reader starts to
+	// read for itself.
+	staleSlack = 500 * time.Millisecond
 	// staleStep sets the daemons of a region apart, so that one takes over.
 	staleStep = 200 * time.Millisecond
 	readerKey = "store-reader"
@@ -27,6 +26,13 @@
 	Any time.Duration
 	// First is the age of the newest news that the region's first reader read.
 	First time.Duration
+	// Wait is how long one waiting call of a reader takes.
+	Wait time.Duration
+}
+
+// stale is the age from which news are old.
+func (n News) stale() time.Duration {
+	return n.Wait + staleSlack
 }
 
 // ShouldRead reports whether this daemon reads the store itself: the first of
@@ -38,9 +44,9 @@
 		return true
 	}
 	if reading {
-		return news.First > StaleAfter
+		return news.First > news.stale()
 	}
-	return news.Any > StaleAfter+time.Duration(place-1)*staleStep
+	return news.Any > news.stale()+time.Duration(place-1)*staleStep
 }
 
 // readerPlace is this daemon's place among the live daemons of its region.
