--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -33,7 +33,7 @@
 	if place != nil {
 		return destination{endpoint: place}, nil
 	}
-	if member, found := r.overflow(snap); found {
+	if member, found := r.overflow(snap, refusal != nil); found {
 		return destination{member: member}, nil
 	}
 	if refusal != nil {
@@ -90,9 +90,15 @@
 	return destination{}, notRun(types.CodeNoEndpoint, "no region that may run the request can be reached", notReadyRetry)
 }
 
-// overflow finds a daemon for a request that finds no room here.
-func (r *run) overflow(snap *control.Snapshot) (members.Member, bool) {
-	if r.req.From != "" || r.hops > 0 || r.out.committed {
+// overflow finds a daemon for a request that finds no room here; none is true
+// when no endpoint here may run it, so that waiting would not help.
+func (r *run) overflow(snap *control.Snapshot, none bool) (members.Member, bool) {
+	switch {
+	case r.req.From != "" || r.hops >= maxHops:
+		return members.Member{}, false
+	case none:
+		return r.choose(snap, mustRoom)
+	case r.hops > 0 || r.out.committed:
 		return members.Member{}, false
 	}
 	return r.choose(snap, overflowRoom)
