Let one daemon send each endpoint its large prompts

Ruled out: memory (2 requests preempted).

Change: the owner of the prefix's endpoint takes large prompts also from its own region, and the prompt work that it knows of counts once.

--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -56,7 +56,7 @@
 		return cost + slotCost*float64(one.inFlight)*others/float64(one.slots()) + tieBreak(one.placed.ID, now)
 	}
 	cost += p.unread(ask, one, home) / readRate
-	cost += one.unread * others / readRate
+	cost += one.unread / readRate
 	cost += runCost * float64(one.inFlight) * others
 	return cost + tieBreak(one.placed.ID, now)
 }
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -49,21 +49,23 @@
 	return destination{endpoint: place}, nil
 }
 
-// prefixHome finds a daemon of the region where the request's large prefix is
-// kept, if that is another region with room. Every part of the fleet then reads
-// a prefix once, instead of once in each region.
+// prefixHome finds the daemon that sends large prompts to the endpoint where the
+// request's prefix is kept, unless that is this one or its region has no room.
+// The whole fleet then reads a prefix once, and one daemon knows how much each
+// endpoint has to read.
 func (r *run) prefixHome(snap *control.Snapshot) (members.Member, bool) {
 	if r.req.From != "" || r.hops > 0 || r.sent > 0 || r.req.PrefixTokens < balance.LargePrefix {
 		return members.Member{}, false
 	}
 	home, found := balance.PrefixHome(snap.View.Endpoints[r.req.Service], r.req.Prefix, r.req.Route.Allows)
-	if !found || home.Region == snap.Self.Region {
+	if !found {
 		return members.Member{}, false
 	}
-	if freePlaces(snap, r.req.Service)[home.Region].share() < homeRoom {
+	if home.Region != snap.Self.Region && freePlaces(snap, r.req.Service)[home.Region].share() < homeRoom {
 		return members.Member{}, false
 	}
-	return ownerOf(home.ID, snap.InRegion(home.Region))
+	owner, found := ownerOf(home.ID, snap.InRegion(home.Region))
+	return owner, found && owner.VM != snap.Self.VM
 }
 
 // ownerOf picks the daemon that sends an endpoint its large prompts, so that one
