Send cold endpoints requests from a few daemons only

Change: three daemons, the first by rendezvous for the endpoint, share its rate; the others leave it alone while it is cold. With three daemons in a region nothing changes.

--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -18,10 +18,11 @@
 	urgentOvercommit = 2.0
 	// minCap keeps every daemon able to send.
 	minCap = 2
-	// minSharers is the least number of daemons that a cold endpoint's rate is
-	// divided by: a daemon that has just started does not know the others.
-	minSharers = 3
-	// coldMargin keeps the sum of the shares below the bound.
+	// coldSenders is how many daemons of a region share the rate of a cold
+	// endpoint.
+	coldSenders = 3
+	// coldMargin keeps the sum of the shares below the bound, also when a daemon
+	// that has just started takes itself for one more.
 	coldMargin = 0.85
 
 	baseSuspension = 250 * time.Millisecond
@@ -104,10 +105,10 @@
 
 // coldRoom reports whether a cold endpoint bears another request of this daemon
 // now: the daemons share its rate without talking to each other.
-func (s *state) coldRoom(bounds Bounds, daemons int, now time.Time) bool {
+func (s *state) coldRoom(bounds Bounds, now time.Time) bool {
 	s.sends = recent(s.sends, now)
 	total := s.service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack
-	share := int(total * coldMargin / float64(max(daemons, minSharers)))
+	share := int(total * coldMargin / coldSenders)
 	return len(s.sends) < max(share, 1)
 }
 
--- a/pkg/gateway/balance/gate.go
+++ b/pkg/gateway/balance/gate.go
@@ -29,11 +29,11 @@
 	return &Gate{pool: pool, now: now}
 }
 
-// Update takes what is published and how many daemons share the endpoints.
-func (g *Gate) Update(view *catalog.View, daemons int) {
+// Update takes what is published and which daemons share the endpoints.
+func (g *Gate) Update(view *catalog.View, sharers Sharers) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pool.Update(view, daemons)
+	g.pool.Update(view, sharers)
 	g.pool.GrantAll(g.now())
 }
 
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -14,6 +15,7 @@
 	dc       types.DataCentre
 	bounds   Bounds
 	view     *catalog.View
+	sharers  Sharers
 	daemons  int
 	states   map[types.EndpointID]*state
 	services map[types.ServiceName][]*state
@@ -32,9 +34,18 @@
 	}
 }
 
-// Update takes what is published and how many daemons share the endpoints.
-func (p *Pool) Update(view *catalog.View, daemons int) {
-	p.daemons = max(daemons, 1)
+// Sharers are the daemons that use the same endpoints.
+type Sharers struct {
+	Self types.VMID
+	// Live lists the daemons of the region, this one included or not.
+	Live []types.VMID
+	// Peak is the largest number of daemons of the region ever seen at once.
+	Peak int
+}
+
+// Update takes what is published and which daemons share the endpoints.
+func (p *Pool) Update(view *catalog.View, sharers Sharers) {
+	p.sharers, p.daemons = sharers, max(sharers.Peak, 1)
 	if view == p.view {
 		return
 	}
@@ -137,7 +148,7 @@
 		if one.inFlight >= one.limit(ask.Rank, p.daemons) {
 			continue
 		}
-		if one.cold(now) && !one.coldRoom(p.bounds, p.daemons, now) {
+		if one.cold(now) && !(p.warmsUp(one) && one.coldRoom(p.bounds, now)) {
 			continue
 		}
 		cost := p.cost(ask, one, one == home, now)
@@ -148,6 +159,19 @@
 	return best
 }
 
+// warmsUp reports whether this daemon is one of the few that send requests to a
+// cold endpoint: the first by rendezvous, which the daemons find alike.
+func (p *Pool) warmsUp(one *state) bool {
+	own := rendezvous.Weight(string(one.placed.ID), p.sharers.Self)
+	ahead := 0
+	for _, vm := range p.sharers.Live {
+		if vm != p.sharers.Self && rendezvous.Weight(string(one.placed.ID), vm) > own {
+			ahead++
+		}
+	}
+	return ahead < coldSenders
+}
+
 // take books the request at the endpoint.
 func (p *Pool) take(ask Ask, one *state, home bool, now time.Time) *Place {
 	place := &Place{Endpoint: one.placed, ask: ask, unread: p.unread(ask, one, home), takenAt: now}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -122,7 +122,7 @@
 		Peers:     control.NewHTTPPeers(proxy.NewTransport()),
 		WatchWait: time.Duration(float64(s.ConfigWithin) * watchShare),
 		Loads:     e.gate.Loads,
-		Published: func(snap *control.Snapshot) { e.gate.Update(snap.View, snap.RegionPeak) },
+		Published: func(snap *control.Snapshot) { e.gate.Update(snap.View, sharers(snap)) },
 		Log:       e.log,
 		Now:       time.Now,
 		Rand:      sharedRand{},
@@ -140,6 +140,15 @@
 	return e, nil
 }
 
+// sharers returns the daemons that use the endpoints of the own region.
+func sharers(snap *control.Snapshot) balance.Sharers {
+	found := balance.Sharers{Self: snap.Self.VM, Peak: snap.RegionPeak}
+	for _, member := range snap.InRegion(snap.Self.Region) {
+		found.Live = append(found.Live, member.VM)
+	}
+	return found
+}
+
 // Snapshot returns what the daemon knows now.
 func (e *Entry) Snapshot() *control.Snapshot {
 	return e.control.Load()
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -36,6 +36,8 @@
 	defaultHeaderBytes = 16 << 10
 	// maxBodyTime bounds the time to receive a body.
 	maxBodyTime = 10 * time.Second
+	// restOfBodyTime bounds the wait for the rest of a body that nobody reads.
+	restOfBodyTime = time.Second
 	// writeTimeout bounds each write to a caller.
 	writeTimeout = 10 * time.Second
 	// maxWholeBytes bounds an answer that is held until it is whole.
@@ -124,6 +126,8 @@
 	h.opts.Log.Request(logrus.Fields{
 		"method": r.Method, "host": r.Host, "path": r.URL.Path, "code": failure.Code, "reason": failure.Message,
 	}, true)
+	// What is left of the body must not hold up the answer.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restOfBodyTime))
 	writeFailure(w, "", failure, false)
 }
 
@@ -240,12 +244,13 @@
 	if r.Body != http.NoBody {
 		// A server without deadlines is served too.
 		_ = control.SetReadDeadline(time.Now().Add(min(maxBodyTime, time.Until(req.Deadline))))
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		return bodyFailure(err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	req.Body = body
 	h.held.Add(int64(len(body)))
 	return nil
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -64,12 +64,17 @@
 	}
 }
 
-// fingerprint identifies the content of the request, equal for its resends.
+// fingerprint identifies the content of the request.
 func (r *Request) fingerprint() request.Fingerprint {
+	return Fingerprint(r.Method, r.Path, r.Query, r.Body)
+}
+
+// Fingerprint identifies the content of a request, equal for its resends.
+func Fingerprint(method, path, query string, body []byte) request.Fingerprint {
 	var print request.Fingerprint
 	digest := xxhash.New()
-	_, _ = digest.WriteString(r.Method + " " + r.Path + "?" + r.Query + "\n")
-	_, _ = digest.Write(r.Body)
+	_, _ = digest.WriteString(method + " " + path + "?" + query + "\n")
+	_, _ = digest.Write(body)
 	binary.BigEndian.PutUint64(print[:8], digest.Sum64())
 	_, _ = digest.WriteString("\nsecond half")
 	binary.BigEndian.PutUint64(print[8:], digest.Sum64())
