--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -3,8 +3,8 @@
 // endpoints of the service, scores what is left in predicted seconds, and picks
 // the cheapest.
 //
-// Pool is a state machine without clock, network or goroutine; Gate adapts it
-// to goroutines. It answers two loads: bursts beyond what the endpoints can
+// Pool is a state machine without clock, network or goroutine; package gate
+// adapts it to goroutines. It answers two loads: bursts beyond what the endpoints can
 // take, where urgent requests pass and others wait briefly or are refused, and
 // prompts with large shared prefixes, which go where the prefix is cached.
 package balance
--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -347,7 +348,7 @@
 var _ = Describe("Gate", func() {
 	It("loses no place when a waiting caller leaves", func() {
 		pool := newPool(view(0, 1, nil), 6)
-		gate := balance.NewGate(pool, func() time.Time { return start })
+		gate := gate.New(pool, func() time.Time { return start })
 		var held []*balance.Place
 		for {
 			one, _ := gate.Try(ask(desk, 1))
--- a/pkg/gateway/balance/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -1,4 +1,5 @@
-package balance
+// Package gate lets goroutines ask a balance.Pool and wait for room.
+package gate
 
 import (
 	"cmp"
@@ -7,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -21,16 +23,16 @@
 type Gate struct {
 	now  func() time.Time
 	mu   sync.Mutex
-	pool *Pool
+	pool *balance.Pool
 }
 
-// NewGate builds a gate before a pool, which the gate owns from now on.
-func NewGate(pool *Pool, now func() time.Time) *Gate {
+// New builds a gate before a pool, which the gate owns from now on.
+func New(pool *balance.Pool, now func() time.Time) *Gate {
 	return &Gate{pool: pool, now: now}
 }
 
 // Update takes what is published and which daemons share the endpoints.
-func (g *Gate) Update(view *catalog.View, sharers Sharers) {
+func (g *Gate) Update(view *catalog.View, sharers balance.Sharers) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.Update(view, sharers)
@@ -39,19 +41,15 @@
 
 // Try places a request that must not wait. Both results are nil when there is
 // no room now.
-func (g *Gate) Try(ask Ask) (*Place, *Refusal) {
+func (g *Gate) Try(ask balance.Ask) (*balance.Place, *balance.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.now()
-	if g.pool.queueOf(ask.Service).ahead(ask.Rank) > 0 {
-		return nil, nil
-	}
-	return g.pool.Place(ask, now)
+	return g.pool.Try(ask, g.now())
 }
 
 // Acquire places a request and waits for room if needed. It returns an error
 // only when ctx ended.
-func (g *Gate) Acquire(ctx context.Context, ask Ask) (*Place, *Refusal, error) {
+func (g *Gate) Acquire(ctx context.Context, ask balance.Ask) (*balance.Place, *balance.Refusal, error) {
 	place, waiter, refusal := g.enter(ask)
 	if waiter == nil {
 		return place, refusal, nil
@@ -66,28 +64,26 @@
 		return place, refusal, nil
 	case <-ctx.Done():
 		if place, _ := g.leave(waiter); place != nil {
-			g.Done(place, Abandoned)
+			g.Done(place, balance.Abandoned)
 		}
 		return nil, nil, ctx.Err()
 	}
 }
 
-func (g *Gate) enter(ask Ask) (*Place, *Waiter, *Refusal) {
+func (g *Gate) enter(ask balance.Ask) (*balance.Place, *balance.Waiter, *balance.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if g.pool.queueOf(ask.Service).ahead(ask.Rank) == 0 {
-		place, refusal := g.pool.Place(ask, now)
-		if place != nil || refusal != nil {
-			return place, nil, refusal
-		}
+	place, refusal := g.pool.Try(ask, now)
+	if place != nil || refusal != nil {
+		return place, nil, refusal
 	}
 	waiter, refusal := g.pool.Wait(ask, now)
 	return nil, waiter, refusal
 }
 
 // leave withdraws a waiting request, unless it was granted in the meantime.
-func (g *Gate) leave(waiter *Waiter) (*Place, *Refusal) {
+func (g *Gate) leave(waiter *balance.Waiter) (*balance.Place, *balance.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	select {
@@ -99,19 +95,17 @@
 }
 
 // Head notes that the endpoint began its answer.
-func (g *Gate) Head(place *Place) {
+func (g *Gate) Head(place *balance.Place) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.Head(place, g.now())
 }
 
 // Done frees the place and gives it to a waiting request.
-func (g *Gate) Done(place *Place, result Result) {
+func (g *Gate) Done(place *balance.Place, result balance.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.now()
-	g.pool.Done(place, result, now)
-	g.pool.Grant(place.ask.Service, now)
+	g.pool.Done(place, result, g.now())
 }
 
 // Usable counts the region's endpoints of a service that may run requests.
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -89,6 +89,15 @@
 	return count
 }
 
+// Try places a request that has not waited yet; requests that wait and are at
+// least as urgent go first. Both results are nil when there is no room now.
+func (p *Pool) Try(ask Ask, now time.Time) (*Place, *Refusal) {
+	if p.queueOf(ask.Service).ahead(ask.Rank) > 0 {
+		return nil, nil
+	}
+	return p.Place(ask, now)
+}
+
 // Place chooses an endpoint for the request. A nil place means that none has
 // room now; refusal is set when waiting would not help.
 func (p *Pool) Place(ask Ask, now time.Time) (*Place, *Refusal) {
@@ -205,7 +214,7 @@
 	one.lastHead = now
 }
 
-// Done frees the place.
+// Done frees the place and gives it to a waiting request.
 func (p *Pool) Done(place *Place, result Result, now time.Time) {
 	if place.finished {
 		return
@@ -225,6 +234,7 @@
 	if result == Succeeded {
 		p.queueOf(place.ask.Service).served(now.Sub(place.takenAt))
 	}
+	p.Grant(place.ask.Service, now)
 }
 
 // InFlight counts the requests at the region's endpoints, by service.
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
@@ -74,7 +75,7 @@
 	log      *logrus.Logger
 	lines    *lineWriter
 	control  *control.Control
-	gate     *balance.Gate
+	gate     *gate.Gate
 	handler  *proxy.Handler
 	registry *prometheus.Registry
 	servers  []*server
@@ -111,7 +112,7 @@
 	}
 	lines := newLineWriter()
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
-	e.gate = balance.NewGate(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
+	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Run: uint64(time.Now().UnixMilli()), State: members.Starting,
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -15,7 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -57,7 +57,7 @@
 // Options configures a Handler.
 type Options struct {
 	Snapshot func() *control.Snapshot
-	Gate     *balance.Gate
+	Gate     *gate.Gate
 	Dialect  Dialect
 	Reporter Reporter
 	Budgets  *Budgets
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -228,7 +229,7 @@
 		RegionPeak: 1, View: view, Suspects: w.suspect,
 	}
 	pool := balance.NewPool(w.region, "", balance.Bounds{})
-	gate := balance.NewGate(pool, time.Now)
+	gate := gate.New(pool, time.Now)
 	gate.Update(view, balance.Sharers{Self: w.self, Peak: 1})
 	w.handler = proxy.New(proxy.Options{
 		Snapshot: func() *control.Snapshot { return w.snap }, Gate: gate, Dialect: testDialect{}, Reporter: w.reports,
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -43,10 +43,8 @@
 	// hops counts the attempts at daemons of other regions.
 	hops    int
 	verdict types.Verdict
-	// lastEvent is the ID of the last event that the caller has; resumed is
-	// true when a part of a stream was sent.
+	// lastEvent is the ID of the last event that the caller has.
 	lastEvent string
-	resumed   bool
 	// suspect is the content's fingerprint if an endpoint crashed on it before.
 	suspect     request.Fingerprint
 	quarantined bool
