--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -328,7 +328,13 @@
 				waiting++
 			}
 			Expect(refusal).NotTo(BeNil())
-			Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+			advice := map[time.Duration]bool{}
+			for range 20 {
+				_, refusal = pool.Wait(ask(engines, 2), start)
+				Expect(refusal.RetryAfter).To(BeNumerically(">=", 500*time.Millisecond))
+				advice[refusal.RetryAfter] = true
+			}
+			Expect(advice).To(HaveLen(20))
 		})
 
 		It("gives room to the most urgent request that waits", func() {
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -16,10 +17,14 @@
 	objectiveShare = 0.6
 	// leftShare is the part of the time left that a request may wait.
 	leftShare = 0.5
-	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
-	minRetryAfter = 150 * time.Millisecond
-	maxRetryAfter = 1500 * time.Millisecond
-	holdWeight    = 0.1
+	// minRetryAfter and maxRetryAfter bound the advice to refused callers: an
+	// overload lasts longer than the wait that it causes, and a caller that
+	// returns into it is refused again.
+	minRetryAfter = 700 * time.Millisecond
+	maxRetryAfter = 2500 * time.Millisecond
+	// retrySpread is the part of the advice by which returns are spread.
+	retrySpread = 0.5
+	holdWeight  = 0.1
 	// startHold is the service time assumed before one was seen.
 	startHold = 200 * time.Millisecond
 )
@@ -38,6 +43,8 @@
 type queue struct {
 	waiting []*Waiter
 	seq     uint64
+	// refused counts the requests refused for want of room.
+	refused uint64
 	// hold is the smoothed time that a request keeps its place, in seconds.
 	hold float64
 }
@@ -109,8 +116,18 @@
 }
 
 func (p *Pool) overloaded(ask Ask) *Refusal {
+	q := p.queueOf(ask.Service)
+	q.refused++
 	wait := min(max(p.predictedWait(ask), minRetryAfter), maxRetryAfter)
-	return &Refusal{Reason: "the service has no room in time", RetryAfter: wait}
+	return &Refusal{Reason: "the service has no room in time", RetryAfter: spread(wait, q.refused)}
+}
+
+// spread sets the returns of callers that were refused one after the other
+// apart, evenly and without a random source.
+func spread(wait time.Duration, number uint64) time.Duration {
+	const goldenRatio = 0.6180339887498949
+	_, part := math.Modf(float64(number) * goldenRatio)
+	return wait + time.Duration(float64(wait)*retrySpread*part)
 }
 
 // GiveUp removes a waiting request and tells why it is refused.
