Give each of many daemons a share of few endpoints

Ruled out: store calls, processor time (0.027 cores a machine).

Change: with more than four daemons in a data centre, its endpoints are dealt to them, four daemons an endpoint, alike at every daemon; large prompts keep coming from the endpoint's one owner.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -68,7 +68,7 @@
 	var pools []*balance.Pool
 	for _, vm := range live {
 		pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
-		pool.Update(v, balance.Sharers{Self: vm, Live: live, Peak: daemons})
+		pool.Update(v, balance.Sharers{Self: vm, Live: live, Inside: live, Peak: daemons})
 		pools = append(pools, pool)
 	}
 	return pools
@@ -318,6 +318,18 @@
 			Expect(sum).To(BeNumerically("<=", 2*(96+daemons)))
 		})
 
+		It("keeps many daemons together near few slots, and gives each daemon some", func() {
+			const daemons, endpoints, slots = 28, 32, 12
+			v := view(endpoints, 0, func(p *catalog.Placed) { p.Slots = slots })
+			sum := 0
+			for _, pool := range newFleet(v, daemons) {
+				count := fill(pool, 2)
+				Expect(count).To(BeNumerically(">=", endpoints*slots/daemons/2))
+				sum += count
+			}
+			Expect(sum).To(BeNumerically("<=", 2*endpoints*slots))
+		})
+
 		It("refuses at once what would wait for too long, and says when to return", func() {
 			pool := newPool(view(1, 0, nil), 3)
 			fill(pool, 2)
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -45,6 +45,11 @@
 	placed  catalog.Placed
 	service *catalog.Service
 
+	// shared is true when this daemon has a share of the endpoint, sharers the
+	// number of daemons that have one.
+	shared  bool
+	sharers int
+
 	inFlight int
 	// unread is the prompt work, in tokens, of requests without an answer yet.
 	unread float64
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -39,6 +39,8 @@
 	Self types.VMID
 	// Live lists the daemons of the region, this one included or not.
 	Live []types.VMID
+	// Inside lists those of the own data centre.
+	Inside []types.VMID
 	// Peak is the largest number of daemons of the region ever seen at once.
 	Peak int
 }
@@ -46,9 +48,14 @@
 // Update takes what is published and which daemons share the endpoints.
 func (p *Pool) Update(view *catalog.View, sharers Sharers) {
 	p.sharers, p.daemons = sharers, max(sharers.Peak, 1)
-	if view == p.view {
-		return
+	if view != p.view {
+		p.take(view)
 	}
+	p.divide()
+}
+
+// take takes what is published.
+func (p *Pool) take(view *catalog.View) {
 	p.view = view
 	clear(p.services)
 	states := make(map[types.EndpointID]*state, len(p.states))
@@ -102,6 +109,9 @@
 // room now; refusal is set when waiting would not help.
 func (p *Pool) Place(ask Ask, now time.Time) (*Place, *Refusal) {
 	eligible := p.filter(ask, now)
+	if ask.PrefixTokens < LargePrefix {
+		eligible = ownShare(eligible)
+	}
 	if len(eligible) == 0 {
 		return nil, p.noEndpoint(ask)
 	}
@@ -110,7 +120,7 @@
 	if chosen == nil {
 		return nil, nil
 	}
-	return p.take(ask, chosen, chosen == home, now), nil
+	return p.book(ask, chosen, chosen == home, now), nil
 }
 
 // noEndpoint tells a service without endpoints from one whose endpoints were
@@ -154,7 +164,7 @@
 	var best *state
 	var bestCost float64
 	for _, one := range eligible {
-		if one.inFlight >= one.limit(ask.Rank, p.daemons) {
+		if one.inFlight >= p.limit(ask, one) {
 			continue
 		}
 		if one.cold(now) && !(p.warmsUp(one) && one.coldRoom(p.bounds, now)) {
@@ -181,8 +191,8 @@
 	return ahead < coldSenders
 }
 
-// take books the request at the endpoint.
-func (p *Pool) take(ask Ask, one *state, home bool, now time.Time) *Place {
+// book books the request at the endpoint.
+func (p *Pool) book(ask Ask, one *state, home bool, now time.Time) *Place {
 	place := &Place{Endpoint: one.placed, ask: ask, unread: p.unread(ask, one, home), takenAt: now}
 	one.inFlight++
 	one.unread += place.unread
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -109,7 +109,9 @@
 	q := p.queueOf(ask.Service)
 	room := 0
 	for _, one := range p.services[ask.Service] {
-		room += one.limit(ask.Rank, p.daemons)
+		if one.shared {
+			room += p.limit(ask, one)
+		}
 	}
 	seconds := float64(q.ahead(ask.Rank)+1) * q.hold / float64(max(room, 1))
 	return time.Duration(seconds * float64(time.Second))
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -41,7 +41,7 @@
 // cost predicts the seconds that the request would take at the endpoint beyond
 // what it takes anywhere.
 func (p *Pool) cost(ask Ask, one *state, home bool, now time.Time) float64 {
-	others := 1 + othersShare*float64(p.daemons-1)
+	others := 1 + othersShare*float64(max(one.sharers, 1)-1)
 	cost := one.errorRate * errorCost
 	if one.stalled(now) > stallAfter {
 		cost += stallCost
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -346,8 +346,9 @@
 	c.offer(func(time.Time) { c.table.SetSeeds(seeds) })
 }
 
-// Crashed notes that an endpoint broke off while it ran a content, and tells the
-// other daemons once the content looks like the cause.
+// Crashed notes that an endpoint broke off while it ran a content. Heartbeats
+// tell the other daemons; they are told at once when it is not the first crash,
+// since most contents that were running at a crash are innocent.
 func (c *Control) Crashed(content request.Fingerprint, attempt string) {
 	c.offer(func(now time.Time) {
 		crash := Crash{Content: content, Attempt: attempt}
@@ -355,6 +356,9 @@
 			return
 		}
 		c.dirty = true
+		if c.crashes.count(content) < 2 {
+			return
+		}
 		for _, member := range c.table.Live(now) {
 			c.send(member.VM, &Message{
 				From: c.table.Self().VM, Complete: c.state.Complete(), Crashes: []Crash{crash},
--- a/pkg/gateway/control/crashes.go
+++ b/pkg/gateway/control/crashes.go
@@ -51,6 +51,14 @@
 	return true
 }
 
+// count is the number of crashes of a content since it was last completed.
+func (l *crashLog) count(content request.Fingerprint) int {
+	if known := l.contents[content]; known != nil {
+		return known.count()
+	}
+	return 0
+}
+
 // completed notes that an endpoint answered the content.
 func (l *crashLog) completed(content request.Fingerprint, now time.Time) {
 	if known := l.contents[content]; known != nil {
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -146,6 +146,9 @@
 	found := balance.Sharers{Self: snap.Self.VM, Peak: snap.RegionPeak}
 	for _, member := range snap.InRegion(snap.Self.Region) {
 		found.Live = append(found.Live, member.VM)
+		if member.DataCentre == snap.Self.DataCentre {
+			found.Inside = append(found.Inside, member.VM)
+		}
 	}
 	return found
 }
