--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/flamingomount/flamingomount/pkg/jsonlog"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/route/pipeline"
+	"github.com/flamingomount/flamingomount/pkg/sharedrand"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/onceguard"
 	"github.com/flamingomount/flamingomount/pkg/stage/retry"
@@ -66,7 +67,7 @@
 		opts.Now = time.Now
 	}
 	if opts.Rand == nil {
-		opts.Rand = sharedRand{}
+		opts.Rand = sharedrand.Source{}
 	}
 	if opts.Boot == "" {
 		opts.Boot = newBootID()
--- a/pkg/daemon/options.go
+++ b/pkg/daemon/options.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -61,14 +60,3 @@
 	ID     string
 	Secret []byte
 }
-
-// sharedRand draws from the process's random source. It is safe for concurrent
-// use.
-type sharedRand struct{}
-
-var _ route.Rand = sharedRand{}
-
-// Uint64 returns a random number.
-func (sharedRand) Uint64() uint64 {
-	return rand.Uint64()
-}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
+	"github.com/flamingomount/flamingomount/pkg/sharedrand"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -81,14 +81,6 @@
 	servers  []*server
 }
 
-// sharedRand draws from the runtime's source, which goroutines may share.
-type sharedRand struct{}
-
-// Uint64 implements route.Rand.
-func (sharedRand) Uint64() uint64 {
-	return rand.Uint64()
-}
-
 // memoryShare is the part of the process's memory at which the garbage
 // collector works harder.
 const memoryShare = 0.6
@@ -126,13 +118,13 @@
 		Published: func(snap *control.Snapshot) { e.gate.Update(snap.View, sharers(snap)) },
 		Log:       e.log,
 		Now:       time.Now,
-		Rand:      sharedRand{},
+		Rand:      sharedrand.Source{},
 	})
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
 		Budgets:    proxy.NewBudgets(s.RetryRatio, s.RetrySlack/expectedDaemons),
 		BodyMemory: int64(float64(s.MemoryBytes) * bodyShare),
-		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedRand{},
+		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedrand.Source{},
 	})
 	if err := e.listen(); err != nil {
 		e.close()
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -10,6 +10,8 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/oncebody"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -94,7 +96,7 @@
 		ContentLength: int64(len(r.req.Body)),
 	}
 	if len(r.req.Body) > 0 || r.req.Route.Kind != catalog.Idempotent {
-		outgoing.Body = &onceBody{data: r.req.Body}
+		outgoing.Body = oncebody.New(r.req.Body)
 	}
 	return outgoing.WithContext(httptrace.WithClientTrace(r.ctx, w.trace()))
 }
@@ -196,7 +198,7 @@
 
 // whole reads an answer to its end before it sends any of it.
 func (r *run) whole(response *http.Response, w *wire) (*types.Failure, balance.Result) {
-	body, err := readUpTo(response, maxWholeBytes)
+	body, err := relay.ReadUpTo(response, maxWholeBytes)
 	if err == nil {
 		return r.large(response, body)
 	}
@@ -227,28 +229,6 @@
 	return r.req.Route.Repeatable() && r.sent < r.req.Attempts
 }
 
-// readUpTo reads at most limit bytes. It returns io.EOF when the answer ended
-// properly, and nil when there is more.
-func readUpTo(response *http.Response, limit int) ([]byte, error) {
-	const startBytes = 1 << 10
-	size := startBytes
-	if response.ContentLength > 0 {
-		size = int(min(response.ContentLength+1, int64(limit)))
-	}
-	body := make([]byte, 0, size)
-	for len(body) < limit {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := response.Body.Read(body[len(body):min(cap(body), limit)])
-		body = body[:len(body)+n]
-		if err != nil {
-			return body, err
-		}
-	}
-	return body, nil
-}
-
 // large relays an answer that is too large to be held.
 func (r *run) large(response *http.Response, held []byte) (*types.Failure, balance.Result) {
 	r.status = response.StatusCode
--- a/pkg/gateway/proxy/transport.go
+++ b/pkg/gateway/proxy/transport.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -62,26 +61,3 @@
 	}
 	return failed
 }
-
-// onceBody is a request body that can't be read twice: http.Transport never
-// sends a request with such a body again by itself.
-type onceBody struct {
-	data []byte
-}
-
-var _ io.ReadCloser = (*onceBody)(nil)
-
-// Read implements io.Reader.
-func (b *onceBody) Read(p []byte) (int, error) {
-	if len(b.data) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, b.data)
-	b.data = b.data[n:]
-	return n, nil
-}
-
-// Close implements io.Closer.
-func (b *onceBody) Close() error {
-	return nil
-}
--- a/pkg/stage/dispatch/transport.go
+++ b/pkg/stage/dispatch/transport.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/oncebody"
 )
 
 // Limits of the connections to endpoints.
@@ -40,33 +41,9 @@
 	}
 }
 
-// onceBody is a request body that can't be read a second time. A request with
-// a body that is not nil, not http.NoBody and has no GetBody is never replayed
-// by http.Transport, whatever its method and header fields are.
-type onceBody struct {
-	data []byte
-}
-
-var _ io.ReadCloser = (*onceBody)(nil)
-
-// Read implements io.Reader.
-func (b *onceBody) Read(p []byte) (int, error) {
-	if len(b.data) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, b.data)
-	b.data = b.data[n:]
-	return n, nil
-}
-
-// Close implements io.Closer.
-func (b *onceBody) Close() error {
-	return nil
-}
-
 // guardReplay gives the request a body that http.Transport can't replay.
 func guardReplay(r *http.Request, body []byte) {
-	r.Body = &onceBody{data: body}
+	r.Body = oncebody.New(body)
 	r.GetBody = nil
 	r.ContentLength = int64(len(body))
 }
--- a/pkg/stage/relay/whole.go
+++ b/pkg/stage/relay/whole.go
@@ -36,7 +36,7 @@
 	if !delimited(response) {
 		return Held{}, ErrUndelimited
 	}
-	body, err := readUpTo(response, limits.MaxWholeBytes)
+	body, err := ReadUpTo(response, limits.MaxWholeBytes)
 	if errors.Is(err, io.EOF) {
 		return Held{Body: body, Whole: true}, nil
 	}
@@ -54,9 +54,9 @@
 	return nil
 }
 
-// readUpTo reads at most limit bytes. It returns io.EOF when the answer ended
+// ReadUpTo reads at most limit bytes. It returns io.EOF when the answer ended
 // properly, and nil when there may be more.
-func readUpTo(response *http.Response, limit int64) ([]byte, error) {
+func ReadUpTo(response *http.Response, limit int64) ([]byte, error) {
 	size := int64(copyBytes) / 8
 	if response.ContentLength > 0 {
 		size = min(response.ContentLength+1, limit)
