--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -29,6 +29,9 @@
 	PrefixTokens int
 	// Tried lists endpoints that the request was sent to before.
 	Tried []types.EndpointID
+	// Arrived is when the caller's request reached the gateway, also by way of
+	// another daemon.
+	Arrived time.Time
 	// Deadline is when the answer stops being of use.
 	Deadline time.Time
 	// Objective is the time in which the answer should begin.
--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -75,7 +75,7 @@
 }
 
 func ask(service types.ServiceName, rank int) balance.Ask {
-	return balance.Ask{Service: service, Rank: rank, Deadline: start.Add(5 * time.Second), Objective: time.Second}
+	return balance.Ask{Service: service, Rank: rank, Arrived: start, Deadline: start.Add(5 * time.Second), Objective: time.Second}
 }
 
 func withPrefix(prefix uint64) balance.Ask {
@@ -349,6 +349,15 @@
 			Expect(advice).To(HaveLen(20))
 		})
 
+		It("does not let a request wait again that has waited elsewhere", func() {
+			pool := newPool(view(1, 0, nil), 3)
+			fill(pool, 2)
+			one := ask(engines, 2)
+			one.Arrived = start.Add(-700 * time.Millisecond)
+			_, refusal := pool.Wait(one, start)
+			Expect(refusal).NotTo(BeNil())
+		})
+
 		It("gives room to the most urgent request that waits", func() {
 			pool := newPool(view(1, 0, nil), 3)
 			held := place(pool, ask(engines, 2), start)
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -79,13 +79,15 @@
 	return count
 }
 
-// maxWait is how long a request may wait and still be of use.
+// maxWait is how long a request may still wait and be of use; it may have waited
+// elsewhere before.
 func maxWait(ask Ask, now time.Time) time.Duration {
 	left := time.Duration(float64(ask.Deadline.Sub(now)) * leftShare)
 	if ask.Objective <= 0 {
 		return left
 	}
-	return min(left, time.Duration(float64(ask.Objective)*objectiveShare))
+	waited := max(now.Sub(ask.Arrived), 0)
+	return min(left, time.Duration(float64(ask.Objective)*objectiveShare)-waited)
 }
 
 // Wait queues a request that found no room, or refuses it when it would wait
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -31,6 +31,8 @@
 	Attempts int `json:"attempts"`
 	// Left is the time until the deadline.
 	Left time.Duration `json:"left"`
+	// Waited is the time since the caller's request arrived.
+	Waited time.Duration `json:"waited"`
 	// CallerLimited is true when the caller named the time that it waits.
 	CallerLimited bool   `json:"caller_limited,omitempty"`
 	ResumeAfter   string `json:"resume_after,omitempty"`
@@ -68,6 +70,7 @@
 	note := envelope{
 		From: r.h.opts.Snapshot().Self.VM, Route: r.req.Route, Service: r.req.Service, Model: r.req.Model,
 		Attempts: r.req.Attempts - r.sent, Left: r.req.Deadline.Sub(r.h.opts.Now()),
+		Waited:        r.h.opts.Now().Sub(r.req.Arrived),
 		CallerLimited: !r.req.CallerUntil.IsZero(), ResumeAfter: r.lastEvent,
 	}
 	text, err := json.Marshal(note)
@@ -160,7 +163,7 @@
 	req := &Request{
 		Call: call, Method: r.Method, Path: pathOf(r), Query: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 		Host: r.Host, Header: header, Body: body, Route: note.Route, Service: note.Service, Model: note.Model,
-		Attempts: note.Attempts, Arrived: now, Deadline: now.Add(note.Left), From: note.From,
+		Attempts: note.Attempts, Arrived: now.Add(-max(note.Waited, 0)), Deadline: now.Add(note.Left), From: note.From,
 	}
 	if note.CallerLimited {
 		req.CallerUntil = req.Deadline
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -59,6 +59,7 @@
 		Prefix:       r.Prefix,
 		PrefixTokens: r.PrefixTokens,
 		Tried:        tried,
+		Arrived:      r.Arrived,
 		Deadline:     r.Deadline,
 		Objective:    r.Route.Objective,
 	}
