Keep fewer requests at engines than they have slots

Ruled out: memory (2 requests preempted).

Change: all daemons together keep 0.7 of an engine's slots instead of 1.5; what finds no room waits at the entry, where it goes to the first endpoint that has some. Urgent requests may take twice that.

--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -9,9 +9,10 @@
 // Limits of what one endpoint is trusted with.
 const (
 	// engineOvercommit and plainOvercommit are how many requests all daemons
-	// together keep at an endpoint, relative to its slots: engines batch, so a
-	// short queue keeps them busy; plain endpoints have short requests.
-	engineOvercommit = 1.5
+	// together keep at an endpoint, relative to its slots: an engine reads
+	// prompts between the tokens of what runs, so a full one lets its streams
+	// starve; plain endpoints have short requests.
+	engineOvercommit = 0.7
 	plainOvercommit  = 3.0
 	// urgentOvercommit is how far requests of rank 0 may exceed that, since
 	// endpoints admit them first.
