--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -344,6 +344,14 @@
 		Expect(e.arrived[0].Header).NotTo(HaveKey("X-Gateway-Forward"))
 	})
 
+	It("runs a request for which this one has no endpoint, however busy it is", func() {
+		e := newEndpoint(answerOK)
+		south, _ := pair(catalog.NonIdempotent, nil, e)
+		south.snap.Members[0].Loads = []members.Load{{Service: service, InFlight: 1000}}
+		Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
+		Expect(e.count()).To(Equal(1))
+	})
+
 	It("passes its streams on, and the end of a caller", func() {
 		south, _ := pair(catalog.Streaming, []types.Region{"north"}, newEndpoint(events(3, 0)))
 		got := south.call("POST", "/r/", "x")
