Credit the retry budget once for a forwarded request

Cause: found by reading: a forwarded request credited the budget of both daemons, so that the fleet's sum could reach twice the ratio where much is forwarded.

Change: the daemon that places the request first credits it.

--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -19,8 +19,8 @@
 	member   members.Member
 }
 
-// place finds a destination: the own region first, then another region with
-// room, then a wait for room here.
+// place finds a destination: the home of a large prefix, else the own region,
+// then another region with room, then a wait for room here.
 func (r *run) place(snap *control.Snapshot) (destination, *types.Failure) {
 	if !r.req.Route.Allows(snap.Self.Region) {
 		return r.elsewhere(snap)
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -75,7 +75,6 @@
 	if r.quarantined {
 		return notRun(types.CodeQuarantined, "this content crashed several endpoints", 0)
 	}
-	r.h.opts.Budgets.Offered(r.req.Service)
 	for {
 		where, failure := r.place(r.h.opts.Snapshot())
 		if failure != nil {
@@ -88,13 +87,17 @@
 	}
 }
 
-// try makes one attempt.
+// try makes one attempt. The daemon that places the request first credits the
+// retry budget with it, so that a forwarded request counts once.
 func (r *run) try(where destination) *types.Failure {
 	r.waited = r.h.opts.Now().Sub(r.req.Arrived)
 	r.reached = true
 	if where.endpoint == nil {
 		return r.tryElsewhere(where.member)
 	}
+	if r.sent == 0 {
+		r.h.opts.Budgets.Offered(r.req.Service)
+	}
 	r.region = ""
 	r.sent++
 	failure := r.attempt(where.endpoint)
