Remove what stood twice or served nobody in the gateway

Found on reading the whole change again.

- The places of readers and speakers were counted by three loops of their own; rendezvous.Top, which the project has, gives the same order.
- Head and Done each took a request off an endpoint's unanswered ones.
- A hop checked the answer's request ID, which judge does next.

Behaviour stays; no test changed.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -21,9 +21,8 @@
 	Service types.ServiceName
 	// Rank is the urgency; 0 is the most urgent.
 	Rank int
-	// PromptTokens and OutputTokens estimate the work; zero for plain services.
+	// PromptTokens estimates the work; zero for plain services.
 	PromptTokens int
-	OutputTokens int
 	// Prefix identifies the shared part of the prompt; zero means none.
 	Prefix       uint64
 	PrefixTokens int
@@ -72,6 +71,14 @@
 	finished bool
 }
 
+// answerBegins notes that the request no longer waits for an answer, and reports
+// whether it did until now.
+func (p *Place) answerBegins() bool {
+	waited := !p.headSeen
+	p.headSeen = true
+	return waited
+}
+
 // Refusal says why a request can't be placed.
 type Refusal struct {
 	// Reason is one phrase for logs and callers.
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -66,7 +66,8 @@
 	errorRate float64
 	// lastHead is when an answer last began.
 	lastHead time.Time
-	// oldestUnanswered is when the requests without an answer began to wait.
+	// unanswered counts the requests without an answer, unansweredSince is when
+	// the first of them began to wait.
 	unanswered      int
 	unansweredSince time.Time
 	// restartedColdUntil is set when the endpoint came back after a failure.
@@ -149,6 +150,13 @@
 	return now.Sub(since)
 }
 
+// answered notes that a request, with its prompt work, no longer waits for an
+// answer.
+func (s *state) answered(unread float64) {
+	s.unread = max(s.unread-unread, 0)
+	s.unanswered = max(s.unanswered-1, 0)
+}
+
 // ended takes the result of an attempt.
 func (s *state) ended(result Result, now time.Time) {
 	switch result {
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -11,7 +11,6 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
-	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // grantInterval is how often waiting requests are looked through beside the
@@ -108,13 +107,6 @@
 	g.pool.Done(place, result, g.now())
 }
 
-// Usable counts the region's endpoints of a service that may run requests.
-func (g *Gate) Usable(service types.ServiceName) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.pool.Usable(service, g.now())
-}
-
 // Loads tells what this daemon has in flight and waiting, sorted by service.
 func (g *Gate) Loads() []members.Load {
 	g.mu.Lock()
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -85,17 +85,6 @@
 	return known
 }
 
-// Usable counts the region's endpoints of a service that may run requests.
-func (p *Pool) Usable(service types.ServiceName, now time.Time) int {
-	count := 0
-	for _, one := range p.services[service] {
-		if !one.suspended(now) {
-			count++
-		}
-	}
-	return count
-}
-
 // Try places a request that has not waited yet; requests that wait and are at
 // least as urgent go first. Both results are nil when there is no room now.
 func (p *Pool) Try(ask Ask, now time.Time) (*Place, *Refusal) {
@@ -211,17 +200,13 @@
 
 // Head notes that the endpoint began its answer.
 func (p *Pool) Head(place *Place, now time.Time) {
-	if place.headSeen {
+	if !place.answerBegins() {
 		return
 	}
-	place.headSeen = true
-	one := p.states[place.Endpoint.ID]
-	if one == nil {
-		return
+	if one := p.states[place.Endpoint.ID]; one != nil {
+		one.answered(place.unread)
+		one.lastHead = now
 	}
-	one.unread = max(one.unread-place.unread, 0)
-	one.unanswered = max(one.unanswered-1, 0)
-	one.lastHead = now
 }
 
 // Done frees the place and gives it to a waiting request.
@@ -234,10 +219,8 @@
 	if one == nil {
 		return
 	}
-	if !place.headSeen {
-		place.headSeen = true
-		one.unread = max(one.unread-place.unread, 0)
-		one.unanswered = max(one.unanswered-1, 0)
+	if place.answerBegins() {
+		one.answered(place.unread)
 	}
 	one.inFlight = max(one.inFlight-1, 0)
 	one.ended(result, now)
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -175,7 +175,6 @@
 		Self:       c.table.Self(),
 		Members:    c.table.Live(now),
 		RegionPeak: c.table.Peak(),
-		NewsAt:     c.newsAt[c.newest],
 		Suspects:   c.crashes.suspects(),
 	}
 	if previous == nil || c.state.TakeChanged() {
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -19,8 +18,6 @@
 	// once, this one included.
 	RegionPeak int
 	View       *catalog.View
-	// NewsAt is when the store was last heard of, directly or through a peer.
-	NewsAt time.Time
 	// Suspects holds the contents after which an endpoint crashed; the value
 	// is true for those that crashed too many and must not run.
 	Suspects map[request.Fingerprint]bool
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -243,7 +243,7 @@
 func (t *Table) Targets(now time.Time, rand route.Rand) []types.VMID {
 	inside, outside := t.split(now)
 	targets := appendOne(nil, inside, rand)
-	if t.speaks(now) {
+	if t.speaks(inside) {
 		for place, vms := range outside {
 			if t.self.Beat%beatsBetween(place.region == t.self.Region) == 0 {
 				targets = appendOne(targets, vms, rand)
@@ -278,15 +278,10 @@
 // speakerKey seeds the choice of the daemon that speaks for a data centre.
 const speakerKey = "speaker"
 
-// speaks reports whether this daemon speaks for its data centre.
-func (t *Table) speaks(now time.Time) bool {
-	own := rendezvous.Weight(speakerKey, t.self.VM)
-	for _, member := range t.Live(now) {
-		if t.near(member) && rendezvous.Weight(speakerKey, member.VM) > own {
-			return false
-		}
-	}
-	return true
+// speaks reports whether this daemon speaks for its data centre; inside lists the
+// other live daemons there.
+func (t *Table) speaks(inside []types.VMID) bool {
+	return rendezvous.Top(speakerKey, append(inside, t.self.VM), 1)[0] == t.self.VM
 }
 
 // place is a data centre of a region.
--- a/pkg/gateway/members/reader.go
+++ b/pkg/gateway/members/reader.go
@@ -1,7 +1,6 @@
 package members
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -51,29 +50,23 @@
 
 // readerPlace is this daemon's place among the live daemons of its region.
 func (t *Table) readerPlace(now time.Time) int {
-	own := rendezvous.Weight(readerKey, t.self.VM)
-	place := 0
-	for _, member := range t.Live(now) {
-		if member.Region != t.self.Region || member.State == Leaving {
-			continue
-		}
-		if rendezvous.Weight(readerKey, member.VM) > own {
-			place++
-		}
-	}
-	return place
+	return slices.Index(t.readers(now), t.self.VM)
 }
 
 // FirstReader returns the daemon of the own region that reads the store, which
 // may be this one.
 func (t *Table) FirstReader(now time.Time) types.VMID {
+	return t.readers(now)[0]
+}
+
+// readers returns the daemons of the own region, this one included, in the order
+// in which they read the store.
+func (t *Table) readers(now time.Time) []types.VMID {
 	candidates := []types.VMID{t.self.VM}
 	for _, member := range t.Live(now) {
 		if member.Region == t.self.Region && member.State != Leaving {
 			candidates = append(candidates, member.VM)
 		}
 	}
-	return slices.MaxFunc(candidates, func(a, b types.VMID) int {
-		return cmp.Compare(rendezvous.Weight(readerKey, a), rendezvous.Weight(readerKey, b))
-	})
+	return rendezvous.Top(readerKey, candidates, len(candidates))
 }
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -38,8 +38,8 @@
 	ResumeAfter   string `json:"resume_after,omitempty"`
 }
 
-// forward sends the request to a daemon of another region and relays what it
-// answers.
+// forward sends the request to another daemon, of this region or another one,
+// and relays what it answers.
 func (r *run) forward(member members.Member) *types.Failure {
 	r.region = member.Region
 	r.hops++
@@ -57,11 +57,6 @@
 	if failure := r.hopFailure(response); failure != nil {
 		return failure
 	}
-	answer := r.h.opts.Dialect.Answer(response.StatusCode, response.Header)
-	if answer.ID != "" && answer.ID != r.req.ID {
-		failure, _ := r.invalid(&w, errOtherRequest)
-		return failure
-	}
 	failure, _ := r.judge(response, &w)
 	return failure
 }
@@ -93,9 +88,9 @@
 	if !w.connected() {
 		r.reached = false
 		r.h.opts.Reporter.Unreachable(member.VM, err)
-		return caused(types.NotRun, types.CodeUnreachable, "the other region can't be reached", err)
+		return caused(types.NotRun, types.CodeUnreachable, "the other daemon can't be reached", err)
 	}
-	return caused(types.MayHaveRun, types.CodeEndpointFailed, "the connection to the other region broke", err)
+	return caused(types.MayHaveRun, types.CodeEndpointFailed, "the connection to the other daemon broke", err)
 }
 
 // hopFailure returns the failure that the other daemon made itself; nil when it
@@ -111,7 +106,7 @@
 	}
 	r.verdict = r.verdict.Merge(verdict)
 	r.reached = verdict != types.NotRun
-	failure := types.NewFailure(verdict, types.Code(code), "refused in the other region")
+	failure := types.NewFailure(verdict, types.Code(code), "refused by the other daemon")
 	if wait, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
 		failure.RetryAfter = wait
 	}
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -55,7 +55,6 @@
 		Service:      r.Service,
 		Rank:         r.Route.Rank,
 		PromptTokens: r.PromptTokens,
-		OutputTokens: r.OutputTokens,
 		Prefix:       r.Prefix,
 		PrefixTokens: r.PrefixTokens,
 		Tried:        tried,
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -20,7 +20,7 @@
 const (
 	// maxMissed bounds the attempts that reached no endpoint.
 	maxMissed = 3
-	// maxHops bounds the attempts at daemons of other regions.
+	// maxHops bounds the attempts at other daemons.
 	maxHops = 2
 )
 
@@ -40,7 +40,7 @@
 	sent    int
 	missed  int
 	reached bool
-	// hops counts the attempts at daemons of other regions.
+	// hops counts the attempts at other daemons.
 	hops    int
 	verdict types.Verdict
 	// lastEvent is the ID of the last event that the caller has.
@@ -51,7 +51,8 @@
 	// last is an endpoint's failed but whole answer, kept in case no further
 	// attempt does better.
 	last *heldAnswer
-	// region is where the last attempt went; empty for the own region.
+	// region is where the other daemon of the last attempt is; empty when it
+	// went to an endpoint.
 	region types.Region
 	status int
 	// waited is the time spent before the last attempt was sent.
@@ -108,9 +109,9 @@
 	return failure
 }
 
-// tryElsewhere makes an attempt at a daemon of another region. That one may use
-// every attempt that is left, and after a broken connection nobody knows how
-// many it used.
+// tryElsewhere makes an attempt at another daemon. That one may use every
+// attempt that is left, and after a broken connection nobody knows how many it
+// used.
 func (r *run) tryElsewhere(member members.Member) *types.Failure {
 	failure := r.forward(member)
 	if r.reached {
@@ -204,7 +205,7 @@
 	return types.NewFailure(verdict, types.CodeCallerGone, "the caller closed its connection")
 }
 
-// refusal turns a refusal of the balancer into a failure.
+// refusalFailure turns a refusal of the balancer into a failure.
 func refusalFailure(refusal *balance.Refusal) *types.Failure {
 	code := types.CodeOverloaded
 	if refusal.NoEndpoint {
