Divide the retry budget by the fleet and cold rates by who may be unseen

Cause: the fixed part of the retry budget was divided by 8 daemons, whatever the fleet; 86 daemons could together spend it eleven times over (21 extra attempts each, 1,800 in all, where 212 are allowed). The rate of a cold endpoint was shared by three daemons that see each other; a partition leaves groups that each elect three, and after a loss of power each daemon of 28 takes itself for one of them. Ruled out: asking the others (they are cut off in the very case); a lower fixed share, which would starve small deployments.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -202,6 +202,65 @@
 			Expect(len(sent)).To(BeNumerically(">", 30))
 		}, Entry("3 daemons", 3), Entry("28 daemons", 28))
 
+		// sendAll lets every daemon send as much as it may for some seconds and
+		// returns the largest number of requests in any second.
+		sendAll := func(pools []*balance.Pool) int {
+			var sent []time.Time
+			for step := range 800 {
+				now := start.Add(time.Duration(step) * 5 * time.Millisecond)
+				for _, pool := range pools {
+					if one, _ := pool.Place(ask(engines, 0), now); one != nil {
+						sent = append(sent, now)
+						pool.Done(one, balance.Succeeded, now)
+					}
+				}
+			}
+			most := 0
+			for i := range sent {
+				count := 0
+				for _, other := range sent[i:] {
+					if other.Sub(sent[i]) < time.Second {
+						count++
+					}
+				}
+				most = max(most, count)
+			}
+			return most
+		}
+
+		// split builds the pools of daemons that saw each other before a
+		// partition left them in groups.
+		split := func(daemons, group int) []*balance.Pool {
+			var pools []*balance.Pool
+			for first := 0; first < daemons; first += group {
+				var live []types.VMID
+				for i := first; i < min(first+group, daemons); i++ {
+					live = append(live, types.VMID(fmt.Sprintf("d%d", i)))
+				}
+				for _, vm := range live {
+					pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+					pool.Update(coldView(), balance.Sharers{Self: vm, Live: live, Inside: live, Peak: daemons})
+					pools = append(pools, pool)
+				}
+			}
+			return pools
+		}
+
+		DescribeTable("get no more than the bound on all sides of a partition together", func(daemons, group int) {
+			Expect(float64(sendAll(split(daemons, group)))).To(BeNumerically("<=", 9.3*1.5+3))
+		}, Entry("halves", 28, 14), Entry("thirds", 27, 9), Entry("one daemon cut off", 28, 27), Entry("two of three", 3, 2))
+
+		It("are left to others by daemons that have just started", func() {
+			var pools []*balance.Pool
+			for i := range 28 {
+				pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+				self := types.VMID(fmt.Sprintf("d%d", i))
+				pool.Update(coldView(), balance.Sharers{Self: self, Live: []types.VMID{self}, Peak: 1, Joining: true})
+				pools = append(pools, pool)
+			}
+			Expect(float64(sendAll(pools))).To(BeNumerically("<=", 9.3*1.5+3))
+		})
+
 		It("are bounded by a daemon that does not know the others yet", func() {
 			pool := newPool(coldView(), 1)
 			sent := 0
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -22,6 +22,9 @@
 	// coldSenders is how many daemons of a region share the rate of a cold
 	// endpoint.
 	coldSenders = 3
+	// maxUnseenSenders bounds the senders assumed beyond a partition: two more
+	// groups of daemons.
+	maxUnseenSenders = 2 * coldSenders
 	// coldMargin keeps the sum of the shares below the bound, also when a daemon
 	// that has just started takes itself for one more.
 	coldMargin = 0.85
@@ -111,12 +114,15 @@
 }
 
 // coldRoom reports whether a cold endpoint bears another request of this daemon
-// now: the daemons share its rate without talking to each other.
-func (s *state) coldRoom(bounds Bounds, now time.Time) bool {
+// now: so many senders share its rate without talking to each other.
+func (s *state) coldRoom(bounds Bounds, senders int, now time.Time) bool {
+	if senders == 0 {
+		return false
+	}
 	s.sends = recent(s.sends, now)
 	total := s.service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack
-	share := int(total * coldMargin / coldSenders)
-	return len(s.sends) < max(share, 1)
+	share := int(total * coldMargin / float64(senders))
+	return len(s.sends) < share
 }
 
 // recent drops the times that are older than the window of the cold rate.
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -43,6 +43,9 @@
 	Inside []types.VMID
 	// Peak is the largest number of daemons of the region ever seen at once.
 	Peak int
+	// Joining is true while this daemon has just started and may not know the
+	// others yet.
+	Joining bool
 }
 
 // Update takes what is published and which daemons share the endpoints.
@@ -156,7 +159,7 @@
 		if one.inFlight >= p.limit(ask, one) {
 			continue
 		}
-		if one.cold(now) && !(p.warmsUp(one) && one.coldRoom(p.bounds, now)) {
+		if one.cold(now) && !(p.warmsUp(one) && one.coldRoom(p.bounds, p.sharers.coldSenders(), now)) {
 			continue
 		}
 		cost := p.cost(ask, one, one == home, now)
@@ -167,6 +170,21 @@
 	return best
 }
 
+// coldSenders is how many daemons may take themselves for one that sends
+// requests to a cold endpoint: a few that see each other, and those of the
+// region that this daemon does not see now, which may be on the other side of a
+// partition and see only each other. Zero means that this daemon can't tell.
+func (s Sharers) coldSenders() int {
+	if s.Joining {
+		return 0
+	}
+	seen := len(s.Live)
+	if !slices.Contains(s.Live, s.Self) {
+		seen++
+	}
+	return coldSenders + min(max(s.Peak-seen, 0), maxUnseenSenders)
+}
+
 // warmsUp reports whether this daemon is one of the few that send requests to a
 // cold endpoint: the first by rendezvous, which the daemons find alike.
 func (p *Pool) warmsUp(one *state) bool {
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -175,6 +175,8 @@
 		Self:       c.table.Self(),
 		Members:    c.table.Live(now),
 		RegionPeak: c.table.Peak(),
+		FleetPeak:  c.table.FleetPeak(),
+		Joining:    c.table.Joining(),
 		Suspects:   c.crashes.suspects(),
 	}
 	if previous == nil || c.state.TakeChanged() {
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -17,7 +17,12 @@
 	// RegionPeak is the largest number of daemons of the own region seen at
 	// once, this one included.
 	RegionPeak int
-	View       *catalog.View
+	// FleetPeak is the same for all regions.
+	FleetPeak int
+	// Joining is true while the daemon has just started and may not know the
+	// others yet.
+	Joining bool
+	View    *catalog.View
 	// Suspects holds the contents after which an endpoint crashed; the value
 	// is true for those that crashed too many and must not run.
 	Suspects map[request.Fingerprint]bool
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -76,6 +76,7 @@
 	lines    *lineWriter
 	control  *control.Control
 	gate     *gate.Gate
+	budgets  *proxy.Budgets
 	handler  *proxy.Handler
 	registry *prometheus.Registry
 	servers  []*server
@@ -92,9 +93,6 @@
 // take: another daemon has to notice a silent reader and read in the rest.
 const watchShare = 0.4
 
-// expectedDaemons is what the fixed part of the retry budget is divided by.
-const expectedDaemons = 8
-
 // New provisions an entry and opens its listeners. After an error nothing stays
 // open.
 func New(opts Options) (*Entry, error) {
@@ -105,6 +103,7 @@
 	lines := newLineWriter()
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
+	e.budgets = proxy.NewBudgets(s.RetryRatio, s.RetrySlack)
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Run: uint64(time.Now().UnixMilli()), State: members.Starting,
@@ -115,14 +114,14 @@
 		Peers:     control.NewHTTPPeers(proxy.NewTransport()),
 		WatchWait: time.Duration(float64(s.ConfigWithin) * watchShare),
 		Loads:     e.gate.Loads,
-		Published: func(snap *control.Snapshot) { e.gate.Update(snap.View, sharers(snap)) },
+		Published: e.published,
 		Log:       e.log,
 		Now:       time.Now,
 		Rand:      sharedrand.Source{},
 	})
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
-		Budgets:    proxy.NewBudgets(s.RetryRatio, s.RetrySlack/expectedDaemons),
+		Budgets:    e.budgets,
 		BodyMemory: int64(float64(s.MemoryBytes) * bodyShare),
 		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedrand.Source{},
 	})
@@ -133,9 +132,17 @@
 	return e, nil
 }
 
+// published hands a new snapshot to those who share limits with other daemons.
+func (e *Entry) published(snap *control.Snapshot) {
+	e.gate.Update(snap.View, sharers(snap))
+	if !snap.Joining {
+		e.budgets.Divide(snap.FleetPeak)
+	}
+}
+
 // sharers returns the daemons that use the endpoints of the own region.
 func sharers(snap *control.Snapshot) balance.Sharers {
-	found := balance.Sharers{Self: snap.Self.VM, Peak: snap.RegionPeak}
+	found := balance.Sharers{Self: snap.Self.VM, Peak: snap.RegionPeak, Joining: snap.Joining}
 	for _, member := range snap.InRegion(snap.Self.Region) {
 		found.Live = append(found.Live, member.VM)
 		if member.DataCentre == snap.Self.DataCentre {
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -77,13 +77,15 @@
 	self  Member
 	rows  map[types.VMID]row
 	seeds []types.VMID
-	// peak is the largest number of daemons of the own region seen at once.
-	peak int
+	// peak is the largest number of daemons of the own region seen at once,
+	// fleetPeak that of all regions.
+	peak      int
+	fleetPeak int
 }
 
 // New returns a table that knows only this daemon and its seeds.
 func New(self Member, seeds []types.VMID) *Table {
-	table := &Table{self: self, rows: make(map[types.VMID]row), peak: 1}
+	table := &Table{self: self, rows: make(map[types.VMID]row), peak: 1, fleetPeak: 1}
 	table.SetSeeds(seeds)
 	return table
 }
@@ -118,7 +120,8 @@
 		}
 		t.merge(member, now)
 	}
-	t.peak = max(t.peak, t.inRegion(now))
+	inRegion, all := t.count(now)
+	t.peak, t.fleetPeak = max(t.peak, inRegion), max(t.fleetPeak, all)
 }
 
 // outrun raises the own run above one that other daemons still know of an
@@ -208,16 +211,20 @@
 	return live
 }
 
-// inRegion counts the daemons of the own region that are not known to have
-// stopped, this one included.
-func (t *Table) inRegion(now time.Time) int {
-	count := 1
+// count counts the live daemons of the own region and of all regions, this one
+// included.
+func (t *Table) count(now time.Time) (inRegion, all int) {
+	inRegion, all = 1, 1
 	for _, known := range t.rows {
-		if known.Region == t.self.Region && t.live(known, now) {
-			count++
+		if !t.live(known, now) {
+			continue
+		}
+		all++
+		if known.Region == t.self.Region {
+			inRegion++
 		}
 	}
-	return count
+	return inRegion, all
 }
 
 // Peak returns the largest number of daemons of the own region that were ever
@@ -226,6 +233,11 @@
 	return t.peak
 }
 
+// FleetPeak returns the same for all regions.
+func (t *Table) FleetPeak() int {
+	return t.fleetPeak
+}
+
 // Beats between the heartbeats of one kind.
 const (
 	// regionEvery is for other data centres of the region, worldEvery for other
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -152,8 +152,10 @@
 	It("remembers how many daemons of its region were there at once", func() {
 		table.Merge([]members.Member{member("a:1", 1), member("b:1", 1), far("c:1", 1)}, start)
 		Expect(table.Peak()).To(Equal(3))
+		Expect(table.FleetPeak()).To(Equal(4))
 		table.Merge([]members.Member{member("a:1", 2)}, start.Add(time.Minute))
 		Expect(table.Peak()).To(Equal(3))
+		Expect(table.FleetPeak()).To(Equal(4))
 	})
 
 	Describe("reading the store", func() {
