--- a/cmd/flamingomountd/platform.go
+++ b/cmd/flamingomountd/platform.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/flamingomount/flamingomount/platform"
+	"github.com/flamingomount/flamingomount/platform/wire"
 )
 
 // newPlatformCommand runs an entry on the users' platform.
@@ -18,9 +19,9 @@
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			const usualPath = "/etc/flamingomount/local.toml"
-			return platform.Run(cmp.Or(file, os.Getenv(platform.SettingsVariable), usualPath), os.Stdout)
+			return platform.Run(cmp.Or(file, os.Getenv(wire.SettingsVariable), usualPath), os.Stdout)
 		},
 	}
-	command.Flags().StringVar(&file, "settings", "", "path of the settings file; default: $"+platform.SettingsVariable)
+	command.Flags().StringVar(&file, "settings", "", "path of the settings file; default: $"+wire.SettingsVariable)
 	return command
 }
