--- /dev/null
+++ b/tools/soak/link/link.go
@@ -0,0 +1,182 @@
+// Package link forwards TCP connections on loopback and misbehaves on demand,
+// so that faults come from outside the programs under test.
+package link
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is how a Link treats bytes.
+type Mode uint8
+
+// The modes.
+const (
+	// Forward passes bytes on.
+	Forward Mode = iota
+	// Slow passes them on after a delay.
+	Slow
+	// OneWay passes on what the caller sends and drops the answers.
+	OneWay
+	// Silent keeps connections open and passes nothing on.
+	Silent
+	// Refuse resets connections, old and new ones.
+	Refuse
+)
+
+// delay is what Slow adds to each piece.
+const delay = 150 * time.Millisecond
+
+// pieceBytes bounds what is forwarded at once.
+const pieceBytes = 16 << 10
+
+// Link forwards connections from an address of its own to a target. It is safe
+// for concurrent use.
+type Link struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  Mode
+	conns map[net.Conn]bool
+}
+
+// New listens on a loopback address and forwards to the target.
+func New(target string) (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	go l.accept()
+	return l, nil
+}
+
+// Address is where callers connect.
+func (l *Link) Address() string {
+	return l.listener.Addr().String()
+}
+
+// Set changes the mode; Refuse also resets what is open.
+func (l *Link) Set(mode Mode) {
+	l.mu.Lock()
+	l.mode = mode
+	l.mu.Unlock()
+	if mode == Refuse {
+		l.Reset()
+	}
+}
+
+// Reset resets every open connection.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		abort(conn)
+	}
+	clear(l.conns)
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	_ = l.listener.Close() // closing twice is harmless
+	l.Reset()
+}
+
+// abort closes a connection with a reset.
+func abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a connection that is closed already needs none
+	}
+	_ = conn.Close()
+}
+
+func (l *Link) now() Mode {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mode
+}
+
+func (l *Link) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.serve(conn)
+	}
+}
+
+func (l *Link) serve(caller net.Conn) {
+	if l.now() == Refuse {
+		abort(caller)
+		return
+	}
+	target, err := net.Dial("tcp", l.target)
+	if err != nil {
+		abort(caller)
+		return
+	}
+	l.keep(caller, target)
+	defer l.drop(caller, target)
+	var both sync.WaitGroup
+	both.Go(func() { l.copy(target, caller, false) })
+	both.Go(func() { l.copy(caller, target, true) })
+	both.Wait()
+}
+
+func (l *Link) keep(conns ...net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range conns {
+		l.conns[conn] = true
+	}
+}
+
+func (l *Link) drop(conns ...net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close() // it may be closed already
+		delete(l.conns, conn)
+	}
+}
+
+// copy passes bytes on until one side ends. A proper end is passed on as such, a
+// reset as a reset, so that an answer cut short does not look complete.
+func (l *Link) copy(to, from net.Conn, answers bool) {
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(piece)
+		if n > 0 && l.passes(answers) {
+			if _, err := to.Write(piece[:n]); err != nil {
+				abort(from)
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err != io.EOF {
+			abort(to)
+		} else if tcp, ok := to.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite() // the other direction notices an error
+		}
+		return
+	}
+}
+
+// passes waits as the mode says and reports whether bytes go on.
+func (l *Link) passes(answers bool) bool {
+	switch l.now() {
+	case Slow:
+		time.Sleep(delay)
+	case OneWay:
+		return !answers
+	case Silent:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/tools/soak/plan/plan.go
@@ -0,0 +1,100 @@
+// Package plan draws what happens in one run of the soak: planned work and
+// faults, alone, in series and overlapping. The same seed gives the same plan.
+package plan
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is what happens.
+type Kind string
+
+// The kinds of steps. Planned work harms nobody; the others are faults.
+const (
+	// Move publishes a configuration that moves the orders to another service.
+	Move Kind = "move"
+	// Evacuate takes a data centre out and back.
+	Evacuate Kind = "evacuate"
+	// Drain lets an endpoint leave; a new one comes first.
+	Drain Kind = "drain"
+	// Stop stops a daemon with SIGTERM; it starts again.
+	Stop Kind = "stop"
+	// Reload sends SIGHUP to a daemon.
+	Reload Kind = "reload"
+
+	// Kill ends a daemon with SIGKILL; it starts again.
+	Kill Kind = "kill"
+	// KillAll ends all of them at once.
+	KillAll Kind = "kill-all"
+	// Pause stops a daemon's processes for a while.
+	Pause Kind = "pause"
+	// Crash ends an endpoint; another comes back for it.
+	Crash Kind = "crash"
+	// Misbehave lets an endpoint break, swallow, spoil and fail answers.
+	Misbehave Kind = "misbehave"
+	// EndpointLink, StoreLink and CallerLink disturb a link.
+	EndpointLink Kind = "endpoint-link"
+	StoreLink    Kind = "store-link"
+	CallerLink   Kind = "caller-link"
+	// StoreDown lets the store refuse or stay silent.
+	StoreDown Kind = "store-down"
+	// StoreForgets drops the store's history.
+	StoreForgets Kind = "store-forgets"
+)
+
+// Planned reports whether steps of the kind are planned work.
+func (k Kind) Planned() bool {
+	return slices.Contains(planned, k)
+}
+
+var (
+	planned = []Kind{Move, Evacuate, Drain, Stop, Reload}
+	faults  = []Kind{
+		Kill, KillAll, Pause, Crash, Misbehave, EndpointLink, EndpointLink, StoreLink, CallerLink, StoreDown, StoreForgets,
+	}
+)
+
+// Step is one thing that happens.
+type Step struct {
+	At   time.Duration
+	Kind Kind
+	// Target and Variant are drawn numbers; the world takes them modulo what it
+	// has.
+	Target  int
+	Variant int
+	// For is how long it lasts, where that has a meaning.
+	For time.Duration
+}
+
+// Times of a plan.
+const (
+	// quietStart leaves the daemons time to find each other.
+	quietStart = 3 * time.Second
+	// meanGap is the mean time between two steps; some follow at once.
+	meanGap = 900 * time.Millisecond
+	minFor  = 300 * time.Millisecond
+	maxFor  = 3 * time.Second
+)
+
+// New draws the steps of a run. Every fourth seed has planned work only, so that
+// what it must not harm is checked without any excuse.
+func New(seed uint64, length time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, 0x736f616b))
+	calm := seed%4 == 0
+	var steps []Step
+	for at := quietStart; at < length; at += time.Duration(rng.ExpFloat64() * float64(meanGap)) {
+		kinds := faults
+		if calm || rng.IntN(2) == 0 {
+			kinds = planned
+		}
+		steps = append(steps, Step{
+			At: at, Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16),
+			For: minFor + time.Duration(rng.Int64N(int64(maxFor-minFor))),
+		})
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
--- /dev/null
+++ b/tools/soak/world/happen.go
@@ -0,0 +1,235 @@
+package world
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/platform/standin"
+	"github.com/flamingomount/flamingomount/platform/wire"
+	"github.com/flamingomount/flamingomount/tools/soak/check"
+	"github.com/flamingomount/flamingomount/tools/soak/link"
+	"github.com/flamingomount/flamingomount/tools/soak/plan"
+)
+
+// Bounds on changes, as the platform's pages name them.
+const (
+	drainWithin    = 3 * time.Second
+	evacuateWithin = 5 * time.Second
+	// evacuateFor is long enough for the bound to be passed.
+	evacuateFor = 8 * time.Second
+	// lingerAfterDrain is how long an endpoint serves on after it was told to
+	// leave.
+	lingerAfterDrain = 5 * time.Second
+)
+
+// Run lets the plan happen under traffic, and returns what was seen.
+func (w *World) Run(steps []plan.Step) *check.Record {
+	traffic, stop := context.WithTimeout(context.Background(), w.opts.Length)
+	defer stop()
+	var happening conc.WaitGroup
+	started := time.Now()
+	w.callers(traffic)
+	for _, step := range steps {
+		time.Sleep(time.Until(started.Add(step.At)))
+		happening.Go(func() { w.happen(step) })
+	}
+	<-traffic.Done()
+	happening.Wait()
+	// Calls that have begun end within callWithin; late runs would show here.
+	time.Sleep(callWithin)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record.Calls, w.record.Runs = slices.Clone(w.calls), w.ledger.Runs()
+	w.record.Timed, w.record.Allowed = w.opts.Timed, w.allowed
+	return &w.record
+}
+
+// allowed reports whether some configuration of the run lets a run be.
+func (w *World) allowed(run standin.Run) bool {
+	switch {
+	case strings.HasPrefix(run.Path, standin.OrderPath):
+		return run.Service == desk || run.Service == annex
+	case strings.HasPrefix(run.Path, standin.StatusPath):
+		return run.Service == desk
+	case strings.HasPrefix(run.Path, standin.ReportPath):
+		return run.Service == engines && w.zoneOf[run.Endpoint] == homeRegion+zoneSuffix
+	}
+	return run.Service == engines
+}
+
+// happen lets one step happen and notes it.
+func (w *World) happen(step plan.Step) {
+	if step.Kind.Planned() {
+		w.planned(step)
+		return
+	}
+	target := w.daemons[step.Target%len(w.daemons)]
+	from := time.Now()
+	var daemon string
+	switch step.Kind {
+	case plan.Kill:
+		daemon = target.name
+		target.signal(syscall.SIGKILL)
+	case plan.KillAll:
+		for _, one := range w.daemons {
+			one.signal(syscall.SIGKILL)
+		}
+	case plan.Pause:
+		daemon = target.name
+		target.signal(syscall.SIGSTOP)
+		time.Sleep(step.For)
+		target.signal(syscall.SIGCONT)
+	case plan.StoreLink:
+		daemon = target.name
+		disturb(target.store, step)
+	case plan.CallerLink:
+		daemon = target.name
+		disturb(target.callers, step)
+	case plan.StoreDown:
+		w.store.SetFault([]standin.Fault{standin.Busy, standin.Limited, standin.Silent}[step.Variant%3])
+		time.Sleep(step.For)
+		w.store.SetFault(standin.None)
+	case plan.StoreForgets:
+		w.store.DropHistory()
+	default:
+		w.endpointFault(step)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record.Faults = append(w.record.Faults, check.Span{From: from, To: time.Now(), Daemon: daemon})
+}
+
+// disturb sets one of a link's bad modes for a while.
+func disturb(l *link.Link, step plan.Step) {
+	bad := []link.Mode{link.Slow, link.OneWay, link.Silent, link.Refuse}
+	l.Set(bad[step.Variant%len(bad)])
+	time.Sleep(step.For)
+	l.Set(link.Forward)
+}
+
+func (w *World) endpointFault(step plan.Step) {
+	one := w.pick(step)
+	switch step.Kind {
+	case plan.Crash:
+		w.remove(one)
+		one.Kill()
+		time.Sleep(step.For)
+		one.Withdraw()
+		// An endpoint that can't listen again is one fewer for the rest.
+		_, _ = w.addEndpoint(one.service, one.region)
+	case plan.Misbehave:
+		bad := []standin.Behaviour{{Break: 3}, {Swallow: 3}, {Spoil: 3}, {Fail: 3}}[step.Variant%4]
+		bad.Pause = workTime
+		one.SetBehaviour(bad)
+		time.Sleep(step.For)
+		one.SetBehaviour(standin.Behaviour{Pause: workTime})
+	case plan.EndpointLink:
+		disturb(one.link, step)
+	}
+}
+
+func (w *World) pick(step plan.Step) *endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endpoints[step.Target%len(w.endpoints)]
+}
+
+func (w *World) remove(one *endpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endpoints = slices.DeleteFunc(w.endpoints, func(other *endpoint) bool { return other == one })
+}
+
+// planned lets planned work happen.
+func (w *World) planned(step plan.Step) {
+	target := w.daemons[step.Target%len(w.daemons)]
+	switch step.Kind {
+	case plan.Move:
+		w.move(step)
+	case plan.Evacuate:
+		w.evacuate()
+	case plan.Drain:
+		w.drain(step)
+	case plan.Stop:
+		from := time.Now()
+		target.signal(syscall.SIGTERM)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		to := from.Add(time.Duration(graceS * float64(time.Second)))
+		w.record.Stops = append(w.record.Stops, check.Span{From: from, To: to, Daemon: target.name})
+	case plan.Reload:
+		target.signal(syscall.SIGHUP)
+	}
+}
+
+// change notes an acknowledged change and returns its place.
+func (w *World) change(change check.Change) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change.At = time.Now()
+	w.record.Changes = append(w.record.Changes, change)
+	return len(w.record.Changes) - 1
+}
+
+func (w *World) takenBack(at int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record.Changes[at].Until = time.Now()
+}
+
+// move lets the orders go to one of the two services. The change holds until the
+// next move.
+func (w *World) move(step plan.Step) {
+	to, other := desk, annex
+	if step.Variant%2 == 0 {
+		to, other = annex, desk
+	}
+	what := "orders moved to " + to
+	w.mu.Lock()
+	for at := range w.record.Changes {
+		if strings.HasPrefix(w.record.Changes[at].What, "orders moved") && w.record.Changes[at].Until.IsZero() {
+			w.record.Changes[at].Until = time.Now()
+		}
+	}
+	w.mu.Unlock()
+	w.publish(to)
+	w.change(check.Change{What: what, Within: configWithin, Forbids: func(run standin.Run) bool {
+		return strings.HasPrefix(run.Path, standin.OrderPath) && run.Service == other
+	}})
+}
+
+// evacuate takes the south out and back. Reports have one home only, the north,
+// which stays. One evacuation of a data centre follows another.
+func (w *World) evacuate() {
+	w.evacuating.Lock()
+	defer w.evacuating.Unlock()
+	zone := regions[1] + zoneSuffix
+	w.store.PutJSON(wire.EvacuatePrefix+zone, struct{}{})
+	at := w.change(check.Change{What: "evacuation of " + zone, Within: evacuateWithin, Forbids: func(run standin.Run) bool {
+		return w.zoneOf[run.Endpoint] == zone
+	}})
+	time.Sleep(evacuateFor)
+	w.takenBack(at)
+	w.store.Delete(wire.EvacuatePrefix + zone)
+}
+
+// drain replaces an endpoint: the new one comes first.
+func (w *World) drain(step plan.Step) {
+	one := w.pick(step)
+	if _, err := w.addEndpoint(one.service, one.region); err != nil {
+		return
+	}
+	w.remove(one)
+	one.Publish(wire.StateDraining)
+	w.change(check.Change{What: "leaving of " + one.id, Within: drainWithin, Forbids: func(run standin.Run) bool {
+		return run.Endpoint == one.id
+	}})
+	time.Sleep(lingerAfterDrain)
+	one.Withdraw()
+	one.Kill()
+}
