--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -67,6 +67,10 @@
 	overlap = 400 * time.Millisecond
 	// settle is how long after a fault a daemon may be behind.
 	settle = 5 * time.Second
+	// leastServed is the part of the undisturbed calls that has to be answered
+	// with success, judged from minCalls on.
+	leastServed = 0.95
+	minCalls    = 20
 )
 
 // All runs every check and returns what broke, sorted and without repeats.
@@ -96,10 +100,31 @@
 			broken = append(broken, fmt.Sprintf("route: %s %s ran at %s of %s", run.ID, run.Path, run.Endpoint, run.Service))
 		}
 	}
+	if r.Timed {
+		broken = append(broken, r.unserved()...)
+	}
 	slices.Sort(broken)
 	return slices.Compact(broken)
 }
 
+// unserved checks that callers are served while no fault excuses anything.
+func (r *Record) unserved() []string {
+	sent, served := 0, 0
+	for _, call := range r.Calls {
+		if r.disturbedAnywhere(call.Sent, call.Ended) {
+			continue
+		}
+		sent++
+		if call.Outcome.Status == 200 && call.Outcome.Whole {
+			served++
+		}
+	}
+	if sent < minCalls || float64(served) >= leastServed*float64(sent) {
+		return nil
+	}
+	return []string{fmt.Sprintf("unserved: %d of %d calls that no fault touched were answered", served, sent)}
+}
+
 // answer checks that a success is the whole answer to this very request, and
 // that no part of an answer is anything else.
 func answer(call Call) []string {
@@ -170,6 +195,13 @@
 	})
 }
 
+// disturbedAnywhere is disturbed for any daemon.
+func (r *Record) disturbedAnywhere(from, to time.Time) bool {
+	return slices.ContainsFunc(r.Faults, func(fault Span) bool {
+		return fault.From.Before(to) && fault.To.Add(settle).After(from)
+	})
+}
+
 // cutOff checks that a planned stop cut no request.
 func (r *Record) cutOff(call Call) []string {
 	stopping := slices.ContainsFunc(r.Stops, func(stop Span) bool {
--- /dev/null
+++ b/tools/soak/link/link_test.go
@@ -0,0 +1,96 @@
+package link_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/tools/soak/link"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "link")
+}
+
+var _ = Describe("Link", func() {
+	var one *link.Link
+	var arrived chan byte
+	BeforeEach(func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		arrived = make(chan byte, 16)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go echo(conn, arrived)
+			}
+		}()
+		one, err = link.New(listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { one.Close(); _ = listener.Close() })
+	})
+
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", one.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		return conn
+	}
+	// answered sends a byte and waits a little for it to come back.
+	answered := func(conn net.Conn) error {
+		_, err := conn.Write([]byte{1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))).To(Succeed())
+		_, err = io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+
+	It("forwards both ways, also slowly", func() {
+		conn := dial()
+		Expect(answered(conn)).To(Succeed())
+		one.Set(link.Slow)
+		Expect(answered(conn)).To(Succeed())
+	})
+
+	It("drops answers only, or everything, without closing", func() {
+		conn := dial()
+		one.Set(link.OneWay)
+		Expect(answered(conn)).To(MatchError(ContainSubstring("timeout")))
+		Eventually(arrived).Should(Receive())
+		one.Set(link.Silent)
+		Expect(answered(conn)).To(MatchError(ContainSubstring("timeout")))
+		Expect(arrived).NotTo(Receive())
+	})
+
+	It("resets what is open and what comes", func() {
+		conn := dial()
+		Expect(answered(conn)).To(Succeed())
+		one.Set(link.Refuse)
+		_, err := conn.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+		late := dial()
+		_, err = late.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+func echo(conn net.Conn, arrived chan<- byte) {
+	one := make([]byte, 1)
+	for {
+		if _, err := io.ReadFull(conn, one); err != nil {
+			return
+		}
+		arrived <- one[0]
+		if _, err := conn.Write(one); err != nil {
+			return
+		}
+	}
+}
--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/platform/standin"
@@ -91,12 +93,27 @@
 	return os.WriteFile(d.file, text, 0o600)
 }
 
+// free reports an error when another process has the daemon's addresses: its
+// answers would be taken for the daemon's.
+func (d *daemon) free() error {
+	for _, port := range []int{frontPort, readyPort, controlPort, directoryPort} {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", d.ip, port))
+		if err != nil {
+			return eris.Wrap(err, "another process has the daemon's address")
+		}
+		_ = listener.Close() // it was open until now
+	}
+	return nil
+}
+
 // keepRunning starts the daemon and starts it again until end is called.
 func (d *daemon) keepRunning() {
 	d.run.Go(func() {
 		for {
 			command := exec.Command(d.binary, "platform", "--settings", d.file)
 			command.Stdout, command.Stderr = d.log, d.log
+			// A soak that is killed leaves no daemons behind.
+			command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 			if !d.start(command) {
 				return
 			}
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -138,6 +138,9 @@
 		name: fmt.Sprintf("%s-%d", region, number), region: region, binary: w.opts.Binary,
 		ip: fmt.Sprintf("127.%d.%d.%d", firstNet+w.opts.Seed%nets, place+1, number+1),
 	}
+	if err := one.free(); err != nil {
+		return nil, err
+	}
 	var err error
 	if one.store, err = link.New(store); err != nil {
 		return nil, eris.Wrap(err, "link")
