--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/tools/soak/check"
+	"github.com/flamingomount/flamingomount/tools/soak/plan"
 	"github.com/flamingomount/flamingomount/tools/soak/world"
 )
 
@@ -42,4 +45,27 @@
 		GinkgoWriter.Println(summary)
 		Expect(broken).To(BeEmpty())
 	}, Entry("planned work", uint64(4)), Entry("faults", uint64(3)))
+
+	// Seeds 115 and 117: SIGHUP during a graceful stop ended the process at once.
+	It("cuts nothing when a daemon that stops is told to reload", func() {
+		dir, err := os.MkdirTemp("", "soak-ci-")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(os.RemoveAll, dir)
+		const seed = 117
+		one, err := world.New(context.Background(), world.Options{
+			Seed: seed, Binary: binary, Dir: dir, Length: shortRun, Daemons: 2, Callers: 6, Timed: true,
+		})
+		if one != nil {
+			defer one.Close()
+		}
+		Expect(err).NotTo(HaveOccurred())
+		var steps []plan.Step
+		for daemon := range 4 {
+			at := 2*time.Second + time.Duration(daemon)*time.Second
+			steps = append(steps,
+				plan.Step{At: at, Kind: plan.Stop, Target: daemon},
+				plan.Step{At: at + 100*time.Millisecond, Kind: plan.Reload, Target: daemon})
+		}
+		Expect(check.All(one.Run(steps))).NotTo(ContainElement(HavePrefix("lost")))
+	})
 })
