Keep large prompts at their prefix's home, however busy its region is

Requests whose home lay in a region with under a quarter of its places free stayed where they came in, spread over daemons that did not know what the others had sent. Change: the home is chosen among all regions that may run the request and can be reached; only what is refused there is tried elsewhere. Small requests leave their region when another has 0.2 of its places free (0.4). Which prefixes an engine holds is modelled by its memory, least recently used first, and forgotten when it may have restarted. Loads of regions and the draw between them stand in pkg/gateway/regions, without a network.

--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -57,6 +57,8 @@
 	inFlight int
 	// unread is the prompt work, in tokens, of requests without an answer yet.
 	unread float64
+	// cache models which large prefixes the endpoint holds.
+	cache cache
 	// sends holds the times of the last sends while cold, oldest first.
 	sends []time.Time
 	// failures and breaks count connection failures and broken answers in a row.
@@ -88,6 +90,15 @@
 	return 1
 }
 
+// cacheTokens is how many tokens of prefixes the endpoint is taken to hold.
+func (s *state) cacheTokens() int {
+	tokens := defaultCacheTokens
+	if s.isEngine() && s.service.Engine.CacheTokens > 0 {
+		tokens = s.service.Engine.CacheTokens
+	}
+	return int(float64(tokens) * cacheShare)
+}
+
 func (s *state) isEngine() bool {
 	return s.service != nil && s.service.Engine != nil
 }
@@ -193,8 +204,11 @@
 }
 
 // healthy ends a suspension. An endpoint that could not be reached before may
-// have restarted and be cold.
+// have restarted: its cache is empty, and it may be cold.
 func (s *state) healthy(now time.Time) {
+	if s.failures > 0 {
+		s.cache.clear()
+	}
 	if s.failures > 0 && s.service != nil && s.service.ColdPerSecond > 0 {
 		s.restartedColdUntil = now.Add(s.service.ColdStart + restartSlack)
 	}
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -19,7 +19,6 @@
 	daemons  int
 	states   map[types.EndpointID]*state
 	services map[types.ServiceName][]*state
-	warm     warmth
 	queues   map[types.ServiceName]*queue
 }
 
@@ -29,7 +28,6 @@
 		region: region, dc: dc, bounds: bounds, daemons: 1,
 		states:   make(map[types.EndpointID]*state),
 		services: make(map[types.ServiceName][]*state),
-		warm:     newWarmth(),
 		queues:   make(map[types.ServiceName]*queue),
 	}
 }
@@ -210,8 +208,8 @@
 	if one.cold(now) {
 		one.sends = append(one.sends, now)
 	}
-	if ask.Prefix != 0 {
-		p.warm.note(ask.Prefix, one.placed.ID, now)
+	if ask.PrefixTokens >= LargePrefix {
+		one.cache.note(ask.Prefix, ask.PrefixTokens, one.cacheTokens(), now)
 	}
 	return place
 }
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -23,9 +23,6 @@
 	// avoided, and stallCost what it then adds.
 	stallAfter = 700 * time.Millisecond
 	stallCost  = 2.0
-	// warmCredit is the part of a prefix that counts as cached at an endpoint
-	// which read it of late but is not the prefix's home.
-	warmCredit = 0.8
 	// coldCost keeps requests from cold endpoints while others are as good.
 	coldCost = 0.05
 	// otherDCCost keeps requests in the own data centre, since bytes between
@@ -71,17 +68,14 @@
 	return float64(spread) / (1 << 24) * smallest
 }
 
-// unread is how many prompt tokens the endpoint would have to read.
+// unread is how many prompt tokens the endpoint would have to read. A prefix
+// counts as cached at its home also before this daemon has sent it there:
+// another one may have, and the home should read it rather than any other.
 func (p *Pool) unread(ask Ask, one *state, home bool) float64 {
-	cached := 0.0
-	switch {
-	case ask.Prefix == 0:
-	case home:
-		cached = float64(ask.PrefixTokens)
-	case p.warm.holds(ask.Prefix, one.placed.ID):
-		cached = float64(ask.PrefixTokens) * warmCredit
+	if home || one.cache.holds(ask.Prefix) {
+		return max(float64(ask.PromptTokens-ask.PrefixTokens), 0)
 	}
-	return max(float64(ask.PromptTokens)-cached, 0)
+	return float64(ask.PromptTokens)
 }
 
 // homeOf returns the endpoint that a large prefix belongs to: the first by
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -42,6 +43,7 @@
 	fieldEndpoint = "X-Endpoint"
 	fieldAfter    = "X-After"
 	fieldAllowed  = "X-Allowed"
+	fieldPrefix   = "X-Prefix"
 )
 
 type testDialect struct{}
@@ -53,6 +55,9 @@
 	if allowed, err := time.ParseDuration(header.Get(fieldAllowed)); err == nil {
 		call.Allowed = allowed
 	}
+	if prefix, err := strconv.ParseUint(header.Get(fieldPrefix), 10, 64); err == nil {
+		call.Prefix, call.PrefixTokens, call.PromptTokens = prefix, 13_300, 17_000
+	}
 	return call, nil
 }
 
@@ -198,6 +203,7 @@
 	front   *httptest.Server
 	peers   *httptest.Server
 	snap    *control.Snapshot
+	gate    *gate.Gate
 }
 
 const service = types.ServiceName("svc")
@@ -229,10 +235,10 @@
 		RegionPeak: 1, View: view, Suspects: w.suspect,
 	}
 	pool := balance.NewPool(w.region, "", balance.Bounds{})
-	gate := gate.New(pool, time.Now)
-	gate.Update(view, balance.Sharers{Self: w.self, Peak: 1})
+	w.gate = gate.New(pool, time.Now)
+	w.update()
 	w.handler = proxy.New(proxy.Options{
-		Snapshot: func() *control.Snapshot { return w.snap }, Gate: gate, Dialect: testDialect{}, Reporter: w.reports,
+		Snapshot: func() *control.Snapshot { return w.snap }, Gate: w.gate, Dialect: testDialect{}, Reporter: w.reports,
 		Budgets: proxy.NewBudgets(w.ratio, w.burst), Log: w.reports, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
 		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
@@ -242,7 +248,13 @@
 	DeferCleanup(w.peers.CloseClientConnections)
 }
 
-// peerOf describes the world as a daemon to another one.
+// update hands the view to the balancer once more.
+func (w *world) update() {
+	view := *w.snap.View
+	w.gate.Update(&view, balance.Sharers{Self: w.self, Peak: 1})
+}
+
+// asMember describes the world as a daemon to another one.
 func (w *world) asMember() members.Member {
 	return members.Member{VM: types.VMID(w.peers.Listener.Addr().String()), Region: w.region, State: members.Serving}
 }
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -8,6 +8,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/gateway/regions"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -50,24 +51,29 @@
 }
 
 // prefixHome finds the daemon that sends large prompts to the endpoint where the
-// request's prefix is kept, unless that is this one or its region has no room.
-// The whole fleet then reads a prefix once, and one daemon knows how much each
-// endpoint has to read.
+// request's prefix is kept, unless that is this one. The whole fleet then reads
+// a prefix once, and one daemon knows how much each endpoint has to read. A home
+// is not left because its region is busy: elsewhere the prefix would be read
+// anew, which costs a busy fleet more than it saves.
 func (r *run) prefixHome(snap *control.Snapshot) (members.Member, bool) {
 	if r.req.From != "" || r.hops > 0 || r.sent > 0 || r.req.PrefixTokens < balance.LargePrefix {
 		return members.Member{}, false
 	}
-	home, found := balance.PrefixHome(snap.View.Endpoints[r.req.Service], r.req.Prefix, r.req.Route.Allows)
+	home, found := balance.PrefixHome(snap.View.Endpoints[r.req.Service], r.req.Prefix, r.usable(snap))
 	if !found {
 		return members.Member{}, false
 	}
-	if home.Region != snap.Self.Region && freePlaces(snap, r.req.Service)[home.Region].share() < homeRoom {
-		return members.Member{}, false
-	}
 	owner, found := ownerOf(home.ID, snap.InRegion(home.Region))
 	return owner, found && owner.VM != snap.Self.VM
 }
 
+// usable tells the regions whose daemons may take the request.
+func (r *run) usable(snap *control.Snapshot) func(types.Region) bool {
+	return func(region types.Region) bool {
+		return r.req.Route.Allows(region) && len(snap.InRegion(region)) > 0
+	}
+}
+
 // ownerOf picks the daemon that sends an endpoint its large prompts, so that one
 // daemon knows how much the endpoint has to read.
 func ownerOf(endpoint types.EndpointID, serving []members.Member) (members.Member, bool) {
@@ -110,74 +116,21 @@
 const (
 	// overflowRoom is for requests that could also wait here: news of the other
 	// region are late, and it keeps room for its own callers.
-	overflowRoom = 0.4
-	// homeRoom is for requests whose prefix is kept in the region.
-	homeRoom = 0.25
+	overflowRoom = 0.2
 	// mustRoom is for requests that can't run here.
 	mustRoom = 0.0
 )
 
-// choose picks a region by its free places and a daemon there at random.
+// choose picks another region by its free places and a daemon there at random.
 func (r *run) choose(snap *control.Snapshot, leastFree float64) (members.Member, bool) {
-	var chosen []members.Member
-	var total float64
-	for region, free := range freePlaces(snap, r.req.Service) {
-		if region == snap.Self.Region || !r.req.Route.Allows(region) || free.share() <= leastFree && leastFree > 0 {
-			continue
-		}
-		serving := snap.InRegion(region)
-		if len(serving) == 0 {
-			continue
-		}
-		weight := max(free.places, minWeight)
-		total += weight
-		if route.Float64(r.h.opts.Rand)*total < weight {
-			chosen = serving
-		}
-	}
-	if len(chosen) == 0 {
+	usable := r.usable(snap)
+	loads := regions.Loads(snap.View, snap.Members, r.req.Service)
+	region, found := regions.Overflow(loads, leastFree, func(region types.Region) bool {
+		return region != snap.Self.Region && usable(region)
+	}, r.h.opts.Rand)
+	if !found {
 		return members.Member{}, false
 	}
-	return chosen[route.IntN(r.h.opts.Rand, len(chosen))], true
-}
-
-// minWeight keeps a region without free places in the draw.
-const minWeight = 0.5
-
-// room is what a region has for a service.
-type room struct {
-	slots  float64
-	places float64
-}
-
-func (f room) share() float64 {
-	if f.slots == 0 {
-		return 0
-	}
-	return f.places / f.slots
-}
-
-// freePlaces estimates the free places of each region with endpoints of the
-// service, from what the daemons there said last.
-func freePlaces(snap *control.Snapshot, service types.ServiceName) map[types.Region]room {
-	found := make(map[types.Region]room)
-	for _, endpoint := range snap.View.Endpoints[service] {
-		free := found[endpoint.Region]
-		free.slots += float64(max(endpoint.Slots, 1))
-		free.places = free.slots
-		found[endpoint.Region] = free
-	}
-	for _, member := range snap.Members {
-		free, known := found[member.Region]
-		if !known {
-			continue
-		}
-		for _, load := range member.Loads {
-			if load.Service == service {
-				free.places -= float64(load.InFlight + load.Waiting)
-			}
-		}
-		found[member.Region] = free
-	}
-	return found
+	serving := snap.InRegion(region)
+	return serving[route.IntN(r.h.opts.Rand, len(serving))], true
 }
--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -352,6 +354,26 @@
 		Expect(e.count()).To(Equal(1))
 	})
 
+	It("runs large prompts where their prefix is kept, however busy it is", func() {
+		north, own := newEndpoint(answerOK), newEndpoint(answerOK)
+		south, _ := pair(catalog.Idempotent, nil, north)
+		view := south.snap.View
+		view.Endpoints[service] = append(view.Endpoints[service], catalog.Placed{Endpoint: &catalog.Endpoint{
+			ID: "own", Service: service, Address: own.address(), Region: "south", Slots: 4,
+		}})
+		south.update()
+		south.snap.Members[0].Loads = []members.Load{{Service: service, InFlight: 1000}}
+		homes := map[types.Region]int{}
+		for prefix := range uint64(20) {
+			home, _ := balance.PrefixHome(view.Endpoints[service], prefix, func(types.Region) bool { return true })
+			homes[home.Region]++
+			Expect(south.call("GET", "/r/", "", fieldPrefix, strconv.FormatUint(prefix, 10)).status).To(Equal(200))
+		}
+		Expect(homes).To(HaveLen(2))
+		Expect(north.count()).To(Equal(homes["north"]))
+		Expect(own.count()).To(Equal(homes["south"]))
+	})
+
 	It("passes its streams on, and the end of a caller", func() {
 		south, _ := pair(catalog.Streaming, []types.Region{"north"}, newEndpoint(events(3, 0)))
 		got := south.call("POST", "/r/", "x")
