Add flamingomount trace, and a check of the platform's settings

Cause: on-call engineers have only logs, and a request that was forwarded leaves lines at two daemons whose clocks differ; there was no command that joins them, and no way to check a settings file without serving. Change: pkg/trace joins JSON lines of several daemons by request, orders them by hop, adds what those daemons came to believe shortly before, and names the cause in one sentence; flamingomount trace ID FILE... prints it.

--- a/cmd/flamingomountd/platform.go
+++ b/cmd/flamingomountd/platform.go
@@ -13,15 +13,21 @@
 // newPlatformCommand runs an entry on the users' platform.
 func newPlatformCommand() *cobra.Command {
 	var file string
+	var check bool
 	command := &cobra.Command{
 		Use:   "platform",
 		Short: "Runs one entry on the users' platform, with the settings file that it writes",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			const usualPath = "/etc/flamingomount/local.toml"
-			return platform.Run(cmp.Or(file, os.Getenv(wire.SettingsVariable), usualPath), os.Stdout)
+			path := cmp.Or(file, os.Getenv(wire.SettingsVariable), usualPath)
+			if check {
+				return platform.Check(path)
+			}
+			return platform.Run(path, os.Stdout)
 		},
 	}
 	command.Flags().StringVar(&file, "settings", "", "path of the settings file; default: $"+wire.SettingsVariable)
+	command.Flags().BoolVar(&check, "check", false, "only check the settings file; status 2 when it can't be used")
 	return command
 }
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -7,6 +7,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/cli/fleet"
 	"github.com/flamingomount/flamingomount/pkg/cli/publish"
+	"github.com/flamingomount/flamingomount/pkg/cli/trace"
 	"github.com/flamingomount/flamingomount/pkg/cli/trial"
 )
 
@@ -20,6 +21,7 @@
 	}
 	root.AddCommand(publish.Commands()...)
 	root.AddCommand(fleet.Commands()...)
+	root.AddCommand(trace.Command())
 	root.AddCommand(trial.Command())
 	return root
 }
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -179,6 +179,9 @@
 		"request": r.req.ID, "route": r.req.Route.Name, "service": r.req.Service, "status": r.status,
 		"sent": r.sent, "verdict": r.verdict, "took_ms": took.Milliseconds(), "waited_ms": r.waited.Milliseconds(),
 	}
+	if view := r.h.opts.Snapshot().View; view.Config != nil {
+		fields["config"], fields["revision"] = view.Config.Version, view.Complete
+	}
 	if len(r.tried) > 0 {
 		fields["endpoints"] = r.tried
 	}
--- /dev/null
+++ b/pkg/trace/trace_test.go
@@ -0,0 +1,72 @@
+package trace_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/trace"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestTrace(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "trace")
+}
+
+// played holds lines of a played day: two daemons, clocks 60 ms apart.
+const played = `
+   5.0001 singapore-2 {"time":"2026-09-09T19:43:42.867Z","level":"info","msg":"endpoint takes no more requests","endpoint":"i-80","service":"s"}
+   5.0001 singapore-2 {"time":"2026-09-09T19:43:42.867Z","level":"warning","msg":"data centre is being evacuated","data_centre":"frankfurt-a"}
+not a line of ours
+   9.1 colombo-2 {"time":"2026-09-09T19:43:48.649Z","level":"warning","msg":"request failed","code":"endpoint_failed","endpoints":["daemon 10.5.0.20:8646"],"reason":"refused by the other daemon","region":"singapore","request":"crash","service":"s","status":502,"sent":2,"took_ms":2625,"verdict":"may-have-run","waited_ms":0}
+   9.1 singapore-2 {"time":"2026-09-09T19:43:48.591Z","level":"warning","msg":"request failed","cause":"read: connection timed out","code":"endpoint_failed","endpoints":["i-e4"],"from":"10.1.0.30:8646","reason":"the connection to the endpoint broke","request":"crash","service":"s","status":502,"sent":1,"took_ms":2500,"verdict":"may-have-run","waited_ms":0}
+   9.2 colombo-3 {"time":"2026-09-09T19:43:48.9Z","level":"warning","msg":"request failed","code":"answer_incomplete","endpoints":["i-e4"],"request":"beside","service":"s","status":502,"sent":1,"verdict":"may-have-run"}
+   9.3 colombo-3 {"time":"2026-09-09T19:43:49.9Z","level":"warning","msg":"request failed","code":"endpoint_failed","endpoints":["i-77"],"request":"lost","service":"s","status":502,"sent":1,"verdict":"may-have-run"}
+   9.4 singapore-2 {"time":"2026-09-09T19:43:46.073Z","level":"warning","msg":"request failed","code":"overloaded","from":"10.1.0.30:8646","reason":"the service has no room in time","request":"full","service":"s","status":503,"verdict":"not-run"}
+   9.4 colombo-2 {"time":"2026-09-09T19:43:46.421Z","level":"info","msg":"request answered","endpoints":["daemon 10.2.0.11:8646","i-af"],"request":"second","service":"s","status":200,"sent":1,"took_ms":422,"verdict":"ran","waited_ms":339}
+   9.4 singapore-2 {"time":"2026-09-09T19:43:46.073Z","level":"warning","msg":"request failed","code":"overloaded","from":"10.1.0.30:8646","request":"second","service":"s","status":503,"verdict":"not-run"}
+   9.5 colombo-2 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"deadline_exceeded","endpoints":["i-af"],"request":"slow","service":"s","status":504,"sent":1,"took_ms":4000,"verdict":"may-have-run","waited_ms":300}
+   9.6 colombo-2 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","endpoints":["i-81","i-82"],"request":"own","service":"s","status":500,"sent":2,"verdict":"ran"}
+   9.7 colombo-3 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"endpoint_failed","endpoints":["daemon 10.9.9.9:1"],"request":"hop","service":"s","status":502,"sent":2,"verdict":"may-have-run"}
+`
+
+var _ = Describe("a story", func() {
+	lines, skipped, err := trace.Read(strings.NewReader(played), "joined")
+
+	It("is read from a joined log, whatever stands between the lines", func() {
+		Expect(err).NotTo(HaveOccurred())
+		Expect(skipped).To(Equal(2))
+		Expect(lines[0].Source).To(Equal("singapore-2"))
+	})
+
+	It("begins with the daemon that took the request, whatever the clocks say", func() {
+		story := trace.Tell(lines, "crash")
+		Expect(story.Steps).To(HaveLen(2))
+		Expect(story.Steps[0].Source).To(Equal("colombo-2"))
+	})
+
+	DescribeTable("names the cause", func(id string, want ...string) {
+		story := trace.Tell(lines, types.RequestID(id))
+		for _, part := range want {
+			Expect(story.Cause).To(ContainSubstring(part))
+		}
+		var out strings.Builder
+		Expect(story.Print(&out)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("cause: " + story.Cause))
+	},
+		Entry("a crash, behind a hop", "crash", "may have run", "i-e4 crashed", "1 other"),
+		Entry("a lost answer", "lost", "may have run", "i-77", "no other request broke there"),
+		Entry("no room, and why", "full", "not run", "no room", "frankfurt-a was being evacuated", "1 endpoints had left"),
+		Entry("an answer after a refusal elsewhere", "second", "answered by endpoint i-af"),
+		Entry("a deadline", "slow", "300 ms waiting", "3700 ms at endpoint i-af"),
+		Entry("an endpoint's own failure", "own", "i-82 answered 500 itself"),
+		Entry("a lost daemon", "hop", "10.9.9.9:1", "no line on the request"),
+	)
+
+	It("of a request that no line is about is none", func() {
+		Expect(trace.Tell(lines, "unknown")).To(BeNil())
+	})
+})
