Remove what stood twice: homes of prefixes, requests of both origins, answers of stand-ins

The search for a prefix's home ran twice over two types, accept and openEnvelope each built a Request, and three stand-ins had the same writeJSON. Behaviour stays; tests pass unchanged.

--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -78,37 +78,41 @@
 	return float64(ask.PromptTokens)
 }
 
-// homeOf returns the endpoint that a large prefix belongs to: the first by
-// rendezvous among the eligible ones, which every daemon finds alike.
+// homeOf returns the endpoint that a large prefix belongs to among the eligible
+// ones, which every daemon finds alike; nil for other requests.
 func homeOf(ask Ask, eligible []*state) *state {
 	if ask.PrefixTokens < LargePrefix {
 		return nil
 	}
-	var first *state
-	var highest uint64
-	for _, one := range eligible {
-		if weight := prefixWeight(ask.Prefix, one.placed.ID); first == nil || weight > highest {
-			first, highest = one, weight
-		}
-	}
-	return first
+	home, _ := first(ask.Prefix, eligible, func(one *state) types.EndpointID { return one.placed.ID })
+	return home
 }
 
 // PrefixHome returns the endpoint, of any region that is allowed, that a large
 // prefix belongs to. Within its region it is the one that a Pool prefers.
 func PrefixHome(endpoints []catalog.Placed, prefix uint64, allowed func(types.Region) bool) (catalog.Placed, bool) {
-	var first catalog.Placed
+	return first(prefix, endpoints, func(one catalog.Placed) types.EndpointID {
+		if !allowed(one.Region) {
+			return ""
+		}
+		return one.ID
+	})
+}
+
+// first returns the endpoint that comes first for a prefix by rendezvous. Those
+// without an ID are left out.
+func first[E any](prefix uint64, endpoints []E, idOf func(E) types.EndpointID) (best E, found bool) {
 	var highest uint64
-	found := false
 	for _, one := range endpoints {
-		if !allowed(one.Region) {
+		id := idOf(one)
+		if id == "" {
 			continue
 		}
-		if weight := prefixWeight(prefix, one.ID); !found || weight > highest {
-			first, highest, found = one, weight, true
+		if weight := prefixWeight(prefix, id); !found || weight > highest {
+			best, highest, found = one, weight, true
 		}
 	}
-	return first, found
+	return best, found
 }
 
 func prefixWeight(prefix uint64, id types.EndpointID) uint64 {
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -155,11 +155,9 @@
 		call.ResumeAfter = note.ResumeAfter
 	}
 	now := h.opts.Now()
-	req := &Request{
-		Call: call, Method: r.Method, Path: pathOf(r), Query: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
-		Host: r.Host, Header: header, Body: body, Route: note.Route, Service: note.Service, Model: note.Model,
-		Attempts: note.Attempts, Arrived: now.Add(-max(note.Waited, 0)), Deadline: now.Add(note.Left), From: note.From,
-	}
+	req := newRequest(r, call, note.Route)
+	req.Body, req.Service, req.Model, req.Attempts, req.From = body, note.Service, note.Model, note.Attempts, note.From
+	req.Arrived, req.Deadline = now.Add(-max(note.Waited, 0)), now.Add(note.Left)
 	if note.CallerLimited {
 		req.CallerUntil = req.Deadline
 	}
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -151,11 +151,8 @@
 	if err != nil {
 		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, err.Error())
 	}
-	req := &Request{
-		Call: call, Method: r.Method, Path: pathOf(r), Query: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
-		Host: r.Host, Header: header, Route: found, Service: found.ServiceFor(string(call.ID)),
-		Attempts: max(found.MaxAttempts, 1), Arrived: arrived,
-	}
+	req := newRequest(r, call, found)
+	req.Service, req.Attempts, req.Arrived = found.ServiceFor(string(call.ID)), max(found.MaxAttempts, 1), arrived
 	if service := config.Services[req.Service]; service != nil {
 		req.Model = service.Engine != nil
 	}
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -43,6 +43,14 @@
 	From types.VMID
 }
 
+// newRequest takes what a caller's own request and a forwarded one have in common.
+func newRequest(r *http.Request, call Call, route *catalog.Route) *Request {
+	return &Request{
+		Call: call, Route: route, Header: r.Header, Host: r.Host,
+		Method: r.Method, Path: pathOf(r), Query: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+	}
+}
+
 // target returns the URL of the request at an address, with path and query as
 // they were sent.
 func (r *Request) target(address string) *url.URL {
--- a/pkg/standin/engine/reports.go
+++ b/pkg/standin/engine/reports.go
@@ -8,6 +8,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/flamingomount/flamingomount/pkg/standin/reply"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -50,7 +51,7 @@
 		report = kept
 	}
 	e.mu.Unlock()
-	writeJSON(w, report)
+	reply.JSON(w, report)
 }
 
 // eventsAnswer is the answer to a read of the cache events.
@@ -65,7 +66,7 @@
 	events := e.cache.since(after, time.Now(), e.opts.ReportLag, e.opts.DropEvents)
 	next := e.cache.newest(time.Now(), e.opts.ReportLag)
 	e.mu.Unlock()
-	writeJSON(w, eventsAnswer{Events: events, Next: next})
+	reply.JSON(w, eventsAnswer{Events: events, Next: next})
 }
 
 // Order asks an engine to load or unload a version or to change its role.
@@ -92,7 +93,7 @@
 }
 
 func (e *Engine) serveOrderState(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	writeJSON(w, e.State())
+	reply.JSON(w, e.State())
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -112,7 +113,7 @@
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
 	}
-	writeJSON(w, state)
+	reply.JSON(w, state)
 }
 
 func (e *Engine) apply(order Order, fencing uint64) (OrderState, bool) {
@@ -132,8 +133,3 @@
 	}
 	return e.state, true
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/pkg/standin/plain/plain.go
+++ b/pkg/standin/plain/plain.go
@@ -4,12 +4,12 @@
 package plain
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/standin/reply"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -95,7 +95,7 @@
 		w.mu.Lock()
 		report := load{TakenAt: time.Now(), Running: w.running}
 		w.mu.Unlock()
-		writeJSON(rw, report)
+		reply.JSON(rw, report)
 		return
 	}
 	rw.Header().Set(types.HeaderAttemptID, r.Header.Get(types.HeaderAttemptID))
@@ -123,7 +123,7 @@
 	case FaultCrossed:
 		rw.Header().Set(types.HeaderAttemptID, "crossed")
 	}
-	writeJSON(rw, answer)
+	reply.JSON(rw, answer)
 }
 
 func (w *Worker) run(key string, body []byte, delay time.Duration) Answer {
@@ -138,8 +138,3 @@
 	w.mu.Unlock()
 	return answer
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/pkg/standin/platform/platform.go
+++ b/pkg/standin/platform/platform.go
@@ -5,7 +5,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +15,7 @@
 
 	api "github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/platform/httpplatform"
+	"github.com/flamingomount/flamingomount/pkg/standin/reply"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -215,7 +215,7 @@
 		http.Error(w, "unknown key", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, found.value)
+	reply.JSON(w, found.value)
 }
 
 func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -235,7 +235,7 @@
 	p.mu.Lock()
 	p.lists++
 	p.mu.Unlock()
-	writeJSON(w, shown)
+	reply.JSON(w, shown)
 }
 
 func (p *Platform) serveDirectory(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -248,7 +248,7 @@
 			answer.Entries = append(answer.Entries, vm.Address)
 		}
 	}
-	writeJSON(w, answer)
+	reply.JSON(w, answer)
 }
 
 func (p *Platform) serveWeights(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
@@ -263,10 +263,5 @@
 		http.Error(w, "unknown weights", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, httpplatform.SizeAnswer{SizeBytes: size})
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
+	reply.JSON(w, httpplatform.SizeAnswer{SizeBytes: size})
 }
