Let a daemon beside the endpoint send it its large prompts

Cause: the daemon that sends an endpoint its large prompts was drawn from the whole region, so that half of the prompts crossed between data centres twice: to that daemon and on to the endpoint. Change: it is drawn from the endpoint's own data centre while one serves there. Nothing changes with one data centre in a region.

--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/regions"
@@ -63,7 +64,7 @@
 	if !found {
 		return members.Member{}, false
 	}
-	owner, found := ownerOf(home.ID, snap.InRegion(home.Region))
+	owner, found := ownerOf(home, snap.InRegion(home.Region))
 	return owner, found && owner.VM != snap.Self.VM
 }
 
@@ -75,13 +76,18 @@
 }
 
 // ownerOf picks the daemon that sends an endpoint its large prompts, so that one
-// daemon knows how much the endpoint has to read.
-func ownerOf(endpoint types.EndpointID, serving []members.Member) (members.Member, bool) {
+// daemon knows how much the endpoint has to read: one of the endpoint's own data
+// centre, if any serves, since bytes between data centres are dear.
+func ownerOf(endpoint catalog.Placed, serving []members.Member) (members.Member, bool) {
+	inside := slices.DeleteFunc(slices.Clone(serving), func(one members.Member) bool { return one.DataCentre != endpoint.DataCentre })
+	if len(inside) > 0 {
+		serving = inside
+	}
 	if len(serving) == 0 {
 		return members.Member{}, false
 	}
 	return slices.MaxFunc(serving, func(a, b members.Member) int {
-		return cmp.Compare(rendezvous.Weight(string(endpoint), a.VM), rendezvous.Weight(string(endpoint), b.VM))
+		return cmp.Compare(rendezvous.Weight(string(endpoint.ID), a.VM), rendezvous.Weight(string(endpoint.ID), b.VM))
 	}), true
 }
 
--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -374,6 +374,25 @@
 		Expect(own.count()).To(Equal(homes["south"]))
 	})
 
+	It("takes large prompts by a daemon beside the endpoint", func() {
+		here, there := newEndpoint(answerOK), newEndpoint(answerOK)
+		south, north := pair(catalog.Idempotent, nil, there)
+		other := newWorld(catalog.Idempotent)
+		other.start(here)
+		near, far := north.asMember(), other.asMember()
+		near.DataCentre, far.DataCentre = "north-a", "north-b"
+		south.snap.Members = []members.Member{near, far}
+		for _, placed := range south.snap.View.Endpoints[service] {
+			placed.DataCentre = "north-a"
+		}
+		south.update()
+		for prefix := range 20 {
+			Expect(south.call("GET", "/r/", "", fieldPrefix, strconv.Itoa(prefix)).status).To(Equal(200))
+		}
+		Expect(there.count()).To(Equal(20))
+		Expect(here.count()).To(BeZero())
+	})
+
 	It("passes its streams on, and the end of a caller", func() {
 		south, _ := pair(catalog.Streaming, []types.Region{"north"}, newEndpoint(events(3, 0)))
 		got := south.call("POST", "/r/", "x")
