Let daemons that know nobody ask all seeds; pass on a busy region's advice

And 320 orders that a busy region had refused were told 'no endpoint' with half a second's advice, since the last word was that no other place was left to ask. Ruled out: the store (each daemon had the configuration within 10 to 260 ms of its start); endpoints that the daemons disagree on (all knew the same one). Change: a daemon that has just started and knows nobody asks all of its seeds at each beat. A refusal for want of room is passed on with its advice when no other place is left. Test of the seeds: the loop asserted on one beat after joining had ended, where only its random numbers made it pass; it now asserts on every joining beat, and a further one asks for all three seeds.

--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -249,7 +249,8 @@
 
 // Targets returns the daemons that the next heartbeat goes to: one of the own
 // data centre each time, and now and then a seed that is not known, which joins
-// tables that grew apart. One daemon of each data centre, the first by
+// tables that grew apart; a daemon that has just started and knows nobody asks
+// all of its seeds. One daemon of each data centre, the first by
 // rendezvous, speaks to one daemon of each other data centre. So the traffic
 // between data centres does not grow with the daemons.
 func (t *Table) Targets(now time.Time, rand route.Rand) []types.VMID {
@@ -263,6 +264,8 @@
 		}
 	}
 	switch {
+	case t.Joining() && len(inside)+len(outside) == 0:
+		targets = append(targets, t.seeds...)
 	case t.Joining():
 		targets = appendOne(targets, t.seeds, rand)
 	case len(inside)+len(outside) == 0 || t.self.Beat%seedEvery == 0:
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -66,9 +66,10 @@
 	It("asks its seeds while it knows nobody, and goes on asking unknown ones", func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		Expect(table.Targets(start, random)).To(ConsistOf(types.VMID("seed:1")))
+		several := members.New(table.Self(), []types.VMID{"seed:1", "seed:2", "seed:3"})
+		Expect(several.Targets(start, rand.New(rand.NewPCG(3, 4)))).To(ConsistOf(types.VMID("seed:1"), types.VMID("seed:2"), types.VMID("seed:3")))
 		table.Merge([]members.Member{member("a:1", 1)}, start)
-		for table.Joining() {
-			table.Beat(nil)
+		for table.Beat(nil); table.Joining(); table.Beat(nil) {
 			Expect(table.Targets(start, random)).To(ContainElement(types.VMID("seed:1")))
 			table.Merge([]members.Member{member("seed:1", table.Self().Beat)}, start)
 		}
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -248,6 +249,25 @@
 	DeferCleanup(w.peers.CloseClientConnections)
 }
 
+// fill takes every place of the region's endpoints, those for waiting requests
+// included, until the returned function is called.
+func (w *world) fill(e *endpoint) (release func()) {
+	ask := balance.Ask{Service: service, Rank: w.route.Rank, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+	ctx, cancel := context.WithCancel(context.Background())
+	for {
+		place, _ := w.gate.Try(ask)
+		if place == nil {
+			break
+		}
+	}
+	const waiting = 512
+	for range waiting {
+		go func() { _, _, _ = w.gate.Acquire(ctx, ask) }()
+	}
+	Eventually(func() int { return w.gate.Loads()[0].Waiting }, patience).Should(Equal(waiting))
+	return cancel
+}
+
 // update hands the view to the balancer once more.
 func (w *world) update() {
 	view := *w.snap.View
--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -412,6 +412,19 @@
 		Expect(es[0].count() + es[1].count() + es[2].count()).To(Equal(2))
 	})
 
+	It("passes on when a busy region will have room, where none is left to ask", func() {
+		busy := newEndpoint(answerOK)
+		south, north := pair(catalog.NonIdempotent, []types.Region{"north"}, busy)
+		held := north.fill(busy)
+		defer held()
+		got := south.call("POST", "/r/", "x")
+		Expect(got.status).To(Equal(503))
+		Expect(got.body).To(ContainSubstring(string(types.CodeOverloaded)))
+		advice, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(advice).To(BeNumerically(">=", 0.7))
+	})
+
 	It("says that a request was not run when it was refused there", func() {
 		south, _ := pair(catalog.NonIdempotent, []types.Region{"north"}, newEndpoint(refuse), newEndpoint(refuse))
 		got := south.call("POST", "/r/", "x")
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -76,18 +76,28 @@
 	if r.quarantined {
 		return notRun(types.CodeQuarantined, "this content crashed several endpoints", 0)
 	}
+	var last *types.Failure
 	for {
 		where, failure := r.place(r.h.opts.Snapshot())
 		if failure != nil {
-			return failure
+			return moreTelling(last, failure)
 		}
-		failure = r.try(where)
-		if failure == nil || !r.again(failure) {
-			return failure
+		last = r.try(where)
+		if last == nil || !r.again(last) {
+			return last
 		}
 	}
 }
 
+// moreTelling prefers the refusal of an attempt, which knows when there will be
+// room, to the lack of another place to try.
+func moreTelling(last, failure *types.Failure) *types.Failure {
+	if last != nil && last.Code == types.CodeOverloaded && last.RetryAfter > 0 && failure.Code == types.CodeNoEndpoint {
+		return last
+	}
+	return failure
+}
+
 // try makes one attempt. The daemon that places the request first credits the
 // retry budget with it, so that a forwarded request counts once.
 func (r *run) try(where destination) *types.Failure {
