--- a/tools/soak/world/callers.go
+++ b/tools/soak/world/callers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
 	"github.com/flamingomount/flamingomount/tools/soak/check"
 )
@@ -44,7 +45,7 @@
 	}
 }
 
-func (w *World) caller(ctx context.Context, region string, number int) {
+func (w *World) caller(ctx context.Context, region types.Region, number int) {
 	rng := rand.New(rand.NewPCG(w.opts.Seed, uint64(number)))
 	sent := 0
 	for ctx.Err() == nil {
@@ -67,11 +68,11 @@
 }
 
 // entryFor asks a directory for the entries of a region and picks one.
-func (w *World) entryFor(ctx context.Context, region string, rng *rand.Rand) *daemon {
+func (w *World) entryFor(ctx context.Context, region types.Region, rng *rand.Rand) *daemon {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asked := w.daemons[rng.IntN(len(w.daemons))]
-	addresses, err := standin.Resolve(ctx, asked.directory(), host, region, region+zoneSuffix)
+	addresses, err := standin.Resolve(ctx, asked.directory(), host, region, dataCentreOf(region))
 	if err != nil || len(addresses) == 0 {
 		return nil
 	}
--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -11,12 +11,13 @@
 	"syscall"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/entry"
+	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
-	"github.com/flamingomount/flamingomount/platform/wire"
 	"github.com/flamingomount/flamingomount/tools/soak/link"
 )
 
@@ -30,9 +31,9 @@
 
 // Bounds that the daemons are told.
 const (
-	graceS       = 4.0
+	grace        = 4 * time.Second
 	configWithin = 3 * time.Second
-	memoryMB     = 284
+	memoryBytes  = 284 << 20
 )
 
 // restartAfter is the delay before a daemon that ended starts again.
@@ -41,7 +42,7 @@
 // daemon is one process of the gateway, restarted whenever it ends.
 type daemon struct {
 	name   string
-	region string
+	region types.Region
 	ip     string
 	binary string
 	file   string
@@ -66,31 +67,25 @@
 	return fmt.Sprintf("%s:%d", d.ip, frontPort)
 }
 
+func (d *daemon) readiness() string {
+	return fmt.Sprintf("%s:%d", d.ip, readyPort)
+}
+
 func (d *daemon) control() string {
 	return fmt.Sprintf("%s:%d", d.ip, controlPort)
 }
 
 // settings writes the daemon's settings file.
-func (d *daemon) settings(dir string, zones map[string]string, seeds []string) error {
-	settings := wire.Settings{
-		Node: d.name, Zone: d.region + zoneSuffix, Region: d.region, Seeds: seeds, Zones: zones,
-		Listen: wire.Listen{
-			Front: d.front(), Ready: fmt.Sprintf("%s:%d", d.ip, readyPort),
-			Control: d.control(), Directory: d.directory(),
-		},
-		Limits: wire.Limits{MemoryMB: memoryMB},
-		Bounds: wire.Bounds{
-			GraceS: graceS, ConfigMS: float64(configWithin.Milliseconds()), RetryBudgetRatio: 0.2, BudgetSlack: 56,
-			ColdOvershoot: 1.5, ColdSlack: 3, DirectoryTTLS: 5,
-		},
-		Provider: wire.Provider{Address: d.store.Address()},
-	}
-	text, err := toml.Marshal(settings)
-	if err != nil {
-		return err
-	}
+func (d *daemon) settings(dir string, seeds []types.VMID) error {
 	d.file = filepath.Join(dir, d.name+".toml")
-	return os.WriteFile(d.file, text, 0o600)
+	return standin.Settings{
+		Settings: entry.Settings{
+			Region: d.region, DataCentre: dataCentreOf(d.region), Callers: d.front(), Peers: d.control(), Seeds: seeds,
+			MemoryBytes: memoryBytes, ConfigWithin: configWithin, Grace: grace,
+			Cold: balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3}, RetryRatio: 0.2, RetrySlack: 56,
+		},
+		Ready: d.readiness(), Directory: d.directory(), Store: d.store.Address(), Regions: dataCentres(),
+	}.Write(d.file)
 }
 
 // free reports an error when another process has the daemon's addresses: its
@@ -162,5 +157,5 @@
 
 // ready reports whether the daemon takes callers.
 func (d *daemon) ready(ctx context.Context) bool {
-	return standin.Ready(ctx, fmt.Sprintf("%s:%d", d.ip, readyPort))
+	return standin.Ready(ctx, d.readiness())
 }
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -10,7 +10,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/platform/standin"
-	"github.com/flamingomount/flamingomount/platform/wire"
 	"github.com/flamingomount/flamingomount/tools/soak/check"
 	"github.com/flamingomount/flamingomount/tools/soak/link"
 	"github.com/flamingomount/flamingomount/tools/soak/plan"
@@ -57,7 +56,7 @@
 	case strings.HasPrefix(run.Path, standin.StatusPath):
 		return run.Service == desk
 	case strings.HasPrefix(run.Path, standin.ReportPath):
-		return run.Service == engines && w.zoneOf[run.Endpoint] == homeRegion+zoneSuffix
+		return run.Service == engines && w.placeOf[run.Endpoint] == dataCentreOf(homeRegion)
 	}
 	return run.Service == engines
 }
@@ -160,7 +159,7 @@
 		target.signal(syscall.SIGTERM)
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		to := from.Add(time.Duration(graceS * float64(time.Second)))
+		to := from.Add(grace)
 		w.record.Stops = append(w.record.Stops, check.Span{From: from, To: to, Daemon: target.name})
 	case plan.Reload:
 		target.signal(syscall.SIGHUP)
@@ -189,7 +188,7 @@
 	if step.Variant%2 == 0 {
 		to, other = annex, desk
 	}
-	what := "orders moved to " + to
+	what := "orders moved to " + string(to)
 	w.mu.Lock()
 	for at := range w.record.Changes {
 		if strings.HasPrefix(w.record.Changes[at].What, "orders moved") && w.record.Changes[at].Until.IsZero() {
@@ -208,14 +207,14 @@
 func (w *World) evacuate() {
 	w.evacuating.Lock()
 	defer w.evacuating.Unlock()
-	zone := regions[1] + zoneSuffix
-	w.store.PutJSON(wire.EvacuatePrefix+zone, struct{}{})
-	at := w.change(check.Change{What: "evacuation of " + zone, Within: evacuateWithin, Forbids: func(run standin.Run) bool {
-		return w.zoneOf[run.Endpoint] == zone
+	south := dataCentreOf(regions[1])
+	w.store.Evacuate(south)
+	at := w.change(check.Change{What: "evacuation of " + string(south), Within: evacuateWithin, Forbids: func(run standin.Run) bool {
+		return w.placeOf[run.Endpoint] == south
 	}})
 	time.Sleep(evacuateFor)
 	w.takenBack(at)
-	w.store.Delete(wire.EvacuatePrefix + zone)
+	w.store.TakeBack(south)
 }
 
 // drain replaces an endpoint: the new one comes first.
@@ -225,7 +224,7 @@
 		return
 	}
 	w.remove(one)
-	one.Publish(wire.StateDraining)
+	one.PublishLeaving()
 	w.change(check.Change{What: "leaving of " + one.id, Within: drainWithin, Forbids: func(run standin.Run) bool {
 		return run.Endpoint == one.id
 	}})
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -16,25 +16,39 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
-	"github.com/flamingomount/flamingomount/platform/wire"
 	"github.com/flamingomount/flamingomount/tools/soak/check"
 	"github.com/flamingomount/flamingomount/tools/soak/link"
 )
 
 // Names of the deployment under test.
 const (
-	host       = "soak.example"
-	zoneSuffix = "-a"
+	host = "soak.example"
 	// engines is the model service; desk and annex take orders by turns.
-	engines = "engines"
-	desk    = "desk"
-	annex   = "annex"
+	engines = types.ServiceName("engines")
+	desk    = types.ServiceName("desk")
+	annex   = types.ServiceName("annex")
 	// homeRegion is the only region that reports may be in.
-	homeRegion = "north"
+	homeRegion = types.Region("north")
 )
 
-var regions = []string{homeRegion, "south"}
+var regions = []types.Region{homeRegion, "south"}
+
+// dataCentreOf returns the one data centre of a region.
+func dataCentreOf(region types.Region) types.DataCentre {
+	return types.DataCentre(region + "-a")
+}
+
+// dataCentres maps every data centre to its region.
+func dataCentres() map[types.DataCentre]types.Region {
+	found := make(map[types.DataCentre]types.Region, len(regions))
+	for _, region := range regions {
+		found[dataCentreOf(region)] = region
+	}
+	return found
+}
 
 // Options describes a run.
 type Options struct {
@@ -59,8 +73,12 @@
 	store     *standin.Store
 	storeHTTP *http.Server
 	ledger    *standin.Ledger
-	daemons   []*daemon
-	serving   conc.WaitGroup
+	// loopback is the second byte of the daemons' addresses, reservation what
+	// holds it.
+	loopback    uint64
+	reservation net.Listener
+	daemons     []*daemon
+	serving     conc.WaitGroup
 
 	// evacuating is held while a data centre is evacuated.
 	evacuating sync.Mutex
@@ -71,22 +89,23 @@
 	version   uint64
 	calls     []check.Call
 	record    check.Record
-	// zoneOf holds the data centre of every endpoint that ever was, by ID.
-	zoneOf map[string]string
+	// placeOf holds the data centre of every endpoint that ever was, by ID.
+	placeOf map[string]types.DataCentre
 }
 
 // endpoint is a back end with the link before it.
 type endpoint struct {
 	*standin.Endpoint
 	id      string
-	service string
-	region  string
+	service types.ServiceName
+	region  types.Region
 	link    *link.Link
 }
 
-// New starts everything and waits until each daemon takes callers.
+// New starts everything and waits until each daemon takes callers. After an error
+// the world, if there is one, still has to be closed.
 func New(ctx context.Context, opts Options) (*World, error) {
-	w := &World{opts: opts, store: standin.NewStore(), ledger: &standin.Ledger{}, zoneOf: make(map[string]string)}
+	w := &World{opts: opts, store: standin.NewStore(), ledger: &standin.Ledger{}, placeOf: make(map[string]types.DataCentre)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "store")
@@ -95,23 +114,24 @@
 	w.serving.Go(func() { _ = w.storeHTTP.Serve(listener) }) // always http.ErrServerClosed
 	w.publish(desk)
 	for _, region := range regions {
-		for _, service := range []string{engines, engines, desk, desk, annex} {
+		for _, service := range []types.ServiceName{engines, engines, desk, desk, annex} {
 			if _, err := w.addEndpoint(service, region); err != nil {
-				return nil, err
+				return w, err
 			}
 		}
 	}
 	if err := w.startDaemons(listener.Addr().String()); err != nil {
-		return nil, err
+		return w, err
 	}
 	return w, w.awaitReady(ctx)
 }
 
 func (w *World) startDaemons(store string) error {
-	zones := make(map[string]string)
-	var seeds []string
+	if err := w.reserve(); err != nil {
+		return err
+	}
+	var seeds []types.VMID
 	for at, region := range regions {
-		zones[region+zoneSuffix] = region
 		for number := range w.opts.Daemons {
 			one, err := w.newDaemon(region, at, number, store)
 			if err != nil {
@@ -119,24 +139,37 @@
 			}
 			w.daemons = append(w.daemons, one)
 		}
-		seeds = append(seeds, w.daemons[len(w.daemons)-1].control())
+		seeds = append(seeds, types.VMID(w.daemons[len(w.daemons)-1].control()))
 	}
 	for _, one := range w.daemons {
-		if err := one.settings(w.opts.Dir, zones, seeds); err != nil {
-			return eris.Wrap(err, "settings")
+		if err := one.settings(w.opts.Dir, seeds); err != nil {
+			return err
 		}
 		one.keepRunning()
 	}
 	return nil
 }
 
-// newDaemon prepares a daemon on a loopback address of its own, which differs
-// between runs side by side.
-func (w *World) newDaemon(region string, place, number int, store string) (*daemon, error) {
-	const firstNet, nets = 10, 200
+// reserve takes a range of loopback addresses that no other run uses, and holds
+// it by a listener.
+func (w *World) reserve() error {
+	const firstNet, nets, port = 10, 200, 8139
+	for try := range uint64(nets) {
+		second := firstNet + (w.opts.Seed+try)%nets
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", second, port))
+		if err == nil {
+			w.loopback, w.reservation = second, listener
+			return nil
+		}
+	}
+	return eris.New("other runs use every range of loopback addresses")
+}
+
+// newDaemon prepares a daemon on a loopback address of its own.
+func (w *World) newDaemon(region types.Region, place, number int, store string) (*daemon, error) {
 	one := &daemon{
 		name: fmt.Sprintf("%s-%d", region, number), region: region, binary: w.opts.Binary,
-		ip: fmt.Sprintf("127.%d.%d.%d", firstNet+w.opts.Seed%nets, place+1, number+1),
+		ip: fmt.Sprintf("127.%d.%d.%d", w.loopback, place+1, number+1),
 	}
 	if err := one.free(); err != nil {
 		return nil, err
@@ -166,44 +199,44 @@
 }
 
 // publish writes a configuration in which the orders go to a service.
-func (w *World) publish(orders string) {
+func (w *World) publish(orders types.ServiceName) {
 	w.mu.Lock()
 	w.version += 3
 	version := w.version
 	w.mu.Unlock()
-	route := func(name, path, kind, service string) wire.Route {
-		return wire.Route{
-			Name: name, Host: host, PathPrefix: path, Kind: kind, Service: service,
-			TimeoutMs: 4000, TargetLatencyMs: 400, MaxAttempts: 2, Priority: 2,
+	route := func(name, path string, kind catalog.Kind, service types.ServiceName) *catalog.Route {
+		return &catalog.Route{
+			Name: name, Host: host, Prefix: path, Kind: kind, Backends: []catalog.Backend{{Service: service, Weight: 1}},
+			Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Rank: 2,
 		}
 	}
-	report := route("report", standin.ReportPath, wire.KindStreaming, engines)
-	report.Resumable, report.HomeRegions, report.Priority = true, []string{homeRegion}, 0
-	w.store.PutJSON(wire.ConfigKey, wire.Config{
+	report := route("report", standin.ReportPath, catalog.Streaming, engines)
+	report.Resumable, report.Homes, report.Rank = true, []types.Region{homeRegion}, 0
+	w.store.PublishConfig(&catalog.Config{
 		Version: version,
-		Routes: []wire.Route{
+		Routes: []*catalog.Route{
 			report,
-			route("ask", standin.AskPath, wire.KindStreaming, engines),
-			route("order", standin.OrderPath, wire.KindNonIdempotent, orders),
-			route("status", standin.StatusPath, wire.KindIdempotent, desk),
+			route("ask", standin.AskPath, catalog.Streaming, engines),
+			route("order", standin.OrderPath, catalog.NonIdempotent, orders),
+			route("status", standin.StatusPath, catalog.Idempotent, desk),
 		},
-		Services: []wire.Service{
-			{Name: engines, ColdStartS: 1, ColdPerS: 9, Runtime: &wire.Runtime{Slots: 16, KVTokens: 100_000}},
-			{Name: desk}, {Name: annex},
+		Services: map[types.ServiceName]*catalog.Service{
+			engines: {ColdStart: time.Second, ColdPerSecond: 9, Engine: &catalog.Engine{Slots: 16, CacheTokens: 100_000}},
+			desk:    {}, annex: {},
 		},
-		Limits: wire.ConfigLimits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20},
+		Limits: catalog.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
 	})
 }
 
 // addEndpoint starts an endpoint behind a link and publishes it.
-func (w *World) addEndpoint(service, region string) (*endpoint, error) {
+func (w *World) addEndpoint(service types.ServiceName, region types.Region) (*endpoint, error) {
 	const slots = 16
 	w.mu.Lock()
 	w.born++
 	id := fmt.Sprintf("i-%s-%s-%d", service, region, w.born)
 	w.mu.Unlock()
 	one, err := standin.NewEndpoint(standin.EndpointOptions{
-		ID: id, Service: service, Zone: region + zoneSuffix, Slots: slots, Ledger: w.ledger, Store: w.store,
+		ID: id, Service: service, DataCentre: dataCentreOf(region), Slots: slots, Ledger: w.ledger, Store: w.store,
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "endpoint")
@@ -218,9 +251,9 @@
 	found := &endpoint{Endpoint: one, id: id, service: service, region: region, link: before}
 	w.mu.Lock()
 	w.endpoints = append(w.endpoints, found)
-	w.zoneOf[id] = region + zoneSuffix
+	w.placeOf[id] = dataCentreOf(region)
 	w.mu.Unlock()
-	one.Publish(wire.StateReady)
+	one.Publish()
 	return found, nil
 }
 
@@ -238,5 +271,8 @@
 		one.link.Close()
 	}
 	_ = w.storeHTTP.Close() // nothing needs it any more
+	if w.reservation != nil {
+		_ = w.reservation.Close() // the range is free for other runs
+	}
 	w.serving.Wait()
 }
