--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -186,19 +186,23 @@
 	return nil
 }
 
+// bearsOn reports whether the span may bear on what happened between two times.
+func (s Span) bearsOn(from, to time.Time) bool {
+	return s.From.Before(to) && s.To.Add(settle).After(from)
+}
+
 // disturbed reports whether a fault touched the daemon between two times or
 // shortly before.
 func (r *Record) disturbed(daemon string, from, to time.Time) bool {
 	return slices.ContainsFunc(r.Faults, func(fault Span) bool {
-		return (fault.Daemon == "" || fault.Daemon == daemon) &&
-			fault.From.Before(to) && fault.To.Add(settle).After(from)
+		return (fault.Daemon == "" || fault.Daemon == daemon) && fault.bearsOn(from, to)
 	})
 }
 
 // disturbedAnywhere is disturbed for any daemon.
 func (r *Record) disturbedAnywhere(from, to time.Time) bool {
 	return slices.ContainsFunc(r.Faults, func(fault Span) bool {
-		return fault.From.Before(to) && fault.To.Add(settle).After(from)
+		return fault.bearsOn(from, to)
 	})
 }
 
