Eject endpoints that fail requests in a row

The smoothed error rate cost at most 1 s, less than what full engines cost. Ruled out: health checks (they lie here).

Change: after four failures in a row an endpoint gets single requests, after a pause that doubles up to 2 s; when more than half of a service's endpoints fail, the requests are the likelier cause and none is left out.

--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -41,6 +41,11 @@
 	// endpoint is taken to be down.
 	breaksToSuspend = 3
 	errorWeight     = 0.15
+	// errorsToEject is the number of failed requests in a row after which an
+	// endpoint gets single requests only, after a pause that doubles up to
+	// maxEjection: one that fails at once would look idle and draw the load.
+	errorsToEject = 4
+	maxEjection   = 2 * time.Second
 	// blockedAfter is how long an endpoint may leave a request unanswered before
 	// other regions are told that it can't be used.
 	blockedAfter = 2 * time.Second
@@ -79,6 +84,10 @@
 	// suspendedUntil ends a suspension; probing allows one request after it.
 	suspendedUntil time.Time
 	probing        bool
+	// errors counts the requests in a row that the endpoint ran and failed;
+	// ejectedUntil is when it gets the next one after too many.
+	errors       int
+	ejectedUntil time.Time
 	// errorRate is the smoothed share of failed attempts.
 	errorRate float64
 	// lastHead is when an answer last began.
@@ -172,7 +181,25 @@
 // blocked reports whether the endpoint takes few or no requests now: it is left
 // alone, cold, or answers nothing.
 func (s *state) blocked(now time.Time) bool {
-	return s.suspended(now) || s.cold(now) || s.oldestWait(now) > blockedAfter
+	return s.suspended(now) || s.ejected(now) || s.cold(now) || s.oldestWait(now) > blockedAfter
+}
+
+// ejected reports whether the endpoint has failed too many requests in a row and
+// is not due for another one.
+func (s *state) ejected(now time.Time) bool {
+	if s.errors < errorsToEject {
+		return false
+	}
+	return now.Before(s.ejectedUntil) || s.inFlight > 0
+}
+
+// failed notes that the endpoint ran a request and failed.
+func (s *state) failed(now time.Time) {
+	s.errorRate += errorWeight * (1 - s.errorRate)
+	s.errors++
+	if over := s.errors - errorsToEject; over >= 0 {
+		s.ejectedUntil = now.Add(min(baseSuspension<<min(over, 8), maxEjection))
+	}
 }
 
 // stalled is how long requests have waited at the endpoint while it began no
@@ -203,9 +230,10 @@
 	case Succeeded:
 		s.healthy(now)
 		s.errorRate *= 1 - errorWeight
+		s.errors = 0
 	case ServerError:
 		s.healthy(now)
-		s.errorRate += errorWeight * (1 - s.errorRate)
+		s.failed(now)
 	case Refused:
 		s.suspend(refusedPause, now)
 	case Misdirected:
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -135,15 +135,21 @@
 
 // filter returns the endpoints that may run the request at all. When every
 // endpoint is suspended, a fault of them all is likelier than each being down:
-// then the one whose suspension ends first is tried.
+// then the one whose suspension ends first is tried. When more than half of them
+// fail, the requests are the likelier cause, and none is left out for that.
 func (p *Pool) filter(ask Ask, now time.Time) []*state {
-	var eligible []*state
+	var eligible, ejected []*state
 	var soonest *state
 	for _, one := range p.services[ask.Service] {
 		if slices.Contains(ask.Tried, one.placed.ID) {
 			continue
 		}
-		if !one.suspended(now) {
+		switch {
+		case one.suspended(now):
+		case one.ejected(now):
+			ejected = append(ejected, one)
+			continue
+		default:
 			eligible = append(eligible, one)
 			continue
 		}
@@ -151,6 +157,9 @@
 			soonest = one
 		}
 	}
+	if len(ejected) > len(eligible) {
+		eligible = append(eligible, ejected...)
+	}
 	if len(eligible) == 0 && soonest != nil && soonest.suspendedUntil.Sub(now) < baseSuspension {
 		eligible = append(eligible, soonest)
 	}
--- a/pkg/gateway/balance/reading_test.go
+++ b/pkg/gateway/balance/reading_test.go
@@ -271,6 +271,57 @@
 		Expect(pool.Blocked(engines, start.Add(3*time.Second))).To(BeNumerically(">", 0))
 	})
 
+	It("are kept from an engine that fails all of them at once, since it looks idle", func() {
+		const perSecond, seconds = 200, 10
+		pool := newPool(view(4, 0, nil), 1)
+		type open struct {
+			place  *balance.Place
+			result balance.Result
+			endsAt time.Time
+		}
+		var running []open
+		errors := 0
+		for step := range perSecond * seconds {
+			now := start.Add(time.Duration(step) * time.Second / perSecond)
+			running = slices.DeleteFunc(running, func(one open) bool {
+				if one.endsAt.After(now) {
+					return false
+				}
+				pool.Done(one.place, one.result, one.endsAt)
+				return true
+			})
+			one := ask(engines, 2)
+			one.Arrived, one.Deadline = now, now.Add(5*time.Second)
+			found := place(pool, one, now)
+			if found == nil {
+				continue
+			}
+			if found.Endpoint.ID == "engines-0" {
+				errors++
+				running = append(running, open{found, balance.ServerError, now.Add(2 * time.Millisecond)})
+				continue
+			}
+			pool.Head(found, now.Add(50*time.Millisecond))
+			running = append(running, open{found, balance.Succeeded, now.Add(time.Second)})
+		}
+		Expect(errors).To(BeNumerically("<", perSecond*seconds/50))
+	})
+
+	It("are not kept from endpoints when most of them fail, since the requests are the likelier cause", func() {
+		pool := newPool(view(4, 0, nil), 1)
+		used := map[types.EndpointID]int{}
+		for step := range 400 {
+			now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+			one := place(pool, ask(engines, 2), now)
+			used[one.Endpoint.ID]++
+			pool.Done(one, balance.ServerError, now.Add(time.Millisecond))
+		}
+		Expect(used).To(HaveLen(4))
+		for _, count := range used {
+			Expect(count).To(BeNumerically(">", 20))
+		}
+	})
+
 	It("use all places of an endpoint when the other daemons are gone", func() {
 		v := view(1, 0, nil)
 		pool := balance.NewPool("north", "north-a", balance.Bounds{})
