Keep trouble of endpoints and peers to the request that meets it

Looked for what went wrong at similar systems, on the routed traffic: - A malformed message of another daemon (a configuration with an empty route) ended the control goroutine: conc kept the panic, the process went on with state that stood still, and the sender waited for ever. Now it is logged with its stack and counted (flamingomount_gateway_panics_total). - A stream that sent a byte now and then had no end when neither caller nor route set one but for 30 s, which cut sound streams too. Now whole events are progress: a resumable stream goes on elsewhere at half of its caller's patience, if the retry budget allows; others end at a deadline or when their callers have given up. - Libraries wrote plain lines to standard error without a bound: now JSON lines, one a second.

--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -8,6 +8,7 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -135,6 +136,19 @@
 	byHost map[string][]*Route
 }
 
+// sound reports whether the configuration can be used; nil is.
+func (c *Config) sound() bool {
+	if c == nil {
+		return true
+	}
+	for _, service := range c.Services {
+		if service == nil {
+			return false
+		}
+	}
+	return !slices.Contains(c.Routes, nil)
+}
+
 // Endpoint is one back end as it announces itself.
 type Endpoint struct {
 	ID         types.EndpointID  `json:"id"`
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -54,8 +54,12 @@
 }
 
 // Apply merges a delta. It reports whether the state now knows every change up
-// to delta.To; false means that changes before delta.From are missing.
+// to delta.To; false means that changes before delta.From are missing, or that
+// the delta makes no sense and was ignored.
 func (s *State) Apply(delta Delta, now time.Time) bool {
+	if slices.ContainsFunc(delta.Records, func(record Record) bool { return !record.Config.sound() }) {
+		return false
+	}
 	for _, record := range delta.Records {
 		s.put(record, now)
 	}
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/route"
@@ -49,6 +50,8 @@
 	// Loads returns what the daemon has in flight; it must not block.
 	Loads func() []members.Load
 	Log   logrus.FieldLogger
+	// Guard catches panics of events and messages.
+	Guard *guard.Guard
 	Now   func() time.Time
 	Rand  route.Rand
 }
@@ -122,7 +125,7 @@
 	c.ctx = ctx
 	defer c.work.Wait()
 	reader := newReader(c)
-	c.work.Go(func() { reader.run(ctx) })
+	c.work.Go(func() { reader.keep(ctx) })
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	c.tick(c.opts.Now())
@@ -130,10 +133,10 @@
 	for {
 		select {
 		case event := <-c.events:
-			event(c.opts.Now())
+			c.handle(event)
 			c.drainEvents()
 		case <-ticker.C:
-			c.tick(c.opts.Now())
+			c.handle(c.tick)
 		case <-ctx.Done():
 			return
 		}
@@ -150,11 +153,30 @@
 // drainEvents handles what waits, so that one snapshot shows all of it.
 func (c *Control) drainEvents() {
 	for range len(c.events) {
-		event := <-c.events
-		event(c.opts.Now())
+		c.handle(<-c.events)
 	}
 }
 
+// handle runs an event. One that panics may have left the state half changed, so
+// the state begins anew.
+func (c *Control) handle(event func(now time.Time)) {
+	err := c.opts.Guard.Do("control event", func() { event(c.opts.Now()) })
+	if err != nil {
+		c.restart()
+	}
+}
+
+// restart begins with empty state. Traffic goes on with the last snapshot until
+// the store or another daemon has told as much as it shows.
+func (c *Control) restart() {
+	c.state = catalog.NewState()
+	c.table = c.table.Renewed()
+	c.crashes = newCrashLog()
+	clear(c.newsAt)
+	c.newest = ""
+	c.dirty = true
+}
+
 // tick sends heartbeats and lets time pass for every part.
 func (c *Control) tick(now time.Time) {
 	c.state.Expire(now)
@@ -179,9 +201,17 @@
 		Joining:    c.table.Joining(),
 		Suspects:   c.crashes.suspects(),
 	}
-	if previous == nil || c.state.TakeChanged() {
+	switch {
+	case previous == nil:
+		next.View = c.state.View()
+	case c.state.Complete() < previous.View.Complete:
+		next.View = previous.View
+		if len(next.Members) == 0 {
+			next.Members = previous.Members
+		}
+	case c.state.TakeChanged():
 		next.View = c.state.View()
-	} else {
+	default:
 		next.View = previous.View
 	}
 	if next.View.Config != nil && next.Self.State == members.Starting {
@@ -223,15 +253,21 @@
 	}
 	c.work.Go(func() {
 		defer func() { <-c.sends }()
-		answer, err := c.opts.Peers.Send(c.ctx, to, message)
-		if err != nil {
-			c.submit(c.ctx, func(now time.Time) { c.unreachable(to, err, now) })
-			return
-		}
-		c.submit(c.ctx, func(now time.Time) { c.take(answer, now) })
+		// A panic was logged; the next heartbeat tries again.
+		_ = c.opts.Guard.Do("message", func() { c.exchange(to, message) })
 	})
 }
 
+// exchange sends a message and hands the answer to the control goroutine.
+func (c *Control) exchange(to types.VMID, message *Message) {
+	answer, err := c.opts.Peers.Send(c.ctx, to, message)
+	if err != nil {
+		c.submit(c.ctx, func(now time.Time) { c.unreachable(to, err, now) })
+		return
+	}
+	c.submit(c.ctx, func(now time.Time) { c.take(answer, now) })
+}
+
 func (c *Control) unreachable(vm types.VMID, err error, now time.Time) {
 	c.table.Failed(vm, now)
 	c.dirty = true
@@ -242,6 +278,8 @@
 func (c *Control) Receive(ctx context.Context, message *Message) *Message {
 	answers := make(chan *Message, 1)
 	ok := c.submit(ctx, func(now time.Time) {
+		// No answer tells the other daemon that its message was not taken.
+		defer close(answers)
 		behind := message.Complete
 		c.take(message, now)
 		answer := c.message(message.From, now)
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -6,17 +6,23 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -169,6 +175,8 @@
 	peers   *fakePeers
 	daemons []*control.Control
 	stop    func()
+	// faults is how many of the next heartbeats panic.
+	faults atomic.Int32
 }
 
 // newFleet starts a daemon for each address; stores may differ by daemon.
@@ -182,8 +190,8 @@
 		daemon := control.New(control.Options{
 			Self:  members.Member{VM: vm, Run: 1, State: members.Starting, Region: "north", DataCentre: "north-a", Callers: string(vm)},
 			Seeds: vms[:1], Store: storeOf(vm), Peers: f.peers,
-			Published: func(*control.Snapshot) {}, Loads: func() []members.Load { return nil },
-			Log: log, Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+			Published: func(*control.Snapshot) {}, Loads: f.loads,
+			Log: log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
 		})
 		f.daemons = append(f.daemons, daemon)
 		f.peers.daemons[vm] = daemon
@@ -198,6 +206,14 @@
 	return f
 }
 
+// loads panics while there are faults left.
+func (f *fleet) loads() []members.Load {
+	if f.faults.Add(-1) >= 0 {
+		panic("a fault in the control goroutine")
+	}
+	return nil
+}
+
 func (f *fleet) versions() []uint64 {
 	var found []uint64
 	for _, daemon := range f.daemons {
@@ -322,6 +338,33 @@
 		Eventually(serving, patience).Should(Equal(2))
 	})
 
+	It("goes on after a panic with what it knew, and learns what is newer", func() {
+		store.put(configAt(3))
+		store.put(endpointAt("a"))
+		f := newFleet(store, same, "d1:1", "d2:1")
+		defer f.stop()
+		Eventually(f.versions, patience).Should(Equal([]uint64{3, 3}))
+		f.faults.Store(3)
+		oldest := func() uint64 { return slices.Min(append(f.versions(), 99)) }
+		Consistently(oldest, 2*time.Second, 5*time.Millisecond).Should(BeNumerically(">=", 3))
+		Expect(f.versions()).To(HaveLen(2))
+		store.put(configAt(4))
+		Eventually(f.versions, patience).Should(Equal([]uint64{4, 4}))
+	})
+
+	It("is not harmed by a message with records that make no sense", func() {
+		store.put(configAt(3))
+		f := newFleet(store, same, "d1:1")
+		defer f.stop()
+		Eventually(f.versions, patience).Should(Equal([]uint64{3}))
+		for _, text := range malformedMessages {
+			f.daemons[0].ServeMessage(httptest.NewRecorder(), httptest.NewRequest("POST", control.MessagePath, strings.NewReader(text)))
+		}
+		Expect(f.versions()).To(Equal([]uint64{3}))
+		store.put(configAt(4))
+		Eventually(f.versions, patience).Should(Equal([]uint64{4}))
+	})
+
 	It("quarantines a content in the whole fleet after three crashes", func() {
 		store.put(configAt(3))
 		f := newFleet(store, same, "a:1", "b:1")
@@ -351,3 +394,40 @@
 		Eventually(func() bool { return f.daemons[0].Load().Suspects[content] }, patience).Should(BeFalse())
 	})
 })
+
+// malformedMessages are bodies that a faulty daemon might send.
+var malformedMessages = []string{
+	``, `{`, `null`, `[]`, `{"members":[null,{"vm":"","beat":18446744073709551615}]}`,
+	`{"from":"x","delta":{"from":0,"to":9,"records":[{"key":"op/config","revision":9,"config":{"version":99,"routes":[null]}}]}}`,
+	`{"from":"x","delta":{"from":0,"to":9,"records":[{"key":"op/config","revision":9,"config":{"version":99,"services":{"s":null}}}]}}`,
+	`{"from":"x","delta":{"from":9,"to":0,"records":[{"key":"servers/a","revision":9,"endpoint":{"cold":-9223372036854775808,"slots":-5}}]}}`,
+	`{"from":"x","pass_on":true,"delta":{"records":[{}]},"crashes":[{}],"news_age":-9223372036854775808}`,
+}
+
+// FuzzMessage checks that no message of another daemon makes the control
+// goroutine panic.
+func FuzzMessage(f *testing.F) {
+	RegisterFailHandler(Fail)
+	for _, text := range malformedMessages {
+		f.Add(text)
+	}
+	registry := prometheus.NewRegistry()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	daemon := control.New(control.Options{
+		Self:  members.Member{VM: "d1:1", Run: 1, Region: "north", DataCentre: "north-a"},
+		Store: newFakeStore(), Peers: &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}},
+		Published: func(*control.Snapshot) {}, Loads: func() []members.Load { return nil },
+		Log: log, Guard: guard.New(log, registry), Now: time.Now, Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go daemon.Run(ctx)
+	f.Fuzz(func(t *testing.T, text string) {
+		daemon.ServeMessage(httptest.NewRecorder(), httptest.NewRequest("POST", control.MessagePath, strings.NewReader(text)))
+		families, err := registry.Gather()
+		if err != nil || len(families) > 0 {
+			t.Fatalf("the control goroutine panicked on %q (%v)", text, err)
+		}
+	})
+}
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -57,6 +57,16 @@
 	return &reader{control: c, whole: true}
 }
 
+// keep runs the reader until ctx ends, and begins anew after a panic.
+func (r *reader) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.control.opts.Guard.Do("store reader", func() { r.run(ctx) }); err != nil {
+			r.whole, r.complete = true, 0
+			sleep(ctx, maxBackoff)
+		}
+	}
+}
+
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.mayRead(ctx) {
@@ -80,6 +90,10 @@
 			c.opts.Log.WithField("reads", reading).Info("this daemon's part in reading the store changed")
 		}
 		c.reading = reading
+		if c.state.Complete() < r.complete {
+			// The control state has begun anew.
+			r.whole, r.complete = true, 0
+		}
 		if r.complete == 0 && c.state.Complete() > 0 {
 			r.whole, r.complete = false, c.state.Complete()
 		}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	stdlog "log"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 	"github.com/flamingomount/flamingomount/pkg/sharedrand"
@@ -76,6 +78,7 @@
 	opts     Options
 	log      *logrus.Logger
 	lines    *lineWriter
+	guard    *guard.Guard
 	control  *control.Control
 	gate     *gate.Gate
 	budgets  *proxy.Budgets
@@ -95,6 +98,9 @@
 // take: another daemon has to notice a silent reader and read in the rest.
 const watchShare = 0.4
 
+// parts is how many parts of a daemon run beside its listeners.
+const parts = 2
+
 // New provisions an entry and opens its listeners. After an error nothing stays
 // open.
 func New(opts Options) (*Entry, error) {
@@ -104,6 +110,7 @@
 	}
 	lines := newLineWriter()
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
+	e.guard = guard.New(e.log, e.registry)
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	e.budgets = proxy.NewBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 	e.control = control.New(control.Options{
@@ -118,6 +125,7 @@
 		Loads:     e.gate.Loads,
 		Published: e.published,
 		Log:       e.log,
+		Guard:     e.guard,
 		Now:       time.Now,
 		Rand:      sharedrand.Source{},
 	})
@@ -225,9 +233,20 @@
 	defer running.Wait()
 	defer e.close()
 	defer cancel()
-	running.Go(func() { e.control.Run(background) })
-	running.Go(func() { e.gate.Run(background) })
-	failed := make(chan error, len(e.servers))
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(newLibraryLog(e.log))
+	failed := make(chan error, len(e.servers)+parts)
+	// A part that ended in a panic can't be done without: the daemon ends and is
+	// started again.
+	keep := func(part string, work func()) {
+		running.Go(func() {
+			if err := e.guard.Do(part, work); err != nil {
+				failed <- err
+			}
+		})
+	}
+	keep("control", func() { e.control.Run(background) })
+	keep("gate", func() { e.gate.Run(background) })
 	for _, one := range e.servers {
 		running.Go(func() {
 			if err := one.serve(); err != nil {
--- a/pkg/gateway/entry/log.go
+++ b/pkg/gateway/entry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,10 @@
 	// failed and that were answered; bursts are as long as two seconds of them.
 	failureLines = 40
 	answerLines  = 4
+	// libraryLines bounds the lines a second of libraries, maxLibraryLine the
+	// bytes of one: some quote what a peer sent.
+	libraryLines   = 1
+	maxLibraryLine = 300
 	// lineBuffer bounds the lines that wait to be written.
 	lineBuffer = 512
 )
@@ -74,6 +79,28 @@
 	return log
 }
 
+// libraryLog writes lines of the standard logger, which libraries use, as JSON
+// lines within a bound.
+type libraryLog struct {
+	log   logrus.FieldLogger
+	limit *rate.Limiter
+}
+
+var _ io.Writer = libraryLog{}
+
+func newLibraryLog(log logrus.FieldLogger) libraryLog {
+	return libraryLog{log: log, limit: rate.NewLimiter(libraryLines, libraryLines)}
+}
+
+// Write implements io.Writer.
+func (l libraryLog) Write(line []byte) (int, error) {
+	if l.limit.Allow() {
+		text := string(line[:min(len(line), maxLibraryLine)])
+		l.log.WithField("line", strings.TrimSpace(text)).Warn("a library reported")
+	}
+	return len(line), nil
+}
+
 // requestLog bounds the lines about requests, failures before answers.
 type requestLog struct {
 	log      *logrus.Logger
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -45,7 +45,7 @@
 		return eris.Wrapf(err, "listen for %s on %s", name, address)
 	}
 	e.servers = append(e.servers, &server{name: name, listener: listener, http: &http.Server{
-		Handler:           handler,
+		Handler:           e.guard.Handler(name, handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -93,6 +93,14 @@
 	return table
 }
 
+// Renewed returns a table that knows this daemon and its seeds alone, and how many
+// daemons there were.
+func (t *Table) Renewed() *Table {
+	table := New(t.self, t.seeds)
+	table.peak, table.fleetPeak = t.peak, t.fleetPeak
+	return table
+}
+
 // SetSeeds replaces the daemons that are asked while no other is known.
 func (t *Table) SetSeeds(seeds []types.VMID) {
 	t.seeds = slices.DeleteFunc(slices.Clone(seeds), func(vm types.VMID) bool { return vm == t.self.VM })
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -49,6 +49,8 @@
 func (r *run) attempt(place *balance.Place) *types.Failure {
 	r.tried = append(r.tried, place.Endpoint.ID)
 	r.out.endpoint = place.Endpoint.ID
+	// A panic must not keep the place; otherwise it is freed before.
+	defer r.h.opts.Gate.Done(place, balance.Abandoned)
 	var w wire
 	response, err := r.h.opts.Transport.RoundTrip(r.endpointRequest(place, &w))
 	if err != nil {
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -28,7 +28,8 @@
 const (
 	// notReadyRetry is the advice while no configuration is known.
 	notReadyRetry = 500 * time.Millisecond
-	// defaultAllowed bounds requests for which neither caller nor route does.
+	// defaultAllowed bounds requests, streams apart, for which neither caller nor
+	// route does.
 	defaultAllowed = 30 * time.Second
 	// defaultBodyBytes and defaultHeaderBytes hold where the configuration
 	// sets none.
@@ -164,6 +165,9 @@
 // timeout.
 func (r *Request) setDeadline(allowed time.Duration) {
 	r.Deadline = r.Arrived.Add(defaultAllowed)
+	if r.Route.Kind == catalog.Streaming {
+		r.Deadline = r.Arrived.Add(maxStreamTime)
+	}
 	if r.Route.Timeout > 0 {
 		r.Deadline = r.Arrived.Add(r.Route.Timeout)
 	}
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -243,17 +243,41 @@
 	pool := balance.NewPool(w.region, "", balance.Bounds{})
 	w.gate = gate.New(pool, time.Now)
 	w.update()
-	w.handler = proxy.New(proxy.Options{
-		Snapshot: func() *control.Snapshot { return w.snap }, Gate: w.gate, Dialect: testDialect{}, Reporter: w.reports,
-		Budgets: proxy.NewBudgets(w.ratio, w.burst, 0), Log: w.reports, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
-		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)),
-	})
+	w.handler = w.newHandler()
 	w.front = httptest.NewServer(w.handler)
 	w.peers = httptest.NewServer(http.HandlerFunc(w.handler.ServeForwarded))
 	DeferCleanup(w.front.CloseClientConnections)
 	DeferCleanup(w.peers.CloseClientConnections)
 }
 
+func (w *world) newHandler() *proxy.Handler {
+	return proxy.New(proxy.Options{
+		Snapshot: func() *control.Snapshot { return w.snap }, Gate: w.gate, Dialect: testDialect{}, Reporter: w.reports,
+		Budgets: proxy.NewBudgets(w.ratio, w.burst, 0), Log: w.reports, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
+		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+// withoutServers prepares the world for calls of its handler alone.
+func (w *world) withoutServers() {
+	config := &catalog.Config{Version: 1, Services: map[types.ServiceName]*catalog.Service{service: {Name: service}}}
+	config.Prepare()
+	w.snap = &control.Snapshot{
+		Self: members.Member{VM: w.self, Region: w.region, State: members.Serving}, RegionPeak: 1,
+		View: &catalog.View{Config: config, Endpoints: map[types.ServiceName][]catalog.Placed{}},
+	}
+	w.gate = gate.New(balance.NewPool(w.region, "", balance.Bounds{}), time.Now)
+	w.handler = w.newHandler()
+}
+
+// forwarded hands the handler a request with an envelope.
+func (w *world) forwarded(note, body string) {
+	request := httptest.NewRequest("POST", "/r/", strings.NewReader(body))
+	request.Header[http.CanonicalHeaderKey("X-Gateway-Forward")] = []string{note}
+	request.Header.Set(fieldID, "q")
+	w.handler.ServeForwarded(httptest.NewRecorder(), request)
+}
+
 // fill takes every place of the region's endpoints, those for waiting requests
 // included, until the returned function is called.
 func (w *world) fill(e *endpoint) (release func()) {
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,6 +58,8 @@
 	// region is where the other daemon of the last attempt is; empty when it
 	// went to an endpoint.
 	region types.Region
+	// paid is true when the next attempt is already taken from the budget.
+	paid atomic.Bool
 	// homes lists the endpoints that were asked as homes of the prefix.
 	homes  []catalog.Placed
 	status int
@@ -158,7 +161,7 @@
 	case r.sent >= r.req.Attempts || !retryable(failure.Code):
 		return false
 	}
-	return r.h.opts.Budgets.Take(r.req.Service, r.h.opts.Now())
+	return r.paid.CompareAndSwap(true, false) || r.h.opts.Budgets.Take(r.req.Service, r.h.opts.Now())
 }
 
 // canResume reports whether a stream that broke off may go on elsewhere.
--- a/pkg/gateway/proxy/stream.go
+++ b/pkg/gateway/proxy/stream.go
@@ -21,6 +21,8 @@
 		}
 	}
 	events := newEventReader(response.Body)
+	watch := r.watchStream(w)
+	defer watch.stop()
 	last := time.Time{}
 	for {
 		part, err := events.next()
@@ -37,6 +39,7 @@
 		}
 		r.noteEvents(part)
 		last = r.noteGap(last)
+		watch.progress()
 	}
 }
 
