Look up the serving regions once for a request, not once for each endpoint

At 2,100 endpoints and 360 daemons a large prompt cost 756,000 comparisons to find its home (docs/CAPACITY.md); now it costs one pass over each. No decision changes.

--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -47,6 +47,20 @@
 	return found
 }
 
+// Serving returns the regions in which a daemon serves.
+func (s *Snapshot) Serving() map[types.Region]bool {
+	found := map[types.Region]bool{}
+	if s.Self.State == members.Serving {
+		found[s.Self.Region] = true
+	}
+	for _, member := range s.Members {
+		if member.State == members.Serving {
+			found[member.Region] = true
+		}
+	}
+	return found
+}
+
 // holder publishes snapshots to traffic goroutines.
 type holder struct {
 	current atomic.Pointer[Snapshot]
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -140,8 +140,9 @@
 
 // usable tells the regions whose daemons may take the request.
 func (r *run) usable(snap *control.Snapshot) func(types.Region) bool {
+	serving := snap.Serving()
 	return func(region types.Region) bool {
-		return r.req.Route.Allows(region) && len(snap.InRegion(region)) > 0
+		return serving[region] && r.req.Route.Allows(region)
 	}
 }
 
