--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -158,7 +158,7 @@
 		return false
 	case !r.reached:
 		return r.missed <= maxMissed
-	case r.sent >= r.req.Attempts || !retryable(failure.Code):
+	case r.sent >= r.req.Attempts || !failure.Code.Retryable():
 		return false
 	}
 	return r.paid.CompareAndSwap(true, false) || r.h.opts.Budgets.Take(r.req.Service, r.h.opts.Now())
@@ -169,14 +169,6 @@
 	return r.req.Route.Resumable && r.lastEvent != ""
 }
 
-func retryable(code types.Code) bool {
-	switch code {
-	case types.CodeEndpointFailed, types.CodeUnreachable, types.CodeAnswerIncomplete, types.CodeOverloaded, types.CodeDraining:
-		return true
-	}
-	return false
-}
-
 // finish answers what is still unanswered and notes how the request ended.
 func (r *run) finish(failure *types.Failure) {
 	if failure != nil && r.last != nil && !r.out.committed {
--- a/pkg/stage/retry/retry.go
+++ b/pkg/stage/retry/retry.go
@@ -145,7 +145,7 @@
 		return "request has run"
 	case in.History == types.MayHaveRun && !in.Request.Repeatable:
 		return "may have run and may not be repeated"
-	case !isRetryable(in.Failure.Code):
+	case !in.Failure.Code.Retryable():
 		return "another attempt would fail the same way"
 	case in.Attempts >= p.options.MaxAttempts:
 		return "most attempts made"
@@ -163,16 +163,6 @@
 	return cheap && in.Failure.Verdict == types.NotRun && in.Attempts == 1
 }
 
-// isRetryable reports whether another endpoint may do better.
-func isRetryable(code types.Code) bool {
-	switch code {
-	case types.CodeEndpointFailed, types.CodeAnswerIncomplete, types.CodeOverloaded,
-		types.CodeDraining, types.CodeNotReady, types.CodeUnreachable:
-		return true
-	}
-	return false
-}
-
 // delay returns the delay before the next attempt, spread evenly between half
 // and one and a half times its mean.
 func (p *Policy) delay(in Input) time.Duration {
--- a/pkg/types/verdict.go
+++ b/pkg/types/verdict.go
@@ -84,6 +84,16 @@
 	CodeInternal         Code = "internal"
 )
 
+// Retryable reports whether another endpoint may do better; whether it may be
+// asked depends on the verdict.
+func (c Code) Retryable() bool {
+	switch c {
+	case CodeEndpointFailed, CodeAnswerIncomplete, CodeOverloaded, CodeDraining, CodeNotReady, CodeUnreachable:
+		return true
+	}
+	return false
+}
+
 // Failure is the error that ends a request: why, with which verdict, and what
 // the caller may do about it.
 type Failure struct {
