End a stalled attempt by its own context, not by its connection

Read as a newcomer: a timer that closes the connection may fire just after the answer's end, when the connection carries another request, which may be an order. The attempt's own context ends nothing else.

--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -25,6 +26,9 @@
 // wire is the connection of one attempt, as far as it is known.
 type wire struct {
 	conn atomic.Pointer[net.Conn]
+	// cancel ends the attempt alone: unlike closing the connection it can't hit
+	// another request when the answer has just ended.
+	cancel context.CancelFunc
 }
 
 func (w *wire) trace() *httptrace.ClientTrace {
@@ -52,7 +56,9 @@
 	// A panic must not keep the place; otherwise it is freed before.
 	defer r.h.opts.Gate.Done(place, balance.Abandoned)
 	var w wire
-	response, err := r.h.opts.Transport.RoundTrip(r.endpointRequest(place, &w))
+	outgoing := r.endpointRequest(place, &w)
+	defer w.cancel()
+	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	if err != nil {
 		return r.unanswered(place, &w, err)
 	}
@@ -101,7 +107,9 @@
 	if len(r.req.Body) > 0 || r.req.Route.Kind != catalog.Idempotent {
 		outgoing.Body = oncebody.New(r.req.Body)
 	}
-	return outgoing.WithContext(httptrace.WithClientTrace(r.ctx, w.trace()))
+	var ctx context.Context
+	ctx, w.cancel = context.WithCancel(r.ctx)
+	return outgoing.WithContext(httptrace.WithClientTrace(ctx, w.trace()))
 }
 
 // unanswered judges an attempt without an answer.
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		return caused(types.NotRun, types.CodeInternal, "the request can't be forwarded", err)
 	}
+	defer w.cancel()
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	if err != nil {
 		return r.hopUnanswered(member, &w, err)
--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -26,7 +26,7 @@
 	timer *time.Timer
 }
 
-// watchStream watches a stream over a connection.
+// watchStream watches the stream of an attempt.
 func (r *run) watchStream(w *wire) *stall {
 	route := r.req.Route
 	patience := max(minPatience, objectivePatience*route.Objective, gapPatience*route.LongestGap)
@@ -37,7 +37,7 @@
 		s.timer = time.AfterFunc(s.limit, func() { r.moveOn(w) })
 	case r.req.CallerUntil.IsZero() && route.Timeout <= 0:
 		s.limit = patience
-		s.timer = time.AfterFunc(s.limit, w.drop)
+		s.timer = time.AfterFunc(s.limit, w.cancel)
 	}
 	return s
 }
@@ -46,7 +46,7 @@
 func (r *run) moveOn(w *wire) {
 	if r.h.opts.Budgets.Take(r.req.Service, r.h.opts.Now()) {
 		r.paid.Store(true)
-		w.drop()
+		w.cancel()
 	}
 }
 
--- a/pkg/gateway/proxy/stream.go
+++ b/pkg/gateway/proxy/stream.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// noteGap tells the balancer how far apart the events of an endpoint's answer
-// come, and returns the time of this one.
+// noteGap keeps when the first event was sent and the longest pause between two,
+// for the log, and returns the time of this one.
 func (r *run) noteGap(last time.Time) time.Time {
 	now := r.h.opts.Now()
 	if last.IsZero() && r.firstEvent == 0 {
