Answer news of the store without the table, and gather storms of changes

While 3,000 endpoints register, the reader made one call for each change and told each daemon of its data centre, and each answered with its whole table of members.

Change: only heartbeats are answered with a table; after a change that follows another within 0.5 s the reader waits 0.15 s before it asks again; endpoints are dealt out anew only when view or daemons changed.

Test: 200 changes in 2 s took 200 calls before, under 50 now, and no row of a table.

--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -59,13 +59,23 @@
 
 // Update takes what is published and which daemons share the endpoints.
 func (p *Pool) Update(view *catalog.View, sharers Sharers) {
+	same := view == p.view && sharers.equal(p.sharers)
 	p.sharers, p.daemons = sharers, sharers.seen()
+	if same {
+		return
+	}
 	if view != p.view {
 		p.take(view)
 	}
 	p.divide()
 }
 
+// equal reports whether the endpoints would be dealt out alike.
+func (s Sharers) equal(other Sharers) bool {
+	return s.Self == other.Self && slices.Equal(s.Live, other.Live) &&
+		slices.Equal(s.Inside, other.Inside) && slices.Equal(s.Serving, other.Serving)
+}
+
 // take takes what is published.
 func (p *Pool) take(view *catalog.View) {
 	p.view, p.urgencies = view, make(map[urgencyKey]urgency)
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -282,7 +282,7 @@
 		defer close(answers)
 		behind := message.Complete
 		c.take(message, now)
-		answer := c.message(message.From, now)
+		answer := c.answer(message, now)
 		if c.state.Complete() > behind {
 			delta := c.state.Since(behind, now)
 			answer.Delta = &delta
@@ -300,6 +300,15 @@
 	}
 }
 
+// answer answers a message. Only heartbeats, which carry a table, are answered
+// with one: news of the store come often and go to every daemon.
+func (c *Control) answer(message *Message, now time.Time) *Message {
+	if len(message.Members) == 0 {
+		return c.note(now)
+	}
+	return c.message(message.From, now)
+}
+
 // take merges what another daemon told. When it knows more of the store than it
 // told, it is asked.
 func (c *Control) take(message *Message, now time.Time) {
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http/httptest"
@@ -47,6 +48,8 @@
 
 // fakeStore is a store in memory with the faults of the real one.
 type fakeStore struct {
+	// watches counts the waiting calls.
+	watches atomic.Int64
 	mu      sync.Mutex
 	records map[string]catalog.Record
 	log     []catalog.Record
@@ -103,6 +106,7 @@
 
 // Watch implements control.Store.
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Delta, error) {
+	s.watches.Add(1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -146,6 +150,8 @@
 	mu      sync.Mutex
 	daemons map[types.VMID]*control.Control
 	cut     map[types.VMID]bool
+	// rows counts those of the tables that answered news.
+	rows int
 }
 
 // Send implements control.Peers.
@@ -160,6 +166,11 @@
 	if answer == nil {
 		return nil, errors.New("stopping")
 	}
+	if len(message.Members) == 0 {
+		p.mu.Lock()
+		p.rows += len(answer.Members)
+		p.mu.Unlock()
+	}
 	return copied(answer), nil
 }
 
@@ -338,6 +349,25 @@
 		Eventually(serving, patience).Should(Equal(2))
 	})
 
+	It("reads a storm of changes in few calls, and tells of them without its table", func() {
+		const changes, pause = 200, 10 * time.Millisecond
+		store.put(configAt(1))
+		f := newFleet(store, same, "d1:1", "d2:1", "d3:1")
+		defer f.stop()
+		Eventually(f.versions, patience).Should(Equal([]uint64{1, 1, 1}))
+		before := store.watches.Load()
+		for number := range changes {
+			store.put(endpointAt(fmt.Sprintf("e%d", number)))
+			time.Sleep(pause)
+		}
+		known := func() int { return len(f.daemons[2].Load().View.Endpoints["s"]) }
+		Eventually(known, patience).Should(Equal(changes))
+		Expect(store.watches.Load() - before).To(BeNumerically("<", changes/4))
+		f.peers.mu.Lock()
+		defer f.peers.mu.Unlock()
+		Expect(f.peers.rows).To(BeZero())
+	})
+
 	It("goes on after a panic with what it knew, and learns what is newer", func() {
 		store.put(configAt(3))
 		store.put(endpointAt("a"))
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -34,6 +34,10 @@
 	// settleTime is how long after an outage entries of live endpoints may be
 	// missing.
 	settleTime = 2200 * time.Millisecond
+	// gatherTime is how long changes are gathered that follow others within
+	// calmTime.
+	gatherTime = 150 * time.Millisecond
+	calmTime   = 500 * time.Millisecond
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
 	// idlePoll is how often a daemon that does not read looks whether it should.
@@ -51,6 +55,8 @@
 	down      bool
 	settledAt time.Time
 	backoff   time.Duration
+	// changedAt is when the store last told a change.
+	changedAt time.Time
 }
 
 func newReader(c *Control) *reader {
@@ -128,9 +134,23 @@
 	}
 	r.complete = max(r.complete, delta.To)
 	r.control.submit(ctx, func(now time.Time) { r.control.watched(delta, now) })
+	if len(delta.Records) > 0 {
+		r.gather(ctx)
+	}
 	return nil
 }
 
+// gather lets further changes come together after some, so that a fleet of
+// endpoints that changes all the time costs a bounded number of calls and messages.
+// A change after a calm time is told at once.
+func (r *reader) gather(ctx context.Context) {
+	now := r.control.opts.Now()
+	if now.Sub(r.changedAt) < calmTime {
+		sleep(ctx, gatherTime)
+	}
+	r.changedAt = now
+}
+
 func (r *reader) readAll(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
