Take the listen queue before the listener closes

Ruled out: half-read bodies, requests waiting for room, accepted connections.

Change: Close accepts what waits and Accept returns it before it fails.

--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s on %s", name, address)
 	}
+	if tcp, is := listener.(*net.TCPListener); is {
+		listener = newQueueListener(tcp)
+	}
 	e.servers = append(e.servers, &server{name: name, listener: listener, http: &http.Server{
 		Handler:           e.guard.Handler(name, handler),
 		ReadHeaderTimeout: headerTimeout,
