Waiting requests: one that can't use the free capacity no longer holds back the others

Cause: Pool.Grant stopped at the first waiting request that got no permit. A request that has tried the free endpoints before, or that would be late at each of them, held back every request behind it, also those that could run at once. Ruled out: an index of the queue by what a request needs. The need depends on the time that a request has waited, so equal requests are not equal; a bound on the failed tries (64) keeps a long queue cheap. Change: Grant goes on past a request without a permit.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -425,6 +425,31 @@
 			Expect(refusal).NotTo(BeNil())
 		})
 
+		It("gives room to a waiting request when the one ahead of it can't use that room", func() {
+			pool := newPool(view(0, 2, nil), 1)
+			permits := map[types.EndpointID][]*balance.Permit{}
+			for {
+				permit, _ := pool.Try(newRequest(desk, 1), start)
+				if permit == nil {
+					break
+				}
+				permits[permit.Endpoint.ID] = append(permits[permit.Endpoint.ID], permit)
+			}
+			retried := newRequest(desk, 1)
+			retried.Tried = []types.EndpointID{"desk-0"}
+			first, refusal := pool.Enqueue(retried, start)
+			Expect(refusal).To(BeNil())
+			second, refusal := pool.Enqueue(newRequest(desk, 1), start)
+			Expect(refusal).To(BeNil())
+
+			pool.Done(permits["desk-0"][0], balance.Succeeded, start.Add(100*time.Millisecond))
+
+			Expect(second.Granted).To(Receive())
+			Expect(first.Granted).NotTo(Receive())
+			pool.Done(permits["desk-1"][0], balance.Succeeded, start.Add(200*time.Millisecond))
+			Expect(first.Granted).To(Receive())
+		})
+
 		It("gives room to the most urgent request that waits", func() {
 			pool := newPool(view(1, 0, nil), 3)
 			held := requestPermit(pool, newRequest(engines, 2), start)
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -13,6 +13,9 @@
 const (
 	// maxWaiting bounds the requests that wait for one service.
 	maxWaiting = 512
+	// maxGrantMisses bounds the waiting requests that are tried in vain each time
+	// capacity is granted, which bounds the cost of a long queue.
+	maxGrantMisses = 64
 	// objectiveShare is the share of its objective that a request may wait.
 	objectiveShare = 0.6
 	// remainingShare is the share of the remaining time that a request may wait.
@@ -145,21 +148,26 @@
 }
 
 // Grant grants capacity to waiting requests of a service, the most urgent first.
+// A request that can use none of the free capacity, because it tried those
+// endpoints before or would be late there, does not hold back the ones behind it.
 func (p *Pool) Grant(service types.ServiceName, now time.Time) {
 	q := p.queues[service]
 	if q == nil {
 		return
 	}
-	granted := 0
-	for _, waiter := range q.waiting {
+	misses := 0
+	q.waiting = slices.DeleteFunc(q.waiting, func(waiter *Waiter) bool {
+		if misses == maxGrantMisses {
+			return false
+		}
 		permit, _ := p.Permit(waiter.RequestInfo, now)
 		if permit == nil {
-			break
+			misses++
+			return false
 		}
 		waiter.Granted <- permit
-		granted++
-	}
-	q.waiting = slices.Delete(q.waiting, 0, granted)
+		return true
+	})
 }
 
 // GrantAll grants capacity to waiting requests of every service.
