Cold endpoints: the daemons of a small region share the whole rate

Cause: each of the three assumed senders rounded its share of a cold endpoint's rate down after a margin of 0.85. Ruled out: no margin in regions with more daemons than senders, where a newcomer that the others don't know yet counts itself as a sender. Change: in a region with at most three daemons, counting those not seen now, each takes its part of the whole bound. A daemon that has restarted learns from the others' rows how many there may be. The request that finds a restarted endpoint counts towards its rate (it did not before: three daemons could send 3 more).

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -255,7 +255,45 @@
 
 		DescribeTable("get no more than the bound on all sides of a partition together", func(daemons, group int) {
 			Expect(float64(sendAll(split(daemons, group)))).To(BeNumerically("<=", 9.3*1.5+3))
-		}, Entry("halves", 28, 14), Entry("thirds", 27, 9), Entry("one daemon cut off", 28, 27), Entry("two of three", 3, 2))
+		}, Entry("halves", 28, 14), Entry("thirds", 27, 9), Entry("one daemon cut off", 28, 27), Entry("two of three", 3, 2), Entry("one of two", 2, 1), Entry("each alone", 3, 1))
+
+		// The rate of slow engines: the shares of three daemons come to one
+		// request per second each when they are rounded down twice.
+		slowView := func() *catalog.View {
+			v := coldView()
+			v.Config.Services[engines].ColdPerSecond = 2.4
+			return v
+		}
+		const slowBound = 2.4*1.5 + 3
+
+		DescribeTable("get nearly all that they can serve from the daemons of a small region", func(daemons int) {
+			most := sendAll(newFleet(slowView(), daemons))
+			Expect(most).To(BeNumerically("<=", slowBound))
+			Expect(most).To(BeNumerically(">=", 6))
+		}, Entry("two daemons", 2), Entry("three daemons", 3))
+
+		It("get no more than the bound when one of three daemons has restarted and reaches only one of the others", func() {
+			pools := []*balance.Pool{}
+			for _, m := range []balance.Membership{
+				// d0 has restarted and knows the number of daemons from d1.
+				{Self: "d0", Live: []types.VMID{"d0", "d1"}, PeakLive: 3},
+				{Self: "d1", Live: []types.VMID{"d0", "d1", "d2"}, PeakLive: 3},
+				{Self: "d2", Live: []types.VMID{"d1", "d2"}, PeakLive: 3},
+			} {
+				pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+				pool.Update(slowView(), m)
+				pools = append(pools, pool)
+			}
+			Expect(sendAll(pools)).To(BeNumerically("<=", slowBound))
+		})
+
+		It("get no more than the bound when one of two daemons has restarted and is cut off", func() {
+			alone := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+			alone.Update(slowView(), balance.Membership{Self: "d0", Live: []types.VMID{"d0"}, PeakLive: 1})
+			other := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+			other.Update(slowView(), balance.Membership{Self: "d1", Live: []types.VMID{"d1"}, PeakLive: 2})
+			Expect(sendAll([]*balance.Pool{alone, other})).To(BeNumerically("<=", slowBound))
+		})
 
 		It("are left to others by daemons that have just started", func() {
 			var pools []*balance.Pool
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -26,8 +26,9 @@
 	// maxUnseenSenders bounds the senders assumed on the other side of a
 	// partition: two more groups of daemons.
 	maxUnseenSenders = 2 * coldSenders
-	// coldMargin keeps the sum of the shares below the bound, also when a daemon
-	// that has just started counts itself as one more sender.
+	// coldMargin keeps the sum of the shares below the bound in regions with more
+	// daemons than coldSenders, when one of them counts itself as one more sender
+	// because the others do not know it yet.
 	coldMargin = 0.85
 
 	baseSuspension = 250 * time.Millisecond
@@ -159,15 +160,11 @@
 }
 
 // allowsColdSend reports whether this daemon may send another request to a cold
-// endpoint now. The senders share its rate without communicating.
-func (s *endpointState) allowsColdSend(bounds Bounds, senders int, now time.Time) bool {
-	if senders == 0 {
-		return false
-	}
+// endpoint now.
+func (s *endpointState) allowsColdSend(bounds Bounds, peers Membership, now time.Time) bool {
 	s.coldSends = withinColdWindow(s.coldSends, now)
 	total := s.service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack
-	share := int(total * coldMargin / float64(senders))
-	return len(s.coldSends) < share
+	return len(s.coldSends) < peers.coldShare(total)
 }
 
 // withinColdWindow drops the times that are older than the window of the cold
@@ -268,13 +265,15 @@
 
 // recordReachable ends probing and resets the counts of connection failures and
 // interruptions. An endpoint that could not be reached before may have
-// restarted: its cache is empty, and it may be cold.
+// restarted: its cache is empty, and it may be cold. The request that reached it
+// counts towards the cold rate.
 func (s *endpointState) recordReachable(now time.Time) {
 	if s.connectFailures > 0 {
 		s.cache.clear()
 	}
 	if s.connectFailures > 0 && s.service != nil && s.service.ColdPerSecond > 0 {
 		s.restartedColdUntil = now.Add(s.service.ColdStart + restartSlack)
+		s.coldSends = append(s.coldSends, now)
 	}
 	s.connectFailures, s.interruptions, s.probing = 0, 0, false
 }
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -191,7 +191,7 @@
 		if ep.inFlight >= p.limit(req, ep) {
 			continue
 		}
-		if ep.cold(now) && !(p.sendsWhileCold(ep) && ep.allowsColdSend(p.bounds, p.peers.coldSenders(), now)) {
+		if ep.cold(now) && !(p.sendsWhileCold(ep) && ep.allowsColdSend(p.bounds, p.peers, now)) {
 			continue
 		}
 		if !p.respondsInTime(req, ep, ep == home, now) {
@@ -205,15 +205,23 @@
 	return best
 }
 
-// coldSenders returns how many daemons may each assume that they send requests
-// to a cold endpoint: a few that see each other, and those of the region that
-// this daemon does not see now, which may be on the other side of a partition
-// and see only each other. Zero means that this daemon does not know.
-func (s Membership) coldSenders() int {
+// coldShare returns how many requests per second this daemon may send to a cold
+// endpoint that all daemons together may send total requests per second. A few
+// daemons share the rate without communicating: those that see each other, and
+// those of the region that this daemon does not see now, which may be on the
+// other side of a partition and see only each other. A daemon that has just
+// started sends nothing, and one that has never seen another assumes that
+// others exist.
+func (s Membership) coldShare(total float64) int {
 	if s.Joining {
 		return 0
 	}
-	return coldSenders + min(max(s.PeakLive-s.visibleDaemons(), 0), maxUnseenSenders)
+	visible := s.visibleDaemons()
+	unseen := min(max(s.PeakLive-visible, 0), maxUnseenSenders)
+	if s.PeakLive > 1 && visible+unseen <= coldSenders {
+		return int(total / float64(visible+unseen))
+	}
+	return int(total * coldMargin / float64(coldSenders+unseen))
 }
 
 // visibleDaemons counts the daemons of the region that this one sees now, itself
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -44,6 +44,9 @@
 	CallerAddress string `json:"callers"`
 	// Loads is the daemon's load by service.
 	Loads []Load `json:"loads,omitempty"`
+	// RegionPeak is the largest number of daemons of its region that the daemon
+	// knows to have been live at once.
+	RegionPeak int `json:"peak,omitempty"`
 }
 
 // Load is the load of one daemon for one service at the endpoints of its region.
@@ -69,6 +72,9 @@
 	forgetAfter = 40 * time.Second
 )
 
+// maxRegionPeak bounds the number of daemons that a row may claim for its region.
+const maxRegionPeak = 1000
+
 // row is a member with the time at which its beat last grew.
 type row struct {
 	Member
@@ -108,7 +114,9 @@
 
 // Self returns this daemon's own row.
 func (t *Table) Self() Member {
-	return t.self
+	self := t.self
+	self.RegionPeak = t.peak
+	return self
 }
 
 // SetState changes the state that this daemon announces.
@@ -149,6 +157,10 @@
 		return
 	}
 	t.rows[member.VM] = row{Member: member, lastHeard: now}
+	if member.Region == t.self.Region {
+		// A daemon that has restarted learns how many others there may be.
+		t.peak = max(t.peak, min(member.RegionPeak, maxRegionPeak))
+	}
 }
 
 func newer(a, b Member) bool {
@@ -203,7 +215,7 @@
 func (t *Table) HeartbeatMembers(vm types.VMID, now time.Time) []Member {
 	peer, found := t.rows[vm]
 	local := found && t.isLocal(peer.Member)
-	rows := []Member{t.self}
+	rows := []Member{t.Self()}
 	for _, member := range t.Live(now) {
 		if local || !found || t.isLocal(member) || sameDataCentre(member, peer.Member) {
 			rows = append(rows, member)
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -63,6 +63,20 @@
 		Expect(table.Self().Incarnation).To(BeEquivalentTo(78))
 	})
 
+	It("learns from its region how many daemons there may be, and not from other regions", func() {
+		before := member("a:1", 5)
+		before.RegionPeak = 3
+		remote := remoteMember("b:1", 5)
+		remote.RegionPeak = 30
+		table.Merge([]members.Member{before, remote}, start)
+		Expect(table.Peak()).To(Equal(3))
+		Expect(table.Self().RegionPeak).To(Equal(3))
+		absurd := member("c:1", 5)
+		absurd.RegionPeak = 1 << 40
+		table.Merge([]members.Member{absurd}, start)
+		Expect(table.Peak()).To(BeNumerically("<=", 1000))
+	})
+
 	It("sends to its seeds while it knows no other daemon, and later to unknown seeds", func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		Expect(table.Targets(start, random)).To(ConsistOf(types.VMID("seed:1")))
