Evacuations: endpoints are used until shortly before the limit, not dropped at once

Cause: an evacuated data centre got no request from the moment in which a daemon saw the record. Change: the daemon that reads the store also reads the evacuations every 0.7 s. An evacuation can't be older than the sending of the last such call whose answer was of an earlier revision. Other daemons get the age in a reply and count the time since their question. Who knows no age (a daemon that starts, or a reply that does not come) sends nothing. The last request comes 0.5 s before the limit; an attempt without a connection by then is given up. The state of the endpoints is kept until they return. The same calls find an evacuation that a watch does not report.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -179,6 +179,51 @@
 		Expect(counts["north-b"]).To(BeNumerically(">", 50))
 	})
 
+	Describe("endpoints of an evacuated data centre", func() {
+		last := start.Add(2 * time.Second)
+		leaving := func() *catalog.View {
+			return view(0, 2, func(p *catalog.ActiveEndpoint) { p.LastRequestAt = last })
+		}
+
+		It("get requests until their last one, also without a new view", func() {
+			pool := newPool(leaving(), 1)
+			permit, refusal := pool.Try(newRequest(desk, 0), last.Add(-time.Millisecond))
+			Expect(permit).NotTo(BeNil())
+			Expect(refusal).To(BeNil())
+			permit, refusal = pool.Try(newRequest(desk, 0), last)
+			Expect(permit).To(BeNil())
+			Expect(refusal.NoEndpoint).To(BeTrue())
+		})
+
+		It("get no waiting request after that", func() {
+			pool := newPool(leaving(), 1)
+			var permits []*balance.Permit
+			for {
+				permit, _ := pool.Try(newRequest(desk, 1), start)
+				if permit == nil {
+					break
+				}
+				permits = append(permits, permit)
+			}
+			waiter, _ := pool.Enqueue(newRequest(desk, 1), start)
+			pool.Done(permits[0], balance.Succeeded, last)
+			Expect(waiter.Granted).NotTo(Receive())
+		})
+
+		It("keep what is known of them until they return", func() {
+			v := view(1, 0, nil)
+			pool := newPool(v, 1)
+			permit := requestPermit(pool, newRequest(engines, 0), start)
+			gone := *v
+			gone.Endpoints, gone.Leaving = nil, v.Endpoints
+			pool.Update(&gone, balance.Membership{Self: "d0", PeakLive: 1})
+			pool.Update(v, balance.Membership{Self: "d0", PeakLive: 1})
+			Expect(pool.InFlight()[engines]).To(Equal(1))
+			pool.Done(permit, balance.Succeeded, start)
+			Expect(pool.InFlight()[engines]).To(BeZero())
+		})
+	})
+
 	Describe("cold endpoints", func() {
 		coldView := func() *catalog.View {
 			return view(1, 0, func(p *catalog.ActiveEndpoint) { p.ColdUntil = start.Add(time.Minute) })
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -80,27 +80,39 @@
 		slices.Equal(s.SameDataCentre, other.SameDataCentre) && slices.Equal(s.Serving, other.Serving)
 }
 
-// setView replaces the published view.
+// setView replaces the published view. Endpoints that are leaving keep their
+// state: they run requests until these end, and an evacuated data centre returns.
 func (p *Pool) setView(view *catalog.View) {
 	p.view, p.constraintsCache = view, make(map[routeConstraintsKey]routeConstraints)
 	clear(p.services)
 	states := make(map[types.EndpointID]*endpointState, len(p.states))
+	for name, endpoints := range view.Leaving {
+		p.addStates(states, name, endpoints)
+	}
 	for name, endpoints := range view.Endpoints {
-		for _, placed := range endpoints {
-			if placed.Region != p.region {
-				continue
-			}
-			ep := p.stateOf(placed)
-			if view.Config != nil {
-				ep.service = view.Config.Services[name]
-			}
-			states[placed.ID] = ep
-			p.services[name] = append(p.services[name], ep)
-		}
+		p.services[name] = p.addStates(states, name, endpoints)
 	}
 	p.states = states
 }
 
+// addStates adds the states of a service's endpoints in the local region, and
+// returns them.
+func (p *Pool) addStates(states map[types.EndpointID]*endpointState, name types.ServiceName, endpoints []catalog.ActiveEndpoint) []*endpointState {
+	var added []*endpointState
+	for _, placed := range endpoints {
+		if placed.Region != p.region {
+			continue
+		}
+		ep := p.stateOf(placed)
+		if p.view.Config != nil {
+			ep.service = p.view.Config.Services[name]
+		}
+		states[placed.ID] = ep
+		added = append(added, ep)
+	}
+	return added
+}
+
 // stateOf returns the state of an endpoint: the existing one if the endpoint has
 // the same start time and address, else a new one.
 func (p *Pool) stateOf(placed catalog.ActiveEndpoint) *endpointState {
@@ -127,7 +139,7 @@
 	eligible := p.filter(req, now)
 	eligible = assignedEndpoints(req, eligible)
 	if len(eligible) == 0 {
-		return nil, p.noEndpoint(req)
+		return nil, p.noEndpoint(req, now)
 	}
 	home := homeOf(req, eligible)
 	chosen := p.cheapest(req, eligible, home, now)
@@ -139,9 +151,9 @@
 
 // noEndpoint returns a refusal if the service has no endpoint that the request
 // has not tried, and nil if some are only suspended or ejected.
-func (p *Pool) noEndpoint(req RequestInfo) *Refusal {
+func (p *Pool) noEndpoint(req RequestInfo, now time.Time) *Refusal {
 	for _, ep := range p.services[req.Service] {
-		if !slices.Contains(req.Tried, ep.placed.ID) {
+		if !slices.Contains(req.Tried, ep.placed.ID) && ep.placed.Accepts(now) {
 			return nil
 		}
 	}
@@ -157,7 +169,7 @@
 	var eligible, ejected []*endpointState
 	var soonest *endpointState
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !ep.placed.Accepts(now) {
 			continue
 		}
 		switch {
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -24,7 +24,12 @@
 	// evacuationEnded holds the time at which the last evacuation of each data
 	// centre ended.
 	evacuationEnded map[types.DataCentre]time.Time
-	changed         bool
+	// evacuationLimit is the time within which an evacuated data centre must get
+	// no more requests.
+	evacuationLimit time.Duration
+	// readings holds the last readings of the store, oldest first.
+	readings []reading
+	changed  bool
 }
 
 // storedRecord is a record with the time at which it was merged.
@@ -37,6 +42,9 @@
 	// graceEnds.
 	graceEndpoint *Endpoint
 	graceEnds     time.Time
+	// requestedAfter is a time before which the record's evacuation was not
+	// requested; zero if none is known.
+	requestedAfter time.Time
 }
 
 // NewState returns an empty State.
@@ -107,6 +115,9 @@
 	if record.Endpoint != nil && record.Endpoint.Cold > 0 {
 		next.coldUntil = coldEnd(record.Endpoint, stored, now)
 	}
+	if record.Evacuated != "" {
+		next.requestedAfter = s.evacuationStart(record, stored)
+	}
 	if stored.Evacuated != "" && record.Evacuated == "" {
 		s.evacuationEnded[stored.Evacuated] = now
 	}
--- a/pkg/gateway/catalog/view.go
+++ b/pkg/gateway/catalog/view.go
@@ -8,9 +8,9 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// evacuationMargin is added to the cold time of endpoints after the evacuation
-// of their data centre, because daemons learn of its end with a delay.
-const evacuationMargin = time.Second
+// returnMargin is added to the cold time of endpoints after the evacuation of
+// their data centre, because daemons learn of its end with a delay.
+const returnMargin = time.Second
 
 // View is an immutable snapshot of a State.
 type View struct {
@@ -19,7 +19,10 @@
 	// AppliedRevision is the revision up to which every change is included.
 	AppliedRevision uint64
 	Endpoints       map[types.ServiceName][]ActiveEndpoint
-	Evacuated       map[types.DataCentre]bool
+	// Leaving lists the endpoints that get no more requests but still run: they
+	// are draining, or their data centre has been evacuated.
+	Leaving   map[types.ServiceName][]ActiveEndpoint
+	Evacuated map[types.DataCentre]bool
 }
 
 // ActiveEndpoint is an endpoint that accepts requests.
@@ -27,38 +30,56 @@
 	*Endpoint
 	// ColdUntil is the end of the endpoint's cold time; it may be in the past.
 	ColdUntil time.Time
+	// LastRequestAt is when the endpoint gets its last request, because its data
+	// centre is being evacuated; zero means that it stays.
+	LastRequestAt time.Time
 }
 
-// View returns a snapshot with the current configuration and, sorted by ID, the
-// endpoints that are neither draining, deleted (beyond their grace time) nor in
-// a data centre that is being evacuated.
-func (s *State) View() *View {
+// Accepts reports whether the endpoint may get a request at a time.
+func (e ActiveEndpoint) Accepts(now time.Time) bool {
+	return e.LastRequestAt.IsZero() || now.Before(e.LastRequestAt)
+}
+
+// View returns a snapshot with the current configuration and the endpoints that
+// are not deleted (beyond their grace time). Endpoints are sorted by ID; those
+// that are draining or in a data centre that has been evacuated are listed apart.
+func (s *State) View(now time.Time) *View {
 	view := &View{
 		Config:          s.config,
 		AppliedRevision: s.appliedRevision,
 		Endpoints:       make(map[types.ServiceName][]ActiveEndpoint),
+		Leaving:         make(map[types.ServiceName][]ActiveEndpoint),
 		Evacuated:       make(map[types.DataCentre]bool),
 	}
-	for _, stored := range s.byKey {
-		if stored.Evacuated != "" {
-			view.Evacuated[stored.Evacuated] = true
-		}
+	evacuations := s.evacuations()
+	for dc := range evacuations {
+		view.Evacuated[dc] = true
 	}
 	for _, stored := range s.byKey {
 		endpoint := stored.Endpoint
 		if stored.Deleted {
 			endpoint = stored.graceEndpoint
 		}
-		if endpoint == nil || endpoint.Draining || view.Evacuated[endpoint.DataCentre] {
+		if endpoint == nil {
+			continue
+		}
+		last, evacuated := evacuations[endpoint.DataCentre]
+		active := ActiveEndpoint{Endpoint: endpoint, ColdUntil: s.coldUntil(endpoint, stored.coldUntil), LastRequestAt: last}
+		if endpoint.Draining || evacuated && !now.Before(last) {
+			view.Leaving[endpoint.Service] = append(view.Leaving[endpoint.Service], active)
 			continue
 		}
-		active := ActiveEndpoint{Endpoint: endpoint, ColdUntil: s.coldUntil(endpoint, stored.coldUntil)}
 		view.Endpoints[endpoint.Service] = append(view.Endpoints[endpoint.Service], active)
 	}
-	for _, endpoints := range view.Endpoints {
+	sortByID(view.Endpoints)
+	sortByID(view.Leaving)
+	return view
+}
+
+func sortByID(byService map[types.ServiceName][]ActiveEndpoint) {
+	for _, endpoints := range byService {
 		slices.SortFunc(endpoints, func(a, b ActiveEndpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	return view
 }
 
 // coldUntil returns the later of the announced end of the cold time and the end
@@ -68,7 +89,7 @@
 	if !evacuated || s.config == nil || s.config.Services[endpoint.Service] == nil {
 		return until
 	}
-	afterEvacuation := ended.Add(s.config.Services[endpoint.Service].ColdStart + evacuationMargin)
+	afterEvacuation := ended.Add(s.config.Services[endpoint.Service].ColdStart + returnMargin)
 	if afterEvacuation.After(until) {
 		return afterEvacuation
 	}
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +46,9 @@
 	// noticed well before the time limit for changes to take effect; zero means
 	// DefaultWatchTimeout.
 	WatchTimeout time.Duration
+	// EvacuationLimit is the time, from the request of an evacuation, within
+	// which the data centre must get no more requests; zero means at once.
+	EvacuationLimit time.Duration
 	// OnSnapshot is called with each new snapshot and must not block.
 	OnSnapshot func(*Snapshot)
 	// Loads returns the daemon's load by service; it must not block.
@@ -73,8 +77,11 @@
 	lastReader  types.VMID
 	reading     bool
 	dirty       bool
-	ctx         context.Context
-	work        conc.WaitGroup
+	// viewOutdated is true when the view changes without a change of the state,
+	// because a data centre gets no more requests from now on.
+	viewOutdated bool
+	ctx          context.Context
+	work         conc.WaitGroup
 }
 
 // New returns a Control with an empty snapshot.
@@ -92,6 +99,7 @@
 		crashes:     newCrashLog(),
 		storeReadAt: make(map[types.VMID]time.Time),
 	}
+	c.state.SetEvacuationLimit(opts.EvacuationLimit)
 	c.publish(opts.Now())
 	return c
 }
@@ -128,9 +136,12 @@
 	defer c.work.Wait()
 	reader := newReader(c)
 	c.work.Go(func() { reader.supervise(ctx) })
+	c.work.Go(func() { reader.superviseEvacuations(ctx) })
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	c.tick(c.opts.Now())
+	evacuated := time.NewTimer(heartbeatInterval)
+	defer evacuated.Stop()
 	joining := true
 	for {
 		select {
@@ -139,6 +150,8 @@
 			c.drainEvents()
 		case <-ticker.C:
 			c.handle(c.tick)
+		case <-evacuated.C:
+			c.viewOutdated, c.dirty = true, true
 		case <-ctx.Done():
 			return
 		}
@@ -149,6 +162,9 @@
 		if c.dirty {
 			c.publish(c.opts.Now())
 		}
+		if next := c.state.NextEvacuation(c.opts.Now()); !next.IsZero() {
+			evacuated.Reset(next.Sub(c.opts.Now()))
+		}
 	}
 }
 
@@ -173,6 +189,7 @@
 // store or another daemon.
 func (c *Control) resetState() {
 	c.state = catalog.NewState()
+	c.state.SetEvacuationLimit(c.opts.EvacuationLimit)
 	c.table = c.table.EmptyCopy()
 	c.crashes = newCrashLog()
 	clear(c.storeReadAt)
@@ -195,6 +212,7 @@
 // publish builds and publishes a new snapshot.
 func (c *Control) publish(now time.Time) {
 	c.dirty = false
+	defer func() { c.viewOutdated = false }()
 	previous := c.snapshotHolder.load()
 	next := &Snapshot{
 		Self:       c.table.Self(),
@@ -206,14 +224,14 @@
 	}
 	switch {
 	case previous == nil:
-		next.View = c.state.View()
+		next.View = c.state.View(now)
 	case c.state.AppliedRevision() < previous.View.AppliedRevision:
 		next.View = previous.View
 		if len(next.Members) == 0 {
 			next.Members = previous.Members
 		}
-	case c.state.ConsumeChanged():
-		next.View = c.state.View()
+	case c.state.ConsumeChanged() || c.viewOutdated:
+		next.View = c.state.View(now)
 	default:
 		next.View = previous.View
 	}
@@ -239,6 +257,7 @@
 		From:            c.table.Self().VM,
 		AppliedRevision: c.state.AppliedRevision(),
 		Crashes:         c.crashes.recent(now),
+		Evacuations:     c.state.EvacuationAges(now),
 	}
 	if readAt, found := c.storeReadAt[c.lastReader]; found {
 		message.StoreReader, message.StoreReadAge = c.lastReader, now.Sub(readAt)
@@ -263,12 +282,16 @@
 
 // exchange sends a message and passes the reply to the control goroutine.
 func (c *Control) exchange(to types.VMID, message *Message) {
+	sentAt := c.opts.Now()
 	reply, err := c.opts.Peers.Send(c.ctx, to, message)
 	if err != nil {
 		c.submit(c.ctx, func(now time.Time) { c.markUnreachable(to, err, now) })
 		return
 	}
-	c.submit(c.ctx, func(now time.Time) { c.mergeMessage(reply, now) })
+	c.submit(c.ctx, func(now time.Time) {
+		c.mergeMessage(reply, now)
+		c.state.ConfirmEvacuations(reply.Evacuations, sentAt)
+	})
 }
 
 func (c *Control) markUnreachable(vm types.VMID, err error, now time.Time) {
@@ -287,6 +310,7 @@
 		defer close(replies)
 		senderRevision := message.AppliedRevision
 		c.mergeMessage(message, now)
+		c.askEvacuationAges(message, now)
 		reply := c.reply(message, now)
 		if c.state.AppliedRevision() > senderRevision {
 			delta := c.state.Since(senderRevision, now)
@@ -339,6 +363,18 @@
 	}
 }
 
+// askEvacuationAges asks the sender of a message for the age of an evacuation
+// that the message brought: only a reply bounds the age, since a message may have
+// been on its way for any time.
+func (c *Control) askEvacuationAges(message *Message, now time.Time) {
+	if message.Delta == nil {
+		return
+	}
+	if slices.ContainsFunc(message.Delta.Records, func(record catalog.Record) bool { return record.Evacuated != "" }) {
+		c.send(message.From, c.statusMessage(now))
+	}
+}
+
 // recordStoreRead records when a daemon last read the store.
 func (c *Control) recordStoreRead(origin types.VMID, readAt time.Time) {
 	if readAt.After(c.storeReadAt[origin]) {
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -56,9 +56,12 @@
 	log     []catalog.Record
 	rev     uint64
 	// kept is the oldest revision after which the history is complete.
-	kept    uint64
-	down    bool
-	silent  bool
+	kept   uint64
+	down   bool
+	silent bool
+	// deaf makes watches miss changes, as a store that is about to drop its
+	// history does.
+	deaf    bool
 	changed chan struct{}
 	reads   int
 }
@@ -105,6 +108,22 @@
 	return jsonCopy(all), s.rev, nil
 }
 
+// ReadEvacuations implements control.Store.
+func (s *fakeStore) ReadEvacuations(context.Context) ([]catalog.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	var found []catalog.Record
+	for _, record := range s.records {
+		if record.Evacuated != "" {
+			found = append(found, record)
+		}
+	}
+	return jsonCopy(found), s.rev, nil
+}
+
 // Watch implements control.Store.
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Delta, error) {
 	s.watches.Add(1)
@@ -132,7 +151,7 @@
 	switch {
 	case s.down:
 		return delta, nil, errDown
-	case s.silent:
+	case s.silent || s.deaf:
 		delta.To = after
 		return delta, make(chan struct{}), nil
 	case after < s.kept:
@@ -181,6 +200,10 @@
 	p.cut[vm] = cut
 }
 
+// evacuationLimit is the time within which an evacuated data centre gets no more
+// requests.
+const evacuationLimit = 2500 * time.Millisecond
+
 // fleet is a few daemons that share one store.
 type fleet struct {
 	store   *fakeStore
@@ -202,7 +225,7 @@
 		daemon := control.New(control.Options{
 			Self:  members.Member{VM: vm, Incarnation: 1, State: members.Starting, Region: "north", DataCentre: "north-a", CallerAddress: string(vm)},
 			Seeds: vms[:1], Store: storeOf(vm), Peers: f.peers,
-			OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads,
+			OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads, EvacuationLimit: evacuationLimit,
 			Log: log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
 		})
 		f.daemons = append(f.daemons, daemon)
@@ -328,6 +351,83 @@
 		Eventually(f.versions, waitLimit).Should(Equal([]uint64{3, 3}))
 	})
 
+	Describe("an evacuation", func() {
+		evacuation := catalog.Record{Key: "op/evacuate/north-a", Evacuated: "north-a"}
+		endpoint := endpointRecord("e1")
+		endpoint.Endpoint.DataCentre = "north-a"
+		accepting := func(daemon *control.Control) bool {
+			return slices.ContainsFunc(daemon.Load().View.Endpoints["s"], func(ep catalog.ActiveEndpoint) bool { return ep.Accepts(time.Now()) })
+		}
+		count := func(f *fleet) func() int {
+			return func() int {
+				n := 0
+				for _, daemon := range f.daemons {
+					if accepting(daemon) {
+						n++
+					}
+				}
+				return n
+			}
+		}
+		evacuated := func(f *fleet) func() bool {
+			return func() bool {
+				return !slices.ContainsFunc(f.daemons, func(daemon *control.Control) bool { return !daemon.Load().View.Evacuated["north-a"] })
+			}
+		}
+
+		It("leaves the endpoints in use at every daemon for most of the limit, and never beyond it", func() {
+			store.put(configRecord(3))
+			store.put(endpoint)
+			f := newFleet(store, sharedStore, "a:1", "b:1", "c:1")
+			defer f.stop()
+			Eventually(count(f), waitLimit).Should(Equal(3))
+			store.put(evacuation)
+			requested := time.Now()
+			Eventually(evacuated(f), waitLimit).Should(BeTrue())
+			// The daemons that don't read the store ask for the age.
+			Eventually(count(f), time.Until(requested.Add(evacuationLimit/2))).Should(Equal(3))
+			Eventually(count(f), waitLimit).Should(BeZero())
+			Expect(time.Since(requested)).To(BeNumerically("<=", evacuationLimit))
+		})
+
+		It("is learnt while watches miss changes", func() {
+			store.put(configRecord(3))
+			store.put(endpoint)
+			f := newFleet(store, sharedStore, "a:1", "b:1")
+			defer f.stop()
+			Eventually(count(f), waitLimit).Should(Equal(2))
+			store.set(func() { store.deaf = true })
+			store.put(evacuation)
+			requested := time.Now()
+			Eventually(count(f), waitLimit).Should(BeZero())
+			Expect(time.Since(requested)).To(BeNumerically("<=", evacuationLimit))
+		})
+
+		It("keeps a daemon that starts during it from using the endpoints", func() {
+			store.put(configRecord(3))
+			store.put(endpoint)
+			store.put(evacuation)
+			f := newFleet(store, sharedStore, "a:1", "b:1")
+			defer f.stop()
+			Eventually(evacuated(f), waitLimit).Should(BeTrue())
+			Consistently(count(f), time.Second).Should(BeZero())
+		})
+
+		It("ends the use of the endpoints in time when the store fails right after it", func() {
+			store.put(configRecord(3))
+			store.put(endpoint)
+			f := newFleet(store, sharedStore, "a:1", "b:1")
+			defer f.stop()
+			Eventually(count(f), waitLimit).Should(Equal(2))
+			store.put(evacuation)
+			requested := time.Now()
+			Eventually(evacuated(f), waitLimit).Should(BeTrue())
+			store.set(func() { store.down = true })
+			Eventually(count(f), waitLimit).Should(BeZero())
+			Expect(time.Since(requested)).To(BeNumerically("<=", evacuationLimit))
+		})
+	})
+
 	It("removes a leaving daemon from the others' view", func() {
 		store.put(configRecord(3))
 		f := newFleet(store, sharedStore, "a:1", "b:1")
--- a/pkg/gateway/control/message.go
+++ b/pkg/gateway/control/message.go
@@ -27,6 +27,9 @@
 	Relay bool `json:"pass_on,omitempty"`
 	// Crashes lists crashes of endpoints and the contents that they ran.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// Evacuations holds the ages of the evacuations in force, as far as the
+	// sender knows them.
+	Evacuations []catalog.EvacuationAge `json:"evacuations,omitempty"`
 }
 
 // Crash records that an endpoint crashed while it ran a request content.
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
@@ -17,6 +18,10 @@
 	// wait and returns an empty delta if there are none. It returns
 	// ErrHistoryLost if the store no longer holds the changes.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Delta, error)
+	// ReadEvacuations reads the records of the evacuations in force. The result
+	// includes every change up to the revision, and none that was made before
+	// the call is missing.
+	ReadEvacuations(ctx context.Context) (records []catalog.Record, revision uint64, err error)
 }
 
 // ErrHistoryLost means that the store no longer holds the requested changes.
@@ -40,6 +45,10 @@
 	quietPeriod = 500 * time.Millisecond
 	minBackoff  = 100 * time.Millisecond
 	maxBackoff  = 600 * time.Millisecond
+	// evacuationPoll is the interval between two readings of the evacuations in
+	// force. It bounds the uncertainty about when an evacuation was requested,
+	// and finds one that a watch does not report.
+	evacuationPoll = 700 * time.Millisecond
 	// idlePoll is the interval at which a daemon that does not read the store
 	// checks whether it should.
 	idlePoll = 100 * time.Millisecond
@@ -58,6 +67,8 @@
 	backoff   time.Duration
 	// lastChangeAt is when the store last returned a change.
 	lastChangeAt time.Time
+	// active is true while this daemon reads the store and gets answers.
+	active atomic.Bool
 }
 
 func newReader(c *Control) *reader {
@@ -77,6 +88,7 @@
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.shouldRead(ctx) {
+			r.active.Store(false)
 			r.needFullRead, r.lastRevision = true, 0
 			sleep(ctx, idlePoll)
 			continue
@@ -156,6 +168,7 @@
 func (r *reader) readAll(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	askedAt := r.control.opts.Now()
 	records, base, err := r.control.opts.Store.ReadAll(bounded)
 	if err != nil {
 		return err
@@ -163,10 +176,42 @@
 	r.recovered()
 	grace := r.grace()
 	r.needFullRead, r.lastRevision = false, base
-	r.control.submit(ctx, func(now time.Time) { r.control.applyFullRead(records, base, grace, now) })
+	r.control.submit(ctx, func(now time.Time) {
+		r.control.applyFullRead(records, base, grace, now)
+		r.control.state.RecordReading(base, askedAt)
+	})
 	return nil
 }
 
+// superviseEvacuations reads the evacuations in force until ctx ends, while this
+// daemon reads the store.
+func (r *reader) superviseEvacuations(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.active.Load() {
+			// The guard logs a panic; the next poll tries again.
+			_ = r.control.opts.Guard.Do("evacuation reader", func() { r.readEvacuations(ctx) })
+		}
+		sleep(ctx, evacuationPoll)
+	}
+}
+
+// readEvacuations reads the evacuations in force once. A failure is left to the
+// watch, which logs an outage of the store.
+func (r *reader) readEvacuations(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	askedAt := r.control.opts.Now()
+	records, revision, err := r.control.opts.Store.ReadEvacuations(bounded)
+	if err != nil {
+		r.control.opts.Log.WithError(err).Debug("evacuations could not be read")
+		return
+	}
+	r.control.submit(ctx, func(now time.Time) {
+		r.control.applyEvacuations(records, now)
+		r.control.state.RecordReading(revision, askedAt)
+	})
+}
+
 // recovered records a successful call. The first one after an outage starts the
 // period in which entries of live endpoints may still be missing.
 func (r *reader) recovered() {
@@ -175,6 +220,7 @@
 		r.settledAt = r.control.opts.Now().Add(settleTime)
 	}
 	r.down, r.backoff = false, 0
+	r.active.Store(true)
 }
 
 func (r *reader) grace() time.Duration {
@@ -187,6 +233,7 @@
 		r.needFullRead = true
 		return
 	}
+	r.active.Store(false)
 	if !errors.Is(err, ErrBusy) && !r.down {
 		r.down = true
 		r.control.opts.Log.WithError(err).Warn("the store does not answer")
@@ -213,6 +260,19 @@
 	c.distribute(delta, now)
 }
 
+// applyEvacuations applies and distributes evacuations that the watch has not
+// reported.
+func (c *Control) applyEvacuations(records []catalog.Record, now time.Time) {
+	unknown := c.state.NewRecords(records)
+	if len(unknown) == 0 {
+		return
+	}
+	delta := catalog.Delta{Records: unknown}
+	c.state.Apply(delta, now)
+	c.dirty = true
+	c.distribute(delta, now)
+}
+
 // applyFullRead applies a full read of the store and distributes the changes.
 func (c *Control) applyFullRead(records []catalog.Record, base uint64, grace time.Duration, now time.Time) {
 	c.recordStoreRead(c.table.Self().VM, now)
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -44,6 +44,9 @@
 	// ConfigPropagationLimit is the time within which a change must be in force on
 	// every daemon; zero means unknown.
 	ConfigPropagationLimit time.Duration
+	// EvacuationLimit is the time within which an evacuated data centre must get
+	// no more requests; zero means at once.
+	EvacuationLimit time.Duration
 	// Grace is the time between the stop signal and the end of the process.
 	Grace time.Duration
 	Cold  balance.Bounds
@@ -124,12 +127,15 @@
 		Store:        opts.Store,
 		Peers:        control.NewHTTPPeers(proxy.NewTransport()),
 		WatchTimeout: time.Duration(float64(s.ConfigPropagationLimit) * watchShare),
-		Loads:        e.gate.Loads,
-		OnSnapshot:   e.published,
-		Log:          e.log,
-		Guard:        e.guard,
-		Now:          time.Now,
-		Rand:         sharedrand.Source{},
+
+		EvacuationLimit: s.EvacuationLimit,
+
+		Loads:      e.gate.Loads,
+		OnSnapshot: e.published,
+		Log:        e.log,
+		Guard:      e.guard,
+		Now:        time.Now,
+		Rand:       sharedrand.Source{},
 	})
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
@@ -41,6 +42,21 @@
 	return w.conn.Load() != nil
 }
 
+// connectBy ends the attempt if it has no connection at a time, so that a request
+// does not reach an endpoint after its last one is due. A zero time sets no limit.
+// The returned function stops the timer.
+func (w *attemptConn) connectBy(last, now time.Time) (stop func()) {
+	if last.IsZero() {
+		return func() {}
+	}
+	timer := time.AfterFunc(last.Sub(now), func() {
+		if !w.connected() {
+			w.cancel()
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // closeConn closes the connection, so that bytes still in transit on it are not
 // taken for the response to another request.
 func (w *attemptConn) closeConn() {
@@ -59,6 +75,7 @@
 	var w attemptConn
 	outgoing := r.endpointRequest(permit, &w)
 	defer w.cancel()
+	defer w.connectBy(permit.Endpoint.LastRequestAt, r.h.opts.Now())()
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	if err != nil {
 		return r.handleSendError(permit, &w, err)
