Prefixes: an engine that lacks one copies it from the engine that has it

Kv-Fetch of the platform was not used at all. Ruled out: copying where the link is slower than 0.75 of the assumed prefill rate. Change: a large prompt at an engine that is not known to hold its prefix names an engine that most likely does: the home of the prefix, also one that gets no more requests, or else the home in another region, which stood in. Both follow from the published records, so no message is needed.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -82,7 +82,10 @@
 // Permit is the permission to send one request to an endpoint.
 type Permit struct {
 	Endpoint catalog.ActiveEndpoint
-	req      RequestInfo
+	// PrefixMissing is true if the endpoint is not known to have the request's
+	// large prefix cached.
+	PrefixMissing bool
+	req           RequestInfo
 	// prefillTokens is the number of prompt tokens that the endpoint has to
 	// prefill for the request.
 	prefillTokens float64
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -271,6 +271,7 @@
 		ep.coldSends = append(ep.coldSends, now)
 	}
 	if req.large() {
+		permit.PrefixMissing = !ep.cache.holds(req.Prefix)
 		ep.large++
 		ep.cache.insertAll(req, ep.cacheTokens(), now)
 	}
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -115,6 +116,39 @@
 	})
 }
 
+// minFetchShare is the least rate, relative to prefillRate, at which copying a
+// prefix is better than prefilling it: a copy leaves the engine free to run other
+// requests.
+const minFetchShare = 0.75
+
+// PrefixSource returns the endpoint of any region that most likely has a large
+// prefix cached when the endpoint to lacks it, because its home has changed: its
+// home if that is another endpoint, else the home in another region, which stands
+// in while the data centre of to is not used. It returns false where copying is
+// too slow.
+func PrefixSource(view *catalog.View, service types.ServiceName, prefix uint64, to catalog.ActiveEndpoint, allows func(types.Region) bool) (catalog.ActiveEndpoint, bool) {
+	if !copiesPrefixes(view, service) {
+		return catalog.ActiveEndpoint{}, false
+	}
+	candidates := slices.Concat(view.Endpoints[service], view.Leaving[service])
+	allowed := func(ep catalog.ActiveEndpoint) bool { return allows(ep.Region) }
+	home, found := PrefixHome(candidates, prefix, allowed)
+	if !found || home.ID != to.ID {
+		return home, found
+	}
+	return PrefixHome(candidates, prefix, func(ep catalog.ActiveEndpoint) bool { return allowed(ep) && ep.Region != to.Region })
+}
+
+// copiesPrefixes reports whether the engines of a service copy prefixes from each
+// other fast enough.
+func copiesPrefixes(view *catalog.View, service types.ServiceName) bool {
+	if view.Config == nil || view.Config.Services[service] == nil {
+		return false
+	}
+	engine := view.Config.Services[service].Engine
+	return engine != nil && engine.FetchRate >= prefillRate*minFetchShare
+}
+
 // highestWeighted returns the endpoint with the highest rendezvous weight for a
 // prefix. Endpoints without an ID are skipped.
 func highestWeighted[E any](prefix uint64, endpoints []E, idOf func(E) types.EndpointID) (best E, found bool) {
--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -116,6 +116,9 @@
 	// CacheTokens is the memory for running requests and cached prefixes, in
 	// tokens.
 	CacheTokens int `json:"cache_tokens"`
+	// FetchRate is how many tokens of a cached prefix an engine can copy from
+	// another one per second; zero means that it can't.
+	FetchRate float64 `json:"fetch_rate,omitempty"`
 }
 
 // Limits bounds what a caller may send.
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -103,6 +103,9 @@
 	if r.lastEvent != "" {
 		attempt.ResumeAfter = r.lastEvent
 	}
+	if permit.PrefixMissing {
+		attempt.FetchFrom = r.prefixSource(permit.Endpoint)
+	}
 	if !r.req.CallerDeadline.IsZero() {
 		attempt.TimeLeft = max(r.req.Deadline.Sub(r.h.opts.Now()), 1)
 	}
@@ -110,6 +113,16 @@
 	return r.outgoing(permit.Endpoint.Address, header, w)
 }
 
+// prefixSource returns the address of an endpoint from which another one may copy
+// the request's prefix; empty if there is none.
+func (r *run) prefixSource(to catalog.ActiveEndpoint) string {
+	source, found := balance.PrefixSource(r.h.opts.Snapshot().View, r.req.Service, r.req.Prefix, to, r.req.Route.Allows)
+	if !found {
+		return ""
+	}
+	return source.Address
+}
+
 // outgoing builds a request that http.Transport does not resend on its own,
 // unless the route is idempotent.
 func (r *run) outgoing(address string, header http.Header, w *attemptConn) *http.Request {
--- a/pkg/gateway/proxy/dialect.go
+++ b/pkg/gateway/proxy/dialect.go
@@ -54,6 +54,9 @@
 	Rank int
 	// ModelEngine is true for requests that a model engine schedules by rank.
 	ModelEngine bool
+	// FetchFrom is the address of an endpoint from which the engine may copy the
+	// cached prefix of the prompt; empty if it has to prefill what it lacks.
+	FetchFrom string
 	// ResumeAfter is the ID of the last event to skip; empty for a new stream.
 	ResumeAfter string
 }
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -42,6 +42,7 @@
 	headerSignature   = "X-Seal"
 	headerNotRun      = "X-Not-Run"
 	headerEndpoint    = "X-Endpoint"
+	headerFetchFrom   = "X-Test-Fetch-From"
 	headerResumeAfter = "X-After"
 	headerTimeout     = "X-Allowed"
 	headerPrefix      = "X-Prefix"
@@ -67,6 +68,9 @@
 	if attempt.ResumeAfter != "" {
 		header.Set(headerResumeAfter, attempt.ResumeAfter)
 	}
+	if attempt.FetchFrom != "" {
+		header.Set(headerFetchFrom, attempt.FetchFrom)
+	}
 }
 
 func (testDialect) ResponseInfo(status int, header http.Header) proxy.ResponseInfo {
--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -374,6 +374,32 @@
 		Expect(local.count()).To(Equal(homes["south"]))
 	})
 
+	It("lets an endpoint copy a prefix from the evacuated home of the prefix, once", func() {
+		var copied []string
+		here := newEndpoint(func(w http.ResponseWriter, r *http.Request) {
+			copied = append(copied, r.Header.Get(headerFetchFrom))
+			respondOK(w, r)
+		})
+		w := newTestProxy(catalog.Idempotent)
+		w.modelEngine = true
+		w.start(here)
+		w.snap.View.Config.Services[service].Engine.FetchRate = 200_000
+		home := catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{ID: "gone", Service: service, Address: "10.0.0.9:80", Region: "south", Slots: 4}}
+		prefix := uint64(1)
+		for ; ; prefix++ {
+			both := append([]catalog.ActiveEndpoint{home}, w.snap.View.Endpoints[service]...)
+			if first, _ := balance.PrefixHome(both, prefix, func(catalog.ActiveEndpoint) bool { return true }); first.ID == home.ID {
+				break
+			}
+		}
+		w.snap.View.Leaving = map[types.ServiceName][]catalog.ActiveEndpoint{service: {home}}
+		w.update()
+		for range 2 {
+			Expect(w.call("GET", "/r/", "", headerPrefix, strconv.FormatUint(prefix, 10)).status).To(Equal(200))
+		}
+		Expect(copied).To(Equal([]string{"10.0.0.9:80", ""}))
+	})
+
 	It("receives large prompts through a daemon in the endpoint's data centre", func() {
 		here, there := newEndpoint(respondOK), newEndpoint(respondOK)
 		south, north := startRegions(catalog.Idempotent, nil, there)
