After an evacuation health checks tell whether endpoints are cold

What they publish does not tell: a cold time of 1 s was never announced. Change: the daemons that send to such an endpoint check its health 0.1 s after they learn of the return, and every 0.3 s until it answers; the answer replaces the assumed cold time. No answer changes nothing.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	gomegatypes "github.com/onsi/gomega/types"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
@@ -311,6 +312,68 @@
 		}
 		const slowBound = 2.4*1.5 + 3
 
+		Describe("whose cold time is only assumed", func() {
+			assumed := func() *catalog.View {
+				return view(2, 0, func(p *catalog.ActiveEndpoint) { p.ColdUntil, p.ColdAssumed = start.Add(4*time.Second), true })
+			}
+			checked := func(v *catalog.View) *balance.Pool {
+				v.Config.Services[engines].HealthPath = "/well"
+				return newPool(v, 1)
+			}
+			// granted counts the requests that the pool sends at a time.
+			granted := func(pool *balance.Pool, now time.Time) int {
+				count := 0
+				for range 200 {
+					if permit, _ := pool.Permit(newRequest(engines, 0), now); permit != nil {
+						count++
+					}
+				}
+				return count
+			}
+
+			It("get their full load once a health check has found them warm", func() {
+				pool := checked(assumed())
+				due := pool.DueProbes(start)
+				Expect(due).To(HaveLen(2))
+				Expect(due[0].Path).To(Equal("/well"))
+				for _, probe := range due {
+					pool.RecordProbe(probe, start)
+				}
+				Expect(granted(pool, start)).To(BeNumerically(">", 60))
+				Expect(pool.DueProbes(start.Add(time.Second))).To(BeEmpty())
+			})
+
+			DescribeTable("stay cold for as long as the health check says", func(after time.Duration, matcher gomegatypes.GomegaMatcher) {
+				pool := checked(assumed())
+				for _, probe := range pool.DueProbes(start) {
+					pool.RecordProbe(probe, start.Add(time.Second))
+				}
+				Expect(granted(pool, start.Add(after))).To(matcher)
+			},
+				Entry("before", 900*time.Millisecond, BeNumerically("<", 20)),
+				Entry("after", 1100*time.Millisecond, BeNumerically(">", 60)),
+			)
+
+			It("stay cold while no health check has answered, and are checked again", func() {
+				pool := checked(assumed())
+				Expect(pool.DueProbes(start)).To(HaveLen(2))
+				Expect(pool.DueProbes(start.Add(100 * time.Millisecond))).To(BeEmpty())
+				Expect(pool.DueProbes(start.Add(time.Second))).To(HaveLen(2))
+				Expect(granted(pool, start.Add(time.Second))).To(BeNumerically("<", 20))
+			})
+
+			It("keep a cold time that was announced after the check", func() {
+				pool := checked(assumed())
+				due := pool.DueProbes(start)
+				announced := view(2, 0, func(p *catalog.ActiveEndpoint) { p.ColdUntil = start.Add(5 * time.Second) })
+				pool.Update(announced, balance.Membership{Self: "d0", PeakLive: 1})
+				for _, probe := range due {
+					pool.RecordProbe(probe, start)
+				}
+				Expect(granted(pool, start)).To(BeNumerically("<", 20))
+			})
+		})
+
 		DescribeTable("get nearly all that they can serve from the daemons of a small region", func(daemons int) {
 			most := sendAll(newFleet(slowView(), daemons))
 			Expect(most).To(BeNumerically("<=", slowBound))
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -103,6 +103,11 @@
 	// pendingSince holds the send times of requests whose responses have not
 	// started, oldest first.
 	pendingSince []time.Time
+	// probedFor is the assumed end of the cold time that a health check has
+	// replaced by probedColdUntil; nextProbeAt is when the next check is due.
+	probedFor       time.Time
+	probedColdUntil time.Time
+	nextProbeAt     time.Time
 	// restartedColdUntil is set when the endpoint came back after a failure.
 	restartedColdUntil time.Time
 }
@@ -156,7 +161,21 @@
 	if s.service == nil || s.service.ColdPerSecond <= 0 {
 		return false
 	}
-	return now.Before(s.placed.ColdUntil) || now.Before(s.restartedColdUntil)
+	return now.Before(s.coldUntil()) || now.Before(s.restartedColdUntil)
+}
+
+// coldUntil returns the end of the cold time: as the endpoint announced it, or as
+// a health check found it where it was only assumed.
+func (s *endpointState) coldUntil() time.Time {
+	if s.probed() {
+		return s.probedColdUntil
+	}
+	return s.placed.ColdUntil
+}
+
+// probed reports whether a health check has replaced the assumed cold time.
+func (s *endpointState) probed() bool {
+	return s.placed.ColdAssumed && s.probedFor.Equal(s.placed.ColdUntil)
 }
 
 // allowsColdSend reports whether this daemon may send another request to a cold
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -100,6 +100,22 @@
 	g.pool.ResponseStarted(permit, g.now())
 }
 
+// DueProbes returns the endpoints whose health is to be checked now.
+func (g *Gate) DueProbes() []balance.Probe {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.DueProbes(g.now())
+}
+
+// RecordProbe records that a health check found an endpoint cold until a time,
+// and grants the capacity to waiting requests.
+func (g *Gate) RecordProbe(probe balance.Probe, coldUntil time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.RecordProbe(probe, coldUntil)
+	g.pool.Grant(probe.Endpoint.Service, g.now())
+}
+
 // Refuse refuses a request for which there is no capacity and that must not
 // wait.
 func (g *Gate) Refuse(req balance.RequestInfo) *balance.Refusal {
--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -105,6 +105,9 @@
 	// ColdPerSecond is the rate of requests that a cold endpoint can serve; zero
 	// means that cold endpoints need no slow start.
 	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
+	// HealthPath is the path of the endpoints' health check; empty if there is
+	// none.
+	HealthPath string `json:"health_path,omitempty"`
 	// Engine is nil for services that are not model engines.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/pkg/gateway/catalog/catalog_test.go
+++ b/pkg/gateway/catalog/catalog_test.go
@@ -118,6 +118,9 @@
 		state.Apply(catalog.Delta{From: 4, To: 5, Records: []catalog.Record{{Key: "op/evacuate/north-a", Revision: 5, Deleted: true}}}, back)
 		Expect(state.View(start).Endpoints[service]).To(HaveLen(1))
 		Expect(state.View(start).Endpoints[service][0].ColdUntil).To(BeTemporally(">=", back.Add(3*time.Second)))
+		Expect(state.View(start).Endpoints[service][0].ColdAssumed).To(BeTrue())
+		state.Apply(deltaOf(5, endpointRecord("e1", 6, func(e *catalog.Endpoint) { e.Cold = 9 * time.Second })), back)
+		Expect(state.View(start).Endpoints[service][0].ColdAssumed).To(BeFalse())
 	})
 
 	Describe("an evacuated data centre", func() {
--- a/pkg/gateway/catalog/view.go
+++ b/pkg/gateway/catalog/view.go
@@ -8,10 +8,6 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// returnMargin is added to the cold time of endpoints after the evacuation of
-// their data centre, because daemons learn of its end with a delay.
-const returnMargin = time.Second
-
 // View is an immutable snapshot of a State.
 type View struct {
 	// Config is nil until a configuration has been received.
@@ -30,6 +26,9 @@
 	*Endpoint
 	// ColdUntil is the end of the endpoint's cold time; it may be in the past.
 	ColdUntil time.Time
+	// ColdAssumed is true if the endpoint has not announced this cold time: its
+	// data centre was evacuated, and it may have become cold before it returned.
+	ColdAssumed bool
 	// LastRequestAt is when the endpoint gets its last request, because its data
 	// centre is being evacuated; zero means that it stays.
 	LastRequestAt time.Time
@@ -64,7 +63,8 @@
 			continue
 		}
 		last, evacuated := evacuations[endpoint.DataCentre]
-		active := ActiveEndpoint{Endpoint: endpoint, ColdUntil: s.coldUntil(endpoint, stored.coldUntil), LastRequestAt: last}
+		active := ActiveEndpoint{Endpoint: endpoint, LastRequestAt: last}
+		active.ColdUntil, active.ColdAssumed = s.coldUntil(endpoint, stored.coldUntil)
 		if endpoint.Draining || evacuated && !now.Before(last) {
 			view.Leaving[endpoint.Service] = append(view.Leaving[endpoint.Service], active)
 			continue
@@ -81,17 +81,3 @@
 		slices.SortFunc(endpoints, func(a, b ActiveEndpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
 }
-
-// coldUntil returns the later of the announced end of the cold time and the end
-// of the cold time that follows an evacuation.
-func (s *State) coldUntil(endpoint *Endpoint, until time.Time) time.Time {
-	ended, evacuated := s.evacuationEnded[endpoint.DataCentre]
-	if !evacuated || s.config == nil || s.config.Services[endpoint.Service] == nil {
-		return until
-	}
-	afterEvacuation := ended.Add(s.config.Services[endpoint.Service].ColdStart + returnMargin)
-	if afterEvacuation.After(until) {
-		return afterEvacuation
-	}
-	return until
-}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
+	"github.com/flamingomount/flamingomount/pkg/gateway/health"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 	"github.com/flamingomount/flamingomount/pkg/sharedrand"
@@ -66,11 +67,17 @@
 	Handler http.Handler
 }
 
+// Dialect decodes and encodes what callers and endpoints send and receive.
+type Dialect interface {
+	proxy.Dialect
+	health.Dialect
+}
+
 // Options configures an Entry.
 type Options struct {
 	Settings Settings
 	Store    control.Store
-	Dialect  proxy.Dialect
+	Dialect  Dialect
 	// ExtraListeners returns additional listeners of the entry; nil means none.
 	ExtraListeners func(*Entry) []ExtraListener
 	// Output receives the log lines.
@@ -85,6 +92,7 @@
 	guard    *guard.Guard
 	control  *control.Control
 	gate     *gate.Gate
+	prober   *health.Prober
 	budgets  *proxy.RetryBudgets
 	handler  *proxy.Handler
 	registry *prometheus.Registry
@@ -104,7 +112,7 @@
 const watchShare = 0.4
 
 // componentCount is the number of components that run beside the listeners.
-const componentCount = 2
+const componentCount = 3
 
 // New creates an entry and opens its listeners. If it returns an error, all
 // listeners are closed.
@@ -117,6 +125,8 @@
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.guard = guard.New(e.log, e.registry)
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
+	transport := proxy.NewTransport()
+	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow)
 	e.control = control.New(control.Options{
 		Self: members.Member{
@@ -139,9 +149,9 @@
 	})
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
-		RetryBudgets: e.budgets,
-		BodyMemory:   int64(float64(s.MemoryBytes) * bodyMemoryShare),
-		Log:          newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedrand.Source{},
+		RetryBudgets: e.budgets, Transport: transport,
+		BodyMemory: int64(float64(s.MemoryBytes) * bodyMemoryShare),
+		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedrand.Source{},
 	})
 	if err := e.listen(); err != nil {
 		e.close()
@@ -154,6 +164,7 @@
 // are divided among the daemons.
 func (e *Entry) published(snap *control.Snapshot) {
 	e.gate.Update(snap.View, regionMembership(snap))
+	e.prober.Wake()
 	if !snap.Joining {
 		e.budgets.SetFleetSize(snap.FleetPeak)
 	}
@@ -257,6 +268,7 @@
 	}
 	start("control", func() { e.control.Run(background) })
 	start("gate", func() { e.gate.Run(background) })
+	start("health", func() { e.prober.Run(background) })
 	for _, srv := range e.servers {
 		running.Go(func() {
 			if err := srv.serve(); err != nil {
--- /dev/null
+++ b/pkg/gateway/health/prober_test.go
@@ -0,0 +1,135 @@
+package health_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/health"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+func TestHealth(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "health")
+}
+
+const waitLimit = 30 * time.Second
+
+// fakePool names one endpoint once and keeps the results.
+type fakePool struct {
+	mu      sync.Mutex
+	due     []balance.Probe
+	results map[types.EndpointID]time.Time
+}
+
+func (p *fakePool) DueProbes() []balance.Probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	due := p.due
+	p.due = nil
+	return due
+}
+
+func (p *fakePool) RecordProbe(probe balance.Probe, coldUntil time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results[probe.Endpoint.ID] = coldUntil
+}
+
+func (p *fakePool) result(id types.EndpointID) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until, found := p.results[id]
+	return until, found
+}
+
+type testDialect struct{}
+
+func (testDialect) HealthInfo(status int, header http.Header) health.Info {
+	cold, _ := time.ParseDuration(header.Get("X-Cold"))
+	return health.Info{Endpoint: types.EndpointID(header.Get("X-Endpoint")), Healthy: status == http.StatusOK, Cold: cold}
+}
+
+var _ = Describe("Prober", func() {
+	// check lets a prober check an endpoint e1 and returns the pool and when the
+	// endpoint has been asked.
+	check := func(respond http.HandlerFunc) (*fakePool, chan struct{}) {
+		asked := make(chan struct{}, 8)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.URL.Path).To(Equal("/well"))
+			respond(w, r)
+			asked <- struct{}{}
+		}))
+		DeferCleanup(server.Close)
+		pool := &fakePool{results: map[types.EndpointID]time.Time{}, due: []balance.Probe{{
+			Endpoint: catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{ID: "e1", Address: server.Listener.Addr().String()}}, Path: "/well",
+		}}}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		prober := health.NewProber(pool, testDialect{}, http.DefaultTransport, log, time.Now)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running conc.WaitGroup
+		running.Go(func() { prober.Run(ctx) })
+		DeferCleanup(func() {
+			cancel()
+			running.Wait()
+		})
+		prober.Wake()
+		return pool, asked
+	}
+
+	It("finds an endpoint warm", func() {
+		pool, _ := check(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Endpoint", "e1") })
+		Eventually(func() bool {
+			until, found := pool.result("e1")
+			return found && !until.After(time.Now())
+		}, waitLimit).Should(BeTrue())
+	})
+
+	It("finds how long an endpoint stays cold", func() {
+		pool, _ := check(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Endpoint", "e1")
+			w.Header().Set("X-Cold", "1h")
+		})
+		Eventually(func() bool {
+			until, found := pool.result("e1")
+			return found && time.Until(until) > 59*time.Minute
+		}, waitLimit).Should(BeTrue())
+	})
+
+	DescribeTable("learns nothing", func(respond http.HandlerFunc) {
+		pool, asked := check(respond)
+		Eventually(asked, waitLimit).Should(Receive())
+		Consistently(func() bool {
+			_, found := pool.result("e1")
+			return found
+		}, 100*time.Millisecond).Should(BeFalse())
+	},
+		Entry("from an endpoint that is not healthy", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Endpoint", "e1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}),
+		Entry("from another endpoint that has the address now", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Endpoint", "e2") }),
+		Entry("from an endpoint that does not answer in time", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(700 * time.Millisecond)
+			w.Header().Set("X-Endpoint", "e1")
+		}),
+		Entry("from a broken connection", func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.Close()).To(Succeed())
+		}),
+	)
+})
