Right after a start requests wait briefly for configuration and other daemons

Cause: all callers come back within moments of a restart of the fleet. A daemon far from the store knows the configuration 0.23 s after its start, and another region is known to serve 0.2 to 0.6 s later, after a further heartbeat. Ruled out: a listener that opens later (callers then wait for their own time-out of a connection); waiting without a limit (the store may be down). Change: within a second of the start a request waits up to 0.4 s for the configuration, and for a region with a daemon that serves and an endpoint that may run it. A daemon that begins to serve says so at once.

--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -109,6 +109,12 @@
 	return c.snapshotHolder.load()
 }
 
+// Next returns the newest snapshot and a channel that is closed when a newer one
+// is published.
+func (c *Control) Next() (*Snapshot, <-chan struct{}) {
+	return c.snapshotHolder.next()
+}
+
 // submit sends an event to the control goroutine. It blocks while the event
 // buffer is full, and returns false if ctx ends first.
 func (c *Control) submit(ctx context.Context, event func(now time.Time)) bool {
@@ -202,11 +208,16 @@
 	c.state.Expire(now)
 	c.table.Forget(now)
 	c.crashes.expire(now)
+	c.heartbeat(now)
+	c.dirty = true
+}
+
+// heartbeat sends a heartbeat to some of the other daemons.
+func (c *Control) heartbeat(now time.Time) {
 	c.table.Beat(c.opts.Loads())
 	for _, vm := range c.table.Targets(now, c.opts.Rand) {
 		c.send(vm, c.message(vm, now))
 	}
-	c.dirty = true
 }
 
 // publish builds and publishes a new snapshot.
@@ -235,13 +246,18 @@
 	default:
 		next.View = previous.View
 	}
-	if next.View.Config != nil && next.Self.State == members.Starting {
+	startsServing := next.View.Config != nil && next.Self.State == members.Starting
+	if startsServing {
 		c.table.SetState(members.Serving)
 		next.Self = c.table.Self()
 	}
 	c.snapshotHolder.store(next)
 	c.opts.OnSnapshot(next)
 	logChanges(c.opts.Log, previous, next)
+	if startsServing && c.ctx != nil {
+		// The others send requests here only once they know that it serves.
+		c.heartbeat(now)
+	}
 }
 
 // message returns a heartbeat to a daemon, which carries the table.
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -64,13 +64,34 @@
 
 // snapshotHolder publishes snapshots to request goroutines.
 type snapshotHolder struct {
-	current atomic.Pointer[Snapshot]
+	current atomic.Pointer[publication]
 }
 
+// publication is a snapshot with a channel that is closed when the next one
+// replaces it.
+type publication struct {
+	snapshot *Snapshot
+	replaced chan struct{}
+}
+
+// load returns the newest snapshot, and nil before the first one.
 func (h *snapshotHolder) load() *Snapshot {
-	return h.current.Load()
+	if current := h.current.Load(); current != nil {
+		return current.snapshot
+	}
+	return nil
+}
+
+// next returns the newest snapshot and a channel that is closed when a newer one
+// is published.
+func (h *snapshotHolder) next() (*Snapshot, <-chan struct{}) {
+	current := h.current.Load()
+	return current.snapshot, current.replaced
 }
 
 func (h *snapshotHolder) store(next *Snapshot) {
-	h.current.Store(next)
+	previous := h.current.Swap(&publication{snapshot: next, replaced: make(chan struct{})})
+	if previous != nil {
+		close(previous.replaced)
+	}
 }
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -148,7 +148,7 @@
 		Rand:       sharedrand.Source{},
 	})
 	e.handler = proxy.New(proxy.Options{
-		Snapshot: e.control.Load, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
+		Snapshot: e.control.Load, NextSnapshot: e.control.Next, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
 		RetryBudgets: e.budgets, Transport: transport,
 		BodyMemory: int64(float64(s.MemoryBytes) * bodyMemoryShare),
 		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedrand.Source{},
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -58,7 +58,10 @@
 
 // Options configures a Handler.
 type Options struct {
-	Snapshot     func() *control.Snapshot
+	Snapshot func() *control.Snapshot
+	// NextSnapshot returns the newest snapshot and a channel that is closed when
+	// a newer one is published; nil if requests don't wait at the start.
+	NextSnapshot func() (*control.Snapshot, <-chan struct{})
 	Gate         *gate.Gate
 	Dialect      Dialect
 	Reporter     Reporter
@@ -85,7 +88,8 @@
 	opts          Options
 	bufferedBytes atomic.Int64
 	// draining makes every response close its connection.
-	draining atomic.Bool
+	draining  atomic.Bool
+	startedAt time.Time
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -95,7 +99,7 @@
 	if opts.Transport == nil {
 		opts.Transport = NewTransport()
 	}
-	return &Handler{opts: opts}
+	return &Handler{opts: opts, startedAt: opts.Now()}
 }
 
 // Leave makes every further response ask the caller to close the connection, so
@@ -110,7 +114,7 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	snap := h.opts.Snapshot()
+	snap := h.awaitStartup(r.Context(), hasConfig)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
 		failure = h.readBody(w, r, req, snap)
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -90,7 +90,7 @@
 	}
 	var lastFailure *types.Failure
 	for {
-		dest, failure := r.place(r.h.opts.Snapshot())
+		dest, failure := r.place(r.snapshot())
 		if failure != nil {
 			return moreInformative(lastFailure, failure)
 		}
@@ -101,6 +101,15 @@
 	}
 }
 
+// snapshot returns the newest snapshot. Shortly after the start of the daemon it
+// waits for one in which the request can run somewhere.
+func (r *run) snapshot() *control.Snapshot {
+	if r.req.ForwardedBy != "" {
+		return r.h.opts.Snapshot()
+	}
+	return r.h.awaitStartup(r.ctx, r.reachable)
+}
+
 // moreInformative returns lastFailure if it is an overload refusal, which knows
 // when there will be capacity, and failure only says that no endpoint is left to
 // try.
--- /dev/null
+++ b/pkg/gateway/proxy/startup_test.go
@@ -0,0 +1,134 @@
+package proxy_test
+
+import (
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
+)
+
+// feed publishes snapshots to a proxy.
+type feed struct {
+	mu       sync.Mutex
+	current  *control.Snapshot
+	replaced chan struct{}
+	// waits counts how often a request asked for the next snapshot.
+	waits int
+}
+
+func (f *feed) next() (*control.Snapshot, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waits++
+	return f.current, f.replaced
+}
+
+func (f *feed) load() *control.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
+func (f *feed) publish(snap *control.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = snap
+	close(f.replaced)
+	f.replaced = make(chan struct{})
+}
+
+// startWith replaces the snapshots of a started proxy by those of a feed, which
+// begins with the given one; age is how long ago the daemon started.
+func (w *testProxy) startWith(first *control.Snapshot, age time.Duration) *feed {
+	f := &feed{current: first, replaced: make(chan struct{})}
+	options := proxy.Options{
+		Snapshot: f.load, NextSnapshot: f.next, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
+		RetryBudgets: proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0), Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+	started := false
+	options.Now = func() time.Time {
+		if !started {
+			started = true
+			return time.Now().Add(-age)
+		}
+		return time.Now()
+	}
+	w.callerServer = httptest.NewServer(proxy.New(options))
+	DeferCleanup(w.callerServer.CloseClientConnections)
+	return f
+}
+
+var _ = Describe("Right after the start of a daemon", func() {
+	const soon = 100 * time.Millisecond
+
+	var w *testProxy
+	var empty *control.Snapshot
+	BeforeEach(func() {
+		w = newTestProxy(catalog.Idempotent)
+		w.start(newEndpoint(respondOK))
+		starting := *w.snap
+		starting.View = &catalog.View{}
+		empty = &starting
+	})
+
+	It("a request waits for the configuration", func() {
+		f := w.startWith(empty, 0)
+		time.AfterFunc(soon, func() { f.publish(w.snap) })
+		Expect(w.call("GET", "/r/", "").status).To(Equal(200))
+	})
+
+	It("a request waits for a daemon of a region that may run it", func() {
+		other := newTestProxy(catalog.Idempotent)
+		other.region, other.endpointRegion = "south", "south"
+		other.start(newEndpoint(respondOK))
+		w.route.AllowedRegions = append(w.route.AllowedRegions, "south")
+		alone := *w.snap
+		view := *w.snap.View
+		view.Endpoints = other.snap.View.Endpoints
+		alone.View = &view
+		f := w.startWith(&alone, 0)
+		joined := alone
+		joined.Members = []members.Member{other.asMember()}
+		time.AfterFunc(soon, func() { f.publish(&joined) })
+		Expect(w.call("GET", "/r/", "").status).To(Equal(200))
+	})
+
+	It("a request is refused as not run when the configuration does not come", func() {
+		w.startWith(empty, 0)
+		began := time.Now()
+		response := w.call("GET", "/r/", "")
+		Expect(response.status).To(Equal(503))
+		Expect(response.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(time.Since(began)).To(BeNumerically(">", soon))
+	})
+
+	It("no request waits once the daemon has run for longer", func() {
+		f := w.startWith(empty, time.Minute)
+		Expect(w.call("GET", "/r/", "").status).To(Equal(503))
+		Expect(f.waits).To(BeZero())
+	})
+
+	It("a caller that leaves ends its wait", func() {
+		f := w.startWith(empty, 0)
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			w.call("GET", "/r/", "")
+		}()
+		time.Sleep(soon / 2)
+		w.callerServer.CloseClientConnections()
+		Eventually(done, eventuallyTimeout).Should(BeClosed())
+		f.publish(w.snap)
+	})
+})
