Tool: flamingomount losses counts requests by time, route, daemon and outcome

Lines about requests carry the objectives of their route, so that late starts, late answers and pauses are told apart, and where the time went.

--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -22,6 +22,7 @@
 	root.AddCommand(publish.Commands()...)
 	root.AddCommand(fleet.Commands()...)
 	root.AddCommand(trace.Command())
+	root.AddCommand(trace.LossesCommand())
 	root.AddCommand(trial.Command())
 	return root
 }
--- a/pkg/cli/trace/trace.go
+++ b/pkg/cli/trace/trace.go
@@ -1,10 +1,11 @@
-// Package trace holds the trace command.
+// Package trace holds the commands that read the logs of daemons.
 package trace
 
 import (
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -27,15 +28,49 @@
 	}
 }
 
-func run(id types.RequestID, files []string, in io.Reader, out io.Writer) error {
+// LossesCommand returns the losses command.
+func LossesCommand() *cobra.Command {
+	const defaultInterval = 2 * time.Second
+	interval := defaultInterval
+	command := &cobra.Command{
+		Use:   "losses FILE...",
+		Short: "Count requests by time, route, daemon and outcome, from the logs of several daemons",
+		Long: "Reads JSON lines as trace does. Answered requests are sampled and failed ones limited in rate; " +
+			"the last lines tell how many requests have no line.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			if interval <= 0 {
+				return eris.Errorf("--interval must be positive, not %s", interval)
+			}
+			lines, err := readAll(args, command.InOrStdin())
+			if err != nil {
+				return err
+			}
+			return trace.CountLosses(lines, interval).Print(command.OutOrStdout())
+		},
+	}
+	command.Flags().DurationVar(&interval, "interval", defaultInterval, "length of the intervals")
+	return command
+}
+
+// readAll reads the lines of all files.
+func readAll(files []string, in io.Reader) ([]trace.Line, error) {
 	var lines []trace.Line
 	for _, name := range files {
 		found, err := read(name, in)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines = append(lines, found...)
 	}
+	return lines, nil
+}
+
+func run(id types.RequestID, files []string, in io.Reader, out io.Writer) error {
+	lines, err := readAll(files, in)
+	if err != nil {
+		return err
+	}
 	story := trace.BuildStory(lines, id)
 	if story == nil {
 		return eris.Errorf("no line is about request %s; answered requests are sampled, failed ones up to a rate", id)
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -207,6 +207,9 @@
 	if view := r.h.opts.Snapshot().View; view.Config != nil {
 		fields["config"], fields["revision"] = view.Config.Version, view.AppliedRevision
 	}
+	if r.req.Route.Objective > 0 {
+		fields["objective_ms"] = r.req.Route.Objective.Milliseconds()
+	}
 	if len(r.tried) > 0 {
 		fields["endpoints"] = r.tried
 	}
@@ -224,6 +227,7 @@
 	}
 	if r.timeToFirstEvent > 0 {
 		fields["first_ms"], fields["gap_ms"] = r.timeToFirstEvent.Milliseconds(), r.longestGap.Milliseconds()
+		fields["longest_gap_ms"] = r.req.Route.LongestGap.Milliseconds()
 	}
 	r.h.opts.Log.Request(fields, failure != nil || r.status >= http.StatusInternalServerError)
 }
--- a/pkg/trace/line.go
+++ b/pkg/trace/line.go
@@ -41,6 +41,16 @@
 	Verdict   string             `json:"verdict"`
 	TookMs    int64              `json:"took_ms"`
 	WaitedMs  int64              `json:"waited_ms"`
+	// FirstMs is the time to the first event of a stream and GapMs the longest
+	// gap between two events.
+	FirstMs int64 `json:"first_ms"`
+	GapMs   int64 `json:"gap_ms"`
+	// ObjectiveMs and LongestGapMs are the route's targets for FirstMs, or the
+	// time to the response, and for GapMs; zero means none.
+	ObjectiveMs  int64 `json:"objective_ms"`
+	LongestGapMs int64 `json:"longest_gap_ms"`
+	// Skipped counts the requests before this one that have no line.
+	Skipped int `json:"lines_skipped"`
 	// Config is the version of the configuration that the decision was based
 	// on.
 	Config uint64 `json:"config"`
