Proxy: three faults at the limits

A read error after the deadline or the caller's end in a response that is too large to be buffered counted as a crash of the endpoint, so that sound content could be quarantined; it now ends like any other broken response. A forwarded body above 16 MiB was cut and sent on; it is refused. An IPv6 host without a port lost its last group, so that no route was found. Each has a test that failed before.

--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -246,7 +246,7 @@
 func (r *run) relayBuffered(response *http.Response, w *attemptConn) (*types.Failure, balance.Result) {
 	body, err := relay.ReadUpTo(response, maxBufferedBytes)
 	if err == nil {
-		return r.relayLarge(response, body)
+		return r.relayLarge(response, body, w)
 	}
 	if !errors.Is(err, io.EOF) {
 		return r.handleBrokenResponse(w, err)
@@ -277,7 +277,7 @@
 }
 
 // relayLarge relays a response that is too large to be buffered.
-func (r *run) relayLarge(response *http.Response, buffered []byte) (*types.Failure, balance.Result) {
+func (r *run) relayLarge(response *http.Response, buffered []byte, w *attemptConn) (*types.Failure, balance.Result) {
 	r.status = response.StatusCode
 	r.out.writeHeader(response, response.ContentLength)
 	if !r.out.write(buffered) {
@@ -295,7 +295,7 @@
 			return nil, balance.Succeeded
 		}
 		if err != nil {
-			return failureWithCause(types.MayHaveRun, types.CodeAnswerIncomplete, "the endpoint broke off its answer", err), balance.Interrupted
+			return r.handleBrokenResponse(w, err)
 		}
 	}
 }
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -160,10 +160,13 @@
 	if env.Route == nil || env.ForwardedBy == "" || env.Left <= 0 {
 		return nil, errors.New("forwarded request: the envelope is incomplete")
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxForwardedBody))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxForwardedBody+1))
 	if err != nil {
 		return nil, eris.Wrap(err, "forwarded request")
 	}
+	if len(body) > maxForwardedBody {
+		return nil, errors.New("forwarded request: the body is too large")
+	}
 	header := r.Header
 	header.Del(headerForward)
 	info, err := h.opts.Dialect.RequestInfo(header)
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -218,9 +218,10 @@
 	return int64(size)
 }
 
-// stripPort returns the host without its port.
+// stripPort returns the host without its port. The colons of an IPv6 address in
+// brackets are no port.
 func stripPort(host string) string {
-	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+	if colon := strings.LastIndexByte(host, ':'); colon > strings.LastIndexByte(host, ']') {
 		return host[:colon]
 	}
 	return host
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -278,6 +278,53 @@
 	})
 })
 
+var _ = Describe("A request at the limits", func() {
+	// respondLarge sends more than the proxy buffers and then nothing.
+	respondLarge := func(w http.ResponseWriter, r *http.Request) {
+		signResponse(w, r)
+		_, _ = w.Write(make([]byte, 3<<20))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+
+	It("does not count as a crash when its deadline ends a large response", func() {
+		w := newTestProxy(catalog.Idempotent)
+		w.route.Timeout = 500 * time.Millisecond
+		w.start(newEndpoint(respondLarge))
+		Expect(w.call("GET", "/r/", "").err).To(HaveOccurred())
+		Consistently(func() int {
+			w.fakeReporter.mu.Lock()
+			defer w.fakeReporter.mu.Unlock()
+			return w.fakeReporter.crashes
+		}, 100*time.Millisecond).Should(BeZero())
+	})
+
+	It("is rejected whole when another daemon forwards more than the largest body", func() {
+		w := newTestProxy(catalog.Idempotent)
+		here := newEndpoint(respondOK)
+		w.start(here)
+		envelope := `{"from":"d","route":{"kind":"idempotent","max_attempts":1},"service":"svc","left":20000000000}`
+		w.serveForwarded(envelope, strings.Repeat("x", 16<<20+1))
+		Expect(here.count()).To(BeZero())
+		w.serveForwarded(envelope, strings.Repeat("x", 16<<20))
+		Expect(here.count()).To(Equal(1))
+	})
+
+	DescribeTable("finds its route whatever the form of the host", func(host string) {
+		w := newTestProxy(catalog.Idempotent)
+		w.route.Host = "[2001:db8::1]"
+		w.start(newEndpoint(respondOK))
+		outgoing, err := http.NewRequest("GET", w.callerServer.URL+"/r/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		outgoing.Host = host
+		outgoing.Header.Set(headerID, "q1")
+		response, err := http.DefaultTransport.RoundTrip(outgoing)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(200))
+	}, Entry("an IPv6 address", "[2001:db8::1]"), Entry("an IPv6 address with a port", "[2001:db8::1]:8080"))
+})
+
 // minStallTimeout is how long callers of these routes wait for an event.
 const minStallTimeout = 2 * time.Second
 
