--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -160,8 +160,6 @@
 	c.lastStepAt.Store(&now)
 	if out.Snapshot != nil {
 		c.holder.Store(out.Snapshot)
-		revision, _ := state.Revision()
-		c.metrics.revision.Set(float64(revision))
 	}
 	if q.reply != nil {
 		q.reply <- out.Reply
--- a/pkg/control/metrics.go
+++ b/pkg/control/metrics.go
@@ -7,7 +7,6 @@
 	dropped      prometheus.Counter
 	refusedCalls prometheus.Counter
 	alarms       prometheus.Counter
-	revision     prometheus.Gauge
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -24,13 +23,9 @@
 			Name: "flamingomount_config_alarms_total",
 			Help: "Configurations refused, and other matters operators must see.",
 		}),
-		revision: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "flamingomount_config_revision",
-			Help: "The accepted configuration revision.",
-		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.dropped, m.refusedCalls, m.alarms, m.revision)
+		reg.MustRegister(m.dropped, m.refusedCalls, m.alarms)
 	}
 	return m
 }
