--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -117,9 +117,9 @@
 }
 
 // minFetchShare is the least rate, relative to prefillRate, at which copying a
-// prefix is better than prefilling it: a copy leaves the engine free to run other
-// requests.
-const minFetchShare = 0.75
+// prefix is better than prefilling it: copies wait for each other on the links of
+// both engines.
+const minFetchShare = 1.5
 
 // PrefixSource returns the endpoint of any region that most likely has a large
 // prefix cached when the endpoint to lacks it, because its home has changed: its
--- a/pkg/gateway/balance/source_test.go
+++ b/pkg/gateway/balance/source_test.go
@@ -58,8 +58,8 @@
 		Expect(found).To(BeFalse())
 	})
 
-	It("is none where copying is slower than prefilling", func() {
-		for _, rate := range []float64{0, 20_000} {
+	It("is none where copying is not clearly faster than prefilling", func() {
+		for _, rate := range []float64{0, 20_000, 57_000} {
 			v.Config.Services[engines].Engine.FetchRate = rate
 			_, found := balance.PrefixSource(v, engines, 1, v.Endpoints[engines][0], anywhere)
 			Expect(found).To(BeFalse())
