--- a/pkg/gateway/proxy/startup.go
+++ b/pkg/gateway/proxy/startup.go
@@ -24,7 +24,7 @@
 	snap := h.opts.Snapshot()
 	now := h.opts.Now()
 	wait := min(maxStartupWait, h.startedAt.Add(startupTime).Sub(now))
-	if h.opts.NextSnapshot == nil || condition(snap) || wait <= 0 {
+	if h.opts.NextSnapshot == nil || wait <= 0 || condition(snap) {
 		return snap
 	}
 	timer := time.NewTimer(wait)
