Soak: daemons use an evacuated data centre within the limit

The settings that the soak writes lacked the limit of evacuations, so that its daemons left at once and the check of the limit proved nothing new.

--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -81,7 +81,7 @@
 	return standin.Settings{
 		Settings: entry.Settings{
 			Region: d.region, DataCentre: dataCentreOf(d.region), CallerAddress: d.front(), PeerAddress: d.control(), Seeds: seeds,
-			MemoryBytes: memoryBytes, ConfigPropagationLimit: configWithin, Grace: grace,
+			MemoryBytes: memoryBytes, ConfigPropagationLimit: configWithin, EvacuationLimit: evacuateWithin, Grace: grace,
 			Cold: balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3}, RetryRatio: 0.2, RetrySlack: 56,
 		},
 		Ready: d.readiness(), Directory: d.directory(), Store: d.store.Address(), Regions: dataCentres(),
