--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -8,8 +8,9 @@
 // Fractions of the grace time.
 const (
 	// acceptShare is how long new connections are still accepted: callers learn
-	// from the response to their next request that this daemon is leaving.
-	acceptShare = 0.5
+	// from the response to their next request that this daemon is leaving. Most of
+	// the grace time remains for the streams that come last.
+	acceptShare = 0.35
 	// shutdownShare is when the remaining requests in flight are cut off.
 	shutdownShare = 0.94
 )
