Tests of the proxy: register the fail handler before any test runs

The race is in the tests and old; it needs the two goroutines in one run. Change: TestMain registers it once, before any goroutine starts. The checks are the same.

--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,8 +30,13 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-func TestProxy(t *testing.T) {
+// TestMain registers the fail handler before any goroutine of a test can use it.
+func TestMain(m *testing.M) {
 	RegisterFailHandler(Fail)
+	os.Exit(m.Run())
+}
+
+func TestProxy(t *testing.T) {
 	RunSpecs(t, "proxy")
 }
 
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -330,7 +330,6 @@
 
 // FuzzForwarded checks that no envelope makes the proxy panic.
 func FuzzForwarded(f *testing.F) {
-	RegisterFailHandler(Fail)
 	f.Add(`{}`, "")
 	f.Add(`{"from":"d","route":{},"left":1}`, "x")
 	f.Add(`{"from":"d","route":{"kind":"streaming","backends":[]},"service":"svc","left":-1,"waited":-9223372036854775808}`, "x")
