Evacuations: keep the keys of the records in force, not a walk over all records

Cause: the ages for each message and the next last request after each control event walked over every published record, thousands at the larger sizes, for what is a handful of keys at most. Ruled out: computing both only when the view changes; the ages go with every message. Change: the state keeps the keys of the evacuations in force as records are merged. Behaviour stays as it is; the tests are unchanged.

--- a/pkg/gateway/catalog/evacuation.go
+++ b/pkg/gateway/catalog/evacuation.go
@@ -69,8 +69,8 @@
 // EvacuationAges returns the ages of the evacuations in force whose age is known.
 func (s *State) EvacuationAges(now time.Time) []EvacuationAge {
 	var ages []EvacuationAge
-	for key, stored := range s.byKey {
-		if stored.Evacuated != "" && !stored.requestedAfter.IsZero() {
+	for key := range s.evacuationKeys {
+		if stored := s.byKey[key]; !stored.requestedAfter.IsZero() {
 			ages = append(ages, EvacuationAge{Key: key, Revision: stored.Revision, Age: now.Sub(stored.requestedAfter)})
 		}
 	}
@@ -83,7 +83,7 @@
 func (s *State) ConfirmEvacuations(ages []EvacuationAge, askedAt time.Time) {
 	for _, age := range ages {
 		stored, found := s.byKey[age.Key]
-		if !found || stored.Evacuated == "" || stored.Revision != age.Revision || age.Age < 0 {
+		if !found || !s.evacuationKeys[age.Key] || stored.Revision != age.Revision || age.Age < 0 {
 			continue
 		}
 		if requestedAfter := askedAt.Add(-age.Age); requestedAfter.After(stored.requestedAfter) {
@@ -119,10 +119,8 @@
 // when its endpoints get their last request.
 func (s *State) evacuations() map[types.DataCentre]time.Time {
 	byDC := make(map[types.DataCentre]time.Time)
-	for _, stored := range s.byKey {
-		if stored.Evacuated == "" {
-			continue
-		}
+	for key := range s.evacuationKeys {
+		stored := s.byKey[key]
 		last := s.lastRequestAt(stored)
 		if earlier, found := byDC[stored.Evacuated]; !found || last.Before(earlier) {
 			byDC[stored.Evacuated] = last
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -27,6 +27,8 @@
 	// evacuationLimit is the time within which an evacuated data centre must get
 	// no more requests.
 	evacuationLimit time.Duration
+	// evacuationKeys holds the keys of the records of the evacuations in force.
+	evacuationKeys map[string]bool
 	// readings holds the last readings of the store, oldest first.
 	readings []reading
 	changed  bool
@@ -49,7 +51,11 @@
 
 // NewState returns an empty State.
 func NewState() *State {
-	return &State{byKey: make(map[string]storedRecord), evacuationEnded: make(map[types.DataCentre]time.Time)}
+	return &State{
+		byKey:           make(map[string]storedRecord),
+		evacuationEnded: make(map[types.DataCentre]time.Time),
+		evacuationKeys:  make(map[string]bool),
+	}
 }
 
 // AppliedRevision returns the revision up to which every change is known.
@@ -115,8 +121,10 @@
 	if record.Endpoint != nil && record.Endpoint.Cold > 0 {
 		next.coldUntil = coldEnd(record.Endpoint, stored, now)
 	}
+	delete(s.evacuationKeys, record.Key)
 	if record.Evacuated != "" {
 		next.requestedAfter = s.evacuationStart(record, stored)
+		s.evacuationKeys[record.Key] = true
 	}
 	if stored.Evacuated != "" && record.Evacuated == "" {
 		s.evacuationEnded[stored.Evacuated] = now
