--- a/pkg/gateway/balance/reading_test.go
+++ b/pkg/gateway/balance/reading_test.go
@@ -146,10 +146,10 @@
 		urgentPrompt = 800
 	)
 
-	// sharedPool returns a pool whose engines serve urgent small prompts and less
-	// urgent large prompts.
-	sharedPool := func() *balance.Pool {
-		v := view(engineCount, 0, nil)
+	// poolOf returns a pool whose engines serve urgent small prompts and less
+	// urgent large prompts; change alters its endpoints.
+	poolOf := func(change func(*catalog.ActiveEndpoint)) *balance.Pool {
+		v := view(engineCount, 0, change)
 		backends := []catalog.Backend{{Service: engines, Weight: 1}}
 		v.Config.Routes = []*catalog.Route{
 			{Name: "summaries", Rank: 0, Objective: 800 * time.Millisecond, Backends: backends},
@@ -157,6 +157,7 @@
 		}
 		return newPool(v, 1)
 	}
+	sharedPool := func() *balance.Pool { return poolOf(nil) }
 
 	// load returns the small prompts and, at an even rate per second, large ones,
 	// after a warm-up in which each prefix is requested once.
@@ -203,17 +204,11 @@
 	// some time after the end of the warm-up of load.
 	evacuated := func(after time.Duration) *balance.Pool {
 		const warmUp = prefixes * time.Second / 5
-		v := view(engineCount, 0, func(p *catalog.ActiveEndpoint) {
+		return poolOf(func(p *catalog.ActiveEndpoint) {
 			if p.ID == "engines-0" || p.ID == "engines-1" {
 				p.LastRequestAt = start.Add(warmUp + after)
 			}
 		})
-		backends := []catalog.Backend{{Service: engines, Weight: 1}}
-		v.Config.Routes = []*catalog.Route{
-			{Name: "summaries", Rank: 0, Objective: 800 * time.Millisecond, Backends: backends},
-			{Name: "reports", Rank: 2, Objective: 2 * time.Second, Backends: backends},
-		}
-		return newPool(v, 1)
 	}
 
 	It("are served by the engines of an evacuated data centre until their last request", func() {
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -261,11 +261,15 @@
 }
 
 func (w *testProxy) newHandler() *proxy.Handler {
-	return proxy.New(proxy.Options{
+	return proxy.New(w.options())
+}
+
+func (w *testProxy) options() proxy.Options {
+	return proxy.Options{
 		Snapshot: func() *control.Snapshot { return w.snap }, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
 		RetryBudgets: proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0), Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
 		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)),
-	})
+	}
 }
 
 // startHandlerOnly sets up the handler without servers and endpoints.
--- a/pkg/gateway/proxy/startup_test.go
+++ b/pkg/gateway/proxy/startup_test.go
@@ -1,14 +1,12 @@
 package proxy_test
 
 import (
-	"math/rand/v2"
 	"net/http/httptest"
 	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
@@ -65,11 +63,8 @@
 // begins with the given one; age is how long ago the daemon started.
 func (w *testProxy) startWith(first *control.Snapshot, age time.Duration) *feed {
 	f := &feed{current: first, replaced: make(chan struct{})}
-	options := proxy.Options{
-		Snapshot: f.load, NextSnapshot: f.next, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
-		RetryBudgets: proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0), Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
-		Rand: rand.New(rand.NewPCG(1, 2)),
-	}
+	options := w.options()
+	options.Snapshot, options.NextSnapshot = f.load, f.next
 	started := false
 	options.Now = func() time.Time {
 		if !started {
