Metrics and log fields that tell how attempts count towards the retry budget

Change: flamingomount_gateway_attempts_total by kind of arrival and way, a counter of denied retries, and the fields unreached, remote_endpoints and retry_denied. No decision changes.

--- a/pkg/gateway/proxy/metrics.go
+++ b/pkg/gateway/proxy/metrics.go
@@ -13,9 +13,31 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	denied   *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 }
 
+// attemptKind says how an attempt counts towards the retry budget.
+type attemptKind string
+
+const (
+	// firstArrival: the request may have reached an endpoint for the first time.
+	firstArrival attemptKind = "first"
+	// repeatedArrival: it may have reached one before.
+	repeatedArrival attemptKind = "repeat"
+	// noArrival: the attempt reached no endpoint.
+	noArrival attemptKind = "unreached"
+)
+
+// attemptWay says whether an attempt went to an endpoint or to another daemon.
+type attemptWay string
+
+const (
+	toEndpoint attemptWay = "endpoint"
+	toDaemon   attemptWay = "daemon"
+)
+
 // NewMetrics returns metrics that are registered with registry.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -27,13 +49,21 @@
 			Name: "flamingomount_gateway_refusals_total",
 			Help: "Requests that were refused before routing, by code.",
 		}, []string{"code"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingomount_gateway_attempts_total",
+			Help: "Attempts by service, by the kind of arrival at an endpoint, and by way of an endpoint or another daemon.",
+		}, []string{"service", "kind", "way"}),
+		denied: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingomount_gateway_retries_denied_total",
+			Help: "Retries that the retry budget did not permit, by service.",
+		}, []string{"service"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "flamingomount_gateway_request_seconds",
 			Help:    "Time from arrival to the end of the answer, by service.",
 			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
 		}, []string{"service"}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.seconds)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.denied, m.seconds)
 	return m
 }
 
@@ -49,3 +79,11 @@
 func (m *Metrics) countRefusal(failure *types.Failure) {
 	m.refusals.WithLabelValues(string(failure.Code)).Inc()
 }
+
+func (m *Metrics) countAttempt(service types.ServiceName, kind attemptKind, way attemptWay) {
+	m.attempts.WithLabelValues(string(service), string(kind), string(way)).Inc()
+}
+
+func (m *Metrics) countDenied(service types.ServiceName) {
+	m.denied.WithLabelValues(string(service)).Inc()
+}
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -60,6 +60,8 @@
 	region types.Region
 	// retryReserved is true if the budget for the next attempt is already spent.
 	retryReserved atomic.Bool
+	// retryDenied is true if the retry budget did not permit another attempt.
+	retryDenied bool
 	// homes lists the endpoints that were tried as homes of the prefix.
 	homes  []catalog.ActiveEndpoint
 	status int
@@ -130,7 +132,9 @@
 		r.h.opts.RetryBudgets.RecordRequest(r.req.Service, r.h.opts.Now())
 	}
 	if dest.endpoint == nil {
-		return r.attemptForward(dest.member)
+		failure := r.attemptForward(dest.member)
+		r.countAttempt(toDaemon)
+		return failure
 	}
 	r.region = ""
 	r.sent++
@@ -139,9 +143,22 @@
 		r.sent--
 		r.unreached++
 	}
+	r.countAttempt(toEndpoint)
 	return failure
 }
 
+// countAttempt counts the attempt that has just ended.
+func (r *run) countAttempt(way attemptWay) {
+	kind := repeatedArrival
+	switch {
+	case !r.reached:
+		kind = noArrival
+	case r.sent == 1:
+		kind = firstArrival
+	}
+	r.h.opts.Metrics.countAttempt(r.req.Service, kind, way)
+}
+
 // attemptForward makes one attempt by way of another daemon. That daemon sends the
 // request to at most one endpoint, so that attempts are counted in one place, also
 // after a broken connection.
@@ -172,7 +189,12 @@
 	case r.sent >= r.req.AttemptLimit || !failure.Code.Retryable():
 		return false
 	}
-	return r.retryReserved.CompareAndSwap(true, false) || r.h.opts.RetryBudgets.Allow(r.req.Service, r.h.opts.Now())
+	if r.retryReserved.CompareAndSwap(true, false) || r.h.opts.RetryBudgets.Allow(r.req.Service, r.h.opts.Now()) {
+		return true
+	}
+	r.retryDenied = true
+	r.h.opts.Metrics.countDenied(r.req.Service)
+	return false
 }
 
 // canResume reports whether an interrupted stream may resume at another endpoint.
@@ -213,6 +235,15 @@
 	if len(r.tried) > 0 {
 		fields["endpoints"] = r.tried
 	}
+	if len(r.remoteTried) > 0 {
+		fields["remote_endpoints"] = r.remoteTried
+	}
+	if r.unreached > 0 {
+		fields["unreached"] = r.unreached
+	}
+	if r.retryDenied {
+		fields["retry_denied"] = true
+	}
 	if r.region != "" {
 		fields["region"] = r.region
 	}
