--- a/pkg/gateway/proxy/budget_test.go
+++ b/pkg/gateway/proxy/budget_test.go
@@ -104,4 +104,38 @@
 			Expect(countInWindow(retries, from)).To(BeNumerically("<=", ratio*maxOffered+fixed))
 		}
 	})
+
+	It("spend no more than the fixed number together when all daemons restart within a window", func() {
+		const daemons = 8
+		sum := 0
+		for run := range 3 {
+			started := noon.Add(time.Duration(run) * 3 * time.Second)
+			for range daemons {
+				budgets := proxy.NewRetryBudgets(ratio, fixed, window)
+				budgets.SetFleetSize(daemons)
+				sum += spendAll(budgets, service, started.Add(time.Second))
+			}
+		}
+		Expect(float64(sum)).To(BeNumerically("<=", fixed))
+	})
+
+	It("spend no more than a small fixed number together, however many daemons there are", func() {
+		sum := 0
+		for range 300 {
+			budgets := proxy.NewRetryBudgets(ratio, 54, window)
+			budgets.SetFleetSize(300)
+			sum += spendAll(budgets, service, noon)
+		}
+		Expect(sum).To(BeNumerically("<=", 54))
+	})
+
+	It("spend no more than the fixed number in a window that begins inside one of their buckets", func() {
+		budgets := proxy.NewRetryBudgets(ratio, fixed, window)
+		budgets.SetFleetSize(1)
+		budgets.RecordRequest("other", noon)
+		Expect(budgets.Allow(service, noon)).To(BeTrue())
+		first := 1 + spendAll(budgets, service, noon.Add(490*time.Millisecond))
+		second := spendAll(budgets, service, noon.Add(window+10*time.Millisecond))
+		Expect(float64(first - 1 + second)).To(BeNumerically("<=", fixed))
+	})
 })
--- /dev/null
+++ b/pkg/gateway/proxy/retry_test.go
@@ -0,0 +1,138 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// budgetFixed is the fixed number of retries of the proxies in these tests; the
+// ratio is zero.
+const budgetFixed = 5
+
+// shortObjective keeps requests that find no endpoint from waiting.
+const shortObjective = 20 * time.Millisecond
+
+// callers is the number of requests that these tests send.
+const callers = 30
+
+// startBudgeted starts a proxy in front of endpoints with a budget of budgetFixed
+// retries and an attempt limit that does not bind.
+func startBudgeted(kind catalog.Kind, endpoints ...*endpoint) *testProxy {
+	w := newTestProxy(kind)
+	w.retryRatio, w.retryFixed, w.route.MaxAttempts, w.route.Objective = 0, budgetFixed, 9, shortObjective
+	w.start(endpoints...)
+	return w
+}
+
+// startBudgetedBehindHop is startBudgeted with the endpoints in another region.
+func startBudgetedBehindHop(kind catalog.Kind, endpoints ...*endpoint) *testProxy {
+	north := newTestProxy(kind)
+	north.start(endpoints...)
+	south := newTestProxy(kind)
+	south.retryRatio, south.retryFixed, south.route.MaxAttempts, south.route.Objective = 0, budgetFixed, 9, shortObjective
+	south.region, south.self = "south", "127.0.0.1:2"
+	south.members = []members.Member{north.asMember()}
+	south.start(endpoints...)
+	return south
+}
+
+func callMany(w *testProxy, method, body string) {
+	for i := range callers {
+		w.call(method, fmt.Sprintf("/r/%d", i), body, headerID, fmt.Sprintf("q%d", i))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func arrivals(endpoints []*endpoint) int {
+	total := 0
+	for _, e := range endpoints {
+		total += e.count()
+	}
+	return total
+}
+
+func newEndpoints(count int, respond http.HandlerFunc) []*endpoint {
+	var endpoints []*endpoint
+	for range count {
+		endpoints = append(endpoints, newEndpoint(respond))
+	}
+	return endpoints
+}
+
+func respondMisdirected(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
+var _ = Describe("The retry budget", func() {
+	DescribeTable("bounds the arrivals at endpoints that refuse",
+		func(start func(catalog.Kind, ...*endpoint) *testProxy, respond http.HandlerFunc) {
+			endpoints := newEndpoints(4, respond)
+			callMany(start(catalog.Idempotent, endpoints...), "GET", "")
+			Expect(arrivals(endpoints)).To(BeNumerically("<=", callers+budgetFixed))
+		},
+		Entry("in the local region", startBudgeted, http.HandlerFunc(respondNotRun)),
+		Entry("by way of another daemon", startBudgetedBehindHop, http.HandlerFunc(respondNotRun)),
+		Entry("as misdirected, in the local region", startBudgeted, http.HandlerFunc(respondMisdirected)),
+		Entry("as misdirected, by way of another daemon", startBudgetedBehindHop, http.HandlerFunc(respondMisdirected)),
+	)
+
+	It("bounds the arrivals at endpoints that read a request on a kept connection and reset it", func() {
+		respond := func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodHead {
+				signResponse(w, r)
+				return
+			}
+			resetConnection(w)
+		}
+		endpoints := newEndpoints(1, respond)
+		w := startBudgeted(catalog.Idempotent, endpoints...)
+		w.call("HEAD", "/r/", "")
+		for i := range callers {
+			w.call("GET", "/r/", "", headerID, fmt.Sprintf("q%d", i))
+			w.call("HEAD", "/r/", "", headerID, fmt.Sprintf("h%d", i))
+		}
+		Expect(arrivals(endpoints)).To(BeNumerically("<=", 1+2*callers+budgetFixed))
+	})
+
+	It("counts an endpoint's refusal by way of another daemon towards the attempt limit", func() {
+		endpoints := newEndpoints(4, respondNotRun)
+		south := startBudgetedBehindHop(catalog.Idempotent, endpoints...)
+		south.route.MaxAttempts = 1
+		south.call("GET", "/r/", "")
+		Expect(arrivals(endpoints)).To(Equal(1))
+	})
+
+	It("is not spent on refusals of daemons that sent the request to no endpoint", func() {
+		north := newTestProxy(catalog.NonIdempotent)
+		north.start(newEndpoint(respondOK))
+		refused := map[string]bool{}
+		daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if id := r.Header.Get(headerID); !refused[id] {
+				refused[id] = true
+				w.Header().Set("X-Gateway-Failure", string(types.CodeOverloaded))
+				w.Header().Set("X-Gateway-Verdict", types.NotRun.String())
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			north.handler.ServeForwarded(w, r)
+		}))
+		DeferCleanup(daemon.CloseClientConnections)
+		south := newTestProxy(catalog.NonIdempotent)
+		south.retryRatio, south.retryFixed = 0, 0
+		south.region, south.self = "south", "127.0.0.1:2"
+		south.members = []members.Member{{VM: types.VMID(daemon.Listener.Addr().String()), Region: "north", State: members.Serving}}
+		south.start(newEndpoint(respondOK))
+		for i := range 4 {
+			Expect(south.call("POST", "/r/", "x", headerID, fmt.Sprintf("q%d", i)).status).To(Equal(200))
+		}
+	})
+})
