Proxy: an endpoint's refusal by way of another daemon counts as an arrival

What operators saw: endpoints of a service short of capacity got more arrivals beyond the first of each request than the retry budget allows. Cause: the origin took the verdict 'not run' of another daemon for 'reached no endpoint'. The verdict says whether the request ran, not whether it arrived: an endpoint that refuses has got it. Neither the budget nor the attempt limit was asked before the next attempt. Class: what one daemon knows and another has to be told. The daemon that sends to the endpoint now says how many of its attempts may have arrived; one of an older version says so by naming the endpoint. Ruled out: deriving it from the verdict or the code; a refusal for lack of slots and a refusal by the endpoint have the same ones.

--- a/pkg/gateway/proxy/caller.go
+++ b/pkg/gateway/proxy/caller.go
@@ -84,12 +84,17 @@
 }
 
 // fail ends the request with a failure of the gateway itself.
-func (w *responseWriter) fail(id types.RequestID, failure *types.Failure) {
+// Arrivals counts the attempts that may have reached an endpoint; it is reported
+// to peers.
+func (w *responseWriter) fail(id types.RequestID, failure *types.Failure, arrivals int) {
 	if w.committed {
 		w.broken = true
 		return
 	}
 	w.setEndpointHeader()
+	if w.peer {
+		w.writer.Header().Set(headerArrivals, strconv.Itoa(arrivals))
+	}
 	w.committed = true
 	writeFailure(w.writer, id, failure, w.peer)
 }
--- a/pkg/gateway/proxy/failure.go
+++ b/pkg/gateway/proxy/failure.go
@@ -21,6 +21,9 @@
 	// headerEndpoint names the endpoint to which the other daemon sent the
 	// request.
 	headerEndpoint = "X-Gateway-Endpoint"
+	// headerArrivals carries the number of attempts of the other daemon that may
+	// have reached an endpoint.
+	headerArrivals = "X-Gateway-Arrivals"
 )
 
 // failureStatus returns the HTTP status of a failure. 503 promises that the
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -58,11 +59,12 @@
 		return r.handleForwardError(member, &w, err)
 	}
 	defer closeBody(response)
+	failure := r.failureFromDaemon(response)
 	r.recordEndpoint(response.Header)
-	if failure := r.failureFromDaemon(response); failure != nil {
+	if failure != nil {
 		return failure
 	}
-	failure, _ := r.handleResponse(response, &w)
+	failure, _ = r.handleResponse(response, &w)
 	return failure
 }
 
@@ -124,7 +126,7 @@
 		verdict = types.MayHaveRun
 	}
 	r.verdict = r.verdict.Merge(verdict)
-	r.reached = verdict != types.NotRun
+	r.reached = verdict != types.NotRun || arrivedOverHop(response.Header)
 	failure := types.NewFailure(verdict, types.Code(code), "refused by the other daemon")
 	if wait, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
 		failure.RetryAfter = wait
@@ -134,6 +136,17 @@
 	return failure
 }
 
+// arrivedOverHop reports whether the other daemon's attempts may have reached an
+// endpoint, also if that refused the request. An older daemon only names the
+// endpoint that it tried.
+func arrivedOverHop(header http.Header) bool {
+	arrivals, err := strconv.Atoi(header.Get(headerArrivals))
+	if err != nil {
+		return header.Get(headerEndpoint) != ""
+	}
+	return arrivals > 0
+}
+
 // IsForwarded reports whether a request comes from another daemon's proxy.
 func IsForwarded(r *http.Request) bool {
 	return r.Header.Get(headerForward) != ""
--- a/pkg/gateway/proxy/retry_test.go
+++ b/pkg/gateway/proxy/retry_test.go
@@ -135,4 +135,34 @@
 			Expect(south.call("POST", "/r/", "x", headerID, fmt.Sprintf("q%d", i)).status).To(Equal(200))
 		}
 	})
+
+	DescribeTable("counts what another daemon says of its attempts",
+		func(endpoint, arrivals string, attempts int) {
+			received := 0
+			daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				received++
+				w.Header().Set("X-Gateway-Failure", string(types.CodeOverloaded))
+				w.Header().Set("X-Gateway-Verdict", types.NotRun.String())
+				for name, value := range map[string]string{"X-Gateway-Endpoint": endpoint, "X-Gateway-Arrivals": arrivals} {
+					if value != "" {
+						w.Header().Set(name, value)
+					}
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			DeferCleanup(daemon.CloseClientConnections)
+			south := newTestProxy(catalog.Idempotent)
+			south.route.MaxAttempts = 1
+			south.region, south.self = "south", "127.0.0.1:2"
+			south.members = []members.Member{{VM: types.VMID(daemon.Listener.Addr().String()), Region: "north", State: members.Serving}}
+			south.start(newEndpoint(respondOK))
+			Expect(south.call("GET", "/r/", "").status).To(Equal(503))
+			Expect(received).To(Equal(attempts))
+		},
+		Entry("an endpoint refused the request", "e1", "1", 1),
+		Entry("no connection to the endpoint was obtained", "e1", "0", 2),
+		Entry("an older daemon names an endpoint only", "e1", "", 1),
+		Entry("an older daemon refused it without an endpoint", "", "", 2),
+		Entry("a value that is no number", "e1", "many", 1),
+	)
 })
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -212,7 +212,7 @@
 		final := *failure
 		final.Verdict = r.verdict.Merge(failure.Verdict)
 		r.status = failureStatus(&final)
-		r.out.fail(r.req.ID, &final)
+		r.out.fail(r.req.ID, &final, r.sent)
 		failure = &final
 	}
 	r.record(failure)
