Proxy: the transport never sends a request again on its own

What operators saw: arrivals at endpoints that no counter of a daemon shows. Cause: http.Transport replays an idempotent request without a body on another connection when a kept one breaks before the response. The endpoint may have read the first one. Class: an attempt that one layer makes and another does not count. All attempts now have a body that can be read once, so that only the retry loop repeats them. What the replay was good for stays, and now for every kind of request: where no byte was written, the request has provably not arrived and is sent again free of charge, to the same endpoint if need be. Connections count the bytes passed to them; the transport closes a connection before it returns an error, so the count can't grow afterwards. Ruled out: counting the replay in a trace hook and cancelling it, which races with the write.

--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -27,13 +27,32 @@
 // attemptConn is the connection of one attempt, as far as it is known.
 type attemptConn struct {
 	conn atomic.Pointer[net.Conn]
+	// writtenBefore is the number of bytes written to the connection for earlier
+	// requests.
+	writtenBefore atomic.Int64
 	// cancel ends only this attempt. Unlike closing the connection, it can't
 	// affect another request if the response has just ended.
 	cancel context.CancelFunc
 }
 
 func (w *attemptConn) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { w.conn.Store(&info.Conn) }}
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if counting, ok := info.Conn.(*countingConn); ok {
+			w.writtenBefore.Store(counting.written.Load())
+		}
+		w.conn.Store(&info.Conn)
+	}}
+}
+
+// mayHaveArrived reports whether bytes of the request were written. It must not be
+// called before the round trip has ended.
+func (w *attemptConn) mayHaveArrived() bool {
+	conn := w.conn.Load()
+	if conn == nil {
+		return false
+	}
+	counting, ok := (*conn).(*countingConn)
+	return !ok || counting.written.Load() > w.writtenBefore.Load()
 }
 
 // connected reports whether the attempt obtained a connection, so that bytes of
@@ -123,8 +142,8 @@
 	return source.Address
 }
 
-// outgoing builds a request that http.Transport does not resend on its own,
-// unless the route is idempotent.
+// outgoing builds a request that http.Transport does not resend on its own: each
+// attempt is counted.
 func (r *run) outgoing(address string, header http.Header, w *attemptConn) *http.Request {
 	header.Del("Content-Length")
 	header.Del("Expect")
@@ -135,9 +154,7 @@
 		Method: r.req.Method, URL: r.req.targetURL(address), Host: r.req.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(r.req.Body)),
-	}
-	if len(r.req.Body) > 0 || r.req.Route.Kind != catalog.Idempotent {
-		outgoing.Body = oncebody.New(r.req.Body)
+		Body:          oncebody.New(r.req.Body),
 	}
 	var ctx context.Context
 	ctx, w.cancel = context.WithCancel(r.ctx)
@@ -159,6 +176,13 @@
 		r.h.opts.Gate.Done(permit, balance.ConnectFailed)
 		return failureWithCause(types.NotRun, types.CodeUnreachable, "the endpoint can't be reached", err)
 	}
+	if !w.mayHaveArrived() {
+		// The endpoint has closed an idle connection. It may be tried again.
+		r.reached = false
+		r.tried = r.tried[:len(r.tried)-1]
+		r.h.opts.Gate.Done(permit, balance.Abandoned)
+		return failureWithCause(types.NotRun, types.CodeUnreachable, "the endpoint closed an idle connection", err)
+	}
 	r.verdict = r.verdict.Merge(types.MayHaveRun)
 	r.h.opts.Gate.Done(permit, balance.Interrupted)
 	r.reportCrash()
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -100,17 +100,18 @@
 // handleForwardError returns the failure of a forwarded attempt that got no
 // response.
 func (r *run) handleForwardError(member members.Member, w *attemptConn, err error) *types.Failure {
-	if w.connected() {
-		r.verdict = r.verdict.Merge(types.MayHaveRun)
-	}
 	if r.ctx.Err() != nil {
+		if w.connected() {
+			r.verdict = r.verdict.Merge(types.MayHaveRun)
+		}
 		return r.contextFailure(r.verdict)
 	}
-	if !w.connected() {
+	if !w.mayHaveArrived() {
 		r.reached = false
 		r.h.opts.Reporter.ReportUnreachable(member.VM, err)
 		return failureWithCause(types.NotRun, types.CodeUnreachable, "the other daemon can't be reached", err)
 	}
+	r.verdict = r.verdict.Merge(types.MayHaveRun)
 	return failureWithCause(types.MayHaveRun, types.CodeEndpointFailed, "the connection to the other daemon broke", err)
 }
 
--- a/pkg/gateway/proxy/transport.go
+++ b/pkg/gateway/proxy/transport.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,7 +32,7 @@
 // It uses no proxy and requests no compression.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            NewDialer().DialContext,
+		DialContext:            dialCounting(NewDialer()),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
@@ -40,6 +42,30 @@
 	}
 }
 
+// countingConn is a connection that counts the bytes that were passed to Write,
+// whether or not they were sent.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(data []byte) (int, error) {
+	c.written.Add(int64(len(data)))
+	return c.Conn.Write(data)
+}
+
+// dialCounting returns a function that dials counting connections.
+func dialCounting(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: conn}, nil
+	}
+}
+
 // NewDialer returns a dialer whose connections end if the peer stops responding
 // without a reset.
 func NewDialer() *net.Dialer {
