Retry budget: a bound that holds for the fleet in every window

What operators saw: more arrivals beyond the first of each request than the budget allows, on services short of endpoints, where each daemon spends all it may. Cause: each daemon kept a bound of its own whose sum is not the promised one. - A daemon that starts again forgot what it had spent: three starts in 6 s gave 504 retries where 212 are permitted. - Each daemon might always spend one: 300 daemons, 300 retries, 54 permitted. - The window of twenty buckets covered 9.5 to 10 s: 337 within 9.52 s, 212 permitted. - Retries were measured against the last 10 s of a daemon's own requests. Load that moves from one half of the fleet to the other counts twice that way. - A retry was counted when decided and might arrive in another window. - The peak of live daemons is forgotten by a restart behind a partition. Change: a ledger for each service that asks, for every window in which a retry may arrive, whether the retries in it stay within the ratio of a fixed weighted mean of the three windows that count, plus the share. A sum of such means is never more than the largest of the three sums, so the daemons' counts need no exchange. No share in the first window of a process; shares of any size; an equal part of the fixed number for each data centre, divided by the largest number of daemons known there, which daemons tell each other. Ruled out: the largest of the daemon's own three numbers, which a simulated fleet with moving load breaks; gossip of counts, which a partition delays.

--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -226,12 +226,11 @@
 	defer func() { c.viewOutdated = false }()
 	previous := c.snapshotHolder.load()
 	next := &Snapshot{
-		Self:       c.table.Self(),
-		Members:    c.table.Live(now),
-		RegionPeak: c.table.Peak(),
-		FleetPeak:  c.table.FleetPeak(),
-		Joining:    c.table.Joining(),
-		Suspects:   c.crashes.suspects(),
+		Self:     c.table.Self(),
+		Members:  c.table.Live(now),
+		Peak:     c.table.Peak(),
+		Joining:  c.table.Joining(),
+		Suspects: c.crashes.suspects(),
 	}
 	switch {
 	case previous == nil:
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -14,11 +14,8 @@
 	Self members.Member
 	// Members lists the other live daemons, sorted by VM.
 	Members []members.Member
-	// RegionPeak is the largest number of daemons of the local region seen at
-	// once, including this one.
-	RegionPeak int
-	// FleetPeak is the same for all regions.
-	FleetPeak int
+	// Peak holds the largest numbers of daemons seen at once.
+	Peak members.Peak
 	// Joining is true shortly after the start, while the daemon may not know the
 	// others yet.
 	Joining bool
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -40,6 +40,8 @@
 	// MetricsPath is the URL path of the metrics; empty means "/metrics".
 	MetricsPath string
 	Seeds       []types.VMID
+	// DataCentres is the number of data centres with daemons; zero means unknown.
+	DataCentres int
 	// MemoryBytes is the memory limit of the process; zero means unknown.
 	MemoryBytes int64
 	// ConfigPropagationLimit is the time within which a change must be in force on
@@ -127,7 +129,7 @@
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
-	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow)
+	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now())
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Incarnation: uint64(time.Now().UnixMilli()), State: members.Starting,
@@ -165,15 +167,15 @@
 func (e *Entry) published(snap *control.Snapshot) {
 	e.gate.Update(snap.View, regionMembership(snap))
 	e.prober.Wake()
-	if !snap.Joining {
-		e.budgets.SetFleetSize(snap.FleetPeak)
+	if size, known := fleetSize(e.opts.Settings, snap); known {
+		e.budgets.SetFleetSize(size)
 	}
 }
 
 // regionMembership returns the daemons that send to the endpoints of the local
 // region.
 func regionMembership(snap *control.Snapshot) balance.Membership {
-	membership := balance.Membership{Self: snap.Self.VM, PeakLive: snap.RegionPeak, Joining: snap.Joining}
+	membership := balance.Membership{Self: snap.Self.VM, PeakLive: snap.Peak.Region, Joining: snap.Joining}
 	for _, member := range snap.InRegion(snap.Self.Region) {
 		membership.Live = append(membership.Live, member.VM)
 		membership.Serving = append(membership.Serving, balance.Daemon{VM: member.VM, DataCentre: member.DataCentre})
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -47,6 +47,8 @@
 	// RegionPeak is the largest number of daemons of its region that the daemon
 	// knows to have been live at once.
 	RegionPeak int `json:"peak,omitempty"`
+	// DataCentrePeak is the same for the daemon's data centre.
+	DataCentrePeak int `json:"dc_peak,omitempty"`
 }
 
 // Load is the load of one daemon for one service at the endpoints of its region.
@@ -72,8 +74,9 @@
 	forgetAfter = 40 * time.Second
 )
 
-// maxRegionPeak bounds the number of daemons that a row may claim for its region.
-const maxRegionPeak = 1000
+// maxPeak bounds the number of daemons that a row may claim for its region or data
+// centre.
+const maxPeak = 1000
 
 // row is a member with the time at which its beat last grew.
 type row struct {
@@ -86,15 +89,29 @@
 	self  Member
 	rows  map[types.VMID]row
 	seeds []types.VMID
-	// peak is the largest number of daemons of the local region seen at once,
-	// fleetPeak that of all regions.
-	peak      int
-	fleetPeak int
+	// peak is the largest number of daemons seen at once.
+	peak Peak
+}
+
+// Peak is the largest number of daemons, including this one, that were ever live at
+// once, as far as this daemon knows. As many may be sending requests, whether or not
+// this daemon sees them now.
+type Peak struct {
+	DataCentre int
+	Region     int
+	Fleet      int
+}
+
+// raise raises each number to that of the other peak.
+func (p *Peak) raise(other Peak) {
+	p.DataCentre = max(p.DataCentre, other.DataCentre)
+	p.Region = max(p.Region, other.Region)
+	p.Fleet = max(p.Fleet, other.Fleet)
 }
 
 // New returns a table that holds only this daemon and its seeds.
 func New(self Member, seeds []types.VMID) *Table {
-	table := &Table{self: self, rows: make(map[types.VMID]row), peak: 1, fleetPeak: 1}
+	table := &Table{self: self, rows: make(map[types.VMID]row), peak: Peak{DataCentre: 1, Region: 1, Fleet: 1}}
 	table.SetSeeds(seeds)
 	return table
 }
@@ -103,7 +120,7 @@
 // numbers of daemons.
 func (t *Table) EmptyCopy() *Table {
 	table := New(t.self, t.seeds)
-	table.peak, table.fleetPeak = t.peak, t.fleetPeak
+	table.peak = t.peak
 	return table
 }
 
@@ -115,7 +132,7 @@
 // Self returns this daemon's own row.
 func (t *Table) Self() Member {
 	self := t.self
-	self.RegionPeak = t.peak
+	self.RegionPeak, self.DataCentrePeak = t.peak.Region, t.peak.DataCentre
 	return self
 }
 
@@ -139,8 +156,7 @@
 		}
 		t.merge(member, now)
 	}
-	inRegion, all := t.count(now)
-	t.peak, t.fleetPeak = max(t.peak, inRegion), max(t.fleetPeak, all)
+	t.peak.raise(t.count(now))
 }
 
 // raiseIncarnation moves this daemon's incarnation above that of an earlier process
@@ -157,9 +173,12 @@
 		return
 	}
 	t.rows[member.VM] = row{Member: member, lastHeard: now}
+	// A daemon that has restarted learns how many others there may be.
 	if member.Region == t.self.Region {
-		// A daemon that has restarted learns how many others there may be.
-		t.peak = max(t.peak, min(member.RegionPeak, maxRegionPeak))
+		t.peak.raise(Peak{Region: min(member.RegionPeak, maxPeak)})
+	}
+	if t.isLocal(member) {
+		t.peak.raise(Peak{DataCentre: min(member.DataCentrePeak, maxPeak)})
 	}
 }
 
@@ -236,34 +255,29 @@
 	return live
 }
 
-// count returns the number of live daemons in the local region and in all
-// regions, including this one.
-func (t *Table) count(now time.Time) (inRegion, all int) {
-	inRegion, all = 1, 1
+// count returns the numbers of live daemons, including this one.
+func (t *Table) count(now time.Time) Peak {
+	live := Peak{DataCentre: 1, Region: 1, Fleet: 1}
 	for _, peer := range t.rows {
 		if !t.live(peer, now) {
 			continue
 		}
-		all++
+		live.Fleet++
 		if peer.Region == t.self.Region {
-			inRegion++
+			live.Region++
+		}
+		if t.isLocal(peer.Member) {
+			live.DataCentre++
 		}
 	}
-	return inRegion, all
+	return live
 }
 
-// Peak returns the largest number of daemons of the local region that were ever
-// seen at once, including this one. As many may be sending requests, whether or
-// not this daemon sees them now.
-func (t *Table) Peak() int {
+// Peak returns the largest numbers of daemons seen at once.
+func (t *Table) Peak() Peak {
 	return t.peak
 }
 
-// FleetPeak returns the same for all regions.
-func (t *Table) FleetPeak() int {
-	return t.fleetPeak
-}
-
 // Number of beats between two heartbeats to the same kind of target.
 const (
 	// regionInterval is for other data centres of the region, worldInterval for other
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -69,12 +69,26 @@
 		remote := remoteMember("b:1", 5)
 		remote.RegionPeak = 30
 		table.Merge([]members.Member{before, remote}, start)
-		Expect(table.Peak()).To(Equal(3))
+		Expect(table.Peak().Region).To(Equal(3))
 		Expect(table.Self().RegionPeak).To(Equal(3))
 		absurd := member("c:1", 5)
 		absurd.RegionPeak = 1 << 40
 		table.Merge([]members.Member{absurd}, start)
-		Expect(table.Peak()).To(BeNumerically("<=", 1000))
+		Expect(table.Peak().Region).To(BeNumerically("<=", 1000))
+	})
+
+	It("learns from its data centre how many daemons there may be, and not from other data centres", func() {
+		before := member("a:1", 5)
+		before.DataCentrePeak = 3
+		remote := remoteMember("b:1", 5)
+		remote.DataCentrePeak = 30
+		table.Merge([]members.Member{before, remote}, start)
+		Expect(table.Peak().DataCentre).To(Equal(3))
+		Expect(table.Self().DataCentrePeak).To(Equal(3))
+		absurd := member("c:1", 5)
+		absurd.DataCentrePeak = 1 << 40
+		table.Merge([]members.Member{absurd}, start)
+		Expect(table.Peak().DataCentre).To(BeNumerically("<=", 1000))
 	})
 
 	It("sends to its seeds while it knows no other daemon, and later to unknown seeds", func() {
@@ -166,11 +180,11 @@
 
 	It("remembers the peak numbers of live daemons in its region and in the fleet", func() {
 		table.Merge([]members.Member{member("a:1", 1), member("b:1", 1), remoteMember("c:1", 1)}, start)
-		Expect(table.Peak()).To(Equal(3))
-		Expect(table.FleetPeak()).To(Equal(4))
+		Expect(table.Peak().Region).To(Equal(3))
+		Expect(table.Peak().Fleet).To(Equal(4))
 		table.Merge([]members.Member{member("a:1", 2)}, start.Add(time.Minute))
-		Expect(table.Peak()).To(Equal(3))
-		Expect(table.FleetPeak()).To(Equal(4))
+		Expect(table.Peak().Region).To(Equal(3))
+		Expect(table.Peak().Fleet).To(Equal(4))
 	})
 
 	Describe("reading the store", func() {
--- a/pkg/gateway/proxy/budget.go
+++ b/pkg/gateway/proxy/budget.go
@@ -7,116 +7,101 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// budgetFraction is the part of the fleet's retry budget that is spent. The
-// margin is needed because requests are counted late and the daemons do not
-// coordinate.
-const budgetFraction = 0.8
+// budgetFraction is the part of the fleet's retry budget that is spent. The margin
+// is for requests that are counted later than their callers sent them, and for
+// daemons that are paused between counting a retry and sending it.
+const budgetFraction = 0.9
 
-// assumedFleetSize is the number of daemons assumed while this one has just
-// started and does not know the others. After a power loss all daemons are in
-// that state at once.
+// assumedFleetSize is the number of daemons assumed by a daemon that has not seen
+// another one since its start.
 const assumedFleetSize = 64
 
 // defaultBudgetWindow applies when the settings name no window.
 const defaultBudgetWindow = 10 * time.Second
 
-// windowBuckets is the number of buckets into which the window is divided.
-const windowBuckets = 20
+// arrivalTime bounds the time from counting a retry to its arrival at an endpoint.
+// An attempt that has no connection by then is not sent.
+const arrivalTime = 1500 * time.Millisecond
 
-// RetryBudgets limits retries per service. In any window, all daemons together
-// may make a ratio of the requests offered plus a fixed number of retries. Each
-// daemon spends the ratio of its own requests in the last window and its share of
-// the fixed number. Safe for concurrent use.
+// RetryBudgets limits retries per service. In any window, all daemons together may
+// make a ratio of the requests offered plus a fixed number of retries. Each daemon
+// spends the ratio of its own requests, as its ledger counts them, and its share of
+// the fixed number. A daemon has no share in its first window: an earlier run of it
+// may have spent the share within the same window. Safe for concurrent use.
 type RetryBudgets struct {
 	ratio float64
 	// fixed is the number of retries per window that all daemons share.
 	fixed  float64
 	window time.Duration
+	// sharesFrom is when this daemon may begin to spend its share.
+	sharesFrom time.Time
 
 	mu sync.Mutex
 	// share is this daemon's share of fixed.
-	share    float64
-	services map[types.ServiceName]*serviceUsage
+	share   float64
+	ledgers map[types.ServiceName]*ledger
 }
 
-// NewRetryBudgets returns budgets of which nothing is spent. Ratio is the number
-// of retries per request; fixed is the number of retries per window that all
-// daemons together may make beyond that.
-func NewRetryBudgets(ratio, fixed float64, window time.Duration) *RetryBudgets {
+// NewRetryBudgets returns the budgets of a daemon that has started at a time. Ratio
+// is the number of retries per request; fixed is the number of retries per window
+// that all daemons together may make beyond that.
+func NewRetryBudgets(ratio, fixed float64, window time.Duration, startedAt time.Time) *RetryBudgets {
 	if window <= 0 {
 		window = defaultBudgetWindow
 	}
-	b := &RetryBudgets{ratio: ratio * budgetFraction, fixed: fixed * budgetFraction, window: window, services: make(map[types.ServiceName]*serviceUsage)}
+	b := &RetryBudgets{
+		ratio: ratio * budgetFraction, fixed: fixed * budgetFraction, window: window,
+		sharesFrom: startedAt.Add(window + arrivalTime), ledgers: make(map[types.ServiceName]*ledger),
+	}
 	b.SetFleetSize(assumedFleetSize)
 	return b
 }
 
 // SetFleetSize sets the number of daemons that share the fixed number of retries.
+// A share below one adds to what the daemon's own requests permit.
 func (b *RetryBudgets) SetFleetSize(daemons int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.share = max(b.fixed/float64(max(daemons, 1)), 1)
+	b.share = b.fixed / float64(max(daemons, 1))
 }
 
 // RecordRequest counts a request for the service.
 func (b *RetryBudgets) RecordRequest(service types.ServiceName, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.usageOf(service, now).requests[0]++
+	b.ledgerOf(service, now).buckets[0].requests++
 }
 
 // Allow reports whether the budget permits another retry and, if so, spends it.
 func (b *RetryBudgets) Allow(service types.ServiceName, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	usage := b.usageOf(service, now)
-	if float64(usage.retries.sum()+1) > float64(usage.requests.sum())*b.ratio+b.share {
+	share := b.share
+	if now.Before(b.sharesFrom) {
+		share = 0
+	}
+	l := b.ledgerOf(service, now)
+	if !l.permits(b.ratio, share) {
 		return false
 	}
-	usage.retries[0]++
+	l.buckets[0].retries++
 	return true
 }
 
-// usageOf returns the usage of a service, with the window advanced to now.
-func (b *RetryBudgets) usageOf(service types.ServiceName, now time.Time) *serviceUsage {
-	usage := b.services[service]
-	if usage == nil {
-		usage = &serviceUsage{bucketStart: now}
-		b.services[service] = usage
-	}
-	usage.advance(now, b.window/windowBuckets)
-	return usage
-}
-
-// bucketCounts holds one count per bucket of the window, newest first.
-type bucketCounts [windowBuckets]int
-
-func (c *bucketCounts) sum() int {
-	total := 0
-	for _, count := range c {
-		total += count
-	}
-	return total
-}
-
-// serviceUsage counts the requests and the retries of one service.
-type serviceUsage struct {
-	requests bucketCounts
-	retries  bucketCounts
-	// bucketStart is when the newest bucket began.
-	bucketStart time.Time
+// Refund takes back a retry that was spent at a time and never sent.
+func (b *RetryBudgets) Refund(service types.ServiceName, spentAt, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledgerOf(service, now).refund(spentAt)
 }
 
-// advance starts new buckets for the time that has passed.
-func (s *serviceUsage) advance(now time.Time, bucket time.Duration) {
-	for steps := 0; now.Sub(s.bucketStart) >= bucket; steps++ {
-		if steps == windowBuckets {
-			s.bucketStart = now
-			return
-		}
-		copy(s.requests[1:], s.requests[:windowBuckets-1])
-		copy(s.retries[1:], s.retries[:windowBuckets-1])
-		s.requests[0], s.retries[0] = 0, 0
-		s.bucketStart = s.bucketStart.Add(bucket)
+// ledgerOf returns the ledger of a service, advanced to now.
+func (b *RetryBudgets) ledgerOf(service types.ServiceName, now time.Time) *ledger {
+	l := b.ledgers[service]
+	if l == nil {
+		l = newLedger(b.window, now)
+		b.ledgers[service] = l
 	}
+	l.advance(now)
+	return l
 }
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -248,7 +248,7 @@
 	}
 	w.snap = &control.Snapshot{
 		Self: members.Member{VM: w.self, Region: w.region, State: members.Serving}, Members: w.members,
-		RegionPeak: 1, View: view, Suspects: w.suspects,
+		Peak: members.Peak{DataCentre: 1, Region: 1, Fleet: 1}, View: view, Suspects: w.suspects,
 	}
 	pool := balance.NewPool(w.region, "", balance.Bounds{})
 	w.gate = gate.New(pool, time.Now)
@@ -265,9 +265,11 @@
 }
 
 func (w *testProxy) options() proxy.Options {
+	budgets := proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0, longAgo)
+	budgets.SetFleetSize(1)
 	return proxy.Options{
 		Snapshot: func() *control.Snapshot { return w.snap }, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
-		RetryBudgets: proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0), Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
+		RetryBudgets: budgets, Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
 		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)),
 	}
 }
@@ -277,7 +279,7 @@
 	config := &catalog.Config{Version: 1, Services: map[types.ServiceName]*catalog.Service{service: {Name: service}}}
 	config.Prepare()
 	w.snap = &control.Snapshot{
-		Self: members.Member{VM: w.self, Region: w.region, State: members.Serving}, RegionPeak: 1,
+		Self: members.Member{VM: w.self, Region: w.region, State: members.Serving}, Peak: members.Peak{DataCentre: 1, Region: 1, Fleet: 1},
 		View: &catalog.View{Config: config, Endpoints: map[types.ServiceName][]catalog.ActiveEndpoint{}},
 	}
 	w.gate = gate.New(balance.NewPool(w.region, "", balance.Bounds{}), time.Now)
