Retry budget: charged in one place, for the time in which an attempt arrives

What operators saw: as before, more arrivals than the budget in some window. Cause: a retry was charged when it was decided. It then might wait for capacity here or at another daemon for seconds and arrive in a later window, and a retry that was never sent stayed charged. A stalled stream that resumes was charged by a path of its own. Change: every attempt of a request that may have arrived before passes charge(), whatever way it takes. Requests are counted when they are accepted, not with their first attempt: refused ones are offered too. Ruled out: charging at the endpoint's daemon, which does not know the requests. Evidence: specs for retries that find no endpoint, for attempts that reach none first, and for a forwarded retry at a full daemon.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -38,6 +38,9 @@
 	Deadline time.Time
 	// Objective is the time within which the response should start.
 	Objective time.Duration
+	// WaitLimit is the longest time that the request may wait for capacity; zero
+	// sets no limit beyond those of the deadline and the objective.
+	WaitLimit time.Duration
 	// PrefixUncached is true when the prefix is not kept here because its home
 	// had no capacity.
 	PrefixUncached bool
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -87,6 +87,9 @@
 // waited at another daemon before.
 func maxWait(req RequestInfo, now time.Time) time.Duration {
 	remaining := time.Duration(float64(req.Deadline.Sub(now)) * remainingShare)
+	if req.WaitLimit > 0 {
+		remaining = min(remaining, req.WaitLimit)
+	}
 	if req.Objective <= 0 {
 		return remaining
 	}
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -94,7 +94,7 @@
 	var w attemptConn
 	outgoing := r.endpointRequest(permit, &w)
 	defer w.cancel()
-	defer w.connectBy(permit.Endpoint.LastRequestAt, r.h.opts.Now())()
+	defer w.connectBy(earliest(permit.Endpoint.LastRequestAt, r.arriveBy()), r.h.opts.Now())()
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	if err != nil {
 		return r.handleSendError(permit, &w, err)
--- /dev/null
+++ b/pkg/gateway/proxy/charge.go
@@ -0,0 +1,101 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+)
+
+// hopTime is the part of arrivalTime that is left to the other daemon when a retry
+// is forwarded; the rest is for connecting to it.
+const hopTime = 800 * time.Millisecond
+
+// minChargeLeft is the least time left of a charge for an attempt to be sent with
+// it; an older charge is replaced.
+const minChargeLeft = 1200 * time.Millisecond
+
+// charge takes the next attempt from the retry budget if the request may have
+// reached an endpoint before. A charge lasts until an attempt may have arrived, or
+// until too little is left of its time.
+func (r *run) charge() bool {
+	if r.sent == 0 {
+		return true
+	}
+	if reserved := r.reservedAt.Swap(nil); reserved != nil {
+		r.chargedAt = *reserved
+	}
+	now := r.h.opts.Now()
+	if !r.chargedAt.IsZero() && r.arriveBy().Sub(now) >= minChargeLeft {
+		return true
+	}
+	r.refund()
+	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
+		r.retryDenied = true
+		r.h.opts.Metrics.countDenied(r.req.Service)
+		return false
+	}
+	r.chargedAt = now
+	return true
+}
+
+// reserve takes a retry from the budget for an attempt that ends the current one,
+// and reports whether the budget permits it. It may be called from any goroutine.
+func (r *run) reserve() bool {
+	now := r.h.opts.Now()
+	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
+		return false
+	}
+	r.reservedAt.Store(&now)
+	return true
+}
+
+// refund returns a charge that no attempt has used.
+func (r *run) refund() {
+	if !r.chargedAt.IsZero() {
+		r.h.opts.RetryBudgets.Refund(r.req.Service, r.chargedAt, r.h.opts.Now())
+		r.chargedAt = time.Time{}
+	}
+}
+
+// refundAll returns the charge and the reservation of a request that has ended.
+func (r *run) refundAll() {
+	r.refund()
+	if reserved := r.reservedAt.Swap(nil); reserved != nil {
+		r.h.opts.RetryBudgets.Refund(r.req.Service, *reserved, r.h.opts.Now())
+	}
+}
+
+// arriveBy returns when the next attempt must have a connection, so that it arrives
+// in the time for which it was charged; zero if it may arrive at any time.
+func (r *run) arriveBy() time.Time {
+	if !r.chargedAt.IsZero() {
+		return r.chargedAt.Add(arrivalTime)
+	}
+	return r.req.ArriveBy
+}
+
+// waitLimit returns how long the next attempt may wait for capacity; zero means
+// that nothing but its deadline and objective limits it. The request's own daemon
+// charges it again after a wait, so only one that another daemon has charged is
+// limited.
+func (r *run) waitLimit() time.Duration {
+	if r.req.ArriveBy.IsZero() {
+		return 0
+	}
+	return max(r.req.ArriveBy.Sub(r.h.opts.Now()), 1)
+}
+
+// release returns an endpoint's permit that no attempt will use.
+func (r *run) release(dest destination) {
+	if dest.endpoint != nil {
+		r.h.opts.Gate.Done(dest.endpoint, balance.Abandoned)
+	}
+}
+
+// earliest returns the earlier of two times of which zero means never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -40,6 +40,9 @@
 	ResumeAfter   string `json:"resume_after,omitempty"`
 	// PrefixUncached is true if the home of the prefix had no capacity.
 	PrefixUncached bool `json:"anew,omitempty"`
+	// ArriveWithin is the time in which the request must reach an endpoint if it
+	// may have reached one before; zero sets no limit. Later it is refused.
+	ArriveWithin time.Duration `json:"arrive_within,omitempty"`
 }
 
 // forward sends the request to another daemon, of this region or another one,
@@ -54,6 +57,9 @@
 		return failureWithCause(types.NotRun, types.CodeInternal, "the request can't be forwarded", err)
 	}
 	defer w.cancel()
+	if !r.chargedAt.IsZero() {
+		defer w.connectBy(r.arriveBy().Add(-hopTime), r.h.opts.Now())()
+	}
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	if err != nil {
 		return r.handleForwardError(member, &w, err)
@@ -88,6 +94,9 @@
 		Waited:        r.h.opts.Now().Sub(r.req.Arrived),
 		CallerLimited: !r.req.CallerDeadline.IsZero(), ResumeAfter: r.lastEvent, PrefixUncached: len(r.homes) > 1,
 	}
+	if !r.chargedAt.IsZero() {
+		env.ArriveWithin = hopTime
+	}
 	encoded, err := json.Marshal(env)
 	if err != nil {
 		return nil, err
@@ -198,5 +207,8 @@
 	if env.CallerLimited {
 		req.CallerDeadline = req.Deadline
 	}
+	if env.ArriveWithin != 0 {
+		req.ArriveBy = now.Add(env.ArriveWithin)
+	}
 	return req, nil
 }
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -117,6 +117,7 @@
 	snap := h.awaitStartup(r.Context(), hasConfig)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
+		h.opts.RetryBudgets.RecordRequest(req.Service, arrived)
 		failure = h.readBody(w, r, req, snap)
 		defer h.bufferedBytes.Add(-int64(len(req.Body)))
 	}
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -217,6 +217,7 @@
 	peerServer   *httptest.Server
 	snap         *control.Snapshot
 	gate         *gate.Gate
+	budgets      *proxy.RetryBudgets
 }
 
 const service = types.ServiceName("svc")
@@ -265,11 +266,11 @@
 }
 
 func (w *testProxy) options() proxy.Options {
-	budgets := proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0, longAgo)
-	budgets.SetFleetSize(1)
+	w.budgets = proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0, longAgo)
+	w.budgets.SetFleetSize(1)
 	return proxy.Options{
 		Snapshot: func() *control.Snapshot { return w.snap }, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
-		RetryBudgets: budgets, Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
+		RetryBudgets: w.budgets, Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
 		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)),
 	}
 }
@@ -286,12 +287,15 @@
 	w.handler = w.newHandler()
 }
 
-// serveForwarded passes the handler a request with an envelope.
-func (w *testProxy) serveForwarded(envelope, body string) {
+// serveForwarded passes the handler a request with an envelope and returns the
+// response.
+func (w *testProxy) serveForwarded(envelope, body string) *httptest.ResponseRecorder {
 	request := httptest.NewRequest("POST", "/r/", strings.NewReader(body))
 	request.Header[http.CanonicalHeaderKey("X-Gateway-Forward")] = []string{envelope}
 	request.Header.Set(headerID, "q")
-	w.handler.ServeForwarded(httptest.NewRecorder(), request)
+	recorder := httptest.NewRecorder()
+	w.handler.ServeForwarded(recorder, request)
+	return recorder
 }
 
 // fillQueue takes every slot of the region's endpoints and every place in the
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -65,6 +65,7 @@
 func (r *run) balancerRequest() balance.RequestInfo {
 	balancerRequest := r.req.balancerRequest(r.excludedEndpoints())
 	balancerRequest.PrefixUncached = r.req.PrefixUncached || len(r.homes) > 1
+	balancerRequest.WaitLimit = r.waitLimit()
 	if r.out.committed {
 		now := r.h.opts.Now()
 		balancerRequest.Arrived, balancerRequest.Objective = now, 0
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -45,6 +45,9 @@
 	Tried []types.EndpointID
 	// PrefixUncached is true for a forwarded request whose prefix is not cached here.
 	PrefixUncached bool
+	// ArriveBy is when a forwarded retry must have reached an endpoint; zero sets no
+	// limit.
+	ArriveBy time.Time
 }
 
 // newRequest sets what a caller's own request and a forwarded one have in common.
--- a/pkg/gateway/proxy/retry_test.go
+++ b/pkg/gateway/proxy/retry_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -165,4 +166,38 @@
 		Entry("an older daemon refused it without an endpoint", "", "", 2),
 		Entry("a value that is no number", "e1", "many", 1),
 	)
+
+	It("is not spent on retries that find no endpoint", func() {
+		endpoints := newEndpoints(1, respondNotRun)
+		w := startBudgeted(catalog.Idempotent, endpoints...)
+		callMany(w, "GET", "")
+		Expect(spendAll(w.budgets, service, time.Now())).To(Equal(budgetFixed - 1))
+	})
+
+	It("is charged once for attempts that reach no endpoint before one that does", func() {
+		endpoints := newEndpoints(4, respondNotRun)
+		w := startBudgeted(catalog.Idempotent, endpoints...)
+		endpoints[1].server.Listener.Close()
+		endpoints[2].server.Listener.Close()
+		w.call("GET", "/r/", "")
+		spent := budgetFixed - 1 - spendAll(w.budgets, service, time.Now())
+		Expect(spent).To(Equal(max(arrivals(endpoints)-1, 0)))
+	})
+
+	It("does not let a forwarded retry wait longer than the time for which it is charged", func() {
+		busy := newEndpoint(respondOK)
+		w := newTestProxy(catalog.Idempotent)
+		w.start(busy)
+		for {
+			if permit, _ := w.gate.Try(balance.RequestInfo{Service: service, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}); permit == nil {
+				break
+			}
+		}
+		envelope := `{"from":"127.0.0.1:9","route":{"name":"r","kind":"idempotent"},"service":"svc","left":20000000000,"arrive_within":%d}`
+		started := time.Now()
+		response := w.serveForwarded(fmt.Sprintf(envelope, 50*time.Millisecond), "")
+		Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second))
+		Expect(response.Code).To(Equal(503))
+		Expect(response.Header().Get("X-Gateway-Arrivals")).To(Equal("0"))
+	})
 })
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -12,7 +12,6 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
-	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -58,8 +57,10 @@
 	// region is the region of the daemon that the last attempt was forwarded to;
 	// empty if it went to an endpoint.
 	region types.Region
-	// retryReserved is true if the budget for the next attempt is already spent.
-	retryReserved atomic.Bool
+	// chargedAt is when the next attempt was taken from the retry budget; zero if
+	// it was not. reservedAt is the same while the current attempt still runs.
+	chargedAt  time.Time
+	reservedAt atomic.Pointer[time.Time]
 	// retryDenied is true if the retry budget did not permit another attempt.
 	retryDenied bool
 	// homes lists the endpoints that were tried as homes of the prefix.
@@ -96,6 +97,10 @@
 		if failure != nil {
 			return moreInformative(lastFailure, failure)
 		}
+		if !r.charge() {
+			r.release(dest)
+			return lastFailure
+		}
 		lastFailure = r.makeAttempt(dest)
 		if lastFailure == nil || !r.shouldRetry(lastFailure) {
 			return lastFailure
@@ -123,30 +128,33 @@
 }
 
 // makeAttempt makes one attempt. The daemon that received the request from its
-// caller makes all retries and credits the retry budget, so that a request counts
-// once.
+// caller makes all retries and charges them to its retry budget.
 func (r *run) makeAttempt(dest destination) *types.Failure {
 	r.waited = r.h.opts.Now().Sub(r.req.Arrived)
 	r.reached = true
-	if r.sent == 0 && r.unreached == 0 && r.req.ForwardedBy == "" {
-		r.h.opts.RetryBudgets.RecordRequest(r.req.Service, r.h.opts.Now())
-	}
-	if dest.endpoint == nil {
-		failure := r.attemptForward(dest.member)
-		r.countAttempt(toDaemon)
-		return failure
-	}
-	r.region = ""
 	r.sent++
-	failure := r.attemptEndpoint(dest.endpoint)
-	if !r.reached {
+	failure, way := r.send(dest)
+	if r.reached {
+		r.chargedAt = time.Time{}
+	} else {
 		r.sent--
 		r.unreached++
 	}
-	r.countAttempt(toEndpoint)
+	r.countAttempt(way)
 	return failure
 }
 
+// send sends the request to a destination. Another daemon sends it to at most one
+// endpoint, so that attempts are counted in one place, also after a broken
+// connection.
+func (r *run) send(dest destination) (*types.Failure, attemptWay) {
+	if dest.endpoint == nil {
+		return r.forward(dest.member), toDaemon
+	}
+	r.region = ""
+	return r.attemptEndpoint(dest.endpoint), toEndpoint
+}
+
 // countAttempt counts the attempt that has just ended.
 func (r *run) countAttempt(way attemptWay) {
 	kind := repeatedArrival
@@ -159,21 +167,9 @@
 	r.h.opts.Metrics.countAttempt(r.req.Service, kind, way)
 }
 
-// attemptForward makes one attempt by way of another daemon. That daemon sends the
-// request to at most one endpoint, so that attempts are counted in one place, also
-// after a broken connection.
-func (r *run) attemptForward(member members.Member) *types.Failure {
-	r.sent++
-	failure := r.forward(member)
-	if !r.reached {
-		r.sent--
-		r.unreached++
-	}
-	return failure
-}
-
 // shouldRetry decides whether another attempt follows a failed one. An attempt
-// that reached no endpoint costs no budget, but the number of these is limited.
+// that reached no endpoint counts neither towards the attempt limit nor towards the
+// budget, but the number of these is limited.
 func (r *run) shouldRetry(failure *types.Failure) bool {
 	switch {
 	case r.ctx.Err() != nil || r.out.writeFailed:
@@ -184,17 +180,12 @@
 		return false
 	case r.req.Deadline.Sub(r.h.opts.Now()) < minTimeLeft:
 		return false
-	case !r.reached:
-		return r.unreached <= maxUnreached
-	case r.sent >= r.req.AttemptLimit || !failure.Code.Retryable():
+	case !r.reached && r.unreached > maxUnreached:
+		return false
+	case r.reached && (r.sent >= r.req.AttemptLimit || !failure.Code.Retryable()):
 		return false
 	}
-	if r.retryReserved.CompareAndSwap(true, false) || r.h.opts.RetryBudgets.Allow(r.req.Service, r.h.opts.Now()) {
-		return true
-	}
-	r.retryDenied = true
-	r.h.opts.Metrics.countDenied(r.req.Service)
-	return false
+	return r.charge()
 }
 
 // canResume reports whether an interrupted stream may resume at another endpoint.
@@ -204,6 +195,7 @@
 
 // finish sends the final response if none was sent and records the outcome.
 func (r *run) finish(failure *types.Failure) {
+	r.refundAll()
 	if failure != nil && r.fallback != nil && !r.out.committed {
 		r.fallback.send(r.out)
 		failure = nil
--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -44,8 +44,7 @@
 
 // resumeElsewhere ends the attempt if the retry budget permits another one.
 func (r *run) resumeElsewhere(w *attemptConn) {
-	if r.h.opts.RetryBudgets.Allow(r.req.Service, r.h.opts.Now()) {
-		r.retryReserved.Store(true)
+	if r.reserve() {
 		w.cancel()
 	}
 }
