Balancer: count a prefix in full at a home that stands in for another

Cause: the balancer counts a large prefix as cached at its home, whoever sent it there.

Change: at a home that only stands in for another endpoint (of the local region, or of any region if that one gets no more requests), the prefixes that this daemon has sent there count as cached. The daemon that owns an endpoint sends it all its large prompts, so it knows them.

--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -262,7 +262,7 @@
 // reserve counts the request as in flight at the endpoint and returns its
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
-	permit := &Permit{Endpoint: ep.placed, req: req, prefillTokens: p.prefillTokens(req, ep, home), grantedAt: now}
+	permit := &Permit{Endpoint: ep.placed, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
 	ep.inFlight++
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -93,7 +93,7 @@
 	if req.PrefixUncached {
 		allowed = min(allowed, time.Duration(float64(constraints.objective)*uncachedShare))
 	}
-	seconds := (ep.prefillTokens + p.prefillTokens(req, ep, home && !req.PrefixUncached)) / prefillRate * ep.prefillSlowdown.valueOr(1, now)
+	seconds := (ep.prefillTokens + p.prefillTokens(req, ep, home && !req.PrefixUncached, now)) / prefillRate * ep.prefillSlowdown.valueOr(1, now)
 	return seconds <= allowed.Seconds()
 }
 
--- a/pkg/gateway/balance/reading_test.go
+++ b/pkg/gateway/balance/reading_test.go
@@ -253,6 +253,41 @@
 		}
 	})
 
+	DescribeTable("are counted in full where their prefix has not been, when its home gets no more requests", func(move func(*catalog.View)) {
+		v := view(2, 0, nil)
+		gone, stays := v.Endpoints[engines][0], v.Endpoints[engines][1]
+		v.Endpoints[engines] = v.Endpoints[engines][1:]
+		v.Leaving = map[types.ServiceName][]catalog.ActiveEndpoint{engines: {gone}}
+		move(v)
+		pool := newPool(v, 1)
+		granted := map[types.EndpointID]int{}
+		for prefix := range uint64(100) {
+			home, _ := balance.PrefixHome([]catalog.ActiveEndpoint{gone, stays}, prefix+1, func(catalog.ActiveEndpoint) bool { return true })
+			if home.ID != gone.ID {
+				continue
+			}
+			if permit := requestPermit(pool, withPrefix(prefix+1), start); permit != nil {
+				granted[permit.Endpoint.ID]++
+			}
+		}
+		// A request waits for at most half of its 5 s; each prompt takes 340 ms.
+		Expect(granted).To(HaveLen(1))
+		Expect(granted[stays.ID]).To(BeNumerically("~", 7, 1))
+	},
+		Entry("and has left the list", func(*catalog.View) {}),
+		Entry("and is in another region", func(v *catalog.View) { v.Leaving[engines][0].Region = "south" }),
+		Entry("and is still listed", func(v *catalog.View) {
+			last := v.Leaving[engines][0]
+			last.LastRequestAt = start
+			v.Leaving, v.Endpoints[engines] = nil, append(v.Endpoints[engines], last)
+		}),
+		Entry("and is still listed, in another region", func(v *catalog.View) {
+			last := v.Leaving[engines][0]
+			last.LastRequestAt, last.Endpoint = start, &catalog.Endpoint{ID: last.ID, Service: engines, Region: "south"}
+			v.Leaving, v.Endpoints[engines] = nil, append(v.Endpoints[engines], last)
+		}),
+	)
+
 	It("of absurd size take no more of an engine than its memory", func() {
 		pool := newPool(view(1, 0, nil), 1)
 		huge := withPrefix(1)
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -58,7 +58,7 @@
 	if !ep.isEngine() {
 		return cost + slotCost*float64(ep.inFlight)*others/float64(ep.slots()) + tieBreak(ep.placed.ID, now)
 	}
-	cost += p.prefillTokens(req, ep, home) / prefillRate
+	cost += p.prefillTokens(req, ep, home, now) / prefillRate
 	wait := ep.prefillTokens / prefillRate
 	if req.large() && !home {
 		wait += offHomeCost
@@ -85,16 +85,29 @@
 // prefillTokens returns how many prompt tokens the endpoint would have to
 // prefill. A prefix counts as cached at its home even before this daemon has
 // sent it there: another daemon may have, and the home should prefill it rather
-// than any other endpoint.
-func (p *Pool) prefillTokens(req RequestInfo, ep *endpointState, home bool) float64 {
+// than any other endpoint. At a home that only stands in for another endpoint,
+// the prefixes that this daemon has sent there count.
+func (p *Pool) prefillTokens(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
 	cached := ep.cache.longestHeld(req)
-	if home {
+	if home && !p.standsIn(req, ep, now) {
 		cached = req.PrefixTokens
 	}
 	// An engine refuses a prompt that does not fit into its memory.
 	return float64(min(max(req.PromptTokens-cached, 0), ep.memoryTokens()))
 }
 
+// standsIn reports whether an endpoint is the home of a large prefix only because
+// the one that was is not used now: it is in the local region, or it gets no more
+// requests.
+func (p *Pool) standsIn(req RequestInfo, home *endpointState, now time.Time) bool {
+	weight := prefixWeight(req.Prefix, home.placed.ID)
+	precedes := func(other catalog.ActiveEndpoint) bool { return prefixWeight(req.Prefix, other.ID) > weight }
+	return slices.ContainsFunc(p.view.Leaving[req.Service], precedes) ||
+		slices.ContainsFunc(p.view.Endpoints[req.Service], func(other catalog.ActiveEndpoint) bool {
+			return (other.Region == p.region || !other.Accepts(now)) && precedes(other)
+		})
+}
+
 // homeOf returns the home of a large prefix among the eligible endpoints, which
 // every daemon computes alike; nil for other requests.
 func homeOf(req RequestInfo, eligible []*endpointState) *endpointState {
