Control: let only the reader write the reader's state

Cause: shouldRead aligned the reader's revision inside the event that it hands to the control goroutine. When the context ends, shouldRead returns without waiting for the event, run writes the same fields, and the event may still be handled.

Change: the event only returns the decision and the control state's revision; the reader aligns itself with it.

--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -99,37 +99,42 @@
 	}
 }
 
+// readDecision is what the control goroutine tells the reader.
+type readDecision struct {
+	// reading is true while this daemon should read the store.
+	reading bool
+	// appliedRevision is the revision of the control state.
+	appliedRevision uint64
+}
+
 // shouldRead asks the control goroutine whether this daemon should read the store
-// now, and aligns the reader's revision with the control state.
+// now, and aligns the reader's revision with the control state. It returns false
+// when ctx ends.
 func (r *reader) shouldRead(ctx context.Context) bool {
-	decision := make(chan bool, 1)
-	ok := r.control.submit(ctx, func(now time.Time) {
-		c := r.control
-		reading := c.table.ShouldRead(c.reading, c.storeAge(now), now)
-		if reading != c.reading {
-			c.opts.Log.WithField("reads", reading).Info("this daemon's part in reading the store changed")
-		}
-		c.reading = reading
-		if c.state.AppliedRevision() < r.lastRevision {
-			// The control state was reset.
-			r.needFullRead, r.lastRevision = true, 0
-		}
-		if r.lastRevision == 0 && c.state.AppliedRevision() > 0 {
-			r.needFullRead, r.lastRevision = false, c.state.AppliedRevision()
-		}
-		decision <- reading
-	})
-	if !ok {
+	decisions := make(chan readDecision, 1)
+	if !r.control.submit(ctx, func(now time.Time) { decisions <- r.control.decideReading(now) }) {
 		return false
 	}
 	select {
-	case allowed := <-decision:
-		return allowed
+	case decision := <-decisions:
+		r.align(decision.appliedRevision)
+		return decision.reading
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// align continues from the revision of the control state: from the beginning if
+// the state was reset, from its revision if this daemon has read nothing yet.
+func (r *reader) align(appliedRevision uint64) {
+	if appliedRevision < r.lastRevision {
+		r.needFullRead, r.lastRevision = true, 0
+	}
+	if r.lastRevision == 0 && appliedRevision > 0 {
+		r.needFullRead, r.lastRevision = false, appliedRevision
+	}
+}
+
 // poll makes one call to the store, a full read or a watch.
 func (r *reader) poll(ctx context.Context) error {
 	if r.needFullRead {
@@ -252,6 +257,16 @@
 	}
 }
 
+// decideReading decides whether this daemon should read the store now.
+func (c *Control) decideReading(now time.Time) readDecision {
+	reading := c.table.ShouldRead(c.reading, c.storeAge(now), now)
+	if reading != c.reading {
+		c.opts.Log.WithField("reads", reading).Info("this daemon's part in reading the store changed")
+	}
+	c.reading = reading
+	return readDecision{reading: reading, appliedRevision: c.state.AppliedRevision()}
+}
+
 // applyChanges applies and distributes the changes that a watch returned.
 func (c *Control) applyChanges(delta catalog.Delta, now time.Time) {
 	c.recordStoreRead(c.table.Self().VM, now)
