Control: read the store again after a panic in the reader's decision

After a panic in the event that decides whether this daemon reads the store, the daemon never read the store again until it was restarted; it learnt changes only from others.

Cause: the guard recovers the panic and resets the control state, but the reader waited for a decision that no one sends. Receive closes its channel for this case; shouldRead did not.

--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -221,15 +221,8 @@
 	var running conc.WaitGroup
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	for i, vm := range vms {
-		daemon := control.New(control.Options{
-			Self:  members.Member{VM: vm, Incarnation: 1, State: members.Starting, Region: "north", DataCentre: "north-a", CallerAddress: string(vm)},
-			Seeds: vms[:1], Store: storeOf(vm), Peers: f.peers,
-			OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads, EvacuationLimit: evacuationLimit,
-			Log: log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
-		})
-		f.daemons = append(f.daemons, daemon)
-		f.peers.daemons[vm] = daemon
+	for _, vm := range vms {
+		f.newDaemon(storeOf(vm), log, vm, vms[:1]...)
 	}
 	for _, daemon := range f.daemons {
 		running.Go(func() { daemon.Run(ctx) })
@@ -241,6 +234,36 @@
 	return f
 }
 
+// newDaemon adds a daemon to the fleet. It does not run yet.
+func (f *fleet) newDaemon(store control.Store, log logrus.FieldLogger, vm types.VMID, seeds ...types.VMID) *control.Control {
+	daemon := control.New(control.Options{
+		Self:  members.Member{VM: vm, Incarnation: 1, State: members.Starting, Region: "north", DataCentre: "north-a", CallerAddress: string(vm)},
+		Seeds: seeds, Store: store, Peers: f.peers,
+		OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads, EvacuationLimit: evacuationLimit,
+		Log: log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(len(f.daemons)), 1)),
+	})
+	f.daemons = append(f.daemons, daemon)
+	f.peers.daemons[vm] = daemon
+	return daemon
+}
+
+// panicOnce is a log hook that panics at the first line with a message.
+type panicOnce struct {
+	message string
+	done    atomic.Bool
+}
+
+// Levels implements logrus.Hook.
+func (h *panicOnce) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h *panicOnce) Fire(entry *logrus.Entry) error {
+	if entry.Message == h.message && h.done.CompareAndSwap(false, true) {
+		panic("a fault in the decision")
+	}
+	return nil
+}
+
 // loads panics while faults remain.
 func (f *fleet) loads() []members.Load {
 	if f.faults.Add(-1) >= 0 {
@@ -513,6 +536,21 @@
 		Eventually(f.versions, waitLimit).Should(Equal([]uint64{4, 4}))
 	})
 
+	It("reads the store after a panic in the decision about who reads it", func() {
+		store.put(configRecord(3))
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		log.AddHook(&panicOnce{message: "this daemon's part in reading the store changed"})
+		f := &fleet{peers: &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}}}
+		daemon := f.newDaemon(store, log, "a:1")
+		ctx, cancel := context.WithCancel(context.Background())
+		var running conc.WaitGroup
+		running.Go(func() { daemon.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		Eventually(func() bool { return daemon.Load().View.Config != nil }, waitLimit).Should(BeTrue())
+	})
+
 	It("keeps working after messages with invalid records", func() {
 		store.put(configRecord(3))
 		f := newFleet(store, sharedStore, "d1:1")
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -109,14 +109,22 @@
 
 // shouldRead asks the control goroutine whether this daemon should read the store
 // now, and aligns the reader's revision with the control state. It returns false
-// when ctx ends.
+// when ctx ends or the decision fails.
 func (r *reader) shouldRead(ctx context.Context) bool {
 	decisions := make(chan readDecision, 1)
-	if !r.control.submit(ctx, func(now time.Time) { decisions <- r.control.decideReading(now) }) {
+	submitted := r.control.submit(ctx, func(now time.Time) {
+		// If the event panics, the channel is closed without a decision.
+		defer close(decisions)
+		decisions <- r.control.decideReading(now)
+	})
+	if !submitted {
 		return false
 	}
 	select {
-	case decision := <-decisions:
+	case decision, ok := <-decisions:
+		if !ok {
+			return false
+		}
 		r.align(decision.appliedRevision)
 		return decision.reading
 	case <-ctx.Done():
