Control: say that crashes beyond the tracked contents do not count

Change: the first crash that is left out gives a line; it comes again only after half of the tracked contents have expired, so a flood of contents costs at most one line per such episode.

After: one line for 1,000 crashes left out (20 messages with 50 each), and none in the second after.

--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -362,7 +362,7 @@
 	c.table.Merge(message.Members, now)
 	c.dirty = true
 	for _, crash := range message.Crashes {
-		c.crashes.add(crash, now)
+		c.addCrash(crash, now)
 	}
 	if message.Delta != nil {
 		c.state.Apply(*message.Delta, now)
@@ -468,7 +468,7 @@
 func (c *Control) ReportCrash(content request.Fingerprint, attempt string) {
 	c.offer(func(now time.Time) {
 		crash := Crash{Content: content, Attempt: attempt}
-		if !c.crashes.add(crash, now) {
+		if !c.addCrash(crash, now) {
 			return
 		}
 		c.dirty = true
@@ -483,6 +483,17 @@
 	})
 }
 
+// addCrash records a crash and reports whether it was new and within the limits.
+// It logs the first crash that is beyond them.
+func (c *Control) addCrash(crash Crash, now time.Time) bool {
+	wasFull := c.crashes.full
+	added := c.crashes.add(crash, now)
+	if c.crashes.full && !wasFull {
+		c.opts.Log.WithField("contents", maxContents).Warn("crashes do not count: too many contents are tracked")
+	}
+	return added
+}
+
 // ReportCompletion records that an endpoint completed a request with the content.
 func (c *Control) ReportCompletion(content request.Fingerprint) {
 	c.offer(func(now time.Time) {
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -264,6 +264,23 @@
 	return nil
 }
 
+// countLines is a log hook that counts the lines with a message.
+type countLines struct {
+	message string
+	count   atomic.Int32
+}
+
+// Levels implements logrus.Hook.
+func (h *countLines) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h *countLines) Fire(entry *logrus.Entry) error {
+	if entry.Message == h.message {
+		h.count.Add(1)
+	}
+	return nil
+}
+
 // loads panics while faults remain.
 func (f *fleet) loads() []members.Load {
 	if f.faults.Add(-1) >= 0 {
@@ -581,6 +598,32 @@
 		}
 	})
 
+	It("logs once, and not for each, that crashes beyond the tracked contents do not count", func() {
+		lines := &countLines{message: "crashes do not count: too many contents are tracked"}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		log.AddHook(lines)
+		f := &fleet{peers: &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}}}
+		daemon := f.newDaemon(store, log, "a:1")
+		ctx, cancel := context.WithCancel(context.Background())
+		var running conc.WaitGroup
+		running.Go(func() { daemon.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		const tracked, dropped = 4096, 50
+		message := &control.Message{From: "b:1"}
+		for i := range tracked + dropped {
+			message.Crashes = append(message.Crashes, control.Crash{Content: request.Fingerprint{byte(i), byte(i >> 8)}, Attempt: "x"})
+		}
+		for range 20 {
+			Expect(daemon.Receive(ctx, message)).NotTo(BeNil())
+			time.Sleep(50 * time.Millisecond)
+		}
+		Eventually(lines.count.Load, waitLimit).Should(BeEquivalentTo(1))
+		Expect(daemon.Load().Suspects).To(HaveLen(tracked))
+		Consistently(lines.count.Load, time.Second).Should(BeEquivalentTo(1))
+	})
+
 	It("clears a content that an endpoint has completed", func() {
 		f := newFleet(store, sharedStore, "a:1")
 		defer f.stop()
--- a/pkg/gateway/control/crashes.go
+++ b/pkg/gateway/control/crashes.go
@@ -21,6 +21,9 @@
 // completed request clears its content, which then did not cause the crashes.
 type crashLog struct {
 	contents map[request.Fingerprint]*contentCrashes
+	// full is true from the first crash that does not count because maxContents
+	// are tracked, until half of them have expired.
+	full bool
 }
 
 type contentCrashes struct {
@@ -40,6 +43,7 @@
 	entry := l.contents[crash.Content]
 	if entry == nil {
 		if len(l.contents) >= maxContents {
+			l.full = true
 			return false
 		}
 		entry = &contentCrashes{attempts: make(map[string]time.Time)}
@@ -79,6 +83,9 @@
 			delete(l.contents, content)
 		}
 	}
+	if len(l.contents) <= maxContents/2 {
+		l.full = false
+	}
 }
 
 // suspects returns the contents with crashes; the value is true for those that
