Configsync: read the service at the documented mean interval when cut off

A daemon that hears from no peer took a new configuration from the service after 23.2 s on average; FallbackInterval promises 15 s.

Cause: jitter returns between half of its argument and all of it, so twice the interval gives 1.5 times the interval on average.

Before: the new spec finds a mean of 23.2 s over an hour, 15 s wanted within 5 %. After: it passes.

--- a/pkg/control/configsync/configsync_test.go
+++ b/pkg/control/configsync/configsync_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/control/configsync"
+	"github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -49,6 +50,19 @@
 	}
 	fail := func(state *configsync.State, now time.Time) { state.ReadFailed(now, bundle.ManifestKey, false) }
 
+	succeed := func(state *configsync.State, now time.Time) {
+		state.ReadValue(now, bundle.ManifestKey, platform.Value{})
+	}
+
+	It("reads the service at the documented mean interval", func() {
+		intervals := readIntervals(time.Hour, succeed)
+		sum := time.Duration(0)
+		for _, one := range intervals {
+			sum += one
+		}
+		Expect(sum / time.Duration(len(intervals))).To(BeNumerically("~", interval, interval/20))
+	})
+
 	It("does not read a service that fails more often than one that answers", func() {
 		for _, one := range readIntervals(10*time.Minute, fail) {
 			Expect(one).To(BeNumerically(">=", interval/2))
--- a/pkg/control/configsync/service.go
+++ b/pkg/control/configsync/service.go
@@ -123,7 +123,7 @@
 		return []Read{{Key: bundle.ManifestKey, Watch: true, After: r.manifestVersion, Timeout: s.opts.WatchTimeout}}
 	case watcher:
 	case s.Silent(now):
-		r.notBefore = now.Add(s.jitter(2 * s.opts.FallbackInterval))
+		r.notBefore = now.Add(s.jitter(s.opts.FallbackInterval / 3 * 4))
 	default:
 		return nil
 	}
@@ -158,7 +158,7 @@
 	return reads
 }
 
-// jitter returns a random duration between d/2 and d.
+// jitter returns a random duration between d/2 and d, 3/4 of d on average.
 func (s *State) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
 }
