Configsync: pass a manifest on as it was received

A daemon sends its peers the signed manifest in its own encoding. The publisher of this repository writes them alike, so no deployment has seen it.

Change: the received bytes are kept, so there is no encoding that can fail. VerifySigned no longer returns what only the encoding needed.

--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -182,7 +182,7 @@
 	second.Signed = bundle.Sign(second.Signed, oldKey)
 	data, _ := json.Marshal(second.Signed)
 	for b.Loop() {
-		_, manifest, hash, err := bundle.VerifySigned(data, publicKeysOf(oldKey))
+		manifest, hash, err := bundle.VerifySigned(data, publicKeysOf(oldKey))
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/pkg/bundle/open.go
+++ b/pkg/bundle/open.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
 	}
-	_, manifest, hash, err := VerifySigned(data, keys)
+	manifest, hash, err := VerifySigned(data, keys)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/bundle/sign.go
+++ b/pkg/bundle/sign.go
@@ -41,21 +41,20 @@
 }
 
 // VerifySigned decodes a signed manifest and checks that it has a valid signature
-// by at least one accepted key. It returns the signed manifest, the decoded
-// manifest and the manifest's hash.
-func VerifySigned(data []byte, keys Keys) (Signed, Manifest, Hash, error) {
+// by at least one accepted key. It returns the manifest and its hash.
+func VerifySigned(data []byte, keys Keys) (Manifest, Hash, error) {
 	if err := checkSize("the manifest", data); err != nil {
-		return Signed{}, Manifest{}, "", err
+		return Manifest{}, "", err
 	}
 	var signed Signed
 	if err := json.Unmarshal(data, &signed); err != nil {
-		return Signed{}, Manifest{}, "", fmt.Errorf("%w: manifest: %v", ErrMalformed, err)
+		return Manifest{}, "", fmt.Errorf("%w: manifest: %v", ErrMalformed, err)
 	}
 	if !signed.hasAcceptedSignature(keys) {
-		return Signed{}, Manifest{}, "", ErrNoAcceptedSignature
+		return Manifest{}, "", ErrNoAcceptedSignature
 	}
 	manifest, err := signed.Decode()
-	return signed, manifest, HashOf(signed.Manifest), err
+	return manifest, HashOf(signed.Manifest), err
 }
 
 // Decode decodes the manifest without verifying its signatures.
--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -1,9 +1,9 @@
 package configsync
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -222,7 +222,7 @@
 // revision becomes the candidate; an alarm reports an invalid or conflicting
 // manifest.
 func (s *State) handleManifest(now time.Time, data []byte, fromService bool) {
-	signed, manifest, hash, err := bundle.VerifySigned(data, s.opts.Keys)
+	manifest, hash, err := bundle.VerifySigned(data, s.opts.Keys)
 	if err != nil {
 		s.raiseAlarm(now, "refused a manifest: %v", err)
 		return
@@ -239,8 +239,7 @@
 		s.raiseAlarm(now, "refused revision %s with hash %s: already fetching %s", manifest.Revision, hash, s.pending.hash)
 	case s.pending != nil && manifest.Revision <= s.pending.manifest.Revision:
 	default:
-		encoded, _ := json.Marshal(signed)
-		s.setCandidate(now, &candidate{manifest: manifest, hash: hash, signed: encoded, fromService: fromService, receivedAt: now})
+		s.setCandidate(now, &candidate{manifest: manifest, hash: hash, signed: slices.Clone(data), fromService: fromService, receivedAt: now})
 	}
 }
 
--- a/pkg/control/configsync/configsync_test.go
+++ b/pkg/control/configsync/configsync_test.go
@@ -1,13 +1,19 @@
 package configsync_test
 
 import (
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/internal/fakenet"
 	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/control/configsync"
 	"github.com/flamingomount/flamingomount/pkg/platform"
@@ -69,3 +75,28 @@
 		}
 	})
 })
+
+var _ = Describe("An accepted manifest", func() {
+	It("is passed to peers as it was signed", func() {
+		key := bundle.Signer{ID: "k", Key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))}
+		keys := bundle.Keys{key.ID: key.Key.Public().(ed25519.PublicKey)}
+		config := fakenet.Configuration(5, 1, fakenet.StandardLayout(8))
+		config.Revision = 7
+		b, err := bundle.Build(config, "")
+		Expect(err).NotTo(HaveOccurred())
+		// The publisher's encoder may add white space.
+		b.Signed = bundle.Sign(bundle.Signed{Manifest: append([]byte("{ "), b.Signed.Manifest[1:]...)}, key)
+		signatures, err := json.Marshal(b.Signed.Signatures)
+		Expect(err).NotTo(HaveOccurred())
+		received := fmt.Appendf(nil, `{"manifest":%s,"signatures":%s}`, b.Signed.Manifest, signatures)
+		state := configsync.New(configsync.Options{Keys: keys}, rand.New(rand.NewPCG(1, 2)), start)
+		state.HandleResponse(start, "peer:1", received, slices.Collect(maps.Values(b.Blobs)))
+		state.HandleResponse(start, "peer:1", nil, slices.Collect(maps.Values(b.Blobs)))
+		Expect(state.Revision()).To(BeEquivalentTo(7))
+
+		signed, _ := state.Newer(0)
+
+		_, _, err = bundle.VerifySigned(signed, keys)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
