--- a/pkg/control/configsync/configsync.go
+++ b/pkg/control/configsync/configsync.go
@@ -90,7 +90,7 @@
 func New(opts Options, rng *rand.Rand, now time.Time) *State {
 	s := &State{confirmedAtMS: &atomic.Int64{}, opts: opts.withDefaults(), rng: rng, started: now, lastPeerMessageAt: now}
 	s.accepted.tree = &bundle.Tree{}
-	s.service.init(now, s.opts)
+	s.service.init(now)
 	return s
 }
 
--- a/pkg/control/configsync/service.go
+++ b/pkg/control/configsync/service.go
@@ -37,7 +37,7 @@
 
 const initialBackoff = time.Second
 
-func (r *serviceReader) init(now time.Time, opts Options) {
+func (r *serviceReader) init(now time.Time) {
 	r.tokens, r.refilledAt = burstReads, now
 }
 
