Bundle: refuse packs that hold more than their index and its leaves

Cause: CheckPacks only looked for what is missing.

Before: the new spec fails with "Expected an error, got nil". After: ErrMalformed names the blob and the index.

--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -81,6 +81,21 @@
 		Expect(parsed.CheckPacks(manifest)).To(Succeed())
 	})
 
+	It("with a pack that holds more than its index and the leaves is refused", func() {
+		b := signedBundle(configuration(50), oldKey)
+		manifest, err := b.Signed.Decode()
+		Expect(err).NotTo(HaveOccurred())
+		for hash, data := range b.Packs {
+			var pack bundle.Pack
+			Expect(json.Unmarshal(data, &pack)).To(Succeed())
+			pack.Blobs = append(pack.Blobs, json.RawMessage(`{"orgs":[]}`))
+			b.Packs[hash], err = json.Marshal(pack)
+			Expect(err).NotTo(HaveOccurred())
+			break
+		}
+		Expect(b.CheckPacks(manifest)).To(MatchError(bundle.ErrMalformed))
+	})
+
 	It("is refused without a signature of an accepted key, or when changed", func() {
 		b := signedBundle(configuration(5), oldKey)
 		_, err := bundle.OpenAll(b, publicKeysOf(newKey))
--- a/pkg/bundle/values.go
+++ b/pkg/bundle/values.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // FromValues builds a bundle from the values of the configuration service, as
@@ -36,7 +37,7 @@
 }
 
 // CheckPacks checks that each index of the manifest has a pack that contains the
-// index and all its leaves.
+// index, all its leaves and nothing else.
 func (b *Bundle) CheckPacks(manifest Manifest) error {
 	for _, hash := range manifest.Indexes {
 		if hash == "" {
@@ -58,13 +59,18 @@
 	if err != nil {
 		return err
 	}
+	needed := append([]Hash{hash}, index.Leaves...)
 	packed := map[Hash]bool{}
 	for _, blob := range pack.Blobs {
-		packed[HashOf(blob)] = true
+		packedHash := HashOf(blob)
+		if !slices.Contains(needed, packedHash) {
+			return fmt.Errorf("%w: %s in the pack of index %s, which does not list it", ErrMalformed, packedHash, hash)
+		}
+		packed[packedHash] = true
 	}
-	for _, needed := range append([]Hash{hash}, index.Leaves...) {
-		if needed != "" && !packed[needed] {
-			return fmt.Errorf("%w: %s in the pack of index %s", ErrMissingBlob, needed, hash)
+	for _, one := range needed {
+		if one != "" && !packed[one] {
+			return fmt.Errorf("%w: %s in the pack of index %s", ErrMissingBlob, one, hash)
 		}
 	}
 	return nil
