Ingress: repeat no number of the caller in an error about a field's type

The answer to a body with a fraction for a whole number, and the log line about it, held the number itself: "must be a int, got number 41111.5".

Cause: encoding/json puts the number after the name of its type.

--- a/pkg/stage/ingress/body.go
+++ b/pkg/stage/ingress/body.go
@@ -133,7 +133,9 @@
 	}
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
-		return "field " + strconv.Quote(clip(typeErr.Field)) + " must be a " + typeErr.Type.Kind().String() + ", got " + clip(typeErr.Value)
+		// A number follows its type.
+		got, _, _ := strings.Cut(typeErr.Value, " ")
+		return "field " + strconv.Quote(clip(typeErr.Field)) + " must be a " + typeErr.Type.Kind().String() + ", got " + got
 	}
 	return "unreadable"
 }
