Daemon, ingress: cut a caller's text after a whole character

Before: the new specs fail, the text is no valid UTF-8. After: they pass; bytes that are no part of a character are dropped.

--- a/pkg/daemon/record.go
+++ b/pkg/daemon/record.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -89,10 +90,11 @@
 	}).Debug("request refused")
 }
 
-// truncate limits the length of text that a caller supplied, for logging.
+// truncate limits the length of text that a caller supplied, for logging, and
+// drops bytes that are no part of a character.
 func truncate(text string) string {
 	const maxLogged = 64
-	return text[:min(len(text), maxLogged)]
+	return strings.ToValidUTF8(text[:min(len(text), maxLogged)], "")
 }
 
 // usage returns the usage lines of one team, or of all teams if team is empty.
--- a/pkg/stage/ingress/body_test.go
+++ b/pkg/stage/ingress/body_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -24,3 +26,13 @@
 		Entry("malformed JSON", `{"model":secret}`, "syntax error at byte 10"),
 	)
 })
+
+var _ = Describe("Text that is cut for an error", func() {
+	It("ends with a whole character", func() {
+		for padding := range 4 {
+			text := strings.Repeat("x", padding) + strings.Repeat("日", 100)
+			Expect(utf8.ValidString(clip(text))).To(BeTrue())
+			Expect(clip(text)).To(HaveSuffix("..."))
+		}
+	})
+})
--- a/pkg/stage/ingress/head.go
+++ b/pkg/stage/ingress/head.go
@@ -68,7 +68,7 @@
 func clip(text string) string {
 	const maxQuoted = 64
 	if len(text) > maxQuoted {
-		return text[:maxQuoted] + "..."
+		return strings.ToValidUTF8(text[:maxQuoted], "") + "..."
 	}
 	return text
 }
