TLS files: log a failed reload of the certificates

Before: the new spec finds 0 lines, 1 wanted. After: 1 line for three handshakes with half a key, a second one when the key is gone, and one when both are replaced.

--- a/pkg/daemon/provision.go
+++ b/pkg/daemon/provision.go
@@ -53,12 +53,12 @@
 // use port zero.
 func (d *Daemon) listen() error {
 	s := d.opts.Settings
-	callers, err := listen("callers", s.Caller.Address, d.opts.CallerListener, s.Caller.TLS, s.Limits.Connections)
+	callers, err := listen("callers", s.Caller.Address, d.opts.CallerListener, s.Caller.TLS, s.Limits.Connections, d.opts.Log)
 	if err != nil {
 		return err
 	}
 	d.caller = newServer("callers", callers, nil, s)
-	peers, err := listen("peers", s.Peer.Address, d.opts.PeerListener, s.Peer.TLS, s.Limits.Connections)
+	peers, err := listen("peers", s.Peer.Address, d.opts.PeerListener, s.Peer.TLS, s.Limits.Connections, d.opts.Log)
 	if err != nil {
 		return err
 	}
@@ -72,7 +72,7 @@
 	if s.Admin.Address == "" && d.opts.AdminListener == nil {
 		return nil
 	}
-	admins, err := listen("administrators", s.Admin.Address, d.opts.AdminListener, s.Caller.TLS, s.Limits.Connections)
+	admins, err := listen("administrators", s.Admin.Address, d.opts.AdminListener, s.Caller.TLS, s.Limits.Connections, d.opts.Log)
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 	if !files.Enabled() {
 		return nil
 	}
-	loaded, err := tlsfiles.Load(files.Certificate, files.Key, files.Authorities, nil)
+	loaded, err := tlsfiles.Load(files.Certificate, files.Key, files.Authorities, nil, d.opts.Log)
 	if err != nil {
 		return err
 	}
--- a/pkg/daemon/servers.go
+++ b/pkg/daemon/servers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/flamingomount/flamingomount/pkg/settings"
 	"github.com/flamingomount/flamingomount/pkg/tlsfiles"
@@ -23,7 +24,7 @@
 
 // listen opens a listener, or takes the existing one, and wraps it to limit the
 // number of connections and to serve TLS if files are configured.
-func listen(name, address string, existing net.Listener, files settings.TLS, maxConnections int) (net.Listener, error) {
+func listen(name, address string, existing net.Listener, files settings.TLS, maxConnections int, log logrus.FieldLogger) (net.Listener, error) {
 	listener := existing
 	if listener == nil {
 		var err error
@@ -36,7 +37,7 @@
 	if !files.Enabled() {
 		return listener, nil
 	}
-	loaded, err := tlsfiles.Load(files.Certificate, files.Key, files.Authorities, nil)
+	loaded, err := tlsfiles.Load(files.Certificate, files.Key, files.Authorities, nil, log)
 	if err != nil {
 		_ = listener.Close()
 		return nil, err
--- a/pkg/tlsfiles/tlsfiles.go
+++ b/pkg/tlsfiles/tlsfiles.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 )
 
 // checkInterval is the minimum time between two checks of the files for changes.
@@ -21,11 +22,15 @@
 type Files struct {
 	certificate, key, authorities string
 	now                           func() time.Time
+	log                           logrus.FieldLogger
 
 	mu        sync.Mutex
 	lastCheck time.Time
 	modTime   time.Time
 	current   *keyMaterial
+	// failure is the reason why the files could not be reloaded; empty if they
+	// could.
+	failure string
 }
 
 // keyMaterial holds the contents of the files as loaded by one read.
@@ -34,12 +39,13 @@
 	caPool      *x509.CertPool
 }
 
-// Load reads the files. authorities may be empty. A nil now means time.Now.
-func Load(certificate, key, authorities string, now func() time.Time) (*Files, error) {
+// Load reads the files. authorities may be empty. A nil now means time.Now. Later
+// changes of the files that can't be loaded are logged.
+func Load(certificate, key, authorities string, now func() time.Time, log logrus.FieldLogger) (*Files, error) {
 	if now == nil {
 		now = time.Now
 	}
-	f := &Files{certificate: certificate, key: key, authorities: authorities, now: now}
+	f := &Files{certificate: certificate, key: key, authorities: authorities, now: now, log: log}
 	modTime, err := f.latestModTime()
 	if err != nil {
 		return nil, err
@@ -101,14 +107,37 @@
 		return f.current
 	}
 	f.lastCheck = now
+	f.logReload(f.reload())
+	return f.current
+}
+
+// reload reads the files if they have changed since they were last read.
+func (f *Files) reload() (reloaded bool, err error) {
 	modTime, err := f.latestModTime()
 	if err != nil || modTime.Equal(f.modTime) {
-		return f.current
+		return false, err
 	}
-	if next, err := f.read(); err == nil {
-		f.current, f.modTime = next, modTime
+	next, err := f.read()
+	if err != nil {
+		return false, err
+	}
+	f.current, f.modTime = next, modTime
+	return true, nil
+}
+
+// logReload logs a successful reload, and a failed one if its reason is new.
+func (f *Files) logReload(reloaded bool, err error) {
+	if err == nil {
+		f.failure = ""
+		if reloaded {
+			f.log.WithField("certificate", f.certificate).Info("certificate files reloaded")
+		}
+		return
+	}
+	if err.Error() != f.failure {
+		f.failure = err.Error()
+		f.log.WithError(err).Error("certificate files can't be reloaded; keeping the previous ones")
 	}
-	return f.current
 }
 
 // Server returns the configuration for a listener. If authorities are configured,
--- a/pkg/tlsfiles/tlsfiles_test.go
+++ b/pkg/tlsfiles/tlsfiles_test.go
@@ -1,21 +1,25 @@
 package tlsfiles_test
 
 import (
+	"bytes"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"io"
 	"math/big"
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/pkg/tlsfiles"
@@ -87,12 +91,14 @@
 var _ = Describe("Files", func() {
 	now := time.Unix(1_800_000_000, 0)
 	clock := func() time.Time { return now }
+	silent := logrus.New()
+	silent.SetOutput(io.Discard)
 	anyServer := &tls.Config{InsecureSkipVerify: true} // The specs check the certificate themselves.
 
 	It("presents a replaced certificate without a restart, and the previous one while the new files are invalid", func() {
 		f := newFiles()
 		f.write(1, now)
-		loaded, err := tlsfiles.Load(f.certificate, f.key, "", clock)
+		loaded, err := tlsfiles.Load(f.certificate, f.key, "", clock, silent)
 		Expect(err).NotTo(HaveOccurred())
 		presented, err := handshake(loaded.Server(), anyServer)
 		Expect(err).NotTo(HaveOccurred())
@@ -112,13 +118,43 @@
 		Expect(presented.SerialNumber.Int64()).To(Equal(int64(3)))
 	})
 
+	It("logs once that changed files can't be loaded, and when they can again", func() {
+		output := &bytes.Buffer{}
+		log := logrus.New()
+		log.SetOutput(output)
+		f := newFiles()
+		f.write(1, now)
+		loaded, err := tlsfiles.Load(f.certificate, f.key, "", clock, log)
+		Expect(err).NotTo(HaveOccurred())
+		connect := func() {
+			now = now.Add(2 * time.Second)
+			_, err := handshake(loaded.Server(), anyServer)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		f.write(2, now.Add(time.Minute))
+		Expect(os.WriteFile(f.key, []byte("half"), 0o600)).To(Succeed())
+		for range 3 {
+			connect()
+		}
+		Expect(strings.Count(output.String(), "can't be reloaded")).To(Equal(1))
+		Expect(output.String()).To(ContainSubstring(f.certificate))
+		Expect(os.Remove(f.key)).To(Succeed())
+		for range 3 {
+			connect()
+		}
+		Expect(strings.Count(output.String(), "can't be reloaded")).To(Equal(2))
+		f.write(3, now.Add(time.Hour))
+		connect()
+		Expect(strings.Count(output.String(), "certificate files reloaded")).To(Equal(1))
+	})
+
 	It("rejects a peer without a certificate issued by the authorities", func() {
 		trusted, untrusted := newFiles(), newFiles()
 		trusted.write(1, now)
 		untrusted.write(2, now)
-		server, err := tlsfiles.Load(trusted.certificate, trusted.key, trusted.certificate, clock)
+		server, err := tlsfiles.Load(trusted.certificate, trusted.key, trusted.certificate, clock, silent)
 		Expect(err).NotTo(HaveOccurred())
-		untrustedPeer, err := tlsfiles.Load(untrusted.certificate, untrusted.key, trusted.certificate, clock)
+		untrustedPeer, err := tlsfiles.Load(untrusted.certificate, untrusted.key, trusted.certificate, clock, silent)
 		Expect(err).NotTo(HaveOccurred())
 		clientConfig := func(f *tlsfiles.Files) *tls.Config {
 			config := f.Client()
@@ -134,7 +170,7 @@
 	})
 
 	It("names the file that can't be loaded", func() {
-		_, err := tlsfiles.Load("/missing/c.pem", "/missing/k.pem", "", nil)
+		_, err := tlsfiles.Load("/missing/c.pem", "/missing/k.pem", "", nil, silent)
 		Expect(err).To(MatchError(ContainSubstring("/missing/")))
 	})
 })
