Trace: read on after a line that is too long

Change: such a line is skipped and counted like any other that can't be parsed.

After: the lines before and after it are read, with one more skipped.

--- a/pkg/trace/line.go
+++ b/pkg/trace/line.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"strings"
 	"time"
@@ -68,26 +69,58 @@
 
 // Read parses a log. If a log collector has put text before the JSON object of
 // a line, the last word of that text becomes the line's source; otherwise the
-// source is the given one. Lines without a valid JSON object are skipped and
-// counted.
+// source is the given one. Lines without a valid JSON object, and those longer
+// than maxLineBytes, are skipped and counted.
 func Read(log io.Reader, source string) (lines []Line, skipped int, err error) {
-	scanner := bufio.NewScanner(log)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		prefix, object, found := bytes.Cut(scanner.Bytes(), []byte("{"))
-		if !found {
-			skipped++
-			continue
+	reader := bufio.NewReaderSize(log, maxLineBytes)
+	for {
+		text, err := readLine(reader)
+		if errors.Is(err, io.EOF) {
+			return lines, skipped, nil
 		}
-		line := Line{Source: source}
-		if err := json.Unmarshal(append([]byte("{"), object...), &line); err != nil {
+		if err != nil && !errors.Is(err, errLineTooLong) {
+			return lines, skipped, eris.Wrap(err, "log")
+		}
+		line, ok := parseLine(text, source)
+		if !ok {
 			skipped++
 			continue
 		}
-		if words := strings.Fields(string(prefix)); len(words) > 0 {
-			line.Source = words[len(words)-1]
-		}
 		lines = append(lines, line)
 	}
-	return lines, skipped, eris.Wrap(scanner.Err(), "log")
+}
+
+// errLineTooLong means that a line is longer than maxLineBytes.
+var errLineTooLong = errors.New("line too long")
+
+// readLine reads to the end of a line. It returns errLineTooLong, without the
+// text, for one that is too long.
+func readLine(reader *bufio.Reader) ([]byte, error) {
+	text, isPrefix, err := reader.ReadLine()
+	if !isPrefix || err != nil {
+		return text, err
+	}
+	for isPrefix && err == nil {
+		_, isPrefix, err = reader.ReadLine()
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return nil, errLineTooLong
+}
+
+// parseLine parses a line, and reports whether it holds a valid JSON object.
+func parseLine(text []byte, source string) (Line, bool) {
+	prefix, object, found := bytes.Cut(text, []byte("{"))
+	if !found {
+		return Line{}, false
+	}
+	line := Line{Source: source}
+	if err := json.Unmarshal(append([]byte("{"), object...), &line); err != nil {
+		return Line{}, false
+	}
+	if words := strings.Fields(string(prefix)); len(words) > 0 {
+		line.Source = words[len(words)-1]
+	}
+	return line, true
 }
--- a/pkg/trace/trace_test.go
+++ b/pkg/trace/trace_test.go
@@ -43,6 +43,16 @@
 		Expect(lines[0].Source).To(Equal("singapore-2"))
 	})
 
+	It("is read whole from a log with a line that is too long", func() {
+		long := `colombo-2 {"msg":"` + strings.Repeat("x", 1<<20) + "\"}\n"
+		for _, log := range []string{long + simulatedLog, simulatedLog + long, simulatedLog + strings.TrimSpace(long)} {
+			found, skippedLines, err := trace.Read(strings.NewReader(log), "joined")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(found).To(Equal(lines))
+			Expect(skippedLines).To(Equal(skipped + 1))
+		}
+	})
+
 	It("begins with the daemon that received the request, even if its line has the later time", func() {
 		story := trace.BuildStory(lines, "crash")
 		Expect(story.Steps).To(HaveLen(2))
