Trace: say how many lines were not read

The number now goes to standard error; the output stays as it is.

Before: the new specs find nothing on standard error, "6 lines were skipped" wanted. After: they pass.

--- a/pkg/cli/trace/trace.go
+++ b/pkg/cli/trace/trace.go
@@ -23,7 +23,11 @@
 			"its daemon, otherwise the file's name does. Ends with status 1 when no line is about the request.",
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(command *cobra.Command, args []string) error {
-			return run(types.RequestID(args[0]), args[1:], command.InOrStdin(), command.OutOrStdout())
+			lines, err := readAll(command, args[1:])
+			if err != nil {
+				return err
+			}
+			return printStory(types.RequestID(args[0]), lines, command.OutOrStdout())
 		},
 	}
 }
@@ -42,7 +46,7 @@
 			if interval <= 0 {
 				return eris.Errorf("--interval must be positive, not %s", interval)
 			}
-			lines, err := readAll(args, command.InOrStdin())
+			lines, err := readAll(command, args)
 			if err != nil {
 				return err
 			}
@@ -53,24 +57,26 @@
 	return command
 }
 
-// readAll reads the lines of all files.
-func readAll(files []string, in io.Reader) ([]trace.Line, error) {
+// readAll reads the lines of all files, and writes to the command's error output
+// how many could not be read.
+func readAll(command *cobra.Command, files []string) ([]trace.Line, error) {
 	var lines []trace.Line
+	skipped := 0
 	for _, name := range files {
-		found, err := read(name, in)
+		found, skippedHere, err := read(name, command.InOrStdin())
 		if err != nil {
 			return nil, err
 		}
 		lines = append(lines, found...)
+		skipped += skippedHere
+	}
+	if skipped > 0 {
+		command.PrintErrf("%d lines were skipped: they hold no JSON object or are too long\n", skipped)
 	}
 	return lines, nil
 }
 
-func run(id types.RequestID, files []string, in io.Reader, out io.Writer) error {
-	lines, err := readAll(files, in)
-	if err != nil {
-		return err
-	}
+func printStory(id types.RequestID, lines []trace.Line, out io.Writer) error {
 	story := trace.BuildStory(lines, id)
 	if story == nil {
 		return eris.Errorf("no line is about request %s; answered requests are sampled, failed ones up to a rate", id)
@@ -78,16 +84,16 @@
 	return story.Print(out)
 }
 
-func read(name string, in io.Reader) ([]trace.Line, error) {
+func read(name string, in io.Reader) (lines []trace.Line, skipped int, err error) {
 	source := filepath.Base(name)
 	if name != "-" {
 		file, err := os.Open(name)
 		if err != nil {
-			return nil, eris.Wrap(err, "trace")
+			return nil, 0, eris.Wrap(err, "trace")
 		}
 		defer func() { _ = file.Close() }() // it was only read
 		in = file
 	}
-	lines, _, err := trace.Read(in, source)
-	return lines, eris.Wrap(err, name)
+	lines, skipped, err = trace.Read(in, source)
+	return lines, skipped, eris.Wrap(err, name)
 }
