Dispatch: measure the time to first token to the token, not to the headers

Change: for a streamed response, Outcome.FirstToken ends when the first event with generated text was sent to the caller, and the time between tokens begins there. It is zero if there was no token. Other responses are measured as before. The time between tokens that the balancer learns from an attempt's report still begins at the headers.

Before: the new spec finds the time of the headers, 2 s (of its clock) before the token. After: the time of the token.

--- a/pkg/daemon/record.go
+++ b/pkg/daemon/record.go
@@ -57,11 +57,11 @@
 	if result.Failure != nil {
 		outcome.Code = result.Failure.Code
 	}
-	if !result.FirstByte.IsZero() {
-		outcome.FirstToken = result.FirstByte.Sub(req.Arrived)
+	if !result.FirstToken.IsZero() {
+		outcome.FirstToken = result.FirstToken.Sub(req.Arrived)
 	}
-	if result.Tokens > 1 && !result.FirstByte.IsZero() {
-		outcome.BetweenTokens = finished.Sub(result.FirstByte) / time.Duration(result.Tokens-1)
+	if result.Tokens > 1 && !result.FirstToken.IsZero() {
+		outcome.BetweenTokens = finished.Sub(result.FirstToken) / time.Duration(result.Tokens-1)
 	}
 	return outcome
 }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -82,7 +82,7 @@
 		tokens:            counter("tokens_total", "Tokens read (input, an estimate) and generated (output).", "service", "rank", "direction"),
 		cost:              counter("cost_total", "Cost of requests, in the unit of the published prices.", labels...),
 		duration:          histogram("request_duration_seconds", "Time to the whole answer.", requestBuckets, labels...),
-		timeToFirstToken:  histogram("first_token_seconds", "Time to the first byte of the answer.", firstTokenBuckets, labels...),
+		timeToFirstToken:  histogram("first_token_seconds", "Time to the first token of a streamed answer, or to the first byte of another one.", firstTokenBuckets, labels...),
 		interTokenLatency: histogram("between_tokens_seconds", "Mean time between streamed tokens.", interTokenBuckets, labels...),
 		queueTime:         histogram("queue_duration_seconds", "Time spent in admission.", requestBuckets, labels...),
 	}
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -24,8 +24,8 @@
 	Took        time.Duration
 	// Queued is the time spent in admission.
 	Queued time.Duration
-	// FirstToken is the time to first token, measured from arrival to the first
-	// byte of the response; zero when there was none.
+	// FirstToken is the time from arrival to the first token of a streamed
+	// response, or to the first byte of another one; zero when there was none.
 	FirstToken time.Duration
 	// BetweenTokens is the mean inter-token latency of a streamed response;
 	// zero when the response was not streamed.
--- a/pkg/stage/dispatch/attempt.go
+++ b/pkg/stage/dispatch/attempt.go
@@ -28,6 +28,10 @@
 	// headersAt is when the response headers arrived; zero before.
 	headersAt time.Time
 	tokens    int
+	// streamed is true when the response is an event stream; firstTokenAt is when
+	// its first token was relayed, zero before.
+	streamed     bool
+	firstTokenAt time.Time
 	// unresumable is true when the stream can't be resumed at a token offset.
 	unresumable bool
 
@@ -96,6 +100,15 @@
 	return a.relayResponse(response, cancel)
 }
 
+// answeredAt is when the first token of a stream was relayed or the headers of
+// another response arrived; zero before.
+func (a *attempt) answeredAt() time.Time {
+	if a.streamed {
+		return a.firstTokenAt
+	}
+	return a.headersAt
+}
+
 // observe reports the start of the attempt to the observer and adds it to the
 // endpoint's counters. The returned function does the same for its end.
 func (a *attempt) observe() func() {
--- a/pkg/stage/dispatch/dispatch.go
+++ b/pkg/stage/dispatch/dispatch.go
@@ -126,9 +126,10 @@
 	Region types.Region
 	// Attempt is the ID of the last attempt.
 	Attempt types.AttemptID
-	// FirstByte is when the headers of the first response that was relayed to
-	// the caller arrived; zero when no response was relayed.
-	FirstByte time.Time
+	// FirstToken is when the first token of a stream was relayed to the caller,
+	// or when the headers of another response that was relayed arrived; zero when
+	// there was none.
+	FirstToken time.Time
 	// Tokens is the number of token events relayed to the caller.
 	Tokens int
 	// Failure is nil when the complete response was relayed.
--- a/pkg/stage/dispatch/dispatch_test.go
+++ b/pkg/stage/dispatch/dispatch_test.go
@@ -238,6 +238,34 @@
 		Expect(recorder.Result().Trailer).To(BeEmpty())
 	})
 
+	It("counts the time to the first token of a stream to its relaying, not to the headers", func() {
+		const prefill = 2 * time.Second
+		var passed atomic.Int64
+		start := time.Now()
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(types.HeaderAttemptID, r.Header.Get(types.HeaderAttemptID))
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{}}]}\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+			passed.Store(int64(prefill))
+			_, _ = fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n")
+		}))
+		DeferCleanup(server.Close)
+		d := dispatch.New(dispatch.Options{
+			Router: fixedRouter(server.Listener.Addr().String()), Snapshot: func() *snapshot.Snapshot { return &snapshot.Snapshot{} },
+			Rand: rand.New(rand.NewPCG(1, 2)), Now: func() time.Time { return start.Add(time.Duration(passed.Load())) },
+		})
+		req := newRequest(true, "x")
+		req.Streamed, req.Service.Kind = true, published.KindModel
+
+		summary, _ := run(d, req)
+
+		Expect(summary.Failure).To(BeNil())
+		Expect(summary.Tokens).To(Equal(1))
+		Expect(summary.FirstToken).To(BeTemporally("==", start.Add(prefill)))
+	})
+
 	It("is cancelled at the endpoint when the caller disconnects", func() {
 		entered, left := make(chan struct{}), make(chan struct{})
 		d := serve(func(_ http.ResponseWriter, r *http.Request) {
--- a/pkg/stage/dispatch/pass.go
+++ b/pkg/stage/dispatch/pass.go
@@ -54,7 +54,8 @@
 		a.dropConnection()
 		return a.invalidResponse(errNotResumed)
 	}
-	result := a.run.caller.Stream(response, cancel)
+	a.streamed = true
+	result := a.run.caller.Stream(response, cancel, func() { a.firstTokenAt = a.run.d.opts.Now() })
 	a.tokens = result.Tokens
 	a.unresumable = result.Tokens > 0 && !result.Resumable
 	if result.End == relay.EndComplete {
--- a/pkg/stage/dispatch/run.go
+++ b/pkg/stage/dispatch/run.go
@@ -133,7 +133,7 @@
 	r.hasPeerVerdict = a.evidence.PeerStated
 	r.tokens += a.tokens
 	r.unresumable = r.unresumable || a.unresumable
-	r.recordFirstByte(a)
+	r.recordFirstToken(a)
 	r.summary.Tokens = r.tokens
 	if a.tokens > 0 {
 		r.version = a.version()
@@ -186,11 +186,11 @@
 	}
 }
 
-// recordFirstByte records when the headers of the first response that reached
-// the caller arrived.
-func (r *run) recordFirstByte(a *attempt) {
-	if r.summary.FirstByte.IsZero() && r.caller.Committed() {
-		r.summary.FirstByte = a.headersAt
+// recordFirstToken records when the first response that reached the caller gave
+// its first token.
+func (r *run) recordFirstToken(a *attempt) {
+	if r.summary.FirstToken.IsZero() && r.caller.Committed() {
+		r.summary.FirstToken = a.answeredAt()
 	}
 }
 
--- a/pkg/stage/relay/relay_test.go
+++ b/pkg/stage/relay/relay_test.go
@@ -37,7 +37,7 @@
 	relayStream := func(body string) (*httptest.ResponseRecorder, *relay.Caller, relay.Result) {
 		recorder := httptest.NewRecorder()
 		caller := relay.NewCaller(recorder, "r1", relay.Limits{MaxEventBytes: 1 << 10})
-		return recorder, caller, caller.Stream(stream(body), func() {})
+		return recorder, caller, caller.Stream(stream(body), func() {}, func() {})
 	}
 
 	It("relays complete events and counts tokens", func() {
@@ -108,7 +108,7 @@
 	It("writes nothing more to a caller whose connection failed", func() {
 		recorder := httptest.NewRecorder()
 		caller := relay.NewCaller(failingWriter{recorder}, "r1", relay.Limits{})
-		result := caller.Stream(stream(tokenEvent), func() {})
+		result := caller.Stream(stream(tokenEvent), func() {}, func() { Fail("no token was sent") })
 		Expect(result.End).To(Equal(relay.EndCaller))
 		caller.Fail(types.NewFailure(types.MayHaveRun, types.CodeCallerGone, "gone"))
 		Expect(recorder.Body.Len()).To(BeZero())
--- a/pkg/stage/relay/stream.go
+++ b/pkg/stage/relay/stream.go
@@ -77,13 +77,15 @@
 // Stream relays the events of a response to the caller. It sends nothing before
 // the first complete event has been received, and it sends only complete events.
 // cancel ends the attempt; it is called when the response is idle for too long.
-func (c *Caller) Stream(response *http.Response, cancel func()) Result {
+// onFirstToken is called once, when the first token event has been sent.
+func (c *Caller) Stream(response *http.Response, cancel, onFirstToken func()) Result {
 	idle := time.AfterFunc(c.limits.IdleTimeout, cancel)
 	defer idle.Stop()
 	s := stream{
-		caller: c,
-		header: response.Header,
-		reader: NewEventReader(response.Body, c.limits.MaxEventBytes),
+		caller:       c,
+		header:       response.Header,
+		reader:       NewEventReader(response.Body, c.limits.MaxEventBytes),
+		onFirstToken: onFirstToken,
 	}
 	for {
 		event, err := s.reader.Next()
@@ -106,6 +108,8 @@
 	reader *EventReader
 	chunk  chunk
 	tokens int
+	// onFirstToken is called when the first token event has been sent.
+	onFirstToken func()
 	// tokenCountUnreliable is true once an event was relayed after which tokens
 	// does not give the engine's position.
 	tokenCountUnreliable bool
@@ -115,6 +119,7 @@
 // ended.
 func (s *stream) relayEvent(event Event) (bool, Result) {
 	terminal := event.Terminal()
+	tokensBefore := s.tokens
 	if !terminal {
 		if err := s.validate(event); err != nil {
 			return true, s.result(EndSource, err)
@@ -123,6 +128,9 @@
 	if err := s.send(event.Raw, terminal); err != nil {
 		return true, s.result(EndCaller, err)
 	}
+	if tokensBefore == 0 && s.tokens > 0 {
+		s.onFirstToken()
+	}
 	if terminal {
 		s.drain()
 		return true, s.result(EndComplete, nil)
