Quarantine: drop reservations that have expired

Before: the new spec finds 1,000 reservations of one second, made over 100 s. After: at most 11; each Reserve drops the expired ones.

--- a/pkg/control/quarantine/claim.go
+++ b/pkg/control/quarantine/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -184,8 +185,9 @@
 func (t *Tracker) Reserve(req Claim, now time.Time) Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.reserved, func(_ types.EndpointID, r reservation) bool { return !now.Before(r.expiresAt) })
 	current, reserved := t.reserved[req.Endpoint]
-	if reserved && current.content != req.Content && now.Before(current.expiresAt) {
+	if reserved && current.content != req.Content {
 		return Answer{Kind: AnswerElsewhere}
 	}
 	t.reserved[req.Endpoint] = reservation{req.Content, time.UnixMilli(req.DeadlineMillis)}
