Node: build no message that is not sent

Cause: when the first list arrived there was no change to pass on, but a message was built for each of three members and dropped. Building one counts the updates in it as sent, and the refutation has three sends.

Before: the new spec finds 0 messages with the refutation in 5 s, 3 wanted. After: at least 3; messages are built only if there is a change.

--- a/pkg/control/node/node.go
+++ b/pkg/control/node/node.go
@@ -203,12 +203,14 @@
 	if n.caches.Retain(n.endpoints.Listed) {
 		n.publishCaches()
 	}
+	change := n.list.LatestChange()
+	if change == nil {
+		return
+	}
 	for _, vm := range n.members.PickLive(n.opts.Fanout) {
 		msg := n.message(now)
-		if change := n.list.LatestChange(); change != nil {
-			msg.ListChange = change
-			n.send(now, vm, msg)
-		}
+		msg.ListChange = change
+		n.send(now, vm, msg)
 	}
 }
 
