--- a/pkg/control/cacheview/cacheview.go
+++ b/pkg/control/cacheview/cacheview.go
@@ -91,15 +91,6 @@
 	return &View{options: o, endpoints: map[types.EndpointID]*endpointView{}}
 }
 
-// Next returns the sequence number of the next event to request from the
-// endpoint. It is 0 until a batch of the endpoint is applied.
-func (v *View) Next(id types.EndpointID) uint64 {
-	if ep := v.endpoints[id]; ep != nil {
-		return ep.next
-	}
-	return 0
-}
-
 // Len returns the number of pairs of endpoint and prefix held.
 func (v *View) Len() int {
 	return v.byAge.Len()
--- a/pkg/control/drain/daemon.go
+++ b/pkg/control/drain/daemon.go
@@ -125,14 +125,6 @@
 	d.begin(now)
 }
 
-// UpdateListing begins the drain if the VM list marks this VM as leaving. It never
-// cancels a drain.
-func (d *Daemon) UpdateListing(now time.Time, leaving bool) {
-	if leaving && d.phase == Serving {
-		d.begin(now)
-	}
-}
-
 func (d *Daemon) begin(now time.Time) {
 	d.phase = Announced
 	d.startedAt = now
--- a/pkg/control/drain/drain_test.go
+++ b/pkg/control/drain/drain_test.go
@@ -48,16 +48,6 @@
 		Expect(forced.Cause()).To(Equal(drain.CauseForced))
 	})
 
-	It("begins when the VM list marks the VM as leaving and is not cancelled when the list no longer does", func() {
-		d := drain.NewDaemon(options)
-		d.UpdateListing(afterStart(0), false)
-		Expect(d.Phase()).To(Equal(drain.Serving))
-		d.UpdateListing(afterStart(0), true)
-		d.UpdateListing(afterStart(time.Second), true)
-		d.UpdateListing(afterStart(time.Second), false)
-		Expect(d.Phase()).To(Equal(drain.Announced))
-	})
-
 	It("never returns to an earlier phase and never stops on its own with requests in flight before the limit", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			d := drain.NewDaemon(options)
