--- a/internal/fakeworld/quarantine.go
+++ b/internal/fakeworld/quarantine.go
@@ -181,7 +181,7 @@
 
 func (w *World) endpointOwner(ep *snapshot.Endpoint) *Daemon {
 	daemons := w.regions[ep.Region].daemons
-	return daemons[quarantine.EndpointKey(ep.ID)%uint64(len(daemons))]
+	return daemons[xxhash.Sum64String(string(ep.ID))%uint64(len(daemons))]
 }
 
 // ResendToAll presents one fatal request to every daemon at once; its caller's
--- a/pkg/control/quarantine/claim.go
+++ b/pkg/control/quarantine/claim.go
@@ -179,9 +179,8 @@
 }
 
 // Reserve answers a claim to run a suspect on an endpoint, which runs at most one
-// suspect at a time. It has to be called on the daemon that owns the endpoint: the
-// first of Owners(EndpointKey(endpoint)) among the daemons of the endpoint's
-// region.
+// suspect at a time. It has to be called on the daemon that owns the endpoint; all
+// daemons of the endpoint's region have to choose the same one.
 func (t *Tracker) Reserve(req Claim, now time.Time) Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -203,11 +202,6 @@
 	}
 }
 
-// EndpointKey returns the key to pass to Owners for the owners of an endpoint.
-func EndpointKey(endpoint types.EndpointID) uint64 {
-	return xxhash.Sum64String(string(endpoint))
-}
-
 // Release releases a claim. A completed content counts as harmless until it is in
 // a crash.
 func (t *Tracker) Release(release Release, now time.Time) {
--- a/pkg/control/quarantine/fleet_test.go
+++ b/pkg/control/quarantine/fleet_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -289,7 +291,7 @@
 }
 
 func (f *fleet) endpointOwner(ep *endpoint) *entry {
-	return f.topOwner(quarantine.EndpointKey(ep.id), func(e *entry) bool { return e.region == ep.region })
+	return f.topOwner(xxhash.Sum64String(string(ep.id)), func(e *entry) bool { return e.region == ep.region })
 }
 
 func (f *fleet) topOwner(key uint64, include func(*entry) bool) *entry {
