Limit: keep the half-life of an endpoint's pace at any rate of reports

Cause: each reading kept 30 s / (30 s + elapsed) of the deviation, which is half after one step of 30 s, and 1/e after many small ones. It decays exponentially now, so that steps don't matter.

--- a/pkg/stage/limit/limit_test.go
+++ b/pkg/stage/limit/limit_test.go
@@ -83,6 +83,21 @@
 })
 
 var _ = Describe("Pace", func() {
+	It("keeps half of a deviation for the half-life, however often it is read", func() {
+		for _, step := range []time.Duration{30 * time.Second, time.Second, 100 * time.Millisecond} {
+			var pace limit.Pace
+			pace.At(start)
+			for range 50 {
+				pace.Observe(3*time.Second, time.Second, start)
+			}
+			deviation := pace.At(start) - 1000
+			for elapsed := step; elapsed <= 30*time.Second; elapsed += step {
+				pace.At(start.Add(elapsed))
+			}
+			Expect(pace.At(start.Add(30*time.Second))-1000).To(BeNumerically("~", deviation/2, 10), step.String())
+		}
+	})
+
 	It("rises for a slow endpoint and decays while nothing is measured", func() {
 		var pace limit.Pace
 		now := start
--- a/pkg/stage/limit/pace.go
+++ b/pkg/stage/limit/pace.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Pace is the moving average (EWMA) of an endpoint's slowness: the actual
 // duration of attempts divided by their expected duration. It decays towards 1
@@ -50,7 +53,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	retained := float64(paceHalfLife) / float64(paceHalfLife+elapsed)
+	retained := math.Exp2(-float64(elapsed) / float64(paceHalfLife))
 	p.ratio = 1 + (p.ratio-1)*retained
 	p.updated = now
 }
