Spill: count what was sent home before the first spillover

A request that is bound to its organisation's home region is charged to the link's budget, also if that goes into debt.

Before: in the new spec a request spills over right after one of 1 GiB went home. After: it stays.

--- a/pkg/stage/spill/link.go
+++ b/pkg/stage/spill/link.go
@@ -27,7 +27,8 @@
 func (b *linkBudget) refill(rate float64, now time.Time) {
 	burst := rate * linkBurst.Seconds()
 	if b.updated.IsZero() {
-		b.bytes, b.updated = burst, now
+		// Charges may have come before.
+		b.bytes, b.updated = b.bytes+burst, now
 		return
 	}
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
--- a/pkg/stage/spill/spill_test.go
+++ b/pkg/stage/spill/spill_test.go
@@ -78,6 +78,20 @@
 }
 
 var _ = Describe("Decide", func() {
+	It("counts the bytes of a request bound to its home region, also if it is the first on the link", func() {
+		planner := spill.New(spill.Options{})
+		home := input(func(in *spill.Input) {
+			in.Request.Org.Home = remoteRegion
+			in.Bytes = 1 << 30
+		})
+		decision, failure := planner.Decide(home)
+		Expect(failure).To(BeNil())
+		Expect(decision.Region).To(Equal(remoteRegion))
+		decision, failure = planner.Decide(input(func(*spill.Input) {}))
+		Expect(failure).To(BeNil())
+		Expect(decision.Region).To(BeEmpty())
+	})
+
 	It("forwards a request that gains enough", func() {
 		Expect(decide(func(*spill.Input) {}).Region).To(Equal(remoteRegion))
 	})
