Spill: prefer a region that is worth it to one that gains more but not enough

The gain required is halved for the region that a flow spills over to, so the region with the largest gain is not always one that is worth it.

Before: the new spec keeps a request local, with 135 ms to gain where 125 ms are required, because another region gains 240 ms of 250 required. After: it goes on to the first region.

--- a/pkg/stage/spill/spill.go
+++ b/pkg/stage/spill/spill.go
@@ -205,9 +205,12 @@
 // cannot tell them apart.
 const similarGain = 100 * time.Millisecond
 
-// betterThan prefers the larger gain or, if the gains are similar, the larger
-// remaining quota.
+// betterThan prefers a worthwhile target, then the larger gain or, if the gains are
+// similar, the larger remaining quota.
 func (o target) betterThan(other target) bool {
+	if o.worthwhile != other.worthwhile {
+		return o.worthwhile
+	}
 	if (o.gain - other.gain).Abs() > similarGain {
 		return o.gain > other.gain
 	}
--- a/pkg/stage/spill/spill_test.go
+++ b/pkg/stage/spill/spill_test.go
@@ -92,6 +92,28 @@
 		Expect(decision.Region).To(BeEmpty())
 	})
 
+	It("keeps spilling to a region that is worthwhile when another one gains more but not enough", func() {
+		planner := spill.New(spill.Options{})
+		decideWith := func(localWait, remoteWait, thirdWait time.Duration) types.Region {
+			in := input(func(in *spill.Input) {
+				in.Request.Service.Regions = []types.Region{localRegion, remoteRegion, thirdRegion}
+				in.LocalWait = localWait
+			})
+			for region, wait := range map[types.Region]time.Duration{remoteRegion: remoteWait, thirdRegion: thirdWait} {
+				in.Snapshot.Regions[region] = &snapshot.RegionSummary{Region: region, TakenAt: start, ReceivedAt: start, Services: []snapshot.ServiceSummary{
+					{Service: "quotes", Rank: types.RankUrgent, FreeSlots: 100, Wait: wait},
+				}}
+			}
+			decision, failure := planner.Decide(in)
+			Expect(failure).To(BeNil())
+			return decision.Region
+		}
+		Expect(decideWith(5*time.Second, 10*time.Second, 0)).To(Equal(thirdRegion))
+		// 250 ms are required, half of that while the flow spills over. The other
+		// region gains about 240 ms, this one 135 ms.
+		Expect(decideWith(352*time.Millisecond, 0, 105*time.Millisecond)).To(Equal(thirdRegion))
+	})
+
 	It("forwards a request that gains enough", func() {
 		Expect(decide(func(*spill.Input) {}).Region).To(Equal(remoteRegion))
 	})
