--- a/pkg/stage/relay/caller.go
+++ b/pkg/stage/relay/caller.go
@@ -125,7 +125,7 @@
 	if !c.streaming {
 		return
 	}
-	event := append([]byte("data: "), failureBody(c.requestID, failure)...)
+	event := append([]byte("data: "), failureBody(c.requestID, c.withTranslatedEntries(failure))...)
 	event = append(event, "\n\n"...)
 	_ = c.write(event)
 	_ = c.controller.Flush()
--- a/pkg/stage/relay/relay_test.go
+++ b/pkg/stage/relay/relay_test.go
@@ -98,6 +98,17 @@
 }
 
 var _ = Describe("a failure", func() {
+	It("names entries as callers reach them, also inside a stream", func() {
+		recorder := httptest.NewRecorder()
+		caller := relay.NewCaller(recorder, "r1", relay.Limits{})
+		caller.SetEntryTranslator(func(vm types.VMID) types.VMID { return "public-" + vm })
+		caller.Stream(stream(tokenEvent), func() {}, func() {})
+		failure := types.NewFailure(types.NotRun, types.CodeResidency, "elsewhere")
+		failure.Entries = []types.VMID{"a"}
+		caller.Fail(failure)
+		Expect(recorder.Body.String()).To(ContainSubstring(`"entries":["public-a"]`))
+	})
+
 	It("sets its own write deadline", func() {
 		past := time.Now().Add(-time.Hour)
 		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), deadline: past}
