Relay: let a buffered response take longer than the idle timeout

Streams and larger responses restart the timeout with each read; so does this one now. The request's deadline bounds it as before.

Before: in the new spec the attempt is cancelled with a byte every 0.2 s and a timeout of 1 s. After: it is not.

--- a/pkg/stage/relay/relay_test.go
+++ b/pkg/stage/relay/relay_test.go
@@ -195,3 +195,34 @@
 		events = append(events, string(event.Raw))
 	}
 }
+
+// slowBody is a body that gives one byte after each pause.
+type slowBody struct {
+	pause time.Duration
+	left  int
+}
+
+func (b *slowBody) Read(data []byte) (int, error) {
+	time.Sleep(b.pause)
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	data[0] = 'x'
+	return 1, nil
+}
+
+func (b *slowBody) Close() error { return nil }
+
+var _ = Describe("BufferResponse", func() {
+	It("does not end a response that takes longer than the idle timeout but is never idle", func() {
+		const idle = time.Second
+		body := &slowBody{pause: idle / 5, left: 9}
+		cancelled := make(chan struct{})
+		response := &http.Response{Body: body, ContentLength: 9}
+		held, err := relay.BufferResponse(response, relay.Limits{IdleTimeout: idle}, func() { close(cancelled) })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.Complete).To(BeTrue())
+		Expect(cancelled).NotTo(BeClosed())
+	})
+})
--- a/pkg/stage/relay/whole.go
+++ b/pkg/stage/relay/whole.go
@@ -29,7 +29,7 @@
 }
 
 // BufferResponse reads a response until it is complete or reaches the limit. cancel
-// ends the attempt; it is called when reading takes longer than the idle timeout.
+// ends the attempt; it is called when no byte arrives for the idle timeout.
 func BufferResponse(response *http.Response, limits Limits, cancel func()) (BufferedResponse, error) {
 	limits = limits.WithDefaults()
 	idle := time.AfterFunc(limits.IdleTimeout, cancel)
@@ -37,7 +37,7 @@
 	if !delimited(response) {
 		return BufferedResponse{}, ErrUndelimited
 	}
-	body, err := ReadUpTo(response, limits.MaxBufferedBytes)
+	body, err := readUpTo(response, limits.MaxBufferedBytes, func() { idle.Reset(limits.IdleTimeout) })
 	if errors.Is(err, io.EOF) {
 		return BufferedResponse{Body: body, Complete: true}, nil
 	}
@@ -59,6 +59,11 @@
 // ReadUpTo reads at most limit bytes of a response's body. It returns io.EOF when
 // the body ended properly, and a nil error when there may be more.
 func ReadUpTo(response *http.Response, limit int64) ([]byte, error) {
+	return readUpTo(response, limit, func() {})
+}
+
+// readUpTo is ReadUpTo that calls onRead after each part.
+func readUpTo(response *http.Response, limit int64, onRead func()) ([]byte, error) {
 	size := int64(copyBufferBytes) / 8
 	if response.ContentLength > 0 {
 		size = min(response.ContentLength+1, limit)
@@ -70,6 +75,7 @@
 		}
 		end := min(int64(cap(body)), limit)
 		n, err := response.Body.Read(body[len(body):end])
+		onRead()
 		body = body[:len(body)+n]
 		if err != nil {
 			return body, err
