--- a/pkg/daemon/record.go
+++ b/pkg/daemon/record.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -56,11 +57,11 @@
 	if result.Failure != nil {
 		outcome.Code = result.Failure.Code
 	}
-	if !result.FirstByte.IsZero() {
-		outcome.FirstToken = result.FirstByte.Sub(req.Arrived)
+	if !result.FirstToken.IsZero() {
+		outcome.FirstToken = result.FirstToken.Sub(req.Arrived)
 	}
-	if result.Tokens > 1 && !result.FirstByte.IsZero() {
-		outcome.BetweenTokens = finished.Sub(result.FirstByte) / time.Duration(result.Tokens-1)
+	if result.Tokens > 1 && !result.FirstToken.IsZero() {
+		outcome.BetweenTokens = finished.Sub(result.FirstToken) / time.Duration(result.Tokens-1)
 	}
 	return outcome
 }
@@ -89,10 +90,11 @@
 	}).Debug("request refused")
 }
 
-// truncate limits the length of text that a caller supplied, for logging.
+// truncate limits the length of text that a caller supplied, for logging, and
+// drops bytes that are no part of a character.
 func truncate(text string) string {
 	const maxLogged = 64
-	return text[:min(len(text), maxLogged)]
+	return strings.ToValidUTF8(text[:min(len(text), maxLogged)], "")
 }
 
 // usage returns the usage lines of one team, or of all teams if team is empty.
--- a/pkg/stage/relay/relay_test.go
+++ b/pkg/stage/relay/relay_test.go
@@ -37,7 +37,7 @@
 	relayStream := func(body string) (*httptest.ResponseRecorder, *relay.Caller, relay.Result) {
 		recorder := httptest.NewRecorder()
 		caller := relay.NewCaller(recorder, "r1", relay.Limits{MaxEventBytes: 1 << 10})
-		return recorder, caller, caller.Stream(stream(body), func() {})
+		return recorder, caller, caller.Stream(stream(body), func() {}, func() {})
 	}
 
 	It("relays complete events and counts tokens", func() {
@@ -98,6 +98,17 @@
 }
 
 var _ = Describe("a failure", func() {
+	It("names entries as callers reach them, also inside a stream", func() {
+		recorder := httptest.NewRecorder()
+		caller := relay.NewCaller(recorder, "r1", relay.Limits{})
+		caller.SetEntryTranslator(func(vm types.VMID) types.VMID { return "public-" + vm })
+		caller.Stream(stream(tokenEvent), func() {}, func() {})
+		failure := types.NewFailure(types.NotRun, types.CodeResidency, "elsewhere")
+		failure.Entries = []types.VMID{"a"}
+		caller.Fail(failure)
+		Expect(recorder.Body.String()).To(ContainSubstring(`"entries":["public-a"]`))
+	})
+
 	It("sets its own write deadline", func() {
 		past := time.Now().Add(-time.Hour)
 		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), deadline: past}
@@ -108,7 +119,7 @@
 	It("writes nothing more to a caller whose connection failed", func() {
 		recorder := httptest.NewRecorder()
 		caller := relay.NewCaller(failingWriter{recorder}, "r1", relay.Limits{})
-		result := caller.Stream(stream(tokenEvent), func() {})
+		result := caller.Stream(stream(tokenEvent), func() {}, func() { Fail("no token was sent") })
 		Expect(result.End).To(Equal(relay.EndCaller))
 		caller.Fail(types.NewFailure(types.MayHaveRun, types.CodeCallerGone, "gone"))
 		Expect(recorder.Body.Len()).To(BeZero())
@@ -184,3 +195,34 @@
 		events = append(events, string(event.Raw))
 	}
 }
+
+// slowBody is a body that gives one byte after each pause.
+type slowBody struct {
+	pause time.Duration
+	left  int
+}
+
+func (b *slowBody) Read(data []byte) (int, error) {
+	time.Sleep(b.pause)
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	data[0] = 'x'
+	return 1, nil
+}
+
+func (b *slowBody) Close() error { return nil }
+
+var _ = Describe("BufferResponse", func() {
+	It("does not end a response that takes longer than the idle timeout but is never idle", func() {
+		const idle = time.Second
+		body := &slowBody{pause: idle / 5, left: 9}
+		cancelled := make(chan struct{})
+		response := &http.Response{Body: body, ContentLength: 9}
+		held, err := relay.BufferResponse(response, relay.Limits{IdleTimeout: idle}, func() { close(cancelled) })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.Complete).To(BeTrue())
+		Expect(cancelled).NotTo(BeClosed())
+	})
+})
