--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -33,6 +33,11 @@
 	Healthy  bool
 	// Cold is how long the endpoint stays cold; zero if it is warm.
 	Cold time.Duration
+	// Leaving is true if the endpoint is leaving.
+	Leaving bool
+	// Backoff is how long the endpoint wants no further request from this daemon;
+	// zero if it asks for no pause.
+	Backoff time.Duration
 }
 
 // Dialect decodes responses to health checks.
--- a/pkg/gateway/proxy/dialect.go
+++ b/pkg/gateway/proxy/dialect.go
@@ -71,4 +71,10 @@
 	NotRun bool
 	// Misdirected is true if the address now belongs to another endpoint.
 	Misdirected bool
+	// Leaving is true if the endpoint that answered is leaving and wants no
+	// further request.
+	Leaving bool
+	// Backoff is how long the endpoint wants no further request from this daemon;
+	// zero if it asks for no pause.
+	Backoff time.Duration
 }
