Balancer: endpoints that are leaving or asked for a pause get no requests

Cause: an endpoint can now say of itself that it is leaving, or that it wants no request from this daemon for a time. Both have to hold against everything else that would use it: the fallback while all are suspended, the rule for more ejected than eligible endpoints, records that vanish and come back, requests that wait, health checks, copied prefixes. Change: one registry in package balance (withdrawal.go), by incarnation, and one place that asks it (notice.go). filter, noEndpoint, limits, health checks, prefix sources, blocked slots and predicted waits all go through it; no new state stands beside the existing ones in endpointState, because that is dropped when a record vanishes. The start time identifies an incarnation, also when its record names another address; without one ID and address do, for ten minutes after the last notice, because a later start can't be told apart. Entries end an hour after the incarnation was last published; 4096 of unpublished ones are kept at most. After a pause the limit grows from one request to its usual value within the length of the pause, one second at most. While every endpoint pauses, a request that can wait for the soonest end waits; others are refused at once with the time until then, spread (Refusal.Paused, code "paused"). Grant now hands refusals to waiting requests that nothing can serve any more; they waited until they expired before. Gate: Note cancels the attempts that have no connection yet under the same mutex that grants permits, so an attempt is either cancelled or sees the notice when it begins. NoteRemote is for what other daemons pass on, NoteSuccessor for answers to misdirected requests. PrefixSource is a method of the pool now; its specs are the same with the pool in place of the view. Ruled out: state in endpointState (lost with the record); the address as part of the identity where the start time is known (a wrong record would let the endpoint in); a timer for the end of a pause (the gate grants every 50 ms).

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -112,10 +112,18 @@
 	// NoEndpoint is true when the region has no endpoint that may run the
 	// request.
 	NoEndpoint bool
+	// Paused is true when every endpoint of the region that may run the request
+	// asked for a pause, which ends too late for it.
+	Paused bool
 	// RetryAfter is the predicted time until there is capacity.
 	RetryAfter time.Duration
 }
 
+// NoneHere reports whether waiting in this region is in vain.
+func (r *Refusal) NoneHere() bool {
+	return r.NoEndpoint || r.Paused
+}
+
 // Bounds are the deployment's limits on what all daemons together may do.
 type Bounds struct {
 	// ColdOvershoot and ColdSlack widen the request rate of a cold endpoint: it
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -12,10 +12,11 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // grantInterval is how often waiting requests are checked in addition to when a
-// permit is released: cold rates and suspensions end without an event.
+// permit is released: cold rates, suspensions and pauses end without an event.
 const grantInterval = 50 * time.Millisecond
 
 // Gate gives goroutines access to a Pool. It is safe for concurrent use.
@@ -23,6 +24,9 @@
 	now  func() time.Time
 	mu   sync.Mutex
 	pool *balance.Pool
+	// connecting holds the attempts that have no connection yet.
+	connecting map[types.EndpointID]map[*Connecting]bool
+	observe    Observer
 }
 
 // New returns a gate for a pool, which the gate owns from then on.
@@ -58,6 +62,8 @@
 	select {
 	case permit := <-waiter.Granted:
 		return permit, nil, nil
+	case refusal := <-waiter.Refused:
+		return nil, refusal, nil
 	case <-timer.C:
 		permit, refusal := g.withdraw(waiter)
 		return permit, refusal, nil
@@ -81,15 +87,18 @@
 	return nil, waiter, refusal
 }
 
-// withdraw removes a waiting request, unless it was granted in the meantime.
+// withdraw removes a waiting request, unless it was granted or refused in the
+// meantime.
 func (g *Gate) withdraw(waiter *balance.Waiter) (*balance.Permit, *balance.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	select {
 	case permit := <-waiter.Granted:
 		return permit, nil
+	case refusal := <-waiter.Refused:
+		return nil, refusal
 	default:
-		return nil, g.pool.CancelWait(waiter)
+		return nil, g.pool.CancelWait(waiter, g.now())
 	}
 }
 
@@ -121,7 +130,7 @@
 func (g *Gate) Refuse(req balance.RequestInfo) *balance.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pool.Refuse(req)
+	return g.pool.Refuse(req, g.now())
 }
 
 // Done records the result of the attempt, releases the permit and grants the
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -21,6 +21,8 @@
 	states   map[types.EndpointID]*endpointState
 	services map[types.ServiceName][]*endpointState
 	queues   map[types.ServiceName]*queue
+	// withdrawals holds the endpoints that said they want no requests.
+	withdrawals withdrawals
 	// constraintsCache caches what was derived from the routes of the view.
 	constraintsCache map[routeConstraintsKey]routeConstraints
 }
@@ -150,17 +152,26 @@
 }
 
 // noEndpoint returns a refusal if the service has no endpoint that the request
-// has not tried, and nil if some are only suspended or ejected.
+// has not tried and that takes requests before the request has waited too long,
+// and nil if some are only suspended or ejected, or their pause ends in time.
 func (p *Pool) noEndpoint(req RequestInfo, now time.Time) *Refusal {
+	allowed := max(maxWait(req, now), 0)
 	for _, ep := range p.services[req.Service] {
-		if !slices.Contains(req.Tried, ep.placed.ID) && ep.placed.Accepts(now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !ep.placed.Accepts(now) {
+			continue
+		}
+		if available := p.availability(ep, now); !available.leaving && available.pausedUntil.Sub(now) <= allowed {
 			return nil
 		}
 	}
+	if p.PauseLeft(req.Service, now) > 0 {
+		return p.Refuse(req, now)
+	}
 	return &Refusal{Reason: "no endpoint of the service may run it here", NoEndpoint: true, RetryAfter: refusedPause * 5}
 }
 
-// filter returns the endpoints that may run the request at all. When every
+// filter returns the endpoints that may run the request at all; those that are
+// leaving or asked for a pause never may. When every
 // endpoint is suspended, a common fault is likelier than each being down: then
 // the one whose suspension ends first is tried. When more endpoints are ejected
 // than eligible, the requests are the likelier cause, and the ejected ones are
@@ -169,7 +180,7 @@
 	var eligible, ejected []*endpointState
 	var soonest *endpointState
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !ep.placed.Accepts(now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !ep.placed.Accepts(now) || p.closed(ep, now) {
 			continue
 		}
 		switch {
@@ -200,7 +211,7 @@
 	var best *endpointState
 	var bestCost float64
 	for _, ep := range eligible {
-		if ep.inFlight >= p.limit(req, ep) {
+		if ep.inFlight >= p.limitNow(req, ep, now) {
 			continue
 		}
 		if ep.cold(now) && !(p.sendsWhileCold(ep) && ep.allowsColdSend(p.bounds, p.peers, now)) {
@@ -332,7 +343,7 @@
 func (p *Pool) Blocked(service types.ServiceName, now time.Time) int {
 	blocked := 0
 	for _, ep := range p.services[service] {
-		if ep.assigned && ep.blocked(now) {
+		if ep.assigned && (ep.blocked(now) || p.closed(ep, now)) {
 			blocked += max(ep.slots()/max(ep.peers, 1)-ep.inFlight, 0)
 		}
 	}
--- a/pkg/gateway/balance/probe.go
+++ b/pkg/gateway/balance/probe.go
@@ -18,7 +18,7 @@
 
 // DueProbes returns the endpoints to check now: those to which this daemon sends
 // requests and which may be warm although a cold time is assumed after an
-// evacuation.
+// evacuation. Endpoints that want no requests are not checked.
 func (p *Pool) DueProbes(now time.Time) []Probe {
 	var due []Probe
 	for _, states := range p.services {
@@ -36,7 +36,7 @@
 	switch {
 	case ep.service == nil || ep.service.HealthPath == "" || !ep.placed.ColdAssumed || ep.probed():
 		return false
-	case !now.Before(ep.placed.ColdUntil) || now.Before(ep.nextProbeAt):
+	case !now.Before(ep.placed.ColdUntil) || now.Before(ep.nextProbeAt) || p.closed(ep, now):
 		return false
 	}
 	return ep.assigned || ep.owned || p.sendsWhileCold(ep)
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -38,8 +38,10 @@
 	// ExpiresAt is when the request is refused if it still waits.
 	ExpiresAt time.Time
 	seq       uint64
-	// Granted receives the permit; it buffers one value.
+	// Granted receives the permit, or Refused the refusal if waiting longer would
+	// not help; each buffers one value.
 	Granted chan *Permit
+	Refused chan *Refusal
 }
 
 // queue holds the waiting requests of one service, the most urgent first.
@@ -98,37 +100,43 @@
 // its predicted wait is too long or the queue is full.
 func (p *Pool) Enqueue(req RequestInfo, now time.Time) (*Waiter, *Refusal) {
 	q := p.queueOf(req.Service)
-	predicted := p.predictedWait(req)
+	predicted := p.predictedWait(req, now)
 	allowed := maxWait(req, now)
 	if predicted > allowed || len(q.waiting) >= maxWaiting {
-		return nil, p.Refuse(req)
+		return nil, p.Refuse(req, now)
 	}
 	q.seq++
-	waiter := &Waiter{RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1)}
+	waiter := &Waiter{RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1)}
 	i, _ := slices.BinarySearchFunc(q.waiting, waiter, compareWaiters)
 	q.waiting = slices.Insert(q.waiting, i, waiter)
 	return waiter, nil
 }
 
 // predictedWait returns the predicted time until the request and those ahead of
-// it have capacity.
-func (p *Pool) predictedWait(req RequestInfo) time.Duration {
+// it have capacity. While every endpoint pauses, that is after the first pause.
+func (p *Pool) predictedWait(req RequestInfo, now time.Time) time.Duration {
 	q := p.queueOf(req.Service)
+	pause := p.PauseLeft(req.Service, now)
 	capacity := 0
 	for _, ep := range p.services[req.Service] {
-		if ep.assigned {
+		available := p.availability(ep, now)
+		if ep.assigned && !available.leaving && (pause > 0 || !available.paused(now)) {
 			capacity += p.limit(req, ep)
 		}
 	}
 	seconds := float64(q.ahead(req.Rank)+1) * q.serviceTime / float64(max(capacity, 1))
-	return time.Duration(seconds * float64(time.Second))
+	return pause + time.Duration(seconds*float64(time.Second))
 }
 
-// Refuse refuses a request for lack of capacity and advises when to retry.
-func (p *Pool) Refuse(req RequestInfo) *Refusal {
+// Refuse refuses a request for lack of capacity and advises when to retry: when
+// the first pause ends if every endpoint pauses.
+func (p *Pool) Refuse(req RequestInfo, now time.Time) *Refusal {
 	q := p.queueOf(req.Service)
 	q.refused++
-	wait := min(max(p.predictedWait(req), minRetryAfter), maxRetryAfter)
+	if pause := p.PauseLeft(req.Service, now); pause > 0 {
+		return &Refusal{Reason: "every endpoint of the service asked for a pause", Paused: true, RetryAfter: spreadRetryAfter(pause, q.refused)}
+	}
+	wait := min(max(p.predictedWait(req, now), minRetryAfter), maxRetryAfter)
 	return &Refusal{Reason: "the service has no room in time", RetryAfter: spreadRetryAfter(wait, q.refused)}
 }
 
@@ -141,15 +149,16 @@
 }
 
 // CancelWait removes a waiting request and returns its refusal.
-func (p *Pool) CancelWait(waiter *Waiter) *Refusal {
+func (p *Pool) CancelWait(waiter *Waiter, now time.Time) *Refusal {
 	q := p.queueOf(waiter.RequestInfo.Service)
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiter) bool { return other == waiter })
-	return p.Refuse(waiter.RequestInfo)
+	return p.Refuse(waiter.RequestInfo, now)
 }
 
 // Grant grants capacity to waiting requests of a service, the most urgent first.
 // A request that can use none of the free capacity, because it tried those
 // endpoints before or would be late there, does not hold back the ones behind it.
+// A request that can't get any is refused.
 func (p *Pool) Grant(service types.ServiceName, now time.Time) {
 	q := p.queues[service]
 	if q == nil {
@@ -160,7 +169,11 @@
 		if misses == maxGrantMisses {
 			return false
 		}
-		permit, _ := p.Permit(waiter.RequestInfo, now)
+		permit, refusal := p.Permit(waiter.RequestInfo, now)
+		if refusal != nil {
+			waiter.Refused <- refusal
+			return true
+		}
 		if permit == nil {
 			misses++
 			return false
@@ -170,8 +183,10 @@
 	})
 }
 
-// GrantAll grants capacity to waiting requests of every service.
+// GrantAll grants capacity to waiting requests of every service, and forgets
+// endpoints that left long ago.
 func (p *Pool) GrantAll(now time.Time) {
+	p.expireWithdrawals(now)
 	for service := range p.queues {
 		p.Grant(service, now)
 	}
--- a/pkg/gateway/balance/reading_test.go
+++ b/pkg/gateway/balance/reading_test.go
@@ -109,7 +109,7 @@
 			if waiter.ExpiresAt.After(now) {
 				return false
 			}
-			pool.CancelWait(waiter)
+			pool.CancelWait(waiter, now)
 			outcome[waiter.RequestInfo.Rank].refused++
 			return true
 		})
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -121,17 +121,16 @@
 // both engines.
 const minFetchShare = 1.5
 
-// PrefixSource returns the endpoint of any region that most likely has a large
-// prefix cached when the endpoint to lacks it, because its home has changed: its
-// home if that is another endpoint, else the home in another region, which stands
-// in while the data centre of to is not used. It returns false where copying is
-// too slow.
-func PrefixSource(view *catalog.View, service types.ServiceName, prefix uint64, to catalog.ActiveEndpoint, allows func(types.Region) bool) (catalog.ActiveEndpoint, bool) {
+// prefixSource returns the allowed endpoint of any region that most likely has a
+// large prefix cached when the endpoint to lacks it, because its home has changed:
+// its home if that is another endpoint, else the home in another region, which
+// stands in while the data centre of to is not used. It returns false where copying
+// is too slow.
+func prefixSource(view *catalog.View, service types.ServiceName, prefix uint64, to catalog.ActiveEndpoint, allowed func(catalog.ActiveEndpoint) bool) (catalog.ActiveEndpoint, bool) {
 	if !copiesPrefixes(view, service) {
 		return catalog.ActiveEndpoint{}, false
 	}
 	candidates := slices.Concat(view.Endpoints[service], view.Leaving[service])
-	allowed := func(ep catalog.ActiveEndpoint) bool { return allows(ep.Region) }
 	home, found := PrefixHome(candidates, prefix, allowed)
 	if !found || home.ID != to.ID {
 		return home, found
--- a/pkg/gateway/balance/source_test.go
+++ b/pkg/gateway/balance/source_test.go
@@ -32,7 +32,7 @@
 		all := append(slices.Clone(v.Endpoints[engines]), v.Leaving[engines]...)
 		for prefix := range uint64(50) {
 			for _, to := range all {
-				source, found := balance.PrefixSource(v, engines, prefix, to, anywhere)
+				source, found := newPool(v, 1).PrefixSource(engines, prefix, to, anywhere, start)
 				Expect(found).To(BeTrue())
 				Expect(source.ID).NotTo(Equal(to.ID))
 				if first := home(prefix, all...); first.ID != to.ID {
@@ -46,7 +46,7 @@
 
 	It("is in a region where the prompt may be", func() {
 		for prefix := range uint64(50) {
-			source, found := balance.PrefixSource(v, engines, prefix, v.Endpoints[engines][2], func(region types.Region) bool { return region == "north" })
+			source, found := newPool(v, 1).PrefixSource(engines, prefix, v.Endpoints[engines][2], func(region types.Region) bool { return region == "north" }, start)
 			Expect(found).To(BeTrue())
 			Expect(source.Region).To(BeEquivalentTo("north"))
 		}
@@ -54,14 +54,14 @@
 
 	It("is none when no other endpoint may have the prompt", func() {
 		v.Endpoints[engines] = v.Endpoints[engines][2:]
-		_, found := balance.PrefixSource(v, engines, 1, v.Endpoints[engines][0], func(region types.Region) bool { return region == "south" })
+		_, found := newPool(v, 1).PrefixSource(engines, 1, v.Endpoints[engines][0], func(region types.Region) bool { return region == "south" }, start)
 		Expect(found).To(BeFalse())
 	})
 
 	It("is none where copying is not clearly faster than prefilling", func() {
 		for _, rate := range []float64{0, 20_000, 57_000} {
 			v.Config.Services[engines].Engine.FetchRate = rate
-			_, found := balance.PrefixSource(v, engines, 1, v.Endpoints[engines][0], anywhere)
+			_, found := newPool(v, 1).PrefixSource(engines, 1, v.Endpoints[engines][0], anywhere, start)
 			Expect(found).To(BeFalse())
 		}
 	})
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -116,7 +116,7 @@
 // prefixSource returns the address of an endpoint from which another one may copy
 // the request's prefix; empty if there is none.
 func (r *run) prefixSource(to catalog.ActiveEndpoint) string {
-	source, found := balance.PrefixSource(r.h.opts.Snapshot().View, r.req.Service, r.req.Prefix, to, r.req.Route.Allows)
+	source, found := r.h.opts.Gate.PrefixSource(r.req.Service, r.req.Prefix, to, r.req.Route.Allows)
 	if !found {
 		return ""
 	}
--- a/pkg/trace/story.go
+++ b/pkg/trace/story.go
@@ -102,6 +102,8 @@
 		return "refused, not run: " + describeOverload(step, capacityLoss)
 	case types.CodeNoEndpoint:
 		return fmt.Sprintf("refused, not run: no endpoint of %s that %s knows may run it%s", step.Service, step.Source, capacityLoss)
+	case types.CodePaused:
+		return fmt.Sprintf("refused, not run: every endpoint of %s that %s knows asked for a pause", step.Service, step.Source)
 	case types.CodeNotReady:
 		return fmt.Sprintf("refused, not run: %s knew no configuration yet", step.Source)
 	case types.CodeQuarantined:
--- a/pkg/types/verdict.go
+++ b/pkg/types/verdict.go
@@ -68,6 +68,7 @@
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeOverloaded       Code = "overloaded"
 	CodeNoEndpoint       Code = "no_endpoint"
+	CodePaused           Code = "paused"
 	CodeResidency        Code = "wrong_region"
 	CodeLoop             Code = "loop_refused"
 	CodeQuarantined      Code = "quarantined"
@@ -91,7 +92,7 @@
 // Whether a retry is allowed also depends on the verdict.
 func (c Code) Retryable() bool {
 	switch c {
-	case CodeEndpointFailed, CodeAnswerIncomplete, CodeOverloaded, CodeDraining, CodeNotReady, CodeUnreachable:
+	case CodeEndpointFailed, CodeAnswerIncomplete, CodeOverloaded, CodePaused, CodeDraining, CodeNotReady, CodeUnreachable:
 		return true
 	}
 	return false
@@ -166,6 +167,7 @@
 	CodeDeadline:         504,
 	CodeOverloaded:       429,
 	CodeNoEndpoint:       503,
+	CodePaused:           503,
 	CodeResidency:        421,
 	CodeLoop:             508,
 	CodeQuarantined:      422,
