Proxy and health checks: no request to an endpoint after it said that it leaves, or in its pause

Cause: the balancer can keep endpoints out, but nobody told it what they say in their responses. Change: right after the head of a response is read, before any of it is passed on, the proxy hands what it says to the gate: successes, failures, refusals, invalid responses and heads of streams. An answer to a misdirected request concerns the endpoint that is published with the address, not the one that was meant. Health checks do the same, and skip endpoints that closed since the check became due. An attempt asks the gate once more before it is sent and whenever the transport looks for a connection, and is cancelled while it has none; a connection that it gets after that is closed unused. Such an attempt counts as not sent and goes elsewhere without cost to the retry budget or to the health of the endpoint. That covers requests that the transport would send again on its own as well. Between daemons: the daemon that used the endpoint says in X-Gateway-Leaving which start of it is leaving, also when it turned the endpoint's refusal into its own. The daemon that forwarded the request is bound too if the endpoint is in its region, where it could send itself; a pause binds only the daemon that was asked for it. A request that nothing can serve because of pauses gets code "paused" with the time until the first one ends, also when the endpoint that asked turned this very request away, and may go to another region that has any place free. Ruled out: reading the field while the response is relayed (a stream lasts for minutes); closing kept connections of the endpoint (what runs on them would be lost). Limit: a request that waits for a connection may get the one that a response without a body frees in the instant before the response is handed to the proxy. It arrives microseconds after that response, not half a second. Conclusion: all responses of endpoints that this daemon sees are covered.

--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -49,6 +50,10 @@
 // safe for concurrent use.
 type Pool interface {
 	DueProbes() []balance.Probe
+	// Takes reports whether an endpoint has not said that it wants no request now.
+	Takes(endpoint *catalog.Endpoint) bool
+	// Note records what an endpoint said of itself.
+	Note(endpoint *catalog.Endpoint, notice balance.Notice)
 	RecordProbe(probe balance.Probe, coldUntil time.Time)
 }
 
@@ -97,10 +102,14 @@
 }
 
 // check checks one endpoint. A failure is no news: the assumed cold time stays.
+// An endpoint that asked for a pause since the check became due is left alone.
 func (p *Prober) check(ctx context.Context, probe balance.Probe) {
+	endpoint := probe.Endpoint
+	if !p.pool.Takes(endpoint.Endpoint) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	endpoint := probe.Endpoint
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint.Address+probe.Path, nil)
 	if err != nil {
 		p.log.WithError(err).WithField("endpoint", endpoint.ID).Warn("health check can't be sent")
@@ -113,6 +122,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	info := p.dialect.HealthInfo(response.StatusCode, response.Header)
+	if info.Endpoint == endpoint.ID || info.Endpoint == "" {
+		p.pool.Note(endpoint.Endpoint, balance.Notice{Leaving: info.Leaving, Backoff: info.Backoff})
+	}
 	if !info.Healthy || info.Endpoint != endpoint.ID {
 		return
 	}
--- a/pkg/gateway/health/prober_test.go
+++ b/pkg/gateway/health/prober_test.go
@@ -32,6 +32,33 @@
 	mu      sync.Mutex
 	due     []balance.Probe
 	results map[types.EndpointID]time.Time
+	closed  bool
+	notices []balance.Notice
+}
+
+func (p *fakePool) Takes(*catalog.Endpoint) bool {
+	return !p.closed
+}
+
+func (p *fakePool) Note(_ *catalog.Endpoint, notice balance.Notice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !notice.Empty() {
+		p.notices = append(p.notices, notice)
+	}
+}
+
+func (p *fakePool) noted() []balance.Notice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notices
+}
+
+// taken reports whether the due checks were taken.
+func (p *fakePool) taken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.due == nil
 }
 
 func (p *fakePool) DueProbes() []balance.Probe {
@@ -59,13 +86,17 @@
 
 func (testDialect) HealthInfo(status int, header http.Header) health.Info {
 	cold, _ := time.ParseDuration(header.Get("X-Cold"))
-	return health.Info{Endpoint: types.EndpointID(header.Get("X-Endpoint")), Healthy: status == http.StatusOK, Cold: cold}
+	backoff, _ := time.ParseDuration(header.Get("X-Backoff"))
+	return health.Info{
+		Endpoint: types.EndpointID(header.Get("X-Endpoint")), Healthy: status == http.StatusOK, Cold: cold,
+		Leaving: header.Get("X-Leaving") != "", Backoff: backoff,
+	}
 }
 
 var _ = Describe("Prober", func() {
 	// check lets a prober check an endpoint e1 and returns the pool and when the
 	// endpoint has been asked.
-	check := func(respond http.HandlerFunc) (*fakePool, chan struct{}) {
+	check := func(respond http.HandlerFunc, change ...func(*fakePool)) (*fakePool, chan struct{}) {
 		asked := make(chan struct{}, 8)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			Expect(r.URL.Path).To(Equal("/well"))
@@ -76,6 +107,9 @@
 		pool := &fakePool{results: map[types.EndpointID]time.Time{}, due: []balance.Probe{{
 			Endpoint: catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{ID: "e1", Address: server.Listener.Addr().String()}}, Path: "/well",
 		}}}
+		for _, apply := range change {
+			apply(pool)
+		}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		prober := health.NewProber(pool, testDialect{}, http.DefaultTransport, log, time.Now)
@@ -109,6 +143,34 @@
 		}, waitLimit).Should(BeTrue())
 	})
 
+	DescribeTable("learns that an endpoint wants no requests", func(name, value, id string, status int, expected balance.Notice) {
+		pool, _ := check(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(name, value)
+			w.Header().Set("X-Endpoint", id)
+			w.WriteHeader(status)
+		})
+		Eventually(pool.noted, waitLimit).Should(ConsistOf(expected))
+	},
+		Entry("because it is leaving", "X-Leaving", "1", "e1", 503, balance.Notice{Leaving: true}),
+		Entry("because it is leaving although it is healthy", "X-Leaving", "1", "e1", 200, balance.Notice{Leaving: true}),
+		Entry("because it asks for a pause without its ID", "X-Backoff", "2s", "", 503, balance.Notice{Backoff: 2 * time.Second}),
+	)
+
+	It("believes no endpoint about another one", func() {
+		pool, asked := check(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Leaving", "1")
+			w.Header().Set("X-Endpoint", "e2")
+		})
+		Eventually(asked, waitLimit).Should(Receive())
+		Consistently(pool.noted, 100*time.Millisecond).Should(BeEmpty())
+	})
+
+	It("does not check an endpoint that asked for a pause since the check became due", func() {
+		pool, asked := check(func(http.ResponseWriter, *http.Request) {}, func(pool *fakePool) { pool.closed = true })
+		Eventually(pool.taken, waitLimit).Should(BeTrue())
+		Consistently(asked, 300*time.Millisecond).ShouldNot(Receive())
+	})
+
 	DescribeTable("learns nothing", func(respond http.HandlerFunc) {
 		pool, asked := check(respond)
 		Eventually(asked, waitLimit).Should(Receive())
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/oncebody"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
@@ -30,10 +31,9 @@
 	// cancel ends only this attempt. Unlike closing the connection, it can't
 	// affect another request if the response has just ended.
 	cancel context.CancelFunc
-}
-
-func (w *attemptConn) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { w.conn.Store(&info.Conn) }}
+	// connecting tells whether the endpoint still wants the request; nil for an
+	// attempt by way of another daemon.
+	connecting *gate.Connecting
 }
 
 // connected reports whether the attempt obtained a connection, so that bytes of
@@ -76,11 +76,12 @@
 	outgoing := r.endpointRequest(permit, &w)
 	defer w.cancel()
 	defer w.connectBy(permit.Endpoint.LastRequestAt, r.h.opts.Now())()
-	response, err := r.h.opts.Transport.RoundTrip(outgoing)
+	response, err := r.roundTrip(outgoing, permit, &w)
 	if err != nil {
 		return r.handleSendError(permit, &w, err)
 	}
 	defer closeBody(response)
+	r.noteResponse(permit, response)
 	r.h.opts.Gate.ResponseStarted(permit)
 	failure, result := r.handleResponse(response, &w)
 	r.h.opts.Gate.Done(permit, result)
@@ -113,16 +114,6 @@
 	return r.outgoing(permit.Endpoint.Address, header, w)
 }
 
-// prefixSource returns the address of an endpoint from which another one may copy
-// the request's prefix; empty if there is none.
-func (r *run) prefixSource(to catalog.ActiveEndpoint) string {
-	source, found := r.h.opts.Gate.PrefixSource(r.req.Service, r.req.Prefix, to, r.req.Route.Allows)
-	if !found {
-		return ""
-	}
-	return source.Address
-}
-
 // outgoing builds a request that http.Transport does not resend on its own,
 // unless the route is idempotent.
 func (r *run) outgoing(address string, header http.Header, w *attemptConn) *http.Request {
@@ -154,6 +145,9 @@
 		}
 		return r.contextFailure(r.verdict)
 	}
+	if !w.connected() && w.connecting.Withdrawn() {
+		return r.handleWithdrawal(permit)
+	}
 	if !w.connected() {
 		r.reached = false
 		r.h.opts.Gate.Done(permit, balance.ConnectFailed)
@@ -187,7 +181,7 @@
 		return failureWithCause(types.NotRun, types.CodeDraining, "another endpoint has the address", nil), balance.Misdirected
 	}
 	if info.NotRun {
-		return notRunFailure(types.CodeOverloaded, "the endpoint has no room", refusedRetryAfter), balance.Refused
+		return r.endpointRefusal(), balance.Refused
 	}
 	if isSuccess(response.StatusCode) {
 		if err := checkSuccess(response, info); err != nil {
--- a/pkg/gateway/proxy/caller.go
+++ b/pkg/gateway/proxy/caller.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -17,6 +18,8 @@
 	peer       bool
 	// endpoint is the target of the last attempt; it is reported to peers.
 	endpoint types.EndpointID
+	// leaving is the last endpoint that said that it is leaving.
+	leaving *catalog.Endpoint
 	// committed is true once part of a response was sent.
 	committed bool
 	// broken is true when the response can't be completed; the connection must
@@ -49,10 +52,12 @@
 }
 
 // setEndpointHeader tells the daemon that forwarded the request which endpoint
-// the request was sent to, so that a retry goes to another one.
+// the request was sent to, so that a retry goes to another one, and whether that
+// endpoint is leaving.
 func (w *responseWriter) setEndpointHeader() {
 	if w.peer && w.endpoint != "" {
 		w.writer.Header().Set(headerEndpoint, string(w.endpoint))
+		w.setLeavingHeader(w.writer.Header())
 	}
 }
 
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -58,6 +58,7 @@
 		return r.handleForwardError(member, &w, err)
 	}
 	defer closeBody(response)
+	r.noteRemoteResponse(member, response.Header)
 	r.recordEndpoint(response.Header)
 	if failure := r.failureFromDaemon(response); failure != nil {
 		return failure
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -52,6 +52,8 @@
 	headerResumeAfter = "X-After"
 	headerTimeout     = "X-Allowed"
 	headerPrefix      = "X-Prefix"
+	headerLeaving     = "X-Leaving"
+	headerBackoff     = "X-Backoff"
 )
 
 type testDialect struct{}
@@ -81,7 +83,9 @@
 
 func (testDialect) ResponseInfo(status int, header http.Header) proxy.ResponseInfo {
 	misdirected := status == http.StatusMisdirectedRequest
+	backoff, _ := time.ParseDuration(header.Get(headerBackoff))
 	return proxy.ResponseInfo{
+		Leaving: header.Get(headerLeaving) != "", Backoff: backoff,
 		ID: types.RequestID(header.Get(headerID)), Signed: header.Get(headerSignature) != "",
 		NotRun: misdirected || header.Get(headerNotRun) != "", Misdirected: misdirected,
 	}
@@ -211,6 +215,8 @@
 	fakeReporter   *fakeReporter
 	// modelEngine makes the service one that runs model engines.
 	modelEngine bool
+	// transport sends the attempts; nil means the usual one.
+	transport http.RoundTripper
 
 	handler      *proxy.Handler
 	callerServer *httptest.Server
@@ -268,7 +274,7 @@
 	return proxy.Options{
 		Snapshot: func() *control.Snapshot { return w.snap }, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
 		RetryBudgets: proxy.NewRetryBudgets(w.retryRatio, w.retryFixed, 0), Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
-		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)),
+		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)), Transport: w.transport,
 	}
 }
 
--- /dev/null
+++ b/pkg/gateway/proxy/notice_test.go
@@ -0,0 +1,559 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// farDataCentre makes requests prefer other endpoints while these have room.
+const farDataCentre = types.DataCentre("far")
+
+// saysLeaving makes responses say that the endpoint is leaving.
+func saysLeaving(respond http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerLeaving, "1")
+		respond(w, r)
+	}
+}
+
+// asksPause turns requests away and asks for a pause.
+func asksPause(pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerBackoff, pause.String())
+		respondNotRun(w, r)
+	}
+}
+
+// startNearAndFar starts the proxy with an endpoint that gets the requests while
+// it can, and another one.
+func startNearAndFar(w *testProxy, near, far *endpoint) {
+	w.start(near, far)
+	w.snap.View.Endpoints[service][1].DataCentre = farDataCentre
+	w.update()
+}
+
+// endpointOf returns the published endpoint with an index.
+func (w *testProxy) endpointOf(index int) *catalog.Endpoint {
+	return w.snap.View.Endpoints[service][index].Endpoint
+}
+
+// heldDials is a transport whose dials of one address wait once they are held.
+type heldDials struct {
+	*http.Transport
+	mu      sync.Mutex
+	address string
+	release chan struct{}
+	waiting int
+}
+
+func newHeldDials() *heldDials {
+	h := &heldDials{Transport: proxy.NewTransport()}
+	dialer := proxy.NewDialer()
+	h.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		h.mu.Lock()
+		release := h.release
+		if address != h.address {
+			release = nil
+		}
+		if release != nil {
+			h.waiting++
+		}
+		h.mu.Unlock()
+		if release != nil {
+			<-release
+		}
+		return dialer.DialContext(context.WithoutCancel(ctx), network, address)
+	}
+	return h
+}
+
+// hold makes further dials of an address wait until the returned function is called.
+func (h *heldDials) hold(address string) (release func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := make(chan struct{})
+	h.address, h.release = address, held
+	return sync.OnceFunc(func() { close(held) })
+}
+
+func (h *heldDials) held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.waiting
+}
+
+var _ = Describe("An endpoint that says that it is leaving", func() {
+	DescribeTable("gets no further request", func(kind catalog.Kind, method string, respond http.HandlerFunc) {
+		w := newTestProxy(kind)
+		near, far := newEndpoint(saysLeaving(respond)), newEndpoint(respondOK)
+		startNearAndFar(w, near, far)
+		w.call(method, "/r/", "")
+		Expect(near.count()).To(Equal(1))
+		for range 20 {
+			Expect(w.call(method, "/r/", "").status).To(Equal(200))
+		}
+		Expect(near.count()).To(Equal(1))
+	},
+		Entry("after a success", catalog.Idempotent, "GET", respondOK),
+		Entry("after a failure", catalog.Idempotent, "GET", respondServerError),
+		Entry("after a failure that can't be repeated", catalog.NonIdempotent, "POST", respondServerError),
+		Entry("after a refusal", catalog.NonIdempotent, "POST", respondNotRun),
+		Entry("after a response to another request", catalog.Idempotent, "GET", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerID, "another")
+		}),
+		Entry("after a response without a signature", catalog.Idempotent, "GET", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(headerID, r.Header.Get(headerID))
+		}),
+		Entry("after a response that breaks off", catalog.Idempotent, "GET", func(w http.ResponseWriter, r *http.Request) {
+			signResponse(w, r)
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}),
+		Entry("after a stream", catalog.Streaming, "POST", eventStream(3, 0)),
+	)
+
+	DescribeTable("gets none from the moment when the head of its response is read", func(kind catalog.Kind, head func(http.ResponseWriter, *http.Request), rest string) {
+		w := newTestProxy(kind)
+		finish := make(chan struct{})
+		near := newEndpoint(saysLeaving(func(w http.ResponseWriter, r *http.Request) {
+			signResponse(w, r)
+			head(w, r)
+			_ = http.NewResponseController(w).Flush()
+			<-finish
+			_, _ = io.WriteString(w, rest)
+		}))
+		far := newEndpoint(respondOK)
+		startNearAndFar(w, near, far)
+		var running conc.WaitGroup
+		defer running.Wait()
+		defer sync.OnceFunc(func() { close(finish) })()
+		var first callerResponse
+		running.Go(func() { first = w.call("POST", "/r/", "x") })
+		Eventually(func() bool { return w.gate.Takes(w.endpointOf(0)) }, eventuallyTimeout).Should(BeFalse())
+		for range 20 {
+			Expect(w.call("POST", "/r/", "x").status).To(Equal(200))
+		}
+		Expect(near.count()).To(Equal(1))
+		finish <- struct{}{}
+		running.Wait()
+		Expect(first.err).NotTo(HaveOccurred())
+		Expect(first.status).To(Equal(200))
+		Expect(first.body).To(HaveSuffix(rest))
+	},
+		Entry("a stream", catalog.Streaming, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "id: 1\ndata: piece 1\n\n")
+		}, "id: 2\ndata: piece 2\n\n"),
+		Entry("a body that comes slowly", catalog.Idempotent, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "first half")
+		}, "second half"),
+	)
+
+	It("gets no request that waited for a connection to it; that request is not counted as sent and goes elsewhere", func() {
+		w := newTestProxy(catalog.NonIdempotent)
+		w.route.MaxAttempts = 1
+		held := newHeldDials()
+		w.transport = held
+		finish := make(chan struct{})
+		near := newEndpoint(saysLeaving(func(w http.ResponseWriter, r *http.Request) {
+			<-finish
+			respondOK(w, r)
+		}))
+		far := newEndpoint(respondOK)
+		startNearAndFar(w, near, far)
+		var running conc.WaitGroup
+		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(200)) })
+		Eventually(near.count, eventuallyTimeout).Should(Equal(1))
+		release := held.hold(near.address())
+		defer release()
+		for range 3 {
+			running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(200)) })
+		}
+		Eventually(held.held, eventuallyTimeout).Should(Equal(3))
+		close(finish)
+		running.Wait()
+		Expect(far.count()).To(Equal(3))
+		release()
+		Consistently(near.count, 200*time.Millisecond).Should(Equal(1))
+	})
+
+	It("as the last one of its service makes requests be refused as not run, and at once", func() {
+		w := newTestProxy(catalog.NonIdempotent)
+		only := newEndpoint(saysLeaving(respondOK))
+		w.start(only)
+		Expect(w.call("POST", "/r/", "x").status).To(Equal(200))
+		began := time.Now()
+		resp := w.call("POST", "/r/", "x")
+		Expect(resp.status).To(Equal(503))
+		Expect(resp.body).To(ContainSubstring(types.NotRun.String()))
+		Expect(time.Since(began)).To(BeNumerically("<", w.route.Objective))
+		Expect(only.count()).To(Equal(1))
+	})
+
+	It("as the last one of its region makes requests go to another region", func() {
+		local, remote := newEndpoint(saysLeaving(respondOK)), newEndpoint(respondOK)
+		north := newTestProxy(catalog.NonIdempotent)
+		north.start(remote)
+		south := newTestProxy(catalog.NonIdempotent)
+		south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
+		south.members = []members.Member{north.asMember()}
+		south.start(local)
+		addRemoteEndpoint(south, "north")
+		for range 5 {
+			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
+		}
+		Expect([]int{local.count(), remote.count()}).To(Equal([]int{1, 4}))
+	})
+
+	It("is not the one that answered for another one with the same address", func() {
+		w := newTestProxy(catalog.Idempotent)
+		w.start(newEndpoint(saysLeaving(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })))
+		w.call("GET", "/r/", "")
+		Expect(w.gate.Takes(w.endpointOf(0))).To(BeTrue())
+	})
+
+	It("gets no request that the transport would send again after its kept connection was closed", func() {
+		w := newTestProxy(catalog.Idempotent)
+		w.route.MaxAttempts = 1
+		raw := newRawEndpoint(func(connection net.Conn, id string, number int) bool {
+			if number > 0 {
+				w.gate.Note(w.endpointOf(0), balance.Notice{Leaving: true})
+				return false
+			}
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 2\r\n\r\nok", headerID, id, headerSignature)
+			return true
+		})
+		startWithRaw(w, raw)
+		Expect(w.call("GET", "/r/", "").status).To(Equal(200))
+		Expect(w.call("GET", "/r/", "").status).NotTo(Equal(200))
+		Consistently(raw.count, 200*time.Millisecond).Should(Equal(2))
+	})
+
+	It("gets nothing later than its response under load", func() {
+		w := newTestProxy(catalog.Idempotent)
+		var mu sync.Mutex
+		var arrivals []time.Time
+		var said time.Time
+		near := newEndpoint(func(rw http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			arrivals = append(arrivals, time.Now())
+			leaving := len(arrivals) > 200
+			if leaving && said.IsZero() {
+				said = time.Now()
+			}
+			mu.Unlock()
+			if leaving {
+				rw.Header().Set(headerLeaving, "1")
+			}
+			respondOK(rw, r)
+		})
+		startNearAndFar(w, near, newEndpoint(respondOK))
+		var callers conc.WaitGroup
+		for range 16 {
+			callers.Go(func() {
+				for range 100 {
+					Expect(w.call("GET", "/r/", "").status).To(Equal(200))
+				}
+			})
+		}
+		callers.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(said).NotTo(BeZero())
+		Expect(len(arrivals)).To(BeNumerically("<=", 201+16))
+		Expect(arrivals[len(arrivals)-1].Sub(said)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
+	Describe("to another daemon", func() {
+		// startOwner starts a daemon of the region that gets the large prompts for the
+		// endpoint from the other daemon, which receives them from callers.
+		startOwner := func(kind catalog.Kind, e *endpoint) (origin, owner *testProxy) {
+			owner = newTestProxy(kind)
+			owner.modelEngine = true
+			owner.start(e)
+			member := owner.asMember()
+			origin = newTestProxy(kind)
+			origin.modelEngine = true
+			for port := 1; ; port++ {
+				origin.self = types.VMID(fmt.Sprintf("127.0.0.1:%d", port))
+				chosen, _ := balance.LargePromptOwner(owner.snap.View.Endpoints[service][0], []balance.Daemon{{VM: origin.self}, {VM: member.VM}})
+				if chosen == member.VM {
+					break
+				}
+			}
+			origin.members = []members.Member{member}
+			origin.start(e)
+			return origin, owner
+		}
+		const prefix = 7
+
+		DescribeTable("gets nothing from both of them", func(kind catalog.Kind, respond http.HandlerFunc, status int) {
+			e := newEndpoint(saysLeaving(respond))
+			origin, owner := startOwner(kind, e)
+			resp := origin.call("POST", "/r/", "x", headerPrefix, strconv.Itoa(prefix))
+			Expect(resp.status).To(Equal(status))
+			Expect(resp.header).NotTo(HaveKey("X-Gateway-Leaving"))
+			Expect(owner.gate.Takes(owner.endpointOf(0))).To(BeFalse())
+			Expect(origin.gate.Takes(origin.endpointOf(0))).To(BeFalse())
+			Expect(origin.call("POST", "/r/", "x").status).To(Equal(503))
+			Expect(owner.call("POST", "/r/", "x").status).To(Equal(503))
+			Expect(e.count()).To(Equal(1))
+		},
+			Entry("after a success", catalog.NonIdempotent, respondOK, 200),
+			Entry("after a failure", catalog.NonIdempotent, respondServerError, 500),
+			Entry("after a refusal", catalog.NonIdempotent, respondNotRun, 503),
+			Entry("after a stream", catalog.Streaming, eventStream(2, 0), 200),
+		)
+
+		It("does not bind the next incarnation here", func() {
+			e := newEndpoint(saysLeaving(respondOK))
+			origin, owner := startOwner(catalog.NonIdempotent, e)
+			owner.endpointOf(0).StartedAt, origin.endpointOf(0).StartedAt = 1000, 2000
+			owner.update()
+			origin.update()
+			Expect(origin.call("POST", "/r/", "x", headerPrefix, strconv.Itoa(prefix)).status).To(Equal(200))
+			Expect(origin.gate.Takes(origin.endpointOf(0))).To(BeTrue())
+		})
+
+		It("pauses only for the daemon that it asked", func() {
+			e := newEndpoint(asksPause(time.Minute))
+			origin, owner := startOwner(catalog.NonIdempotent, e)
+			resp := origin.call("POST", "/r/", "x", headerPrefix, strconv.Itoa(prefix))
+			Expect(resp.status).To(Equal(503))
+			Expect(owner.gate.Takes(owner.endpointOf(0))).To(BeFalse())
+			Expect(origin.gate.Takes(origin.endpointOf(0))).To(BeTrue())
+		})
+
+		It("of another region does not affect an endpoint of this region with the same ID", func() {
+			local, remote := newEndpoint(respondOK), newEndpoint(saysLeaving(respondOK))
+			north := newTestProxy(catalog.NonIdempotent)
+			north.route.AllowedRegions = []types.Region{"north"}
+			north.start(remote)
+			south := newTestProxy(catalog.NonIdempotent)
+			south.route.AllowedRegions = []types.Region{"north"}
+			south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
+			south.members = []members.Member{north.asMember()}
+			south.start(local)
+			addRemoteEndpoint(south, "north")
+			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
+			Expect(remote.count()).To(Equal(1))
+			Expect(south.gate.Takes(south.endpointOf(0))).To(BeTrue())
+		})
+	})
+})
+
+// addRemoteEndpoint publishes an endpoint of another region to the proxy.
+func addRemoteEndpoint(w *testProxy, region types.Region) {
+	w.snap.View.Endpoints[service] = append(w.snap.View.Endpoints[service], catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{
+		ID: "remote", Service: service, Address: "unused:80", Region: region, Slots: 4,
+	}})
+	w.update()
+}
+
+var _ = Describe("An endpoint that asks for a pause", func() {
+	const pause = 400 * time.Millisecond
+
+	DescribeTable("gets no request until its end, and then again", func(respond http.HandlerFunc) {
+		w := newTestProxy(catalog.Idempotent)
+		w.route.MaxAttempts = 1
+		var mu sync.Mutex
+		var asked time.Time
+		near := newEndpoint(func(rw http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			first := asked.IsZero()
+			if first {
+				asked = time.Now()
+			}
+			mu.Unlock()
+			if first {
+				respond(rw, r)
+				return
+			}
+			respondOK(rw, r)
+		})
+		startNearAndFar(w, near, newEndpoint(respondOK))
+		Expect(w.call("GET", "/r/", "").status).To(Equal(503))
+		for time.Since(asked) < pause {
+			Expect(w.call("GET", "/r/", "").status).To(Equal(200))
+			if time.Since(asked) < pause {
+				Expect(near.count()).To(Equal(1))
+			}
+		}
+		Eventually(func() int {
+			w.call("GET", "/r/", "")
+			return near.count()
+		}, eventuallyTimeout).Should(BeNumerically(">", 1))
+	},
+		Entry("with a refusal", asksPause(pause)),
+		Entry("with a 503 that does not say whether the request was run", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			signResponse(w, r)
+			w.Header().Set(headerBackoff, pause.String())
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})),
+	)
+
+	It("makes a request that can't wait be refused at once, with the time until the end", func() {
+		w := newTestProxy(catalog.Idempotent)
+		only := newEndpoint(asksPause(20 * time.Second))
+		w.start(only)
+		for range 5 {
+			began := time.Now()
+			resp := w.call("GET", "/r/", "")
+			Expect(time.Since(began)).To(BeNumerically("<", w.route.Objective))
+			Expect(resp.status).To(Equal(503))
+			Expect(resp.body).To(ContainSubstring(string(types.CodePaused)))
+			advice, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(advice).To(BeNumerically("~", 25, 6))
+		}
+		Expect(only.count()).To(Equal(1))
+	})
+
+	It("gets a request that can wait when the pause has ended", func() {
+		w := newTestProxy(catalog.Idempotent)
+		only := newEndpoint(respondOK)
+		w.start(only)
+		ctx, stop := context.WithCancel(context.Background())
+		var running conc.WaitGroup
+		running.Go(func() { w.gate.Run(ctx) })
+		DeferCleanup(func() {
+			stop()
+			running.Wait()
+		})
+		began := time.Now()
+		w.gate.Note(w.endpointOf(0), balance.Notice{Backoff: pause})
+		Expect(w.call("GET", "/r/", "").status).To(Equal(200))
+		Expect(time.Since(began)).To(BeNumerically(">=", pause))
+	})
+
+	It("makes requests go to another region", func() {
+		local, remote := newEndpoint(asksPause(time.Minute)), newEndpoint(respondOK)
+		north := newTestProxy(catalog.NonIdempotent)
+		north.start(remote)
+		north.endpointOf(0).ID = "remote"
+		north.update()
+		south := newTestProxy(catalog.NonIdempotent)
+		south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
+		south.members = []members.Member{north.asMember()}
+		south.start(local)
+		addRemoteEndpoint(south, "north")
+		for range 5 {
+			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
+		}
+		Expect([]int{local.count(), remote.count()}).To(Equal([]int{1, 5}))
+	})
+
+	It("gets no request that waited for a connection to it", func() {
+		w := newTestProxy(catalog.NonIdempotent)
+		w.route.MaxAttempts = 1
+		held := newHeldDials()
+		w.transport = held
+		finish := make(chan struct{})
+		near := newEndpoint(func(w http.ResponseWriter, r *http.Request) {
+			<-finish
+			// A kept connection would take the next request before the response is seen.
+			w.Header().Set("Connection", "close")
+			asksPause(time.Minute)(w, r)
+		})
+		far := newEndpoint(respondOK)
+		startNearAndFar(w, near, far)
+		var running conc.WaitGroup
+		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(503)) })
+		Eventually(near.count, eventuallyTimeout).Should(Equal(1))
+		release := held.hold(near.address())
+		defer release()
+		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(200)) })
+		Eventually(held.held, eventuallyTimeout).Should(Equal(1))
+		close(finish)
+		running.Wait()
+		release()
+		Consistently(near.count, 200*time.Millisecond).Should(Equal(1))
+		Expect(far.count()).To(Equal(1))
+	})
+
+	It("gets at most two requests later than half a second after it asked, under load", func() {
+		const long = 1500 * time.Millisecond
+		w := newTestProxy(catalog.Idempotent)
+		w.retryRatio, w.retryFixed = 1, 1000
+		var mu sync.Mutex
+		served := 0
+		var until time.Time
+		late, within := 0, 0
+		near := newEndpoint(func(rw http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			now := time.Now()
+			asks := served >= 100 && until.IsZero()
+			if asks {
+				until = now.Add(long)
+			}
+			if !asks && now.Before(until) {
+				within++
+			}
+			if now.Before(until) && now.After(until.Add(500*time.Millisecond-long)) {
+				late++
+			}
+			served++
+			mu.Unlock()
+			if asks {
+				asksPause(long)(rw, r)
+				return
+			}
+			respondOK(rw, r)
+		})
+		startNearAndFar(w, near, newEndpoint(respondOK))
+		ended := func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return !until.IsZero() && time.Now().After(until)
+		}
+		var callers conc.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for !ended() {
+					w.call("GET", "/r/", "")
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+		callers.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		By(fmt.Sprintf("%d requests in the pause, %d of them later than 0.5 s", within, late))
+		Expect(late).To(BeZero())
+	})
+
+	It("of a stream is resumed elsewhere", func() {
+		w := newTestProxy(catalog.Streaming)
+		w.route.Resumable, w.route.MaxAttempts = true, 3
+		near := newEndpoint(eventStream(4, 2))
+		paused := newEndpoint(eventStream(4, 0))
+		far := newEndpoint(eventStream(4, 0))
+		w.start(near, paused, far)
+		w.snap.View.Endpoints[service][1].DataCentre = farDataCentre
+		w.snap.View.Endpoints[service][2].DataCentre = farDataCentre
+		w.update()
+		w.gate.Note(w.endpointOf(1), balance.Notice{Backoff: time.Minute})
+		resp := w.call("POST", "/r/", "x")
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(strings.Count(resp.body, "data:")).To(Equal(4))
+		Expect([]int{near.count(), paused.count(), far.count()}).To(Equal([]int{1, 0, 1}))
+	})
+})
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -39,7 +39,7 @@
 		return destination{member: member}, nil
 	}
 	if refusal != nil {
-		return destination{}, refusalFailure(refusal)
+		return destination{}, failureOf(refusal)
 	}
 	place, refusal, err := r.h.opts.Gate.Acquire(r.ctx, balancerRequest)
 	if err != nil {
@@ -48,10 +48,10 @@
 	if place != nil {
 		return destination{endpoint: place}, nil
 	}
-	if member, found := r.spillover(snap, false); found {
+	if member, found := r.spillover(snap, refusal.NoneHere()); found {
 		return destination{member: member}, nil
 	}
-	return destination{}, refusalFailure(refusal)
+	return destination{}, failureOf(refusal)
 }
 
 // resumeWait bounds how long an interrupted stream waits for an endpoint to resume
@@ -122,7 +122,7 @@
 	if refusal == nil {
 		refusal = r.h.opts.Gate.Refuse(balancerRequest)
 	}
-	return destination{}, refusalFailure(refusal)
+	return destination{}, failureOf(refusal)
 }
 
 // nextHome returns the next home of the request's prefix: first the preferred
