Counters and log lines of endpoints that are leaving or asked for a pause

Cause: operators have to see why an endpoint gets nothing although it is published as ready. Change: the gate's observer counts endpoints found leaving and pauses asked for, shows the longest pause in force (also one of ten years) and writes one line for each change of state, 40 a second at most with the number of lines left out. Ruled out: a line for the end of a pause; the first line has "until". Evidence: with an observer that does nothing both specs fail, without the bound the second: [FAIL] the log of what endpoints say of themselves [It] has one line for each change of state, and counts every pause that was asked for [FAIL] the log of what endpoints say of themselves [It] is bounded when very many endpoints leave at once, and tells how many lines are missing

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -125,6 +125,7 @@
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.guard = guard.New(e.log, e.registry)
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
+	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow)
--- /dev/null
+++ b/pkg/gateway/entry/notices.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+)
+
+// noticeLines limits the lines per second about what endpoints say of themselves;
+// a burst may have the lines of two seconds.
+const noticeLines = 40
+
+// noticeLog counts what endpoints say of themselves, and logs each change of state
+// that follows.
+type noticeLog struct {
+	log     logrus.FieldLogger
+	lines   *rate.Limiter
+	skipped atomic.Int64
+	leaving prometheus.Counter
+	pauses  prometheus.Counter
+}
+
+// newNoticeLog returns a log whose counters are registered with registry.
+// LongestPause returns the time until the last end of a pause in force.
+func newNoticeLog(log logrus.FieldLogger, registry prometheus.Registerer, longestPause func() time.Duration) *noticeLog {
+	l := &noticeLog{
+		log: log, lines: rate.NewLimiter(noticeLines, 2*noticeLines),
+		leaving: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "flamingomount_gateway_endpoints_leaving_total",
+			Help: "Endpoints that said in a response that they are leaving.",
+		}),
+		pauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "flamingomount_gateway_pauses_total",
+			Help: "Responses in which an endpoint asked for a pause.",
+		}),
+	}
+	longest := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "flamingomount_gateway_longest_pause_seconds",
+		Help: "Time until the last end of a pause that an endpoint asked for; zero if none is in force.",
+	}, func() float64 { return longestPause().Seconds() })
+	registry.MustRegister(l.leaving, l.pauses, longest)
+	return l
+}
+
+// observe implements gate.Observer.
+func (l *noticeLog) observe(endpoint *catalog.Endpoint, notice balance.Notice, change balance.Change) {
+	if notice.Backoff > 0 {
+		l.pauses.Inc()
+	}
+	if change.Leaving {
+		l.leaving.Inc()
+		l.info(endpoint, "endpoint says that it is leaving", logrus.Fields{})
+	}
+	if !change.PausedUntil.IsZero() {
+		l.info(endpoint, "endpoint asked for a pause", logrus.Fields{"pause": notice.Backoff.String(), "until": change.PausedUntil})
+	}
+}
+
+func (l *noticeLog) info(endpoint *catalog.Endpoint, message string, fields logrus.Fields) {
+	if !l.lines.Allow() {
+		l.skipped.Add(1)
+		return
+	}
+	if skipped := l.skipped.Swap(0); skipped > 0 {
+		fields["lines_skipped"] = skipped
+	}
+	fields["endpoint"], fields["service"], fields["started_at"] = endpoint.ID, endpoint.Service, endpoint.StartedAt
+	l.log.WithFields(fields).Info(message)
+}
