Trace: name pauses and leaving endpoints as the cause of a refusal

Cause: a refused request's story named the code only. Change: the story of a request refused with code "paused", or for lack of capacity, counts the endpoints that had said that they were leaving and the pauses that were asked for at the same daemon in the seconds before. Evidence: without the change [FAIL] a story states the cause [It] a pause of all endpoints

--- a/pkg/trace/story.go
+++ b/pkg/trace/story.go
@@ -103,7 +103,7 @@
 	case types.CodeNoEndpoint:
 		return fmt.Sprintf("refused, not run: no endpoint of %s that %s knows may run it%s", step.Service, step.Source, capacityLoss)
 	case types.CodePaused:
-		return fmt.Sprintf("refused, not run: every endpoint of %s that %s knows asked for a pause", step.Service, step.Source)
+		return fmt.Sprintf("refused, not run: every endpoint of %s that %s knows asked for a pause%s", step.Service, step.Source, capacityLoss)
 	case types.CodeNotReady:
 		return fmt.Sprintf("refused, not run: %s knew no configuration yet", step.Source)
 	case types.CodeQuarantined:
@@ -182,7 +182,7 @@
 // as logged by the daemon source.
 func capacityLossReasons(events []Line, source string) string {
 	var reasons []string
-	lostEndpoints := 0
+	lostEndpoints, leaving, paused := 0, 0, 0
 	for _, event := range events {
 		if event.Source != source {
 			continue
@@ -192,6 +192,10 @@
 			reasons = append(reasons, fmt.Sprintf("data centre %s was being evacuated", event.DataCentre))
 		case "endpoint takes no more requests":
 			lostEndpoints++
+		case "endpoint says that it is leaving":
+			leaving++
+		case "endpoint asked for a pause":
+			paused++
 		case "daemon lost: no heartbeat in time":
 			reasons = append(reasons, fmt.Sprintf("daemon %s was lost", event.Member))
 		}
@@ -199,6 +203,12 @@
 	if lostEndpoints > 0 {
 		reasons = append(reasons, fmt.Sprintf("%d endpoints had left in the seconds before", lostEndpoints))
 	}
+	if leaving > 0 {
+		reasons = append(reasons, fmt.Sprintf("%d endpoints had said that they were leaving", leaving))
+	}
+	if paused > 0 {
+		reasons = append(reasons, fmt.Sprintf("%d times an endpoint had asked for a pause", paused))
+	}
 	if len(reasons) == 0 {
 		return ""
 	}
--- a/pkg/trace/trace_test.go
+++ b/pkg/trace/trace_test.go
@@ -31,6 +31,9 @@
    9.4 singapore-2 {"time":"2026-09-09T19:43:46.073Z","level":"warning","msg":"request failed","code":"overloaded","from":"10.1.0.30:8646","request":"second","service":"s","status":503,"verdict":"not-run"}
    9.5 colombo-2 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"deadline_exceeded","endpoints":["i-af"],"request":"slow","service":"s","status":504,"sent":1,"took_ms":4000,"verdict":"may-have-run","waited_ms":300}
    9.6 colombo-2 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","endpoints":["i-81","i-82"],"request":"own","service":"s","status":500,"sent":2,"verdict":"ran"}
+   9.6 kandy-1 {"time":"2026-09-09T19:43:46.5Z","level":"info","msg":"endpoint says that it is leaving","endpoint":"i-91","service":"s"}
+   9.6 kandy-1 {"time":"2026-09-09T19:43:46.6Z","level":"info","msg":"endpoint asked for a pause","endpoint":"i-92","pause":"2s","service":"s"}
+   9.6 kandy-1 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"paused","reason":"every endpoint of the service asked for a pause","request":"paused","service":"s","status":503,"verdict":"not-run"}
    9.7 colombo-3 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"endpoint_failed","endpoints":["daemon 10.9.9.9:1"],"request":"hop","service":"s","status":502,"sent":2,"verdict":"may-have-run"}
 `
 
@@ -62,6 +65,7 @@
 		Entry("a lost response", "lost", "may have run", "i-77", "no other request broke there"),
 		Entry("no capacity, with the reason", "full", "not run", "no room", "frankfurt-a was being evacuated", "1 endpoints had left"),
 		Entry("a response after a refusal by another daemon", "second", "answered by endpoint i-af"),
+		Entry("a pause of all endpoints", "paused", "not run", "every endpoint of s that kandy-1 knows asked for a pause", "1 endpoints had said that they were leaving", "1 times an endpoint had asked for a pause"),
 		Entry("a deadline", "slow", "300 ms waiting", "3700 ms at endpoint i-af"),
 		Entry("an error status from the endpoint", "own", "i-82 answered 500 itself"),
 		Entry("a lost daemon", "hop", "10.9.9.9:1", "no line on the request"),
