--- a/pkg/gateway/balance/notice.go
+++ b/pkg/gateway/balance/notice.go
@@ -93,18 +93,24 @@
 
 // availability returns what an endpoint said of whether it takes requests.
 func (p *Pool) availability(ep *endpointState, now time.Time) availability {
+	if p.withdrawals.count == 0 {
+		return availability{}
+	}
 	return p.withdrawals.of(ep.placed.Endpoint, now)
 }
 
 // closed reports whether an endpoint said that it wants no request now.
 func (p *Pool) closed(ep *endpointState, now time.Time) bool {
-	return p.availability(ep, now).closed(now)
+	return p.withdrawals.count > 0 && p.availability(ep, now).closed(now)
 }
 
 // limitNow returns how many requests this daemon may keep in flight at the
 // endpoint now: the usual limit, or part of it shortly after a pause.
 func (p *Pool) limitNow(req RequestInfo, ep *endpointState, now time.Time) int {
 	limit := p.limit(req, ep)
+	if p.withdrawals.count == 0 {
+		return limit
+	}
 	ramp := p.availability(ep, now).ramp(now)
 	if ramp >= 1 {
 		return limit
--- a/pkg/gateway/balance/withdrawal.go
+++ b/pkg/gateway/balance/withdrawal.go
@@ -132,6 +132,9 @@
 // ramp returns the share of its usual limit that the endpoint is given, from 0 at
 // the end of a pause to 1.
 func (a availability) ramp(now time.Time) float64 {
+	if a.pausedUntil.IsZero() {
+		return 1
+	}
 	length := min(a.pausedUntil.Sub(a.pausedFrom), maxRamp)
 	since := now.Sub(a.pausedUntil)
 	if length <= 0 || since >= length {
@@ -160,11 +163,12 @@
 // of returns what an endpoint said of whether it takes requests.
 func (s *withdrawals) of(endpoint *catalog.Endpoint, now time.Time) availability {
 	var found availability
-	if s.count == 0 {
+	entries := s.byID[endpoint.ID]
+	if len(entries) == 0 {
 		return found
 	}
 	key := incarnationOf(endpoint)
-	for _, entry := range s.byID[endpoint.ID] {
+	for _, entry := range entries {
 		certain := key.startedAt != 0 && entry.startedAt != 0
 		if entry.mayEqual(key) && (certain || now.Sub(entry.notedAt) <= unknownStartTTL) {
 			found = found.merge(entry)
