Proxy: endpoints that want no requests are no homes of large prompts; fewer allocations while connecting

Cause: a daemon that knew that an engine is leaving still sent its large prompts to the owner of that engine until the store published the leaving; the owner put them at an engine that is not the next home. And each attempt made a map while it had no connection. Change: the homes of large prompts are chosen among the endpoints that take requests. The gate keeps the attempts without a connection in one set; a notice looks through it, which is rare and finds few. Evidence: with the homes chosen as before [FAIL] An endpoint that says that it is leaving to another daemon [It] is not the home of large prompts any more (5 requests went to the owner, 1 wanted)

--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -12,7 +12,6 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
-	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // grantInterval is how often waiting requests are checked in addition to when a
@@ -25,13 +24,13 @@
 	mu   sync.Mutex
 	pool *balance.Pool
 	// connecting holds the attempts that have no connection yet.
-	connecting map[types.EndpointID]map[*Connecting]bool
+	connecting map[*Connecting]bool
 	observe    Observer
 }
 
 // New returns a gate for a pool, which the gate owns from then on.
 func New(pool *balance.Pool, now func() time.Time) *Gate {
-	return &Gate{pool: pool, now: now}
+	return &Gate{pool: pool, now: now, connecting: make(map[*Connecting]bool)}
 }
 
 // Update applies the published view and the daemons that share the endpoints.
--- a/pkg/gateway/balance/gate/notice.go
+++ b/pkg/gateway/balance/gate/notice.go
@@ -26,10 +26,11 @@
 	}
 	g.mu.Lock()
 	change := g.pool.Note(endpoint, notice, g.now())
-	for attempt := range g.connecting[endpoint.ID] {
-		attempt.withdraw()
+	for attempt := range g.connecting {
+		if attempt.endpoint.ID == endpoint.ID {
+			attempt.withdraw()
+		}
 	}
-	delete(g.connecting, endpoint.ID)
 	g.mu.Unlock()
 	if g.observe != nil {
 		g.observe(endpoint, notice, change)
@@ -65,13 +66,21 @@
 	}
 }
 
-// Takes reports whether an endpoint has not said that it wants no request now.
+// Takes reports whether an endpoint takes requests now, by what it said of itself.
 func (g *Gate) Takes(endpoint *catalog.Endpoint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.pool.Takes(endpoint, g.now())
 }
 
+// Taking returns the endpoints that take requests now, by what they said of
+// themselves.
+func (g *Gate) Taking(endpoints []catalog.ActiveEndpoint) []catalog.ActiveEndpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Taking(endpoints, g.now())
+}
+
 // LongestPause returns the time until the last end of a pause in force; zero if
 // there is none.
 func (g *Gate) LongestPause() time.Duration {
@@ -125,7 +134,7 @@
 		c.withdraw()
 		return false
 	}
-	c.gate.addConnecting(c)
+	c.gate.connecting[c] = true
 	return true
 }
 
@@ -137,7 +146,7 @@
 	}
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	c.gate.removeConnecting(c)
+	delete(c.gate.connecting, c)
 	return !c.withdrawn
 }
 
@@ -153,25 +162,7 @@
 }
 
 func (c *Connecting) withdraw() {
+	delete(c.gate.connecting, c)
 	c.withdrawn = true
 	c.cancel()
 }
-
-func (g *Gate) addConnecting(attempt *Connecting) {
-	if g.connecting == nil {
-		g.connecting = make(map[types.EndpointID]map[*Connecting]bool)
-	}
-	id := attempt.endpoint.ID
-	if g.connecting[id] == nil {
-		g.connecting[id] = make(map[*Connecting]bool)
-	}
-	g.connecting[id][attempt] = true
-}
-
-func (g *Gate) removeConnecting(attempt *Connecting) {
-	id := attempt.endpoint.ID
-	delete(g.connecting[id], attempt)
-	if len(g.connecting[id]) == 0 {
-		delete(g.connecting, id)
-	}
-}
--- a/pkg/gateway/balance/notice.go
+++ b/pkg/gateway/balance/notice.go
@@ -23,11 +23,26 @@
 	return change
 }
 
-// Takes reports whether an endpoint has not said that it wants no request now.
+// Takes reports whether an endpoint takes requests now, by what it said of itself.
 func (p *Pool) Takes(endpoint *catalog.Endpoint, now time.Time) bool {
 	return !p.withdrawals.of(endpoint, now).closed(now)
 }
 
+// Taking returns the endpoints that take requests now, by what they said of
+// themselves.
+func (p *Pool) Taking(endpoints []catalog.ActiveEndpoint, now time.Time) []catalog.ActiveEndpoint {
+	if p.withdrawals.count == 0 {
+		return endpoints
+	}
+	taking := make([]catalog.ActiveEndpoint, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		if p.Takes(endpoint.Endpoint, now) {
+			taking = append(taking, endpoint)
+		}
+	}
+	return taking
+}
+
 // EndpointByID returns the published endpoint of the local region with an ID; nil
 // if there is none.
 func (p *Pool) EndpointByID(id types.EndpointID) *catalog.Endpoint {
--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -50,7 +50,7 @@
 // safe for concurrent use.
 type Pool interface {
 	DueProbes() []balance.Probe
-	// Takes reports whether an endpoint has not said that it wants no request now.
+	// Takes reports whether an endpoint takes requests now, by what it said of itself.
 	Takes(endpoint *catalog.Endpoint) bool
 	// Note records what an endpoint said of itself.
 	Note(endpoint *catalog.Endpoint, notice balance.Notice)
--- a/pkg/gateway/proxy/notice_test.go
+++ b/pkg/gateway/proxy/notice_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -323,6 +324,25 @@
 			Entry("after a stream", catalog.Streaming, eventStream(2, 0), 200),
 		)
 
+		It("is not the home of large prompts any more", func() {
+			home := newEndpoint(saysLeaving(respondOK))
+			origin, owner := startOwner(catalog.NonIdempotent, home)
+			counter := &requestCounter{RoundTripper: proxy.NewTransport(), address: string(owner.asMember().VM)}
+			origin.transport = counter
+			next := newEndpoint(respondOK)
+			origin.start(home, next)
+			large := func(prefix uint64) callerResponse {
+				return origin.call("POST", "/r/", "x", headerPrefix, strconv.FormatUint(prefix, 10))
+			}
+			moveToOwner(origin, 1, origin.self)
+			prefix := prefixOwnedBy(origin, 0)
+			for range 5 {
+				Expect(large(prefix).status).To(Equal(200))
+			}
+			Expect(counter.count()).To(Equal(1))
+			Expect([]int{home.count(), next.count()}).To(Equal([]int{1, 4}))
+		})
+
 		It("does not bind the next incarnation here", func() {
 			e := newEndpoint(saysLeaving(respondOK))
 			origin, owner := startOwner(catalog.NonIdempotent, e)
@@ -360,6 +380,46 @@
 	})
 })
 
+// requestCounter counts the requests that are sent to an address.
+type requestCounter struct {
+	http.RoundTripper
+	address string
+	sent    atomic.Int64
+}
+
+func (c *requestCounter) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.URL.Host == c.address {
+		c.sent.Add(1)
+	}
+	return c.RoundTripper.RoundTrip(request)
+}
+
+func (c *requestCounter) count() int {
+	return int(c.sent.Load())
+}
+
+// prefixOwnedBy returns a prefix whose home is the endpoint with an index.
+func prefixOwnedBy(w *testProxy, index int) uint64 {
+	for prefix := uint64(1); ; prefix++ {
+		home, _ := balance.PrefixHome(w.snap.View.Endpoints[service], prefix, func(catalog.ActiveEndpoint) bool { return true })
+		if home.ID == w.endpointOf(index).ID {
+			return prefix
+		}
+	}
+}
+
+// moveToOwner renames an endpoint so that a daemon sends it its large prompts.
+func moveToOwner(w *testProxy, index int, owner types.VMID) {
+	daemons := []balance.Daemon{{VM: w.self}, {VM: w.members[0].VM}}
+	for number := 0; ; number++ {
+		w.endpointOf(index).ID = types.EndpointID(fmt.Sprintf("own-%d", number))
+		if chosen, _ := balance.LargePromptOwner(w.snap.View.Endpoints[service][index], daemons); chosen == owner {
+			w.update()
+			return
+		}
+	}
+}
+
 // addRemoteEndpoint publishes an endpoint of another region to the proxy.
 func addRemoteEndpoint(w *testProxy, region types.Region) {
 	w.snap.View.Endpoints[service] = append(w.snap.View.Endpoints[service], catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -127,10 +127,10 @@
 
 // nextHome returns the next home of the request's prefix: first the preferred
 // home, then one in another region, since a whole region may be busy, then any
-// other one.
+// other one. Endpoints that want no requests are no homes.
 func (r *run) nextHome(snap *control.Snapshot) (catalog.ActiveEndpoint, bool) {
 	usableRegion := r.usableRegion(snap)
-	endpoints := snap.View.Endpoints[r.req.Service]
+	endpoints := r.h.opts.Gate.Taking(snap.View.Endpoints[r.req.Service])
 	home, found := balance.PrefixHome(endpoints, r.req.Prefix, func(ep catalog.ActiveEndpoint) bool {
 		return usableRegion(ep.Region) && !slices.ContainsFunc(r.homes, func(previous catalog.ActiveEndpoint) bool { return previous.Region == ep.Region })
 	})
