Proxy: many endpoints that leave at once; names and files in order

Change: a spec in which four of six endpoints say within moments that they leave, under load of requests that may be sent once only: each caller is served by the others. The attempts that have no connection yet are in a file of their own, and are aborted, since withdraw is already what the gate does with a waiting request.

--- a/pkg/gateway/balance/gate/notice.go
+++ b/pkg/gateway/balance/gate/notice.go
@@ -28,7 +28,7 @@
 	change := g.pool.Note(endpoint, notice, g.now())
 	for attempt := range g.connecting {
 		if attempt.endpoint.ID == endpoint.ID {
-			attempt.withdraw()
+			attempt.abort()
 		}
 	}
 	g.mu.Unlock()
@@ -104,65 +104,3 @@
 	defer g.mu.Unlock()
 	return g.pool.PrefixSource(service, prefix, to, allows, g.now())
 }
-
-// Connecting is an attempt at an endpoint that may have no connection yet. A nil
-// one is never withdrawn.
-type Connecting struct {
-	gate     *Gate
-	endpoint *catalog.Endpoint
-	cancel   func()
-	// withdrawn is true once the endpoint said that it wants no request while the
-	// attempt had no connection. Guarded by the mutex of the gate.
-	withdrawn bool
-}
-
-// NewConnecting returns an attempt that has not begun to connect. Cancel ends the
-// attempt; it must not block.
-func (g *Gate) NewConnecting(endpoint *catalog.Endpoint, cancel func()) *Connecting {
-	return &Connecting{gate: g, endpoint: endpoint, cancel: cancel}
-}
-
-// Begin starts the time in which the attempt has no connection. It returns false,
-// and cancels the attempt, if the endpoint wants no request now.
-func (c *Connecting) Begin() bool {
-	if c == nil {
-		return true
-	}
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	if !c.gate.pool.Takes(c.endpoint, c.gate.now()) {
-		c.withdraw()
-		return false
-	}
-	c.gate.connecting[c] = true
-	return true
-}
-
-// End ends the time in which the attempt has no connection. It returns false if the
-// attempt was cancelled before, so that nothing may be sent.
-func (c *Connecting) End() bool {
-	if c == nil {
-		return true
-	}
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	delete(c.gate.connecting, c)
-	return !c.withdrawn
-}
-
-// Withdrawn reports whether the attempt was cancelled because the endpoint wants no
-// request.
-func (c *Connecting) Withdrawn() bool {
-	if c == nil {
-		return false
-	}
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	return c.withdrawn
-}
-
-func (c *Connecting) withdraw() {
-	delete(c.gate.connecting, c)
-	c.withdrawn = true
-	c.cancel()
-}
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -170,12 +170,11 @@
 	return &Refusal{Reason: "no endpoint of the service may run it here", NoEndpoint: true, RetryAfter: refusedPause * 5}
 }
 
-// filter returns the endpoints that may run the request at all; those that are
-// leaving or asked for a pause never may. When every
-// endpoint is suspended, a common fault is likelier than each being down: then
-// the one whose suspension ends first is tried. When more endpoints are ejected
-// than eligible, the requests are the likelier cause, and the ejected ones are
-// kept.
+// filter returns the endpoints that may run the request at all; those that said
+// that they want no requests never may. When every endpoint is suspended, a common
+// fault is likelier than each being down: then the one whose suspension ends first
+// is tried. When more endpoints are ejected than eligible, the requests are the
+// likelier cause, and the ejected ones are kept.
 func (p *Pool) filter(req RequestInfo, now time.Time) []*endpointState {
 	var eligible, ejected []*endpointState
 	var soonest *endpointState
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -114,6 +114,16 @@
 	return r.outgoing(permit.Endpoint.Address, header, w)
 }
 
+// prefixSource returns the address of an endpoint from which another one may copy
+// the request's prefix; empty if there is none.
+func (r *run) prefixSource(to catalog.ActiveEndpoint) string {
+	source, found := r.h.opts.Gate.PrefixSource(r.req.Service, r.req.Prefix, to, r.req.Route.Allows)
+	if !found {
+		return ""
+	}
+	return source.Address
+}
+
 // outgoing builds a request that http.Transport does not resend on its own,
 // unless the route is idempotent.
 func (r *run) outgoing(address string, header http.Header, w *attemptConn) *http.Request {
@@ -145,7 +155,7 @@
 		}
 		return r.contextFailure(r.verdict)
 	}
-	if !w.connected() && w.connecting.Withdrawn() {
+	if !w.connected() && w.connecting.Aborted() {
 		return r.handleWithdrawal(permit)
 	}
 	if !w.connected() {
--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -6,7 +6,6 @@
 	"strconv"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
-	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -115,13 +114,3 @@
 	}
 	return refusalFailure(refusal)
 }
-
-// prefixSource returns the address of an endpoint from which another one may copy
-// the request's prefix; empty if there is none.
-func (r *run) prefixSource(to catalog.ActiveEndpoint) string {
-	source, found := r.h.opts.Gate.PrefixSource(r.req.Service, r.req.Prefix, to, r.req.Route.Allows)
-	if !found {
-		return ""
-	}
-	return source.Address
-}
--- a/pkg/gateway/proxy/notice_test.go
+++ b/pkg/gateway/proxy/notice_test.go
@@ -283,6 +283,45 @@
 		Expect(arrivals[len(arrivals)-1].Sub(said)).To(BeNumerically("<", 500*time.Millisecond))
 	})
 
+	It("together with most others leaves the callers to those that stay", func() {
+		const all, staying = 6, 2
+		w := newTestProxy(catalog.NonIdempotent)
+		w.route.MaxAttempts = 1
+		var leaving atomic.Bool
+		var late atomic.Int64
+		var endpoints []*endpoint
+		for i := range all {
+			var said atomic.Pointer[time.Time]
+			endpoints = append(endpoints, newEndpoint(func(rw http.ResponseWriter, r *http.Request) {
+				now := time.Now()
+				if first := said.Load(); first != nil && now.Sub(*first) > 500*time.Millisecond {
+					late.Add(1)
+				}
+				if i >= staying && leaving.Load() {
+					rw.Header().Set(headerLeaving, "1")
+					said.CompareAndSwap(nil, &now)
+				}
+				respondOK(rw, r)
+			}))
+		}
+		w.start(endpoints...)
+		began := time.Now()
+		var callers conc.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for time.Since(began) < 1500*time.Millisecond {
+					Expect(w.call("POST", "/r/", "x").status).To(Equal(200))
+					leaving.Store(time.Since(began) > 300*time.Millisecond)
+				}
+			})
+		}
+		callers.Wait()
+		for i := range endpoints {
+			Expect(w.gate.Takes(w.endpointOf(i))).To(Equal(i < staying))
+		}
+		Expect(late.Load()).To(BeZero())
+	})
+
 	Describe("to another daemon", func() {
 		// startOwner starts a daemon of the region that gets the large prompts for the
 		// endpoint from the other daemon, which receives them from callers.
