--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -65,6 +65,7 @@
 		return r.handleForwardError(member, &w, err)
 	}
 	defer closeBody(response)
+	r.noteRemoteResponse(member, response.Header)
 	failure := r.failureFromDaemon(response)
 	r.recordEndpoint(response.Header)
 	if failure != nil {
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -39,7 +39,7 @@
 		return destination{member: member}, nil
 	}
 	if refusal != nil {
-		return destination{}, refusalFailure(refusal)
+		return destination{}, failureOf(refusal)
 	}
 	place, refusal, err := r.h.opts.Gate.Acquire(r.ctx, balancerRequest)
 	if err != nil {
@@ -48,10 +48,10 @@
 	if place != nil {
 		return destination{endpoint: place}, nil
 	}
-	if member, found := r.spillover(snap, false); found {
+	if member, found := r.spillover(snap, refusal.NoneHere()); found {
 		return destination{member: member}, nil
 	}
-	return destination{}, refusalFailure(refusal)
+	return destination{}, failureOf(refusal)
 }
 
 // resumeWait bounds how long an interrupted stream waits for an endpoint to resume
@@ -123,15 +123,15 @@
 	if refusal == nil {
 		refusal = r.h.opts.Gate.Refuse(balancerRequest)
 	}
-	return destination{}, refusalFailure(refusal)
+	return destination{}, failureOf(refusal)
 }
 
 // nextHome returns the next home of the request's prefix: first the preferred
 // home, then one in another region, since a whole region may be busy, then any
-// other one.
+// other one. Endpoints that want no requests are no homes.
 func (r *run) nextHome(snap *control.Snapshot) (catalog.ActiveEndpoint, bool) {
 	usableRegion := r.usableRegion(snap)
-	endpoints := snap.View.Endpoints[r.req.Service]
+	endpoints := r.h.opts.Gate.Taking(snap.View.Endpoints[r.req.Service])
 	home, found := balance.PrefixHome(endpoints, r.req.Prefix, func(ep catalog.ActiveEndpoint) bool {
 		return usableRegion(ep.Region) && !slices.ContainsFunc(r.homes, func(previous catalog.ActiveEndpoint) bool { return previous.Region == ep.Region })
 	})
