Soak: check the retry budget, lost requests, attempts and bounds in time

The incident was a breach of the retry budget and of "no request ends without an answer", and no test or soak of ours looked at either. Now checked, each with a planted fault that it must find:

- the retry budget: in any window, arrivals at endpoints beyond the first of each request, refused and misdirected ones included, summed over all daemons;
- requests lost: around planned stops, reloads and new configurations each, and on kept connections at any time beyond three in a run, only where neither endpoint nor a fault of a daemon or its links explains it;
- endpoints reached against the route's attempts, the time from SIGTERM to the end of the process, answers at the route's timeout, arrivals after the caller left, the rate of requests at cold engines.

The old check of planned stops excused a cut by any fault of the last 5 s anywhere and left out requests without a status. The new one takes what the endpoint did instead, so faults of endpoints and of the store excuse nothing any more.

The plan has bursts in which all endpoints of a service refuse, misdirect, break off or fail, and series of signals and configurations on one daemon. A service with endpoints in one region only is called from both. Two callers stay with each daemon, whatever the directory says, until the connection is refused; callers pause in the middle of bodies and leave early. The daemons' budget has a window of 5 s and a fixed part of 8, so that 20 s are enough to reach it.

Which daemon process sent a request is asked of the kernel (socket diagnostics) when a link opens the onward connection: all loopback connections come from 127.0.0.1.

--- /dev/null
+++ b/tools/soak/check/bounds.go
@@ -0,0 +1,130 @@
+package check
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/flamingomount/flamingomount/platform/standin"
+)
+
+// Limits of the checks of bounds in time.
+const (
+	// late is how long after its route's timeout, or after its caller has left, a
+	// request may go on.
+	late = 500 * time.Millisecond
+	// maxLate is how many calls may be over a bound of this kind in a run.
+	maxLate = 3
+	// exitSlack allows for the soak's own delay in noticing that a process ended.
+	exitSlack = 250 * time.Millisecond
+	// coldWindow is the time in which requests to a cold endpoint are counted.
+	coldWindow = time.Second
+)
+
+// Cold is the time after its start in which an endpoint may get at most Most
+// requests in each coldWindow.
+type Cold struct {
+	Endpoint string
+	From, To time.Time
+	Most     float64
+}
+
+// attempts checks that no request is sent to more endpoints than its route
+// allows. Endpoints that answer 421, that end or that are cut off don't count.
+func (r *Record) attempts(call Call, arrivals []standin.Arrival) []string {
+	reached := make(map[string]bool)
+	for _, arrival := range arrivals {
+		if arrival.Result != standin.Misdirected && r.sound(arrival) {
+			reached[arrival.Endpoint] = true
+		}
+	}
+	if len(reached) <= r.MaxAttempts {
+		return nil
+	}
+	return []string{fmt.Sprintf("attempts: %s reached %d endpoints; %d are allowed", describe(call, arrivals), len(reached), r.MaxAttempts)}
+}
+
+// unanswered checks that most calls that are still open at their route's timeout
+// have an answer soon after.
+func (r *Record) unanswered() []string {
+	open, without := 0, 0
+	for _, call := range r.Calls {
+		took := call.Ended.Sub(call.Sent)
+		if call.Outcome.Left || call.Outcome.Written.IsZero() || took < r.RouteTimeout || r.disturbedDaemon(call.Daemon, call.Sent, call.Ended) {
+			continue
+		}
+		open++
+		if took > r.RouteTimeout+late {
+			without++
+		}
+	}
+	if without <= maxLate || 2*without <= open {
+		return nil
+	}
+	return []string{fmt.Sprintf("unanswered: %d of %d calls that were open at their route's timeout had no answer %s later", without, open, late)}
+}
+
+// gone checks that requests don't reach endpoints long after their callers left.
+func (r *Record) gone(arrivals map[string][]standin.Arrival) []string {
+	var broken []string
+	for _, call := range r.Calls {
+		at := arrivals[call.ID]
+		if !call.Outcome.Left || len(at) == 0 {
+			continue
+		}
+		last := at[len(at)-1]
+		if last.At.After(call.Ended.Add(late)) && !r.disturbedDaemon(call.Daemon, call.Sent, last.At) && !r.disturbedDaemon(DaemonOf(last.From), call.Sent, last.At) {
+			broken = append(broken, fmt.Sprintf("gone: %s %s after its caller had left", describe(call, at), last.At.Sub(call.Ended).Round(time.Millisecond)))
+		}
+	}
+	if len(broken) <= maxLate {
+		return nil
+	}
+	return broken
+}
+
+// stops checks that a process that is told to stop ends within the grace period.
+func (r *Record) stops() []string {
+	var broken []string
+	for _, stop := range r.Stops {
+		if took := stop.To.Sub(stop.From); took > r.Grace+exitSlack && !r.disturbedDaemon(stop.Daemon, stop.From, stop.To) {
+			broken = append(broken, fmt.Sprintf("grace: %s, told to stop at %s, ran on for %s", stop.Daemon, clock(stop.From), took.Round(time.Millisecond)))
+		}
+	}
+	return broken
+}
+
+// overheated checks the rate of requests at endpoints that have just started.
+func (r *Record) overheated() []string {
+	times := make(map[string][]time.Time)
+	for _, arrival := range r.Arrivals {
+		if arrival.Result != standin.Misdirected {
+			times[arrival.Endpoint] = append(times[arrival.Endpoint], arrival.At)
+		}
+	}
+	var broken []string
+	for _, cold := range r.Colds {
+		at := times[cold.Endpoint]
+		slices.SortFunc(at, time.Time.Compare)
+		for _, begin := range at {
+			end := begin.Add(coldWindow)
+			if count := within(at, begin, end); !begin.Before(cold.From) && !end.After(cold.To) && float64(count) > cold.Most {
+				broken = append(broken, fmt.Sprintf("cold: %s got %d requests in the second from %s; %.1f are allowed", cold.Endpoint, count, clock(begin), cold.Most))
+				break
+			}
+		}
+	}
+	return broken
+}
+
+// ProcessName names a daemon's process by how often the daemon was started.
+func ProcessName(daemon string, starts int) string {
+	return fmt.Sprintf("%s#%d", daemon, starts)
+}
+
+// DaemonOf returns the daemon of a process name.
+func DaemonOf(process string) string {
+	daemon, _, _ := strings.Cut(process, "#")
+	return daemon
+}
--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
 )
 
@@ -16,8 +17,10 @@
 type Call struct {
 	standin.Call
 	Outcome standin.Outcome
-	// Daemon is the entry that took it.
+	// Daemon is the entry that took it; Direct is true if the caller did not ask
+	// whether the entry takes callers.
 	Daemon string
+	Direct bool
 	Sent   time.Time
 	Ended  time.Time
 }
@@ -27,6 +30,11 @@
 	From, To time.Time
 	// Daemon is the one concerned; empty means all of them.
 	Daemon string
+	// Elsewhere is true for a fault of endpoints or of the store, which touched
+	// no daemon and no link of a daemon; Endpoint names the one endpoint whose
+	// link was disturbed.
+	Elsewhere bool
+	Endpoint  string
 }
 
 // Change is an acknowledged change after which some endpoints may no longer run
@@ -44,24 +52,40 @@
 
 // Record is what happened in a run.
 type Record struct {
-	Calls []Call
-	Runs  []standin.Run
+	Calls    []Call
+	Runs     []standin.Run
+	Arrivals []standin.Arrival
 	// Faults lists the disturbances, planned work excluded; Stops the planned
-	// stops of daemons.
-	Faults []Span
-	Stops  []Span
+	// stops of daemons, up to the end of the process, Reloads the times at which
+	// they were told to read their settings.
+	Faults  []Span
+	Stops   []Span
+	Reloads []Span
+	// Configs lists the times at which configurations were published.
+	Configs []time.Time
+	// Colds lists the endpoints that were cold for a while.
+	Colds []Cold
 	// Changes lists what was published. Bounds in time are checked only if
 	// Timed is set.
 	Changes []Change
 	Timed   bool
 	// Allowed reports whether some configuration lets a run be.
 	Allowed func(run standin.Run) bool
+	// Services returns the services to which a configuration sent the call.
+	Services func(call Call) []types.ServiceName
+
+	// Bounds that the daemons were told: the retry budget, the time to stop, the
+	// time for a configuration to be in force, and every route's timeout and
+	// attempt limit.
+	Budget       Budget
+	Grace        time.Duration
+	ConfigWithin time.Duration
+	RouteTimeout time.Duration
+	MaxAttempts  int
 }
 
 // Limits of the checks.
 const (
-	// maxAttempts is what every route of the soak allows.
-	maxAttempts = 2
 	// overlap is how long the first run of a stream may go on after a second
 	// one has taken over: cancelling takes time.
 	overlap = 400 * time.Millisecond
@@ -80,15 +104,19 @@
 	for _, run := range r.Runs {
 		byID[run.ID] = append(byID[run.ID], run)
 	}
+	arrivals := make(map[string][]standin.Arrival)
+	for _, arrival := range r.Arrivals {
+		arrivals[arrival.ID] = append(arrivals[arrival.ID], arrival)
+	}
 	known := make(map[string]bool, len(r.Calls))
 	for _, call := range r.Calls {
 		known[call.ID] = true
 		runs := byID[call.ID]
 		broken = append(broken, answer(call)...)
-		broken = append(broken, once(call, runs)...)
+		broken = append(broken, r.once(call, runs)...)
+		broken = append(broken, r.attempts(call, arrivals[call.ID])...)
 		broken = append(broken, refusal(call, runs)...)
 		if r.Timed {
-			broken = append(broken, r.cutOff(call)...)
 			broken = append(broken, r.changes(call, runs)...)
 		}
 	}
@@ -100,8 +128,14 @@
 			broken = append(broken, fmt.Sprintf("route: %s %s ran at %s of %s", run.ID, run.Path, run.Endpoint, run.Service))
 		}
 	}
+	broken = append(broken, r.overBudget()...)
+	broken = append(broken, r.lost(arrivals)...)
 	if r.Timed {
 		broken = append(broken, r.unserved()...)
+		broken = append(broken, r.unanswered()...)
+		broken = append(broken, r.gone(arrivals)...)
+		broken = append(broken, r.stops()...)
+		broken = append(broken, r.overheated()...)
 	}
 	slices.Sort(broken)
 	return slices.Compact(broken)
@@ -111,7 +145,7 @@
 func (r *Record) unserved() []string {
 	sent, served := 0, 0
 	for _, call := range r.Calls {
-		if r.disturbedAnywhere(call.Sent, call.Ended) {
+		if call.Direct || call.Outcome.Left || r.disturbedAnywhere(call.Sent, call.Ended) {
 			continue
 		}
 		sent++
@@ -157,11 +191,11 @@
 
 // once checks how often a request ran, and that a stream which goes on
 // elsewhere does not run twice at a time.
-func once(call Call, runs []standin.Run) []string {
+func (r *Record) once(call Call, runs []standin.Run) []string {
 	if isOnce(call.Path) && len(runs) > 1 {
 		return []string{fmt.Sprintf("twice: %s %s ran %d times", call.ID, call.Path, len(runs))}
 	}
-	if len(runs) > maxAttempts {
+	if len(runs) > r.MaxAttempts {
 		return []string{fmt.Sprintf("attempts: %s %s ran %d times", call.ID, call.Path, len(runs))}
 	}
 	if !strings.HasPrefix(call.Path, standin.ReportPath) || len(runs) < 2 {
@@ -206,21 +240,11 @@
 	})
 }
 
-// cutOff checks that a planned stop cut no request.
-func (r *Record) cutOff(call Call) []string {
-	stopping := slices.ContainsFunc(r.Stops, func(stop Span) bool {
-		return stop.Daemon == call.Daemon && call.Sent.Before(stop.To) && call.Ended.After(stop.From)
+// disturbedDaemon is disturbed for faults of daemons and their links only.
+func (r *Record) disturbedDaemon(daemon string, from, to time.Time) bool {
+	return slices.ContainsFunc(r.Faults, func(fault Span) bool {
+		return !fault.Elsewhere && (fault.Daemon == "" || fault.Daemon == daemon) && fault.bearsOn(from, to)
 	})
-	gaveUp := call.Ended.Sub(call.Sent) >= call.Timeout
-	if !stopping || gaveUp || r.disturbed(call.Daemon, call.Sent, call.Ended) {
-		return nil
-	}
-	out := call.Outcome
-	// A request that crosses the close of its connection was not read.
-	if out.Status == 0 || out.Complete {
-		return nil
-	}
-	return []string{fmt.Sprintf("lost: %s %s was cut off while %s stopped: %v", call.ID, call.Path, call.Daemon, out.Err)}
 }
 
 // changes checks that acknowledged changes were in force in time.
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -1,12 +1,14 @@
 package check_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
 	"github.com/flamingomount/flamingomount/tools/soak/check"
 )
@@ -35,6 +37,30 @@
 	}
 }
 
+// cut is a call whose connection ended without an answer after the whole request
+// was sent, that long before.
+func cut(id string, at, read time.Duration, reused bool) check.Call {
+	call := served(id, standin.StatusPath, at)
+	call.Ended = after(at + read + time.Millisecond)
+	call.Outcome = standin.Outcome{Connected: true, Reused: reused, Written: after(at + time.Millisecond)}
+	return call
+}
+
+func arrival(id, endpoint string, at time.Duration, result standin.Result) standin.Arrival {
+	return standin.Arrival{ID: id, Path: standin.StatusPath, Endpoint: endpoint, Service: "s", At: after(at), From: "d1#1", Result: result}
+}
+
+// repeated returns the arrivals of so many requests, each at two endpoints, which
+// answered as given.
+func repeated(requests int, at time.Duration, result standin.Result) []standin.Arrival {
+	var found []standin.Arrival
+	for number := range requests {
+		id := fmt.Sprint("r", number)
+		found = append(found, arrival(id, "e1", at, result), arrival(id, "e2", at+time.Millisecond, result))
+	}
+	return found
+}
+
 func run(id, path, endpoint string, at time.Duration) standin.Run {
 	return standin.Run{ID: id, Path: path, Endpoint: endpoint, Service: "s", Started: after(at), Ended: after(at + 40*time.Millisecond)}
 }
@@ -48,8 +74,11 @@
 		Runs: []standin.Run{
 			run("a", standin.OrderPath, "e1", 0), run("b", standin.ReportPath, "e1", time.Second), run("c", standin.StatusPath, "e2", 2*time.Second),
 		},
-		Allowed: func(standin.Run) bool { return true },
-		Timed:   true,
+		Allowed:  func(standin.Run) bool { return true },
+		Services: func(check.Call) []types.ServiceName { return []types.ServiceName{"s"} },
+		Timed:    true,
+		Budget:   check.Budget{Ratio: 0.2, Slack: 3, Window: 5 * time.Second},
+		Grace:    4 * time.Second, ConfigWithin: 3 * time.Second, RouteTimeout: 4 * time.Second, MaxAttempts: 2,
 	}
 }
 
@@ -95,7 +124,68 @@
 			r.Stops = []check.Span{{From: after(-time.Second), To: after(time.Second), Daemon: "d1"}}
 			r.Calls[0].Outcome.Complete = false
 			r.Calls[0].Outcome.Body = ""
+			r.Calls[0].Outcome.Written = after(time.Millisecond)
 		}, "lost: a"),
+		Entry("a request that a planned stop left without an answer after it was passed on", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 10*time.Millisecond, false))
+			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Answered))
+		}, "lost: x"),
+		Entry("a request that a planned stop left unread for long", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 300*time.Millisecond, false))
+		}, "lost: x"),
+		Entry("a request that a reload left without an answer", func(r *check.Record) {
+			r.Reloads = []check.Span{{From: after(0), Daemon: "d1"}}
+			r.Calls = append(r.Calls, cut("x", 2*time.Second, 300*time.Millisecond, true))
+		}, "lost: x"),
+		Entry("a request that a new configuration left without an answer", func(r *check.Record) {
+			r.Configs = []time.Time{after(0)}
+			r.Calls = append(r.Calls, cut("x", 3*time.Second, 300*time.Millisecond, true))
+		}, "lost: x"),
+		Entry("kept connections that end without an answer", func(r *check.Record) {
+			for _, id := range []string{"w", "x", "y", "z"} {
+				r.Calls = append(r.Calls, cut(id, time.Second, 10*time.Millisecond, true))
+				r.Arrivals = append(r.Arrivals, arrival(id, "e1", time.Second, standin.Answered))
+			}
+		}, "dropped: w"),
+		Entry("refusals beyond the retry budget", func(r *check.Record) {
+			r.Arrivals = repeated(5, time.Second, standin.Refused)
+		}, "budget: s got 5"),
+		Entry("misdirected answers beyond the retry budget", func(r *check.Record) {
+			r.Arrivals = repeated(5, time.Second, standin.Misdirected)
+		}, "budget: s got 5"),
+		Entry("refused requests at three endpoints", func(r *check.Record) {
+			for _, endpoint := range []string{"e1", "e2", "e3"} {
+				r.Arrivals = append(r.Arrivals, arrival("c", endpoint, 2*time.Second, standin.Refused))
+			}
+		}, "attempts: c"),
+		Entry("a process that goes on beyond the grace period", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4500 * time.Millisecond), Daemon: "d1"}}
+		}, "grace: d1"),
+		Entry("calls without an answer at their route's timeout", func(r *check.Record) {
+			for range 4 {
+				late := served("l", standin.StatusPath, 0)
+				late.Outcome = standin.Outcome{Written: after(0)}
+				late.Ended = after(5 * time.Second)
+				r.Calls = append(r.Calls, late)
+			}
+		}, "unanswered: 4 of 4"),
+		Entry("requests that arrive after their callers have left", func(r *check.Record) {
+			for _, id := range []string{"w", "x", "y", "z"} {
+				left := served(id, standin.StatusPath, 0)
+				left.Outcome = standin.Outcome{Left: true}
+				r.Calls = append(r.Calls, left)
+				r.Arrivals = append(r.Arrivals, arrival(id, "e1", 600*time.Millisecond, standin.Answered))
+			}
+		}, "gone: w"),
+		Entry("an endpoint that gets too much right after its start", func(r *check.Record) {
+			r.Colds = []check.Cold{{Endpoint: "e1", From: after(0), To: after(3 * time.Second), Most: 2.5}}
+			r.Arrivals = []standin.Arrival{
+				arrival("a", "e1", time.Second, standin.Answered), arrival("b", "e1", 1500*time.Millisecond, standin.Answered),
+				arrival("c", "e1", 1900*time.Millisecond, standin.Refused),
+			}
+		}, "cold: e1"),
 		Entry("an endpoint used too long after it was told to leave", func(r *check.Record) {
 			r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
 				Forbids: func(run standin.Run) bool { return run.Endpoint == "e2" }}}
@@ -109,6 +199,35 @@
 		}, "unserved"),
 	)
 
+	DescribeTable("accepts what the promises allow", func(plant func(r *check.Record)) {
+		r := record()
+		plant(r)
+		Expect(check.All(r)).To(BeEmpty())
+	},
+		Entry("retries within the fixed number", func(r *check.Record) { r.Arrivals = repeated(3, time.Second, standin.Refused) }),
+		Entry("retries within the ratio of the window before", func(r *check.Record) {
+			for number := range 20 {
+				r.Calls = append(r.Calls, served(fmt.Sprint("r", number), standin.StatusPath, 0))
+			}
+			r.Arrivals = repeated(7, 4*time.Second, standin.Refused)
+		}),
+		Entry("a request that crosses the end of its connection", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 10*time.Millisecond, true))
+		}),
+		Entry("an answer that its endpoint broke off", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 10*time.Millisecond, true))
+			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Broken))
+		}),
+		Entry("half a request", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
+			half := cut("x", time.Second, time.Second, true)
+			half.Outcome.Written = time.Time{}
+			r.Calls = append(r.Calls, half)
+		}),
+	)
+
 	It("excuses what a fault shortly before may have caused", func() {
 		r := record()
 		r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
--- a/tools/soak/link/link.go
+++ b/tools/soak/link/link.go
@@ -37,19 +37,23 @@
 type Link struct {
 	listener net.Listener
 	target   string
+	// opened is told of each forwarded connection before any byte is.
+	opened func(onward, caller, here net.Addr)
 
 	mu    sync.Mutex
 	mode  Mode
 	conns map[net.Conn]bool
 }
 
-// New listens on a loopback address and forwards to the target.
-func New(target string) (*Link, error) {
+// New listens on a loopback address and forwards to the target. If opened is not
+// nil, it is told of each connection, before any byte is forwarded: the address
+// from which it is forwarded, the caller's address and the link's.
+func New(target string, opened func(onward, caller, here net.Addr)) (*Link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	l := &Link{listener: listener, target: target, opened: opened, conns: make(map[net.Conn]bool)}
 	go l.accept()
 	return l, nil
 }
@@ -119,6 +123,9 @@
 		abort(caller)
 		return
 	}
+	if l.opened != nil {
+		l.opened(target.LocalAddr(), caller.RemoteAddr(), caller.LocalAddr())
+	}
 	l.keep(caller, target)
 	defer l.drop(caller, target)
 	var both sync.WaitGroup
--- a/tools/soak/link/link_test.go
+++ b/tools/soak/link/link_test.go
@@ -34,7 +34,7 @@
 				go echo(conn, arrived)
 			}
 		}()
-		one, err = link.New(listener.Addr().String())
+		one, err = link.New(listener.Addr().String(), nil)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { one.Close(); _ = listener.Close() })
 	})
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -35,6 +35,9 @@
 	Crash Kind = "crash"
 	// Misbehave lets an endpoint break, swallow, spoil and fail answers.
 	Misbehave Kind = "misbehave"
+	// Burst lets all endpoints of a service refuse, misdirect, break off or fail
+	// every request for a while.
+	Burst Kind = "burst"
 	// EndpointLink, StoreLink and CallerLink disturb a link.
 	EndpointLink Kind = "endpoint-link"
 	StoreLink    Kind = "store-link"
@@ -53,7 +56,7 @@
 var (
 	planned = []Kind{Move, Evacuate, Drain, Stop, Reload}
 	faults  = []Kind{
-		Kill, KillAll, Pause, Crash, Misbehave, EndpointLink, EndpointLink, StoreLink, CallerLink, StoreDown, StoreForgets,
+		Kill, KillAll, Pause, Crash, Misbehave, Burst, Burst, EndpointLink, EndpointLink, StoreLink, CallerLink, StoreDown, StoreForgets,
 	}
 )
 
@@ -77,8 +80,13 @@
 	meanGap = 900 * time.Millisecond
 	minFor  = 300 * time.Millisecond
 	maxFor  = 3 * time.Second
+	// maxFollow bounds the time between two steps of a series.
+	maxFollow = 300 * time.Millisecond
 )
 
+// maxSeries is one more than the most steps that follow one at once.
+const maxSeries = 4
+
 // New draws the steps of a run. Every fourth seed has planned work only, so that
 // what it must not harm is checked without any excuse.
 func New(seed uint64, length time.Duration) []Step {
@@ -90,11 +98,31 @@
 		if calm || rng.IntN(2) == 0 {
 			kinds = planned
 		}
-		steps = append(steps, Step{
+		step := Step{
 			At: at, Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16),
 			For: minFor + time.Duration(rng.Int64N(int64(maxFor-minFor))),
-		})
+		}
+		steps = append(steps, step)
+		for range rng.IntN(maxSeries) {
+			if follow := follows(step.Kind); len(follow) > 0 {
+				step.At += time.Duration(rng.Int64N(int64(maxFollow)))
+				step.Kind = follow[rng.IntN(len(follow))]
+				steps = append(steps, step)
+			}
+		}
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-	return steps
+	return slices.DeleteFunc(steps, func(step Step) bool { return step.At >= length })
+}
+
+// follows returns what may follow at once, on the same target: signals and
+// configurations overlap, and daemons stop while endpoints turn requests away.
+func follows(kind Kind) []Kind {
+	switch kind {
+	case Stop, Reload, Move:
+		return []Kind{Stop, Reload, Move}
+	case Burst:
+		return []Kind{Stop, Kill}
+	}
+	return nil
 }
--- a/tools/soak/world/callers.go
+++ b/tools/soak/world/callers.go
@@ -23,6 +23,15 @@
 	keepFor = 2 * time.Second
 	// askTimeout bounds a question to the directory.
 	askTimeout = time.Second
+	// directPause is the time between two calls of a caller that stays with its
+	// daemon whatever happens.
+	directPause = 20 * time.Millisecond
+	// maxBodyPause bounds the pause of a caller that sends half a body first,
+	// maxStay the time after which one leaves that does not wait for its answer.
+	maxBodyPause = 400 * time.Millisecond
+	maxStay      = 200 * time.Millisecond
+	// Of so many calls one pauses in its body, and one leaves early.
+	pauseEvery, leaveEvery = 12, 20
 )
 
 var kinds = []struct {
@@ -32,6 +41,8 @@
 	{http.MethodPost, standin.OrderPath, 300},
 	{http.MethodPost, standin.OrderPath, 300},
 	{http.MethodGet, standin.StatusPath, 0},
+	{http.MethodGet, standin.FetchPath, 0},
+	{http.MethodPost, standin.FetchPath, 200},
 	{http.MethodPost, standin.AskPath, 400},
 	{http.MethodPost, standin.ReportPath, 20_000},
 }
@@ -45,6 +56,30 @@
 	}
 }
 
+// directCallers lets two callers stay with each daemon, without asking whether it
+// takes callers: one keeps its connection for as long as it can, the other
+// connects anew for each call.
+func (w *World) directCallers(ctx context.Context) {
+	for _, one := range w.daemons {
+		for _, anew := range []bool{false, true} {
+			w.serving.Go(func() { w.directCaller(ctx, one, anew) })
+		}
+	}
+}
+
+func (w *World) directCaller(ctx context.Context, one *daemon, anew bool) {
+	seed := uint64(len(one.name)) << 1
+	rng := rand.New(rand.NewPCG(w.opts.Seed^seed, 1))
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: anew}
+	defer transport.CloseIdleConnections()
+	for sent := 0; ctx.Err() == nil; sent++ {
+		call := w.draw(fmt.Sprintf("direct-%s-%t-%d", one.name, anew, sent), rng)
+		call.Daemon, call.Direct, call.Address = one.name, true, one.front()
+		w.send(call, transport)
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(directPause)))
+	}
+}
+
 func (w *World) caller(ctx context.Context, region types.Region, number int) {
 	rng := rand.New(rand.NewPCG(w.opts.Seed, uint64(number)))
 	sent := 0
@@ -57,7 +92,9 @@
 		transport := &http.Transport{DisableCompression: true}
 		for until := time.Now().Add(keepFor); time.Now().Before(until) && ctx.Err() == nil; {
 			sent++
-			outcome := w.call(transport, one, fmt.Sprintf("%s-%d-%d", region, number, sent), rng)
+			call := w.draw(fmt.Sprintf("%s-%d-%d", region, number, sent), rng)
+			call.Daemon, call.Address = one.name, one.callers.Address()
+			outcome := w.send(call, transport)
 			if outcome.Status == 0 {
 				break // another entry is asked for
 			}
@@ -85,14 +122,26 @@
 	return nil
 }
 
-// call sends one request and notes what came of it. A call that has begun is
-// finished also when the run ends.
-func (w *World) call(transport *http.Transport, one *daemon, id string, rng *rand.Rand) standin.Outcome {
+// draw returns a call of a random kind, which some callers send in two halves and
+// some do not wait for.
+func (w *World) draw(id string, rng *rand.Rand) check.Call {
 	kind := kinds[rng.IntN(len(kinds))]
-	call := check.Call{Daemon: one.name, Sent: time.Now(), Call: standin.Call{
-		ID: id, Address: one.callers.Address(), Host: host, Method: kind.method, Path: kind.path + "x",
-		Body: make([]byte, kind.bodyBytes), Timeout: callWithin,
+	call := check.Call{Call: standin.Call{
+		ID: id, Host: host, Method: kind.method, Path: kind.path + "x", Body: make([]byte, kind.bodyBytes), Timeout: callWithin,
 	}}
+	if kind.bodyBytes > 0 && rng.IntN(pauseEvery) == 0 {
+		call.BodyPause = time.Duration(rng.Int64N(int64(maxBodyPause)))
+	}
+	if rng.IntN(leaveEvery) == 0 {
+		call.LeaveAfter = time.Millisecond + time.Duration(rng.Int64N(int64(maxStay)))
+	}
+	return call
+}
+
+// send sends a call and notes what came of it. A call that has begun is finished
+// also when the run ends.
+func (w *World) send(call check.Call, transport *http.Transport) standin.Outcome {
+	call.Sent = time.Now()
 	call.Outcome = call.Send(context.Background(), transport)
 	call.Ended = time.Now()
 	w.mu.Lock()
--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/entry"
 	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
+	"github.com/flamingomount/flamingomount/tools/soak/check"
 	"github.com/flamingomount/flamingomount/tools/soak/link"
 )
 
@@ -36,6 +37,10 @@
 	memoryBytes  = 284 << 20
 )
 
+// budget is the retry budget. Its fixed part is small, so that a service whose
+// endpoints refuse soon reaches it.
+var budget = check.Budget{Ratio: 0.2, Slack: 8, Window: 5 * time.Second}
+
 // restartAfter is the delay before a daemon that ended starts again.
 const restartAfter = 300 * time.Millisecond
 
@@ -53,7 +58,10 @@
 
 	mu      sync.Mutex
 	process *os.Process
-	ending  bool
+	// starts counts the processes; ended is closed when the last one has ended.
+	starts int
+	ended  chan struct{}
+	ending bool
 	// run is the process's loop.
 	run conc.WaitGroup
 }
@@ -82,7 +90,7 @@
 		Settings: entry.Settings{
 			Region: d.region, DataCentre: dataCentreOf(d.region), CallerAddress: d.front(), PeerAddress: d.control(), Seeds: seeds,
 			MemoryBytes: memoryBytes, ConfigPropagationLimit: configWithin, EvacuationLimit: evacuateWithin, Grace: grace,
-			Cold: balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3}, RetryRatio: 0.2, RetrySlack: 56,
+			Cold: balance.Bounds{ColdOvershoot: coldOvershoot, ColdSlack: coldSlack}, RetryRatio: budget.Ratio, RetrySlack: budget.Slack, RetryWindow: budget.Window,
 		},
 		Ready: d.readiness(), Directory: d.directory(), Store: d.store.Address(), Regions: dataCentres(),
 	}.Write(d.file)
@@ -113,6 +121,7 @@
 				return
 			}
 			_ = command.Wait() // how it ended is in its log
+			close(d.ended)
 			time.Sleep(restartAfter)
 		}
 	})
@@ -129,10 +138,33 @@
 		fmt.Fprintln(d.log, "soak: the daemon does not start:", err)
 		return false
 	}
-	d.process = command.Process
+	d.process, d.ended = command.Process, make(chan struct{})
+	d.starts++
 	return true
 }
 
+// running returns the name and the number of the process that started last.
+func (d *daemon) running() (string, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.process == nil {
+		return "", 0
+	}
+	return check.ProcessName(d.name, d.starts), d.process.Pid
+}
+
+// stop asks the process to stop and returns what is closed when it has ended, nil
+// without a process.
+func (d *daemon) stop() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.process == nil {
+		return nil
+	}
+	_ = d.process.Signal(syscall.SIGTERM) // it may have ended by itself
+	return d.ended
+}
+
 // signal sends a signal to the process that this soak started last.
 func (d *daemon) signal(signal syscall.Signal) {
 	d.mu.Lock()
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
 	"github.com/flamingomount/flamingomount/tools/soak/check"
 	"github.com/flamingomount/flamingomount/tools/soak/link"
@@ -33,6 +34,7 @@
 	var happening conc.WaitGroup
 	started := time.Now()
 	w.callers(traffic)
+	w.directCallers(traffic)
 	for _, step := range steps {
 		time.Sleep(time.Until(started.Add(step.At)))
 		happening.Go(func() { w.happen(step) })
@@ -43,11 +45,35 @@
 	time.Sleep(callWithin)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.record.Calls, w.record.Runs = slices.Clone(w.calls), w.ledger.Runs()
-	w.record.Timed, w.record.Allowed = w.opts.Timed, w.allowed
+	w.record.Calls, w.record.Runs, w.record.Arrivals = slices.Clone(w.calls), w.ledger.Runs(), w.ledger.Arrivals()
+	w.record.Timed, w.record.Allowed, w.record.Services = w.opts.Timed, w.allowed, w.servicesOf
+	w.record.Budget, w.record.Grace, w.record.ConfigWithin = budget, grace, configWithin
+	w.record.RouteTimeout, w.record.MaxAttempts = routeTimeout, maxAttempts
 	return &w.record
 }
 
+// servicesOf returns the services to which some configuration in force sent a
+// call. It is asked after the run.
+func (w *World) servicesOf(call check.Call) []types.ServiceName {
+	switch {
+	case strings.HasPrefix(call.Path, standin.StatusPath):
+		return []types.ServiceName{desk}
+	case strings.HasPrefix(call.Path, standin.FetchPath):
+		return []types.ServiceName{vault}
+	case !strings.HasPrefix(call.Path, standin.OrderPath):
+		return []types.ServiceName{engines}
+	}
+	var found []types.ServiceName
+	for at, orders := range w.orders {
+		last := at == len(w.orders)-1
+		if orders.from.Before(call.Ended) && (last || call.Sent.Before(w.orders[at+1].from.Add(configWithin))) {
+			found = append(found, orders.service)
+		}
+	}
+	slices.Sort(found)
+	return slices.Compact(found)
+}
+
 // allowed reports whether some configuration of the run lets a run be.
 func (w *World) allowed(run standin.Run) bool {
 	switch {
@@ -55,6 +81,8 @@
 		return run.Service == desk || run.Service == annex
 	case strings.HasPrefix(run.Path, standin.StatusPath):
 		return run.Service == desk
+	case strings.HasPrefix(run.Path, standin.FetchPath):
+		return run.Service == vault
 	case strings.HasPrefix(run.Path, standin.ReportPath):
 		return run.Service == engines && w.placeOf[run.Endpoint] == dataCentreOf(homeRegion)
 	}
@@ -68,39 +96,86 @@
 		return
 	}
 	target := w.daemons[step.Target%len(w.daemons)]
-	from := time.Now()
-	var daemon string
+	fault := check.Span{From: time.Now(), Daemon: target.name}
 	switch step.Kind {
 	case plan.Kill:
-		daemon = target.name
 		target.signal(syscall.SIGKILL)
 	case plan.KillAll:
+		fault.Daemon = ""
 		for _, one := range w.daemons {
 			one.signal(syscall.SIGKILL)
 		}
 	case plan.Pause:
-		daemon = target.name
 		target.signal(syscall.SIGSTOP)
 		time.Sleep(step.For)
 		target.signal(syscall.SIGCONT)
 	case plan.StoreLink:
-		daemon = target.name
 		disturb(target.store, step)
 	case plan.CallerLink:
-		daemon = target.name
 		disturb(target.callers, step)
+	default:
+		fault.Daemon, fault.Elsewhere = "", true
+		fault.Endpoint = w.faultElsewhere(step)
+	}
+	fault.To = time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record.Faults = append(w.record.Faults, fault)
+}
+
+// faultElsewhere lets a fault of the store or of endpoints happen, and returns
+// the endpoint whose link was disturbed, if one was.
+func (w *World) faultElsewhere(step plan.Step) string {
+	switch step.Kind {
 	case plan.StoreDown:
 		w.store.SetFault([]standin.Fault{standin.Unavailable, standin.RateLimited, standin.Unresponsive}[step.Variant%3])
 		time.Sleep(step.For)
 		w.store.SetFault(standin.NoFault)
 	case plan.StoreForgets:
 		w.store.DropHistory()
+	case plan.Burst:
+		w.burst(step)
 	default:
-		w.endpointFault(step)
+		return w.endpointFault(step)
+	}
+	return ""
+}
+
+// OverHop is the target of a plan.Burst that concerns the service whose endpoints
+// are all in one region. Refusing and Dropping are variants of a burst.
+const (
+	OverHop  = 0
+	Refusing = 0
+	Dropping = 1
+)
+
+var (
+	burstTargets  = []types.ServiceName{OverHop: vault, vault, desk, engines}
+	burstVariants = []standin.Behaviour{
+		Refusing: {RefuseEvery: 1}, Dropping: {DropEvery: 1}, {MisdirectEvery: 1}, {FailEvery: 1},
+		{RefuseEvery: 2, MisdirectEvery: 3, DropEvery: 5},
 	}
+)
+
+// burst lets every endpoint of a service turn all requests away for a while.
+func (w *World) burst(step plan.Step) {
+	service := burstTargets[step.Target%len(burstTargets)]
+	behaviour := burstVariants[step.Variant%len(burstVariants)]
+	behaviour.Delay = workTime
+	w.behave(service, behaviour)
+	time.Sleep(step.For)
+	w.behave(service, standin.Behaviour{Delay: workTime})
+}
+
+// behave sets the behaviour of every endpoint of a service.
+func (w *World) behave(service types.ServiceName, behaviour standin.Behaviour) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.record.Faults = append(w.record.Faults, check.Span{From: from, To: time.Now(), Daemon: daemon})
+	for _, one := range w.endpoints {
+		if one.service == service {
+			one.SetBehaviour(behaviour)
+		}
+	}
 }
 
 // disturb sets one of a link's bad modes for a while.
@@ -111,7 +186,9 @@
 	l.Set(link.Forward)
 }
 
-func (w *World) endpointFault(step plan.Step) {
+// endpointFault lets a fault of one endpoint happen, and returns the endpoint if
+// its link was disturbed.
+func (w *World) endpointFault(step plan.Step) string {
 	one := w.pick(step)
 	switch step.Kind {
 	case plan.Crash:
@@ -129,7 +206,9 @@
 		one.SetBehaviour(standin.Behaviour{Delay: workTime})
 	case plan.EndpointLink:
 		disturb(one.link, step)
+		return one.id
 	}
+	return ""
 }
 
 func (w *World) pick(step plan.Step) *endpoint {
@@ -155,17 +234,32 @@
 	case plan.Drain:
 		w.drain(step)
 	case plan.Stop:
+		w.stop(target)
+	case plan.Reload:
 		from := time.Now()
-		target.signal(syscall.SIGTERM)
+		target.signal(syscall.SIGHUP)
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		to := from.Add(grace)
-		w.record.Stops = append(w.record.Stops, check.Span{From: from, To: to, Daemon: target.name})
-	case plan.Reload:
-		target.signal(syscall.SIGHUP)
+		w.record.Reloads = append(w.record.Reloads, check.Span{From: from, To: from, Daemon: target.name})
 	}
 }
 
+// stop asks a daemon to stop, ends it when the grace period is well over and
+// notes how long it took.
+func (w *World) stop(target *daemon) {
+	stop := check.Span{From: time.Now(), Daemon: target.name}
+	ended := target.stop()
+	select {
+	case <-ended:
+	case <-time.After(grace + time.Second):
+		target.signal(syscall.SIGKILL)
+	}
+	stop.To = time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record.Stops = append(w.record.Stops, stop)
+}
+
 // change notes an acknowledged change and returns its place.
 func (w *World) change(change check.Change) int {
 	w.mu.Lock()
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -30,6 +30,9 @@
 	engines = types.ServiceName("engines")
 	desk    = types.ServiceName("desk")
 	annex   = types.ServiceName("annex")
+	// vault has endpoints in the home region only, so that requests of other
+	// regions go over a hop.
+	vault = types.ServiceName("vault")
 	// homeRegion is the only region that reports may be in.
 	homeRegion = types.Region("north")
 )
@@ -50,6 +53,16 @@
 	return found
 }
 
+// Bounds of the routes and of engines that have just started.
+const (
+	routeTimeout  = 4 * time.Second
+	maxAttempts   = 2
+	coldStart     = 2 * time.Second
+	coldPerSecond = 9
+	coldOvershoot = 1.5
+	coldSlack     = 3
+)
+
 // Options describes a run.
 type Options struct {
 	Seed uint64
@@ -89,10 +102,19 @@
 	version   uint64
 	calls     []check.Call
 	record    check.Record
+	// orders lists where orders went, by the time of the configuration.
+	orders  []ordersTo
+	senders senders
 	// placeOf holds the data centre of every endpoint that ever was, by ID.
 	placeOf map[string]types.DataCentre
 }
 
+// ordersTo is the service to which orders go from a time on.
+type ordersTo struct {
+	from    time.Time
+	service types.ServiceName
+}
+
 // endpoint is a back end with the link before it.
 type endpoint struct {
 	*standin.Endpoint
@@ -106,6 +128,7 @@
 // the world, if there is one, still has to be closed.
 func New(ctx context.Context, opts Options) (*World, error) {
 	w := &World{opts: opts, store: standin.NewStore(), ledger: &standin.Ledger{}, placeOf: make(map[string]types.DataCentre)}
+	w.senders = senders{processes: w.processes, names: make(map[string]string)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "store")
@@ -114,7 +137,7 @@
 	w.serving.Go(func() { _ = w.storeHTTP.Serve(listener) }) // always http.ErrServerClosed
 	w.publish(desk)
 	for _, region := range regions {
-		for _, service := range []types.ServiceName{engines, engines, desk, desk, annex} {
+		for _, service := range servicesIn(region) {
 			if _, err := w.addEndpoint(service, region); err != nil {
 				return w, err
 			}
@@ -126,6 +149,26 @@
 	return w, w.awaitReady(ctx)
 }
 
+// servicesIn returns the service of each endpoint that a region has.
+func servicesIn(region types.Region) []types.ServiceName {
+	services := []types.ServiceName{engines, engines, desk, desk, annex}
+	if region == homeRegion {
+		services = append(services, vault, vault, vault)
+	}
+	return services
+}
+
+// processes returns the daemons' processes by name.
+func (w *World) processes() map[string]int {
+	found := make(map[string]int, len(w.daemons))
+	for _, one := range w.daemons {
+		if name, pid := one.running(); pid != 0 {
+			found[name] = pid
+		}
+	}
+	return found
+}
+
 func (w *World) startDaemons(store string) error {
 	if err := w.reserve(); err != nil {
 		return err
@@ -175,10 +218,10 @@
 		return nil, err
 	}
 	var err error
-	if one.store, err = link.New(store); err != nil {
+	if one.store, err = link.New(store, nil); err != nil {
 		return nil, eris.Wrap(err, "link")
 	}
-	if one.callers, err = link.New(one.front()); err != nil {
+	if one.callers, err = link.New(one.front(), nil); err != nil {
 		return nil, eris.Wrap(err, "link")
 	}
 	one.log, err = os.Create(filepath.Join(w.opts.Dir, one.name+".log"))
@@ -203,11 +246,14 @@
 	w.mu.Lock()
 	w.version += 3
 	version := w.version
+	now := time.Now()
+	w.orders = append(w.orders, ordersTo{now, orders})
+	w.record.Configs = append(w.record.Configs, now)
 	w.mu.Unlock()
 	route := func(name, path string, kind catalog.Kind, service types.ServiceName) *catalog.Route {
 		return &catalog.Route{
 			Name: name, Host: host, Prefix: path, Kind: kind, Backends: []catalog.Backend{{Service: service, Weight: 1}},
-			Timeout: 4 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2, Rank: 2,
+			Timeout: routeTimeout, Objective: 400 * time.Millisecond, MaxAttempts: maxAttempts, Rank: 2,
 		}
 	}
 	report := route("report", standin.ReportPath, catalog.Streaming, engines)
@@ -219,9 +265,10 @@
 			route("ask", standin.AskPath, catalog.Streaming, engines),
 			route("order", standin.OrderPath, catalog.NonIdempotent, orders),
 			route("status", standin.StatusPath, catalog.Idempotent, desk),
+			route("fetch", standin.FetchPath, catalog.Idempotent, vault),
 		},
 		Services: map[types.ServiceName]*catalog.Service{
-			engines: {ColdStart: time.Second, ColdPerSecond: 9, Engine: &catalog.Engine{Slots: 16, CacheTokens: 100_000}},
+			engines: {ColdStart: coldStart, ColdPerSecond: coldPerSecond, Engine: &catalog.Engine{Slots: 16, CacheTokens: 100_000}},
 			desk:    {}, annex: {},
 		},
 		Limits: catalog.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
@@ -234,14 +281,20 @@
 	w.mu.Lock()
 	w.born++
 	id := fmt.Sprintf("i-%s-%s-%d", service, region, w.born)
+	// Engines that start before the daemons have warmed up.
+	now, coldUntil := time.Now(), time.Time{}
+	if service == engines && len(w.daemons) > 0 {
+		coldUntil = now.Add(coldStart)
+	}
 	w.mu.Unlock()
 	one, err := standin.NewEndpoint(standin.EndpointOptions{
 		ID: id, Service: service, DataCentre: dataCentreOf(region), Slots: slots, Ledger: w.ledger, Store: w.store,
+		ColdUntil: coldUntil, Sender: w.senders.name,
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "endpoint")
 	}
-	before, err := link.New(one.Address())
+	before, err := link.New(one.Address(), w.senders.opened)
 	if err != nil {
 		return nil, eris.Wrap(err, "link")
 	}
@@ -252,6 +305,9 @@
 	w.mu.Lock()
 	w.endpoints = append(w.endpoints, found)
 	w.placeOf[id] = dataCentreOf(region)
+	if !coldUntil.IsZero() {
+		w.record.Colds = append(w.record.Colds, check.Cold{Endpoint: id, From: now, To: coldUntil, Most: coldPerSecond*coldOvershoot + coldSlack})
+	}
 	w.mu.Unlock()
 	one.Publish()
 	return found, nil
