--- a/tools/soak/world/callers.go
+++ b/tools/soak/world/callers.go
@@ -47,6 +47,13 @@
 	{http.MethodPost, standin.ReportPath, 20_000},
 }
 
+// newTransport returns a transport that sends what it has at once, so that half a
+// body is half a body on the connection.
+func newTransport() *http.Transport {
+	const writeBufferBytes = 128
+	return &http.Transport{DisableCompression: true, WriteBufferSize: writeBufferBytes}
+}
+
 // callers sends requests from every region until ctx ends.
 func (w *World) callers(ctx context.Context) {
 	for _, region := range regions {
@@ -70,7 +77,8 @@
 func (w *World) directCaller(ctx context.Context, one *daemon, anew bool) {
 	seed := uint64(len(one.name)) << 1
 	rng := rand.New(rand.NewPCG(w.opts.Seed^seed, 1))
-	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: anew}
+	transport := newTransport()
+	transport.DisableKeepAlives = anew
 	defer transport.CloseIdleConnections()
 	for sent := 0; ctx.Err() == nil; sent++ {
 		call := w.draw(fmt.Sprintf("direct-%s-%t-%d", one.name, anew, sent), rng)
@@ -89,7 +97,7 @@
 			time.Sleep(pauseBetween)
 			continue
 		}
-		transport := &http.Transport{DisableCompression: true}
+		transport := newTransport()
 		for until := time.Now().Add(keepFor); time.Now().Before(until) && ctx.Err() == nil; {
 			sent++
 			call := w.draw(fmt.Sprintf("%s-%d-%d", region, number, sent), rng)
@@ -127,7 +135,9 @@
 func (w *World) draw(id string, rng *rand.Rand) check.Call {
 	kind := kinds[rng.IntN(len(kinds))]
 	call := check.Call{Call: standin.Call{
-		ID: id, Host: host, Method: kind.method, Path: kind.path + "x", Body: make([]byte, kind.bodyBytes), Timeout: callWithin,
+		// No two requests are alike: what breaks one endpoint after the other would
+		// be refused from then on.
+		ID: id, Host: host, Method: kind.method, Path: kind.path + id, Body: make([]byte, kind.bodyBytes), Timeout: callWithin,
 	}}
 	if kind.bodyBytes > 0 && rng.IntN(pauseEvery) == 0 {
 		call.BodyPause = time.Duration(rng.Int64N(int64(maxBodyPause)))
