Soak: check endpoints that leave or ask for a pause

Two new promises of the gateway. From what endpoints and callers saw:

- leaving: a request sent more than the bound (3 s) after a daemon's process passed on an endpoint's answer that said it leaves does not reach that endpoint from that process.
Only a freeze excuses one; a new process is another one.
- pausing: from 0.5 s after an endpoint asked a process for a pause to the end of it, at most two requests, health checks included, reach it from there.

Both know the process behind each connection.

--- a/tools/soak/check/budget.go
+++ b/tools/soak/check/budget.go
@@ -48,7 +48,7 @@
 	seen, found := make(map[key]bool), make(map[types.ServiceName][]time.Time)
 	for _, arrival := range sorted {
 		of := key{arrival.ID, arrival.Service}
-		if seen[of] {
+		if seen[of] && arrival.ID != "" {
 			found[arrival.Service] = append(found[arrival.Service], arrival.At)
 		}
 		seen[of] = true
--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -35,6 +35,8 @@
 	// link was disturbed.
 	Elsewhere bool
 	Endpoint  string
+	// Frozen is true if the daemon's process stood still.
+	Frozen bool
 }
 
 // Change is an acknowledged change after which some endpoints may no longer run
@@ -75,11 +77,13 @@
 	Services func(call Call) []types.ServiceName
 
 	// Bounds that the daemons were told: the retry budget, the time to stop, the
-	// time for a configuration to be in force, and every route's timeout and
+	// time for a configuration to be in force, the time in which requests may
+	// still reach endpoints that leave, and every route's timeout and
 	// attempt limit.
 	Budget       Budget
 	Grace        time.Duration
 	ConfigWithin time.Duration
+	DrainWithin  time.Duration
 	RouteTimeout time.Duration
 	MaxAttempts  int
 }
@@ -130,6 +134,8 @@
 	}
 	broken = append(broken, r.overBudget()...)
 	broken = append(broken, r.lost(arrivals)...)
+	broken = append(broken, r.left()...)
+	broken = append(broken, r.paused()...)
 	if r.Timed {
 		broken = append(broken, r.unserved()...)
 		broken = append(broken, r.unanswered()...)
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -78,7 +78,7 @@
 		Services: func(check.Call) []types.ServiceName { return []types.ServiceName{"s"} },
 		Timed:    true,
 		Budget:   check.Budget{Ratio: 0.2, Slack: 3, Window: 5 * time.Second},
-		Grace:    4 * time.Second, ConfigWithin: 3 * time.Second, RouteTimeout: 4 * time.Second, MaxAttempts: 2,
+		Grace:    4 * time.Second, ConfigWithin: 3 * time.Second, DrainWithin: 3 * time.Second, RouteTimeout: 4 * time.Second, MaxAttempts: 2,
 	}
 }
 
@@ -199,6 +199,39 @@
 		}, "unserved"),
 	)
 
+	// leaving plants an endpoint that says, by one answer that its caller gets at
+	// 1.05 s, that it leaves, and a request that its caller sends later.
+	leaving := func(r *check.Record, sent time.Duration, from string) {
+		r.Calls = append(r.Calls, served("x", standin.StatusPath, time.Second), served("y", standin.StatusPath, sent))
+		first, second := arrival("x", "e1", time.Second, standin.Answered), arrival("y", "e1", sent+time.Millisecond, standin.Answered)
+		first.Leaving, second.From = true, from
+		r.Arrivals = append(r.Arrivals, first, second)
+	}
+
+	// pausing plants an endpoint that asks for a pause of 2 s at 1 s, and three
+	// requests at a later time.
+	pausing := func(r *check.Record, at time.Duration) {
+		asked := arrival("x", "e1", time.Second, standin.Refused)
+		asked.Ended, asked.Pause = asked.At, 2*time.Second
+		r.Arrivals = append(r.Arrivals, asked)
+		for range 3 {
+			r.Arrivals = append(r.Arrivals, standin.Arrival{Path: standin.HealthPath, Endpoint: "e1", At: after(at), From: "d1#1", Result: standin.Answered})
+		}
+	}
+
+	It("finds requests at an endpoint that has said that it leaves, whatever was cut meanwhile", func() {
+		r := record()
+		leaving(r, 4100*time.Millisecond, "d1#1")
+		r.Faults = []check.Span{{From: after(2 * time.Second), To: after(3 * time.Second), Daemon: "d1"}}
+		Expect(check.All(r)).To(ContainElement(HavePrefix("leaving: y")))
+	})
+
+	It("finds requests at an endpoint in the pause that it asked for", func() {
+		r := record()
+		pausing(r, 1600*time.Millisecond)
+		Expect(check.All(r)).To(ContainElement(HavePrefix("pausing: e1 got 3")))
+	})
+
 	DescribeTable("accepts what the promises allow", func(plant func(r *check.Record)) {
 		r := record()
 		plant(r)
@@ -220,6 +253,28 @@
 			r.Calls = append(r.Calls, cut("x", time.Second, 10*time.Millisecond, true))
 			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Broken))
 		}),
+		Entry("a request to a leaving endpoint within the bound", func(r *check.Record) { leaving(r, 4*time.Second, "d1#1") }),
+		Entry("a request to a leaving endpoint from a new process", func(r *check.Record) { leaving(r, 5*time.Second, "d1#2") }),
+		Entry("a request to a leaving endpoint after a freeze", func(r *check.Record) {
+			leaving(r, 5*time.Second, "d1#1")
+			r.Faults = []check.Span{{From: after(2 * time.Second), To: after(3 * time.Second), Daemon: "d1", Frozen: true}}
+		}),
+		Entry("requests right after a pause was asked for", func(r *check.Record) { pausing(r, 1400*time.Millisecond) }),
+		Entry("requests after a pause", func(r *check.Record) { pausing(r, 3100*time.Millisecond) }),
+		Entry("requests in a pause of which a cut kept the daemon from hearing", func(r *check.Record) {
+			pausing(r, 1600*time.Millisecond)
+			r.Faults = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
+		}),
+		Entry("a request that may be stuck on the disturbed link of an endpoint", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
+			r.Faults = []check.Span{{From: after(time.Second), To: after(2 * time.Second), Elsewhere: true, Endpoint: "e1"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 3*time.Second, true))
+		}),
+		Entry("a request that its endpoint works on when the grace period ends", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 2700*time.Millisecond, true))
+			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Answered))
+		}),
 		Entry("half a request", func(r *check.Record) {
 			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
 			half := cut("x", time.Second, time.Second, true)
