Soak: a process that ends by itself is a finding

A daemon that ended was started again whatever the reason, and nothing was said: a crash, or a signal before its handler was installed, would have shown at most as refused calls. Now each end that the soak did not ask for is reported.

--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -63,6 +63,8 @@
 	Faults  []Span
 	Stops   []Span
 	Reloads []Span
+	// Exits lists when processes ended that nobody had told to.
+	Exits []Span
 	// Configs lists the times at which configurations were published.
 	Configs []time.Time
 	// Colds lists the endpoints that were cold for a while.
@@ -132,6 +134,9 @@
 			broken = append(broken, fmt.Sprintf("route: %s %s ran at %s of %s", run.ID, run.Path, run.Endpoint, run.Service))
 		}
 	}
+	for _, exit := range r.Exits {
+		broken = append(broken, fmt.Sprintf("exit: %s ended by itself at %s", exit.Daemon, clock(exit.From)))
+	}
 	broken = append(broken, r.overBudget()...)
 	broken = append(broken, r.lost(arrivals)...)
 	broken = append(broken, r.left()...)
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -160,6 +160,9 @@
 				r.Arrivals = append(r.Arrivals, arrival("c", endpoint, 2*time.Second, standin.Refused))
 			}
 		}, "attempts: c"),
+		Entry("a process that ends by itself", func(r *check.Record) {
+			r.Exits = []check.Span{{From: after(time.Second), To: after(time.Second), Daemon: "d1"}}
+		}, "exit: d1"),
 		Entry("a process that goes on beyond the grace period", func(r *check.Record) {
 			r.Stops = []check.Span{{From: after(0), To: after(4500 * time.Millisecond), Daemon: "d1"}}
 		}, "grace: d1"),
--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -62,6 +63,9 @@
 	starts int
 	ended  chan struct{}
 	ending bool
+	// told is true if the process was told to end; exits lists when others ended.
+	told  bool
+	exits []check.Span
 	// run is the process's loop.
 	run conc.WaitGroup
 }
@@ -122,6 +126,7 @@
 			}
 			_ = command.Wait() // how it ended is in its log
 			close(d.ended)
+			d.noteExit()
 			time.Sleep(restartAfter)
 		}
 	})
@@ -140,9 +145,26 @@
 	}
 	d.process, d.ended = command.Process, make(chan struct{})
 	d.starts++
+	d.told = false
 	return true
 }
 
+// noteExit notes that the process ended if nobody told it to.
+func (d *daemon) noteExit() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now := time.Now(); !d.told {
+		d.exits = append(d.exits, check.Span{From: now, To: now, Daemon: d.name})
+	}
+}
+
+// unasked returns when processes ended that nobody had told to.
+func (d *daemon) unasked() []check.Span {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.exits)
+}
+
 // running returns the name and the number of the process that started last.
 func (d *daemon) running() (string, int) {
 	d.mu.Lock()
@@ -162,6 +184,7 @@
 		return nil
 	}
 	_ = d.process.Signal(syscall.SIGTERM) // it may have ended by itself
+	d.told = true
 	return d.ended
 }
 
@@ -171,6 +194,7 @@
 	defer d.mu.Unlock()
 	if d.process != nil {
 		_ = d.process.Signal(signal) // it may have ended by itself
+		d.told = d.told || signal == syscall.SIGKILL
 	}
 }
 
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -48,6 +48,10 @@
 	w.record.Calls, w.record.Runs, w.record.Arrivals = slices.Clone(w.calls), w.ledger.Runs(), w.ledger.Arrivals()
 	w.record.Timed, w.record.Allowed, w.record.Services = w.opts.Timed, w.allowed, w.servicesOf
 	w.record.Budget, w.record.Grace, w.record.ConfigWithin = budget, grace, configWithin
+	w.record.DrainWithin = drainWithin
+	for _, one := range w.daemons {
+		w.record.Exits = append(w.record.Exits, one.unasked()...)
+	}
 	w.record.RouteTimeout, w.record.MaxAttempts = routeTimeout, maxAttempts
 	return &w.record
 }
@@ -106,6 +110,7 @@
 			one.signal(syscall.SIGKILL)
 		}
 	case plan.Pause:
+		fault.Frozen = true
 		target.signal(syscall.SIGSTOP)
 		time.Sleep(step.For)
 		target.signal(syscall.SIGCONT)
