Soak: work that goes on after its caller has left

Endpoints of the soak worked on when their caller had gone, or had at most 96 ms of work, so nothing showed whether a daemon passes the end of a caller on.

--- a/tools/soak/check/bounds.go
+++ b/tools/soak/check/bounds.go
@@ -84,6 +84,33 @@
 	return broken
 }
 
+// working checks that endpoints end most of the work for callers that have left,
+// of what would go on for longer.
+func (r *Record) working(runs map[string][]standin.Run, arrivals map[string][]standin.Arrival) []string {
+	lasting, going := 0, 0
+	var worst string
+	for _, call := range r.Calls {
+		at, ran := arrivals[call.ID], runs[call.ID]
+		if !call.Outcome.Left || len(at) == 0 || len(ran) == 0 || isOrder(call.Path) || !r.sound(at[len(at)-1]) ||
+			r.disturbedDaemon(call.Daemon, call.Sent, call.Ended.Add(late)) || r.disturbedDaemon(DaemonOf(at[len(at)-1].From), call.Sent, call.Ended.Add(late)) {
+			continue
+		}
+		run := ran[len(ran)-1]
+		if !run.Started.Before(call.Ended) || !run.Due.After(call.Ended.Add(late)) {
+			continue
+		}
+		lasting++
+		if run.Ended.IsZero() || run.Ended.After(call.Ended.Add(late)) {
+			going++
+			worst = describe(call, at)
+		}
+	}
+	if going <= maxLate || 4*going <= lasting {
+		return nil
+	}
+	return []string{fmt.Sprintf("gone: endpoints were at work on %d of %d requests %s after their callers had left, the last one %s", going, lasting, late, worst)}
+}
+
 // stops checks that a process that is told to stop ends within the grace period.
 func (r *Record) stops() []string {
 	var broken []string
--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -145,6 +145,7 @@
 		broken = append(broken, r.unserved()...)
 		broken = append(broken, r.unanswered()...)
 		broken = append(broken, r.gone(arrivals)...)
+		broken = append(broken, r.working(byID, arrivals)...)
 		broken = append(broken, r.stops()...)
 		broken = append(broken, r.overheated()...)
 	}
@@ -196,8 +197,12 @@
 	return strings.HasPrefix(path, standin.AskPath) || strings.HasPrefix(path, standin.ReportPath)
 }
 
+func isOrder(path string) bool {
+	return strings.HasPrefix(path, standin.OrderPath)
+}
+
 func isOnce(path string) bool {
-	return strings.HasPrefix(path, standin.OrderPath) || strings.HasPrefix(path, standin.AskPath)
+	return isOrder(path) || strings.HasPrefix(path, standin.AskPath)
 }
 
 // once checks how often a request ran, and that a stream which goes on
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -182,6 +182,17 @@
 				r.Arrivals = append(r.Arrivals, arrival(id, "e1", 600*time.Millisecond, standin.Answered))
 			}
 		}, "gone: w"),
+		Entry("work that goes on after its callers have left", func(r *check.Record) {
+			for _, id := range []string{"w", "x", "y", "z"} {
+				left := served(id, standin.ReportPath, 0)
+				left.Outcome = standin.Outcome{Left: true}
+				r.Calls = append(r.Calls, left)
+				r.Arrivals = append(r.Arrivals, arrival(id, "e1", time.Millisecond, standin.Answered))
+				long := run(id, standin.ReportPath, "e1", time.Millisecond)
+				long.Ended, long.Due = after(700*time.Millisecond), after(time.Second)
+				r.Runs = append(r.Runs, long)
+			}
+		}, "gone: endpoints were at work on 4 of 4"),
 		Entry("an endpoint that gets too much right after its start", func(r *check.Record) {
 			r.Colds = []check.Cold{{Endpoint: "e1", From: after(0), To: after(3 * time.Second), Most: 2.5}}
 			r.Arrivals = []standin.Arrival{
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -204,8 +204,10 @@
 		// An endpoint that can't listen again is one fewer for the rest.
 		_, _ = w.addEndpoint(one.service, one.region)
 	case plan.Misbehave:
-		bad := []standin.Behaviour{{TruncateEvery: 3}, {DropEvery: 3}, {MislabelEvery: 3}, {FailEvery: 3}}[step.Variant%4]
-		bad.Delay = workTime
+		bad := []standin.Behaviour{
+			{TruncateEvery: 3}, {DropEvery: 3}, {MislabelEvery: 3}, {FailEvery: 3}, {Delay: slowWork},
+		}[step.Variant%5]
+		bad.Delay = max(bad.Delay, workTime)
 		one.SetBehaviour(bad)
 		time.Sleep(step.For)
 		one.SetBehaviour(standin.Behaviour{Delay: workTime})
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -317,6 +317,10 @@
 // two events.
 const workTime = 8 * time.Millisecond
 
+// slowWork is the same for an endpoint that has become slow: a stream lasts for
+// nearly two seconds.
+const slowWork = 150 * time.Millisecond
+
 // Close ends every process that the run started.
 func (w *World) Close() {
 	for _, one := range w.daemons {
