--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -60,19 +60,24 @@
 		return check.All(one.Run(steps))
 	}
 
-	// burst lets the endpoints that other regions reach over a hop turn everything
-	// away, in one of the ways that a plan.Burst has.
-	burst := func(variant int) []string {
+	// burst lets the endpoints of a service turn everything away, in one of the ways
+	// that a plan.Burst has.
+	burst := func(target, variant int) []string {
 		return play(world.Options{Seed: 2, Length: 6 * time.Second},
-			plan.Step{At: time.Second, Kind: plan.Burst, Target: world.OverHop, Variant: variant, For: 4 * time.Second})
+			plan.Step{At: time.Second, Kind: plan.Burst, Target: target, Variant: variant, For: 4 * time.Second})
 	}
 
 	It("stays within the retry budget when endpoints reached over a hop refuse everything", func() {
-		Expect(burst(world.Refusing)).NotTo(ContainElement(HavePrefix("budget")))
+		Expect(burst(world.OverHop, world.Refusing)).NotTo(ContainElement(HavePrefix("budget")))
+	})
+
+	It("keeps attempts and retry budget when the endpoints of every region refuse everything", func() {
+		broken := burst(world.InEachRegion, world.Refusing)
+		Expect(broken).NotTo(ContainElement(Or(HavePrefix("attempts"), HavePrefix("budget"))))
 	})
 
 	It("sends a request without a body to no more endpoints when connections break than its route allows", func() {
-		Expect(burst(world.Dropping)).NotTo(ContainElement(HavePrefix("attempts")))
+		Expect(burst(world.OverHop, world.Dropping)).NotTo(ContainElement(HavePrefix("attempts")))
 	})
 
 	// Seeds 115 and 117: SIGHUP during a graceful stop ended the process at once.
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -147,15 +147,17 @@
 }
 
 // OverHop is the target of a plan.Burst that concerns the service whose endpoints
-// are all in one region. Refusing and Dropping are variants of a burst.
+// are all in one region, InEachRegion of one that concerns a service which every
+// region has. Refusing and Dropping are variants of a burst.
 const (
-	OverHop  = 0
-	Refusing = 0
-	Dropping = 1
+	OverHop      = 0
+	InEachRegion = 3
+	Refusing     = 0
+	Dropping     = 1
 )
 
 var (
-	burstTargets  = []types.ServiceName{OverHop: vault, vault, desk, engines}
+	burstTargets  = []types.ServiceName{OverHop: vault, vault, desk, InEachRegion: engines}
 	burstVariants = []standin.Behaviour{
 		Refusing: {RefuseEvery: 1}, Dropping: {DropEvery: 1}, {MisdirectEvery: 1}, {FailEvery: 1},
 		{RefuseEvery: 2, MisdirectEvery: 3, DropEvery: 5},
