Proxy: a stream that ends inside an event does not close another request's connection

What callers saw: now and then a request failed with 'the connection to the endpoint broke' although its endpoint was sound (seen once, by specs that use one endpoint for streams beside others). Cause: after a response that ended inside an event the proxy closed the connection itself. The response had been read to its end, so the transport had already given the connection to the next request. The same for a caller that is gone. Change: closing the body closes the connection if the response was not read to its end, and only then; nothing else closes it. Responses that are refused before their body is read still close it, since what follows belongs to nobody. Evidence: three such streams used three connections before and one now.

--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -269,10 +269,10 @@
 func (r *run) relayBuffered(response *http.Response, w *attemptConn) (*types.Failure, balance.Result) {
 	body, err := relay.ReadUpTo(response, maxBufferedBytes)
 	if err == nil {
-		return r.relayLarge(response, body, w)
+		return r.relayLarge(response, body)
 	}
 	if !errors.Is(err, io.EOF) {
-		return r.handleBrokenResponse(w, err)
+		return r.handleBrokenResponse(err)
 	}
 	if r.out.committed {
 		return r.rejectResponse(w, errUnsigned)
@@ -300,7 +300,7 @@
 }
 
 // relayLarge relays a response that is too large to be buffered.
-func (r *run) relayLarge(response *http.Response, buffered []byte, w *attemptConn) (*types.Failure, balance.Result) {
+func (r *run) relayLarge(response *http.Response, buffered []byte) (*types.Failure, balance.Result) {
 	r.status = response.StatusCode
 	r.out.writeHeader(response, response.ContentLength)
 	if !r.out.write(buffered) {
@@ -318,16 +318,16 @@
 			return nil, balance.Succeeded
 		}
 		if err != nil {
-			return r.handleBrokenResponse(w, err)
+			return r.handleBrokenResponse(err)
 		}
 	}
 }
 
-// handleBrokenResponse returns the failure of a response that ended early and
-// closes its connection.
-func (r *run) handleBrokenResponse(w *attemptConn, err error) (*types.Failure, balance.Result) {
+// handleBrokenResponse returns the failure of a response that ended early. Closing
+// its body closes the connection, unless the response was read to its end: another
+// request may use the connection by then.
+func (r *run) handleBrokenResponse(err error) (*types.Failure, balance.Result) {
 	r.verdict = r.verdict.Merge(types.MayHaveRun)
-	w.closeConn()
 	if r.ctx.Err() != nil {
 		return r.contextFailure(types.MayHaveRun), balance.Abandoned
 	}
--- a/pkg/gateway/proxy/stream.go
+++ b/pkg/gateway/proxy/stream.go
@@ -17,7 +17,7 @@
 		r.status = response.StatusCode
 		r.out.writeHeader(response, -1)
 		if !r.out.flush() {
-			return r.callerGone(w)
+			return r.callerGone()
 		}
 	}
 	reader := newEventReader(response.Body)
@@ -32,10 +32,10 @@
 			return nil, balance.Succeeded
 		}
 		if err != nil {
-			return r.handleBrokenResponse(w, err)
+			return r.handleBrokenResponse(err)
 		}
 		if !r.out.write(events) || !r.out.flush() {
-			return r.callerGone(w)
+			return r.callerGone()
 		}
 		r.recordLastEvent(events)
 		previous = r.recordGap(previous)
@@ -66,8 +66,7 @@
 }
 
 // callerGone ends an attempt whose caller no longer reads the response.
-func (r *run) callerGone(w *attemptConn) (*types.Failure, balance.Result) {
-	w.closeConn()
+func (r *run) callerGone() (*types.Failure, balance.Result) {
 	r.verdict = r.verdict.Merge(types.MayHaveRun)
 	return types.NewFailure(types.MayHaveRun, types.CodeCallerGone, "the caller stopped reading"), balance.Abandoned
 }
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -340,3 +340,24 @@
 		w.serveForwarded(envelope, body)
 	})
 }
+
+var _ = Describe("A stream that ends inside an event", func() {
+	It("leaves its connection, which another request may use by then, open", func() {
+		var mu sync.Mutex
+		connections := map[string]bool{}
+		e := newEndpoint(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			connections[r.RemoteAddr] = true
+			mu.Unlock()
+			signResponse(w, r)
+			_, _ = io.WriteString(w, "id: 1\ndata: half an ev")
+		})
+		w := newTestProxy(catalog.Streaming)
+		w.start(e)
+		for range 3 {
+			Expect(w.call("POST", "/r/", "x").err).To(HaveOccurred())
+		}
+		Expect(e.count()).To(Equal(3))
+		Expect(connections).To(HaveLen(1))
+	})
+})
