Entry: count connections that end while a request has no answer

Nothing told whether a request that ended without an answer was broken off by its handler, cut at the end of the grace time, read and then given to no handler, or given up by its caller.

pkg/graceful wraps the accepted connections of a server and keeps account of the current request of each. flamingomount_gateway_unanswered_total counts by listener and reason; a rate-limited line names both. No behaviour changes.

--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -31,7 +31,7 @@
 	defer cancelShutdown()
 	for _, srv := range e.servers {
 		if srv.name == "callers" || srv.name == "peers" {
-			if err := srv.http.Shutdown(shutdownCtx); err != nil {
+			if err := srv.Shutdown(shutdownCtx); err != nil {
 				e.log.WithField("listener", srv.name).Warn("requests in flight were cut off at the end of the grace time")
 			}
 		}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -96,7 +96,9 @@
 	budgets  *proxy.RetryBudgets
 	handler  *proxy.Handler
 	registry *prometheus.Registry
-	servers  []*server
+	// unanswered records requests that got no complete answer.
+	unanswered *unansweredLog
+	servers    []*server
 }
 
 // memoryShare is the fraction of the memory limit that is set as the soft limit of
@@ -124,6 +126,7 @@
 	lines := newLineWriter()
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.guard = guard.New(e.log, e.registry)
+	e.unanswered = newUnansweredLog(e.log, e.registry)
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
 	"net"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
 // Limits of accepted connections.
@@ -26,11 +27,10 @@
 	keepAliveCount = 3
 )
 
-// server is one listener with its HTTP server.
+// server is the server of one listener.
 type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
+	*graceful.Server
+	name string
 }
 
 // open listens on an address; an empty address opens nothing.
@@ -48,31 +48,34 @@
 	if tcp, ok := listener.(*net.TCPListener); ok {
 		listener = newQueueListener(tcp)
 	}
-	e.servers = append(e.servers, &server{name: name, listener: listener, http: &http.Server{
+	e.servers = append(e.servers, &server{name: name, Server: graceful.New(graceful.Options{
+		Listener:   listener,
+		HTTP:       e.httpServer(name, handler),
+		Unanswered: e.unanswered.on(name),
+	})})
+	return nil
+}
+
+func (e *Entry) httpServer(name string, handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           e.guard.Handler(name, handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		// Errors that callers cause on their connections do not concern operators.
 		ErrorLog: log.New(io.Discard, "", 0),
-	}})
-	return nil
+	}
 }
 
 // serve serves until the server is closed; it then returns nil.
 func (s *server) serve() error {
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return eris.Wrapf(err, "serve %s", s.name)
+	return eris.Wrapf(s.Serve(), "serve %s", s.name)
 }
 
 // close closes all listeners and connections.
 func (e *Entry) close() {
 	for _, srv := range e.servers {
 		// Closing fails only for a listener that is closed already.
-		_ = srv.http.Close()
-		_ = srv.listener.Close()
+		_ = srv.Close()
 	}
 }
--- /dev/null
+++ b/pkg/graceful/graceful_test.go
@@ -0,0 +1,176 @@
+package graceful_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/graceful"
+)
+
+func TestGraceful(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "graceful")
+}
+
+const (
+	eventuallyTimeout = 30 * time.Second
+	headerTimeout     = 5 * time.Second
+)
+
+// reasons collects what a server reported.
+type reasons struct {
+	mu   sync.Mutex
+	list []graceful.Reason
+}
+
+func (r *reasons) add(reason graceful.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, reason)
+}
+
+func (r *reasons) all() []graceful.Reason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]graceful.Reason(nil), r.list...)
+}
+
+// fixture is a server with a handler that answers "ok", aborts on /abort, answers
+// a part of its response before that on /part, and waits for release on /wait.
+type fixture struct {
+	server  *graceful.Server
+	address string
+	seen    *reasons
+	// handling receives a value when a handler on /wait has begun.
+	handling chan struct{}
+	release  chan struct{}
+}
+
+func start() *fixture {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f := &fixture{address: listener.Addr().String(), seen: &reasons{}, handling: make(chan struct{}, 10), release: make(chan struct{})}
+	f.server = graceful.New(graceful.Options{
+		Listener: listener, Unanswered: f.seen.add,
+		HTTP: &http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute},
+	})
+	var serving conc.WaitGroup
+	serving.Go(func() { Expect(f.server.Serve()).To(Succeed()) })
+	DeferCleanup(func() {
+		_ = f.server.Close()
+		serving.Wait()
+	})
+	return f
+}
+
+func (f *fixture) handle(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/abort":
+		panic(http.ErrAbortHandler)
+	case "/part":
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "/wait":
+		f.handling <- struct{}{}
+		select {
+		case <-f.release:
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}
+	_, _ = io.WriteString(w, "ok")
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fixture) dial() *caller {
+	GinkgoHelper()
+	connection, err := net.Dial("tcp", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = connection.Close() })
+	return &caller{Conn: connection, reader: bufio.NewReader(connection)}
+}
+
+func (c *caller) send(text string) {
+	GinkgoHelper()
+	_, err := io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// status reads a response and returns its status and whether the server closes
+// the connection; the status is 0 if there is no complete response.
+func (c *caller) status() (int, bool) {
+	_ = c.SetReadDeadline(time.Now().Add(eventuallyTimeout))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, true
+	}
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return 0, true
+	}
+	return response.StatusCode, response.Close
+}
+
+func get(path string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+}
+
+var _ = Describe("a request without an answer", func() {
+	DescribeTable("is reported with its reason when the server ends it", func(path string, reason graceful.Reason) {
+		f := start()
+		c := f.dial()
+		c.send(get(path))
+		status, _ := c.status()
+		Expect(status).To(BeZero())
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{reason}))
+	},
+		Entry("before its response", "/abort", graceful.Aborted),
+		Entry("in its response", "/part", graceful.Aborted),
+	)
+
+	It("is reported as the caller's doing when the caller leaves", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		Expect(c.Close()).To(Succeed())
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.CallerGone}))
+	})
+
+	It("is reported when the server is closed while a handler runs", func() {
+		f := start()
+		f.dial().send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		_ = f.server.Close()
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.Cut}))
+	})
+
+	It("is not reported for answered requests, idle connections and unused ones", func() {
+		f := start()
+		unused, c := f.dial(), f.dial()
+		for range 3 {
+			c.send(get("/"))
+			Expect(c.status()).To(Equal(http.StatusOK))
+		}
+		Expect(unused.Close()).To(Succeed())
+		Expect(f.server.Shutdown(context.Background())).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+})
