Stop: serve every request that was read, also after the listener is closed

Cause: http.Server.Shutdown sets a flag first, and conn.serve drops a request without an answer if the flag is set once its header has been read. So every connection that was accepted, new or kept, whose header became complete after that moment was read and closed, among them all that queueListener takes from the accept queue: they were saved from a reset only to get EOF. Shutdown also closes a kept connection as idle while its next request lies unread in the socket, or is read but not parsed.

pkg/graceful stops without http.Server.Shutdown: it closes the listener, serves what was accepted, and wakes connections that wait for a request by their read deadline. Their own goroutine then reads once more without blocking and ends the connection only if nothing has arrived, so there is no moment between look and close in which another goroutine decides. A new connection that sends nothing ends a second after the listener. At 0.92 of the grace time the requests in flight are cancelled, so that those without a response get a failure in place of a cut; the cut stays at 0.94. A response to a caller asks to close the connection if the daemon began to leave after the request had arrived.

--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -11,6 +11,9 @@
 	// from the response to their next request that this daemon is leaving. Most of
 	// the grace time remains for the streams that come last.
 	acceptShare = 0.35
+	// cancelShare is when the remaining requests in flight are cancelled, so that
+	// those without any response yet still get one.
+	cancelShare = 0.92
 	// shutdownShare is when the remaining requests in flight are cut off.
 	shutdownShare = 0.94
 )
@@ -26,15 +29,37 @@
 	leaveCtx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	e.control.Leave(leaveCtx)
-	time.Sleep(time.Duration(float64(grace) * acceptShare))
-	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(grace)*shutdownShare)))
+	time.Sleep(share(grace, acceptShare))
+	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), started.Add(share(grace, shutdownShare)))
 	defer cancelShutdown()
+	cancelling := time.AfterFunc(time.Until(started.Add(share(grace, cancelShare))), e.cancelRequests)
+	defer cancelling.Stop()
+	for _, srv := range e.trafficServers() {
+		if err := srv.Shutdown(shutdownCtx); err != nil {
+			e.log.WithField("listener", srv.name).Warn("requests in flight were cut off at the end of the grace time")
+		}
+	}
+	e.log.WithField("took", time.Since(started).String()).Info("daemon stopped")
+}
+
+// share returns a fraction of the grace time.
+func share(grace time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(grace) * fraction)
+}
+
+// trafficServers returns the servers of requests, the callers' first.
+func (e *Entry) trafficServers() []*server {
+	var traffic []*server
 	for _, srv := range e.servers {
 		if srv.name == "callers" || srv.name == "peers" {
-			if err := srv.Shutdown(shutdownCtx); err != nil {
-				e.log.WithField("listener", srv.name).Warn("requests in flight were cut off at the end of the grace time")
-			}
+			traffic = append(traffic, srv)
 		}
 	}
-	e.log.WithField("took", time.Since(started).String()).Info("daemon stopped")
+	return traffic
+}
+
+func (e *Entry) cancelRequests() {
+	for _, srv := range e.trafficServers() {
+		srv.CancelRequests()
+	}
 }
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -45,9 +45,6 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s on %s", name, address)
 	}
-	if tcp, ok := listener.(*net.TCPListener); ok {
-		listener = newQueueListener(tcp)
-	}
 	e.servers = append(e.servers, &server{name: name, Server: graceful.New(graceful.Options{
 		Listener:   listener,
 		HTTP:       e.httpServer(name, handler),
--- a/pkg/gateway/proxy/caller.go
+++ b/pkg/gateway/proxy/caller.go
@@ -15,6 +15,8 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	peer       bool
+	// leaving reports whether callers are to close their connections.
+	leaving func() bool
 	// endpoint is the target of the last attempt; it is reported to peers.
 	endpoint types.EndpointID
 	// committed is true once part of a response was sent.
@@ -26,8 +28,16 @@
 	writeFailed bool
 }
 
-func newResponseWriter(w http.ResponseWriter, peer bool) *responseWriter {
-	return &responseWriter{writer: w, controller: http.NewResponseController(w), peer: peer}
+func newResponseWriter(w http.ResponseWriter, peer bool, leaving func() bool) *responseWriter {
+	return &responseWriter{writer: w, controller: http.NewResponseController(w), peer: peer, leaving: leaving}
+}
+
+// setConnectionHeader asks a caller to close the connection if the daemon leaves,
+// also when it began to leave after the request had arrived.
+func (w *responseWriter) setConnectionHeader() {
+	if !w.peer && w.leaving() {
+		w.writer.Header().Set("Connection", "close")
+	}
 }
 
 // writeHeader sends the header of an endpoint's response. A negative length means
@@ -44,6 +54,7 @@
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.setEndpointHeader()
+	w.setConnectionHeader()
 	w.committed = true
 	w.writer.WriteHeader(response.StatusCode)
 }
@@ -90,6 +101,7 @@
 		return
 	}
 	w.setEndpointHeader()
+	w.setConnectionHeader()
 	w.committed = true
 	writeFailure(w.writer, id, failure, w.peer)
 }
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -87,7 +87,7 @@
 type Handler struct {
 	opts          Options
 	bufferedBytes atomic.Int64
-	// draining makes every response close its connection.
+	// draining makes every response to a caller close its connection.
 	draining  atomic.Bool
 	startedAt time.Time
 }
@@ -305,7 +305,7 @@
 	snap := h.opts.Snapshot()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	run := &run{h: h, ctx: ctx, req: req, out: newResponseWriter(w, req.ForwardedBy != "")}
+	run := &run{h: h, ctx: ctx, req: req, out: newResponseWriter(w, req.ForwardedBy != "", h.draining.Load)}
 	run.checkSuspect(snap)
 	failure := run.loop()
 	run.finish(failure)
--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -5,6 +5,10 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase is what a connection is occupied with.
@@ -34,26 +38,105 @@
 	// callerGone is true once the caller closed or reset the connection.
 	callerGone bool
 	closed     bool
+	// ending is true while the connection is woken to end: its read deadline has
+	// passed, and it ends unless a request has arrived.
+	ending bool
 }
 
+// expired is a read deadline that wakes a pending read.
+var expired = time.Unix(1, 0)
+
 var _ net.Conn = (*conn)(nil)
 
-// Read implements net.Conn.
+// Read implements net.Conn. On a connection that is woken to end it still returns
+// the bytes that have arrived.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
+		n, err = c.readArrived(b, err)
+	}
 	c.recordRead(n, err)
 	return n, err
 }
 
+// readArrived reads without blocking and despite the read deadline. If there is
+// nothing to read, it returns the given error.
+func (c *conn) readArrived(b []byte, nothing error) (int, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, nothing
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, nothing
+	}
+	var n int
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.Read(int(fd), b) })
+	if controlErr != nil || err != nil || n <= 0 {
+		return 0, nothing
+	}
+	return n, nil
+}
+
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
 func (c *conn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begun = c.begun || n > 0
+	if n > 0 {
+		c.begun = true
+		c.keep()
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.callerGone = true
 	}
 }
 
+// keep lets a connection that is woken to end receive the rest of its request. The
+// caller holds the lock.
+func (c *conn) keep() {
+	if !c.ending {
+		return
+	}
+	c.ending = false
+	var deadline time.Time
+	if timeout := c.server.opts.HTTP.ReadHeaderTimeout; timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	// A closed connection fails the next read.
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// SetReadDeadline implements net.Conn. A connection that is woken to end keeps its
+// deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// endIfWaiting wakes the connection if it waits for a request, so that it ends
+// unless the request has arrived. A connection that had no request yet is left
+// alone unless fresh ones are to end too.
+func (c *conn) endIfWaiting(freshToo bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waits := c.phase == idle || c.phase == fresh && freshToo
+	if c.begun || !waits || c.ending {
+		return
+	}
+	c.ending = true
+	// A closed connection needs no waking.
+	_ = c.Conn.SetReadDeadline(expired)
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	c.recordWrite(nil)
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +63,10 @@
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	return serve(listener)
+}
+
+func serve(listener net.Listener) *fixture {
 	f := &fixture{address: listener.Addr().String(), seen: &reasons{}, handling: make(chan struct{}, 10), release: make(chan struct{})}
 	f.server = graceful.New(graceful.Options{
 		Listener: listener, Unanswered: f.seen.add,
@@ -174,3 +180,167 @@
 		Expect(f.seen.all()).To(BeEmpty())
 	})
 })
+
+// nextRequestRead is the number of the read that waits for the second request of a
+// connection: the first gets the first request, the second is the server's look-out
+// while its handler runs.
+const nextRequestRead = 3
+
+// slowListener accepts one connection. The read that waits for its second request
+// returns only when its deadline has passed, as if its goroutine did not run before.
+type slowListener struct {
+	net.Listener
+	conn *slowConn
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.conn.TCPConn = accepted.(*net.TCPConn)
+	return l.conn, nil
+}
+
+type slowConn struct {
+	*net.TCPConn
+	reads atomic.Int64
+	woken chan struct{}
+	once  sync.Once
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	if c.reads.Add(1) == nextRequestRead {
+		<-c.woken
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.TCPConn.Read(b)
+}
+
+func (c *slowConn) SetReadDeadline(t time.Time) error {
+	if c.reads.Load() == nextRequestRead && !t.IsZero() && t.Before(time.Now()) {
+		c.once.Do(func() { close(c.woken) })
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// shutDown begins a shutdown and returns a function that waits for its end and
+// returns its error.
+func (f *fixture) shutDown(ctx context.Context) (wait func() error) {
+	var stopping conc.WaitGroup
+	var err error
+	stopping.Go(func() { err = f.server.Shutdown(ctx) })
+	return func() error {
+		stopping.Wait()
+		return err
+	}
+}
+
+// refusesConnections reports whether the listener is closed.
+func (f *fixture) refusesConnections() bool {
+	connection, err := net.Dial("tcp", f.address)
+	if err != nil {
+		return true
+	}
+	_ = connection.Close()
+	return false
+}
+
+var _ = Describe("a shutdown", func() {
+	const half = "GET / HTTP/1.1\r\n"
+	It("answers a request whose header is complete only after the listener is closed", func() {
+		f := start()
+		c := f.dial()
+		c.send(half)
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		c.send("Host: h\r\n\r\n")
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("answers a request on a new connection that sends nothing before the listener is closed", func() {
+		f := start()
+		c := f.dial()
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		c.send(get("/"))
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+	})
+
+	It("answers the next request of a kept connection whose first part was read", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/"))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		c.send(half)
+		time.Sleep(50 * time.Millisecond)
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		c.send("Host: h\r\n\r\n")
+		status, _ := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(wait()).To(Succeed())
+	})
+
+	It("answers a request that lies unread on a kept connection", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		slow := &slowConn{woken: make(chan struct{})}
+		f := serve(slowListener{Listener: listener, conn: slow})
+		c := f.dial()
+		c.send(get("/"))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		Eventually(slow.reads.Load, eventuallyTimeout).Should(BeEquivalentTo(nextRequestRead))
+		c.send(get("/"))
+		wait := f.shutDown(context.Background())
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+	})
+
+	It("ends idle and unused connections, and connections that become idle", func() {
+		f := start()
+		_, idle, busy := f.dial(), f.dial(), f.dial()
+		idle.send(get("/"))
+		Expect(idle.status()).To(Equal(http.StatusOK))
+		busy.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		wait := f.shutDown(context.Background())
+		close(f.release)
+		Expect(busy.status()).To(Equal(http.StatusOK))
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("answers the requests in flight when they are cancelled", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		wait := f.shutDown(context.Background())
+		f.server.CancelRequests()
+		status, _ := c.status()
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("returns when its time is over, and the rest is cut", func() {
+		f := start()
+		f.dial().send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		Expect(f.server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+		_ = f.server.Close()
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.Cut}))
+	})
+})
--- a/pkg/gateway/entry/listener.go
+++ b/pkg/graceful/listener.go
@@ -1,4 +1,4 @@
-package entry
+package graceful
 
 import (
 	"errors"
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -9,8 +9,13 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
+// freshTimeout is how long a shutdown waits for the first byte on a connection
+// that has sent nothing yet.
+const freshTimeout = time.Second
+
 // Reason tells why a connection ended while a request had no complete response.
 type Reason string
 
@@ -32,7 +37,8 @@
 // Options configures a Server.
 type Options struct {
 	Listener net.Listener
-	// HTTP is the server to use; its Handler and ConnContext are replaced.
+	// HTTP is the server to use; its Handler, BaseContext, ConnContext and
+	// ConnState are replaced.
 	HTTP *http.Server
 	// Unanswered is called for each connection that ends while a request has no
 	// complete response; nil means not at all. It must not block.
@@ -45,9 +51,21 @@
 	handler http.Handler
 	// leaving makes every response close its connection.
 	leaving atomic.Bool
+	// requests is the context of all requests.
+	requests       context.Context
+	cancelRequests context.CancelFunc
+
+	listener net.Listener
+	// served is closed when no connection is accepted any more.
+	served chan struct{}
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// closing ends idle connections, endFresh also those without any request.
+	closing  bool
+	endFresh bool
+	// drained is closed when closing is set and no connection is left.
+	drained chan struct{}
 }
 
 // connKey is the context key of the connection of a request.
@@ -55,18 +73,29 @@
 
 // New returns a server.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, handler: opts.HTTP.Handler, conns: make(map[*conn]struct{})}
+	s := &Server{
+		opts: opts, handler: opts.HTTP.Handler, listener: opts.Listener, conns: make(map[*conn]struct{}),
+		served: make(chan struct{}), drained: make(chan struct{}),
+	}
+	s.requests, s.cancelRequests = context.WithCancel(context.Background())
+	if tcp, ok := opts.Listener.(*net.TCPListener); ok {
+		s.listener = newQueueListener(tcp)
+	}
 	opts.HTTP.Handler = http.HandlerFunc(s.handle)
 	opts.HTTP.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
+	opts.HTTP.BaseContext = func(net.Listener) context.Context { return s.requests }
+	opts.HTTP.ConnState = s.connState
 	return s
 }
 
-// Serve serves until the server is shut down or closed; it then returns nil.
+// Serve accepts connections until the server is shut down or closed; it then
+// returns nil. It must be called once.
 func (s *Server) Serve() error {
-	err := s.opts.HTTP.Serve(trackingListener{Listener: s.opts.Listener, server: s})
-	if errors.Is(err, http.ErrServerClosed) {
+	defer close(s.served)
+	err := s.opts.HTTP.Serve(trackingListener{Listener: s.listener, server: s})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -77,17 +106,54 @@
 	s.leaving.Store(true)
 }
 
-// Shutdown closes the listener and waits until all connections have ended. It
-// returns the error of ctx if that ends first.
+// Shutdown closes the listener and waits until all connections have ended: every
+// request that has arrived is served, and a connection ends only when nothing of a
+// further request has arrived. It returns the error of ctx if that ends first. The
+// server's own Shutdown would drop requests that it reads after its begin.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
-	return s.opts.HTTP.Shutdown(ctx)
+	// The connections that were accepted are served however the listener closes.
+	_ = s.listener.Close()
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	s.endWaiting(false)
+	timer := time.AfterFunc(freshTimeout, func() { s.endWaiting(true) })
+	defer timer.Stop()
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// CancelRequests cancels the contexts of all requests, so that their handlers can
+// answer with a failure before their connections are cut.
+func (s *Server) CancelRequests() {
+	s.cancelRequests()
+}
+
+// endWaiting ends the connections that wait for a request, now and from now on.
+func (s *Server) endWaiting(freshToo bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.closing
+	s.closing, s.endFresh = true, freshToo
+	for c := range s.conns {
+		c.endIfWaiting(freshToo)
+	}
+	if first && len(s.conns) == 0 {
+		close(s.drained)
+	}
 }
 
 // Close closes the listener and all connections.
 func (s *Server) Close() error {
-	// The listener is open if Serve was never called.
-	return errors.Join(s.opts.HTTP.Close(), s.opts.Listener.Close())
+	defer s.cancelRequests()
+	return errors.Join(s.listener.Close(), s.opts.HTTP.Close())
 }
 
 // handle serves a request and records whether its response was completed.
@@ -107,6 +173,19 @@
 	completed = true
 }
 
+// connState is the hook for changes of a connection's state.
+func (s *Server) connState(changed net.Conn, state http.ConnState) {
+	c, tracked := changed.(*conn)
+	if !tracked || state != http.StateIdle {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		c.endIfWaiting(s.endFresh)
+	}
+}
+
 func (s *Server) unanswered(reason Reason) {
 	if s.opts.Unanswered != nil {
 		s.opts.Unanswered(reason)
@@ -122,7 +201,13 @@
 func (s *Server) forget(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, known := s.conns[c]; !known {
+		return
+	}
 	delete(s.conns, c)
+	if s.closing && len(s.conns) == 0 {
+		close(s.drained)
+	}
 }
 
 // trackingListener accepts connections that the server keeps account of.
