Streams: don't end a silent stream that nothing can resume

Callers of resumable streams saw the stream end with EOF, outside any stop, after half of the time for which they wait (1 s at least), though the endpoint was only silent: before its first event, or while no other endpoint was left.

Cause: the stall detector of a resumable stream asked the retry budget and nothing else before it cancelled the attempt. A stream of which no event was sent can't resume, and one without another endpoint has nowhere to go; both were then broken off. It spent a retry of the budget as well.

The detector now ends an attempt in order to resume only once an event with an ID was sent and while an endpoint is left that was not tried: one of this region, or for a caller's own request of a region with a daemon that serves. Otherwise deadlines end the stream, as for those that may not resume.

What remains: when the other endpoint refuses after the first was given up, the stream is still cut.

--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -1,6 +1,12 @@
 package proxy
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
 
 // Limits of streams that make no progress.
 const (
@@ -19,11 +25,15 @@
 
 // stallDetector ends an attempt whose stream makes no progress. Only complete
 // events count as progress, not bytes. A resumable stream is ended while its
-// caller still waits, if the retry budget permits. Any other stream is ended only
-// when its caller has given up, and not at all if a deadline ends it anyway.
+// caller still waits, if it can go on at another endpoint: an event was sent to
+// the caller, another endpoint may take it, and the retry budget permits. Any
+// other stream is ended only when its caller has given up, and not at all if a
+// deadline ends it anyway.
 type stallDetector struct {
 	limit time.Duration
 	timer *time.Timer
+	// resumes is true if the end of the time resumes the stream elsewhere.
+	resumes bool
 }
 
 // startStallDetector starts to watch the stream of an attempt.
@@ -33,26 +43,53 @@
 	detector := &stallDetector{}
 	switch {
 	case route.Resumable && r.sent < r.req.AttemptLimit:
-		detector.limit = time.Duration(float64(stallTimeout) * resumeShare)
-		detector.timer = time.AfterFunc(detector.limit, func() { r.resumeElsewhere(w) })
+		excluded := r.excludedEndpoints()
+		detector.limit, detector.resumes = time.Duration(float64(stallTimeout)*resumeShare), true
+		detector.timer = time.AfterFunc(detector.limit, func() { r.resumeElsewhere(w, excluded) })
 	case r.req.CallerDeadline.IsZero() && route.Timeout <= 0:
 		detector.limit = stallTimeout
 		detector.timer = time.AfterFunc(detector.limit, w.cancel)
 	}
+	detector.reset(r.canResume())
 	return detector
 }
 
-// resumeElsewhere ends the attempt if the retry budget permits another one.
-func (r *run) resumeElsewhere(w *attemptConn) {
+// resumeElsewhere ends the attempt if another endpoint than the excluded ones may
+// take the rest of the stream and the retry budget permits another attempt.
+func (r *run) resumeElsewhere(w *attemptConn, excluded []types.EndpointID) {
+	if !r.endpointLeft(excluded) {
+		return
+	}
 	if r.h.opts.RetryBudgets.Allow(r.req.Service, r.h.opts.Now()) {
 		r.retryReserved.Store(true)
 		w.cancel()
 	}
 }
 
-// reset restarts the timer after an event.
-func (d *stallDetector) reset() {
-	if d.timer != nil {
+// endpointLeft reports whether an endpoint that is not excluded may take the
+// request: one of this region, or for a caller's own request one of another region
+// with a daemon that serves.
+func (r *run) endpointLeft(excluded []types.EndpointID) bool {
+	snap := r.h.opts.Snapshot()
+	usable := r.usableRegion(snap)
+	now := r.h.opts.Now()
+	return slices.ContainsFunc(snap.View.Endpoints[r.req.Service], func(endpoint catalog.ActiveEndpoint) bool {
+		inReach := r.req.ForwardedBy == "" && usable(endpoint.Region)
+		if endpoint.Region == snap.Self.Region {
+			inReach = r.req.Route.Allows(endpoint.Region)
+		}
+		return inReach && endpoint.Accepts(now) && !slices.Contains(excluded, endpoint.ID)
+	})
+}
+
+// reset restarts the timer after an event. A stream that can't resume yet is not
+// ended in order to resume.
+func (d *stallDetector) reset(canResume bool) {
+	switch {
+	case d.timer == nil:
+	case d.resumes && !canResume:
+		d.timer.Stop()
+	default:
 		d.timer.Reset(d.limit)
 	}
 }
--- a/pkg/gateway/proxy/stream.go
+++ b/pkg/gateway/proxy/stream.go
@@ -39,7 +39,7 @@
 		}
 		r.recordLastEvent(events)
 		previous = r.recordGap(previous)
-		detector.reset()
+		detector.reset(r.canResume())
 	}
 }
 
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -276,6 +276,36 @@
 		}
 		Expect(resumed).To(BeTrue())
 	})
+
+	// lateStream sends its header, pauses, sends two events with a pause between
+	// them and ends.
+	const longPause = 1300 * time.Millisecond
+	lateStream := func(beforeFirst, between time.Duration) *rawEndpoint {
+		return newRawEndpoint(func(connection net.Conn, id string, _ int) bool {
+			writeText(connection, "HTTP/1.1 200 OK\r\n"+headerSignature+": s\r\n"+headerID+": "+id+"\r\nConnection: close\r\n\r\n")
+			time.Sleep(beforeFirst)
+			writeText(connection, "id: 1\ndata: piece\n\n")
+			time.Sleep(between)
+			writeText(connection, "id: 2\ndata: piece\n\n")
+			return false
+		})
+	}
+
+	DescribeTable("that nothing can resume are not ended while their caller waits", func(beforeFirst, between time.Duration, endpoints int) {
+		w := newSlowProxy()
+		w.route.Resumable = true
+		var list []*rawEndpoint
+		for range endpoints {
+			list = append(list, lateStream(beforeFirst, between))
+		}
+		startWithRaw(w, list...)
+		resp := w.call("POST", "/r/", "x")
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(strings.Count(resp.body, "data:")).To(Equal(2))
+	},
+		Entry("before the first event", longPause, time.Duration(0), 2),
+		Entry("when no other endpoint is left", time.Duration(0), longPause, 1),
+	)
 })
 
 var _ = Describe("A request at the limits", func() {
