Signals: handle them before the first caller can connect

A stop signal that arrives before the listeners open ends the process without error.

What remains: a signal within the first milliseconds of a process, before its main function runs, still ends it; no caller is connected by then.

--- a/cmd/flamingomountd/main.go
+++ b/cmd/flamingomountd/main.go
@@ -55,16 +55,17 @@
 // run runs the daemon. The first SIGTERM or SIGINT stops it gracefully, the
 // second one at once.
 func run(file string) error {
+	// Signals are handled before the first caller can connect.
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
 	loaded, err := settings.Load(file)
-	if err != nil {
+	if err != nil || stop.Err() != nil {
 		return err
 	}
 	entry, err := daemon.New(daemon.Options{Settings: loaded})
 	if err != nil {
 		return err
 	}
-	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer release()
 	abort, abortNow := context.WithCancel(context.Background())
 	defer abortNow()
 	context.AfterFunc(stop, func() {
