Stop: refuse new connections before the listener closes

The listener is now bound to a network device that does not exist. From then on the system answers a packet that begins a connection as if the port were closed, and completes the handshakes that have begun; they are accepted for another 250 ms. It needs no privilege (tried as another user) and callers are refused at once. Where the system does not permit it, Close ends the waiting Accept first and stops listening in the system call after the one that finds the queue empty.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -5,7 +5,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -62,20 +61,12 @@
 // readArrived reads without blocking and despite the read deadline. If there is
 // nothing to read, it returns the given error.
 func (c *conn) readArrived(b []byte, nothing error) (int, error) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	read := 0
+	controlSocket(c.Conn, func(fd int) { read, _ = unix.Read(fd, b) })
+	if read <= 0 {
 		return 0, nothing
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, nothing
-	}
-	var n int
-	controlErr := raw.Control(func(fd uintptr) { n, err = unix.Read(int(fd), b) })
-	if controlErr != nil || err != nil || n <= 0 {
-		return 0, nothing
-	}
-	return n, nil
+	return read, nil
 }
 
 func (c *conn) isEnding() bool {
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -59,11 +59,16 @@
 	release  chan struct{}
 }
 
-func start() *fixture {
+func listen() net.Listener {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	return serve(listener)
+	return listener
+}
+
+func start() *fixture {
+	GinkgoHelper()
+	return serve(listen())
 }
 
 func serve(listener net.Listener) *fixture {
@@ -290,10 +295,8 @@
 	})
 
 	It("answers a request that lies unread on a kept connection", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
 		slow := &slowConn{woken: make(chan struct{})}
-		f := serve(slowListener{Listener: listener, conn: slow})
+		f := serve(slowListener{Listener: listen(), conn: slow})
 		c := f.dial()
 		c.send(get("/"))
 		Expect(c.status()).To(Equal(http.StatusOK))
@@ -344,3 +347,32 @@
 		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.Cut}))
 	})
 })
+
+var _ = Describe("the accept queue", func() {
+	It("loses no request of callers that go on connecting", func() {
+		f := start()
+		var lost, answered atomic.Int64
+		var callers conc.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for {
+					connection, err := net.DialTimeout("tcp", f.address, eventuallyTimeout)
+					if err != nil {
+						return
+					}
+					c := &caller{Conn: connection, reader: bufio.NewReader(connection)}
+					_, _ = io.WriteString(c, get("/"))
+					if status, _ := c.status(); status != http.StatusOK {
+						lost.Add(1)
+					}
+					answered.Add(1)
+					_ = connection.Close()
+				}
+			})
+		}
+		Eventually(answered.Load, eventuallyTimeout).Should(BeNumerically(">", 200))
+		Expect(f.server.Shutdown(context.Background())).To(Succeed())
+		callers.Wait()
+		Expect(lost.Load()).To(BeZero())
+	})
+})
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -12,9 +12,14 @@
 	"time"
 )
 
-// freshTimeout is how long a shutdown waits for the first byte on a connection
-// that has sent nothing yet.
-const freshTimeout = time.Second
+// Times of a shutdown.
+const (
+	// handshakeTime is how long the handshakes that have begun may take.
+	handshakeTime = 250 * time.Millisecond
+	// freshTimeout is how long after the close of the listener a connection may
+	// take to send its first byte.
+	freshTimeout = time.Second
+)
 
 // Reason tells why a connection ended while a request had no complete response.
 type Reason string
@@ -112,8 +117,7 @@
 // server's own Shutdown would drop requests that it reads after its begin.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
-	// The connections that were accepted are served however the listener closes.
-	_ = s.listener.Close()
+	s.closeListener(ctx)
 	select {
 	case <-s.served:
 	case <-ctx.Done():
@@ -136,6 +140,20 @@
 	s.cancelRequests()
 }
 
+// closeListener closes the listener after the handshakes that have begun.
+func (s *Server) closeListener(ctx context.Context) {
+	if queue, ok := s.listener.(*queueListener); ok && queue.refuse() {
+		timer := time.NewTimer(handshakeTime)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	// The connections that were accepted are served however the listener closes.
+	_ = s.listener.Close()
+}
+
 // endWaiting ends the connections that wait for a request, now and from now on.
 func (s *Server) endWaiting(freshToo bool) {
 	s.mu.Lock()
