Start: no request waits at a daemon that leaves

A daemon that is told to stop within a second of its start held each request for 400 ms: requests wait after the start until an endpoint is in reach, and a leaving daemon did not count its own region as one. Seen as waited_ms 400 in the log of a process that was stopped early; it also held the connections into the stop.

Its own region counts while it leaves. The stall detector asks the same question with the same function. Spec: "no request waits at a daemon that already leaves and reaches an endpoint".

--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"slices"
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -57,7 +55,7 @@
 // resumeElsewhere ends the attempt if another endpoint than the excluded ones may
 // take the rest of the stream and the retry budget permits another attempt.
 func (r *run) resumeElsewhere(w *attemptConn, excluded []types.EndpointID) {
-	if !r.endpointLeft(excluded) {
+	if !r.endpointInReach(r.h.opts.Snapshot(), excluded) {
 		return
 	}
 	if r.h.opts.RetryBudgets.Allow(r.req.Service, r.h.opts.Now()) {
@@ -66,22 +64,6 @@
 	}
 }
 
-// endpointLeft reports whether an endpoint that is not excluded may take the
-// request: one of this region, or for a caller's own request one of another region
-// with a daemon that serves.
-func (r *run) endpointLeft(excluded []types.EndpointID) bool {
-	snap := r.h.opts.Snapshot()
-	usable := r.usableRegion(snap)
-	now := r.h.opts.Now()
-	return slices.ContainsFunc(snap.View.Endpoints[r.req.Service], func(endpoint catalog.ActiveEndpoint) bool {
-		inReach := r.req.ForwardedBy == "" && usable(endpoint.Region)
-		if endpoint.Region == snap.Self.Region {
-			inReach = r.req.Route.Allows(endpoint.Region)
-		}
-		return inReach && endpoint.Accepts(now) && !slices.Contains(excluded, endpoint.ID)
-	})
-}
-
 // reset restarts the timer after an event. A stream that can't resume yet is not
 // ended in order to resume.
 func (d *stallDetector) reset(canResume bool) {
--- a/pkg/gateway/proxy/startup_test.go
+++ b/pkg/gateway/proxy/startup_test.go
@@ -138,4 +138,12 @@
 		Eventually(done, eventuallyTimeout).Should(BeClosed())
 		f.publish(w.snap)
 	})
+
+	It("no request waits at a daemon that already leaves and reaches an endpoint", func() {
+		leaving := *w.snap
+		leaving.Self.State = members.Leaving
+		f := w.startWith(&leaving, 0)
+		Expect(w.call("GET", "/r/", "").status).To(Equal(200))
+		Expect(f.awaited()).To(BeFalse())
+	})
 })
