Daemon: stop with the same server as the entry

The product's own daemon had the same fault at a planned stop: it used http.Server.Shutdown, which drops a request whose header is complete after its begin, and at the signal it closed every connection that seemed idle.

pkg/graceful now also bounds the number of connections and serves TLS (it keeps account of the connection below), and pkg/daemon uses it for its three listeners. At the signal, responses ask to close the connection; idle connections stay until the notice time is over. During a shutdown idle connections end before the last ones are accepted, since they may hold the slots of those in the queue.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -132,8 +132,7 @@
 // cleanup closes all open servers and their listeners.
 func (d *Daemon) cleanup() {
 	for _, s := range d.servers() {
-		_ = s.http.Close()
-		_ = s.listener.Close()
+		_ = s.Close()
 	}
 }
 
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -1,9 +1,13 @@
 package daemon_test
 
 import (
+	"bufio"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -327,4 +331,31 @@
 		Expect(resp.body).To(HaveSuffix("data: [DONE]\n\n"))
 		Eventually(f.entries[0].ended, "5s").Should(Receive(BeNil()))
 	})
+
+	It("answers a request whose header is complete only after the listener is closed", func() {
+		f := newFleet()
+		f.addEngine(engine.Options{ID: "e1"})
+		f.start(homeRegion)
+		address := strings.TrimPrefix(f.entries[0].url, "http://")
+		connection, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = connection.Close() })
+		_, err = io.WriteString(connection, "GET /v1/entries HTTP/1.1\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		f.entries[0].stop()
+		Eventually(func() error {
+			probe, err := net.DialTimeout("tcp", address, time.Second)
+			if err == nil {
+				_ = probe.Close()
+			}
+			return err
+		}, "10s").ShouldNot(Succeed())
+		_, err = io.WriteString(connection, "Host: h\r\nAuthorization: Bearer "+credential+"\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.Close).To(BeTrue())
+		Eventually(f.entries[0].ended, "10s").Should(Receive(BeNil()))
+	})
 })
--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -28,7 +28,7 @@
 	state.Signal(d.opts.Now())
 	d.control.Submit(event.DrainStarted{At: d.opts.Now()})
 	d.opts.Log.WithFields(logrus.Fields{"limit_s": limit.Seconds()}).Info("daemon drains")
-	d.caller.http.SetKeepAlivesEnabled(false)
+	d.caller.Leave()
 	d.awaitPhase(ctx, state, drain.Finishing)
 	if err := d.shutdownAll(ctx, d.caller); err != nil {
 		return err
--- a/pkg/daemon/provision.go
+++ b/pkg/daemon/provision.go
@@ -53,16 +53,15 @@
 // use port zero.
 func (d *Daemon) listen() error {
 	s := d.opts.Settings
-	callers, err := listen("callers", s.Caller.Address, d.opts.CallerListener, s.Caller.TLS, s.Limits.Connections)
+	var err error
+	d.caller, err = newServer("callers", s.Caller.Address, d.opts.CallerListener, s.Caller.TLS, s)
 	if err != nil {
 		return err
 	}
-	d.caller = newServer("callers", callers, nil, s)
-	peers, err := listen("peers", s.Peer.Address, d.opts.PeerListener, s.Peer.TLS, s.Limits.Connections)
+	d.peer, err = newServer("peers", s.Peer.Address, d.opts.PeerListener, s.Peer.TLS, s)
 	if err != nil {
 		return err
 	}
-	d.peer = newServer("peers", peers, nil, s)
 	d.self = snapshot.Self{
 		Incarnation:   types.Incarnation{VM: types.VMID(advertisedAddress(s.Peer.Advertise, d.peer)), Boot: d.opts.Boot},
 		Region:        types.Region(s.Region),
@@ -72,12 +71,8 @@
 	if s.Admin.Address == "" && d.opts.AdminListener == nil {
 		return nil
 	}
-	admins, err := listen("administrators", s.Admin.Address, d.opts.AdminListener, s.Caller.TLS, s.Limits.Connections)
-	if err != nil {
-		return err
-	}
-	d.admin = newServer("administrators", admins, nil, s)
-	return nil
+	d.admin, err = newServer("administrators", s.Admin.Address, d.opts.AdminListener, s.Caller.TLS, s)
+	return err
 }
 
 func advertisedAddress(address string, srv *server) string {
@@ -194,7 +189,7 @@
 
 func (d *Daemon) provisionServers() error {
 	s := d.opts.Settings
-	d.caller.http.Handler = d.countInFlight(ingress.New(ingress.Options{
+	d.caller.handler = d.countInFlight(ingress.New(ingress.Options{
 		Snapshot:     d.control.Load,
 		Next:         d.handler,
 		Observer:     d.recorder,
@@ -226,9 +221,9 @@
 	if peerHandler := d.control.Peers(); peerHandler != nil {
 		router.NotFound = peerHandler
 	}
-	d.peer.http.Handler = router
+	d.peer.handler = router
 	if d.admin != nil {
-		d.admin.http.Handler = d.newAdmin()
+		d.admin.handler = d.newAdmin()
 	}
 	return nil
 }
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -72,9 +72,13 @@
 }
 
 func serve(listener net.Listener) *fixture {
+	return serveLimited(listener, 0)
+}
+
+func serveLimited(listener net.Listener, maxConnections int) *fixture {
 	f := &fixture{address: listener.Addr().String(), seen: &reasons{}, handling: make(chan struct{}, 10), release: make(chan struct{})}
 	f.server = graceful.New(graceful.Options{
-		Listener: listener, Unanswered: f.seen.add,
+		Listener: listener, Unanswered: f.seen.add, MaxConnections: maxConnections,
 		HTTP: &http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute},
 	})
 	var serving conc.WaitGroup
@@ -375,4 +379,21 @@
 		callers.Wait()
 		Expect(lost.Load()).To(BeZero())
 	})
+
+	It("holds connections beyond the limit, and serves them during a shutdown", func() {
+		f := serveLimited(listen(), 1)
+		first, second := f.dial(), f.dial()
+		first.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		second.send(get("/wait"))
+		Consistently(f.handling, 50*time.Millisecond).ShouldNot(Receive())
+		wait := f.shutDown(context.Background())
+		close(f.release)
+		status, _ := first.status()
+		Expect(status).To(Equal(http.StatusOK))
+		status, closes := second.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+	})
 })
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -45,6 +46,11 @@
 	// HTTP is the server to use; its Handler, BaseContext, ConnContext and
 	// ConnState are replaced.
 	HTTP *http.Server
+	// TLS is the configuration of the listener's TLS; nil means plain HTTP.
+	TLS *tls.Config
+	// MaxConnections bounds the connections that are open at once; 0 means no
+	// limit.
+	MaxConnections int
 	// Unanswered is called for each connection that ends while a request has no
 	// complete response; nil means not at all. It must not block.
 	Unanswered func(Reason)
@@ -61,6 +67,11 @@
 	cancelRequests context.CancelFunc
 
 	listener net.Listener
+	// slots holds a value for each open connection; nil means no limit.
+	slots chan struct{}
+	// closed is closed by Close.
+	closed    chan struct{}
+	closeOnce sync.Once
 	// served is closed when no connection is accepted any more.
 	served chan struct{}
 
@@ -69,7 +80,9 @@
 	// closing ends idle connections, endFresh also those without any request.
 	closing  bool
 	endFresh bool
-	// drained is closed when closing is set and no connection is left.
+	// complete is true when no connection is accepted any more.
+	complete bool
+	// drained is closed when complete is set and no connection is left.
 	drained chan struct{}
 }
 
@@ -80,7 +93,10 @@
 func New(opts Options) *Server {
 	s := &Server{
 		opts: opts, handler: opts.HTTP.Handler, listener: opts.Listener, conns: make(map[*conn]struct{}),
-		served: make(chan struct{}), drained: make(chan struct{}),
+		closed: make(chan struct{}), served: make(chan struct{}), drained: make(chan struct{}),
+	}
+	if opts.MaxConnections > 0 {
+		s.slots = make(chan struct{}, opts.MaxConnections)
 	}
 	s.requests, s.cancelRequests = context.WithCancel(context.Background())
 	if tcp, ok := opts.Listener.(*net.TCPListener); ok {
@@ -88,7 +104,7 @@
 	}
 	opts.HTTP.Handler = http.HandlerFunc(s.handle)
 	opts.HTTP.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, accepted)
+		return context.WithValue(ctx, connKey{}, trackedConn(accepted))
 	}
 	opts.HTTP.BaseContext = func(net.Listener) context.Context { return s.requests }
 	opts.HTTP.ConnState = s.connState
@@ -99,13 +115,21 @@
 // returns nil. It must be called once.
 func (s *Server) Serve() error {
 	defer close(s.served)
-	err := s.opts.HTTP.Serve(trackingListener{Listener: s.listener, server: s})
+	err := s.opts.HTTP.Serve(s.httpListener())
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
+func (s *Server) httpListener() net.Listener {
+	listener := trackingListener{Listener: s.listener, server: s}
+	if s.opts.TLS != nil {
+		return tls.NewListener(listener, s.opts.TLS)
+	}
+	return listener
+}
+
 // Leave makes every further response close its connection.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
@@ -118,14 +142,16 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
 	s.closeListener(ctx)
+	// Idle connections end first: they may hold the slots of those in the queue.
+	s.endWaiting(false)
+	timer := time.AfterFunc(freshTimeout, func() { s.endWaiting(true) })
+	defer timer.Stop()
 	select {
 	case <-s.served:
+		s.awaitLast()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	s.endWaiting(false)
-	timer := time.AfterFunc(freshTimeout, func() { s.endWaiting(true) })
-	defer timer.Stop()
 	select {
 	case <-s.drained:
 		return nil
@@ -158,11 +184,18 @@
 func (s *Server) endWaiting(freshToo bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := !s.closing
 	s.closing, s.endFresh = true, freshToo
 	for c := range s.conns {
 		c.endIfWaiting(freshToo)
 	}
+}
+
+// awaitLast lets the end of the last connection close drained.
+func (s *Server) awaitLast() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.complete
+	s.complete = true
 	if first && len(s.conns) == 0 {
 		close(s.drained)
 	}
@@ -170,6 +203,7 @@
 
 // Close closes the listener and all connections.
 func (s *Server) Close() error {
+	s.closeOnce.Do(func() { close(s.closed) })
 	defer s.cancelRequests()
 	return errors.Join(s.listener.Close(), s.opts.HTTP.Close())
 }
@@ -179,8 +213,8 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, tracked := r.Context().Value(connKey{}).(*conn)
-	if !tracked {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if c == nil {
 		s.handler.ServeHTTP(w, r)
 		return
 	}
@@ -193,8 +227,8 @@
 
 // connState is the hook for changes of a connection's state.
 func (s *Server) connState(changed net.Conn, state http.ConnState) {
-	c, tracked := changed.(*conn)
-	if !tracked || state != http.StateIdle {
+	c := trackedConn(changed)
+	if c == nil || state != http.StateIdle {
 		return
 	}
 	s.mu.Lock()
@@ -223,7 +257,8 @@
 		return
 	}
 	delete(s.conns, c)
-	if s.closing && len(s.conns) == 0 {
+	s.releaseSlot()
+	if s.complete && len(s.conns) == 0 {
 		close(s.drained)
 	}
 }
@@ -234,13 +269,37 @@
 	server *Server
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It waits for a slot if their number is limited.
 func (l trackingListener) Accept() (net.Conn, error) {
+	if l.server.slots != nil {
+		select {
+		case l.server.slots <- struct{}{}:
+		case <-l.server.closed:
+			return nil, net.ErrClosed
+		}
+	}
 	accepted, err := l.Listener.Accept()
 	if err != nil {
+		l.server.releaseSlot()
 		return nil, err
 	}
 	c := &conn{Conn: accepted, server: l.server}
 	l.server.track(c)
 	return c, nil
 }
+
+func (s *Server) releaseSlot() {
+	if s.slots != nil {
+		<-s.slots
+	}
+}
+
+// trackedConn returns the connection below a connection of the HTTP server; nil if
+// it is not one of a Server.
+func trackedConn(accepted net.Conn) *conn {
+	if secured, ok := accepted.(*tls.Conn); ok {
+		accepted = secured.NetConn()
+	}
+	c, _ := accepted.(*conn)
+	return c
+}
