Stop: cancel the callers' requests only, and name the cause

At 0.92 of the grace time the requests of other daemons were cancelled as well. Their answer would be a failure that the other daemon does not retry, where a broken connection lets it retry what may be repeated; so only the callers' requests are cancelled. The cause of the context's end is graceful.ErrStopping, for whoever words the failure. A connection counts as ended once it is closed, not just before.

--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -11,7 +11,7 @@
 	// from the response to their next request that this daemon is leaving. Most of
 	// the grace time remains for the streams that come last.
 	acceptShare = 0.35
-	// cancelShare is when the remaining requests in flight are cancelled, so that
+	// cancelShare is when the callers' remaining requests are cancelled, so that
 	// those without any response yet still get one.
 	cancelShare = 0.92
 	// shutdownShare is when the remaining requests in flight are cut off.
@@ -51,15 +51,19 @@
 func (e *Entry) trafficServers() []*server {
 	var traffic []*server
 	for _, srv := range e.servers {
-		if srv.name == "callers" || srv.name == "peers" {
+		if srv.name == callersName || srv.name == peersName {
 			traffic = append(traffic, srv)
 		}
 	}
 	return traffic
 }
 
+// cancelRequests cancels the requests of callers. A daemon that forwarded a request
+// retries it better after a broken connection.
 func (e *Entry) cancelRequests() {
-	for _, srv := range e.trafficServers() {
-		srv.CancelRequests()
+	for _, srv := range e.servers {
+		if srv.name == callersName {
+			srv.CancelRequests()
+		}
 	}
 }
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -113,6 +113,12 @@
 // reader and read the store.
 const watchShare = 0.4
 
+// Names of the listeners that serve requests.
+const (
+	callersName = "callers"
+	peersName   = "peers"
+)
+
 // componentCount is the number of components that run beside the listeners.
 const componentCount = 3
 
@@ -204,10 +210,10 @@
 
 func (e *Entry) listen() error {
 	s := e.opts.Settings
-	if err := e.open("callers", s.CallerAddress, e.handler); err != nil {
+	if err := e.open(callersName, s.CallerAddress, e.handler); err != nil {
 		return err
 	}
-	if err := e.open("peers", s.PeerAddress, http.HandlerFunc(e.servePeer)); err != nil {
+	if err := e.open(peersName, s.PeerAddress, http.HandlerFunc(e.servePeer)); err != nil {
 		return err
 	}
 	if err := e.open("metrics", s.MetricsAddress, e.metricsHandler()); err != nil {
--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -173,7 +173,7 @@
 	if reason, lost := c.end(); lost {
 		c.server.unanswered(reason)
 	}
-	c.server.forget(c)
+	defer c.server.forget(c)
 	return c.Conn.Close()
 }
 
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -64,7 +64,7 @@
 	leaving atomic.Bool
 	// requests is the context of all requests.
 	requests       context.Context
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 
 	listener net.Listener
 	// slots holds a value for each open connection; nil means no limit.
@@ -98,7 +98,7 @@
 	if opts.MaxConnections > 0 {
 		s.slots = make(chan struct{}, opts.MaxConnections)
 	}
-	s.requests, s.cancelRequests = context.WithCancel(context.Background())
+	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
 	if tcp, ok := opts.Listener.(*net.TCPListener); ok {
 		s.listener = newQueueListener(tcp)
 	}
@@ -160,10 +160,13 @@
 	}
 }
 
-// CancelRequests cancels the contexts of all requests, so that their handlers can
-// answer with a failure before their connections are cut.
+// ErrStopping is the cause of the end of a request's context when the server stops.
+var ErrStopping = errors.New("the server stops")
+
+// CancelRequests cancels the contexts of all requests with the cause ErrStopping, so
+// that their handlers can answer with a failure before their connections are cut.
 func (s *Server) CancelRequests() {
-	s.cancelRequests()
+	s.cancelRequests(ErrStopping)
 }
 
 // closeListener closes the listener after the handshakes that have begun.
@@ -204,7 +207,7 @@
 // Close closes the listener and all connections.
 func (s *Server) Close() error {
 	s.closeOnce.Do(func() { close(s.closed) })
-	defer s.cancelRequests()
+	defer s.CancelRequests()
 	return errors.Join(s.listener.Close(), s.opts.HTTP.Close())
 }
 
