--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -98,7 +98,9 @@
 	budgets  *proxy.RetryBudgets
 	handler  *proxy.Handler
 	registry *prometheus.Registry
-	servers  []*server
+	// unanswered records requests that got no complete answer.
+	unanswered *unansweredLog
+	servers    []*server
 }
 
 // memoryShare is the fraction of the memory limit that is set as the soft limit of
@@ -113,6 +115,12 @@
 // reader and read the store.
 const watchShare = 0.4
 
+// Names of the listeners that serve requests.
+const (
+	callersName = "callers"
+	peersName   = "peers"
+)
+
 // componentCount is the number of components that run beside the listeners.
 const componentCount = 3
 
@@ -126,6 +134,7 @@
 	lines := newLineWriter()
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.guard = guard.New(e.log, e.registry)
+	e.unanswered = newUnansweredLog(e.log, e.registry)
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	transport := proxy.NewTransport()
@@ -204,10 +213,10 @@
 
 func (e *Entry) listen() error {
 	s := e.opts.Settings
-	if err := e.open("callers", s.CallerAddress, e.handler); err != nil {
+	if err := e.open(callersName, s.CallerAddress, e.handler); err != nil {
 		return err
 	}
-	if err := e.open("peers", s.PeerAddress, http.HandlerFunc(e.servePeer)); err != nil {
+	if err := e.open(peersName, s.PeerAddress, http.HandlerFunc(e.servePeer)); err != nil {
 		return err
 	}
 	if err := e.open("metrics", s.MetricsAddress, e.metricsHandler()); err != nil {
--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -69,7 +69,7 @@
 		return
 	}
 	if info.Leaving {
-		r.out.leaving = permit.Endpoint.Endpoint
+		r.out.leavingEndpoint = permit.Endpoint.Endpoint
 	}
 	r.h.opts.Gate.Note(permit.Endpoint.Endpoint, notice)
 }
@@ -95,8 +95,8 @@
 // the last attempt is leaving.
 func (w *responseWriter) setLeavingHeader(header http.Header) {
 	header.Del(headerLeaving)
-	if w.leaving != nil && w.leaving.ID == w.endpoint {
-		header.Set(headerLeaving, strconv.FormatInt(w.leaving.StartedAt, 10))
+	if w.leavingEndpoint != nil && w.leavingEndpoint.ID == w.endpoint {
+		header.Set(headerLeaving, strconv.FormatInt(w.leavingEndpoint.StartedAt, 10))
 	}
 }
 
--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
 
 // Limits of streams that make no progress.
 const (
@@ -19,11 +23,15 @@
 
 // stallDetector ends an attempt whose stream makes no progress. Only complete
 // events count as progress, not bytes. A resumable stream is ended while its
-// caller still waits, if the retry budget permits. Any other stream is ended only
-// when its caller has given up, and not at all if a deadline ends it anyway.
+// caller still waits, if it can go on at another endpoint: an event was sent to
+// the caller, another endpoint may take it, and the retry budget permits. Any
+// other stream is ended only when its caller has given up, and not at all if a
+// deadline ends it anyway.
 type stallDetector struct {
 	limit time.Duration
 	timer *time.Timer
+	// resumes is true if the end of the time resumes the stream elsewhere.
+	resumes bool
 }
 
 // startStallDetector starts to watch the stream of an attempt.
@@ -33,25 +41,33 @@
 	detector := &stallDetector{}
 	switch {
 	case route.Resumable && r.sent < r.req.AttemptLimit:
-		detector.limit = time.Duration(float64(stallTimeout) * resumeShare)
-		detector.timer = time.AfterFunc(detector.limit, func() { r.resumeElsewhere(w) })
+		excluded := r.excludedEndpoints()
+		detector.limit, detector.resumes = time.Duration(float64(stallTimeout)*resumeShare), true
+		detector.timer = time.AfterFunc(detector.limit, func() { r.resumeElsewhere(w, excluded) })
 	case r.req.CallerDeadline.IsZero() && route.Timeout <= 0:
 		detector.limit = stallTimeout
 		detector.timer = time.AfterFunc(detector.limit, w.cancel)
 	}
+	detector.reset(r.canResume())
 	return detector
 }
 
-// resumeElsewhere ends the attempt if the retry budget permits another one.
-func (r *run) resumeElsewhere(w *attemptConn) {
-	if r.reserve() {
+// resumeElsewhere ends the attempt if another endpoint than the excluded ones may
+// take the rest of the stream and the retry budget permits another attempt.
+func (r *run) resumeElsewhere(w *attemptConn, excluded []types.EndpointID) {
+	if r.endpointInReach(r.h.opts.Snapshot(), excluded) && r.reserve() {
 		w.cancel()
 	}
 }
 
-// reset restarts the timer after an event.
-func (d *stallDetector) reset() {
-	if d.timer != nil {
+// reset restarts the timer after an event. A stream that can't resume yet is not
+// ended in order to resume.
+func (d *stallDetector) reset(canResume bool) {
+	switch {
+	case d.timer == nil:
+	case d.resumes && !canResume:
+		d.timer.Stop()
+	default:
 		d.timer.Reset(d.limit)
 	}
 }
--- /dev/null
+++ b/pkg/graceful/conn.go
@@ -0,0 +1,201 @@
+package graceful
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// phase is what a connection is occupied with.
+type phase int
+
+const (
+	// fresh: no request was served yet.
+	fresh phase = iota
+	// idle: the last request was answered.
+	idle
+	// handling: a handler serves a request.
+	handling
+	// aborted: a handler ended without completing its response.
+	aborted
+)
+
+// conn is an accepted connection that keeps account of its current request.
+type conn struct {
+	net.Conn
+	server *Server
+
+	mu    sync.Mutex
+	phase phase
+	// begun is true if bytes were read after the last write: a request, or a part
+	// of one, that has no response yet.
+	begun bool
+	// callerGone is true once the caller closed or reset the connection.
+	callerGone bool
+	closed     bool
+	// ending is true while the connection is woken to end: its read deadline has
+	// passed, and it ends unless a request has arrived.
+	ending bool
+}
+
+// expired is a read deadline that wakes a pending read.
+var expired = time.Unix(1, 0)
+
+var _ net.Conn = (*conn)(nil)
+
+// Read implements net.Conn. On a connection that is woken to end it still returns
+// the bytes that have arrived.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
+		n, err = c.readArrived(b, err)
+	}
+	c.recordRead(n, err)
+	return n, err
+}
+
+// readArrived reads without blocking and despite the read deadline. If there is
+// nothing to read, it returns the given error.
+func (c *conn) readArrived(b []byte, nothing error) (int, error) {
+	read := 0
+	controlSocket(c.Conn, func(fd int) { read, _ = unix.Read(fd, b) })
+	if read <= 0 {
+		return 0, nothing
+	}
+	return read, nil
+}
+
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+func (c *conn) recordRead(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.begun = true
+		c.keep()
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.callerGone = true
+	}
+}
+
+// keep lets a connection that is woken to end receive the rest of its request. The
+// caller holds the lock.
+func (c *conn) keep() {
+	if !c.ending {
+		return
+	}
+	c.ending = false
+	var deadline time.Time
+	if timeout := c.server.opts.HTTP.ReadHeaderTimeout; timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	// A closed connection fails the next read.
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// SetReadDeadline implements net.Conn. A connection that is woken to end keeps its
+// deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// endIfWaiting wakes the connection if it waits for a request, so that it ends
+// unless the request has arrived. A connection that had no request yet is left
+// alone unless fresh ones are to end too.
+func (c *conn) endIfWaiting(freshToo bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waits := c.phase == idle || c.phase == fresh && freshToo
+	if c.begun || !waits || c.ending {
+		return
+	}
+	c.ending = true
+	// A closed connection needs no waking.
+	_ = c.Conn.SetReadDeadline(expired)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.recordWrite(nil)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.recordWrite(err)
+	}
+	return n, err
+}
+
+// recordWrite is called before a write, so that the caller's next request counts
+// as begun however early it arrives, and after one that failed.
+func (c *conn) recordWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = false
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.callerGone = true
+	}
+}
+
+// startHandling records that a handler serves the request.
+func (c *conn) startHandling() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = handling
+}
+
+// handled records the end of a handler. A response that a caller no longer waited
+// for does not count as completed.
+func (c *conn) handled(completed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = idle
+	if !completed || c.callerGone {
+		c.phase = aborted
+	}
+}
+
+// Close implements net.Conn. The first call reports a request that has no complete
+// response.
+func (c *conn) Close() error {
+	if reason, lost := c.end(); lost {
+		c.server.unanswered(reason)
+	}
+	defer c.server.forget(c)
+	return c.Conn.Close()
+}
+
+// end marks the connection as closed and returns why its request has no complete
+// response; it returns false if there is no such request.
+func (c *conn) end() (Reason, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return "", false
+	}
+	c.closed = true
+	open := c.phase == handling || c.phase == aborted
+	switch {
+	case !open && !c.begun:
+		return "", false
+	case c.callerGone:
+		return CallerGone, true
+	case c.phase == handling:
+		return Cut, true
+	case c.phase == aborted:
+		return Aborted, true
+	}
+	return Dropped, true
+}
--- /dev/null
+++ b/pkg/graceful/graceful_test.go
@@ -0,0 +1,399 @@
+package graceful_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/graceful"
+)
+
+func TestGraceful(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "graceful")
+}
+
+const (
+	eventuallyTimeout = 30 * time.Second
+	headerTimeout     = 5 * time.Second
+)
+
+// reasons collects what a server reported.
+type reasons struct {
+	mu   sync.Mutex
+	list []graceful.Reason
+}
+
+func (r *reasons) add(reason graceful.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, reason)
+}
+
+func (r *reasons) all() []graceful.Reason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]graceful.Reason(nil), r.list...)
+}
+
+// fixture is a server with a handler that answers "ok", aborts on /abort, answers
+// a part of its response before that on /part, and waits for release on /wait.
+type fixture struct {
+	server  *graceful.Server
+	address string
+	seen    *reasons
+	// handling receives a value when a handler on /wait has begun.
+	handling chan struct{}
+	release  chan struct{}
+}
+
+func listen() net.Listener {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+func start() *fixture {
+	GinkgoHelper()
+	return serve(listen())
+}
+
+func serve(listener net.Listener) *fixture {
+	return serveLimited(listener, 0)
+}
+
+func serveLimited(listener net.Listener, maxConnections int) *fixture {
+	f := &fixture{address: listener.Addr().String(), seen: &reasons{}, handling: make(chan struct{}, 10), release: make(chan struct{})}
+	f.server = graceful.New(graceful.Options{
+		Listener: listener, Unanswered: f.seen.add, MaxConnections: maxConnections,
+		HTTP: &http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute},
+	})
+	var serving conc.WaitGroup
+	serving.Go(func() { Expect(f.server.Serve()).To(Succeed()) })
+	DeferCleanup(func() {
+		_ = f.server.Close()
+		serving.Wait()
+	})
+	return f
+}
+
+func (f *fixture) handle(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/abort":
+		panic(http.ErrAbortHandler)
+	case "/part":
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "/wait":
+		f.handling <- struct{}{}
+		select {
+		case <-f.release:
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}
+	_, _ = io.WriteString(w, "ok")
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fixture) dial() *caller {
+	GinkgoHelper()
+	connection, err := net.Dial("tcp", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = connection.Close() })
+	return &caller{Conn: connection, reader: bufio.NewReader(connection)}
+}
+
+func (c *caller) send(text string) {
+	GinkgoHelper()
+	_, err := io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// status reads a response and returns its status and whether the server closes
+// the connection; the status is 0 if there is no complete response.
+func (c *caller) status() (int, bool) {
+	_ = c.SetReadDeadline(time.Now().Add(eventuallyTimeout))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, true
+	}
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return 0, true
+	}
+	return response.StatusCode, response.Close
+}
+
+func get(path string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+}
+
+var _ = Describe("a request without an answer", func() {
+	DescribeTable("is reported with its reason when the server ends it", func(path string, reason graceful.Reason) {
+		f := start()
+		c := f.dial()
+		c.send(get(path))
+		status, _ := c.status()
+		Expect(status).To(BeZero())
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{reason}))
+	},
+		Entry("before its response", "/abort", graceful.Aborted),
+		Entry("in its response", "/part", graceful.Aborted),
+	)
+
+	It("is reported as the caller's doing when the caller leaves", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		Expect(c.Close()).To(Succeed())
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.CallerGone}))
+	})
+
+	It("is reported when the server is closed while a handler runs", func() {
+		f := start()
+		f.dial().send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		_ = f.server.Close()
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.Cut}))
+	})
+
+	It("is not reported for answered requests, idle connections and unused ones", func() {
+		f := start()
+		unused, c := f.dial(), f.dial()
+		for range 3 {
+			c.send(get("/"))
+			Expect(c.status()).To(Equal(http.StatusOK))
+		}
+		Expect(unused.Close()).To(Succeed())
+		Expect(f.server.Shutdown(context.Background())).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+})
+
+// nextRequestRead is the number of the read that waits for the second request of a
+// connection: the first gets the first request, the second is the server's look-out
+// while its handler runs.
+const nextRequestRead = 3
+
+// slowListener accepts one connection. The read that waits for its second request
+// returns only when its deadline has passed, as if its goroutine did not run before.
+type slowListener struct {
+	net.Listener
+	conn *slowConn
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.conn.TCPConn = accepted.(*net.TCPConn)
+	return l.conn, nil
+}
+
+type slowConn struct {
+	*net.TCPConn
+	reads atomic.Int64
+	woken chan struct{}
+	once  sync.Once
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	if c.reads.Add(1) == nextRequestRead {
+		<-c.woken
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.TCPConn.Read(b)
+}
+
+func (c *slowConn) SetReadDeadline(t time.Time) error {
+	if c.reads.Load() == nextRequestRead && !t.IsZero() && t.Before(time.Now()) {
+		c.once.Do(func() { close(c.woken) })
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// shutDown begins a shutdown and returns a function that waits for its end and
+// returns its error.
+func (f *fixture) shutDown(ctx context.Context) (wait func() error) {
+	var stopping conc.WaitGroup
+	var err error
+	stopping.Go(func() { err = f.server.Shutdown(ctx) })
+	return func() error {
+		stopping.Wait()
+		return err
+	}
+}
+
+// refusesConnections reports whether the listener is closed.
+func (f *fixture) refusesConnections() bool {
+	connection, err := net.Dial("tcp", f.address)
+	if err != nil {
+		return true
+	}
+	_ = connection.Close()
+	return false
+}
+
+var _ = Describe("a shutdown", func() {
+	const half = "GET / HTTP/1.1\r\n"
+	It("answers a request whose header is complete only after the listener is closed", func() {
+		f := start()
+		c := f.dial()
+		c.send(half)
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		c.send("Host: h\r\n\r\n")
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("answers a request on a new connection that sends nothing before the listener is closed", func() {
+		f := start()
+		c := f.dial()
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		c.send(get("/"))
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+	})
+
+	It("answers the next request of a kept connection whose first part was read", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/"))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		c.send(half)
+		time.Sleep(50 * time.Millisecond)
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		c.send("Host: h\r\n\r\n")
+		status, _ := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(wait()).To(Succeed())
+	})
+
+	It("answers a request that lies unread on a kept connection", func() {
+		slow := &slowConn{woken: make(chan struct{})}
+		f := serve(slowListener{Listener: listen(), conn: slow})
+		c := f.dial()
+		c.send(get("/"))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		Eventually(slow.reads.Load, eventuallyTimeout).Should(BeEquivalentTo(nextRequestRead))
+		c.send(get("/"))
+		wait := f.shutDown(context.Background())
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+	})
+
+	It("ends idle and unused connections, and connections that become idle", func() {
+		f := start()
+		_, idle, busy := f.dial(), f.dial(), f.dial()
+		idle.send(get("/"))
+		Expect(idle.status()).To(Equal(http.StatusOK))
+		busy.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		wait := f.shutDown(context.Background())
+		close(f.release)
+		Expect(busy.status()).To(Equal(http.StatusOK))
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("answers the requests in flight when they are cancelled", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		wait := f.shutDown(context.Background())
+		f.server.CancelRequests()
+		status, _ := c.status()
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("returns when its time is over, and the rest is cut", func() {
+		f := start()
+		f.dial().send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		Expect(f.server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+		_ = f.server.Close()
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.Cut}))
+	})
+})
+
+var _ = Describe("the accept queue", func() {
+	It("loses no request of callers that go on connecting", func() {
+		f := start()
+		var lost, answered atomic.Int64
+		var callers conc.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for {
+					connection, err := net.DialTimeout("tcp", f.address, eventuallyTimeout)
+					if err != nil {
+						return
+					}
+					c := &caller{Conn: connection, reader: bufio.NewReader(connection)}
+					_, _ = io.WriteString(c, get("/"))
+					if status, _ := c.status(); status != http.StatusOK {
+						lost.Add(1)
+					}
+					answered.Add(1)
+					_ = connection.Close()
+				}
+			})
+		}
+		Eventually(answered.Load, eventuallyTimeout).Should(BeNumerically(">", 200))
+		Expect(f.server.Shutdown(context.Background())).To(Succeed())
+		callers.Wait()
+		Expect(lost.Load()).To(BeZero())
+	})
+
+	It("holds connections beyond the limit, and serves them during a shutdown", func() {
+		f := serveLimited(listen(), 1)
+		first, second := f.dial(), f.dial()
+		first.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		second.send(get("/wait"))
+		Consistently(f.handling, 50*time.Millisecond).ShouldNot(Receive())
+		wait := f.shutDown(context.Background())
+		close(f.release)
+		status, _ := first.status()
+		Expect(status).To(Equal(http.StatusOK))
+		status, closes := second.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+	})
+})
--- /dev/null
+++ b/pkg/graceful/server.go
@@ -0,0 +1,308 @@
+// Package graceful serves HTTP/1 on a listener, stops it without losing requests,
+// and reports each request whose connection ended without a complete response.
+package graceful
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Times of a shutdown.
+const (
+	// handshakeTime is how long the handshakes that have begun may take.
+	handshakeTime = 250 * time.Millisecond
+	// freshTimeout is how long after the close of the listener a connection may
+	// take to send its first byte.
+	freshTimeout = time.Second
+)
+
+// Reason tells why a connection ended while a request had no complete response.
+type Reason string
+
+// Reasons.
+const (
+	// CallerGone: the caller closed its connection first.
+	CallerGone Reason = "caller_gone"
+	// Aborted: the handler broke off its response.
+	Aborted Reason = "aborted"
+	// Cut: the server was closed while a handler served the request.
+	Cut Reason = "cut"
+	// Dropped: the request, or a part of it, was read and no handler got it.
+	Dropped Reason = "dropped"
+)
+
+// Reasons lists all reasons.
+var Reasons = []Reason{CallerGone, Aborted, Cut, Dropped}
+
+// Options configures a Server.
+type Options struct {
+	Listener net.Listener
+	// HTTP is the server to use; its Handler, BaseContext, ConnContext and
+	// ConnState are replaced.
+	HTTP *http.Server
+	// TLS is the configuration of the listener's TLS; nil means plain HTTP.
+	TLS *tls.Config
+	// MaxConnections bounds the connections that are open at once; 0 means no
+	// limit.
+	MaxConnections int
+	// Unanswered is called for each connection that ends while a request has no
+	// complete response; nil means not at all. It must not block.
+	Unanswered func(Reason)
+}
+
+// Server serves one listener. It is safe for concurrent use.
+type Server struct {
+	opts    Options
+	handler http.Handler
+	// leaving makes every response close its connection.
+	leaving atomic.Bool
+	// requests is the context of all requests.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
+
+	listener net.Listener
+	// slots holds a value for each open connection; nil means no limit.
+	slots chan struct{}
+	// closed is closed by Close.
+	closed    chan struct{}
+	closeOnce sync.Once
+	// served is closed when no connection is accepted any more.
+	served chan struct{}
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// closing ends idle connections, endFresh also those without any request.
+	closing  bool
+	endFresh bool
+	// complete is true when no connection is accepted any more.
+	complete bool
+	// drained is closed when complete is set and no connection is left.
+	drained chan struct{}
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// New returns a server.
+func New(opts Options) *Server {
+	s := &Server{
+		opts: opts, handler: opts.HTTP.Handler, listener: opts.Listener, conns: make(map[*conn]struct{}),
+		closed: make(chan struct{}), served: make(chan struct{}), drained: make(chan struct{}),
+	}
+	if opts.MaxConnections > 0 {
+		s.slots = make(chan struct{}, opts.MaxConnections)
+	}
+	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
+	if tcp, ok := opts.Listener.(*net.TCPListener); ok {
+		s.listener = newQueueListener(tcp)
+	}
+	opts.HTTP.Handler = http.HandlerFunc(s.handle)
+	opts.HTTP.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, trackedConn(accepted))
+	}
+	opts.HTTP.BaseContext = func(net.Listener) context.Context { return s.requests }
+	opts.HTTP.ConnState = s.connState
+	return s
+}
+
+// Serve accepts connections until the server is shut down or closed; it then
+// returns nil. It must be called once.
+func (s *Server) Serve() error {
+	defer close(s.served)
+	err := s.opts.HTTP.Serve(s.httpListener())
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) httpListener() net.Listener {
+	listener := trackingListener{Listener: s.listener, server: s}
+	if s.opts.TLS != nil {
+		return tls.NewListener(listener, s.opts.TLS)
+	}
+	return listener
+}
+
+// Leave makes every further response close its connection.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
+// Shutdown closes the listener and waits until all connections have ended: every
+// request that has arrived is served, and a connection ends only when nothing of a
+// further request has arrived. It returns the error of ctx if that ends first. The
+// server's own Shutdown would drop requests that it reads after its begin.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Leave()
+	s.closeListener(ctx)
+	// Idle connections end first: they may hold the slots of those in the queue.
+	s.endWaiting(false)
+	timer := time.AfterFunc(freshTimeout, func() { s.endWaiting(true) })
+	defer timer.Stop()
+	select {
+	case <-s.served:
+		s.awaitLast()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ErrStopping is the cause of the end of a request's context when the server stops.
+var ErrStopping = errors.New("the server stops")
+
+// CancelRequests cancels the contexts of all requests with the cause ErrStopping, so
+// that their handlers can answer with a failure before their connections are cut.
+func (s *Server) CancelRequests() {
+	s.cancelRequests(ErrStopping)
+}
+
+// closeListener closes the listener after the handshakes that have begun.
+func (s *Server) closeListener(ctx context.Context) {
+	if queue, ok := s.listener.(*queueListener); ok && queue.refuse() {
+		timer := time.NewTimer(handshakeTime)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	// The connections that were accepted are served however the listener closes.
+	_ = s.listener.Close()
+}
+
+// endWaiting ends the connections that wait for a request, now and from now on.
+func (s *Server) endWaiting(freshToo bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing, s.endFresh = true, freshToo
+	for c := range s.conns {
+		c.endIfWaiting(freshToo)
+	}
+}
+
+// awaitLast lets the end of the last connection close drained.
+func (s *Server) awaitLast() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.complete
+	s.complete = true
+	if first && len(s.conns) == 0 {
+		close(s.drained)
+	}
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	s.closeOnce.Do(func() { close(s.closed) })
+	defer s.CancelRequests()
+	return errors.Join(s.listener.Close(), s.opts.HTTP.Close())
+}
+
+// handle serves a request and records whether its response was completed.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if c == nil {
+		s.handler.ServeHTTP(w, r)
+		return
+	}
+	c.startHandling()
+	completed := false
+	defer func() { c.handled(completed) }()
+	s.handler.ServeHTTP(w, r)
+	completed = true
+}
+
+// connState is the hook for changes of a connection's state.
+func (s *Server) connState(changed net.Conn, state http.ConnState) {
+	c := trackedConn(changed)
+	if c == nil || state != http.StateIdle {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		c.endIfWaiting(s.endFresh)
+	}
+}
+
+func (s *Server) unanswered(reason Reason) {
+	if s.opts.Unanswered != nil {
+		s.opts.Unanswered(reason)
+	}
+}
+
+func (s *Server) track(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.conns[c]; !known {
+		return
+	}
+	delete(s.conns, c)
+	s.releaseSlot()
+	if s.complete && len(s.conns) == 0 {
+		close(s.drained)
+	}
+}
+
+// trackingListener accepts connections that the server keeps account of.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener. It waits for a slot if their number is limited.
+func (l trackingListener) Accept() (net.Conn, error) {
+	if l.server.slots != nil {
+		select {
+		case l.server.slots <- struct{}{}:
+		case <-l.server.closed:
+			return nil, net.ErrClosed
+		}
+	}
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		l.server.releaseSlot()
+		return nil, err
+	}
+	c := &conn{Conn: accepted, server: l.server}
+	l.server.track(c)
+	return c, nil
+}
+
+func (s *Server) releaseSlot() {
+	if s.slots != nil {
+		<-s.slots
+	}
+}
+
+// trackedConn returns the connection below a connection of the HTTP server; nil if
+// it is not one of a Server.
+func trackedConn(accepted net.Conn) *conn {
+	if secured, ok := accepted.(*tls.Conn); ok {
+		accepted = secured.NetConn()
+	}
+	c, _ := accepted.(*conn)
+	return c
+}
