Retry budget: charged when sent, and never sent after its time

Change: affordable() asks, charge() spends when an endpoint or daemon is chosen. A connection that comes too late is closed before anything is written. The end of the own time is no fault of an endpoint or of another daemon. No share of the fixed number until others are known. A kept connection to another daemon that was closed is no sign that it is out of reach.

--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -34,6 +34,10 @@
 	// cancel ends only this attempt. Unlike closing the connection, it can't
 	// affect another request if the response has just ended.
 	cancel context.CancelFunc
+	// tooLate reports whether nothing may be sent any more; nil means never.
+	// expired is true once that has ended the attempt.
+	tooLate func() bool
+	expired atomic.Bool
 	// connecting tells whether the endpoint still wants the request; nil for an
 	// attempt by way of another daemon.
 	connecting *gate.Connecting
@@ -56,15 +60,17 @@
 	return w.conn.Load() != nil
 }
 
-// connectBy ends the attempt if it has no connection at a time, so that a request
-// does not reach an endpoint after its last one is due. A zero time sets no limit.
-// The returned function stops the timer.
-func (w *attemptConn) connectBy(last, now time.Time) (stop func()) {
-	if last.IsZero() {
+// limit keeps the attempt from being sent after a time: it is cancelled if it has no
+// connection by then, and a connection that it obtains later is closed. A zero time
+// sets no limit. The returned function stops the timer.
+func (w *attemptConn) limit(sendBy time.Time, now func() time.Time) (stop func()) {
+	if sendBy.IsZero() {
 		return func() {}
 	}
-	timer := time.AfterFunc(last.Sub(now), func() {
+	w.tooLate = func() bool { return !now().Before(sendBy) }
+	timer := time.AfterFunc(sendBy.Sub(now()), func() {
 		if !w.connected() {
+			w.expired.Store(true)
 			w.cancel()
 		}
 	})
@@ -89,7 +95,7 @@
 	var w attemptConn
 	outgoing := r.endpointRequest(permit, &w)
 	defer w.cancel()
-	defer w.connectBy(earliest(permit.Endpoint.LastRequestAt, r.arriveBy()), r.h.opts.Now())()
+	defer w.limit(earliest(permit.Endpoint.LastRequestAt, r.arriveBy()), r.h.opts.Now)()
 	response, err := r.roundTrip(outgoing, permit, &w)
 	if err != nil {
 		return r.handleSendError(permit, &w, err)
@@ -170,6 +176,11 @@
 	if !w.connected() && w.connecting.Aborted() {
 		return r.handleWithdrawal(permit)
 	}
+	if w.expired.Load() && !w.mayHaveArrived() {
+		r.reached = false
+		r.h.opts.Gate.Done(permit, balance.Abandoned)
+		return failureWithCause(types.NotRun, types.CodeUnreachable, "the time to send the request was over", err)
+	}
 	if !w.connected() {
 		r.reached = false
 		r.h.opts.Gate.Done(permit, balance.ConnectFailed)
--- a/pkg/gateway/proxy/budget.go
+++ b/pkg/gateway/proxy/budget.go
@@ -12,15 +12,11 @@
 // daemons that are paused between counting a retry and sending it.
 const budgetFraction = 0.9
 
-// assumedFleetSize is the number of daemons assumed by a daemon that has not seen
-// another one since its start.
-const assumedFleetSize = 64
-
 // defaultBudgetWindow applies when the settings name no window.
 const defaultBudgetWindow = 10 * time.Second
 
 // arrivalTime bounds the time from counting a retry to its arrival at an endpoint.
-// An attempt that has no connection by then is not sent.
+// An attempt that obtains no connection by then is not sent.
 const arrivalTime = 1500 * time.Millisecond
 
 // RetryBudgets limits retries per service. In any window, all daemons together may
@@ -44,17 +40,16 @@
 
 // NewRetryBudgets returns the budgets of a daemon that has started at a time. Ratio
 // is the number of retries per request; fixed is the number of retries per window
-// that all daemons together may make beyond that.
+// that all daemons together may make beyond that. The daemon has no share of it
+// until SetFleetSize is called.
 func NewRetryBudgets(ratio, fixed float64, window time.Duration, startedAt time.Time) *RetryBudgets {
 	if window <= 0 {
 		window = defaultBudgetWindow
 	}
-	b := &RetryBudgets{
+	return &RetryBudgets{
 		ratio: ratio * budgetFraction, fixed: fixed * budgetFraction, window: window,
 		sharesFrom: startedAt.Add(window + arrivalTime), ledgers: make(map[types.ServiceName]*ledger),
 	}
-	b.SetFleetSize(assumedFleetSize)
-	return b
 }
 
 // SetFleetSize sets the number of daemons that share the fixed number of retries.
@@ -76,16 +71,26 @@
 func (b *RetryBudgets) Allow(service types.ServiceName, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.permits(service, now) {
+		return false
+	}
+	b.ledgerOf(service, now).buckets[0].retries++
+	return true
+}
+
+// Permits reports whether the budget permits another retry, without spending it.
+func (b *RetryBudgets) Permits(service types.ServiceName, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.permits(service, now)
+}
+
+func (b *RetryBudgets) permits(service types.ServiceName, now time.Time) bool {
 	share := b.share
 	if now.Before(b.sharesFrom) {
 		share = 0
 	}
-	l := b.ledgerOf(service, now)
-	if !l.permits(b.ratio, share) {
-		return false
-	}
-	l.buckets[0].retries++
-	return true
+	return b.ledgerOf(service, now).permits(b.ratio, share)
 }
 
 // Refund takes back a retry that was spent at a time and never sent.
--- a/pkg/gateway/proxy/charge.go
+++ b/pkg/gateway/proxy/charge.go
@@ -6,17 +6,27 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 )
 
-// hopTime is the part of arrivalTime that is left to the other daemon when a retry
-// is forwarded; the rest is for connecting to it.
-const hopTime = 800 * time.Millisecond
+// Parts of arrivalTime that a forwarded retry has after the connection to the other
+// daemon: hopTransit to get there and hopTime to reach an endpoint from there.
+const (
+	hopTransit = 200 * time.Millisecond
+	hopTime    = 600 * time.Millisecond
+)
 
-// minChargeLeft is the least time left of a charge for an attempt to be sent with
-// it; an older charge is replaced.
+// minChargeLeft is the least time left of a reservation for an attempt to be sent
+// with it; an older one is replaced by a new charge.
 const minChargeLeft = 1200 * time.Millisecond
 
-// charge takes the next attempt from the retry budget if the request may have
-// reached an endpoint before. A charge lasts until an attempt may have arrived, or
-// until too little is left of its time.
+// affordable reports whether the retry budget would permit another attempt now.
+func (r *run) affordable() bool {
+	if r.sent == 0 || !r.chargedAt.IsZero() || r.reservedAt.Load() != nil {
+		return true
+	}
+	return r.h.opts.RetryBudgets.Permits(r.req.Service, r.h.opts.Now()) || r.deny()
+}
+
+// charge takes the attempt that is about to be sent from the retry budget if the
+// request may have reached an endpoint before, and reports whether it may be sent.
 func (r *run) charge() bool {
 	if r.sent == 0 {
 		return true
@@ -30,19 +40,25 @@
 	}
 	r.refund()
 	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
-		r.retryDenied = true
-		r.h.opts.Metrics.countDenied(r.req.Service)
-		return false
+		return r.deny()
 	}
 	r.chargedAt = now
 	return true
 }
 
-// reserve takes a retry from the budget for an attempt that ends the current one,
-// and reports whether the budget permits it. It may be called from any goroutine.
+// deny records that the retry budget did not permit an attempt. It returns false.
+func (r *run) deny() bool {
+	r.retryDenied = true
+	r.h.opts.Metrics.countDenied(r.req.Service)
+	return false
+}
+
+// reserve charges an attempt that ends the current one, and reports whether the
+// budget permits it. It may be called from any goroutine.
 func (r *run) reserve() bool {
 	now := r.h.opts.Now()
 	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
+		r.h.opts.Metrics.countDenied(r.req.Service)
 		return false
 	}
 	r.reservedAt.Store(&now)
@@ -65,7 +81,7 @@
 	}
 }
 
-// arriveBy returns when the next attempt must have a connection, so that it arrives
+// arriveBy returns when the next attempt must reach an endpoint, so that it arrives
 // in the time for which it was charged; zero if it may arrive at any time.
 func (r *run) arriveBy() time.Time {
 	if !r.chargedAt.IsZero() {
@@ -74,10 +90,18 @@
 	return r.req.ArriveBy
 }
 
+// forwardBy returns when the next attempt must have a connection to another daemon;
+// zero sets no limit.
+func (r *run) forwardBy() time.Time {
+	if r.chargedAt.IsZero() {
+		return time.Time{}
+	}
+	return r.arriveBy().Add(-hopTransit - hopTime)
+}
+
 // waitLimit returns how long the next attempt may wait for capacity; zero means
 // that nothing but its deadline and objective limits it. The request's own daemon
-// charges it again after a wait, so only one that another daemon has charged is
-// limited.
+// charges it after the wait, so only one that another daemon has charged is limited.
 func (r *run) waitLimit() time.Duration {
 	if r.req.ArriveBy.IsZero() {
 		return 0
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -57,9 +57,7 @@
 		return failureWithCause(types.NotRun, types.CodeInternal, "the request can't be forwarded", err)
 	}
 	defer w.cancel()
-	if !r.chargedAt.IsZero() {
-		defer w.connectBy(r.arriveBy().Add(-hopTime), r.h.opts.Now())()
-	}
+	defer w.limit(r.forwardBy(), r.h.opts.Now)()
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	if err != nil {
 		return r.handleForwardError(member, &w, err)
@@ -118,7 +116,11 @@
 	}
 	if !w.mayHaveArrived() {
 		r.reached = false
-		r.h.opts.Reporter.ReportUnreachable(member.VM, err)
+		// A kept connection that was closed, or the end of the time to send, says
+		// nothing of the daemon.
+		if !w.connected() && !w.expired.Load() {
+			r.h.opts.Reporter.ReportUnreachable(member.VM, err)
+		}
 		return failureWithCause(types.NotRun, types.CodeUnreachable, "the other daemon can't be reached", err)
 	}
 	r.verdict = r.verdict.Merge(types.MayHaveRun)
@@ -177,6 +179,7 @@
 }
 
 func (h *Handler) parseForwarded(r *http.Request) (*Request, error) {
+	now := h.opts.Now()
 	var env envelope
 	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &env); err != nil {
 		return nil, eris.Wrap(err, "forwarded request")
@@ -200,7 +203,6 @@
 	if env.ResumeAfter != "" {
 		info.ResumeAfter = env.ResumeAfter
 	}
-	now := h.opts.Now()
 	req := newRequest(r, info, env.Route)
 	req.Body, req.Service, req.ModelEngine, req.AttemptLimit, req.ForwardedBy = body, env.Service, env.ModelEngine, 1, env.ForwardedBy
 	req.Arrived, req.Deadline = now.Add(-max(env.Waited, 0)), now.Add(env.Left)
--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -23,10 +23,15 @@
 	}
 }
 
-// gotConn records the connection. If the endpoint has said meanwhile that it wants
-// no request, the connection is closed, so that nothing is sent on it.
+// gotConn records the connection. If it comes too late, or if the endpoint has said
+// meanwhile that it wants no request, it is closed, so that nothing is sent on it.
 func (w *attemptConn) gotConn(info httptrace.GotConnInfo) {
-	if !w.connecting.End() {
+	wanted := w.connecting.End()
+	if w.tooLate != nil && w.tooLate() {
+		w.expired.Store(true)
+		wanted = false
+	}
+	if !wanted {
 		_ = info.Conn.Close()
 		return
 	}
--- a/pkg/gateway/proxy/retry_test.go
+++ b/pkg/gateway/proxy/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -200,4 +201,77 @@
 		Expect(response.Code).To(Equal(503))
 		Expect(response.Header().Get("X-Gateway-Arrivals")).To(Equal("0"))
 	})
+
+	It("is told to the other daemon with a forwarded retry, and only with a retry", func() {
+		var envelopes []string
+		daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			envelopes = append(envelopes, r.Header.Get("X-Gateway-Forward"))
+			w.Header().Set("X-Gateway-Failure", string(types.CodeOverloaded))
+			w.Header().Set("X-Gateway-Verdict", types.NotRun.String())
+			w.Header().Set("X-Gateway-Arrivals", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		DeferCleanup(daemon.CloseClientConnections)
+		south := newTestProxy(catalog.Idempotent)
+		south.region, south.self = "south", "127.0.0.1:2"
+		south.members = []members.Member{{VM: types.VMID(daemon.Listener.Addr().String()), Region: "north", State: members.Serving}}
+		south.start(newEndpoint(respondOK))
+		south.call("GET", "/r/", "")
+		Expect(envelopes).To(HaveLen(2))
+		Expect(envelopes[0]).NotTo(ContainSubstring("arrive_within"))
+		Expect(envelopes[1]).To(ContainSubstring("arrive_within"))
+	})
 })
+
+var _ = Describe("A forwarded retry whose time is over", func() {
+	const envelope = `{"from":"127.0.0.1:9","route":{"name":"r","kind":"idempotent"},"service":"svc","left":20000000000,"arrive_within":%d}`
+	var (
+		good *endpoint
+		w    *testProxy
+	)
+	BeforeEach(func() {
+		good = newEndpoint(respondOK)
+		w = newTestProxy(catalog.Idempotent)
+		w.start(good)
+	})
+
+	It("is not sent over a kept connection", func() {
+		w.call("GET", "/r/", "")
+		for range 20 {
+			Expect(w.serveForwarded(fmt.Sprintf(envelope, 1), "").Header().Get("X-Gateway-Arrivals")).To(Equal("0"))
+		}
+		Expect(good.count()).To(Equal(1))
+	})
+
+	It("does not suspend the endpoint that it was not sent to", func() {
+		for range 6 {
+			w.serveForwarded(fmt.Sprintf(envelope, 1), "")
+		}
+		permit, _ := w.gate.Try(balance.RequestInfo{Service: service, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)})
+		Expect(permit).NotTo(BeNil())
+		Expect(good.count()).To(BeZero())
+	})
+
+	It("has spent its time while its body was read", func() {
+		request := httptest.NewRequest("POST", "/r/", &slowReader{delay: 200 * time.Millisecond})
+		request.Header[http.CanonicalHeaderKey("X-Gateway-Forward")] = []string{fmt.Sprintf(envelope, 100*time.Millisecond)}
+		request.Header.Set(headerID, "q")
+		w.handler.ServeForwarded(httptest.NewRecorder(), request)
+		Expect(good.count()).To(BeZero())
+	})
+})
+
+// slowReader returns one byte after a delay, and then io.EOF.
+type slowReader struct {
+	delay time.Duration
+	done  bool
+}
+
+func (s *slowReader) Read(p []byte) (int, error) {
+	if s.done {
+		return 0, io.EOF
+	}
+	time.Sleep(s.delay)
+	s.done = true
+	return copy(p, "x"), nil
+}
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -57,8 +57,9 @@
 	// region is the region of the daemon that the last attempt was forwarded to;
 	// empty if it went to an endpoint.
 	region types.Region
-	// chargedAt is when the next attempt was taken from the retry budget; zero if
-	// it was not. reservedAt is the same while the current attempt still runs.
+	// chargedAt is when the attempt that is being sent was taken from the retry
+	// budget; zero if it was not. reservedAt is the same for the attempt after the
+	// current one.
 	chargedAt  time.Time
 	reservedAt atomic.Pointer[time.Time]
 	// retryDenied is true if the retry budget did not permit another attempt.
@@ -185,7 +186,7 @@
 	case r.reached && (r.sent >= r.req.AttemptLimit || !failure.Code.Retryable()):
 		return false
 	}
-	return r.charge()
+	return r.affordable()
 }
 
 // canResume reports whether an interrupted stream may resume at another endpoint.
