Streams: end a resumable stream that stalls when its caller gives up

A resumable stream whose endpoint sends no more events was not ended for up to an hour if neither caller nor route set a limit and it could resume nowhere: no event was sent yet, no other endpoint was left, or the retry budget was spent. It kept its place at the endpoint, and its caller's connection. A stream that may not resume is ended after the time for which callers wait (2 s at least).

Found while a spec of resumed streams was made strict: its second stalled call hung, since the first had spent the budget.

Cause: the detector had one timer, which either resumes a stream or gives it up. It has one for each now; both restart with each event.

After: they end after 2 s (checked within 1.5 s); the package passes with the race detector.

--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -28,10 +28,19 @@
 // other stream is ended only when its caller has given up, and not at all if a
 // deadline ends it anyway.
 type stallDetector struct {
+	// resume ends the attempt in order to resume elsewhere; nil if no attempt is
+	// left. giveUp ends it for good; nil if a deadline does.
+	resume, giveUp *stallTimer
+}
+
+// stallTimer calls a function when its limit has passed since the last reset.
+type stallTimer struct {
 	limit time.Duration
 	timer *time.Timer
-	// resumes is true if the end of the time resumes the stream elsewhere.
-	resumes bool
+}
+
+func newStallTimer(limit time.Duration, stalled func()) *stallTimer {
+	return &stallTimer{limit: limit, timer: time.AfterFunc(limit, stalled)}
 }
 
 // startStallDetector starts to watch the stream of an attempt.
@@ -39,14 +48,12 @@
 	route := r.req.Route
 	stallTimeout := max(minStallTimeout, objectiveMultiple*route.Objective, gapMultiple*route.LongestGap)
 	detector := &stallDetector{}
-	switch {
-	case route.Resumable && r.sent < r.req.AttemptLimit:
+	if route.Resumable && r.sent < r.req.AttemptLimit {
 		excluded := r.excludedEndpoints()
-		detector.limit, detector.resumes = time.Duration(float64(stallTimeout)*resumeShare), true
-		detector.timer = time.AfterFunc(detector.limit, func() { r.resumeElsewhere(w, excluded) })
-	case r.req.CallerDeadline.IsZero() && route.Timeout <= 0:
-		detector.limit = stallTimeout
-		detector.timer = time.AfterFunc(detector.limit, w.cancel)
+		detector.resume = newStallTimer(time.Duration(float64(stallTimeout)*resumeShare), func() { r.resumeElsewhere(w, excluded) })
+	}
+	if r.req.CallerDeadline.IsZero() && route.Timeout <= 0 {
+		detector.giveUp = newStallTimer(stallTimeout, w.cancel)
 	}
 	detector.reset(r.canResume())
 	return detector
@@ -60,21 +67,33 @@
 	}
 }
 
-// reset restarts the timer after an event. A stream that can't resume yet is not
+// reset restarts the timers after an event. A stream that can't resume yet is not
 // ended in order to resume.
 func (d *stallDetector) reset(canResume bool) {
-	switch {
-	case d.timer == nil:
-	case d.resumes && !canResume:
-		d.timer.Stop()
-	default:
-		d.timer.Reset(d.limit)
+	if canResume {
+		d.resume.reset()
+	} else {
+		d.resume.stop()
 	}
+	d.giveUp.reset()
 }
 
-// stop stops the timer.
+// stop stops the timers.
 func (d *stallDetector) stop() {
-	if d.timer != nil {
-		d.timer.Stop()
+	d.resume.stop()
+	d.giveUp.stop()
+}
+
+// reset restarts the timer; a nil timer does nothing.
+func (t *stallTimer) reset() {
+	if t != nil {
+		t.timer.Reset(t.limit)
+	}
+}
+
+// stop stops the timer; a nil timer does nothing.
+func (t *stallTimer) stop() {
+	if t != nil {
+		t.timer.Stop()
 	}
 }
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -277,6 +277,31 @@
 		Expect([]int{stalled.count(), healthy.count()}).To(Equal([]int{1, 1}))
 	})
 
+	DescribeTable("that are resumable but resume nowhere end when their caller gives up, if no limit is set", func(events, endpoints, earlierCalls int) {
+		w := newSlowProxy()
+		w.route.Resumable, w.retryRatio, w.retryFixed = true, 0, 0
+		var list []*rawEndpoint
+		for range endpoints {
+			list = append(list, slowStream(events, 0))
+		}
+		startWithRaw(w, list...)
+		var started time.Time
+		for range earlierCalls + 1 {
+			started = time.Now()
+			ended := make(chan error, 1)
+			go func() {
+				defer GinkgoRecover()
+				ended <- w.call("POST", "/r/", "x").err
+			}()
+			Eventually(ended, eventuallyTimeout).Should(Receive(HaveOccurred()))
+		}
+		Expect(time.Since(started)).To(BeNumerically("~", minStallTimeout, 1500*time.Millisecond))
+	},
+		Entry("before the first event", 0, 2, 0),
+		Entry("when no other endpoint is left", 1, 1, 0),
+		Entry("when an earlier call has spent the retry budget", 1, 2, 1),
+	)
+
 	// lateStream sends its header, pauses, sends two events with a pause between
 	// them and ends.
 	const longPause = 1300 * time.Millisecond
