Hops: both daemons find a silent connection dead at the same time

What could happen: the daemon that forwarded a request gave up a silent connection after 4 s and sent the request elsewhere, charged as a retry; the other daemon found out after 11 s and might run the waiting request until then, in another window of the retry budget. Change: the listener for other daemons has the same probes as their dialer. Ruled out: a shorter wait of every forwarded request, which regions without endpoints of a service need.

--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
@@ -38,9 +39,7 @@
 	if address == "" {
 		return nil
 	}
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
-	}}
+	config := net.ListenConfig{KeepAliveConfig: keepAliveOf(name)}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s on %s", name, address)
@@ -53,6 +52,14 @@
 	return nil
 }
 
+// keepAliveOf returns the probes of the connections of a listener.
+func keepAliveOf(name string) net.KeepAliveConfig {
+	if name == peersName {
+		return proxy.KeepAlive()
+	}
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount}
+}
+
 func (e *Entry) httpServer(name string, handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           e.guard.Handler(name, handler),
--- a/pkg/gateway/proxy/transport.go
+++ b/pkg/gateway/proxy/transport.go
@@ -71,11 +71,18 @@
 func NewDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+		KeepAliveConfig: KeepAlive(),
 		Control:         setTCPUserTimeout,
 	}
 }
 
+// KeepAlive returns the probes of connections between daemons. Both ends use the
+// same: a daemon that no longer hears the one that forwarded a request must not run
+// the request long after the other has sent it elsewhere.
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
+}
+
 // setTCPUserTimeout sets TCP_USER_TIMEOUT: how long sent bytes may stay
 // unacknowledged.
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
