--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,8 +161,11 @@
 
 // processes returns the daemons' processes by name.
 func (w *World) processes() map[string]int {
-	found := make(map[string]int, len(w.daemons))
-	for _, one := range w.daemons {
+	w.mu.Lock()
+	daemons := slices.Clone(w.daemons)
+	w.mu.Unlock()
+	found := make(map[string]int, len(daemons))
+	for _, one := range daemons {
 		if name, pid := one.running(); pid != 0 {
 			found[name] = pid
 		}
@@ -180,7 +184,9 @@
 			if err != nil {
 				return err
 			}
+			w.mu.Lock()
 			w.daemons = append(w.daemons, one)
+			w.mu.Unlock()
 		}
 		seeds = append(seeds, types.VMID(w.daemons[len(w.daemons)-1].control()))
 	}
