Soak: endpoints leave by their answers and ask for pauses

The plan draws both: an endpoint that says in all answers that it leaves, while the store says so too or only 7 s later, in series with other leavings, stops, kills and a store that is away; one endpoint, or all of a service, that asks for a pause of up to 3 s, followed by stops and kills. Services have a health check.

--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -20,6 +20,9 @@
 	Evacuate Kind = "evacuate"
 	// Drain lets an endpoint leave; a new one comes first.
 	Drain Kind = "drain"
+	// Leave lets an endpoint say in its answers that it leaves; a new one comes
+	// first.
+	Leave Kind = "leave"
 	// Stop stops a daemon with SIGTERM; it starts again.
 	Stop Kind = "stop"
 	// Reload sends SIGHUP to a daemon.
@@ -38,6 +41,8 @@
 	// Burst lets all endpoints of a service refuse, misdirect, break off or fail
 	// every request for a while.
 	Burst Kind = "burst"
+	// Backoff lets one endpoint or all endpoints of a service ask for a pause.
+	Backoff Kind = "backoff"
 	// EndpointLink, StoreLink and CallerLink disturb a link.
 	EndpointLink Kind = "endpoint-link"
 	StoreLink    Kind = "store-link"
@@ -54,9 +59,9 @@
 }
 
 var (
-	planned = []Kind{Move, Evacuate, Drain, Stop, Reload}
+	planned = []Kind{Move, Evacuate, Drain, Leave, Stop, Reload}
 	faults  = []Kind{
-		Kill, KillAll, Pause, Crash, Misbehave, Burst, Burst, EndpointLink, EndpointLink, StoreLink, CallerLink, StoreDown, StoreForgets,
+		Kill, KillAll, Pause, Crash, Misbehave, Burst, Burst, Backoff, Backoff, EndpointLink, EndpointLink, StoreLink, CallerLink, StoreDown, StoreForgets,
 	}
 )
 
@@ -104,7 +109,7 @@
 		}
 		steps = append(steps, step)
 		for range rng.IntN(maxSeries) {
-			if follow := follows(step.Kind); len(follow) > 0 {
+			if follow := follows(step.Kind, calm); len(follow) > 0 {
 				step.At += time.Duration(rng.Int64N(int64(maxFollow)))
 				step.Kind = follow[rng.IntN(len(follow))]
 				steps = append(steps, step)
@@ -117,12 +122,18 @@
 
 // follows returns what may follow at once, on the same target: signals and
 // configurations overlap, and daemons stop while endpoints turn requests away.
-func follows(kind Kind) []Kind {
+// A calm run has planned work only.
+func follows(kind Kind, calm bool) []Kind {
 	switch kind {
 	case Stop, Reload, Move:
 		return []Kind{Stop, Reload, Move}
-	case Burst:
+	case Burst, Backoff:
 		return []Kind{Stop, Kill}
+	case Leave:
+		if calm {
+			return []Kind{Leave, Stop}
+		}
+		return []Kind{Leave, Stop, Kill, StoreDown, StoreLink}
 	}
 	return nil
 }
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -22,6 +22,9 @@
 	evacuateWithin = 5 * time.Second
 	// evacuateFor is long enough for the bound to be passed.
 	evacuateFor = 8 * time.Second
+	// lingerAfterLeave is how long an endpoint serves on after it has begun to say
+	// that it leaves, and before its entry is removed.
+	lingerAfterLeave = 7 * time.Second
 	// lingerAfterDrain is how long an endpoint serves on after it was told to
 	// leave.
 	lingerAfterDrain = 5 * time.Second
@@ -140,6 +143,8 @@
 		w.store.DropHistory()
 	case plan.Burst:
 		w.burst(step)
+	case plan.Backoff:
+		w.backoff(step)
 	default:
 		return w.endpointFault(step)
 	}
@@ -174,15 +179,36 @@
 	w.behave(service, standin.Behaviour{Delay: workTime})
 }
 
-// behave sets the behaviour of every endpoint of a service.
-func (w *World) behave(service types.ServiceName, behaviour standin.Behaviour) {
+// backoff lets an endpoint, or every other time all endpoints of its service, ask
+// for a pause.
+func (w *World) backoff(step plan.Step) {
+	asking := []*endpoint{w.pick(step)}
+	if step.Variant%2 == 0 {
+		asking = w.endpointsOf(asking[0].service)
+	}
+	for _, one := range asking {
+		one.AskForPause(step.For)
+	}
+	time.Sleep(step.For)
+}
+
+func (w *World) endpointsOf(service types.ServiceName) []*endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	var found []*endpoint
 	for _, one := range w.endpoints {
 		if one.service == service {
-			one.SetBehaviour(behaviour)
+			found = append(found, one)
 		}
 	}
+	return found
+}
+
+// behave sets the behaviour of every endpoint of a service.
+func (w *World) behave(service types.ServiceName, behaviour standin.Behaviour) {
+	for _, one := range w.endpointsOf(service) {
+		one.SetBehaviour(behaviour)
+	}
 }
 
 // disturb sets one of a link's bad modes for a while.
@@ -242,6 +268,8 @@
 		w.evacuate()
 	case plan.Drain:
 		w.drain(step)
+	case plan.Leave:
+		w.leave(step)
 	case plan.Stop:
 		w.stop(target)
 	case plan.Reload:
@@ -335,3 +363,21 @@
 	one.Withdraw()
 	one.Kill()
 }
+
+// leave replaces an endpoint that says in its answers that it leaves. The store
+// learns of it at the same time or only at the end.
+func (w *World) leave(step plan.Step) {
+	one := w.pick(step)
+	if _, err := w.addEndpoint(one.service, one.region); err != nil {
+		return
+	}
+	w.remove(one)
+	one.SetLeaving()
+	if step.Variant%2 == 0 {
+		one.PublishDraining()
+	}
+	time.Sleep(lingerAfterLeave)
+	one.Withdraw()
+	time.Sleep(drainWithin + time.Second)
+	one.Kill()
+}
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -274,7 +274,7 @@
 			route("fetch", standin.FetchPath, catalog.Idempotent, vault),
 		},
 		Services: map[types.ServiceName]*catalog.Service{
-			engines: {ColdStart: coldStart, ColdPerSecond: coldPerSecond, Engine: &catalog.Engine{Slots: 16, CacheTokens: 100_000}},
+			engines: {ColdStart: coldStart, ColdPerSecond: coldPerSecond, HealthPath: standin.HealthPath, Engine: &catalog.Engine{Slots: 16, CacheTokens: 100_000}},
 			desk:    {}, annex: {},
 		},
 		Limits: catalog.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
