Streams: reserve the endpoint before a silent stream is given up

Callers of a resumable stream saw EOF when the stream was silent for half of their waiting time and the other endpoints were full: the attempt was ended first, and then nothing took the rest in time. In a service that is short of endpoints a pause became a broken stream, and a retry of the budget was spent.

The stall detector now reserves an endpoint of this region before it ends the attempt, and the next attempt uses it. If this region has no endpoint at all, another region must have one that the request would be sent to. Otherwise the stream goes on. The detector's work and its stop exclude each other, so a reservation or a retry is never taken for a stream that has just ended; a reservation that is not used is released with the request.

Spec "Slow streams are not ended while their caller waits and every other endpoint is full" failed before, with EOF after 2.5 s; it passes, as do all specs of the package with the race detector.

--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -307,6 +307,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	run := &run{h: h, ctx: ctx, req: req, out: newResponseWriter(w, req.ForwardedBy != "", h.draining.Load)}
+	defer run.releaseReserved()
 	run.checkSuspect(snap)
 	failure := run.loop()
 	run.finish(failure)
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -307,14 +307,8 @@
 // fillQueue takes every slot of the region's endpoints and every place in the
 // queue. The waiting requests leave when the returned function is called.
 func (w *testProxy) fillQueue(e *endpoint) (release func()) {
-	info := balance.RequestInfo{Service: service, Rank: w.route.Rank, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+	info := w.fillSlots()
 	ctx, cancel := context.WithCancel(context.Background())
-	for {
-		permit, _ := w.gate.Try(info)
-		if permit == nil {
-			break
-		}
-	}
 	const waiting = 512
 	for range waiting {
 		go func() { _, _, _ = w.gate.Acquire(ctx, info) }()
@@ -323,6 +317,18 @@
 	return cancel
 }
 
+// fillSlots takes every slot of the region's endpoints. It returns the request that
+// took them.
+func (w *testProxy) fillSlots() balance.RequestInfo {
+	info := balance.RequestInfo{Service: service, Rank: w.route.Rank, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+	for {
+		permit, _ := w.gate.Try(info)
+		if permit == nil {
+			return info
+		}
+	}
+}
+
 // update passes the view to the balancer again.
 func (w *testProxy) update() {
 	view := *w.snap.View
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -20,10 +20,14 @@
 	member   members.Member
 }
 
-// place selects a destination. A request with a large prefix goes to the home of
-// the prefix. Any other one tries the local region, then another region with
-// spare capacity, then waits for capacity in the local region.
+// place selects a destination: the reserved endpoint if there is one. A request with
+// a large prefix goes to the home of the prefix. Any other one tries the local
+// region, then another region with spare capacity, then waits for capacity in the
+// local region.
 func (r *run) place(snap *control.Snapshot) (destination, *types.Failure) {
+	if permit := r.takeReserved(); permit != nil {
+		return destination{endpoint: permit}, nil
+	}
 	if r.req.PrefixTokens >= balance.MinLargePrefixTokens {
 		return r.placeLargePrompt(snap)
 	}
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -48,6 +48,10 @@
 	// ArriveBy is when a forwarded retry must have reached an endpoint; zero sets no
 	// limit.
 	ArriveBy time.Time
+
+	// reserved is an endpoint that is reserved for the next attempt; nil if there is
+	// none.
+	reserved *balance.Permit
 }
 
 // newRequest sets what a caller's own request and a forwarded one have in common.
--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -1,9 +1,10 @@
 package proxy
 
 import (
+	"sync"
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 )
 
 // Limits of streams that make no progress.
@@ -23,14 +24,17 @@
 
 // stallDetector ends an attempt whose stream makes no progress. Only complete
 // events count as progress, not bytes. A resumable stream is ended while its
-// caller still waits, if it can go on at another endpoint: an event was sent to
-// the caller, another endpoint may take it, and the retry budget permits. Any
-// other stream is ended only when its caller has given up, and not at all if a
-// deadline ends it anyway.
+// caller still waits, if it can go on elsewhere: an event was sent to the caller,
+// an endpoint is reserved for the rest or another region has one, and the retry
+// budget permits. Any other stream is ended only when its caller has given up, and
+// not at all if a deadline ends it anyway.
 type stallDetector struct {
 	// resume ends the attempt in order to resume elsewhere; nil if no attempt is
 	// left. giveUp ends it for good; nil if a deadline does.
 	resume, giveUp *stallTimer
+
+	mu      sync.Mutex
+	stopped bool
 }
 
 // stallTimer calls a function when its limit has passed since the last reset.
@@ -49,8 +53,9 @@
 	stallTimeout := max(minStallTimeout, objectiveMultiple*route.Objective, gapMultiple*route.LongestGap)
 	detector := &stallDetector{}
 	if route.Resumable && r.sent < r.req.AttemptLimit {
-		excluded := r.excludedEndpoints()
-		detector.resume = newStallTimer(time.Duration(float64(stallTimeout)*resumeShare), func() { r.resumeElsewhere(w, excluded) })
+		detector.resume = newStallTimer(time.Duration(float64(stallTimeout)*resumeShare), func() {
+			detector.unlessStopped(func() { r.resumeElsewhere(w) })
+		})
 	}
 	if r.req.CallerDeadline.IsZero() && route.Timeout <= 0 {
 		detector.giveUp = newStallTimer(stallTimeout, w.cancel)
@@ -59,11 +64,51 @@
 	return detector
 }
 
-// resumeElsewhere ends the attempt if another endpoint than the excluded ones may
-// take the rest of the stream and the retry budget permits another attempt.
-func (r *run) resumeElsewhere(w *attemptConn, excluded []types.EndpointID) {
-	if r.endpointInReach(r.h.opts.Snapshot(), excluded) && r.reserve() {
-		w.cancel()
+// resumeElsewhere ends the attempt if the stream can go on at another endpoint and
+// the retry budget permits another attempt.
+func (r *run) resumeElsewhere(w *attemptConn) {
+	permit, found := r.reserveElsewhere()
+	if !found {
+		return
+	}
+	r.req.reserved = permit
+	if !r.reserve() {
+		r.releaseReserved()
+		return
+	}
+	w.cancel()
+}
+
+// reserveElsewhere reserves an endpoint of this region for the rest of the stream.
+// Without any endpoint here it returns no permit and whether another region may take
+// the stream.
+func (r *run) reserveElsewhere() (*balance.Permit, bool) {
+	snap := r.h.opts.Snapshot()
+	if r.req.Route.Allows(snap.Self.Region) {
+		permit, refusal := r.h.opts.Gate.Try(r.balancerRequest())
+		if permit != nil || refusal == nil {
+			return permit, permit != nil
+		}
+	}
+	if r.hops >= maxHops {
+		return nil, false
+	}
+	_, found := r.pickRemoteDaemon(snap, remoteOnlyMinFree)
+	return nil, found
+}
+
+// takeReserved returns the endpoint that is reserved for the next attempt; nil if
+// there is none.
+func (r *run) takeReserved() *balance.Permit {
+	permit := r.req.reserved
+	r.req.reserved = nil
+	return permit
+}
+
+// releaseReserved releases an endpoint that was reserved and not used.
+func (r *run) releaseReserved() {
+	if permit := r.takeReserved(); permit != nil {
+		r.h.opts.Gate.Done(permit, balance.Abandoned)
 	}
 }
 
@@ -78,10 +123,13 @@
 	d.giveUp.reset()
 }
 
-// stop stops the timers.
+// stop stops the timers and waits for what they have begun.
 func (d *stallDetector) stop() {
 	d.resume.stop()
 	d.giveUp.stop()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
 }
 
 // reset restarts the timer; a nil timer does nothing.
@@ -97,3 +145,12 @@
 		t.timer.Stop()
 	}
 }
+
+// unlessStopped runs work unless the detector was stopped; stop waits for its end.
+func (d *stallDetector) unlessStopped(work func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.stopped {
+		work()
+	}
+}
--- a/pkg/gateway/proxy/startup.go
+++ b/pkg/gateway/proxy/startup.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
-	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // Limits on waiting after the start of the daemon. All callers of a fleet come
@@ -52,25 +49,17 @@
 	return snap.View.Config != nil
 }
 
-// reachable reports whether an endpoint that may run the request is in reach.
-func (r *run) reachable(snap *control.Snapshot) bool {
-	return r.endpointInReach(snap, nil)
-}
-
-// endpointInReach reports whether an endpoint that is not excluded may take the
-// request: one of this region, or for a caller's own request one of another region
+// reachable reports whether an endpoint that may run the request is in a region
 // with a daemon that serves. A daemon that leaves still reaches its own region.
-func (r *run) endpointInReach(snap *control.Snapshot, excluded []types.EndpointID) bool {
+func (r *run) reachable(snap *control.Snapshot) bool {
 	usable := r.usableRegion(snap)
-	now := r.h.opts.Now()
 	leaving := snap.Self.State == members.Leaving
-	inReach := func(region types.Region) bool {
-		if region == snap.Self.Region && leaving {
-			return r.req.Route.Allows(region)
+	now := r.h.opts.Now()
+	for _, endpoint := range snap.View.Endpoints[r.req.Service] {
+		own := leaving && endpoint.Region == snap.Self.Region && r.req.Route.Allows(endpoint.Region)
+		if (own || usable(endpoint.Region)) && endpoint.Accepts(now) {
+			return true
 		}
-		return usable(region) && (r.req.ForwardedBy == "" || region == snap.Self.Region)
 	}
-	return slices.ContainsFunc(snap.View.Endpoints[r.req.Service], func(endpoint catalog.ActiveEndpoint) bool {
-		return inReach(endpoint.Region) && endpoint.Accepts(now) && !slices.Contains(excluded, endpoint.ID)
-	})
+	return false
 }
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -331,6 +331,23 @@
 		Entry("before the first event", longPause, time.Duration(0), 2),
 		Entry("when no other endpoint is left", time.Duration(0), longPause, 1),
 	)
+
+	It("are not ended while their caller waits and every other endpoint is full", func() {
+		w := newSlowProxy()
+		w.route.Resumable = true
+		startWithRaw(w, lateStream(0, longPause), lateStream(0, longPause))
+		responses := make(chan callerResponse, 1)
+		go func() {
+			defer GinkgoRecover()
+			responses <- w.call("POST", "/r/", "x")
+		}()
+		Eventually(func() int { return len(w.gate.Loads()) }, eventuallyTimeout).Should(Equal(1))
+		w.fillSlots()
+		var resp callerResponse
+		Eventually(responses, eventuallyTimeout).Should(Receive(&resp))
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(strings.Count(resp.body, "data:")).To(Equal(2))
+	})
 })
 
 var _ = Describe("A request at the limits", func() {
