Stop: a request that is cancelled at the end of the grace time is told so

What callers saw: requests that still waited for capacity when the grace time of a planned stop was nearly over got the failure of a caller that has gone. Change: the cause of the end of the request's context tells the two apart; such a request is refused as not run, with the code of a daemon that drains.

--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -12,6 +12,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -256,10 +257,14 @@
 	r.h.opts.Log.Request(fields, failure != nil || r.status >= http.StatusInternalServerError)
 }
 
-// contextFailure distinguishes an expired deadline from a caller that disconnected.
+// contextFailure distinguishes an expired deadline and the end of the grace time of
+// this daemon from a caller that disconnected.
 func (r *run) contextFailure(verdict types.Verdict) *types.Failure {
-	if errors.Is(r.ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(r.ctx.Err(), context.DeadlineExceeded):
 		return types.NewFailure(verdict, types.CodeDeadline, "the time allowed is over")
+	case errors.Is(context.Cause(r.ctx), graceful.ErrStopping):
+		return types.NewFailure(verdict, types.CodeDraining, "this daemon stops")
 	}
 	return types.NewFailure(verdict, types.CodeCallerGone, "the caller closed its connection")
 }
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -14,8 +16,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // rawEndpoint is a fake endpoint that writes raw bytes to its connections.
@@ -433,3 +439,30 @@
 		Expect(connections).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("A request that waits for capacity when its daemon stops", func() {
+	It("is told that the daemon stops and that it was not run", func() {
+		busy := newEndpoint(respondOK)
+		w := newTestProxy(catalog.NonIdempotent)
+		w.route.Objective = 20 * time.Second
+		w.start(busy)
+		for {
+			if permit, _ := w.gate.Try(balance.RequestInfo{Service: service, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}); permit == nil {
+				break
+			}
+		}
+		ctx, stop := context.WithCancelCause(context.Background())
+		request := httptest.NewRequest("POST", "/r/", strings.NewReader("x")).WithContext(ctx)
+		request.Host = "a.example"
+		request.Header.Set(headerID, "q1")
+		recorder := httptest.NewRecorder()
+		var running conc.WaitGroup
+		running.Go(func() { w.handler.ServeHTTP(recorder, request) })
+		Eventually(func() int { return w.gate.Loads()[0].Waiting }, eventuallyTimeout).Should(Equal(1))
+		stop(graceful.ErrStopping)
+		running.Wait()
+		Expect(recorder.Code).To(Equal(503))
+		Expect(recorder.Body.String()).To(ContainSubstring(string(types.CodeDraining)))
+		Expect(busy.count()).To(BeZero())
+	})
+})
