Evacuations: endpoints count as possibly cold until their last request

Cause: endpoints become cold while their data centre is evacuated, here 3.9 s after the request. Daemons use them for 4.5 s (design 064) and counted them as possibly cold only after the return. An entry tells of a cold time up to a heartbeat and the delay of the store later.

Now a daemon that shares the rate of a cold endpoint sends at most its share after the newest health check that found the endpoint warm, and checks again when 0.65 of the share is used. Without an answer the cold rate applies; daemons without a share use other endpoints. A check counts only for the start of the endpoint that it was sent to.

The prober no longer waits for a round of checks to end before it starts others, so that a busy endpoint does not delay the checks of the rest.

The simulated engines of reading_test.go now have a health path and answer their checks; its thresholds are unchanged. Without checks "are served by the engines of an evacuated data centre until their last request" fails (19, 76.5 required): endpoints with a cold rate and no health checks get the cold rate by design.

--- /dev/null
+++ b/pkg/gateway/balance/confirm.go
@@ -0,0 +1,91 @@
+package balance
+
+import "time"
+
+// arrivalMargin bounds how long a request is on its way to an endpoint of the
+// region: one that was sent this long before a health check arrived before it.
+const arrivalMargin = 30 * time.Millisecond
+
+// confirmShare is the share of its cold rate that a daemon may have sent to an
+// endpoint that may turn cold before it checks the endpoint again.
+const confirmShare = 0.65
+
+// mayTurnCold reports whether the endpoint may become cold at any moment before
+// the store tells: its data centre is being evacuated, and it still gets requests.
+func (s *endpointState) mayTurnCold(now time.Time) bool {
+	return s.service != nil && s.service.ColdPerSecond > 0 &&
+		!s.placed.LastRequestAt.IsZero() && now.Before(s.placed.LastRequestAt)
+}
+
+// limitedAsCold reports whether requests to the endpoint count towards the cold
+// rate.
+func (s *endpointState) limitedAsCold(now time.Time) bool {
+	return s.cold(now) || s.mayTurnCold(now)
+}
+
+// countedSends counts the requests of the window of the cold rate. At an endpoint
+// that may turn cold, those that arrived before a health check found it warm do
+// not count.
+func (s *endpointState) countedSends(now time.Time) int {
+	s.coldSends = withinColdWindow(s.coldSends, now)
+	if s.cold(now) {
+		return len(s.coldSends)
+	}
+	return len(s.unconfirmedSends())
+}
+
+// unconfirmedSends returns the requests that may have arrived after the newest
+// health check that found the endpoint warm.
+func (s *endpointState) unconfirmedSends() []time.Time {
+	for i, sentAt := range s.coldSends {
+		if sentAt.Add(arrivalMargin).After(s.warmAfter) {
+			return s.coldSends[i:]
+		}
+	}
+	return nil
+}
+
+// accepts reports whether this daemon may send to the endpoint at all. Only the
+// daemons that share its cold rate send to one that may turn cold.
+func (p *Pool) accepts(ep *endpointState, now time.Time) bool {
+	return ep.placed.Accepts(now) && (!ep.mayTurnCold(now) || p.sendsWhileCold(ep))
+}
+
+// DueConfirmations returns the endpoints that may turn cold and to which this
+// daemon has sent so much that it has to check again whether they are warm.
+// Pending is false if no endpoint may turn cold.
+func (p *Pool) DueConfirmations(now time.Time) (due []Probe, pending bool) {
+	for _, states := range p.services {
+		for _, ep := range states {
+			if !ep.mayTurnCold(now) {
+				continue
+			}
+			pending = true
+			if p.confirmationDue(ep, now) {
+				due = append(due, ep.probe(now))
+			}
+		}
+	}
+	return due, pending
+}
+
+func (p *Pool) confirmationDue(ep *endpointState, now time.Time) bool {
+	if ep.service.HealthPath == "" || ep.cold(now) || now.Before(ep.nextProbeAt) || p.closed(ep, now) {
+		return false
+	}
+	share := float64(ep.coldShare(p.bounds, p.peers))
+	return share > 0 && float64(ep.countedSends(now)) >= share*confirmShare
+}
+
+// recordConfirmation records the result of a health check during an evacuation.
+// An endpoint that answered that it is warm may be checked again at once.
+func (s *endpointState) recordConfirmation(probe Probe, coldUntil time.Time) {
+	if coldUntil.After(probe.DueAt) {
+		s.turnedColdUntil = coldUntil
+		return
+	}
+	if probe.DueAt.After(s.warmAfter) {
+		s.warmAfter = probe.DueAt
+	}
+	s.nextProbeAt = probe.DueAt
+}
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -81,7 +81,7 @@
 	// cache models which large prefixes the endpoint holds.
 	cache cache
 	// coldSends holds the times of the most recent requests sent while the
-	// endpoint was cold, oldest first.
+	// endpoint was cold or might have been, oldest first.
 	coldSends []time.Time
 	// connectFailures and interruptions count consecutive connection failures
 	// and interrupted responses.
@@ -110,6 +110,11 @@
 	nextProbeAt     time.Time
 	// restartedColdUntil is set when the endpoint came back after a failure.
 	restartedColdUntil time.Time
+	// warmAfter is when the newest health check that found the endpoint warm
+	// during the evacuation of its data centre was sent; turnedColdUntil is the
+	// end of the cold time that such a check found.
+	warmAfter       time.Time
+	turnedColdUntil time.Time
 }
 
 // slots returns how many requests the endpoint runs at once.
@@ -161,7 +166,7 @@
 	if s.service == nil || s.service.ColdPerSecond <= 0 {
 		return false
 	}
-	return now.Before(s.coldUntil()) || now.Before(s.restartedColdUntil)
+	return now.Before(s.coldUntil()) || now.Before(s.restartedColdUntil) || now.Before(s.turnedColdUntil)
 }
 
 // coldUntil returns the end of the cold time: as the endpoint announced it, or as
@@ -181,9 +186,13 @@
 // allowsColdSend reports whether this daemon may send another request to a cold
 // endpoint now.
 func (s *endpointState) allowsColdSend(bounds Bounds, peers Membership, now time.Time) bool {
-	s.coldSends = withinColdWindow(s.coldSends, now)
-	total := s.service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack
-	return len(s.coldSends) < peers.coldShare(total)
+	return s.countedSends(now) < s.coldShare(bounds, peers)
+}
+
+// coldShare returns how many requests per second this daemon may send to the
+// endpoint while it is cold.
+func (s *endpointState) coldShare(bounds Bounds, peers Membership) int {
+	return peers.coldShare(s.service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack)
 }
 
 // withinColdWindow drops the times that are older than the window of the cold
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -115,6 +115,14 @@
 	return g.pool.DueProbes(g.now())
 }
 
+// DueConfirmations returns the endpoints of evacuated data centres that are to be
+// checked now, and whether there may be others later without a new view.
+func (g *Gate) DueConfirmations() (due []balance.Probe, pending bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.DueConfirmations(g.now())
+}
+
 // RecordProbe records that a health check found an endpoint cold until a time,
 // and grants the capacity to waiting requests.
 func (g *Gate) RecordProbe(probe balance.Probe, coldUntil time.Time) {
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -157,7 +157,7 @@
 func (p *Pool) noEndpoint(req RequestInfo, now time.Time) *Refusal {
 	allowed := max(maxWait(req, now), 0)
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !ep.placed.Accepts(now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) {
 			continue
 		}
 		if available := p.availability(ep, now); !available.leaving && available.pausedUntil.Sub(now) <= allowed {
@@ -179,7 +179,7 @@
 	var eligible, ejected []*endpointState
 	var soonest *endpointState
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !ep.placed.Accepts(now) || p.closed(ep, now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) || p.closed(ep, now) {
 			continue
 		}
 		switch {
@@ -213,7 +213,7 @@
 		if ep.inFlight >= p.limitNow(req, ep, now) {
 			continue
 		}
-		if ep.cold(now) && !(p.sendsWhileCold(ep) && ep.allowsColdSend(p.bounds, p.peers, now)) {
+		if ep.limitedAsCold(now) && !(p.sendsWhileCold(ep) && ep.allowsColdSend(p.bounds, p.peers, now)) {
 			continue
 		}
 		if !p.respondsInTime(req, ep, ep == home, now) {
@@ -277,7 +277,7 @@
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
 	ep.pendingSince = append(ep.pendingSince, now)
-	if ep.cold(now) {
+	if ep.limitedAsCold(now) {
 		ep.coldSends = append(ep.coldSends, now)
 	}
 	if req.large() {
--- a/pkg/gateway/balance/probe.go
+++ b/pkg/gateway/balance/probe.go
@@ -9,11 +9,13 @@
 // probeInterval is the time between two health checks of one endpoint.
 const probeInterval = 300 * time.Millisecond
 
-// Probe is an endpoint whose cold time is only assumed, and the path of its
-// health check, which tells the true one.
+// Probe is an endpoint that may or may not be cold, and the path of its health
+// check, which tells.
 type Probe struct {
 	Endpoint catalog.ActiveEndpoint
 	Path     string
+	// DueAt is when the check became due; it is sent later.
+	DueAt time.Time
 }
 
 // DueProbes returns the endpoints to check now: those to which this daemon sends
@@ -24,8 +26,7 @@
 	for _, states := range p.services {
 		for _, ep := range states {
 			if p.probeDue(ep, now) {
-				ep.nextProbeAt = now.Add(probeInterval)
-				due = append(due, Probe{Endpoint: ep.placed, Path: ep.service.HealthPath})
+				due = append(due, ep.probe(now))
 			}
 		}
 	}
@@ -42,11 +43,24 @@
 	return ep.assigned || ep.owned || p.sendsWhileCold(ep)
 }
 
-// RecordProbe records that a health check found an endpoint cold until a time,
-// which may be over. It is ignored if the endpoint has another cold time by now.
+// probe returns a check that is due now, and delays the next one.
+func (s *endpointState) probe(now time.Time) Probe {
+	s.nextProbeAt = now.Add(probeInterval)
+	return Probe{Endpoint: s.placed, Path: s.service.HealthPath, DueAt: now}
+}
+
+// RecordProbe records that a health check found an endpoint cold until a time;
+// one that is not after the check became due means that the endpoint is warm. The
+// result is ignored if the endpoint has started again or has another cold time by
+// now.
 func (p *Pool) RecordProbe(probe Probe, coldUntil time.Time) {
 	ep := p.states[probe.Endpoint.ID]
-	if ep == nil || ep.placed.Address != probe.Endpoint.Address || !ep.placed.ColdUntil.Equal(probe.Endpoint.ColdUntil) {
+	if ep == nil || !incarnationOf(ep.placed.Endpoint).identical(incarnationOf(probe.Endpoint.Endpoint)) ||
+		ep.placed.Address != probe.Endpoint.Address || !ep.placed.ColdUntil.Equal(probe.Endpoint.ColdUntil) {
+		return
+	}
+	if !probe.Endpoint.LastRequestAt.IsZero() {
+		ep.recordConfirmation(probe, coldUntil)
 		return
 	}
 	ep.probedFor, ep.probedColdUntil = ep.placed.ColdUntil, coldUntil
--- a/pkg/gateway/balance/reading_test.go
+++ b/pkg/gateway/balance/reading_test.go
@@ -61,11 +61,12 @@
 
 // simulateEngines sends requests to a pool of simulated engines at their arrival
 // times and counts the outcomes by rank. Requests without capacity wait as the
-// pool allows.
+// pool allows. The engines are warm, and answer so when they are checked.
 func simulateEngines(pool *balance.Pool, requests []balance.RequestInfo, prefixCost float64) map[int]*tally {
 	const (
-		step   = 5 * time.Millisecond
-		stream = time.Second
+		step          = 5 * time.Millisecond
+		stream        = time.Second
+		checkInterval = 50 * time.Millisecond
 	)
 	engines := map[types.EndpointID]*simulatedEngine{}
 	outcome := map[int]*tally{}
@@ -98,6 +99,12 @@
 			pool.Done(run.permit, balance.Succeeded, now)
 			return true
 		})
+		if now.Sub(start)%checkInterval == 0 {
+			due, _ := pool.DueConfirmations(now)
+			for _, probe := range due {
+				pool.RecordProbe(probe, time.Time{})
+			}
+		}
 		pool.GrantAll(now)
 		waiting = slices.DeleteFunc(waiting, func(waiter *balance.Waiter) bool {
 			select {
@@ -150,6 +157,7 @@
 	// urgent large prompts; change alters its endpoints.
 	poolOf := func(change func(*catalog.ActiveEndpoint)) *balance.Pool {
 		v := view(engineCount, 0, change)
+		v.Config.Services[engines].HealthPath = "/well"
 		backends := []catalog.Backend{{Service: engines, Weight: 1}}
 		v.Config.Routes = []*catalog.Route{
 			{Name: "summaries", Rank: 0, Objective: 800 * time.Millisecond, Backends: backends},
--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -1,7 +1,7 @@
-// Package health checks endpoints whose cold time is only assumed. After the
-// evacuation of a data centre its endpoints may or may not be cold, and what they
-// have published does not tell; their health checks do. An endpoint that does not
-// answer keeps the assumed cold time.
+// Package health checks endpoints that may or may not be cold. Those of a data
+// centre that is being evacuated, or has just returned, may have become cold, and
+// what they have published does not tell; their health checks do. An endpoint that
+// does not answer counts as cold.
 package health
 
 import (
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
@@ -21,6 +22,9 @@
 	// settleDelay is how long after a new view the checks begin, so that an
 	// endpoint that becomes cold on its return has done so.
 	settleDelay = 100 * time.Millisecond
+	// confirmInterval is the time between two looks for endpoints to check while
+	// a data centre is being evacuated.
+	confirmInterval = 50 * time.Millisecond
 	// checkTimeout bounds one check: a busy endpoint lets it wait for a slot.
 	checkTimeout = 500 * time.Millisecond
 	// maxChecks bounds the concurrent checks of this daemon.
@@ -50,10 +54,15 @@
 // safe for concurrent use.
 type Pool interface {
 	DueProbes() []balance.Probe
+	// DueConfirmations returns the endpoints of data centres that are being
+	// evacuated that are to be checked now; pending is true if there may be others
+	// later without a new view.
+	DueConfirmations() (due []balance.Probe, pending bool)
 	// Takes reports whether an endpoint takes requests now, by what it said of itself.
 	Takes(endpoint *catalog.Endpoint) bool
 	// Note records what an endpoint said of itself.
 	Note(endpoint *catalog.Endpoint, notice balance.Notice)
+	// RecordProbe records the end of an endpoint's cold time; zero if it is warm.
 	RecordProbe(probe balance.Probe, coldUntil time.Time)
 }
 
@@ -82,22 +91,47 @@
 
 // Run checks endpoints until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
+	checks := pool.New().WithMaxGoroutines(maxChecks)
+	defer checks.Wait()
+	var panicked panics.Catcher
+	start := func(due []balance.Probe) {
+		panicked.Repanic()
+		for _, probe := range due {
+			checks.Go(func() { panicked.Try(func() { p.check(ctx, probe) }) })
+		}
+	}
+	var settled, confirm <-chan time.Time
 	for {
 		select {
 		case <-p.wake:
+			if settled == nil {
+				settled = time.After(settleDelay)
+			}
+		case <-settled:
+			settled = nil
+			start(p.pool.DueProbes())
+		case <-confirm:
 		case <-ctx.Done():
 			return
 		}
-		select {
-		case <-time.After(settleDelay):
-		case <-ctx.Done():
-			return
-		}
-		checks := pool.New().WithMaxGoroutines(maxChecks)
-		for _, probe := range p.pool.DueProbes() {
-			checks.Go(func() { p.check(ctx, probe) })
+		due, pending := p.pool.DueConfirmations()
+		start(due)
+		confirm = nil
+		if pending {
+			confirm = time.After(confirmInterval)
 		}
-		checks.Wait()
+	}
+}
+
+// logResult logs what a check found; during an evacuation, only that an endpoint
+// is cold, since checks are frequent then.
+func (p *Prober) logResult(endpoint catalog.ActiveEndpoint, info Info) {
+	fields := logrus.Fields{"endpoint": endpoint.ID, "cold": info.Cold.String()}
+	switch {
+	case endpoint.LastRequestAt.IsZero():
+		p.log.WithFields(fields).Info("endpoint checked after an evacuation")
+	case info.Cold > 0:
+		p.log.WithFields(fields).Info("endpoint turned cold during an evacuation")
 	}
 }
 
@@ -128,6 +162,10 @@
 	if !info.Healthy || info.Endpoint != endpoint.ID {
 		return
 	}
-	p.pool.RecordProbe(probe, p.now().Add(info.Cold))
-	p.log.WithFields(logrus.Fields{"endpoint": endpoint.ID, "cold": info.Cold.String()}).Info("endpoint checked after an evacuation")
+	var coldUntil time.Time
+	if info.Cold > 0 {
+		coldUntil = p.now().Add(info.Cold)
+	}
+	p.pool.RecordProbe(probe, coldUntil)
+	p.logResult(endpoint, info)
 }
--- a/pkg/gateway/health/prober_test.go
+++ b/pkg/gateway/health/prober_test.go
@@ -29,11 +29,16 @@
 
 // fakePool names one endpoint once and keeps the results.
 type fakePool struct {
-	mu      sync.Mutex
-	due     []balance.Probe
-	results map[types.EndpointID]time.Time
-	closed  bool
-	notices []balance.Notice
+	mu  sync.Mutex
+	due []balance.Probe
+	// unconfirmed holds the checks due during an evacuation, looks counts how
+	// often they were asked for.
+	unconfirmed []balance.Probe
+	evacuating  bool
+	looks       int
+	results     map[types.EndpointID]time.Time
+	closed      bool
+	notices     []balance.Notice
 }
 
 func (p *fakePool) Takes(*catalog.Endpoint) bool {
@@ -69,6 +74,21 @@
 	return due
 }
 
+func (p *fakePool) DueConfirmations() ([]balance.Probe, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.looks++
+	due := p.unconfirmed
+	p.unconfirmed = nil
+	return due, p.evacuating
+}
+
+func (p *fakePool) lookCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.looks
+}
+
 func (p *fakePool) RecordProbe(probe balance.Probe, coldUntil time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,6 +163,26 @@
 		}, waitLimit).Should(BeTrue())
 	})
 
+	It("checks endpoints at once and again and again while their data centre is being evacuated", func() {
+		pool, asked := check(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Endpoint", "e1")
+			w.Header().Set("X-Cold", "1h")
+		}, func(pool *fakePool) { pool.unconfirmed, pool.due, pool.evacuating = pool.due, nil, true })
+		Eventually(asked, waitLimit).Should(Receive())
+		Eventually(func() bool {
+			until, found := pool.result("e1")
+			return found && time.Until(until) > 59*time.Minute
+		}, waitLimit).Should(BeTrue())
+		Eventually(pool.lookCount, waitLimit).Should(BeNumerically(">=", 5))
+	})
+
+	It("looks for no endpoints while no data centre is being evacuated", func() {
+		pool, asked := check(func(http.ResponseWriter, *http.Request) {})
+		Eventually(asked, waitLimit).Should(Receive())
+		looks := pool.lookCount()
+		Consistently(pool.lookCount, 300*time.Millisecond).Should(Equal(looks))
+	})
+
 	DescribeTable("learns that an endpoint wants no requests", func(name, value, id string, status int, expected balance.Notice) {
 		pool, _ := check(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(name, value)
