Proxy: names of the retry budget's steps

A reservation of a retry and a reservation of an endpoint had the same word; the denial of a retry was recorded inside an expression. No behaviour changes.

--- a/pkg/gateway/proxy/charge.go
+++ b/pkg/gateway/proxy/charge.go
@@ -19,10 +19,14 @@
 
 // affordable reports whether the retry budget would permit another attempt now.
 func (r *run) affordable() bool {
-	if r.sent == 0 || !r.chargedAt.IsZero() || r.reservedAt.Load() != nil {
+	if r.sent == 0 || !r.chargedAt.IsZero() || r.retryReservedAt.Load() != nil {
 		return true
 	}
-	return r.h.opts.RetryBudgets.Permits(r.req.Service, r.h.opts.Now()) || r.deny()
+	if !r.h.opts.RetryBudgets.Permits(r.req.Service, r.h.opts.Now()) {
+		r.recordDenied()
+		return false
+	}
+	return true
 }
 
 // charge takes the attempt that is about to be sent from the retry budget if the
@@ -31,7 +35,7 @@
 	if r.sent == 0 {
 		return true
 	}
-	if reserved := r.reservedAt.Swap(nil); reserved != nil {
+	if reserved := r.retryReservedAt.Swap(nil); reserved != nil {
 		r.chargedAt = *reserved
 	}
 	now := r.h.opts.Now()
@@ -40,28 +44,28 @@
 	}
 	r.refund()
 	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
-		return r.deny()
+		r.recordDenied()
+		return false
 	}
 	r.chargedAt = now
 	return true
 }
 
-// deny records that the retry budget did not permit an attempt. It returns false.
-func (r *run) deny() bool {
+// recordDenied records that the retry budget did not permit an attempt.
+func (r *run) recordDenied() {
 	r.retryDenied = true
 	r.h.opts.Metrics.countDenied(r.req.Service)
-	return false
 }
 
-// reserve charges an attempt that ends the current one, and reports whether the
+// reserveRetry charges an attempt that ends the current one, and reports whether the
 // budget permits it. It may be called from any goroutine.
-func (r *run) reserve() bool {
+func (r *run) reserveRetry() bool {
 	now := r.h.opts.Now()
 	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
 		r.h.opts.Metrics.countDenied(r.req.Service)
 		return false
 	}
-	r.reservedAt.Store(&now)
+	r.retryReservedAt.Store(&now)
 	return true
 }
 
@@ -76,7 +80,7 @@
 // refundAll returns the charge and the reservation of a request that has ended.
 func (r *run) refundAll() {
 	r.refund()
-	if reserved := r.reservedAt.Swap(nil); reserved != nil {
+	if reserved := r.retryReservedAt.Swap(nil); reserved != nil {
 		r.h.opts.RetryBudgets.Refund(r.req.Service, *reserved, r.h.opts.Now())
 	}
 }
--- a/pkg/gateway/proxy/charge_internal_test.go
+++ b/pkg/gateway/proxy/charge_internal_test.go
@@ -69,7 +69,7 @@
 	})
 
 	ginkgo.It("takes over the reservation of a stalled stream and is not spent twice", func() {
-		Expect(r.reserve()).To(BeTrue())
+		Expect(r.reserveRetry()).To(BeTrue())
 		at := now
 		now = now.Add(100 * time.Millisecond)
 		Expect(r.affordable()).To(BeTrue())
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -59,10 +59,10 @@
 	// empty if it went to an endpoint.
 	region types.Region
 	// chargedAt is when the attempt that is being sent was taken from the retry
-	// budget; zero if it was not. reservedAt is the same for the attempt after the
+	// budget; zero if it was not. retryReservedAt is the same for the attempt after the
 	// current one.
-	chargedAt  time.Time
-	reservedAt atomic.Pointer[time.Time]
+	chargedAt       time.Time
+	retryReservedAt atomic.Pointer[time.Time]
 	// retryDenied is true if the retry budget did not permit another attempt.
 	retryDenied bool
 	// homes lists the endpoints that were tried as homes of the prefix.
--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -72,7 +72,7 @@
 		return
 	}
 	r.req.reserved = permit
-	if !r.reserve() {
+	if !r.reserveRetry() {
 		r.releaseReserved()
 		return
 	}
