Proxy: one conversion of the balancer's refusals

Two functions turned a refusal into a failure, one wrapped around the other for pauses; every caller used the outer one. One switch serves all.

--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -109,15 +109,7 @@
 // names the end of the first pause if no endpoint takes requests until then.
 func (r *run) endpointRefusal() *types.Failure {
 	if r.h.opts.Gate.PauseLeft(r.req.Service) > 0 {
-		return failureOf(r.h.opts.Gate.Refuse(r.balancerRequest()))
+		return refusalFailure(r.h.opts.Gate.Refuse(r.balancerRequest()))
 	}
 	return notRunFailure(types.CodeOverloaded, "the endpoint has no room", refusedRetryAfter)
 }
-
-// failureOf converts a refusal of the balancer into a failure.
-func failureOf(refusal *balance.Refusal) *types.Failure {
-	if refusal.Paused {
-		return notRunFailure(types.CodePaused, refusal.Reason, refusal.RetryAfter)
-	}
-	return refusalFailure(refusal)
-}
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -43,7 +43,7 @@
 		return destination{member: member}, nil
 	}
 	if refusal != nil {
-		return destination{}, failureOf(refusal)
+		return destination{}, refusalFailure(refusal)
 	}
 	place, refusal, err := r.h.opts.Gate.Acquire(r.ctx, balancerRequest)
 	if err != nil {
@@ -55,7 +55,7 @@
 	if member, found := r.spillover(snap, refusal.NoneHere()); found {
 		return destination{member: member}, nil
 	}
-	return destination{}, failureOf(refusal)
+	return destination{}, refusalFailure(refusal)
 }
 
 // resumeWait bounds how long an interrupted stream waits for an endpoint to resume
@@ -127,7 +127,7 @@
 	if refusal == nil {
 		refusal = r.h.opts.Gate.Refuse(balancerRequest)
 	}
-	return destination{}, failureOf(refusal)
+	return destination{}, refusalFailure(refusal)
 }
 
 // nextHome returns the next home of the request's prefix: first the preferred
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -272,7 +272,10 @@
 // refusalFailure converts a refusal of the balancer into a failure.
 func refusalFailure(refusal *balance.Refusal) *types.Failure {
 	code := types.CodeOverloaded
-	if refusal.NoEndpoint {
+	switch {
+	case refusal.Paused:
+		code = types.CodePaused
+	case refusal.NoEndpoint:
 		code = types.CodeNoEndpoint
 	}
 	return notRunFailure(code, refusal.Reason, refusal.RetryAfter)
