Retry budget: count the time for which the VM was suspended

Cause: requests, retries and charges were dated by time.Now, which stands still while a VM is suspended. A daemon that wakes takes requests from before for recent ones, while other daemons have counted their callers' next ones, and sends retries whose time is over.

The three specs of the charge fail without Suspended.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 	"github.com/flamingomount/flamingomount/pkg/sharedrand"
+	"github.com/flamingomount/flamingomount/pkg/suspension"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -139,7 +140,7 @@
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
-	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now())
+	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Incarnation: uint64(time.Now().UnixMilli()), State: members.Starting,
@@ -163,7 +164,7 @@
 		Snapshot: e.control.Load, NextSnapshot: e.control.Next, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.control,
 		RetryBudgets: e.budgets, Transport: transport,
 		BodyMemory: int64(float64(s.MemoryBytes) * bodyMemoryShare),
-		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Rand: sharedrand.Source{},
+		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Suspended: suspension.Total, Rand: sharedrand.Source{},
 	})
 	if err := e.listen(); err != nil {
 		e.close()
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -95,7 +95,7 @@
 	var w attemptConn
 	outgoing := r.endpointRequest(permit, &w)
 	defer w.cancel()
-	defer w.limit(earliest(permit.Endpoint.LastRequestAt, r.arriveBy()), r.h.opts.Now)()
+	defer w.limit(earliest(r.h.inBudgetTime(permit.Endpoint.LastRequestAt), r.arriveBy()), r.h.budgetTime)()
 	response, err := r.roundTrip(outgoing, permit, &w)
 	if err != nil {
 		return r.handleSendError(permit, &w, err)
--- a/pkg/gateway/proxy/charge.go
+++ b/pkg/gateway/proxy/charge.go
@@ -22,7 +22,7 @@
 	if r.sent == 0 || !r.chargedAt.IsZero() || r.retryReservedAt.Load() != nil {
 		return true
 	}
-	if !r.h.opts.RetryBudgets.Permits(r.req.Service, r.h.opts.Now()) {
+	if !r.h.opts.RetryBudgets.Permits(r.req.Service, r.h.budgetTime()) {
 		r.recordDenied()
 		return false
 	}
@@ -38,7 +38,7 @@
 	if reserved := r.retryReservedAt.Swap(nil); reserved != nil {
 		r.chargedAt = *reserved
 	}
-	now := r.h.opts.Now()
+	now := r.h.budgetTime()
 	if !r.chargedAt.IsZero() && r.arriveBy().Sub(now) >= minChargeLeft {
 		return true
 	}
@@ -60,7 +60,7 @@
 // reserveRetry charges an attempt that ends the current one, and reports whether the
 // budget permits it. It may be called from any goroutine.
 func (r *run) reserveRetry() bool {
-	now := r.h.opts.Now()
+	now := r.h.budgetTime()
 	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
 		r.h.opts.Metrics.countDenied(r.req.Service)
 		return false
@@ -72,7 +72,7 @@
 // refund returns a charge that no attempt has used.
 func (r *run) refund() {
 	if !r.chargedAt.IsZero() {
-		r.h.opts.RetryBudgets.Refund(r.req.Service, r.chargedAt, r.h.opts.Now())
+		r.h.opts.RetryBudgets.Refund(r.req.Service, r.chargedAt, r.h.budgetTime())
 		r.chargedAt = time.Time{}
 	}
 }
@@ -81,12 +81,13 @@
 func (r *run) refundAll() {
 	r.refund()
 	if reserved := r.retryReservedAt.Swap(nil); reserved != nil {
-		r.h.opts.RetryBudgets.Refund(r.req.Service, *reserved, r.h.opts.Now())
+		r.h.opts.RetryBudgets.Refund(r.req.Service, *reserved, r.h.budgetTime())
 	}
 }
 
-// arriveBy returns when the next attempt must reach an endpoint, so that it arrives
-// in the time for which it was charged; zero if it may arrive at any time.
+// arriveBy returns when, in budget time, the next attempt must reach an endpoint, so
+// that it arrives in the time for which it was charged; zero if it may arrive at any
+// time.
 func (r *run) arriveBy() time.Time {
 	if !r.chargedAt.IsZero() {
 		return r.chargedAt.Add(arrivalTime)
@@ -94,7 +95,7 @@
 	return r.req.ArriveBy
 }
 
-// forwardBy returns when the next attempt must have a connection to another daemon;
+// forwardBy returns when, in budget time, the next attempt must have a connection to another daemon;
 // zero sets no limit.
 func (r *run) forwardBy() time.Time {
 	if r.chargedAt.IsZero() {
@@ -110,7 +111,7 @@
 	if r.req.ArriveBy.IsZero() {
 		return 0
 	}
-	return max(r.req.ArriveBy.Sub(r.h.opts.Now()), 1)
+	return max(r.req.ArriveBy.Sub(r.h.budgetTime()), 1)
 }
 
 // release returns an endpoint's permit that no attempt will use.
@@ -120,6 +121,20 @@
 	}
 }
 
+// budgetTime returns the time by which retries are charged and sent. Unlike Now it
+// also counts the time for which the VM was suspended.
+func (h *Handler) budgetTime() time.Time {
+	return h.inBudgetTime(h.opts.Now())
+}
+
+// inBudgetTime converts a time of Now; zero stays zero.
+func (h *Handler) inBudgetTime(t time.Time) time.Time {
+	if t.IsZero() || h.opts.Suspended == nil {
+		return t
+	}
+	return t.Add(h.opts.Suspended())
+}
+
 // earliest returns the earlier of two times of which zero means never.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
--- a/pkg/gateway/proxy/charge_internal_test.go
+++ b/pkg/gateway/proxy/charge_internal_test.go
@@ -19,9 +19,11 @@
 var _ = ginkgo.Describe("The charge of a retry", func() {
 	const fixed = 10
 	var (
-		now     time.Time
-		budgets *RetryBudgets
-		r       *run
+		now time.Time
+		// suspended is how long the VM was suspended.
+		suspended time.Duration
+		budgets   *RetryBudgets
+		r         *run
 	)
 	left := func() int {
 		count := 0
@@ -32,13 +34,14 @@
 	}
 	ginkgo.BeforeEach(func() {
 		now = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+		suspended = 0
 		budgets = NewRetryBudgets(0, fixed/budgetFraction, 0, now.Add(-time.Hour))
 		budgets.SetFleetSize(1)
 		snapshot := &control.Snapshot{View: &catalog.View{}}
 		r = &run{
 			ctx: context.Background(), sent: 1,
 			h: &Handler{opts: Options{
-				Now: func() time.Time { return now }, RetryBudgets: budgets, Metrics: NewMetrics(prometheus.NewRegistry()),
+				Now: func() time.Time { return now }, Suspended: func() time.Duration { return suspended }, RetryBudgets: budgets, Metrics: NewMetrics(prometheus.NewRegistry()),
 				Snapshot: func() *control.Snapshot { return snapshot }, Transport: NewTransport(),
 			}},
 			req: &Request{Service: "svc", Route: &catalog.Route{Kind: catalog.Idempotent}, Header: http.Header{}, Deadline: time.Now().Add(time.Minute)},
@@ -68,6 +71,24 @@
 		Expect(left()).To(Equal(fixed - 1))
 	})
 
+	ginkgo.It("is replaced by a later one when the VM was suspended for its time", func() {
+		Expect(r.charge()).To(BeTrue())
+		suspended = arrivalTime
+		Expect(r.charge()).To(BeTrue())
+		Expect(r.chargedAt).To(Equal(now.Add(suspended)))
+	})
+
+	ginkgo.It("is not permitted by requests from before a long suspension of the VM", func() {
+		r.h.opts.RetryBudgets = NewRetryBudgets(0.2, 0, 0, now.Add(-time.Hour))
+		for range 100 {
+			r.h.opts.RetryBudgets.RecordRequest("svc", r.h.inBudgetTime(now))
+		}
+		now = now.Add(time.Second)
+		Expect(r.affordable()).To(BeTrue())
+		suspended = time.Minute
+		Expect(r.affordable()).To(BeFalse())
+	})
+
 	ginkgo.It("takes over the reservation of a stalled stream and is not spent twice", func() {
 		Expect(r.reserveRetry()).To(BeTrue())
 		at := now
@@ -85,6 +106,16 @@
 		Expect(r.retryDenied).To(BeTrue())
 	})
 
+	ginkgo.It("lets nothing be sent over a connection that is obtained after a suspension of the VM", func() {
+		Expect(r.charge()).To(BeTrue())
+		var w attemptConn
+		w.cancel = func() {}
+		defer w.limit(r.arriveBy(), r.h.budgetTime)()
+		Expect(w.tooLate()).To(BeFalse())
+		suspended = arrivalTime
+		Expect(w.tooLate()).To(BeTrue())
+	})
+
 	ginkgo.It("lets nothing be forwarded when too little of its time is left", func() {
 		received := 0
 		daemon := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received++ }))
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -57,7 +57,7 @@
 		return failureWithCause(types.NotRun, types.CodeInternal, "the request can't be forwarded", err)
 	}
 	defer w.cancel()
-	defer w.limit(r.forwardBy(), r.h.opts.Now)()
+	defer w.limit(r.forwardBy(), r.h.budgetTime)()
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	if err != nil {
 		return r.handleForwardError(member, &w, err)
@@ -180,6 +180,7 @@
 
 func (h *Handler) parseForwarded(r *http.Request) (*Request, error) {
 	now := h.opts.Now()
+	arrivedAt := h.inBudgetTime(now)
 	var env envelope
 	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &env); err != nil {
 		return nil, eris.Wrap(err, "forwarded request")
@@ -211,7 +212,7 @@
 		req.CallerDeadline = req.Deadline
 	}
 	if env.ArriveWithin != 0 {
-		req.ArriveBy = now.Add(env.ArriveWithin)
+		req.ArriveBy = arrivedAt.Add(env.ArriveWithin)
 	}
 	return req, nil
 }
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -75,6 +75,9 @@
 	Now        func() time.Time
 	// Rand must be safe for concurrent use.
 	Rand route.Rand
+	// Suspended returns for how long the VM was suspended, which Now does not count;
+	// nil means never.
+	Suspended func() time.Duration
 }
 
 // Logger logs requests. Its methods must not block.
@@ -117,7 +120,7 @@
 	snap := h.awaitStartup(r.Context(), hasConfig)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
-		h.opts.RetryBudgets.RecordRequest(req.Service, arrived)
+		h.opts.RetryBudgets.RecordRequest(req.Service, h.inBudgetTime(arrived))
 		failure = h.readBody(w, r, req, snap)
 		defer h.bufferedBytes.Add(-int64(len(req.Body)))
 	}
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -45,8 +45,8 @@
 	Tried []types.EndpointID
 	// PrefixUncached is true for a forwarded request whose prefix is not cached here.
 	PrefixUncached bool
-	// ArriveBy is when a forwarded retry must have reached an endpoint; zero sets no
-	// limit.
+	// ArriveBy is when, in budget time, a forwarded retry must have reached an
+	// endpoint; zero sets no limit.
 	ArriveBy time.Time
 
 	// reserved is an endpoint that is reserved for the next attempt; nil if there is
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -58,7 +58,7 @@
 	// region is the region of the daemon that the last attempt was forwarded to;
 	// empty if it went to an endpoint.
 	region types.Region
-	// chargedAt is when the attempt that is being sent was taken from the retry
+	// chargedAt is when, in budget time, the attempt that is being sent was taken from the retry
 	// budget; zero if it was not. retryReservedAt is the same for the attempt after the
 	// current one.
 	chargedAt       time.Time
