--- a/pkg/gateway/proxy/withheld_test.go
+++ b/pkg/gateway/proxy/withheld_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -70,10 +71,10 @@
 		e := newEndpoint(respondOK)
 		w := newTestProxy(catalog.Idempotent)
 		dialing, dialed := make(chan bool), make(chan bool)
-		w.transport = &http.Transport{Dial: func(network, address string) (net.Conn, error) {
+		w.transport = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			dialing <- true
 			<-dialed
-			return net.Dial(network, address)
+			return (&net.Dialer{}).DialContext(ctx, network, address)
 		}}
 		w.start(e)
 		answered := make(chan callerResponse)
--- a/tools/soak/world/callers.go
+++ b/tools/soak/world/callers.go
@@ -36,7 +36,7 @@
 	longestReturn = callWithin / 3
 	// secondParts is the number of second parts of prompts; of so many prompts one has
 	// the deadly part.
-	secondParts, deadlyEvery = 40, 50
+	secondParts, deadlyEvery = 40, 15
 )
 
 var kinds = []struct {
