--- a/pkg/gateway/crashes/crashes_test.go
+++ b/pkg/gateway/crashes/crashes_test.go
@@ -262,6 +262,22 @@
 		Expect(b.decide()).To(ConsistOf(deadly))
 	})
 
+	It("dates a crash by the earliest report of it", func() {
+		s.AddCrash(crashes.Crash{Endpoint: "e1", Suspects: crashes.Traits{first}}, s.now)
+		s.AddCrash(crashes.Crash{Endpoint: "e1", Age: 900 * time.Millisecond, Suspects: crashes.Traits{rare}}, s.now)
+		s.Merge(crashes.Evidence{Clearances: []crashes.Clearance{{Trait: first, Age: 500 * time.Millisecond}}}, s.now)
+		Expect(s.Suspected()).To(HaveLen(1))
+	})
+
+	It("tells others what it has just learnt, however long ago that was", func() {
+		s.crash("e1", first)
+		s.pass(20 * time.Second)
+		s.Merge(crashes.Evidence{Clearances: []crashes.Clearance{{Trait: first, Age: 15 * time.Second}}}, s.now)
+		Expect(s.News(s.now).Clearances).To(HaveLen(1))
+		s.pass(20 * time.Second)
+		Expect(s.News(s.now).Clearances).To(BeEmpty())
+	})
+
 	It("keeps within its limits, and keeps the evidence of what is withheld in the face of other crashes", func() {
 		for _, endpoint := range []types.EndpointID{"e1", "e2", "e3"} {
 			s.crash(endpoint, deadly)
