--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -22,7 +22,7 @@
 	root.AddCommand(publish.Commands()...)
 	root.AddCommand(fleet.Commands()...)
 	root.AddCommand(trace.Command())
-	root.AddCommand(trace.LossesCommand())
+	root.AddCommand(trace.LossesCommand(), trace.WithheldCommand())
 	root.AddCommand(trial.Command())
 	return root
 }
--- a/pkg/cli/trace/trace.go
+++ b/pkg/cli/trace/trace.go
@@ -57,6 +57,23 @@
 	return command
 }
 
+// WithheldCommand returns the withheld command.
+func WithheldCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "withheld FILE...",
+		Short: "List the contents and prompt parts that daemons withhold from endpoints, from their logs",
+		Long:  "Reads JSON lines as trace does. A request that was refused names what is withheld in its field withheld.",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			lines, err := readAll(command, args)
+			if err != nil {
+				return err
+			}
+			return trace.PrintWithheld(trace.FindWithheld(lines), command.OutOrStdout())
+		},
+	}
+}
+
 // readAll reads the lines of all files, and writes to the command's error output
 // how many could not be read.
 func readAll(command *cobra.Command, files []string) ([]trace.Line, error) {
--- a/pkg/cli/trace/trace_test.go
+++ b/pkg/cli/trace/trace_test.go
@@ -41,5 +41,6 @@
 	},
 		Entry("trace", trace.Command, "r1"),
 		Entry("losses", trace.LossesCommand),
+		Entry("withheld", trace.WithheldCommand),
 	)
 })
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -234,7 +234,7 @@
 		fields["unreached"] = r.unreached
 	}
 	if r.withheldTrait != 0 {
-		fields["withheld"] = r.withheldTrait.String()
+		fields["withheld"], fields["withheld_part"] = r.withheldTrait.String(), r.partOf(r.withheldTrait)
 	}
 	if r.retryDenied {
 		fields["retry_denied"] = true
--- a/pkg/gateway/proxy/withheld.go
+++ b/pkg/gateway/proxy/withheld.go
@@ -53,6 +53,20 @@
 	return notRunFailure(types.CodeQuarantined, "what this request shares with others crashed several endpoints: "+trait.String(), left)
 }
 
+// maxLoggedPart bounds the name of a part in a log line.
+const maxLoggedPart = 64
+
+// partOf returns the part of the prompt that a trait of the request stands for; empty
+// if it stands for the whole content.
+func (r *run) partOf(trait crashes.Trait) string {
+	index := slices.IndexFunc(r.req.SharedParts, func(part string) bool { return crashes.PartTrait(r.req.Service, part) == trait })
+	if index < 0 {
+		return ""
+	}
+	part := r.req.SharedParts[index]
+	return part[:min(len(part), maxLoggedPart)]
+}
+
 // beginTrial lets the request try a withheld trait if its time has come, if this
 // daemon is the one that may try it, and if no other request does so now. Only one
 // attempt is made, and no other trait may be withheld.
--- a/pkg/trace/line.go
+++ b/pkg/trace/line.go
@@ -62,6 +62,13 @@
 	DataCentre types.DataCentre `json:"data_centre"`
 	Member     types.VMID       `json:"member"`
 	Version    uint64           `json:"version"`
+
+	// Withheld is the trait of which the line tells that it is withheld, or because of
+	// which the request was refused. The rest is set in lines of the first kind.
+	Withheld string    `json:"withheld"`
+	Since    time.Time `json:"since"`
+	RetryAt  time.Time `json:"retry_at"`
+	Crashes  int       `json:"crashes"`
 }
 
 // maxLineBytes is the maximum length of a log line.
--- a/pkg/trace/story.go
+++ b/pkg/trace/story.go
@@ -107,7 +107,7 @@
 	case types.CodeNotReady:
 		return fmt.Sprintf("refused, not run: %s knew no configuration yet", step.Source)
 	case types.CodeQuarantined:
-		return "refused, not run: its content crashed several endpoints before"
+		return fmt.Sprintf("refused, not run: what it shares with others (%s) crashed several endpoints", step.Withheld)
 	case types.CodeUnreachable:
 		return fmt.Sprintf("not run: %s could not be reached (%s)", endpoint, step.Cause)
 	case types.CodeEndpointFailed, types.CodeAnswerIncomplete:
