--- a/internal/fakenet/platform.go
+++ b/internal/fakenet/platform.go
@@ -61,14 +61,6 @@
 	l.net.after(l.net.opts.ListLag, l.publishNow)
 }
 
-// MarkEndpoint marks an endpoint as leaving after the lag.
-func (l *VMList) MarkEndpoint(id types.EndpointID) {
-	vm := l.vms[platform.VMKey(id)]
-	vm.Leaving = true
-	l.set(vm)
-	l.net.after(l.net.opts.ListLag, l.publishNow)
-}
-
 func (l *VMList) publishNow() {
 	l.version++
 	keys := make([]platform.VMKey, 0, len(l.vms))
--- a/pkg/naive/retry.go
+++ b/pkg/naive/retry.go
@@ -1,8 +1,6 @@
 package naive
 
 import (
-	"sync"
-
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -13,24 +11,3 @@
 func Retry(attempts int, _ *types.Failure) bool {
 	return attempts <= MaxRetries
 }
-
-// OnceKeys remembers the keys that one daemon has seen. Another daemon, or this
-// one after a restart, does not know them.
-type OnceKeys struct {
-	mu   sync.Mutex
-	keys map[string]struct{}
-}
-
-// First reports whether the daemon sees the key for the first time.
-func (o *OnceKeys) First(key string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if _, seen := o.keys[key]; seen {
-		return false
-	}
-	if o.keys == nil {
-		o.keys = map[string]struct{}{}
-	}
-	o.keys[key] = struct{}{}
-	return true
-}
--- a/pkg/standin/deployment/entry.go
+++ b/pkg/standin/deployment/entry.go
@@ -93,11 +93,6 @@
 	return "http://" + e.Self().CallerAddress
 }
 
-// AdminURL returns the base address of the administration API.
-func (e *Entry) AdminURL() string {
-	return "http://" + e.AdminAddress()
-}
-
 // Ready reports whether the entry takes requests and has heard from at least
 // so many others.
 func (e *Entry) Ready(others int) bool {
