--- a/pkg/gateway/crashes/crashes_test.go
+++ b/pkg/gateway/crashes/crashes_test.go
@@ -98,6 +98,7 @@
 				endpoint := types.EndpointID(fmt.Sprint("e", wave, i))
 				s.AddCrash(crashes.Crash{Endpoint: endpoint, Suspects: crashes.Traits{common}}, s.now.Add(time.Duration(i)*5*time.Millisecond))
 			}
+			Expect(s.News(s.now).Crashes).To(BeEmpty())
 			s.pass(3 * time.Second)
 		}
 		Expect(s.decide()).To(BeEmpty())
