--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -65,6 +65,20 @@
 	return standin.Run{ID: id, Path: path, Endpoint: endpoint, Service: "s", Started: after(at), Ended: after(at + 40*time.Millisecond)}
 }
 
+// deadly plants five crashes by the deadly part, a second apart from the start, and so
+// many requests with it that reach an endpoint at a time.
+func deadly(r *check.Record, requests int, at time.Duration) {
+	for second := range 5 {
+		r.Deadly = append(r.Deadly, after(time.Duration(second)*time.Second))
+	}
+	for number := range requests {
+		call := served(fmt.Sprint("deadly", number), standin.AskPath, at)
+		call.Parts = check.DeadlyPart + ":1,ff:1"
+		r.Calls = append(r.Calls, call)
+		r.Arrivals = append(r.Arrivals, arrival(call.ID, "e1", at, standin.Answered))
+	}
+}
+
 // record is a run in which nothing broke; each test plants one fault.
 func record() *check.Record {
 	return &check.Record{
@@ -193,6 +207,9 @@
 				r.Runs = append(r.Runs, long)
 			}
 		}, "gone: endpoints were at work on 4 of 4"),
+		Entry("requests with the deadly part long after it had crashed several endpoints", func(r *check.Record) {
+			deadly(r, 4, 9200*time.Millisecond)
+		}, "deadly: 4 requests"),
 		Entry("an endpoint that gets too much right after its start", func(r *check.Record) {
 			r.Colds = []check.Cold{{Endpoint: "e1", From: after(0), To: after(3 * time.Second), Most: 2.5}}
 			r.Arrivals = []standin.Arrival{
@@ -297,6 +314,21 @@
 		}),
 	)
 
+	It("excuses requests with the deadly part, if they are few, early or after a fault of a daemon", func() {
+		for _, plant := range []func(r *check.Record){
+			func(r *check.Record) { deadly(r, 3, 9200*time.Millisecond) },
+			func(r *check.Record) { deadly(r, 9, 8900*time.Millisecond) },
+			func(r *check.Record) {
+				deadly(r, 9, 9200*time.Millisecond)
+				r.Faults = []check.Span{{From: after(5 * time.Second), To: after(5 * time.Second), Daemon: "d1"}}
+			},
+		} {
+			r := record()
+			plant(r)
+			Expect(check.All(r)).To(BeEmpty())
+		}
+	})
+
 	It("excuses what a fault shortly before may have caused", func() {
 		r := record()
 		r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
--- a/tools/soak/plan/plan_test.go
+++ b/tools/soak/plan/plan_test.go
@@ -35,6 +35,6 @@
 				Expect(step.At).To(BeNumerically("<", time.Minute))
 			}
 		}
-		Expect(seen).To(HaveLen(18))
+		Expect(seen).To(HaveLen(19))
 	})
 })
