--- a/pkg/gateway/crashes/crashes_test.go
+++ b/pkg/gateway/crashes/crashes_test.go
@@ -295,6 +295,7 @@
 		}
 		Expect(s.Full()).To(BeTrue())
 		Expect(len(s.Suspected())).To(BeNumerically("<=", 128*512+1))
+		Expect(len(s.News(s.now).Crashes)).To(BeNumerically("<=", 16))
 		Expect(s.Withheld()).To(HaveKey(deadly))
 	})
 
@@ -308,6 +309,20 @@
 		Expect(s.Suspected()).To(HaveLen(1))
 	})
 
+	It("never changes what it has told a snapshot", func() {
+		s.crash("e1", first, rare)
+		before := s.Suspected()
+		s.Clear(first, s.now)
+		Expect(before).To(HaveLen(2))
+		Expect(s.Suspected()).To(HaveLen(1))
+		s.crash("e2", common)
+		Expect(s.Suspected()).To(HaveLen(2))
+		s.pass(10 * time.Minute)
+		Expect(s.Suspected()).To(BeEmpty())
+		s.Merge(crashes.Evidence{Withheld: []crashes.Withheld{{Trait: deadly}}}, s.now)
+		Expect(s.Suspected()).To(HaveLen(1))
+	})
+
 	It("survives its encoding", func() {
 		s.crash("e1", deadly, first)
 		s.Clear(first, s.now)
--- a/pkg/gateway/crashes/decide.go
+++ b/pkg/gateway/crashes/decide.go
@@ -47,6 +47,7 @@
 		if len(guilty) == 0 {
 			return decided
 		}
+		l.suspected = nil
 		for _, candidate := range guilty {
 			l.withheld[candidate.trait] = withheld{since: now, lastCrash: candidate.last, crashes: candidate.crashes}
 			decided = append(decided, candidate.trait)
--- a/pkg/gateway/crashes/evidence.go
+++ b/pkg/gateway/crashes/evidence.go
@@ -48,19 +48,22 @@
 
 // News returns what this daemon has learnt lately, for the others.
 func (l *Log) News(now time.Time) Evidence {
-	return l.evidence(now, newsTime)
+	return l.evidence(now, newsTime, maxNews)
 }
 
 // All returns all that this daemon knows, for a daemon that has just started.
 func (l *Log) All(now time.Time) Evidence {
-	return l.evidence(now, crashTTL)
+	return l.evidence(now, crashTTL, maxCrashes)
 }
 
 // evidence returns what is withheld, and what was learnt within a time and may still
-// decide: crashes that nothing withheld explains and no lost rack.
-func (l *Log) evidence(now time.Time, within time.Duration) Evidence {
+// decide: the newest crashes that nothing withheld explains and no lost rack.
+func (l *Log) evidence(now time.Time, within time.Duration, most int) Evidence {
 	var evidence Evidence
-	for _, c := range l.crashes {
+	for _, c := range slices.Backward(l.crashes) {
+		if len(evidence.Crashes) == most {
+			break
+		}
 		if now.Sub(c.knownAt) < within && len(c.suspects) > 0 && !l.explained(c) && !l.widespread(c) {
 			evidence.Crashes = append(evidence.Crashes, Crash{Endpoint: c.endpoint, Age: now.Sub(c.at), Suspects: slices.Sorted(maps.Keys(c.suspects))})
 		}
--- a/pkg/gateway/crashes/log.go
+++ b/pkg/gateway/crashes/log.go
@@ -14,6 +14,8 @@
 	maxSuspects   = 512
 	maxClearances = 1024
 	maxWithheld   = 256
+	// maxNews bounds the crashes of one message; a daemon that joins gets all.
+	maxNews = 16
 	// sameCrash is the time within which reports of an endpoint are of one crash; a
 	// crashed endpoint takes longer to start again.
 	sameCrash = time.Second
@@ -54,6 +56,9 @@
 	// full is true from the first evidence that is dropped because there is too much,
 	// until half of the crashes have expired.
 	full bool
+	// suspected is what Suspected returns; nil if it has to be built anew. It is never
+	// changed, since snapshots hold it.
+	suspected map[Trait]bool
 }
 
 // NewLog returns a log without evidence.
@@ -93,6 +98,9 @@
 		}
 	}
 	l.limitCrashes()
+	if isNew {
+		l.suspected = nil
+	}
 	return isNew
 }
 
@@ -126,8 +134,8 @@
 
 // explained reports whether something that is withheld was in the crash.
 func (l *Log) explained(c *crash) bool {
-	for trait := range c.suspects {
-		if kept, found := l.withheld[trait]; found && !c.at.Before(kept.since.Add(-crashTTL)) {
+	for trait, kept := range l.withheld {
+		if c.suspects[trait] && !c.at.Before(kept.since.Add(-crashTTL)) {
 			return true
 		}
 	}
@@ -158,6 +166,7 @@
 	}
 	known.at = at
 	if changed {
+		l.suspected = nil
 		known.tellUntil = now.Add(newsTime)
 	}
 	l.cleared[trait] = known
@@ -204,6 +213,7 @@
 		return false
 	}
 	if !found || lastCrash.After(kept.lastCrash.Add(sameCrash)) {
+		l.suspected = nil
 		l.withheld[told.Trait] = withheld{since: since, lastCrash: lastCrash, crashes: max(told.Crashes, kept.crashes)}
 		return !found
 	}
@@ -212,33 +222,34 @@
 
 // Expire drops what no longer counts.
 func (l *Log) Expire(now time.Time) {
+	tracked, kept := len(l.crashes), len(l.withheld)
 	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool { return now.Sub(c.at) > crashTTL })
 	if len(l.crashes) <= maxCrashes/2 {
 		l.full = false
 	}
 	maps.DeleteFunc(l.cleared, func(_ Trait, known clearance) bool { return now.Sub(known.at) > crashTTL })
 	maps.DeleteFunc(l.withheld, func(_ Trait, kept withheld) bool { return now.Sub(kept.lastCrash) > withholdTime+forgetTime })
+	if len(l.crashes) < tracked || len(l.withheld) < kept {
+		l.suspected = nil
+	}
 }
 
 // Suspected returns the traits of which answers should be reported: those that a
-// crash suspects and those that are withheld. It returns nil if there is none.
+// crash suspects and those that are withheld. The map must not be changed.
 func (l *Log) Suspected() map[Trait]bool {
-	var suspected map[Trait]bool
-	add := func(trait Trait) {
-		if suspected == nil {
-			suspected = make(map[Trait]bool)
-		}
-		suspected[trait] = true
+	if l.suspected != nil {
+		return l.suspected
 	}
+	l.suspected = make(map[Trait]bool)
 	for _, c := range l.crashes {
 		for trait := range c.suspects {
-			add(trait)
+			l.suspected[trait] = true
 		}
 	}
 	for trait := range l.withheld {
-		add(trait)
+		l.suspected[trait] = true
 	}
-	return suspected
+	return l.suspected
 }
 
 // Verdict is the state of a withheld trait.
