Crashes: a decision by crashes that are about to expire comes to an end

Found by reading the change: a crash older than its time, but not dropped yet, was not explained by what had just been withheld because of it, so that Decide found the same trait again and never ended; it would have stopped the control goroutine. The spec runs into its time limit without the change. Ruled out elsewhere: each round of the loop now withholds a trait that was not withheld, and their number is bounded.

--- a/pkg/gateway/crashes/crashes_test.go
+++ b/pkg/gateway/crashes/crashes_test.go
@@ -167,6 +167,14 @@
 		Expect(s.NextDecision(s.now)).To(BeZero())
 	})
 
+	It("comes to an end when it decides by crashes that are about to expire", func() {
+		for _, endpoint := range []types.EndpointID{"e1", "e2", "e3"} {
+			s.crash(endpoint, deadly)
+		}
+		s.now = s.now.Add(5*time.Minute + 100*time.Millisecond)
+		Expect(s.decide()).To(ConsistOf(deadly))
+	})
+
 	It("ends what is withheld when an answer got on after the last crash", func() {
 		for _, endpoint := range []types.EndpointID{"e1", "e2", "e3"} {
 			s.crash(endpoint, deadly)
--- a/pkg/gateway/crashes/log.go
+++ b/pkg/gateway/crashes/log.go
@@ -134,8 +134,8 @@
 
 // explained reports whether something that is withheld was in the crash.
 func (l *Log) explained(c *crash) bool {
-	for trait, kept := range l.withheld {
-		if c.suspects[trait] && !c.at.Before(kept.since.Add(-crashTTL)) {
+	for trait := range l.withheld {
+		if c.suspects[trait] {
 			return true
 		}
 	}
