--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
@@ -76,7 +77,7 @@
 	table   *members.Table
 	crashes *crashes.Log
 	// broadcasts limits the evidence that is sent to all daemons at once.
-	broadcasts broadcastLimit
+	broadcasts *rate.Limiter
 	// storeReadAt is when each daemon last read the store, as far as this one knows.
 	storeReadAt map[types.VMID]time.Time
 	lastReader  types.VMID
@@ -105,6 +106,7 @@
 		state:       catalog.NewState(),
 		table:       members.New(opts.Self, opts.Seeds),
 		crashes:     crashes.NewLog(),
+		broadcasts:  rate.NewLimiter(rate.Every(broadcastInterval), maxBroadcasts),
 		storeReadAt: make(map[types.VMID]time.Time),
 	}
 	c.state.SetEvacuationLimit(opts.EvacuationLimit)
--- a/pkg/gateway/control/evidence.go
+++ b/pkg/gateway/control/evidence.go
@@ -16,27 +16,6 @@
 	maxBroadcasts     = 4
 )
 
-// broadcastLimit is a token bucket.
-type broadcastLimit struct {
-	spent    int
-	refillAt time.Time
-}
-
-// allow reports whether another broadcast may be sent, and counts it.
-func (l *broadcastLimit) allow(now time.Time) bool {
-	for ; l.spent > 0 && !now.Before(l.refillAt); l.spent-- {
-		l.refillAt = l.refillAt.Add(broadcastInterval)
-	}
-	if l.spent == maxBroadcasts {
-		return false
-	}
-	if l.spent == 0 {
-		l.refillAt = now.Add(broadcastInterval)
-	}
-	l.spent++
-	return true
-}
-
 // ReportCrash records that an endpoint crashed, and the suspects that this daemon
 // knows of.
 func (c *Control) ReportCrash(endpoint types.EndpointID, suspects crashes.Traits) {
@@ -109,7 +88,7 @@
 
 // broadcast sends evidence to all live daemons within two hops.
 func (c *Control) broadcast(evidence crashes.Evidence, now time.Time) {
-	if c.broadcasts.allow(now) {
+	if c.broadcasts.AllowN(now, 1) {
 		c.sendEvidence(evidence, now, true)
 	}
 }
--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -24,7 +24,8 @@
 }
 
 // gotConn records the connection. If it comes too late, if the endpoint has said
-// meanwhile that it wants no request, or if the request is withheld from all endpoints, it is closed, so that nothing is sent on it.
+// meanwhile that it wants no request, or if the request is withheld from all endpoints,
+// it is closed, so that nothing is sent on it.
 func (w *attemptConn) gotConn(info httptrace.GotConnInfo) {
 	wanted := w.connecting.End()
 	if w.tooLate != nil && w.tooLate() || w.withheld != nil && w.withheld() {
