--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return outcome{err: err}
 	}
-	result := outcome{status: response.StatusCode, seal: response.Header.Get("Response-Seal"), id: response.Header.Get("Request-Id"), header: response.Header}
+	result := outcome{status: response.StatusCode, seal: response.Header.Get(wire["seal"]), id: response.Header.Get("Request-Id"), header: response.Header}
 	if response.Close {
 		result.header.Set("Connection", "close")
 	}
--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -8,8 +8,8 @@
 // route returns a route of the operator's configuration.
 func route(name, prefix, kind, service string, timeout time.Duration, more map[string]any) map[string]any {
 	found := map[string]any{
-		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 300,
-		"priority": 2, "service": service, "maxAttempts": 1, "sticky": false, "resumable": false, "homeRegions": []string{},
+		"name": name, "host": host, wire["prefix"]: prefix, "kind": kind, "timeoutMs": timeout.Milliseconds(), wire["objective"]: 300,
+		"priority": 2, "service": service, wire["attempts"]: 1, "sticky": false, "resumable": false, wire["homes"]: []string{},
 	}
 	maps.Copy(found, more)
 	return found
@@ -17,7 +17,7 @@
 
 // service returns a service; engines have a runtime as in the users' example.
 func service(name string, connections int, engine bool) map[string]any {
-	found := map[string]any{"name": name, "healthCheck": "/health", "maxConnections": connections, "protocol": "h1", "tls": false, "coldStartS": 0, "coldPerS": 0}
+	found := map[string]any{"name": name, "healthCheck": "/health", "maxConnections": connections, "protocol": "h1", "tls": false, "coldStartS": 0, wire["coldRate"]: 0}
 	if engine {
 		found["runtime"] = map[string]any{
 			"slots": 64, "kvTokens": 354561, "kvBytes": 327680, "linkMbps": 260000.0, "migrations": true, "backups": true,
--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -53,7 +53,7 @@
 		return verdict{}, err
 	}
 	s.put("op/config", config(1, []map[string]any{
-		route("r-quote", "/lohu930/", "streaming", "huvo11a", quoteTimeout, map[string]any{"targetLatencyMs": 1000, "targetGapMs": 600, "maxAttempts": 2, "resumable": true, "priority": 0}),
+		route("r-quote", "/lohu930/", "streaming", "huvo11a", quoteTimeout, map[string]any{wire["objective"]: 1000, "targetGapMs": 600, wire["attempts"]: 2, "resumable": true, "priority": 0}),
 	}, service("huvo11a", 370, true)))
 	w.publish()
 	if r.fleet, err = newFleet(r.dir, s, map[string]string{"kathmandu-a": "kathmandu"}, "kathmandu-a", "kathmandu-a"); err != nil {
--- a/review/harness/memory.go
+++ b/review/harness/memory.go
@@ -55,7 +55,7 @@
 	}
 	s.put("op/config", config(1, []map[string]any{
 		route("r-order", "/pule252/", "non_idempotent", "wuno96b", 2500*time.Millisecond, nil),
-		route("r-survey", "/lohu930/", "idempotent", "wuno96b", 9*time.Second, map[string]any{"maxAttempts": 2, "targetLatencyMs": 9000}),
+		route("r-survey", "/lohu930/", "idempotent", "wuno96b", 9*time.Second, map[string]any{wire["attempts"]: 2, wire["objective"]: 9000}),
 	}, service("wuno96b", 110, false)))
 	if r.fleet, err = newFleet(r.dir, s, map[string]string{"kathmandu-a": "kathmandu"}, "kathmandu-a"); err != nil {
 		return verdict{}, err
--- a/review/harness/poison.go
+++ b/review/harness/poison.go
@@ -54,9 +54,9 @@
 	w := &worker{id: id, service: service, zone: zone, slots: 64, store: s}
 	w.handle = func(c *workerConn, q *http.Request, _ []byte) bool {
 		request := q.Header.Get("Request-Id")
-		deadly := e.r.trouble && strings.Contains(q.Header.Get("Prompt-Prefix"), deadlyPart)
+		deadly := e.r.trouble && strings.Contains(q.Header.Get(wire["parts"]), deadlyPart)
 		e.mu.Lock()
-		if strings.Contains(q.Header.Get("Prompt-Prefix"), deadlyPart) {
+		if strings.Contains(q.Header.Get(wire["parts"]), deadlyPart) {
 			e.arrivals = append(e.arrivals, arrival{request, id, time.Now(), deadly})
 		} else {
 			e.began[request] = time.Now()
@@ -116,5 +116,5 @@
 }
 
 func askRoute(service string) map[string]any {
-	return route("r-ask", "/pufi791/", "streaming", service, 4*time.Second, map[string]any{"targetLatencyMs": 3000, "targetGapMs": 600, "sticky": true})
+	return route("r-ask", "/pufi791/", "streaming", service, 4*time.Second, map[string]any{wire["objective"]: 3000, "targetGapMs": 600, "sticky": true})
 }
