Entry: one schedule for all moments of a stop; late requests are refused as not run

Cause: nothing decided when the last request is taken. It followed from the end of the connections: 0.35 of the grace time, plus 250 ms for handshakes, plus a second for connections without any request. The sum passed the 3 s of the rule. A wait for room in the control state's event queue was added to it, and the order of the moments held for one grace time only.

Ruled out: the endpoint, the hop, the deadline and the route's timeout.

Change: admission is a decision of its own. After its end, 0.2 s before the limit, a complete request is refused as not run, from a caller or from another daemon, on any connection. stopSchedule derives every moment of the stop from the grace time; no step waits for the one before it beyond its own moment. The listener for other daemons closes while there is still time to answer what is on its connections.

Why it works: what is passed on was read, so sent, before the end of admission, whatever connections do afterwards.

--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -3,59 +3,70 @@
 import (
 	"context"
 	"time"
-)
 
-// Fractions of the grace time.
-const (
-	// acceptShare is how long new connections are still accepted: callers learn
-	// from the response to their next request that this daemon is leaving. Most of
-	// the grace time remains for the streams that come last.
-	acceptShare = 0.35
-	// cancelShare is when the callers' remaining requests are cancelled, so that
-	// those without any response yet still get one.
-	cancelShare = 0.92
-	// shutdownShare is when the remaining requests in flight are cut off.
-	shutdownShare = 0.94
+	"github.com/sourcegraph/conc"
 )
 
 // drain shuts down gracefully: the daemon announces that it is leaving, still
 // serves new requests while callers switch to other daemons, and then finishes its
-// requests in flight.
+// requests in flight. Each step has its moment in the schedule and waits for no step
+// before it.
 func (e *Entry) drain() {
-	started := time.Now()
-	grace := e.opts.Settings.Grace
-	e.log.WithField("grace", grace.String()).Info("daemon stops")
-	e.handler.Leave()
-	leaveCtx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	e.control.Leave(leaveCtx)
-	time.Sleep(share(grace, acceptShare))
-	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), started.Add(share(grace, shutdownShare)))
+	began := time.Now()
+	s := e.opts.Settings
+	schedule := newStopSchedule(s.Grace, s.AdmissionLimit)
+	e.handler.Leave(schedule.admitUntil)
+	e.log.WithField("grace", s.Grace.String()).Info("daemon stops")
+	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), began.Add(schedule.cut))
 	defer cancelShutdown()
-	cancelling := time.AfterFunc(time.Until(started.Add(share(grace, cancelShare))), e.cancelRequests)
+	cancelling := time.AfterFunc(time.Until(began.Add(schedule.cancel)), e.cancelRequests)
 	defer cancelling.Stop()
-	for _, srv := range e.trafficServers() {
-		if err := srv.Shutdown(shutdownCtx); err != nil {
-			e.log.WithField("listener", srv.name).Warn("requests in flight were cut off at the end of the grace time")
-		}
-	}
-	e.log.WithField("took", time.Since(started).String()).Info("daemon stopped")
+	e.announceLeaving(began.Add(schedule.closeCallers))
+	time.Sleep(time.Until(began.Add(schedule.closeCallers)))
+
+	callersEnded := make(chan struct{})
+	var stopping conc.WaitGroup
+	stopping.Go(func() {
+		defer close(callersEnded)
+		e.shutdown(shutdownCtx, callersName)
+	})
+	stopping.Go(func() {
+		// While callers' requests run, other daemons' messages still bring changes.
+		await(callersEnded, began.Add(schedule.closePeers))
+		e.shutdown(shutdownCtx, peersName)
+	})
+	stopping.Wait()
+	e.log.WithField("took", time.Since(began).String()).Info("daemon stopped")
 }
 
-// share returns a fraction of the grace time.
-func share(grace time.Duration, fraction float64) time.Duration {
-	return time.Duration(float64(grace) * fraction)
+// announceLeaving tells the other daemons that this one is leaving. It returns at the
+// deadline even if the control state does not accept the announcement.
+func (e *Entry) announceLeaving(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	e.control.Leave(ctx)
 }
 
-// trafficServers returns the servers of requests, the callers' first.
-func (e *Entry) trafficServers() []*server {
-	var traffic []*server
+// await waits until a channel is closed, but no longer than until the deadline.
+func await(closed <-chan struct{}, deadline time.Time) {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	}
+}
+
+// shutdown shuts down the server of a name until ctx ends.
+func (e *Entry) shutdown(ctx context.Context, name string) {
 	for _, srv := range e.servers {
-		if srv.name == callersName || srv.name == peersName {
-			traffic = append(traffic, srv)
+		if srv.name != name {
+			continue
+		}
+		if err := srv.Shutdown(ctx); err != nil {
+			e.log.WithField("listener", name).Warn("requests in flight were cut off at the end of the grace time")
 		}
 	}
-	return traffic
 }
 
 // cancelRequests cancels the requests of callers. A daemon that forwarded a request
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -54,7 +54,10 @@
 	EvacuationLimit time.Duration
 	// Grace is the time between the stop signal and the end of the process.
 	Grace time.Duration
-	Cold  balance.Bounds
+	// AdmissionLimit is the latest time after the stop signal at which a request may
+	// come that the end of the grace time could cut off; zero means no limit.
+	AdmissionLimit time.Duration
+	Cold           balance.Bounds
 	// RetryRatio and RetrySlack are the retry budget of all daemons together: a
 	// share of the requests plus a fixed number of attempts.
 	RetryRatio float64
--- a/pkg/gateway/entry/export_test.go
+++ b/pkg/gateway/entry/export_test.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
 // Internals of the package that the tests use.
@@ -28,3 +31,26 @@
 func (l *noticeLog) Observe(endpoint *catalog.Endpoint, notice balance.Notice, change balance.Change) {
 	l.observe(endpoint, notice, change)
 }
+
+// SignalDelay is the delay of a stop signal that the schedule allows for.
+const SignalDelay = signalDelay
+
+// StopSchedule is a schedule with the times of the servers' shutdown.
+type StopSchedule struct {
+	stopSchedule
+	times graceful.ShutdownTimes
+}
+
+// NewStopSchedule returns the schedule of a stop.
+func NewStopSchedule(grace, admissionLimit time.Duration) StopSchedule {
+	return StopSchedule{newStopSchedule(grace, admissionLimit), shutdownTimes(grace)}
+}
+
+// The moments of a schedule.
+func (s StopSchedule) CloseCallers() time.Duration { return s.closeCallers }
+func (s StopSchedule) AdmitUntil() time.Duration   { return s.admitUntil }
+func (s StopSchedule) EndFresh() time.Duration     { return s.endFresh }
+func (s StopSchedule) ClosePeers() time.Duration   { return s.closePeers }
+func (s StopSchedule) Cancel() time.Duration       { return s.cancel }
+func (s StopSchedule) Cut() time.Duration          { return s.cut }
+func (s StopSchedule) Handshakes() time.Duration   { return s.times.Handshakes }
--- /dev/null
+++ b/pkg/gateway/entry/schedule.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/graceful"
+)
+
+// Fractions of the grace time.
+const (
+	// admitShare is how long callers' requests are still passed on: callers learn from
+	// the response to their next request that this daemon is leaving. Most of the grace
+	// time remains for the streams that come last.
+	admitShare = 0.35
+	// handshakeShare and freshShare bound the times of graceful.ShutdownTimes.
+	handshakeShare = 0.1
+	freshShare     = 0.15
+	// peersShare is when the listener for other daemons closes at the latest, so that
+	// their kept connections end before the rest is cut off.
+	peersShare = 0.8
+	// cancelShare is when the callers' remaining requests are cancelled, so that
+	// those without any response yet still get one.
+	cancelShare = 0.92
+	// shutdownShare is when the remaining requests in flight are cut off.
+	shutdownShare = 0.94
+)
+
+// signalDelay is the longest time from the stop signal until the daemon acts on it.
+const signalDelay = 200 * time.Millisecond
+
+// stopSchedule holds the moments of a graceful shutdown, as times after its begin.
+// They are derived from the grace time alone and follow each other in the order of
+// the fields, whatever the grace time is; the daemon is killed after the last.
+type stopSchedule struct {
+	// closeCallers is when the listener for callers begins to close; idle connections
+	// end after the handshakes.
+	closeCallers time.Duration
+	// admitUntil is until when requests are passed on; later ones are refused. It is
+	// also when the listener for callers has closed.
+	admitUntil time.Duration
+	// endFresh is when callers' connections without any request end.
+	endFresh time.Duration
+	// closePeers is when the listener for other daemons begins to close at the latest.
+	closePeers time.Duration
+	// cancel is when the callers' remaining requests are cancelled.
+	cancel time.Duration
+	// cut is when the remaining connections are closed.
+	cut time.Duration
+}
+
+// newStopSchedule returns the schedule of a shutdown within the grace time.
+// admissionLimit is the latest time after the stop signal at which a request may come
+// that the end of the grace time could cut off; zero means no limit.
+func newStopSchedule(grace, admissionLimit time.Duration) stopSchedule {
+	admitUntil := share(grace, admitShare)
+	if admissionLimit > 0 {
+		admitUntil = min(admitUntil, max(admissionLimit-signalDelay, admissionLimit/2))
+	}
+	times := shutdownTimes(grace)
+	closeCallers := max(admitUntil-times.Handshakes, 0)
+	return stopSchedule{
+		closeCallers: closeCallers,
+		admitUntil:   admitUntil,
+		endFresh:     closeCallers + times.Fresh,
+		closePeers:   share(grace, peersShare),
+		cancel:       share(grace, cancelShare),
+		cut:          share(grace, shutdownShare),
+	}
+}
+
+// shutdownTimes returns the times of the servers' shutdown: the usual ones, or
+// shorter ones that leave most of a short grace time to requests.
+func shutdownTimes(grace time.Duration) graceful.ShutdownTimes {
+	usual := graceful.DefaultShutdownTimes()
+	handshakes := min(usual.Handshakes, share(grace, handshakeShare))
+	return graceful.ShutdownTimes{
+		Handshakes: handshakes,
+		Fresh:      handshakes + min(usual.Fresh-usual.Handshakes, share(grace, freshShare)),
+	}
+}
+
+// share returns a fraction of the grace time.
+func share(grace time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(grace) * fraction)
+}
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -175,6 +175,10 @@
 	}
 	h.bufferedBytes.Add(int64(len(req.Body)))
 	defer h.bufferedBytes.Add(-int64(len(req.Body)))
+	if failure := h.refuseLate(); failure != nil {
+		writeFailure(w, req.ID, failure, true)
+		return
+	}
 	h.serve(r.Context(), w, req)
 }
 
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -29,6 +29,9 @@
 const (
 	// notReadyRetryAfter is the Retry-After advice while no configuration is known.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// drainingRetryAfter is the advice of a daemon that stops: the caller's next
+	// connection goes to another one.
+	drainingRetryAfter = 10 * time.Millisecond
 	// defaultTimeout bounds requests other than streams if neither the caller nor
 	// the route sets a limit.
 	defaultTimeout = 30 * time.Second
@@ -94,8 +97,11 @@
 	// trials holds the withheld traits that a request tries now.
 	trials sync.Map
 	// draining makes every response to a caller close its connection.
-	draining  atomic.Bool
-	startedAt time.Time
+	draining atomic.Bool
+	// admitUntil is the last moment, in budget time, at which a request is passed
+	// on; nil means that there is none.
+	admitUntil atomic.Pointer[time.Time]
+	startedAt  time.Time
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -109,11 +115,24 @@
 }
 
 // Leave makes every further response ask the caller to close the connection, so
-// that it connects to another daemon.
-func (h *Handler) Leave() {
+// that it connects to another daemon. Requests that are complete only after the
+// admission time from now on are refused, whichever connection they come on: the stop
+// of the daemon would cut them off.
+func (h *Handler) Leave(admission time.Duration) {
+	until := h.budgetTime().Add(admission)
+	h.admitUntil.Store(&until)
 	h.draining.Store(true)
 }
 
+// refuseLate returns a failure if the daemon stops and no longer passes requests on.
+func (h *Handler) refuseLate() *types.Failure {
+	until := h.admitUntil.Load()
+	if until == nil || h.budgetTime().Before(*until) {
+		return nil
+	}
+	return notRunFailure(types.CodeDraining, "this daemon stops", drainingRetryAfter)
+}
+
 // ServeHTTP serves a caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.opts.Now()
@@ -127,6 +146,9 @@
 		failure = h.readBody(w, r, req, snap)
 		defer h.bufferedBytes.Add(-int64(len(req.Body)))
 	}
+	if failure == nil {
+		failure = h.refuseLate()
+	}
 	if failure != nil {
 		h.refuse(w, r, failure)
 		return
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -13,14 +13,20 @@
 	"time"
 )
 
-// Times of a shutdown.
-const (
-	// handshakeTime is how long the handshakes that have begun may take.
-	handshakeTime = 250 * time.Millisecond
-	// freshTimeout is how long after the close of the listener a connection may
-	// take to send its first byte.
-	freshTimeout = time.Second
-)
+// ShutdownTimes are the parts of a shutdown that take a fixed time.
+type ShutdownTimes struct {
+	// Handshakes is how long the handshakes that have begun may take before the
+	// listener closes.
+	Handshakes time.Duration
+	// Fresh is how long after the begin of the shutdown a connection may take to send
+	// its first byte.
+	Fresh time.Duration
+}
+
+// DefaultShutdownTimes returns the times of a shutdown whose end is far away.
+func DefaultShutdownTimes() ShutdownTimes {
+	return ShutdownTimes{Handshakes: 250 * time.Millisecond, Fresh: 1250 * time.Millisecond}
+}
 
 // Reason tells why a connection ended while a request had no complete response.
 type Reason string
@@ -51,6 +57,8 @@
 	// MaxConnections bounds the connections that are open at once; 0 means no
 	// limit.
 	MaxConnections int
+	// Times are those of a shutdown; the zero value means DefaultShutdownTimes.
+	Times ShutdownTimes
 	// Unanswered is called for each connection that ends while a request has no
 	// complete response; nil means not at all. It must not block.
 	Unanswered func(Reason)
@@ -91,6 +99,9 @@
 
 // New returns a server.
 func New(opts Options) *Server {
+	if opts.Times == (ShutdownTimes{}) {
+		opts.Times = DefaultShutdownTimes()
+	}
 	s := &Server{
 		opts: opts, handler: opts.HTTP.Handler, listener: opts.Listener, conns: make(map[*conn]struct{}),
 		closed: make(chan struct{}), served: make(chan struct{}), drained: make(chan struct{}),
@@ -141,11 +152,11 @@
 // server's own Shutdown would drop requests that it reads after its begin.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
+	fresh := time.AfterFunc(s.opts.Times.Fresh, func() { s.endWaiting(true) })
+	defer fresh.Stop()
 	s.closeListener(ctx)
 	// Idle connections end first: they may hold the slots of those in the queue.
 	s.endWaiting(false)
-	timer := time.AfterFunc(freshTimeout, func() { s.endWaiting(true) })
-	defer timer.Stop()
 	select {
 	case <-s.served:
 		s.awaitLast()
@@ -172,7 +183,7 @@
 // closeListener closes the listener after the handshakes that have begun.
 func (s *Server) closeListener(ctx context.Context) {
 	if queue, ok := s.listener.(*queueListener); ok && queue.refuse() {
-		timer := time.NewTimer(handshakeTime)
+		timer := time.NewTimer(s.opts.Times.Handshakes)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
@@ -187,9 +198,9 @@
 func (s *Server) endWaiting(freshToo bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closing, s.endFresh = true, freshToo
+	s.closing, s.endFresh = true, s.endFresh || freshToo
 	for c := range s.conns {
-		c.endIfWaiting(freshToo)
+		c.endIfWaiting(s.endFresh)
 	}
 }
 
