Drain: the notice of a stop is bounded by the drain limit

The same cause as in the stop schedule of pkg/gateway/entry, on the product's own interface: drain_notice and a published drain limit are set apart from each other, and with a limit below the notice requests were taken until the moment that cut them off. The notice now takes at most 0.35 of the limit.

Test: drain "bounds the notice by the limit" failed before (phase announced after 0.8 s of a limit of 2 s).

--- a/pkg/control/drain/daemon.go
+++ b/pkg/control/drain/daemon.go
@@ -61,7 +61,8 @@
 	// expired. The default is DefaultTicketWindow; a negative value means no
 	// wait.
 	TicketWindow time.Duration
-	// Limit is the time after which the drain ends even with requests in flight.
+	// Limit is the time after which the drain ends even with requests in flight. The
+	// announcement takes at most announceShare of it.
 	// The default is DefaultLimit.
 	Limit time.Duration
 }
@@ -73,6 +74,15 @@
 	DefaultLimit          = 10 * time.Minute
 )
 
+// announceShare is the fraction of the limit that the announcement may take: the rest
+// is for the requests that come last.
+const announceShare = 0.35
+
+// announcePeriod returns how long requests are accepted after the signal.
+func (o Options) announcePeriod() time.Duration {
+	return min(o.AnnouncePeriod, time.Duration(announceShare*float64(o.Limit)))
+}
+
 func (o Options) withDefaults() Options {
 	if o.AnnouncePeriod == 0 {
 		o.AnnouncePeriod = DefaultAnnouncePeriod
@@ -145,7 +155,7 @@
 		return d.phase
 	}
 	elapsed := now.Sub(d.startedAt)
-	if d.phase == Announced && elapsed >= d.options.AnnouncePeriod {
+	if d.phase == Announced && elapsed >= d.options.announcePeriod() {
 		d.phase = Finishing
 	}
 	if elapsed >= d.options.Limit {
--- a/pkg/control/drain/drain_test.go
+++ b/pkg/control/drain/drain_test.go
@@ -34,6 +34,16 @@
 		Expect(d.Cause()).To(Equal(drain.CauseFinished))
 	})
 
+	// Guards against requests that are taken until the limit and cut off by it, when an
+	// operator publishes a limit below the notice.
+	It("bounds the notice by the limit", func() {
+		d := drain.NewDaemon(options)
+		d.SetLimit(2 * time.Second)
+		d.Signal(afterStart(0))
+		Expect(d.Step(afterStart(600*time.Millisecond), 1)).To(Equal(drain.Announced))
+		Expect(d.Step(afterStart(800*time.Millisecond), 1)).To(Equal(drain.Finishing))
+	})
+
 	It("ends at the published limit, and at once on a second signal", func() {
 		limited := drain.NewDaemon(options)
 		limited.SetLimit(10 * time.Second)
