--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -13,10 +13,9 @@
 // before it.
 func (e *Entry) drain() {
 	began := time.Now()
-	s := e.opts.Settings
-	schedule := newStopSchedule(s.Grace, s.AdmissionLimit)
+	schedule := e.opts.Settings.stopSchedule()
 	e.handler.Leave(schedule.admitUntil)
-	e.log.WithField("grace", s.Grace.String()).Info("daemon stops")
+	e.log.WithField("grace", e.opts.Settings.Grace.String()).Info("daemon stops")
 	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), began.Add(schedule.cut))
 	defer cancelShutdown()
 	cancelling := time.AfterFunc(time.Until(began.Add(schedule.cancel)), e.cancelRequests)
--- a/pkg/gateway/entry/export_test.go
+++ b/pkg/gateway/entry/export_test.go
@@ -5,7 +5,6 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
-	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
 // Internals of the package that the tests use.
@@ -35,15 +34,12 @@
 // SignalDelay is the delay of a stop signal that the schedule allows for.
 const SignalDelay = signalDelay
 
-// StopSchedule is a schedule with the times of the servers' shutdown.
-type StopSchedule struct {
-	stopSchedule
-	times graceful.ShutdownTimes
-}
+// StopSchedule is the schedule of a stop.
+type StopSchedule struct{ stopSchedule }
 
 // NewStopSchedule returns the schedule of a stop.
 func NewStopSchedule(grace, admissionLimit time.Duration) StopSchedule {
-	return StopSchedule{newStopSchedule(grace, admissionLimit), shutdownTimes(grace)}
+	return StopSchedule{newStopSchedule(grace, admissionLimit)}
 }
 
 // The moments of a schedule.
@@ -53,4 +49,4 @@
 func (s StopSchedule) ClosePeers() time.Duration   { return s.closePeers }
 func (s StopSchedule) Cancel() time.Duration       { return s.cancel }
 func (s StopSchedule) Cut() time.Duration          { return s.cut }
-func (s StopSchedule) Handshakes() time.Duration   { return s.times.Handshakes }
+func (s StopSchedule) Handshakes() time.Duration   { return s.shutdownTimes().Handshakes }
--- a/pkg/gateway/entry/schedule.go
+++ b/pkg/gateway/entry/schedule.go
@@ -12,9 +12,9 @@
 	// the response to their next request that this daemon is leaving. Most of the grace
 	// time remains for the streams that come last.
 	admitShare = 0.35
-	// handshakeShare and freshShare bound the times of graceful.ShutdownTimes.
-	handshakeShare = 0.1
-	freshShare     = 0.15
+	// freshShare bounds the time after the end of admission in which connections without
+	// any request end.
+	freshShare = 0.15
 	// peersShare is when the listener for other daemons closes at the latest, so that
 	// their kept connections end before the rest is cut off.
 	peersShare = 0.8
@@ -48,6 +48,11 @@
 	cut time.Duration
 }
 
+// stopSchedule returns the schedule that follows from the settings.
+func (s Settings) stopSchedule() stopSchedule {
+	return newStopSchedule(s.Grace, s.AdmissionLimit)
+}
+
 // newStopSchedule returns the schedule of a shutdown within the grace time.
 // admissionLimit is the latest time after the stop signal at which a request may come
 // that the end of the grace time could cut off; zero means no limit.
@@ -56,27 +61,22 @@
 	if admissionLimit > 0 {
 		admitUntil = min(admitUntil, max(admissionLimit-signalDelay, admissionLimit/2))
 	}
-	times := shutdownTimes(grace)
-	closeCallers := max(admitUntil-times.Handshakes, 0)
+	usual := graceful.DefaultShutdownTimes()
+	handshakes := min(usual.Handshakes, admitUntil/2)
+	unused := min(usual.Fresh-usual.Handshakes, share(grace, freshShare))
 	return stopSchedule{
-		closeCallers: closeCallers,
+		closeCallers: admitUntil - handshakes,
 		admitUntil:   admitUntil,
-		endFresh:     closeCallers + times.Fresh,
+		endFresh:     admitUntil + unused,
 		closePeers:   share(grace, peersShare),
 		cancel:       share(grace, cancelShare),
 		cut:          share(grace, shutdownShare),
 	}
 }
 
-// shutdownTimes returns the times of the servers' shutdown: the usual ones, or
-// shorter ones that leave most of a short grace time to requests.
-func shutdownTimes(grace time.Duration) graceful.ShutdownTimes {
-	usual := graceful.DefaultShutdownTimes()
-	handshakes := min(usual.Handshakes, share(grace, handshakeShare))
-	return graceful.ShutdownTimes{
-		Handshakes: handshakes,
-		Fresh:      handshakes + min(usual.Fresh-usual.Handshakes, share(grace, freshShare)),
-	}
+// shutdownTimes returns the times of the servers' shutdown.
+func (s stopSchedule) shutdownTimes() graceful.ShutdownTimes {
+	return graceful.ShutdownTimes{Handshakes: s.admitUntil - s.closeCallers, Fresh: s.endFresh - s.closeCallers}
 }
 
 // share returns a fraction of the grace time.
--- a/pkg/gateway/entry/schedule_test.go
+++ b/pkg/gateway/entry/schedule_test.go
@@ -22,7 +22,7 @@
 				s := entry.NewStopSchedule(grace, limit)
 				moments := []time.Duration{0, s.CloseCallers(), s.AdmitUntil(), s.EndFresh(), s.ClosePeers(), s.Cancel(), s.Cut(), grace}
 				Expect(slices.IsSorted(moments)).To(BeTrue(), "grace %s, limit %s: %v", grace, limit, moments)
-				Expect(s.CloseCallers() + s.Handshakes()).To(BeNumerically("<=", s.AdmitUntil()))
+				Expect(s.CloseCallers() + s.Handshakes()).To(Equal(s.AdmitUntil()))
 				if limit > 0 {
 					Expect(s.AdmitUntil()).To(BeNumerically("<", limit))
 				}
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -47,7 +47,7 @@
 	e.servers = append(e.servers, &server{name: name, Server: graceful.New(graceful.Options{
 		Listener:   listener,
 		HTTP:       e.httpServer(name, handler),
-		Times:      shutdownTimes(e.opts.Settings.Grace),
+		Times:      e.opts.Settings.stopSchedule().shutdownTimes(),
 		Unanswered: e.unanswered.on(name),
 	})})
 	return nil
