Directory: callers are not led out of their homes while daemons are stopped in turn

Cause: the directory took the regions that all restricted routes of the host allow. The host has routes with the homes {natal, suape}, {natal} and {suape}; they have no region in common, the list is empty, and the last step named all serving daemons.

Ruled out by a trial that logged each answer: daemons of the homes seen as leaving (suape's were named too), a young daemon or one without configuration (joining was false), an old answer (0.1 s after the second stop), a daemon counted back late.

Change: the homes of a host are the regions that most of its restricted routes allow. If none of their daemons serves, those that stop or start there are named, within the grace time and 2 s; a daemon that knows no configuration or joins names nobody. All are named if the homes lose their daemons without an announcement. A log line and a counter by scope show what the directory answers.

--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -34,21 +34,26 @@
 	return nil
 }
 
-// AllowedRegionsOf returns the regions that all routes of the host allow, or nil
-// if none of them is restricted to regions.
-func (c *Config) AllowedRegionsOf(host string) []types.Region {
-	var regions []types.Region
+// HomeRegionsOf returns the regions that most of the host's restricted routes allow,
+// sorted: all of these routes, if they have a region in common. It returns nil if no
+// route of the host is restricted to regions.
+func (c *Config) HomeRegionsOf(host string) []types.Region {
+	allowedBy := make(map[types.Region]int)
+	most := 0
 	for _, route := range c.byHost[strings.ToLower(host)] {
-		if len(route.AllowedRegions) == 0 {
-			continue
+		for _, region := range route.AllowedRegions {
+			allowedBy[region]++
+			most = max(most, allowedBy[region])
 		}
-		if regions == nil {
-			regions = slices.Clone(route.AllowedRegions)
-			continue
+	}
+	var homes []types.Region
+	for region, routes := range allowedBy {
+		if routes == most {
+			homes = append(homes, region)
 		}
-		regions = slices.DeleteFunc(regions, func(region types.Region) bool { return !route.Allows(region) })
 	}
-	return regions
+	slices.Sort(homes)
+	return homes
 }
 
 // ServiceFor chooses one of the route's backends by weight. The same key always
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -108,6 +108,7 @@
 	registry *prometheus.Registry
 	// unanswered records requests that got no complete answer.
 	unanswered *unansweredLog
+	lookups    *lookupLog
 	servers    []*server
 }
 
@@ -144,6 +145,7 @@
 	e.guard = guard.New(e.log, e.registry)
 	e.history = crashes.NewHistory()
 	e.unanswered = newUnansweredLog(e.log, e.registry)
+	e.lookups = newLookupLog(e.log, e.registry)
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	transport := proxy.NewTransport()
--- a/pkg/gateway/entry/entry_test.go
+++ b/pkg/gateway/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,13 +27,18 @@
 	return members.Member{VM: types.VMID(address), CallerAddress: address, State: members.Serving, Region: region, DataCentre: dc}
 }
 
-var _ = Describe("Entries", func() {
+var _ = Describe("the directory", func() {
+	const grace = 8 * time.Second
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	var snap *control.Snapshot
 	BeforeEach(func() {
 		config := &catalog.Config{Routes: []*catalog.Route{
 			{Host: "bound.example", Prefix: "/a/", AllowedRegions: []types.Region{"north", "east"}},
 			{Host: "bound.example", Prefix: "/b/", AllowedRegions: []types.Region{"east"}},
 			{Host: "free.example", Prefix: "/a/"},
+			{Host: "split.example", Prefix: "/a/", AllowedRegions: []types.Region{"north", "east"}},
+			{Host: "split.example", Prefix: "/b/", AllowedRegions: []types.Region{"east"}},
+			{Host: "split.example", Prefix: "/c/", AllowedRegions: []types.Region{"north"}},
 		}}
 		config.Prepare()
 		snap = &control.Snapshot{
@@ -41,22 +47,83 @@
 		}
 	})
 
+	entries := func(host string, region types.Region, dc types.DataCentre) []string {
+		directory := entry.Directory{Grace: grace}
+		return directory.Answer(snap, entry.Lookup{Host: host, Region: region, DataCentre: dc}, now).Addresses
+	}
+	setState := func(state members.State, addresses ...string) {
+		for i := range snap.Members {
+			if slices.Contains(addresses, snap.Members[i].CallerAddress) {
+				snap.Members[i].State = state
+			}
+		}
+		if slices.Contains(addresses, snap.Self.CallerAddress) {
+			snap.Self.State = state
+		}
+	}
+
 	It("returns the daemons of the caller's data centre", func() {
-		Expect(entry.Entries(snap, "free.example", "north", "north-a")).To(ConsistOf("n1", "n2"))
+		Expect(entries("free.example", "north", "north-a")).To(ConsistOf("n1", "n2"))
 	})
 
 	It("returns the daemons of the region if the data centre has too few", func() {
-		Expect(entry.Entries(snap, "free.example", "north", "north-b")).To(ConsistOf("n1", "n2", "n3"))
+		Expect(entries("free.example", "north", "north-b")).To(ConsistOf("n1", "n2", "n3"))
 	})
 
 	It("returns daemons of the host's allowed regions for a region without daemons, and all daemons if the host has no such limit", func() {
-		Expect(entry.Entries(snap, "bound.example", "west", "west-a")).To(ConsistOf("e1"))
-		Expect(entry.Entries(snap, "free.example", "west", "west-a")).To(HaveLen(5))
+		Expect(entries("bound.example", "west", "west-a")).To(ConsistOf("e1"))
+		Expect(entries("free.example", "west", "west-a")).To(HaveLen(5))
 	})
 
 	It("omits a leaving daemon", func() {
 		snap.Self.State = members.Leaving
-		Expect(entry.Entries(snap, "free.example", "north", "north-a")).To(ConsistOf("n2", "n3"))
+		Expect(entries("free.example", "north", "north-a")).To(ConsistOf("n2", "n3"))
+	})
+
+	// Guards against callers of a region whose daemons all stop being led out of the
+	// homes of their data: the host had routes without a common home.
+	It("names only regions that most of the restricted routes allow, if they have none in common", func() {
+		Expect(entries("split.example", "west", "west-a")).To(ConsistOf("e1", "n1", "n2", "n3"))
+		setState(members.Leaving, "n1", "n2", "n3")
+		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("e1"))
+	})
+
+	// Guards against the same while the daemons of all homes stop in overlapping series.
+	It("names the daemons of the homes that stop or start if none of them serves", func() {
+		setState(members.Leaving, "e1")
+		Expect(entries("bound.example", "west", "west-a")).To(ConsistOf("e1"))
+		Expect(entries("free.example", "west", "west-a")).To(HaveLen(4))
+		setState(members.Starting, "e1")
+		Expect(entries("bound.example", "west", "west-a")).To(ConsistOf("e1"))
+		Expect(entries("bound.example", "north", "north-a")).To(ConsistOf("n1", "n2"), "the caller's own region is always allowed")
+		setState(members.Leaving, "n1", "n2", "n3")
+		Expect(entries("bound.example", "north", "north-a")).To(ConsistOf("e1", "n1", "n2", "n3"))
+	})
+
+	It("names all daemons if those of the homes do not come back from a stop", func() {
+		setState(members.Leaving, "e1")
+		for i := range snap.Members {
+			if snap.Members[i].CallerAddress == "e1" {
+				snap.Members[i].LeavingSince = now.Add(-grace - 3*time.Second)
+			}
+		}
+		Expect(entries("bound.example", "west", "west-a")).To(ConsistOf("n1", "n2", "n3", "s1"))
+	})
+
+	It("names all daemons if those of the homes are lost without an announcement", func() {
+		snap.Members = slices.DeleteFunc(snap.Members, func(member members.Member) bool { return member.Region == "east" })
+		Expect(entries("bound.example", "west", "west-a")).To(ConsistOf("n1", "n2", "n3", "s1"))
+	})
+
+	// Guards against a daemon that has just started and leads callers out of the homes
+	// since it does not know the daemons there yet.
+	It("names nobody out of the homes while it joins the others or knows no configuration", func() {
+		snap.Members = nil
+		snap.Joining = true
+		Expect(entries("bound.example", "west", "west-a")).To(BeEmpty())
+		Expect(entries("free.example", "west", "west-a")).To(ConsistOf("n1"))
+		snap.View = &catalog.View{}
+		Expect(entries("free.example", "west", "west-a")).To(BeEmpty())
 	})
 })
 
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -49,6 +49,9 @@
 	RegionPeak int `json:"peak,omitempty"`
 	// DataCentrePeak is the same for the daemon's data centre.
 	DataCentrePeak int `json:"dc_peak,omitempty"`
+	// LeavingSince is when this daemon learned that the member is leaving; zero if it
+	// is not.
+	LeavingSince time.Time `json:"-"`
 }
 
 // Load is the load of one daemon for one service at the endpoints of its region.
@@ -172,6 +175,7 @@
 	if found && !newer(member, peer.Member) {
 		return
 	}
+	member.LeavingSince = leavingSince(member, peer.Member, now)
 	t.rows[member.VM] = row{Member: member, lastHeard: now}
 	// A daemon that has restarted learns how many others there may be.
 	if member.Region == t.self.Region {
@@ -182,6 +186,18 @@
 	}
 }
 
+// leavingSince returns since when a member is known to be leaving, given its previous
+// row.
+func leavingSince(member, previous Member, now time.Time) time.Time {
+	switch {
+	case member.State != Leaving:
+		return time.Time{}
+	case previous.State == Leaving && previous.Incarnation == member.Incarnation:
+		return previous.LeavingSince
+	}
+	return now
+}
+
 func newer(a, b Member) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -56,6 +56,25 @@
 		Expect(table.Live(start)[0].Incarnation).To(BeEquivalentTo(2))
 	})
 
+	It("keeps when it first learned that a daemon is leaving, until the daemon is back", func() {
+		leaving := func(incarnation, beat uint64) members.Member {
+			row := member("a:1", beat)
+			row.Incarnation, row.State = incarnation, members.Leaving
+			return row
+		}
+		table.Merge([]members.Member{member("a:1", 1)}, start)
+		Expect(table.Live(start)[0].LeavingSince).To(BeZero())
+		table.Merge([]members.Member{leaving(1, 2)}, start.Add(time.Second))
+		table.Merge([]members.Member{leaving(1, 3)}, start.Add(2*time.Second))
+		Expect(table.Live(start.Add(2 * time.Second))[0].LeavingSince).To(Equal(start.Add(time.Second)))
+		table.Merge([]members.Member{leaving(2, 4)}, start.Add(3*time.Second))
+		Expect(table.Live(start.Add(3 * time.Second))[0].LeavingSince).To(Equal(start.Add(3 * time.Second)))
+		back := member("a:1", 1)
+		back.Incarnation = 3
+		table.Merge([]members.Member{back}, start.Add(4*time.Second))
+		Expect(table.Live(start.Add(4 * time.Second))[0].LeavingSince).To(BeZero())
+	})
+
 	It("raises its incarnation above that of an earlier process on its VM whose clock was ahead", func() {
 		earlier := member("self:1", 900)
 		earlier.Incarnation = 77
