Proxy: a path that begins with an empty segment is sent as it is

Cause: the target of an attempt is an opaque URL, which net/url completes by the scheme if it begins with two slashes. Ruled out: the receiving side, which parses it as a path.

Change: such a path is sent by its decoded and encoded form; one that would be encoded anew is refused as not run. The hop between daemons uses the same function.

--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -188,6 +188,9 @@
 		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, err.Error())
 	}
 	req := newRequest(r, info, matched)
+	if !req.hasExactTarget() {
+		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, "the path can't be passed on as it was sent")
+	}
 	req.Service, req.AttemptLimit, req.Arrived = matched.ServiceFor(string(info.ID)), max(matched.MaxAttempts, 1), arrived
 	if service := config.Services[req.Service]; service != nil {
 		req.ModelEngine = service.Engine != nil
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
@@ -62,7 +63,27 @@
 // targetURL returns the URL of the request at an address, with path and query as
 // they were sent.
 func (r *Request) targetURL(address string) *url.URL {
-	return &url.URL{Scheme: "http", Host: address, Opaque: r.Path, RawQuery: r.Query, ForceQuery: r.ForceQuery}
+	target := &url.URL{Scheme: "http", Host: address, RawQuery: r.Query, ForceQuery: r.ForceQuery}
+	if !beginsWithEmptySegment(r.Path) {
+		target.Opaque = r.Path
+		return target
+	}
+	// An opaque part that begins with two slashes would be sent as an absolute URL.
+	// The path was decoded without an error when it was received.
+	target.Path, _ = url.PathUnescape(r.Path)
+	target.RawPath = r.Path
+	return target
+}
+
+// hasExactTarget reports whether targetURL keeps the path as it was sent: a path that
+// begins with an empty segment is encoded anew if it holds characters that a URL may
+// not hold.
+func (r *Request) hasExactTarget() bool {
+	return !beginsWithEmptySegment(r.Path) || r.targetURL("").EscapedPath() == r.Path
+}
+
+func beginsWithEmptySegment(path string) bool {
+	return strings.HasPrefix(path, "//")
 }
 
 // balancerRequest describes the request to the balancer.
