Proxy: routes are matched by the path as it was sent

Cause: the path was decoded for matching, while prefixes stand as published and the path that is passed on is the one that was sent. One function now gives the path that is matched, logged and passed on; a prefix with characters that no request can hold is encoded once, when the configuration is prepared.

--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -34,7 +34,9 @@
 	Host string `json:"host"`
 	// Prefix begins and ends with a slash.
 	Prefix string `json:"prefix"`
-	Kind   Kind   `json:"kind"`
+	// sentPrefix is Prefix as it stands in requests.
+	sentPrefix string
+	Kind       Kind `json:"kind"`
 	// Resumable streams may resume at another endpoint after an event ID.
 	Resumable bool `json:"resumable,omitempty"`
 	// Timeout bounds the time to the response; zero means no bound.
--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +16,7 @@
 func (c *Config) Prepare() {
 	c.byHost = make(map[string][]*Route)
 	for _, route := range c.Routes {
+		route.sentPrefix = sentPrefix(route.Prefix)
 		c.byHost[route.Host] = append(c.byHost[route.Host], route)
 	}
 	for _, routes := range c.byHost {
@@ -23,11 +26,27 @@
 	}
 }
 
+// sentPrefix returns a prefix as it stands in requests: characters that no request
+// target may hold are encoded, and what is encoded stays so.
+func sentPrefix(prefix string) string {
+	var sent strings.Builder
+	for i := range len(prefix) {
+		if c := prefix[i]; c <= ' ' || c >= utf8.RuneSelf {
+			fmt.Fprintf(&sent, "%%%02X", c)
+		} else {
+			sent.WriteByte(c)
+		}
+	}
+	return sent.String()
+}
+
 // Match returns the host's route with the longest prefix of the path, or nil if
-// no route matches. Prepare must have been called.
+// no route matches. Path and prefixes are compared as they were sent and published,
+// without decoding: an encoded slash separates no segments. Prepare must have been
+// called.
 func (c *Config) Match(host, path string) *Route {
 	for _, route := range c.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
+		if strings.HasPrefix(path, route.sentPrefix) {
 			return route
 		}
 	}
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -160,7 +160,7 @@
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, failure *types.Failure) {
 	h.opts.Metrics.countRefusal(failure)
 	h.opts.Log.Request(logrus.Fields{
-		"method": r.Method, "host": r.Host, "path": r.URL.Path, "code": failure.Code, "reason": failure.Message,
+		"method": r.Method, "host": r.Host, "path": pathOf(r), "code": failure.Code, "reason": failure.Message,
 	}, true)
 	// The unread rest of the body must not delay the response.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyDrainTimeout))
@@ -176,7 +176,7 @@
 	if failure := checkHeader(r, config.Limits); failure != nil {
 		return nil, failure
 	}
-	matched := config.Match(stripPort(r.Host), r.URL.Path)
+	matched := config.Match(stripPort(r.Host), pathOf(r))
 	if matched == nil {
 		return nil, types.NewFailure(types.NotRun, types.CodeUnknownService, "no route for this host and path")
 	}
--- a/pkg/gateway/proxy/path_test.go
+++ b/pkg/gateway/proxy/path_test.go
@@ -70,3 +70,23 @@
 		Expect(ep.arrived[0].RequestURI).To(Equal("//liners/0"))
 	})
 })
+
+// Guards against routes that are matched by another path than the one that is sent: a
+// prefix with percent-encoding never matched, and an encoded slash led to the route of
+// another prefix.
+var _ = Describe("the route of a path", func() {
+	DescribeTable("is that of the prefix that begins it as it was sent", func(prefix, target string, status int) {
+		w := newTestProxy(catalog.Idempotent)
+		w.route.Prefix = prefix
+		w.start(newEndpoint(respondOK))
+		Expect(w.sendLine(target)).To(Equal(status))
+	},
+		Entry(nil, "/caf%C3%A9/", "/caf%C3%A9/1", http.StatusOK),
+		Entry(nil, "/café a/", "/caf%C3%A9%20a/1", http.StatusOK),
+		Entry(nil, "/desk%2Fx/", "/desk%2Fx/1", http.StatusOK),
+		Entry(nil, "/desk/", "/desk%2Fx/1", http.StatusNotFound),
+		Entry(nil, "/desk/", "/desk/%2F", http.StatusOK),
+		Entry(nil, "/desk/", "http://a.example/desk/1", http.StatusOK),
+		Entry(nil, "/desk/", "/x/../desk/1", http.StatusNotFound),
+	)
+})
