Proxy: the memory of bodies is reserved before they are received

Cause: the bound was checked against a count that grew only when a body had been read to its end; forwarded bodies were not checked. Ruled out: answers, and the size of the bound itself.

Change: memory is reserved as it is used, for bodies with a length, in chunks and forwarded ones; a request without a reservation is refused at once as not run. The product's own interface had such a budget of its own: both use pkg/reserve now.

--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -173,15 +173,31 @@
 		writeFailure(w, "", failure, true)
 		return
 	}
-	h.bufferedBytes.Add(int64(len(req.Body)))
-	defer h.bufferedBytes.Add(-int64(len(req.Body)))
-	if failure := h.refuseLate(); failure != nil {
+	defer func() { h.bodies.Release(req.reservedBytes) }()
+	failure := h.receiveForwarded(r, req)
+	if failure == nil {
+		failure = h.refuseLate()
+	}
+	if failure != nil {
 		writeFailure(w, req.ID, failure, true)
 		return
 	}
 	h.serve(r.Context(), w, req)
 }
 
+// receiveForwarded reads the body of a forwarded request within the limits of size and
+// memory.
+func (h *Handler) receiveForwarded(r *http.Request, req *Request) *types.Failure {
+	if r.ContentLength > maxForwardedBody {
+		return bodyTooLarge()
+	}
+	if err := req.receiveBody(http.MaxBytesReader(nil, r.Body, maxForwardedBody), r.ContentLength, h.bodies); err != nil {
+		return bodyFailure(err)
+	}
+	return nil
+}
+
+// parseForwarded decodes the envelope and the header of a forwarded request.
 func (h *Handler) parseForwarded(r *http.Request) (*Request, error) {
 	now := h.opts.Now()
 	arrivedAt := h.inBudgetTime(now)
@@ -192,13 +208,6 @@
 	if env.Route == nil || env.ForwardedBy == "" || env.Left <= 0 {
 		return nil, errors.New("forwarded request: the envelope is incomplete")
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxForwardedBody+1))
-	if err != nil {
-		return nil, eris.Wrap(err, "forwarded request")
-	}
-	if len(body) > maxForwardedBody {
-		return nil, errors.New("forwarded request: the body is too large")
-	}
 	header := r.Header
 	header.Del(headerForward)
 	info, err := h.opts.Dialect.RequestInfo(header)
@@ -209,7 +218,7 @@
 		info.ResumeAfter = env.ResumeAfter
 	}
 	req := newRequest(r, info, env.Route)
-	req.Body, req.Service, req.ModelEngine, req.AttemptLimit, req.ForwardedBy = body, env.Service, env.ModelEngine, 1, env.ForwardedBy
+	req.Service, req.ModelEngine, req.AttemptLimit, req.ForwardedBy = env.Service, env.ModelEngine, 1, env.ForwardedBy
 	req.Arrived, req.Deadline = now.Add(-max(env.Waited, 0)), now.Add(env.Left)
 	req.PrefixUncached, req.Tried = env.PrefixUncached, env.Tried
 	if env.CallerLimited {
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,6 +18,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
+	"github.com/flamingomount/flamingomount/pkg/reserve"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -39,8 +38,6 @@
 	// sets no limits.
 	defaultBodyBytes   = 4 << 20
 	defaultHeaderBytes = 16 << 10
-	// bodyReadTimeout bounds the time to receive a body.
-	bodyReadTimeout = 10 * time.Second
 	// bodyDrainTimeout bounds the wait for the rest of the body of a refused request.
 	bodyDrainTimeout = time.Second
 	// writeTimeout bounds each write to a caller.
@@ -72,7 +69,8 @@
 	RetryBudgets *RetryBudgets
 	// Transport sends attempts; nil means NewTransport.
 	Transport http.RoundTripper
-	// BodyMemory bounds the total size of buffered request bodies in bytes.
+	// BodyMemory bounds the total size in bytes of the request bodies that are held or
+	// being received; zero means no bound.
 	BodyMemory int64
 	Log        Logger
 	Metrics    *Metrics
@@ -92,8 +90,8 @@
 
 // Handler serves the requests of callers. It is safe for concurrent use.
 type Handler struct {
-	opts          Options
-	bufferedBytes atomic.Int64
+	opts   Options
+	bodies *reserve.Budget
 	// trials holds the withheld traits that a request tries now.
 	trials sync.Map
 	// draining makes every response to a caller close its connection.
@@ -111,7 +109,7 @@
 	if opts.Transport == nil {
 		opts.Transport = NewTransport()
 	}
-	return &Handler{opts: opts, startedAt: opts.Now()}
+	return &Handler{opts: opts, bodies: reserve.NewBudget(opts.BodyMemory), startedAt: opts.Now()}
 }
 
 // Leave makes every further response ask the caller to close the connection, so
@@ -144,7 +142,7 @@
 	if failure == nil {
 		h.opts.RetryBudgets.RecordRequest(req.Service, h.inBudgetTime(arrived))
 		failure = h.readBody(w, r, req, snap)
-		defer h.bufferedBytes.Add(-int64(len(req.Body)))
+		defer func() { h.bodies.Release(req.reservedBytes) }()
 	}
 	if failure == nil {
 		failure = h.refuseLate()
@@ -268,70 +266,6 @@
 	return path
 }
 
-// readBody reads the complete body within the limits of size, memory and time.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, req *Request, snap *control.Snapshot) *types.Failure {
-	limit := snap.View.Config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return bodyTooLarge()
-	}
-	if h.opts.BodyMemory > 0 && h.bufferedBytes.Load()+max(r.ContentLength, 0) > h.opts.BodyMemory {
-		return notRunFailure(types.CodeOverloaded, "too many bytes of request bodies are held", notReadyRetryAfter)
-	}
-	control := http.NewResponseController(w)
-	if r.Body != http.NoBody {
-		// A writer that supports no deadlines is accepted too.
-		_ = control.SetReadDeadline(time.Now().Add(min(bodyReadTimeout, time.Until(req.Deadline))))
-	}
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if err != nil {
-		w.Header().Set("Connection", "close")
-		return bodyFailure(err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	req.Body = body
-	h.bufferedBytes.Add(int64(len(body)))
-	return nil
-}
-
-// readAll reads to the end; size is the expected length, or negative if unknown.
-func readAll(source io.Reader, size int64) ([]byte, error) {
-	if size == 0 {
-		return nil, nil
-	}
-	const startBytes = 1 << 10
-	body := make([]byte, 0, max(size+1, startBytes))
-	for {
-		n, err := source.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-	}
-}
-
-func bodyFailure(err error) *types.Failure {
-	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
-		return bodyTooLarge()
-	}
-	failure := types.NewFailure(types.NotRun, types.CodeBadRequest, "the body could not be read")
-	failure.Cause = err
-	return failure
-}
-
-func bodyTooLarge() *types.Failure {
-	return types.NewFailure(types.NotRun, types.CodeTooLarge, "the body is too large")
-}
-
 // serve runs an accepted request and writes its response.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, req *Request) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -223,8 +223,10 @@
 
 // testProxy is a proxy with a few endpoints behind it.
 type testProxy struct {
-	route      *catalog.Route
-	limits     catalog.Limits
+	route  *catalog.Route
+	limits catalog.Limits
+	// bodyMemory bounds the memory of bodies; zero means no bound.
+	bodyMemory int64
 	withheld   map[crashes.Trait]crashes.Verdict
 	retryRatio float64
 	retryFixed float64
@@ -301,6 +303,7 @@
 		Snapshot: w.snapshot, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
 		RetryBudgets: w.budgets, Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
 		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)), Transport: w.transport,
+		BodyMemory: w.bodyMemory,
 	}
 }
 
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -24,6 +24,8 @@
 	// Header holds the caller's header fields that are passed on to an endpoint.
 	Header http.Header
 	Body   []byte
+	// reservedBytes is the memory that is reserved for the body.
+	reservedBytes int64
 
 	Route   *catalog.Route
 	Service types.ServiceName
--- a/pkg/stage/ingress/body.go
+++ b/pkg/stage/ingress/body.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -22,27 +21,6 @@
 // that sets neither max_completion_tokens nor max_tokens.
 const defaultOutputTokens = 256
 
-// budget limits a resource that requests hold while they are in flight, such as
-// body memory. It is safe for concurrent use.
-type budget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// tryReserve reserves n units if that stays within the limit, and reports
-// whether it did.
-func (b *budget) tryReserve(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *budget) release(n int64) {
-	b.used.Add(-n)
-}
-
 // modelBody holds the fields of an OpenAI-style request body that routing needs.
 type modelBody struct {
 	Model               types.ServiceName `json:"model"`
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -11,6 +11,7 @@
 	"github.com/flamingomount/flamingomount/pkg/control/once"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/reserve"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -24,8 +25,8 @@
 type Server struct {
 	opts     Options
 	router   *httprouter.Router
-	requests budget
-	memory   budget
+	requests *reserve.Budget
+	memory   *reserve.Budget
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -38,8 +39,8 @@
 	opts.Limits = opts.Limits.WithDefaults()
 	s := &Server{
 		opts:     opts,
-		requests: budget{limit: opts.Limits.MaxRequests},
-		memory:   budget{limit: opts.Limits.MaxBodyMemory},
+		requests: reserve.NewBudget(opts.Limits.MaxRequests),
+		memory:   reserve.NewBudget(opts.Limits.MaxBodyMemory),
 	}
 	s.router = s.routes()
 	return s
@@ -93,12 +94,12 @@
 func (s *Server) authenticated(handler callHandler) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		c := &call{w: w, r: r, params: params, id: s.newRequestID(), arrived: s.opts.Now(), view: s.opts.Snapshot()}
-		if !s.requests.tryReserve(1) {
+		if !s.requests.TryReserve(1) {
 			s.refuse(c, overloaded("too many requests are handled at once"))
 			return
 		}
-		defer s.requests.release(1)
-		defer func() { s.memory.release(c.reservedBytes) }()
+		defer s.requests.Release(1)
+		defer func() { s.memory.Release(c.reservedBytes) }()
 		failure := s.identify(c)
 		if failure == nil {
 			failure = handler(c)
@@ -270,7 +271,7 @@
 	if size > limit {
 		return nil, tooLarge(limit)
 	}
-	if !s.memory.tryReserve(size) {
+	if !s.memory.TryReserve(size) {
 		return nil, overloaded("too many bytes of request bodies are held at once")
 	}
 	c.reservedBytes = size
