Members: a leaving daemon keeps its timeout while it can't be reached

A gap of the directory's mend, found by reading: once a daemon that was stopped has ended, the first failed message takes its row out 1.75 s after its last heartbeat. If its process takes longer to start, nobody of the homes is known to come back, and callers are led elsewhere.

Test: members "keeps a leaving daemon for its timeout, also while it can't be reached", failed before.

--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -216,10 +216,11 @@
 
 // MarkUnreachable records that the daemon could not be reached. If its beat has not
 // grown for half of the timeout of the local data centre, the daemon counts as
-// unreachable immediately.
+// unreachable immediately. One that is leaving keeps its timeout: it gets no requests,
+// and is expected to be back.
 func (t *Table) MarkUnreachable(vm types.VMID, now time.Time) {
 	peer, found := t.rows[vm]
-	if found && now.Sub(peer.lastHeard) > HeartbeatTimeout/2 {
+	if found && peer.State != Leaving && now.Sub(peer.lastHeard) > HeartbeatTimeout/2 {
 		peer.lastHeard = now.Add(-remoteHeartbeatTimeout)
 		t.rows[vm] = peer
 	}
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -75,6 +75,20 @@
 		Expect(table.Live(start.Add(4 * time.Second))[0].LeavingSince).To(BeZero())
 	})
 
+	// Guards against callers that are led out of their homes in the moments between the
+	// end of a daemon that was stopped and its start.
+	It("keeps a leaving daemon for its timeout, also while it can't be reached", func() {
+		later := start.Add(members.HeartbeatTimeout - time.Millisecond)
+		leaving := member("a:1", 1)
+		leaving.State = members.Leaving
+		table.Merge([]members.Member{leaving, member("b:1", 1)}, start)
+		table.MarkUnreachable("a:1", later)
+		table.MarkUnreachable("b:1", later)
+		Expect(table.Live(later)).To(HaveLen(1))
+		Expect(table.Live(later)[0].VM).To(BeEquivalentTo("a:1"))
+		Expect(table.Live(start.Add(members.HeartbeatTimeout))).To(BeEmpty())
+	})
+
 	It("raises its incarnation above that of an earlier process on its VM whose clock was ahead", func() {
 		earlier := member("self:1", 900)
 		earlier.Incarnation = 77
