--- a/pkg/gateway/entry/schedule.go
+++ b/pkg/gateway/entry/schedule.go
@@ -29,8 +29,8 @@
 const signalDelay = 200 * time.Millisecond
 
 // stopSchedule holds the moments of a graceful shutdown, as times after its begin.
-// They are derived from the grace time alone and follow each other in the order of
-// the fields, whatever the grace time is; the daemon is killed after the last.
+// They are derived from the grace time and the admission limit alone, and are in the order of
+// the fields whatever these are; the daemon is killed after the last.
 type stopSchedule struct {
 	// closeCallers is when the listener for callers begins to close; idle connections
 	// end after the handshakes.
