Entry: one bounded log for requests, unanswered ones, notices and lookups

Four logs each held a rate limiter with a burst of two seconds, a count of the lines left out and the field lines_skipped; the log of directory lookups had added the fourth copy. boundedLog does it once. Same limits, messages, fields and levels; no test was touched.

--- a/pkg/gateway/entry/log.go
+++ b/pkg/gateway/entry/log.go
@@ -104,39 +104,29 @@
 // requestLog limits the rate of lines about requests, with a higher limit for
 // failures than for successes.
 type requestLog struct {
-	log       *logrus.Logger
+	log       boundedLog
 	failures  *rate.Limiter
 	successes *rate.Limiter
-	skipped   atomic.Int64
 }
 
 var _ proxy.Logger = (*requestLog)(nil)
 
 func newRequestLog(log *logrus.Logger) *requestLog {
-	return &requestLog{
-		log:       log,
-		failures:  rate.NewLimiter(failureLines, 2*failureLines),
-		successes: rate.NewLimiter(successLines, 2*successLines),
-	}
+	return &requestLog{log: boundedLog{log: log}, failures: lineLimit(failureLines), successes: lineLimit(successLines)}
 }
 
 // Request implements proxy.Logger.
 func (l *requestLog) Request(fields logrus.Fields, failed bool) {
-	limiter, message := l.successes, "request answered"
+	limit := l.successes
 	if failed {
-		limiter, message = l.failures, "request failed"
-	}
-	if !limiter.Allow() {
-		l.skipped.Add(1)
-		return
-	}
-	if skipped := l.skipped.Swap(0); skipped > 0 {
-		fields["lines_skipped"] = skipped
+		limit = l.failures
 	}
-	entry := l.log.WithFields(fields)
-	if failed {
-		entry.Warn(message)
-		return
+	line, permitted := l.log.line(limit)
+	switch {
+	case !permitted:
+	case failed:
+		line.WithFields(fields).Warn("request failed")
+	default:
+		line.WithFields(fields).Info("request answered")
 	}
-	entry.Info(message)
 }
--- a/pkg/gateway/entry/lookups.go
+++ b/pkg/gateway/entry/lookups.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,16 +18,15 @@
 // lookupLog counts the answers of the directory by scope, and logs those that lead
 // callers out of their region or name nobody.
 type lookupLog struct {
-	log     logrus.FieldLogger
-	lines   *rate.Limiter
-	skipped atomic.Int64
+	log     boundedLog
+	limit   *rate.Limiter
 	answers *prometheus.CounterVec
 }
 
 // newLookupLog returns a log whose counter is registered with registry.
 func newLookupLog(log logrus.FieldLogger, registry prometheus.Registerer) *lookupLog {
 	l := &lookupLog{
-		log: log, lines: rate.NewLimiter(lookupLines, 2*lookupLines),
+		log: boundedLog{log: log}, limit: lineLimit(lookupLines),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "flamingomount_gateway_directory_answers_total",
 			Help: "Answers of the directory, by the daemons that they name.",
@@ -47,8 +45,8 @@
 	if given.Scope == LocalScope || given.Scope == RegionScope {
 		return
 	}
-	if !l.lines.Allow() {
-		l.skipped.Add(1)
+	line, permitted := l.log.line(l.limit)
+	if !permitted {
 		return
 	}
 	fields := logrus.Fields{
@@ -58,10 +56,7 @@
 	if snap.View.Config != nil {
 		fields["homes"] = snap.View.Config.HomeRegionsOf(lookup.Host)
 	}
-	if skipped := l.skipped.Swap(0); skipped > 0 {
-		fields["lines_skipped"] = skipped
-	}
-	l.log.WithFields(fields).Info("no daemon serves in the caller's region")
+	line.WithFields(fields).Info("no daemon serves in the caller's region")
 }
 
 // awayByRegion counts the live daemons that do not serve, by region.
--- a/pkg/gateway/entry/notices.go
+++ b/pkg/gateway/entry/notices.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,9 +18,8 @@
 // noticeLog counts what endpoints say of themselves, and logs each change of state
 // that follows.
 type noticeLog struct {
-	log     logrus.FieldLogger
-	lines   *rate.Limiter
-	skipped atomic.Int64
+	log     boundedLog
+	limit   *rate.Limiter
 	leaving prometheus.Counter
 	pauses  prometheus.Counter
 }
@@ -30,7 +28,7 @@
 // LongestPause returns the time until the last end of a pause in force.
 func newNoticeLog(log logrus.FieldLogger, registry prometheus.Registerer, longestPause func() time.Duration) *noticeLog {
 	l := &noticeLog{
-		log: log, lines: rate.NewLimiter(noticeLines, 2*noticeLines),
+		log: boundedLog{log: log}, limit: lineLimit(noticeLines),
 		leaving: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "flamingomount_gateway_endpoints_leaving_total",
 			Help: "Endpoints that said in a response that they are leaving.",
@@ -63,13 +61,10 @@
 }
 
 func (l *noticeLog) info(endpoint *catalog.Endpoint, message string, fields logrus.Fields) {
-	if !l.lines.Allow() {
-		l.skipped.Add(1)
+	line, permitted := l.log.line(l.limit)
+	if !permitted {
 		return
 	}
-	if skipped := l.skipped.Swap(0); skipped > 0 {
-		fields["lines_skipped"] = skipped
-	}
 	fields["endpoint"], fields["service"], fields["started_at"] = endpoint.ID, endpoint.Service, endpoint.StartedAt
-	l.log.WithFields(fields).Info(message)
+	line.WithFields(fields).Info(message)
 }
--- a/pkg/gateway/entry/unanswered.go
+++ b/pkg/gateway/entry/unanswered.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"sync/atomic"
-
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
@@ -16,14 +14,13 @@
 // unansweredLog counts and logs connections that ended while a request had no
 // complete response.
 type unansweredLog struct {
-	log     logrus.FieldLogger
-	total   *prometheus.CounterVec
-	limit   *rate.Limiter
-	skipped atomic.Int64
+	log   boundedLog
+	limit *rate.Limiter
+	total *prometheus.CounterVec
 }
 
 func newUnansweredLog(log logrus.FieldLogger, registry prometheus.Registerer) *unansweredLog {
-	u := &unansweredLog{log: log, limit: rate.NewLimiter(unansweredLines, 2*unansweredLines), total: prometheus.NewCounterVec(prometheus.CounterOpts{
+	u := &unansweredLog{log: boundedLog{log: log}, limit: lineLimit(unansweredLines), total: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "flamingomount_gateway_unanswered_total",
 		Help: "Connections that ended while a request had no complete answer, by listener and reason.",
 	}, []string{"listener", "reason"})}
@@ -45,13 +42,7 @@
 	if reason == graceful.CallerGone {
 		return
 	}
-	if !u.limit.Allow() {
-		u.skipped.Add(1)
-		return
-	}
-	fields := logrus.Fields{"listener": listener, "reason": reason}
-	if skipped := u.skipped.Swap(0); skipped > 0 {
-		fields["lines_skipped"] = skipped
+	if line, permitted := u.log.line(u.limit); permitted {
+		line.WithFields(logrus.Fields{"listener": listener, "reason": reason}).Warn("request ended without an answer")
 	}
-	u.log.WithFields(fields).Warn("request ended without an answer")
 }
