Graceful: requests that follow on an open connection are answered in a stop

Cause: the head of a stream that began before the stop could not announce the close of its connection, and the connection ended as soon as the stream was over. And the HTTP server closes a connection itself after a response that announces the close, with what it has read of further requests. Class: a connection is closed on what was known a moment before (docs/incidents/requests-without-an-answer.md).

Ruled out: the accept queue, and requests that lie unread (specs of that incident pass).

Change: a response announces the close, and the connection goes on to serve what arrives on it; it ends when nothing has arrived for 1 s after its last response (0.15 of the grace time if that is shorter). A caller that heeds the announcement closes the connection itself. After the end of admission such a request is refused as not run, as on every other connection.

Evidence: 'answers the request that follows on a stream which began before it' and 'answers all requests that a caller sent without waiting' failed before (2 of 17 specs), pass now, also three times with the race detector. 'answers a request that lies unread on a kept connection' waits for the deadline, which now may lie ahead, in place of a deadline that has passed.

--- a/pkg/gateway/entry/schedule.go
+++ b/pkg/gateway/entry/schedule.go
@@ -15,6 +15,9 @@
 	// freshShare bounds the time after the end of admission in which connections without
 	// any request end.
 	freshShare = 0.15
+	// idleShare bounds the time for which a connection waits for the next request after
+	// its last response.
+	idleShare = 0.15
 	// peersShare is when the listener for other daemons closes at the latest, so that
 	// their kept connections end before the rest is cut off.
 	peersShare = 0.8
@@ -30,7 +33,8 @@
 
 // stopSchedule holds the moments of a graceful shutdown, as times after its begin.
 // They are derived from the grace time and the admission limit alone, and are in the order of
-// the fields whatever these are; the daemon is killed after the last.
+// the fields whatever these are, but for idle, which is a length of time; the daemon is
+// killed after the last.
 type stopSchedule struct {
 	// closeCallers is when the listener for callers begins to close; idle connections
 	// end after the handshakes.
@@ -40,6 +44,8 @@
 	admitUntil time.Duration
 	// endFresh is when callers' connections without any request end.
 	endFresh time.Duration
+	// idle is how long a connection waits for the next request after its last response.
+	idle time.Duration
 	// closePeers is when the listener for other daemons begins to close at the latest.
 	closePeers time.Duration
 	// cancel is when the callers' remaining requests are cancelled.
@@ -68,6 +74,7 @@
 		closeCallers: admitUntil - handshakes,
 		admitUntil:   admitUntil,
 		endFresh:     admitUntil + unused,
+		idle:         min(usual.Idle, share(grace, idleShare)),
 		closePeers:   share(grace, peersShare),
 		cancel:       share(grace, cancelShare),
 		cut:          share(grace, shutdownShare),
@@ -76,7 +83,7 @@
 
 // shutdownTimes returns the times of the servers' shutdown.
 func (s stopSchedule) shutdownTimes() graceful.ShutdownTimes {
-	return graceful.ShutdownTimes{Handshakes: s.admitUntil - s.closeCallers, Fresh: s.endFresh - s.closeCallers}
+	return graceful.ShutdownTimes{Handshakes: s.admitUntil - s.closeCallers, Fresh: s.endFresh - s.closeCallers, Idle: s.idle}
 }
 
 // share returns a fraction of the grace time.
--- a/pkg/gateway/proxy/caller.go
+++ b/pkg/gateway/proxy/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -39,7 +40,7 @@
 // also when it began to leave after the request had arrived.
 func (w *responseWriter) setConnectionHeader() {
 	if !w.peer && w.leaving() {
-		w.writer.Header().Set("Connection", "close")
+		graceful.AnnounceClose(w.writer.Header())
 	}
 }
 
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -18,6 +18,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/reserve"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
@@ -94,7 +95,7 @@
 	bodies *reserve.Budget
 	// trials holds the withheld traits that a request tries now.
 	trials sync.Map
-	// draining makes every response to a caller close its connection.
+	// draining makes every response to a caller announce the close of its connection.
 	draining atomic.Bool
 	// admitUntil is the last moment, in budget time, at which a request is passed
 	// on; nil means that there is none.
@@ -112,7 +113,7 @@
 	return &Handler{opts: opts, bodies: reserve.NewBudget(opts.BodyMemory), startedAt: opts.Now()}
 }
 
-// Leave makes every further response ask the caller to close the connection, so
+// Leave makes every further response ask the caller to close its connection, so
 // that it connects to another daemon. Requests that are complete only after the
 // admission time from now on are refused, whichever connection they come on: the stop
 // of the daemon would cut them off.
@@ -135,7 +136,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.opts.Now()
 	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
+		graceful.AnnounceClose(w.Header())
 	}
 	snap := h.awaitStartup(r.Context(), hasConfig)
 	req, failure := h.accept(r, snap, arrived)
--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -37,8 +37,12 @@
 	// callerGone is true once the caller closed or reset the connection.
 	callerGone bool
 	closed     bool
-	// ending is true while the connection is woken to end: its read deadline has
-	// passed, and it ends unless a request has arrived.
+	// announced is true if the last response announced the close of the connection.
+	announced bool
+	// idleSince is when the last response was completed.
+	idleSince time.Time
+	// ending is true while the connection is about to end: it ends at its read deadline
+	// unless a request has arrived.
 	ending bool
 }
 
@@ -47,8 +51,8 @@
 
 var _ net.Conn = (*conn)(nil)
 
-// Read implements net.Conn. On a connection that is woken to end it still returns
-// the bytes that have arrived.
+// Read implements net.Conn. On a connection that ends it still returns the bytes that
+// have arrived.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
@@ -87,7 +91,7 @@
 	}
 }
 
-// keep lets a connection that is woken to end receive the rest of its request. The
+// keep lets a connection that is about to end receive the rest of its request. The
 // caller holds the lock.
 func (c *conn) keep() {
 	if !c.ending {
@@ -102,20 +106,25 @@
 	_ = c.Conn.SetReadDeadline(deadline)
 }
 
-// SetReadDeadline implements net.Conn. A connection that is woken to end keeps its
-// deadline.
+// SetReadDeadline implements net.Conn. A connection that is about to end keeps its
+// deadline while it waits. The HTTP server takes the deadline away when it has found the
+// begin of a request, which it may have read together with the one before.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending {
-		return nil
+	if !c.ending {
+		return c.Conn.SetReadDeadline(t)
 	}
-	return c.Conn.SetReadDeadline(t)
+	if t.IsZero() {
+		c.begun = true
+		c.keep()
+	}
+	return nil
 }
 
-// endIfWaiting wakes the connection if it waits for a request, so that it ends
-// unless the request has arrived. A connection that had no request yet is left
-// alone unless fresh ones are to end too.
+// endIfWaiting lets the connection end if it waits for a request: an idle one when the
+// idle time after its last response is over, at once if it is. A connection that had no
+// request yet is left alone unless fresh ones are to end too.
 func (c *conn) endIfWaiting(freshToo bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -124,8 +133,20 @@
 		return
 	}
 	c.ending = true
+	deadline := expired
+	if c.phase == idle {
+		deadline = c.idleSince.Add(c.server.opts.Times.Idle)
+	}
 	// A closed connection needs no waking.
-	_ = c.Conn.SetReadDeadline(expired)
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// closeAnnounced reports whether the last response announced the close of the
+// connection.
+func (c *conn) closeAnnounced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.announced
 }
 
 // Write implements net.Conn.
@@ -158,10 +179,12 @@
 
 // handled records the end of a handler. A response that a caller no longer waited
 // for does not count as completed.
-func (c *conn) handled(completed bool) {
+func (c *conn) handled(completed, announced bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = idle
+	c.idleSince = time.Now()
+	c.announced = announced
 	if !completed || c.callerGone {
 		c.phase = aborted
 	}
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -49,7 +49,8 @@
 }
 
 // fixture is a server with a handler that answers "ok", aborts on /abort, answers
-// a part of its response before that on /part, and waits for release on /wait.
+// a part of its response before that on /part, waits for release on /wait, and answers a
+// part of its response before that on /stream.
 type fixture struct {
 	server  *graceful.Server
 	address string
@@ -98,6 +99,11 @@
 		_, _ = io.WriteString(w, "part")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case "/stream":
+		_, _ = io.WriteString(w, "begin")
+		_ = http.NewResponseController(w).Flush()
+		f.handling <- struct{}{}
+		<-f.release
 	case "/wait":
 		f.handling <- struct{}{}
 		select {
@@ -227,8 +233,8 @@
 }
 
 func (c *slowConn) SetReadDeadline(t time.Time) error {
-	if c.reads.Load() == nextRequestRead && !t.IsZero() && t.Before(time.Now()) {
-		c.once.Do(func() { close(c.woken) })
+	if c.reads.Load() == nextRequestRead && !t.IsZero() {
+		time.AfterFunc(time.Until(t), func() { c.once.Do(func() { close(c.woken) }) })
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
@@ -327,6 +333,56 @@
 		Expect(f.seen.all()).To(BeEmpty())
 	})
 
+	It("answers the request that follows on a stream which began before it", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/stream"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		wait := f.shutDown(context.Background())
+		time.Sleep(2 * graceful.DefaultShutdownTimes().Handshakes)
+		close(f.release)
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeFalse())
+		time.Sleep(50 * time.Millisecond)
+		c.send(get("/"))
+		status, closes = c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("answers all requests that a caller sent without waiting", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		c.send(get("/wait") + get("/") + get("/"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		wait := f.shutDown(context.Background())
+		close(f.release)
+		for range 3 {
+			status, closes := c.status()
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(closes).To(BeTrue())
+		}
+		Expect(wait()).To(Succeed())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
+	It("ends a connection whose caller ignores that its close was announced", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		c.send(get("/"))
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		status, _ = c.status()
+		Expect(status).To(BeZero())
+		Expect(f.seen.all()).To(BeEmpty())
+	})
+
 	It("answers the requests in flight when they are cancelled", func() {
 		f := start()
 		c := f.dial()
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -21,11 +21,15 @@
 	// Fresh is how long after the begin of the shutdown a connection may take to send
 	// its first byte.
 	Fresh time.Duration
+	// Idle is how long after its last response a connection still waits for the next
+	// request. A caller that sends its requests without a pause, or that was not told to
+	// close the connection, gets an answer to the next one.
+	Idle time.Duration
 }
 
 // DefaultShutdownTimes returns the times of a shutdown whose end is far away.
 func DefaultShutdownTimes() ShutdownTimes {
-	return ShutdownTimes{Handshakes: 250 * time.Millisecond, Fresh: 1250 * time.Millisecond}
+	return ShutdownTimes{Handshakes: 250 * time.Millisecond, Fresh: 1250 * time.Millisecond, Idle: time.Second}
 }
 
 // Reason tells why a connection ended while a request had no complete response.
@@ -64,11 +68,26 @@
 	Unanswered func(Reason)
 }
 
+// defaultIdleTimeout applies if the HTTP server sets none: without any it would wait for
+// the next request of a connection for ever.
+const defaultIdleTimeout = time.Minute
+
+// closeOption is the value of the Connection field that announces the close of a
+// connection. The space, which is not sent, keeps the HTTP server from closing the
+// connection itself: it would drop requests that have arrived meanwhile.
+const closeOption = "close "
+
+// AnnounceClose makes a response ask the caller to close the connection. Requests that
+// follow on it nevertheless are served.
+func AnnounceClose(header http.Header) {
+	header.Set("Connection", closeOption)
+}
+
 // Server serves one listener. It is safe for concurrent use.
 type Server struct {
 	opts    Options
 	handler http.Handler
-	// leaving makes every response close its connection.
+	// leaving makes every response announce the close of its connection.
 	leaving atomic.Bool
 	// requests is the context of all requests.
 	requests       context.Context
@@ -113,6 +132,9 @@
 	if tcp, ok := opts.Listener.(*net.TCPListener); ok {
 		s.listener = newQueueListener(tcp)
 	}
+	if opts.HTTP.IdleTimeout <= 0 {
+		opts.HTTP.IdleTimeout = defaultIdleTimeout
+	}
 	opts.HTTP.Handler = http.HandlerFunc(s.handle)
 	opts.HTTP.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, trackedConn(accepted))
@@ -141,14 +163,14 @@
 	return listener
 }
 
-// Leave makes every further response close its connection.
+// Leave makes every further response announce the close of its connection.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
 }
 
 // Shutdown closes the listener and waits until all connections have ended: every
 // request that has arrived is served, and a connection ends only when nothing of a
-// further request has arrived. It returns the error of ctx if that ends first. The
+// further request has arrived within the idle time after its last response. It returns the error of ctx if that ends first. The
 // server's own Shutdown would drop requests that it reads after its begin.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
@@ -225,7 +247,7 @@
 // handle serves a request and records whether its response was completed.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
+		AnnounceClose(w.Header())
 	}
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	if c == nil {
@@ -234,7 +256,7 @@
 	}
 	c.startHandling()
 	completed := false
-	defer func() { c.handled(completed) }()
+	defer func() { c.handled(completed, w.Header().Get("Connection") == closeOption) }()
 	s.handler.ServeHTTP(w, r)
 	completed = true
 }
@@ -247,7 +269,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
+	if s.closing || c.closeAnnounced() {
 		c.endIfWaiting(s.endFresh)
 	}
 }
