Proxy: a leaving daemon refuses forwarded requests that another daemon can take

Cause: a daemon that stops accepts forwarded requests until the end of its admission time, 2.8 s at a grace time of 8 s, as long as others don't know that it is leaving. The notice that it leaves waits for the control state, for up to 2.55 s, and crosses a link. Such an answer has only the rest of the receiver's grace time, and the daemon that took the request counts its own. A refusal after the end of admission also cost one of the two hops of a request, so that a stream which broke off later could not resume.

Ruled out: requests forwarded after the notice has arrived.

Change: the envelope says whether the sender knows another serving daemon of the receiver's region that has not refused; a leaving receiver then refuses at once, as not run, on its own knowledge. The sender goes to another daemon of the region, for the same home of the prefix. Nothing is charged to the retry budget, no hop is used up. If none is left, or three attempts reached no endpoint, a leaving daemon accepts as before: a region that stops as a whole still serves during its admission time. An older sender says nothing, and is served as before.

Conclusion: from its SIGTERM on, a daemon carries nothing new for others, unless nobody else can.

--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -43,6 +44,9 @@
 	// ArriveWithin is the time in which the request must reach an endpoint if it
 	// may have reached one before; zero sets no limit. Later it is refused.
 	ArriveWithin time.Duration `json:"arrive_within,omitempty"`
+	// Elsewhere is true if the sender can forward the request to another daemon of the
+	// receiver's region: a receiver that is leaving then refuses it.
+	Elsewhere bool `json:"elsewhere,omitempty"`
 }
 
 // forward sends the request to another daemon, of this region or another one,
@@ -65,6 +69,9 @@
 	defer closeBody(response)
 	r.noteRemoteResponse(member, response.Header)
 	failure := r.failureFromDaemon(response)
+	if failure != nil && refusedByLeaving(failure, response.Header) {
+		r.noteLeavingDaemon(member.VM)
+	}
 	r.recordEndpoint(response.Header)
 	if failure != nil {
 		return failure
@@ -73,6 +80,33 @@
 	return failure
 }
 
+// refusedByLeaving reports whether a daemon refused a request because it is leaving
+// itself, and not the endpoint to which it sent the request.
+func refusedByLeaving(failure *types.Failure, header http.Header) bool {
+	return failure.Code == types.CodeDraining && failure.Verdict == types.NotRun && header.Get(headerEndpoint) == ""
+}
+
+// noteLeavingDaemon records that a daemon refused the request because it is leaving.
+// The attempt does not count as one at another daemon, and the home that the daemon
+// owned may be tried by way of another one.
+func (r *run) noteLeavingDaemon(vm types.VMID) {
+	r.leavingDaemons = append(r.leavingDaemons, vm)
+	r.hops--
+	if len(r.homes) > 0 {
+		r.homes = r.homes[:len(r.homes)-1]
+	}
+}
+
+// canGoElsewhere reports whether the request can be forwarded to another daemon of a
+// member's region if the member refuses it. The last attempt that may be refused must
+// be accepted by a leaving daemon too.
+func (r *run) canGoElsewhere(snap *control.Snapshot, member members.Member) bool {
+	if r.unreached >= maxUnreached {
+		return false
+	}
+	return slices.ContainsFunc(r.serving(snap, member.Region), func(other members.Member) bool { return other.VM != member.VM })
+}
+
 // recordEndpoint records which endpoint the other daemon sent the request to.
 func (r *run) recordEndpoint(header http.Header) {
 	if id := header.Get(headerEndpoint); id != "" {
@@ -87,11 +121,13 @@
 }
 
 func (r *run) forwardRequest(member members.Member, w *attemptConn) (*http.Request, error) {
+	snap := r.h.opts.Snapshot()
 	env := envelope{
-		ForwardedBy: r.h.opts.Snapshot().Self.VM, Route: r.req.Route, Service: r.req.Service, ModelEngine: r.req.ModelEngine, Tried: r.excludedEndpoints(),
+		ForwardedBy: snap.Self.VM, Route: r.req.Route, Service: r.req.Service, ModelEngine: r.req.ModelEngine, Tried: r.excludedEndpoints(),
 		Left:          r.req.Deadline.Sub(r.h.opts.Now()),
 		Waited:        r.h.opts.Now().Sub(r.req.Arrived),
 		CallerLimited: !r.req.CallerDeadline.IsZero(), ResumeAfter: r.lastEvent, PrefixUncached: len(r.homes) > 1,
+		Elsewhere: r.canGoElsewhere(snap, member),
 	}
 	if !r.chargedAt.IsZero() {
 		env.ArriveWithin = hopTime
@@ -176,7 +212,7 @@
 	defer func() { h.bodies.Release(req.reservedBytes) }()
 	failure := h.receiveForwarded(r, req)
 	if failure == nil {
-		failure = h.refuseLate()
+		failure = h.refuseForwarded(req)
 	}
 	if failure != nil {
 		writeFailure(w, req.ID, failure, true)
@@ -185,6 +221,16 @@
 	h.serve(r.Context(), w, req)
 }
 
+// refuseForwarded returns a failure if the daemon stops and another daemon can take the
+// forwarded request, or if it no longer passes any request on. The end of its stop could
+// cut off the answer sooner than that of the daemon that took the request from its caller.
+func (h *Handler) refuseForwarded(req *Request) *types.Failure {
+	if req.Elsewhere && h.draining.Load() {
+		return stopFailure()
+	}
+	return h.refuseLate()
+}
+
 // receiveForwarded reads the body of a forwarded request within the limits of size and
 // memory.
 func (h *Handler) receiveForwarded(r *http.Request, req *Request) *types.Failure {
@@ -220,7 +266,7 @@
 	req := newRequest(r, info, env.Route)
 	req.Service, req.ModelEngine, req.AttemptLimit, req.ForwardedBy = env.Service, env.ModelEngine, 1, env.ForwardedBy
 	req.Arrived, req.Deadline = now.Add(-max(env.Waited, 0)), now.Add(env.Left)
-	req.PrefixUncached, req.Tried = env.PrefixUncached, env.Tried
+	req.PrefixUncached, req.Tried, req.Elsewhere = env.PrefixUncached, env.Tried, env.Elsewhere
 	if env.CallerLimited {
 		req.CallerDeadline = req.Deadline
 	}
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -129,6 +129,11 @@
 	if until == nil || h.budgetTime().Before(*until) {
 		return nil
 	}
+	return stopFailure()
+}
+
+// stopFailure is the refusal of a request that a stopping daemon does not pass on.
+func stopFailure() *types.Failure {
 	return notRunFailure(types.CodeDraining, "this daemon stops", drainingRetryAfter)
 }
 
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -103,7 +103,7 @@
 			break
 		}
 		r.homes = append(r.homes, home)
-		owner, found := ownerOf(home, snap.InRegion(home.Region))
+		owner, found := ownerOf(home, r.serving(snap, home.Region))
 		if found && owner.VM != snap.Self.VM {
 			return destination{member: owner}, nil
 		}
@@ -150,12 +150,31 @@
 // usableRegion returns a predicate for the regions whose daemons may take the
 // request.
 func (r *run) usableRegion(snap *control.Snapshot) func(types.Region) bool {
-	serving := snap.Serving()
+	serving := r.servingRegions(snap)
 	return func(region types.Region) bool {
 		return serving[region] && r.req.Route.Allows(region)
 	}
 }
 
+// serving returns the daemons of a region that may take the request.
+func (r *run) serving(snap *control.Snapshot, region types.Region) []members.Member {
+	return slices.DeleteFunc(snap.InRegion(region), func(daemon members.Member) bool {
+		return slices.Contains(r.leavingDaemons, daemon.VM)
+	})
+}
+
+// servingRegions returns the regions with at least one daemon that may take the request.
+func (r *run) servingRegions(snap *control.Snapshot) map[types.Region]bool {
+	regions := snap.Serving()
+	if len(r.leavingDaemons) == 0 {
+		return regions
+	}
+	for region := range regions {
+		regions[region] = len(r.serving(snap, region)) > 0
+	}
+	return regions
+}
+
 // ownerOf returns the daemon through which large prompts go to an endpoint.
 func ownerOf(endpoint catalog.ActiveEndpoint, serving []members.Member) (members.Member, bool) {
 	daemons := make([]balance.Daemon, 0, len(serving))
@@ -218,6 +237,6 @@
 	if !found {
 		return members.Member{}, false
 	}
-	serving := snap.InRegion(region)
+	serving := r.serving(snap, region)
 	return serving[route.IntN(r.h.opts.Rand, len(serving))], true
 }
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -45,6 +45,9 @@
 	Tried []types.EndpointID
 	// PrefixUncached is true for a forwarded request whose prefix is not cached here.
 	PrefixUncached bool
+	// Elsewhere is true for a forwarded request that another daemon of this region can
+	// take.
+	Elsewhere bool
 	// ArriveBy is when, in budget time, a forwarded retry must have reached an
 	// endpoint; zero sets no limit.
 	ArriveBy time.Time
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -44,9 +44,11 @@
 	sent      int
 	unreached int
 	reached   bool
-	// hops counts the attempts at other daemons.
-	hops    int
-	verdict types.Verdict
+	// hops counts the attempts at other daemons that did not refuse because they leave.
+	hops int
+	// leavingDaemons lists the daemons that refused the request because they leave.
+	leavingDaemons []types.VMID
+	verdict        types.Verdict
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
 	// traits is set once they are needed; see knownTraits.
