Entry: requests in flight keep the grace time but for the fixed end of a stop

Callers saw: a stream by way of a daemon that stops is cut off although its endpoint is at work, while the daemon that took it from its caller stops later and still has time: the other one's cut came at 0.94 of its grace time, 7.52 s of 8 s and 28.2 s of 30 s.

Cause: the end of a stop (answers to cancelled requests, closing, the delay of the signal) takes a fixed time, but the schedule reserved a share: 0.48 s at 8 s, 1.8 s at 30 s, and 0.64 s and 2.4 s for callers' requests. The rest was lost to those in flight.

Ruled out: the last sixth of the grace time of the first daemon excuses nothing, since the cut comes by the schedule of the other one; a later cut for peers alone would leave callers' own requests with less time than forwarded ones.

Change: the cut comes 0.3 s before the end (0.2 s for the delay of the signal, 0.1 s to close), the cancellation 0.16 s before the cut. Both are bounded by the shares that held until now, so that a grace time under 5 s keeps its cut and nothing comes sooner.

Conclusion: a stop no longer takes more from its requests than it needs.

--- a/pkg/gateway/entry/schedule.go
+++ b/pkg/gateway/entry/schedule.go
@@ -21,16 +21,24 @@
 	// peersShare is when the listener for other daemons closes at the latest, so that
 	// their kept connections end before the rest is cut off.
 	peersShare = 0.8
-	// cancelShare is when the callers' remaining requests are cancelled, so that
-	// those without any response yet still get one.
-	cancelShare = 0.92
-	// shutdownShare is when the remaining requests in flight are cut off.
-	shutdownShare = 0.94
+	// endShare bounds the time between the cut and the end of the grace time, and
+	// answerShare that between the cancellation and the cut.
+	endShare    = 0.06
+	answerShare = 0.02
 )
 
 // signalDelay is the longest time from the stop signal until the daemon acts on it.
 const signalDelay = 200 * time.Millisecond
 
+// Times at the end of a stop. They do not grow with the grace time: requests in flight,
+// also those that another daemon forwarded, may use the rest of it.
+const (
+	// closeTime is how long the process takes to end after the cut.
+	closeTime = 100 * time.Millisecond
+	// answerTime is how long the handlers of cancelled requests have to respond.
+	answerTime = 160 * time.Millisecond
+)
+
 // stopSchedule holds the moments of a graceful shutdown, as times after its begin.
 // They are derived from the grace time and the admission limit alone, and are in the order of
 // the fields whatever these are, but for idle, which is a length of time; the daemon is
@@ -70,14 +78,15 @@
 	usual := graceful.DefaultShutdownTimes()
 	handshakes := min(usual.Handshakes, admitUntil/2)
 	unused := min(usual.Fresh-usual.Handshakes, share(grace, freshShare))
+	cut := grace - min(signalDelay+closeTime, share(grace, endShare))
 	return stopSchedule{
 		closeCallers: admitUntil - handshakes,
 		admitUntil:   admitUntil,
 		endFresh:     admitUntil + unused,
 		idle:         min(usual.Idle, share(grace, idleShare)),
 		closePeers:   share(grace, peersShare),
-		cancel:       share(grace, cancelShare),
-		cut:          share(grace, shutdownShare),
+		cancel:       cut - min(answerTime, share(grace, answerShare)),
+		cut:          cut,
 	}
 }
 
--- a/pkg/gateway/entry/schedule_test.go
+++ b/pkg/gateway/entry/schedule_test.go
@@ -36,6 +36,15 @@
 		}
 	})
 
+	It("leaves requests in flight the whole grace time but for what its end takes", func() {
+		const end = 500 * time.Millisecond
+		for _, grace := range []time.Duration{8 * time.Second, 30 * time.Second, 10 * time.Minute} {
+			s := entry.NewStopSchedule(grace, admissionLimit)
+			Expect(grace-s.Cancel()).To(BeNumerically("<", end), "grace %s", grace)
+			Expect(s.Cut()+entry.SignalDelay).To(BeNumerically("<", grace), "grace %s", grace)
+		}
+	})
+
 	It("keeps admission within the limit if the stop signal is delayed", func() {
 		for _, grace := range usualGraces {
 			Expect(entry.NewStopSchedule(grace, admissionLimit).AdmitUntil() + entry.SignalDelay).To(BeNumerically("<=", admissionLimit))
