Proxy: a silent stream is not ended over a hop if nothing is left to resume it

Callers saw: a resumable stream by way of another region ends broken although its endpoint is at work, 1 to 2.4 s after its last event, around a stop and at other times ("no endpoint of the service may run it here" in the log, hypothesis H3 of docs/incidents/answers-cut-off-over-a-hop.md).

Cause: a stream that pauses for half of what callers wait for an event is ended in order to resume elsewhere. For a local endpoint that asks for a place first; for another region it asked only whether any daemon serves there, and not whether the service has an endpoint there that was not tried. A large prompt goes to the next home of its prefix only, so it found none more often. The same holds of a daemon that stops: the other endpoint may refuse the rest, or the end of the stop cuts it off, while the first one was only slow.

Change: over a hop a stream is ended for silence only if the next attempt finds an endpoint that was not tried, by the way in which requests of its kind are placed; and a daemon that is leaving ends none.

Evidence: three specs of 'Slow streams' fail without the change (leaving daemon, large prompt, any other) and pass with it, as do all specs of the package, and 'Slow streams' with the race detector.

Open: the other region may still refuse the rest for want of capacity, outside a stop; the stream is then lost. Holding the first attempt until the second is accepted would have two endpoints work on one request.

--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -1,10 +1,13 @@
 package proxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 )
 
 // Limits of streams that make no progress.
@@ -65,8 +68,12 @@
 }
 
 // resumeElsewhere ends the attempt if the stream can go on at another endpoint and
-// the retry budget permits another attempt.
+// the retry budget permits another attempt. A daemon that is leaving ends none: the other
+// endpoint may refuse the rest, or the end of the stop may cut it off.
 func (r *run) resumeElsewhere(w *attemptConn) {
+	if r.h.draining.Load() {
+		return
+	}
 	permit, found := r.reserveElsewhere()
 	if !found {
 		return
@@ -90,11 +97,21 @@
 			return permit, permit != nil
 		}
 	}
-	if r.hops >= maxHops {
-		return nil, false
+	return nil, r.hops < maxHops && r.remoteEndpointLeft(snap)
+}
+
+// remoteEndpointLeft reports whether the next attempt finds an endpoint in another region
+// that the request was not sent to before.
+func (r *run) remoteEndpointLeft(snap *control.Snapshot) bool {
+	if r.req.PrefixTokens >= balance.MinLargePrefixTokens {
+		_, found := r.nextHome(snap)
+		return found && len(r.homes) < maxHomes
 	}
-	_, found := r.pickRemoteDaemon(snap, remoteOnlyMinFree)
-	return nil, found
+	usableRegion, tried := r.usableRegion(snap), r.excludedEndpoints()
+	endpoints := r.h.opts.Gate.Taking(snap.View.Endpoints[r.req.Service])
+	return slices.ContainsFunc(endpoints, func(ep catalog.ActiveEndpoint) bool {
+		return ep.Region != snap.Self.Region && usableRegion(ep.Region) && !slices.Contains(tried, ep.ID)
+	})
 }
 
 // takeReserved returns the endpoint that is reserved for the next attempt; nil if
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -338,6 +339,35 @@
 		Entry("when no other endpoint is left", time.Duration(0), longPause, 1),
 	)
 
+	It("are not ended while their caller waits and the daemon is leaving", func() {
+		w := newSlowProxy()
+		w.route.Resumable = true
+		first, second := lateStream(0, longPause), lateStream(0, longPause)
+		startWithRaw(w, first, second)
+		w.handler.Leave(time.Minute)
+		resp := w.call("POST", "/r/", "x")
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(strings.Count(resp.body, "data:")).To(Equal(2))
+		Expect(first.count() + second.count()).To(Equal(1))
+	})
+
+	DescribeTable("over a hop are not ended while their caller waits and the other region has no further endpoint", func(fields ...string) {
+		south, north := newSlowProxy(), newSlowProxy()
+		late := lateStream(0, longPause)
+		startWithRaw(north, late)
+		south.route.Resumable, south.route.AllowedRegions = true, []types.Region{"north"}
+		south.region, south.self = "south", "127.0.0.1:2"
+		south.members = []members.Member{north.asMember()}
+		startWithRaw(south, late)
+		resp := south.call("POST", "/r/", "x", fields...)
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(strings.Count(resp.body, "data:")).To(Equal(2))
+		Expect(late.count()).To(Equal(1))
+	},
+		Entry("for a large prompt", headerPrefix, "7"),
+		Entry("for any other one"),
+	)
+
 	It("are not ended while their caller waits and every other endpoint is full", func() {
 		w := newSlowProxy()
 		w.route.Resumable = true
