Entry: a request that a stop ends leaves a line that names its cause

Callers saw answers cut off around planned stops; of two printed cases one had no line at any daemon, and the other's lines did not tell when in the stop the request had come or what ended it.

Cause: the process ended right after it had closed its connections, before the handlers of these requests had logged them; lines about requests that a stop cancels all at once fell to the limit of ordinary failures (40 a second); "request ended without an answer" named no request; a request whose handler panicked had no line; a forwarded request that was cut was logged as caller_gone; a process that ended at its start, on a failed part or by a panic left no line.

Ruled out: nothing; case 2 is not explained by this.

Change: lines of requests without a whole answer have ended_by, ended_at, answer, last_event_ms, connection, broken_off, and while the daemon stops stop_ms and stop_arrival_ms. They have a limit of their own, 200 a second, whose burst fits into the buffer. After the cut, the daemon waits up to 0.02 of the grace time for the handlers. The story of a request names the stop that ended it.

Packages changed: all specs pass; the new ones also with the race detector.

Conclusion: the next case of this kind can be traced from logs. A crash of another goroutine than the main one still leaves only the message of the Go runtime.

--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 )
 
@@ -14,6 +15,7 @@
 func (e *Entry) drain() {
 	began := time.Now()
 	schedule := e.opts.Settings.stopSchedule()
+	e.handler.StopBegan(0)
 	e.handler.Leave(schedule.admitUntil)
 	e.log.WithField("grace", e.opts.Settings.Grace.String()).Info("daemon stops")
 	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), began.Add(schedule.cut))
@@ -35,7 +37,28 @@
 		e.shutdown(shutdownCtx, peersName)
 	})
 	stopping.Wait()
-	e.log.WithField("took", time.Since(began).String()).Info("daemon stopped")
+	cut := e.cutOff()
+	e.log.WithFields(logrus.Fields{"took": time.Since(began).String(), "cut": cut}).Info("daemon stopped")
+}
+
+// handlersShare is the fraction of the grace time for which the end of the handlers is
+// awaited whose connections were closed, and handlersPoll how often it is checked.
+const (
+	handlersShare = 0.02
+	handlersPoll  = 2 * time.Millisecond
+)
+
+// cutOff closes all connections, waits a short time for the handlers of their requests,
+// which log how these ended, and returns the number of these requests.
+func (e *Entry) cutOff() int64 {
+	cut := e.handling.Load()
+	e.handler.CutOff()
+	e.close()
+	deadline := time.Now().Add(share(e.opts.Settings.Grace, handlersShare))
+	for e.handling.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(handlersPoll)
+	}
+	return cut
 }
 
 // announceLeaving tells the other daemons that this one is leaving. It returns at the
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -9,6 +9,7 @@
 	stdlog "log"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -110,6 +111,8 @@
 	unanswered *unansweredLog
 	lookups    *lookupLog
 	servers    []*server
+	// handling is the number of requests that handlers serve.
+	handling atomic.Int64
 }
 
 // memoryShare is the fraction of the memory limit that is set as the soft limit of
@@ -144,7 +147,7 @@
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.guard = guard.New(e.log, e.registry)
 	e.history = crashes.NewHistory()
-	e.unanswered = newUnansweredLog(e.log, e.registry)
+	e.unanswered = newUnansweredLog(e.log, e.registry, func() (time.Duration, bool) { return e.handler.SinceStop() })
 	e.lookups = newLookupLog(e.log, e.registry)
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
@@ -305,6 +308,9 @@
 	e.log.WithFields(logrus.Fields{"vm": s.VM, "region": s.Region, "data_centre": s.DataCentre, "callers": s.CallerAddress}).Info("daemon serves")
 	select {
 	case err := <-failed:
+		e.log.WithError(err).Error("a component failed: the daemon ends")
+		e.handler.StopBegan(0)
+		e.cutOff()
 		return err
 	case <-stop.Done():
 	}
--- a/pkg/gateway/entry/log.go
+++ b/pkg/gateway/entry/log.go
@@ -18,6 +18,9 @@
 	// about successful requests; a burst may have the lines of two seconds.
 	failureLines = 40
 	successLines = 4
+	// stopLines limits the lines per second about requests that end without a whole
+	// answer while the daemon stops; a burst must fit into the buffer.
+	stopLines = 200
 	// libraryLines limits the lines per second from libraries, maxLibraryLine the
 	// bytes of one line: some quote what a peer sent.
 	libraryLines   = 1
@@ -101,27 +104,32 @@
 	return len(line), nil
 }
 
+// DroppedLines returns the number of lines that did not fit into the log's buffer.
+func (e *Entry) DroppedLines() int64 {
+	return e.lines.dropped.Load()
+}
+
 // requestLog limits the rate of lines about requests, with a higher limit for
-// failures than for successes.
+// failures than for successes, and one of its own for requests that a stop ends.
 type requestLog struct {
 	log       boundedLog
 	failures  *rate.Limiter
 	successes *rate.Limiter
+	stops     *rate.Limiter
 }
 
 var _ proxy.Logger = (*requestLog)(nil)
 
 func newRequestLog(log *logrus.Logger) *requestLog {
-	return &requestLog{log: boundedLog{log: log}, failures: lineLimit(failureLines), successes: lineLimit(successLines)}
+	return &requestLog{
+		log:      boundedLog{log: log},
+		failures: lineLimit(failureLines), successes: lineLimit(successLines), stops: lineLimit(stopLines),
+	}
 }
 
 // Request implements proxy.Logger.
 func (l *requestLog) Request(fields logrus.Fields, failed bool) {
-	limit := l.successes
-	if failed {
-		limit = l.failures
-	}
-	line, permitted := l.log.line(limit)
+	line, permitted := l.log.line(l.limitOf(fields, failed))
 	switch {
 	case !permitted:
 	case failed:
@@ -130,3 +138,16 @@
 		line.WithFields(fields).Info("request answered")
 	}
 }
+
+// limitOf returns the limit for a request's line.
+func (l *requestLog) limitOf(fields logrus.Fields, failed bool) *rate.Limiter {
+	_, stopping := fields[proxy.FieldStop]
+	_, incomplete := fields[proxy.FieldEndedBy]
+	switch {
+	case stopping && incomplete:
+		return l.stops
+	case failed:
+		return l.failures
+	}
+	return l.successes
+}
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -63,7 +63,7 @@
 
 func (e *Entry) httpServer(name string, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           e.guard.Handler(name, handler),
+		Handler:           e.counted(e.guard.Handler(name, handler)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -72,6 +72,15 @@
 	}
 }
 
+// counted counts the requests that a handler serves.
+func (e *Entry) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.handling.Add(1)
+		defer e.handling.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serve serves until the server is closed; it then returns nil.
 func (s *server) serve() error {
 	return eris.Wrapf(s.Serve(), "serve %s", s.name)
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -211,6 +211,7 @@
 
 // handleResponse checks that the response belongs to the request and relays it.
 func (r *run) handleResponse(response *http.Response, w *attemptConn) (*types.Failure, balance.Result) {
+	r.answerBegun = true
 	info := r.h.opts.Dialect.ResponseInfo(response.StatusCode, response.Header)
 	if info.ID != "" && info.ID != r.req.ID {
 		return r.rejectResponse(w, errOtherRequest)
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -101,6 +101,7 @@
 	// on; nil means that there is none.
 	admitUntil atomic.Pointer[time.Time]
 	startedAt  time.Time
+	stop       stopState
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -271,7 +272,9 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, req *Request) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	run := &run{h: h, ctx: ctx, req: req, out: newResponseWriter(w, req.ForwardedBy != "", h.draining.Load)}
+	graceful.NameRequest(ctx, string(req.ID))
+	run := &run{h: h, ctx: ctx, req: req, out: newResponseWriter(w, req.ForwardedBy != "", h.draining.Load), complete: h.opts.Now()}
+	defer run.recordPanic()
 	defer run.releaseReserved()
 	defer run.endTrial()
 	failure := run.loop()
--- a/pkg/gateway/proxy/metrics.go
+++ b/pkg/gateway/proxy/metrics.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -17,6 +18,8 @@
 	denied   *prometheus.CounterVec
 	withheld *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	// incomplete counts requests that ended without a whole answer.
+	incomplete *prometheus.CounterVec
 }
 
 // attemptKind says how an attempt counts towards the retry budget.
@@ -62,13 +65,21 @@
 			Name: "flamingomount_gateway_withheld_requests_total",
 			Help: "Requests that were refused because what they share with others crashed endpoints, by service.",
 		}, []string{"service"}),
+		incomplete: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingomount_gateway_incomplete_requests_total",
+			Help: "Requests that ended without a whole answer of an endpoint, by what ended them and whether this daemon was stopping.",
+		}, []string{"ended_by", "stopping"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "flamingomount_gateway_request_seconds",
 			Help:    "Time from arrival to the end of the answer, by service.",
 			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
 		}, []string{"service"}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.denied, m.withheld, m.seconds)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.denied, m.withheld, m.seconds, m.incomplete)
+	for _, by := range enders {
+		m.incompleteOf(by, false)
+		m.incompleteOf(by, true)
+	}
 	return m
 }
 
@@ -81,6 +92,14 @@
 	m.seconds.WithLabelValues(string(req.Service)).Observe(elapsed.Seconds())
 }
 
+func (m *Metrics) countIncomplete(by ender, stopping bool) {
+	m.incompleteOf(by, stopping).Inc()
+}
+
+func (m *Metrics) incompleteOf(by ender, stopping bool) prometheus.Counter {
+	return m.incomplete.WithLabelValues(string(by), strconv.FormatBool(stopping))
+}
+
 func (m *Metrics) countRefusal(failure *types.Failure) {
 	m.refusals.WithLabelValues(string(failure.Code)).Inc()
 }
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -78,8 +78,16 @@
 	// the longest pause between two events.
 	timeToFirstEvent time.Duration
 	longestGap       time.Duration
+	// lastEventAt is when the last event was passed on; zero if there was none.
+	lastEventAt time.Time
 	// waited is the time from arrival until the last attempt was sent.
 	waited time.Duration
+	// complete is when this daemon had received the whole request.
+	complete time.Time
+	// answerBegun is true once the current attempt got the header of a response.
+	answerBegun bool
+	// recorded is true once the request was logged, panicked if its handler panicked.
+	recorded, panicked bool
 }
 
 // loop makes attempts until one succeeds or no further one is permitted.
@@ -131,7 +139,7 @@
 // caller makes all retries and charges them to its retry budget.
 func (r *run) makeAttempt(dest destination) *types.Failure {
 	r.waited = r.h.opts.Now().Sub(r.req.Arrived)
-	r.reached, r.gotOn = true, false
+	r.reached, r.gotOn, r.answerBegun = true, false, false
 	r.sent++
 	failure, way := r.send(dest)
 	if r.reached {
@@ -212,6 +220,7 @@
 
 // record updates the metrics and logs the request.
 func (r *run) record(failure *types.Failure) {
+	r.recorded = true
 	elapsed := r.h.opts.Now().Sub(r.req.Arrived)
 	r.h.opts.Metrics.observeRequest(r.req, failure, elapsed)
 	fields := logrus.Fields{
@@ -255,7 +264,8 @@
 		fields["first_ms"], fields["gap_ms"] = r.timeToFirstEvent.Milliseconds(), r.longestGap.Milliseconds()
 		fields["longest_gap_ms"] = r.req.Route.LongestGap.Milliseconds()
 	}
-	r.h.opts.Log.Request(fields, failure != nil || r.status >= http.StatusInternalServerError)
+	r.recordEnding(fields, failure)
+	r.h.opts.Log.Request(fields, failure != nil || r.incomplete(failure) || r.status >= http.StatusInternalServerError)
 }
 
 // contextFailure distinguishes an expired deadline and the end of the grace time of
@@ -264,7 +274,7 @@
 	switch {
 	case errors.Is(r.ctx.Err(), context.DeadlineExceeded):
 		return types.NewFailure(verdict, types.CodeDeadline, "the time allowed is over")
-	case errors.Is(context.Cause(r.ctx), graceful.ErrStopping):
+	case errors.Is(context.Cause(r.ctx), graceful.ErrStopping), r.h.stop.cut.Load():
 		return types.NewFailure(verdict, types.CodeDraining, "this daemon stops")
 	}
 	return types.NewFailure(verdict, types.CodeCallerGone, "the caller closed its connection")
--- a/pkg/gateway/proxy/stream.go
+++ b/pkg/gateway/proxy/stream.go
@@ -64,6 +64,7 @@
 // between two events. It returns the time of the current event.
 func (r *run) recordGap(previous time.Time) time.Time {
 	now := r.h.opts.Now()
+	r.lastEventAt = now
 	if previous.IsZero() && r.timeToFirstEvent == 0 {
 		r.timeToFirstEvent = now.Sub(r.req.Arrived)
 	}
--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -41,6 +41,10 @@
 	announced bool
 	// idleSince is when the last response was completed.
 	idleSince time.Time
+	// handlings is the number of requests that handlers began to serve, request the ID
+	// of the last one if its handler named it.
+	handlings int
+	request   string
 	// ending is true while the connection is about to end: it ends at its read deadline
 	// unless a request has arrived.
 	ending bool
@@ -175,6 +179,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = handling
+	c.handlings++
+	c.request = ""
+}
+
+// name records the ID of the request that a handler serves.
+func (c *conn) name(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request = request
+}
+
+// kept reports whether a request was served before the current one.
+func (c *conn) kept() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handlings > 1
 }
 
 // handled records the end of a handler. A response that a caller no longer waited
@@ -193,32 +213,43 @@
 // Close implements net.Conn. The first call reports a request that has no complete
 // response.
 func (c *conn) Close() error {
-	if reason, lost := c.end(); lost {
-		c.server.unanswered(reason)
+	if ending, lost := c.end(); lost {
+		c.server.unanswered(ending)
 	}
 	defer c.server.forget(c)
 	return c.Conn.Close()
 }
 
-// end marks the connection as closed and returns why its request has no complete
+// end marks the connection as closed and tells of its request without a complete
 // response; it returns false if there is no such request.
-func (c *conn) end() (Reason, bool) {
+func (c *conn) end() (Ending, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return "", false
+		return Ending{}, false
 	}
 	c.closed = true
 	open := c.phase == handling || c.phase == aborted
+	if !open && !c.begun {
+		return Ending{}, false
+	}
+	ending := Ending{Reason: c.endReason()}
+	if open {
+		ending.Request = c.request
+	}
+	return ending, true
+}
+
+// endReason tells why the connection's request has no complete response. The caller
+// holds the lock.
+func (c *conn) endReason() Reason {
 	switch {
-	case !open && !c.begun:
-		return "", false
 	case c.callerGone:
-		return CallerGone, true
+		return CallerGone
 	case c.phase == handling:
-		return Cut, true
+		return Cut
 	case c.phase == aborted:
-		return Aborted, true
+		return Aborted
 	}
-	return Dropped, true
+	return Dropped
 }
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -36,10 +36,10 @@
 	list []graceful.Reason
 }
 
-func (r *reasons) add(reason graceful.Reason) {
+func (r *reasons) add(ending graceful.Ending) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.list = append(r.list, reason)
+	r.list = append(r.list, ending.Reason)
 }
 
 func (r *reasons) all() []graceful.Reason {
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -50,6 +50,13 @@
 // Reasons lists all reasons.
 var Reasons = []Reason{CallerGone, Aborted, Cut, Dropped}
 
+// Ending tells of a request whose connection ended without a complete response.
+type Ending struct {
+	Reason Reason
+	// Request is the ID that the handler gave with NameRequest; empty if there is none.
+	Request string
+}
+
 // Options configures a Server.
 type Options struct {
 	Listener net.Listener
@@ -65,7 +72,7 @@
 	Times ShutdownTimes
 	// Unanswered is called for each connection that ends while a request has no
 	// complete response; nil means not at all. It must not block.
-	Unanswered func(Reason)
+	Unanswered func(Ending)
 }
 
 // defaultIdleTimeout applies if the HTTP server sets none: without any it would wait for
@@ -116,6 +123,26 @@
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
+// connOf returns the connection of a request; nil if a Server does not serve it.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// NameRequest records the ID of the request that a handler serves with this context,
+// which is part of its Ending.
+func NameRequest(ctx context.Context, id string) {
+	if c := connOf(ctx); c != nil {
+		c.name(id)
+	}
+}
+
+// Kept reports whether the connection of a request served one before it.
+func Kept(ctx context.Context) bool {
+	c := connOf(ctx)
+	return c != nil && c.kept()
+}
+
 // New returns a server.
 func New(opts Options) *Server {
 	if opts.Times == (ShutdownTimes{}) {
@@ -249,7 +276,7 @@
 	if s.leaving.Load() {
 		AnnounceClose(w.Header())
 	}
-	c, _ := r.Context().Value(connKey{}).(*conn)
+	c := connOf(r.Context())
 	if c == nil {
 		s.handler.ServeHTTP(w, r)
 		return
@@ -274,9 +301,9 @@
 	}
 }
 
-func (s *Server) unanswered(reason Reason) {
+func (s *Server) unanswered(ending Ending) {
 	if s.opts.Unanswered != nil {
-		s.opts.Unanswered(reason)
+		s.opts.Unanswered(ending)
 	}
 }
 
--- a/pkg/trace/line.go
+++ b/pkg/trace/line.go
@@ -50,6 +50,11 @@
 	// time to the response, and for GapMs; zero means none.
 	ObjectiveMs  int64 `json:"objective_ms"`
 	LongestGapMs int64 `json:"longest_gap_ms"`
+	// EndedBy is what ended a request without a whole answer. StopMs and StopArrivalMs
+	// are the times from the begin of the daemon's stop until its end and its arrival.
+	EndedBy       string `json:"ended_by"`
+	StopMs        int64  `json:"stop_ms"`
+	StopArrivalMs int64  `json:"stop_arrival_ms"`
 	// Skipped counts the requests before this one that have no line.
 	Skipped int `json:"lines_skipped"`
 	// Config is the version of the configuration that the decision was based
--- a/pkg/trace/story.go
+++ b/pkg/trace/story.go
@@ -112,6 +112,11 @@
 		return fmt.Sprintf("not run: %s could not be reached (%s)", endpoint, step.Cause)
 	case types.CodeEndpointFailed, types.CodeAnswerIncomplete:
 		return describeLostConnection(lines, step, endpoint)
+	case types.CodeDraining:
+		if step.EndedBy != "" {
+			return fmt.Sprintf("ended by the stop of %s (%s) %d ms after its begin; the request had come %d ms after it",
+				step.Source, step.EndedBy, step.StopMs, step.StopArrivalMs)
+		}
 	case types.CodeDeadline:
 		if step.Sent == 0 {
 			return fmt.Sprintf("its time was over after %d ms of waiting for room; it reached no endpoint", step.TookMs)
--- a/pkg/trace/trace_test.go
+++ b/pkg/trace/trace_test.go
@@ -35,6 +35,8 @@
    9.6 kandy-1 {"time":"2026-09-09T19:43:46.6Z","level":"info","msg":"endpoint asked for a pause","endpoint":"i-92","pause":"2s","service":"s"}
    9.6 kandy-1 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"paused","reason":"every endpoint of the service asked for a pause","request":"paused","service":"s","status":503,"verdict":"not-run"}
    9.7 colombo-3 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"endpoint_failed","endpoints":["daemon 10.9.9.9:1"],"request":"hop","service":"s","status":502,"sent":2,"verdict":"may-have-run"}
+   9.8 colombo-2 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"answer_incomplete","ended_by":"daemon","endpoints":["daemon 10.9.9.9:1"],"request":"stopped","service":"s","status":502,"sent":1,"verdict":"may-have-run"}
+   9.8 singapore-2 {"time":"2026-09-09T19:43:47Z","level":"warning","msg":"request failed","code":"draining","ended_by":"cut","endpoints":["i-82"],"from":"10.1.0.30:8646","reason":"this daemon stops","request":"stopped","service":"s","status":502,"sent":1,"stop_arrival_ms":2100,"stop_ms":7520,"verdict":"may-have-run"}
 `
 
 var _ = Describe("a story", func() {
@@ -72,6 +74,7 @@
 		Expect(out.String()).To(ContainSubstring("cause: " + story.Cause))
 	},
 		Entry("an endpoint crash after a hop", "crash", "may have run", "i-e4 crashed", "1 other"),
+		Entry("a stop of the daemon at the other end of a hop", "stopped", "ended by the stop of singapore-2 (cut) 7520 ms", "2100 ms"),
 		Entry("a lost response", "lost", "may have run", "i-77", "no other request broke there"),
 		Entry("no capacity, with the reason", "full", "not run", "no room", "frankfurt-a was being evacuated", "1 endpoints had left"),
 		Entry("a response after a refusal by another daemon", "second", "answered by endpoint i-af"),
