--- a/pkg/gateway/entry/schedule.go
+++ b/pkg/gateway/entry/schedule.go
@@ -25,6 +25,9 @@
 	// answerShare that between the cancellation and the cut.
 	endShare    = 0.06
 	answerShare = 0.02
+	// handlersShare bounds the part of that time for which the handlers of cut requests
+	// are awaited.
+	handlersShare = 0.02
 )
 
 // signalDelay is the longest time from the stop signal until the daemon acts on it.
@@ -35,6 +38,9 @@
 const (
 	// closeTime is how long the process takes to end after the cut.
 	closeTime = 100 * time.Millisecond
+	// handlersTime is the part of closeTime for which the handlers of cut requests are
+	// awaited, which log how these ended.
+	handlersTime = 60 * time.Millisecond
 	// answerTime is how long the handlers of cancelled requests have to respond.
 	answerTime = 160 * time.Millisecond
 )
