Cold endpoints: the rate holds without news of the store, and whoever knows

Cause, by a trial that logs each request with what its daemon knows: the operator's request never reached the store, the endpoints turned cold at 17.5 s, and their entries told so from 19.15 s on. Daemons took news of 10 s for the present and sent at the warm rate. One that learnt of a cold time then added a whole share to what it had just sent.

Ruled out: checks that begin late (there was no evacuation to know of), different numbers of daemons seen (three, by all three), wrong ends of cold times (they agree within 0.1 s).

Requests of the last second count also if the endpoint was taken for warm. Shares are the same whatever a daemon knows and add up: 0.75 of the bound for as many daemons as get one request a second each, in place of three daemons in larger regions; a daemon that has just started gets one in a region of at most three. Reads of the store are numbered: an age that was passed on grew younger by the way of each message, so that old news looked recent.

Open: an endpoint that turns cold while the store answers, without an evacuation, gets the warm rate until its entry tells, up to 2 s.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -60,12 +60,18 @@
 	return pool
 }
 
-// newFleet builds the pools of several daemons that know each other.
-func newFleet(v *catalog.View, daemons int) []*balance.Pool {
+// fleetOf names several daemons.
+func fleetOf(daemons int) []types.VMID {
 	var live []types.VMID
 	for i := range daemons {
 		live = append(live, types.VMID(fmt.Sprintf("d%d", i)))
 	}
+	return live
+}
+
+// newFleet builds the pools of several daemons that know each other.
+func newFleet(v *catalog.View, daemons int) []*balance.Pool {
+	live := fleetOf(daemons)
 	var pools []*balance.Pool
 	for _, vm := range live {
 		pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
@@ -414,6 +420,19 @@
 			Expect(float64(sendAll(pools))).To(BeNumerically("<=", 9.3*1.5+3))
 		})
 
+		DescribeTable("get no more than the bound while daemons of a small region that know each other have just started", func(joining, allowed int) {
+			live := fleetOf(3)
+			var pools []*balance.Pool
+			for i, self := range live {
+				pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+				pool.Update(coldView(), balance.Membership{Self: self, Live: live, PeakLive: 3, Joining: i < joining})
+				pools = append(pools, pool)
+			}
+			most := sendAll(pools)
+			Expect(float64(most)).To(BeNumerically("<=", 9.3*1.5+3))
+			Expect(most).To(Equal(allowed))
+		}, Entry("one of three", 1, 11), Entry("all", 3, 3))
+
 		It("are bounded by a daemon that does not know the others yet", func() {
 			pool := newPool(coldView(), 1)
 			sent := 0
--- a/pkg/gateway/balance/confirm.go
+++ b/pkg/gateway/balance/confirm.go
@@ -10,11 +10,28 @@
 // endpoint that may turn cold before it checks the endpoint again.
 const confirmShare = 0.65
 
-// mayTurnCold reports whether the endpoint may become cold at any moment before
-// the store tells: its data centre is being evacuated, and it still gets requests.
+// mayTurnCold reports whether the endpoint may become cold at any moment without
+// news of it: there is no recent news of the store, or its data centre is being
+// evacuated and it still gets requests.
 func (s *endpointState) mayTurnCold(now time.Time) bool {
-	return s.service != nil && s.service.ColdPerSecond > 0 &&
-		!s.placed.LastRequestAt.IsZero() && now.Before(s.placed.LastRequestAt)
+	if !s.hasColdRate() {
+		return false
+	}
+	evacuated := !s.placed.LastRequestAt.IsZero() && now.Before(s.placed.LastRequestAt)
+	return evacuated || s.news.missing(now)
+}
+
+// hasColdRate reports whether the endpoint has a bounded rate while it is cold.
+func (s *endpointState) hasColdRate() bool {
+	return s.service != nil && s.service.ColdPerSecond > 0
+}
+
+// recordSend records a request to an endpoint with a cold rate. Those to a warm one
+// count as well: the endpoint may turn out to have been cold.
+func (s *endpointState) recordSend(now time.Time) {
+	if s.hasColdRate() {
+		s.coldSends = append(withinColdWindow(s.coldSends, now), now)
+	}
 }
 
 // limitedAsCold reports whether requests to the endpoint count towards the cold
@@ -48,21 +65,20 @@
 // accepts reports whether this daemon may send to the endpoint at all. Only the
 // daemons that share its cold rate send to one that may turn cold.
 func (p *Pool) accepts(ep *endpointState, now time.Time) bool {
-	return ep.placed.Accepts(now) && (!ep.mayTurnCold(now) || p.sendsWhileCold(ep))
+	return ep.placed.Accepts(now) && (!ep.mayTurnCold(now) || p.coldShare(ep) > 0)
 }
 
 // DueConfirmations returns the endpoints that may turn cold and to which this
 // daemon has sent so much that it has to check again whether they are warm.
-// Pending is false if no endpoint may turn cold.
+// Pending is false if no endpoint may turn cold now or soon.
 func (p *Pool) DueConfirmations(now time.Time) (due []Probe, pending bool) {
 	for _, states := range p.services {
 		for _, ep := range states {
-			if !ep.mayTurnCold(now) {
-				continue
-			}
-			pending = true
-			if p.confirmationDue(ep, now) {
-				due = append(due, ep.probe(now))
+			pending = pending || ep.mayTurnCold(now) || ep.mayTurnCold(now.Add(newsLookahead))
+			if ep.mayTurnCold(now) && p.confirmationDue(ep, now) {
+				probe := ep.probe(now)
+				probe.Confirms = true
+				due = append(due, probe)
 			}
 		}
 	}
@@ -73,11 +89,12 @@
 	if ep.service.HealthPath == "" || ep.cold(now) || now.Before(ep.nextProbeAt) || p.closed(ep, now) {
 		return false
 	}
-	share := float64(ep.coldShare(p.bounds, p.peers))
+	share := float64(p.coldShare(ep))
 	return share > 0 && float64(ep.countedSends(now)) >= share*confirmShare
 }
 
-// recordConfirmation records the result of a health check during an evacuation.
+// recordConfirmation records the result of a health check of an endpoint that may
+// turn cold.
 // An endpoint that answered that it is warm may be checked again at once.
 func (s *endpointState) recordConfirmation(probe Probe, coldUntil time.Time) {
 	if coldUntil.After(probe.DueAt) {
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -20,8 +20,8 @@
 	urgentOvercommit = 1.5
 	// minInFlight ensures that every daemon can send.
 	minInFlight = 2
-	// coldSenders is how many daemons of a region share the rate of a cold
-	// endpoint.
+	// coldSenders is how many daemons of a region at least share the rate of a cold
+	// endpoint; more do if the rate suffices for a request a second from each.
 	coldSenders = 3
 	// maxUnseenSenders bounds the senders assumed on the other side of a
 	// partition: two more groups of daemons.
@@ -29,7 +29,10 @@
 	// coldMargin keeps the sum of the shares below the bound in regions with more
 	// daemons than coldSenders, when one of them counts itself as one more sender
 	// because the others do not know it yet.
-	coldMargin = 0.85
+	coldMargin = 0.75
+	// joiningShare bounds the requests per second to a cold endpoint from a daemon
+	// that has just started and may not know all others of its region yet.
+	joiningShare = 1
 
 	baseSuspension = 250 * time.Millisecond
 	maxSuspension  = 4 * time.Second
@@ -59,6 +62,11 @@
 type endpointState struct {
 	placed  catalog.ActiveEndpoint
 	service *catalog.Service
+	// news is that of the pool.
+	news *news
+	// coldRank is the position of this daemon among those of the region that share
+	// the rate of the endpoint while it is cold, from 0.
+	coldRank int
 
 	// assigned is true when this daemon has a share of the endpoint; peers is
 	// the number of daemons that have one.
@@ -80,8 +88,8 @@
 	prefillTokens float64
 	// cache models which large prefixes the endpoint holds.
 	cache cache
-	// coldSends holds the times of the most recent requests sent while the
-	// endpoint was cold or might have been, oldest first.
+	// coldSends holds the times of the most recent requests to an endpoint with a
+	// cold rate, oldest first.
 	coldSends []time.Time
 	// connectFailures and interruptions count consecutive connection failures
 	// and interrupted responses.
@@ -110,9 +118,9 @@
 	nextProbeAt     time.Time
 	// restartedColdUntil is set when the endpoint came back after a failure.
 	restartedColdUntil time.Time
-	// warmAfter is when the newest health check that found the endpoint warm
-	// during the evacuation of its data centre was sent; turnedColdUntil is the
-	// end of the cold time that such a check found.
+	// warmAfter is when the newest health check that found the endpoint warm while
+	// it might have turned cold was sent; turnedColdUntil is the end of the cold
+	// time that such a check found.
 	warmAfter       time.Time
 	turnedColdUntil time.Time
 }
@@ -163,7 +171,7 @@
 
 // cold reports whether the endpoint is cold at a time.
 func (s *endpointState) cold(now time.Time) bool {
-	if s.service == nil || s.service.ColdPerSecond <= 0 {
+	if !s.hasColdRate() {
 		return false
 	}
 	return now.Before(s.coldUntil()) || now.Before(s.restartedColdUntil) || now.Before(s.turnedColdUntil)
@@ -183,18 +191,6 @@
 	return s.placed.ColdAssumed && s.probedFor.Equal(s.placed.ColdUntil)
 }
 
-// allowsColdSend reports whether this daemon may send another request to a cold
-// endpoint now.
-func (s *endpointState) allowsColdSend(bounds Bounds, peers Membership, now time.Time) bool {
-	return s.countedSends(now) < s.coldShare(bounds, peers)
-}
-
-// coldShare returns how many requests per second this daemon may send to the
-// endpoint while it is cold.
-func (s *endpointState) coldShare(bounds Bounds, peers Membership) int {
-	return peers.coldShare(s.service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack)
-}
-
 // withinColdWindow drops the times that are older than the window of the cold
 // rate.
 func withinColdWindow(sends []time.Time, now time.Time) []time.Time {
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -41,6 +41,13 @@
 	g.pool.GrantAll(g.now())
 }
 
+// RecordNews records when the published state was read from the store.
+func (g *Gate) RecordNews(readAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.RecordNews(readAt, g.now())
+}
+
 // Try places a request that must not wait. Both results are nil when there is no
 // capacity now.
 func (g *Gate) Try(req balance.RequestInfo) (*balance.Permit, *balance.Refusal) {
@@ -115,7 +122,7 @@
 	return g.pool.DueProbes(g.now())
 }
 
-// DueConfirmations returns the endpoints of evacuated data centres that are to be
+// DueConfirmations returns the endpoints that may turn cold at any moment and are to be
 // checked now, and whether there may be others later without a new view.
 func (g *Gate) DueConfirmations() (due []balance.Probe, pending bool) {
 	g.mu.Lock()
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -21,6 +20,8 @@
 	states   map[types.EndpointID]*endpointState
 	services map[types.ServiceName][]*endpointState
 	queues   map[types.ServiceName]*queue
+	// news is how recent the view is.
+	news news
 	// withdrawals holds the endpoints that said they want no requests.
 	withdrawals withdrawals
 	// constraintsCache caches what was derived from the routes of the view.
@@ -120,7 +121,7 @@
 func (p *Pool) stateOf(placed catalog.ActiveEndpoint) *endpointState {
 	existing := p.states[placed.ID]
 	if existing == nil || existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
-		return &endpointState{placed: placed}
+		return &endpointState{placed: placed, news: &p.news}
 	}
 	existing.placed = placed
 	return existing
@@ -213,7 +214,7 @@
 		if ep.inFlight >= p.limitNow(req, ep, now) {
 			continue
 		}
-		if ep.limitedAsCold(now) && !(p.sendsWhileCold(ep) && ep.allowsColdSend(p.bounds, p.peers, now)) {
+		if ep.limitedAsCold(now) && ep.countedSends(now) >= p.coldShare(ep) {
 			continue
 		}
 		if !p.respondsInTime(req, ep, ep == home, now) {
@@ -227,48 +228,6 @@
 	return best
 }
 
-// coldShare returns how many requests per second this daemon may send to a cold
-// endpoint that all daemons together may send total requests per second. A few
-// daemons share the rate without communicating: those that see each other, and
-// those of the region that this daemon does not see now, which may be on the
-// other side of a partition and see only each other. A daemon that has just
-// started sends nothing, and one that has never seen another assumes that
-// others exist.
-func (s Membership) coldShare(total float64) int {
-	if s.Joining {
-		return 0
-	}
-	visible := s.visibleDaemons()
-	unseen := min(max(s.PeakLive-visible, 0), maxUnseenSenders)
-	if s.PeakLive > 1 && visible+unseen <= coldSenders {
-		return int(total / float64(visible+unseen))
-	}
-	return int(total * coldMargin / float64(coldSenders+unseen))
-}
-
-// visibleDaemons counts the daemons of the region that this one sees now, itself
-// included.
-func (s Membership) visibleDaemons() int {
-	if slices.Contains(s.Live, s.Self) {
-		return len(s.Live)
-	}
-	return len(s.Live) + 1
-}
-
-// sendsWhileCold reports whether this daemon is one of the few that send
-// requests to a cold endpoint: the first ones by rendezvous hashing, which all
-// daemons compute alike.
-func (p *Pool) sendsWhileCold(ep *endpointState) bool {
-	own := rendezvous.Weight(string(ep.placed.ID), p.peers.Self)
-	ahead := 0
-	for _, vm := range p.peers.Live {
-		if vm != p.peers.Self && rendezvous.Weight(string(ep.placed.ID), vm) > own {
-			ahead++
-		}
-	}
-	return ahead < coldSenders
-}
-
 // reserve counts the request as in flight at the endpoint and returns its
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
@@ -277,9 +236,7 @@
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
 	ep.pendingSince = append(ep.pendingSince, now)
-	if ep.limitedAsCold(now) {
-		ep.coldSends = append(ep.coldSends, now)
-	}
+	ep.recordSend(now)
 	if req.large() {
 		permit.PrefixMissing = !ep.cache.holds(req.Prefix)
 		ep.large++
--- a/pkg/gateway/balance/probe.go
+++ b/pkg/gateway/balance/probe.go
@@ -16,6 +16,9 @@
 	Path     string
 	// DueAt is when the check became due; it is sent later.
 	DueAt time.Time
+	// Confirms is true for an endpoint that may turn cold at any moment; otherwise
+	// the check replaces a cold time that was assumed.
+	Confirms bool
 }
 
 // DueProbes returns the endpoints to check now: those to which this daemon sends
@@ -40,7 +43,7 @@
 	case !now.Before(ep.placed.ColdUntil) || now.Before(ep.nextProbeAt) || p.closed(ep, now):
 		return false
 	}
-	return ep.assigned || ep.owned || p.sendsWhileCold(ep)
+	return ep.assigned || ep.owned || p.coldShare(ep) > 0
 }
 
 // probe returns a check that is due now, and delays the next one.
@@ -59,7 +62,7 @@
 		ep.placed.Address != probe.Endpoint.Address || !ep.placed.ColdUntil.Equal(probe.Endpoint.ColdUntil) {
 		return
 	}
-	if !probe.Endpoint.LastRequestAt.IsZero() {
+	if probe.Confirms {
 		ep.recordConfirmation(probe, coldUntil)
 		return
 	}
--- a/pkg/gateway/balance/share.go
+++ b/pkg/gateway/balance/share.go
@@ -26,6 +26,7 @@
 
 func (p *Pool) assignServiceEndpoints(states []*endpointState) {
 	for _, ep := range states {
+		ep.coldRank = p.peers.coldRank(ep.placed.ID)
 		owner, found := LargePromptOwner(ep.placed, p.peers.Serving)
 		ep.owned = !found || owner == p.peers.Self
 	}
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -78,11 +78,13 @@
 	crashes *crashes.Log
 	// broadcasts limits the evidence that is sent to all daemons at once.
 	broadcasts *rate.Limiter
-	// storeReadAt is when each daemon last read the store, as far as this one knows.
-	storeReadAt map[types.VMID]time.Time
-	lastReader  types.VMID
-	reading     bool
-	dirty       bool
+	// storeReads holds the last time that each daemon read the store, as far as this
+	// one knows; ownReads is the number of this daemon's last one.
+	storeReads map[types.VMID]storeRead
+	ownReads   uint64
+	lastReader types.VMID
+	reading    bool
+	dirty      bool
 	// viewOutdated is true when the view changes without a change of the state,
 	// because a data centre gets no more requests from now on.
 	viewOutdated bool
@@ -100,14 +102,16 @@
 		opts.WatchTimeout = DefaultWatchTimeout
 	}
 	c := &Control{
-		opts:        opts,
-		events:      make(chan func(time.Time), eventBuffer),
-		sendSlots:   make(chan struct{}, maxSends),
-		state:       catalog.NewState(),
-		table:       members.New(opts.Self, opts.Seeds),
-		crashes:     crashes.NewLog(),
-		broadcasts:  rate.NewLimiter(rate.Every(broadcastInterval), maxBroadcasts),
-		storeReadAt: make(map[types.VMID]time.Time),
+		opts:       opts,
+		events:     make(chan func(time.Time), eventBuffer),
+		sendSlots:  make(chan struct{}, maxSends),
+		state:      catalog.NewState(),
+		table:      members.New(opts.Self, opts.Seeds),
+		crashes:    crashes.NewLog(),
+		broadcasts: rate.NewLimiter(rate.Every(broadcastInterval), maxBroadcasts),
+		storeReads: make(map[types.VMID]storeRead),
+		// Numbers of reads go on growing after a restart.
+		ownReads: uint64(max(opts.Now().UnixMilli(), 0)),
 	}
 	c.state.SetEvacuationLimit(opts.EvacuationLimit)
 	c.publish(opts.Now())
@@ -215,7 +219,7 @@
 	c.state.SetEvacuationLimit(c.opts.EvacuationLimit)
 	c.table = c.table.EmptyCopy()
 	c.crashes = crashes.NewLog()
-	clear(c.storeReadAt)
+	clear(c.storeReads)
 	c.lastReader = ""
 	c.dirty = true
 }
@@ -249,6 +253,8 @@
 		Peak:    c.table.Peak(),
 		Joining: c.table.Joining(),
 
+		StoreReadAt: c.storeReads[c.lastReader].at,
+
 		Withheld:  c.crashes.Withheld(),
 		Suspected: c.crashes.Suspected(),
 	}
@@ -295,8 +301,8 @@
 		Joining:         c.table.Joining(),
 		Evacuations:     c.state.EvacuationAges(now),
 	}
-	if readAt, found := c.storeReadAt[c.lastReader]; found {
-		message.StoreReader, message.StoreReadAge = c.lastReader, now.Sub(readAt)
+	if _, found := c.storeReads[c.lastReader]; found {
+		c.addStoreRead(message, c.lastReader, now)
 	}
 	return message
 }
@@ -394,7 +400,7 @@
 		return
 	}
 	if message.StoreReader != "" {
-		c.recordStoreRead(message.StoreReader, now.Add(-message.StoreReadAge))
+		c.recordStoreRead(message.StoreReader, storeRead{at: now.Add(-message.StoreReadAge), number: message.StoreReadNumber})
 	}
 	if message.Relay && message.Delta != nil {
 		c.sendToDataCentre(*message.Delta, message.StoreReader, now)
@@ -413,21 +419,44 @@
 	}
 }
 
-// recordStoreRead records when a daemon last read the store.
-func (c *Control) recordStoreRead(origin types.VMID, readAt time.Time) {
-	if readAt.After(c.storeReadAt[origin]) {
-		c.storeReadAt[origin] = readAt
+// storeRead is one time that a daemon read the store.
+type storeRead struct {
+	at time.Time
+	// number grows with each read of the daemon; zero if the sender told none.
+	number uint64
+}
+
+// recordStoreRead records a time that a daemon read the store. The time of a known
+// read is not moved: each message that tells of it was on its way for a while, so
+// that its age is told too low, and lower each time that it is passed on.
+func (c *Control) recordStoreRead(origin types.VMID, read storeRead) {
+	known := c.storeReads[origin]
+	isNew := read.number == 0 || read.number > known.number
+	if isNew && read.at.After(known.at) {
+		c.storeReads[origin] = read
 	}
-	if c.lastReader == "" || c.storeReadAt[origin].After(c.storeReadAt[c.lastReader]) {
+	if c.lastReader == "" || c.storeReads[origin].at.After(c.storeReads[c.lastReader].at) {
 		c.lastReader = origin
 	}
 }
 
+// recordOwnRead records that this daemon has read the store.
+func (c *Control) recordOwnRead(now time.Time) {
+	c.ownReads++
+	c.recordStoreRead(c.table.Self().VM, storeRead{at: now, number: c.ownReads})
+}
+
+// addStoreRead adds the last time that a daemon read the store to a message.
+func (c *Control) addStoreRead(message *Message, origin types.VMID, now time.Time) {
+	read := c.storeReads[origin]
+	message.StoreReader, message.StoreReadAge, message.StoreReadNumber = origin, now.Sub(read.at), read.number
+}
+
 // storeAge returns how long ago daemons last read the store.
 func (c *Control) storeAge(now time.Time) members.StoreAge {
 	return members.StoreAge{
-		Newest:  now.Sub(c.storeReadAt[c.lastReader]),
-		Primary: now.Sub(c.storeReadAt[c.table.PrimaryReader(now)]),
+		Newest:  now.Sub(c.storeReads[c.lastReader].at),
+		Primary: now.Sub(c.storeReads[c.table.PrimaryReader(now)].at),
 		Wait:    c.opts.WatchTimeout,
 	}
 }
@@ -457,7 +486,7 @@
 	for _, member := range c.table.Live(now) {
 		if member.Region == self.Region && member.DataCentre == self.DataCentre {
 			message := c.statusMessage(now)
-			message.StoreReader, message.StoreReadAge = origin, now.Sub(c.storeReadAt[origin])
+			c.addStoreRead(message, origin, now)
 			message.Delta = &delta
 			c.send(member.VM, message)
 		}
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -299,6 +299,15 @@
 	return configVersions
 }
 
+// storeReads returns when the store was last read, as each daemon knows it.
+func (f *fleet) storeReads() []time.Time {
+	var reads []time.Time
+	for _, daemon := range f.daemons {
+		reads = append(reads, daemon.Load().StoreReadAt)
+	}
+	return reads
+}
+
 func configRecord(version uint64) catalog.Record {
 	return catalog.Record{Key: "op/config", Config: &catalog.Config{Version: version}}
 }
@@ -377,6 +386,26 @@
 		Consistently(func() int { return len(f.daemons[0].Load().View.Endpoints["s"]) }, 2*time.Second).Should(Equal(1))
 	})
 
+	It("tells every daemon when the store was last read, and that this is past while the store is down", func() {
+		store.put(configRecord(3))
+		f := newFleet(store, sharedStore, "a:1", "b:1", "c:1")
+		defer f.stop()
+		Eventually(f.versions, waitLimit).Should(Equal([]uint64{3, 3, 3}))
+		oldestRead := func() time.Time { return slices.MinFunc(f.storeReads(), time.Time.Compare) }
+		from := time.Now()
+		Eventually(oldestRead, waitLimit).Should(BeTemporally(">", from))
+		store.set(func() { store.down = true })
+		// The calls that were under way have ended by then.
+		Eventually(func() bool {
+			before := f.storeReads()
+			time.Sleep(time.Second)
+			return slices.EqualFunc(before, f.storeReads(), time.Time.Equal)
+		}, waitLimit).Should(BeTrue())
+		back := time.Now()
+		store.set(func() { store.down = false })
+		Eventually(oldestRead, waitLimit).Should(BeTemporally(">", back))
+	})
+
 	It("starts from its peers when the store is down", func() {
 		store.put(configRecord(3))
 		downStore := newFakeStore()
--- a/pkg/gateway/control/message.go
+++ b/pkg/gateway/control/message.go
@@ -21,6 +21,9 @@
 	// ago it did, as far as the sender knows; empty if no daemon has read it yet.
 	StoreReader  types.VMID    `json:"origin,omitempty"`
 	StoreReadAge time.Duration `json:"news_age,omitempty"`
+	// StoreReadNumber grows with each time that StoreReader reads the store; zero if
+	// it is not known.
+	StoreReadNumber uint64 `json:"news_number,omitempty"`
 	// Delta holds changes that the receiver may lack.
 	Delta *catalog.Delta `json:"delta,omitempty"`
 	// Relay asks the receiver to send Delta and Evidence to the daemons of its data
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -277,7 +277,7 @@
 
 // applyChanges applies and distributes the changes that a watch returned.
 func (c *Control) applyChanges(delta catalog.Delta, now time.Time) {
-	c.recordStoreRead(c.table.Self().VM, now)
+	c.recordOwnRead(now)
 	c.state.Apply(delta, now)
 	c.dirty = true
 	c.distribute(delta, now)
@@ -298,7 +298,7 @@
 
 // applyFullRead applies a full read of the store and distributes the changes.
 func (c *Control) applyFullRead(records []catalog.Record, base uint64, grace time.Duration, now time.Time) {
-	c.recordStoreRead(c.table.Self().VM, now)
+	c.recordOwnRead(now)
 	before := c.state.AppliedRevision()
 	c.state.Replace(records, base, grace, now)
 	c.dirty = true
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -22,6 +22,9 @@
 	// others yet.
 	Joining bool
 	View    *catalog.View
+	// StoreReadAt is when the store was last read, by whichever daemon, with nothing
+	// in the answer that this daemon lacks; zero if that is not known.
+	StoreReadAt time.Time
 	// Withheld holds the traits that no request to an endpoint may have.
 	Withheld map[crashes.Trait]crashes.Verdict
 	// Suspected holds the traits of which answers that got on are reported.
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -188,6 +188,7 @@
 // published passes a new snapshot to the gate and the retry budgets, whose limits
 // are divided among the daemons.
 func (e *Entry) published(snap *control.Snapshot) {
+	e.gate.RecordNews(snap.StoreReadAt)
 	e.gate.Update(snap.View, regionMembership(snap))
 	e.prober.Wake()
 	if size, known := fleetSize(e.opts.Settings, snap); known {
--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -1,6 +1,7 @@
 // Package health checks endpoints that may or may not be cold. Those of a data
 // centre that is being evacuated, or has just returned, may have become cold, and
-// what they have published does not tell; their health checks do. An endpoint that
+// so may all while there is no news of the store. What they have published does not
+// tell; their health checks do. An endpoint that
 // does not answer counts as cold.
 package health
 
@@ -23,7 +24,7 @@
 	// endpoint that becomes cold on its return has done so.
 	settleDelay = 100 * time.Millisecond
 	// confirmInterval is the time between two looks for endpoints to check while
-	// a data centre is being evacuated.
+	// some may turn cold at any moment.
 	confirmInterval = 50 * time.Millisecond
 	// checkTimeout bounds one check: a busy endpoint lets it wait for a slot.
 	checkTimeout = 500 * time.Millisecond
@@ -54,9 +55,9 @@
 // safe for concurrent use.
 type Pool interface {
 	DueProbes() []balance.Probe
-	// DueConfirmations returns the endpoints of data centres that are being
-	// evacuated that are to be checked now; pending is true if there may be others
-	// later without a new view.
+	// DueConfirmations returns the endpoints that may turn cold at any moment that
+	// are to be checked now; pending is true if there may be others before the pool
+	// is updated again.
 	DueConfirmations() (due []balance.Probe, pending bool)
 	// Takes reports whether an endpoint takes requests now, by what it said of itself.
 	Takes(endpoint *catalog.Endpoint) bool
@@ -123,15 +124,17 @@
 	}
 }
 
-// logResult logs what a check found; during an evacuation, only that an endpoint
-// is cold, since checks are frequent then.
-func (p *Prober) logResult(endpoint catalog.ActiveEndpoint, info Info) {
-	fields := logrus.Fields{"endpoint": endpoint.ID, "cold": info.Cold.String()}
+// logResult logs what a check found; of endpoints that may turn cold at any moment,
+// only that one is cold, since checks are frequent then.
+func (p *Prober) logResult(probe balance.Probe, info Info) {
+	fields := logrus.Fields{"endpoint": probe.Endpoint.ID, "cold": info.Cold.String()}
 	switch {
-	case endpoint.LastRequestAt.IsZero():
+	case !probe.Confirms:
 		p.log.WithFields(fields).Info("endpoint checked after an evacuation")
-	case info.Cold > 0:
+	case info.Cold > 0 && !probe.Endpoint.LastRequestAt.IsZero():
 		p.log.WithFields(fields).Info("endpoint turned cold during an evacuation")
+	case info.Cold > 0:
+		p.log.WithFields(fields).Info("endpoint turned cold without news of the store")
 	}
 }
 
@@ -167,5 +170,5 @@
 		coldUntil = p.now().Add(info.Cold)
 	}
 	p.pool.RecordProbe(probe, coldUntil)
-	p.logResult(endpoint, info)
+	p.logResult(probe, info)
 }
