Crashes: traits that nothing tells apart are withheld only together

Callers saw: after a planned restart of the daemons, sound requests were refused with 503 'quarantined' for ten minutes, because they share a part of their prompts with requests that crash endpoints.

Cause: evidence was a flat set of traits for each crash. When nothing told a sound part from the deadly one, each was withheld alone, and no answer could clear the sound one any more. The history of sound answers, which did tell them apart, ends with its process. Class: what belongs together is kept apart.

Ruled out: evidence lost on its way (both daemons knew all five crashes), a wrong clearance (no sound answer came between the crashes). Handing the history to a daemon that joins would not cover a part that was in no sound answer before, nor a start of all daemons at once.

Change: a crash tells which traits were in one request, also to other daemons. A request is refused if it has all the traits that nothing tells apart. A sound request with one of them is served, and its answer clears that one; two crashes of requests that have only one of them tell them apart too. Three crashes suffice if the traits were always in the same requests and none was in a sound answer; else five, as before. What is withheld together is tried together. The line about what is withheld names the others in 'together_with'. A spec of the crash watch now expects the traits by request, in place of one list.

--- a/pkg/gateway/control/evidence.go
+++ b/pkg/gateway/control/evidence.go
@@ -16,12 +16,12 @@
 	maxBroadcasts     = 4
 )
 
-// ReportCrash records that an endpoint crashed, and the suspects that this daemon
-// knows of.
-func (c *Control) ReportCrash(endpoint types.EndpointID, suspects crashes.Traits) {
+// ReportCrash records that an endpoint crashed, and the traits of each request of this
+// daemon that may have caused it.
+func (c *Control) ReportCrash(endpoint types.EndpointID, requests ...crashes.Traits) {
 	c.offer(func(now time.Time) {
-		c.opts.Log.WithFields(logrus.Fields{"endpoint": endpoint, "suspects": len(suspects)}).Warn("endpoint crashed")
-		report := crashes.Crash{Endpoint: endpoint, Suspects: suspects}
+		report := crashes.NewCrash(endpoint, requests...)
+		c.opts.Log.WithFields(logrus.Fields{"endpoint": endpoint, "suspects": len(report.Suspects)}).Warn("endpoint crashed")
 		if c.addEvidence(crashes.Evidence{Crashes: []crashes.Crash{report}}, now) {
 			c.broadcast(crashes.Evidence{Crashes: []crashes.Crash{report}}, now)
 		}
--- a/pkg/gateway/control/log.go
+++ b/pkg/gateway/control/log.go
@@ -26,9 +26,13 @@
 func logWithheld(log logrus.FieldLogger, before, after map[crashes.Trait]crashes.Verdict) {
 	for trait, verdict := range after {
 		if _, found := before[trait]; !found {
-			log.WithFields(logrus.Fields{
+			fields := logrus.Fields{
 				"withheld": trait.String(), "crashes": verdict.Crashes, "since": verdict.Since, "retry_at": verdict.RetryAt,
-			}).Warn("requests withheld: what they share crashed several endpoints")
+			}
+			if len(verdict.With) > 0 {
+				fields["together_with"] = verdict.With.Names()
+			}
+			log.WithFields(fields).Warn("requests withheld: what they share crashed several endpoints")
 		}
 	}
 	for trait := range before {
--- a/pkg/gateway/crashes/decide.go
+++ b/pkg/gateway/crashes/decide.go
@@ -33,8 +33,12 @@
 	// crashTTL is how long a crash counts.
 	crashTTL = 5 * time.Minute
 	// crashesToWithholdAll is the number from which several traits are withheld that
-	// nothing tells apart.
+	// nothing tells apart, unless they are always in the same requests and none was in
+	// a sound answer.
 	crashesToWithholdAll = 5
+	// crashesToSeparate is the number of further crashes, at different times, from which
+	// a trait that is withheld together with others is withheld without them.
+	crashesToSeparate = 2
 )
 
 // Decide withholds what explains the crashes. Sound reports whether an answer got on
@@ -49,13 +53,22 @@
 		}
 		l.suspected = nil
 		for _, candidate := range guilty {
-			l.withheld[candidate.trait] = withheld{since: now, lastCrash: candidate.last, crashes: candidate.crashes}
+			l.withhold(candidate, now)
 			decided = append(decided, candidate.trait)
 		}
 	}
 	return decided
 }
 
+// withhold withholds a trait, with no more conditions than before.
+func (l *Log) withhold(c candidate, now time.Time) {
+	with := c.with
+	if kept, found := l.withheld[c.trait]; found {
+		with = without(with, func(other Trait) bool { return !slices.Contains(kept.with, other) })
+	}
+	l.withheld[c.trait] = withheld{since: now, lastCrash: c.last, crashes: c.crashes, with: with}
+}
+
 // candidate is a trait that may explain crashes.
 type candidate struct {
 	trait     Trait
@@ -63,6 +76,10 @@
 	endpoints int
 	last      time.Time
 	sound     bool
+	// found holds the crashes.
+	found []*crash
+	// with holds the traits that nothing tells from it and that all its requests had.
+	with Traits
 }
 
 // guilty reports whether the crashes suffice to withhold the trait.
@@ -71,12 +88,15 @@
 }
 
 // mostSuspected returns the traits that explain most crashes that nothing withheld
-// explains; several if nothing tells them apart. A trait that was in sound answers
-// before comes after one that never was.
+// explains; several if nothing tells them apart: then requests are withheld that have
+// all of them. A trait that was in sound answers before comes after one that never was.
 func (l *Log) mostSuspected(sound func(Trait) bool, now time.Time) []candidate {
 	var guilty []candidate
 	for trait, found := range l.unexplained(now) {
 		c := count(trait, found)
+		if kept, tied := l.withheld[trait]; tied && c.crashes >= crashesToSeparate {
+			c.crashes += kept.crashes
+		}
 		c.sound = sound(trait)
 		if c.guilty() {
 			guilty = append(guilty, c)
@@ -90,10 +110,11 @@
 	if tied >= 0 {
 		guilty = guilty[:tied]
 	}
-	if len(guilty) > 1 && guilty[0].crashes < crashesToWithholdAll {
+	setCompanions(guilty)
+	if len(guilty) > 1 && guilty[0].crashes < crashesToWithholdAll && (guilty[0].sound || !alwaysTogether(guilty)) {
 		return nil
 	}
-	return guilty
+	return narrowest(guilty)
 }
 
 // unexplained returns the settled crashes that nothing withheld explains, by the
@@ -125,7 +146,7 @@
 // count counts the crashes of a trait, those at the same moment once.
 func count(trait Trait, found []*crash) candidate {
 	slices.SortFunc(found, func(a, b *crash) int { return a.at.Compare(b.at) })
-	c := candidate{trait: trait}
+	c := candidate{trait: trait, found: found}
 	endpoints := make(map[types.EndpointID]bool)
 	counted := time.Time{}
 	for _, crash := range found {
--- a/pkg/gateway/crashes/evidence.go
+++ b/pkg/gateway/crashes/evidence.go
@@ -1,7 +1,6 @@
 package crashes
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +15,9 @@
 	// Suspects are the traits of the requests that it ran and whose answers had not
 	// got on.
 	Suspects Traits `json:"suspects,omitempty"`
+	// Requests holds the numbers of suspects that were in one request each, in their
+	// order. Suspects beyond the sum are not told apart by request.
+	Requests []int `json:"requests,omitempty"`
 }
 
 // Clearance says that an answer got on to a request with the trait.
@@ -24,9 +26,13 @@
 	Age   time.Duration `json:"age"`
 }
 
-// Withheld is a trait that no request to an endpoint may have.
+// Withheld is a trait that no request to an endpoint may have, alone or together with
+// others.
 type Withheld struct {
 	Trait Trait `json:"trait"`
+	// With holds the traits that a request must have as well to be withheld: nothing
+	// has told them apart yet.
+	With Traits `json:"with,omitempty"`
 	// Age is how long ago the last crash was that is due to the trait.
 	Age time.Duration `json:"age"`
 	// Since is how long ago it was withheld, and Crashes how many crashes led to it.
@@ -65,7 +71,9 @@
 			break
 		}
 		if now.Sub(c.knownAt) < within && len(c.suspects) > 0 && !l.explained(c) && !l.widespread(c) {
-			evidence.Crashes = append(evidence.Crashes, Crash{Endpoint: c.endpoint, Age: now.Sub(c.at), Suspects: slices.Sorted(maps.Keys(c.suspects))})
+			report := c.report()
+			report.Age = now.Sub(c.at)
+			evidence.Crashes = append(evidence.Crashes, report)
 		}
 	}
 	for trait, known := range l.cleared {
@@ -74,7 +82,7 @@
 		}
 	}
 	for trait, kept := range l.withheld {
-		evidence.Withheld = append(evidence.Withheld, Withheld{Trait: trait, Age: now.Sub(kept.lastCrash), Since: now.Sub(kept.since), Crashes: kept.crashes})
+		evidence.Withheld = append(evidence.Withheld, Withheld{Trait: trait, With: kept.with, Age: now.Sub(kept.lastCrash), Since: now.Sub(kept.since), Crashes: kept.crashes})
 	}
 	return evidence
 }
--- a/pkg/gateway/crashes/fleet_test.go
+++ b/pkg/gateway/crashes/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,9 @@
 	contact = 5 * time.Second
 )
 
+// bound is the number of crashes after which the bound begins to hold.
+const bound = 5
+
 // fleetOptions describes a simulated fleet.
 type fleetOptions struct {
 	daemons, endpoints int
@@ -35,6 +39,17 @@
 	waves bool
 	// restarts lets daemons start again without evidence, one at a time.
 	restarts bool
+	// joinFirst lets a daemon that has started take no request before another one has
+	// told it what it knows.
+	joinFirst bool
+	// cuts lets daemons lose all messages for some seconds, one at a time.
+	cuts bool
+	// soundFrom is when sound requests begin to come; deadly ones come from the start.
+	soundFrom time.Duration
+	// companion adds a part to each deadly request. From companionFrom on sound requests
+	// have it too.
+	companion     bool
+	companionFrom time.Duration
 }
 
 // simRequest is a request that an endpoint runs.
@@ -63,21 +78,30 @@
 	history  []*crashes.History
 	running  [][]*simRequest
 	downTill []time.Time
+	cutTill  []time.Time
+	joinedAt []time.Time
 	messages []simMessage
 	own      crashes.Trait
 
 	deadlyCrashes  []time.Time
 	deadlyArrivals []time.Time
-	soundSent      int
+	sounds         []simSound
 	soundRefused   int
 }
 
+// simSound is a sound request, and whether it was refused.
+type simSound struct {
+	at      time.Time
+	refused bool
+}
+
 func newSimFleet(seed uint64, opts fleetOptions) *simFleet {
 	f := &simFleet{fleetOptions: opts, random: rand.New(rand.NewPCG(seed, 36)), now: start, own: 1 << 32}
 	for range opts.daemons {
 		f.logs, f.history = append(f.logs, crashes.NewLog()), append(f.history, crashes.NewHistory())
 	}
 	f.running, f.downTill = make([][]*simRequest, opts.endpoints), make([]time.Time, opts.endpoints)
+	f.cutTill, f.joinedAt = make([]time.Time, opts.daemons), make([]time.Time, opts.daemons)
 	return f
 }
 
@@ -99,6 +123,9 @@
 		if f.restarts && f.chance(0.2) {
 			f.restart(f.random.IntN(f.daemons))
 		}
+		if f.cuts && f.chance(0.1) {
+			f.cutTill[f.random.IntN(f.daemons)] = f.now.Add(time.Second + time.Duration(f.random.Int64N(int64(6*time.Second))))
+		}
 		for endpoint := range f.running {
 			f.progress(endpoint)
 		}
@@ -110,6 +137,9 @@
 // send sends a request by way of a random daemon, unless that withholds it.
 func (f *simFleet) send() {
 	daemon := f.random.IntN(f.daemons)
+	if f.joinFirst && f.now.Before(f.joinedAt[daemon]) {
+		return
+	}
 	f.own++
 	request := &simRequest{daemon: daemon, deadly: f.random.Float64() < f.deadlyShare}
 	request.firstAt = f.now.Add(50*time.Millisecond + time.Duration(f.random.Int64N(int64(300*time.Millisecond))))
@@ -119,24 +149,63 @@
 		thing = deadly
 	}
 	request.traits = crashes.Traits{f.own, first, thing}
-	withheld := f.logs[daemon].Withheld()
-	refused := slices.ContainsFunc(request.traits, func(trait crashes.Trait) bool { _, found := withheld[trait]; return found })
+	if f.companion && (request.deadly || f.elapsed() >= f.companionFrom && f.random.IntN(4) == 0) {
+		request.traits = append(request.traits, rare)
+	}
+	if !request.deadly && f.elapsed() < f.soundFrom {
+		return
+	}
+	refused := withholds(f.logs[daemon], request.traits...)
 	if !request.deadly {
-		f.soundSent++
-		if refused {
-			f.soundRefused++
-		}
+		f.countSound(refused)
 	}
 	endpoint := f.random.IntN(f.endpoints)
 	if refused || f.now.Before(f.downTill[endpoint]) {
 		return
 	}
-	if request.deadly {
+	if request.deadly && f.inTouch(daemon) {
 		f.deadlyArrivals = append(f.deadlyArrivals, f.now)
 	}
 	f.running[endpoint] = append(f.running[endpoint], request)
 }
 
+// elapsed is the time since the start.
+func (f *simFleet) elapsed() time.Duration {
+	return f.now.Sub(start)
+}
+
+// inTouch reports whether the daemon has not been cut off within the time of contact.
+func (f *simFleet) inTouch(daemon int) bool {
+	return f.now.Sub(f.cutTill[daemon]) >= contact
+}
+
+// countSound counts a sound request.
+func (f *simFleet) countSound(refused bool) {
+	f.sounds = append(f.sounds, simSound{at: f.now, refused: refused})
+	if refused {
+		f.soundRefused++
+	}
+}
+
+// lateSounds counts the sound requests from twice the time of contact after the fifth
+// crash on, or the last if there were fewer, and those of them that were refused.
+func (f *simFleet) lateSounds() (sent, refused int) {
+	if len(f.deadlyCrashes) == 0 {
+		return 0, 0
+	}
+	from := f.deadlyCrashes[min(len(f.deadlyCrashes), bound)-1].Add(2 * contact)
+	for _, request := range f.sounds {
+		if request.at.Before(from) {
+			continue
+		}
+		sent++
+		if request.refused {
+			refused++
+		}
+	}
+	return sent, refused
+}
+
 // progress lets the requests of an endpoint go on.
 func (f *simFleet) progress(endpoint int) {
 	for _, request := range f.running[endpoint] {
@@ -169,10 +238,10 @@
 
 // crash ends an endpoint. Each daemon with requests there reports its suspects.
 func (f *simFleet) crash(endpoint int) {
-	suspects := make(map[int]crashes.Traits)
+	suspects := make(map[int][]crashes.Traits)
 	for _, request := range f.running[endpoint] {
 		if !request.reported {
-			suspects[request.daemon] = append(suspects[request.daemon], request.traits...)
+			suspects[request.daemon] = append(suspects[request.daemon], request.traits)
 		}
 	}
 	f.running[endpoint], f.downTill[endpoint] = nil, f.now.Add(simDown)
@@ -180,7 +249,7 @@
 		if len(suspects[daemon]) == 0 {
 			continue
 		}
-		report := crashes.Crash{Endpoint: types.EndpointID(fmt.Sprint("e", endpoint)), Suspects: suspects[daemon]}
+		report := crashes.NewCrash(types.EndpointID(fmt.Sprint("e", endpoint)), suspects[daemon]...)
 		f.logs[daemon].AddCrash(report, f.now)
 		f.broadcast(daemon, crashes.Evidence{Crashes: []crashes.Crash{report}})
 	}
@@ -198,7 +267,8 @@
 func (f *simFleet) restart(daemon int) {
 	f.logs[daemon], f.history[daemon] = crashes.NewLog(), crashes.NewHistory()
 	if f.daemons > 1 {
-		f.messages = append(f.messages, simMessage{at: f.now.Add(200 * time.Millisecond), to: daemon, evidence: f.logs[(daemon+1)%f.daemons].All(f.now)})
+		f.joinedAt[daemon] = f.now.Add(200 * time.Millisecond)
+		f.messages = append(f.messages, simMessage{at: f.joinedAt[daemon], to: daemon, evidence: f.logs[(daemon+1)%f.daemons].All(f.now)})
 	}
 }
 
@@ -209,12 +279,16 @@
 	}
 	for to := range f.daemons {
 		if to != from {
-			f.post(to, evidence)
+			f.post(from, to, evidence)
 		}
 	}
 }
 
-func (f *simFleet) post(to int, evidence crashes.Evidence) {
+// post sends evidence to a daemon; it is lost if one of the two is cut off.
+func (f *simFleet) post(from, to int, evidence crashes.Evidence) {
+	if f.now.Before(f.cutTill[from]) || f.now.Before(f.cutTill[to]) {
+		return
+	}
 	delay := time.Millisecond + time.Duration(f.random.Int64N(int64(120*time.Millisecond)))
 	f.messages = append(f.messages, simMessage{at: f.now.Add(delay), to: to, evidence: evidence})
 }
@@ -238,14 +312,13 @@
 			log.Decide(f.history[daemon].Contains, f.now)
 		}
 		if f.daemons > 1 && f.chance(1/simHeartbeat.Seconds()) {
-			f.post((daemon+1+f.random.IntN(f.daemons-1))%f.daemons, log.News(f.now))
+			f.post(daemon, (daemon+1+f.random.IntN(f.daemons-1))%f.daemons, log.News(f.now))
 		}
 	}
 }
 
 // late counts the deadly requests that arrived beyond the bound.
 func (f *simFleet) late() int {
-	const bound = 5
 	if len(f.deadlyCrashes) < bound {
 		return 0
 	}
@@ -278,6 +351,45 @@
 		Entry("95 daemons", fleetOptions{daemons: 95, endpoints: 44, perSecond: 50, deadlyShare: 0.05, things: 175}, 10),
 	)
 
+	DescribeTable("keep serving sound requests that share parts with the deadly ones, before any sound answer told them apart",
+		func(deadlyPerSecond float64, length time.Duration, opts fleetOptions) {
+			opts.daemons, opts.endpoints, opts.perSecond, opts.things = 8, 12, 20+deadlyPerSecond, 175
+			opts.deadlyShare = deadlyPerSecond / opts.perSecond
+			for seed := range uint64(6) {
+				fleet := newSimFleet(seed, opts)
+				fleet.run(length)
+				sent, refused := fleet.lateSounds()
+				note := fmt.Sprintf("seed %d: %d crashes, %d of %d sound requests refused late", seed, len(fleet.deadlyCrashes), refused, sent)
+				Expect(len(fleet.deadlyCrashes)).To(BeNumerically(">=", 3), note)
+				Expect(fleet.late()).To(BeNumerically("<=", 3), note)
+				Expect(sent).To(BeNumerically(">=", 20), note)
+				Expect(refused*50).To(BeNumerically("<=", sent), note)
+			}
+		},
+		Entry("one deadly request in five seconds", 0.2, 2*time.Minute, fleetOptions{soundFrom: 40 * time.Second}),
+		Entry("two in a second", 2.0, time.Minute, fleetOptions{soundFrom: 12 * time.Second}),
+		Entry("ten in a second", 10.0, time.Minute, fleetOptions{soundFrom: 12 * time.Second}),
+		Entry("two in a second, a part that always goes with the deadly one and comes alone later", 2.0, time.Minute,
+			fleetOptions{companion: true, companionFrom: 20 * time.Second}),
+		Entry("ten in a second, such a part and sound requests that come later", 10.0, time.Minute,
+			fleetOptions{companion: true, companionFrom: 20 * time.Second, soundFrom: 12 * time.Second}),
+		Entry("two in a second, such a part and sound requests that come later, restarts and cuts", 2.0, time.Minute,
+			fleetOptions{companion: true, companionFrom: 20 * time.Second, soundFrom: 12 * time.Second, restarts: true, cuts: true}),
+	)
+
+	It("keep both rules under disruptions, rates and joint parts drawn at random", func() {
+		const seeds, length = 40, 90 * time.Second
+		for seed := range uint64(seeds) {
+			opts := randomOptions(rand.New(rand.NewPCG(seed, 43)))
+			fleet := newSimFleet(seed, opts)
+			fleet.run(length)
+			sent, refused := fleet.lateSounds()
+			note := fmt.Sprintf("seed %d: %d crashes, %d of %d sound requests refused late, %+v", seed, len(fleet.deadlyCrashes), refused, sent, opts)
+			Expect(fleet.late()).To(BeNumerically("<=", 3), note)
+			Expect(refused*50).To(BeNumerically("<=", sent), note)
+		}
+	})
+
 	It("withhold nothing in waves of crashes that no request caused", func() {
 		for seed := range uint64(6) {
 			fleet := newSimFleet(seed, fleetOptions{daemons: 8, endpoints: 12, perSecond: 60, things: 175, waves: true, restarts: true})
@@ -286,3 +398,17 @@
 		}
 	})
 })
+
+// randomOptions draws the disruptions and the traffic of a fleet.
+func randomOptions(random *rand.Rand) fleetOptions {
+	const slowest, fastest = 0.2, 10.0
+	deadlyPerSecond := slowest * math.Pow(fastest/slowest, random.Float64())
+	opts := fleetOptions{
+		daemons: 2 + random.IntN(10), endpoints: 6 + random.IntN(12), perSecond: deadlyPerSecond + 5 + 30*random.Float64(), things: 175,
+		restarts: random.IntN(2) == 0, joinFirst: true, cuts: random.IntN(2) == 0, companion: random.IntN(2) == 0,
+		soundFrom:     time.Duration(random.Int64N(int64(30 * time.Second))),
+		companionFrom: time.Duration(random.Int64N(int64(60 * time.Second))),
+	}
+	opts.deadlyShare = deadlyPerSecond / opts.perSecond
+	return opts
+}
--- a/pkg/gateway/crashes/log.go
+++ b/pkg/gateway/crashes/log.go
@@ -32,6 +32,8 @@
 	at       time.Time
 	knownAt  time.Time
 	suspects map[Trait]bool
+	// requests holds the traits of each request, as far as reports tell them apart.
+	requests []map[Trait]bool
 }
 
 // clearance is a Clearance with times.
@@ -46,6 +48,8 @@
 type withheld struct {
 	since, lastCrash time.Time
 	crashes          int
+	// with is never changed, since snapshots hold it.
+	with Traits
 }
 
 // Log holds the evidence that a daemon knows. It is not safe for concurrent use.
@@ -82,6 +86,9 @@
 	if at.Before(known.at) {
 		known.at = at
 	}
+	for _, request := range report.requests() {
+		known.addRequest(request)
+	}
 	for _, trait := range report.Suspects {
 		if known.suspects[trait] || !known.at.After(l.cleared[trait].at) {
 			continue
@@ -92,7 +99,7 @@
 		}
 		known.suspects[trait] = true
 		isNew = true
-		if kept, found := l.withheld[trait]; found && known.at.After(kept.lastCrash) {
+		if kept, found := l.withheld[trait]; found && known.at.After(kept.lastCrash) && known.suspectsTogether(trait, kept.with) {
 			kept.lastCrash = known.at
 			l.withheld[trait] = kept
 		}
@@ -134,8 +141,8 @@
 
 // explained reports whether something that is withheld was in the crash.
 func (l *Log) explained(c *crash) bool {
-	for trait := range l.withheld {
-		if c.suspects[trait] {
+	for trait, kept := range l.withheld {
+		if c.suspectsTogether(trait, kept.with) {
 			return true
 		}
 	}
@@ -153,11 +160,7 @@
 	if !at.After(known.at) {
 		return false
 	}
-	changed := false
-	if kept, found := l.withheld[trait]; found && at.After(kept.lastCrash) {
-		delete(l.withheld, trait)
-		changed = true
-	}
+	changed := l.clearWithheld(trait, at)
 	for _, c := range l.crashes {
 		if c.suspects[trait] && !c.at.After(at) {
 			delete(c.suspects, trait)
@@ -176,6 +179,30 @@
 	return changed
 }
 
+// clearWithheld ends what is withheld for a trait that was in a sound answer after the
+// last crash, and what is withheld only together with it is withheld alone.
+func (l *Log) clearWithheld(cleared Trait, at time.Time) bool {
+	changed := false
+	for trait, kept := range l.withheld {
+		switch {
+		case !at.After(kept.lastCrash):
+		case trait == cleared:
+			delete(l.withheld, trait)
+			changed = true
+		case slices.Contains(kept.with, cleared):
+			kept.with = without(kept.with, func(other Trait) bool { return other == cleared })
+			l.withheld[trait] = kept
+			changed = true
+		}
+	}
+	return changed
+}
+
+// without returns a copy of the traits without some.
+func without(traits Traits, drop func(Trait) bool) Traits {
+	return slices.DeleteFunc(slices.Clone(traits), drop)
+}
+
 func (l *Log) dropOldestClearance() {
 	var oldest Trait
 	oldestAt := time.Time{}
@@ -212,12 +239,21 @@
 	if !found && len(l.withheld) >= maxWithheld {
 		return false
 	}
-	if !found || lastCrash.After(kept.lastCrash.Add(sameCrash)) {
+	with := without(told.With, func(other Trait) bool { return l.cleared[other].at.After(lastCrash) })
+	if found {
+		// Traits are told apart one after the other, and never tied again.
+		with = without(kept.with, func(other Trait) bool { return !slices.Contains(with, other) })
+	}
+	narrowed := len(with) < len(kept.with)
+	if !found || narrowed || lastCrash.After(kept.lastCrash.Add(sameCrash)) {
 		l.suspected = nil
-		l.withheld[told.Trait] = withheld{since: since, lastCrash: lastCrash, crashes: max(told.Crashes, kept.crashes)}
-		return !found
+		next := withheld{since: since, lastCrash: lastCrash, crashes: max(told.Crashes, kept.crashes), with: with}
+		if found && !lastCrash.After(kept.lastCrash.Add(sameCrash)) {
+			next.since, next.lastCrash = kept.since, kept.lastCrash
+		}
+		l.withheld[told.Trait] = next
 	}
-	return false
+	return !found || narrowed
 }
 
 // Expire drops what no longer counts.
@@ -246,8 +282,11 @@
 			l.suspected[trait] = true
 		}
 	}
-	for trait := range l.withheld {
+	for trait, kept := range l.withheld {
 		l.suspected[trait] = true
+		for _, other := range kept.with {
+			l.suspected[other] = true
+		}
 	}
 	return l.suspected
 }
@@ -259,17 +298,27 @@
 	Crashes int
 	// RetryAt is when one request may try it.
 	RetryAt time.Time
+	// With holds the traits that a request must have as well to be withheld.
+	With Traits
 }
 
-// Withheld returns the traits that no request to an endpoint may have; nil if there
-// is none.
+// Applies reports whether the verdict on one of these traits of a request withholds
+// the request.
+func (v Verdict) Applies(request Traits) bool {
+	return !slices.ContainsFunc(v.With, func(other Trait) bool { return !slices.Contains(request, other) })
+}
+
+// Withheld returns the traits that no request to an endpoint may have, alone or
+// together with others; nil if there is none.
 func (l *Log) Withheld() map[Trait]Verdict {
 	if len(l.withheld) == 0 {
 		return nil
 	}
 	verdicts := make(map[Trait]Verdict, len(l.withheld))
 	for trait, kept := range l.withheld {
-		verdicts[trait] = Verdict{Since: kept.since, Crashes: kept.crashes, RetryAt: kept.lastCrash.Add(withholdTime)}
+		verdicts[trait] = Verdict{
+			Since: kept.since, Crashes: kept.crashes, RetryAt: kept.lastCrash.Add(withholdTime), With: kept.with,
+		}
 	}
 	return verdicts
 }
--- a/pkg/gateway/crashes/trait.go
+++ b/pkg/gateway/crashes/trait.go
@@ -17,6 +17,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -74,6 +75,15 @@
 	_ json.Unmarshaler         = (*Traits)(nil)
 )
 
+// Names returns the traits as they are logged.
+func (t Traits) Names() string {
+	names := make([]string, 0, len(t))
+	for _, trait := range t {
+		names = append(names, trait.String())
+	}
+	return strings.Join(names, " ")
+}
+
 // MarshalJSON implements json.Marshaler.
 func (t Traits) MarshalJSON() ([]byte, error) {
 	packed := make([]byte, 0, traitBytes*len(t))
--- a/pkg/gateway/crashwatch/crashwatch.go
+++ b/pkg/gateway/crashwatch/crashwatch.go
@@ -33,8 +33,8 @@
 	aliveTime = 500 * time.Millisecond
 )
 
-// Report is called with the suspects of a crash.
-type Report func(endpoint types.EndpointID, suspects crashes.Traits)
+// Report is called with the traits of each request that may have caused a crash.
+type Report func(endpoint types.EndpointID, requests ...crashes.Traits)
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -47,8 +47,9 @@
 	checks *prometheus.CounterVec
 
 	mu sync.Mutex
-	// suspects holds the suspects of the endpoints that are being checked.
-	suspects map[types.EndpointID]crashes.Traits
+	// suspects holds the traits of the requests that endpoints broke off which are being
+	// checked.
+	suspects map[types.EndpointID][]crashes.Traits
 	// aliveAt is when endpoints last accepted the connection of a check.
 	aliveAt map[types.EndpointID]time.Time
 	running sync.WaitGroup
@@ -62,7 +63,7 @@
 			Name: "flamingomount_gateway_endpoint_crash_checks_total",
 			Help: "Checks whether an endpoint that broke off an answer has crashed, by result.",
 		}, []string{"result"}),
-		suspects: make(map[types.EndpointID]crashes.Traits),
+		suspects: make(map[types.EndpointID][]crashes.Traits),
 		aliveAt:  make(map[types.EndpointID]time.Time),
 	}
 	registry.MustRegister(w.checks)
@@ -75,13 +76,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if _, checking := w.suspects[endpoint]; checking {
-		w.suspects[endpoint] = append(w.suspects[endpoint], traits...)
+		w.suspects[endpoint] = append(w.suspects[endpoint], slices.Clone(traits))
 		return
 	}
 	if w.now().Sub(w.aliveAt[endpoint]) < aliveTime {
 		return
 	}
-	w.suspects[endpoint] = slices.Clone(traits)
+	w.suspects[endpoint] = []crashes.Traits{slices.Clone(traits)}
 	w.running.Add(1)
 	time.AfterFunc(checkDelay, func() {
 		defer w.running.Done()
@@ -105,7 +106,7 @@
 		return
 	}
 	w.checks.WithLabelValues("crashed").Inc()
-	w.report(endpoint, suspects)
+	w.report(endpoint, suspects...)
 }
 
 // forgetAlive drops endpoints that may be checked again.
--- a/pkg/gateway/crashwatch/crashwatch_test.go
+++ b/pkg/gateway/crashwatch/crashwatch_test.go
@@ -24,7 +24,7 @@
 var _ = Describe("The crash watch", func() {
 	var (
 		mu       sync.Mutex
-		reported map[types.EndpointID][]crashes.Traits
+		reported map[types.EndpointID][][]crashes.Traits
 		dials    int
 		watcher  *crashwatch.Watcher
 	)
@@ -35,14 +35,14 @@
 			dials++
 			mu.Unlock()
 			return dial(ctx, network, address)
-		}, func(endpoint types.EndpointID, suspects crashes.Traits) {
+		}, func(endpoint types.EndpointID, requests ...crashes.Traits) {
 			mu.Lock()
 			defer mu.Unlock()
-			reported[endpoint] = append(reported[endpoint], suspects)
+			reported[endpoint] = append(reported[endpoint], requests)
 		}, time.Now, prometheus.NewRegistry())
 	}
 	BeforeEach(func() {
-		reported, dials = make(map[types.EndpointID][]crashes.Traits), 0
+		reported, dials = make(map[types.EndpointID][][]crashes.Traits), 0
 		useDialer((&net.Dialer{}).DialContext)
 	})
 	// listen returns an address at which something listens until the spec ends.
@@ -53,14 +53,14 @@
 		return listener
 	}
 
-	It("reports an endpoint that accepts no connection once, with all suspects", func() {
+	It("reports an endpoint that accepts no connection once, with the suspects of each request", func() {
 		listener := listen()
 		Expect(listener.Close()).To(Succeed())
 		for trait := range crashes.Trait(3) {
 			watcher.Broken("e1", listener.Addr().String(), crashes.Traits{trait})
 		}
 		watcher.Wait()
-		Expect(reported).To(HaveKeyWithValue(types.EndpointID("e1"), []crashes.Traits{{0, 1, 2}}))
+		Expect(reported).To(HaveKeyWithValue(types.EndpointID("e1"), [][]crashes.Traits{{{0}, {1}, {2}}}))
 		Expect(dials).To(Equal(1))
 	})
 
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -401,6 +401,17 @@
 	w.published.Store(&snap)
 }
 
+// withholdTogether makes two traits withheld until a time, each only with the other.
+func (w *testProxy) withholdTogether(retryAt time.Time, a, b crashes.Trait) {
+	w.withhold(retryAt, a, b)
+	verdicts := w.snapshot().Withheld
+	for trait, other := range map[crashes.Trait]crashes.Trait{a: b, b: a} {
+		verdict := verdicts[trait]
+		verdict.With = crashes.Traits{other}
+		verdicts[trait] = verdict
+	}
+}
+
 // snapshot returns the newest snapshot.
 func (w *testProxy) snapshot() *control.Snapshot {
 	if published := w.published.Load(); published != nil {
--- a/pkg/gateway/proxy/withheld.go
+++ b/pkg/gateway/proxy/withheld.go
@@ -21,8 +21,9 @@
 	return r.traits
 }
 
-// withheld returns a trait of the request that is withheld from all endpoints, and
-// false if there is none.
+// withheld returns a trait of the request that is withheld from all endpoints, alone or
+// together with others of the request, and false if there is none. What is withheld only
+// together with the trait on trial is on trial with it.
 func (r *run) withheld() (crashes.Trait, bool) {
 	verdicts := r.h.opts.Snapshot().Withheld
 	if len(verdicts) == 0 {
@@ -30,8 +31,8 @@
 	}
 	traits := r.knownTraits()
 	index := slices.IndexFunc(traits, func(trait crashes.Trait) bool {
-		_, found := verdicts[trait]
-		return found && trait != r.trial
+		verdict, found := verdicts[trait]
+		return found && trait != r.trial && !slices.Contains(verdict.With, r.trial) && verdict.Applies(traits)
 	})
 	if index < 0 {
 		return 0, false
@@ -69,7 +70,7 @@
 
 // beginTrial lets the request try a withheld trait if its time has come, if this
 // daemon is the one that may try it, and if no other request does so now. Only one
-// attempt is made, and no other trait may be withheld.
+// attempt is made, and no other trait may be withheld without this one.
 func (r *run) beginTrial(trait crashes.Trait) bool {
 	if r.trial != 0 || r.sent > 0 || r.req.ForwardedBy != "" || !r.h.opts.Snapshot().MayTry(trait, r.h.opts.Now()) {
 		return false
--- a/pkg/gateway/proxy/withheld_test.go
+++ b/pkg/gateway/proxy/withheld_test.go
@@ -51,6 +51,16 @@
 		Expect(e.count()).To(BeZero())
 	})
 
+	It("is served if the part is withheld only together with one that it lacks", func() {
+		w, e := newTestProxy(catalog.Idempotent), newEndpoint(respondOK)
+		w.start(e)
+		w.withholdTogether(inAnHour(), deadlyPart, crashes.PartTrait(service, "system"))
+		Expect(w.call("POST", "/r/", "x", headerParts, "system,deadly,tool").status).To(Equal(503))
+		Expect(w.call("POST", "/r/", "x", headerParts, "system,other,tool").status).To(Equal(200))
+		Expect(w.call("POST", "/r/", "x", headerParts, "deadly,tool").status).To(Equal(200))
+		Expect(e.count()).To(Equal(2))
+	})
+
 	It("reaches none if it waited for capacity meanwhile", func() {
 		w, e := newTestProxy(catalog.Idempotent), newEndpoint(respondOK)
 		w.route.Objective = 10 * time.Second
@@ -127,6 +137,13 @@
 		Expect(w.call("POST", "/r/", "x", headerParts, "deadly").status).To(Equal(200))
 	})
 
+	It("tries parts together that are withheld only together", func() {
+		w, e := newTestProxy(catalog.Idempotent), newEndpoint(respondOK)
+		w.start(e)
+		w.withholdTogether(time.Now().Add(-time.Second), deadlyPart, crashes.PartTrait(service, "system"))
+		Expect(w.call("POST", "/r/", "x", headerParts, "system,deadly,tool").status).To(Equal(200))
+	})
+
 	It("is left to one daemon of the fleet", func() {
 		e := newEndpoint(respondOK)
 		served := 0
