Crashes: what is known of a deadly part holds when its route moves

Callers saw: after an operator moved a route to another service, a part of prompts that was withheld crashed the endpoints of that service: more requests with it arrived than three, and the crashes cut sound answers.

Cause: a trait was about the requests to one service. After the move the same part was another trait, without evidence. Class: identity taken too narrowly, as in docs/incidents/deadly-part-of-a-prompt.md.

Ruled out: evidence lost by the change of the configuration (both daemons still withheld the trait of the first service), crashes that were not seen (each was).

Change: a request has each trait for all services and for its own. Where nothing else tells the two apart, the one for all services is withheld. If another service answers the part, that one is cleared, and the part is withheld from the service that crashes alone, by the crashes that are known. The values of traits differ from those of earlier versions: while a release is under way, old and new daemons learn separately.

'reaches no endpoint of the service to which its route moves' failed before (200).

--- a/pkg/gateway/crashes/crashes_test.go
+++ b/pkg/gateway/crashes/crashes_test.go
@@ -502,6 +502,60 @@
 	})
 })
 
+// toService returns the traits of a request to a service.
+func toService(service types.ServiceName, parts ...string) crashes.Traits {
+	var traits crashes.Traits
+	for _, part := range parts {
+		traits = append(traits, crashes.PartTrait(crashes.AllServices, part), crashes.PartTrait(service, part))
+	}
+	return traits
+}
+
+var _ = Describe("A deadly part of requests to several services", func() {
+	var s *script
+	BeforeEach(func() { s = newScript() })
+	crashThreeTimes := func() {
+		for _, endpoint := range []types.EndpointID{"e1", "e2", "e3"} {
+			s.crashOf(endpoint, toService("a", "first", "deadly", string(endpoint)))
+			for _, trait := range toService("a", "first") {
+				s.Clear(trait, s.now)
+			}
+		}
+	}
+
+	It("is withheld from the service to which its route moves", func() {
+		crashThreeTimes()
+		Expect(s.decide()).To(ConsistOf(crashes.PartTrait(crashes.AllServices, "deadly")))
+		Expect(withholds(s.Log, toService("b", "first", "deadly")...)).To(BeTrue())
+		Expect(withholds(s.Log, toService("b", "first", "sound")...)).To(BeFalse())
+	})
+
+	It("is withheld if it crashed endpoints of each service less often", func() {
+		for i, service := range []types.ServiceName{"a", "a", "b"} {
+			s.crashOf(types.EndpointID(fmt.Sprint("e", i)), toService(service, "deadly", fmt.Sprint("own", i)))
+		}
+		s.decide()
+		Expect(withholds(s.Log, toService("c", "deadly")...)).To(BeTrue())
+	})
+
+	It("is withheld from the one service that it crashes if another one answers it", func() {
+		crashThreeTimes()
+		s.decide()
+		for _, trait := range toService("b", "deadly") {
+			s.Clear(trait, s.now)
+		}
+		s.decide()
+		Expect(withholds(s.Log, toService("a", "first", "deadly")...)).To(BeTrue())
+		Expect(withholds(s.Log, toService("b", "first", "deadly")...)).To(BeFalse())
+	})
+
+	It("is withheld from that service alone if the other one answered it before", func() {
+		crashThreeTimes()
+		shared := crashes.PartTrait(crashes.AllServices, "deadly")
+		Expect(s.Decide(func(trait crashes.Trait) bool { return trait == shared }, s.now)).To(ConsistOf(crashes.PartTrait("a", "deadly")))
+	})
+})
+
 var _ = Describe("Traits", func() {
 	It("tell services, contents and parts apart", func() {
 		found := map[crashes.Trait]bool{
@@ -511,6 +565,14 @@
 		}
 		Expect(found).To(HaveLen(7))
 	})
+
+	It("are told apart from those of all services", func() {
+		found := map[crashes.Trait]bool{
+			crashes.PartTrait("a", "x"): true, crashes.PartTrait(crashes.AllServices, "x"): true,
+			crashes.ContentTrait("a", "GET", "/p/", "", nil): true, crashes.ContentTrait(crashes.AllServices, "GET", "/p/", "", nil): true,
+		}
+		Expect(found).To(HaveLen(4))
+	})
 })
 
 var _ = Describe("The history of sound answers", func() {
--- a/pkg/gateway/crashes/decide.go
+++ b/pkg/gateway/crashes/decide.go
@@ -89,7 +89,8 @@
 
 // mostSuspected returns the traits that explain most crashes that nothing withheld
 // explains; several if nothing tells them apart: then requests are withheld that have
-// all of them. A trait that was in sound answers before comes after one that never was.
+// all of them. A trait that was in sound answers before comes after one that never was,
+// and the traits of a service come after those of all: a route may move.
 func (l *Log) mostSuspected(sound func(Trait) bool, now time.Time) []candidate {
 	var guilty []candidate
 	for trait, found := range l.unexplained(now) {
@@ -103,7 +104,7 @@
 		}
 	}
 	rank := func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), compareBool(a.sound, b.sound))
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), compareBool(a.sound, b.sound), cmp.Compare(a.trait&ofService, b.trait&ofService))
 	}
 	slices.SortFunc(guilty, func(a, b candidate) int { return cmp.Or(rank(a, b), cmp.Compare(a.trait, b.trait)) })
 	tied := slices.IndexFunc(guilty, func(c candidate) bool { return rank(guilty[0], c) != 0 })
--- a/pkg/gateway/crashes/fleet_test.go
+++ b/pkg/gateway/crashes/fleet_test.go
@@ -25,6 +25,9 @@
 	contact = 5 * time.Second
 )
 
+// simServices is the number of services between which a route may move.
+const simServices = 2
+
 // bound is the number of crashes after which the bound begins to hold.
 const bound = 5
 
@@ -44,6 +47,8 @@
 	joinFirst bool
 	// cuts lets daemons lose all messages for some seconds, one at a time.
 	cuts bool
+	// moves moves the route between two services, with endpoints of their own.
+	moves bool
 	// soundFrom is when sound requests begin to come; deadly ones come from the start.
 	soundFrom time.Duration
 	// companion adds a part to each deadly request. From companionFrom on sound requests
@@ -82,6 +87,8 @@
 	joinedAt []time.Time
 	messages []simMessage
 	own      crashes.Trait
+	// service is where the route leads.
+	service int
 
 	deadlyCrashes  []time.Time
 	deadlyArrivals []time.Time
@@ -100,7 +107,7 @@
 	for range opts.daemons {
 		f.logs, f.history = append(f.logs, crashes.NewLog()), append(f.history, crashes.NewHistory())
 	}
-	f.running, f.downTill = make([][]*simRequest, opts.endpoints), make([]time.Time, opts.endpoints)
+	f.running, f.downTill = make([][]*simRequest, simServices*opts.endpoints), make([]time.Time, simServices*opts.endpoints)
 	f.cutTill, f.joinedAt = make([]time.Time, opts.daemons), make([]time.Time, opts.daemons)
 	return f
 }
@@ -126,6 +133,9 @@
 		if f.cuts && f.chance(0.1) {
 			f.cutTill[f.random.IntN(f.daemons)] = f.now.Add(time.Second + time.Duration(f.random.Int64N(int64(6*time.Second))))
 		}
+		if f.moves && f.chance(0.05) {
+			f.service = (f.service + 1) % simServices
+		}
 		for endpoint := range f.running {
 			f.progress(endpoint)
 		}
@@ -152,6 +162,9 @@
 	if f.companion && (request.deadly || f.elapsed() >= f.companionFrom && f.random.IntN(4) == 0) {
 		request.traits = append(request.traits, rare)
 	}
+	for _, trait := range request.traits {
+		request.traits = append(request.traits, trait.Of(types.ServiceName(fmt.Sprint("s", f.service))))
+	}
 	if !request.deadly && f.elapsed() < f.soundFrom {
 		return
 	}
@@ -159,7 +172,7 @@
 	if !request.deadly {
 		f.countSound(refused)
 	}
-	endpoint := f.random.IntN(f.endpoints)
+	endpoint := f.service*f.endpoints + f.random.IntN(f.endpoints)
 	if refused || f.now.Before(f.downTill[endpoint]) {
 		return
 	}
@@ -375,6 +388,9 @@
 			fleetOptions{companion: true, companionFrom: 20 * time.Second, soundFrom: 12 * time.Second}),
 		Entry("two in a second, such a part and sound requests that come later, restarts and cuts", 2.0, time.Minute,
 			fleetOptions{companion: true, companionFrom: 20 * time.Second, soundFrom: 12 * time.Second, restarts: true, cuts: true}),
+		Entry("two in a second, a route that moves between services", 2.0, time.Minute, fleetOptions{soundFrom: 12 * time.Second, moves: true}),
+		Entry("ten in a second, a route that moves between services, restarts and cuts", 10.0, time.Minute,
+			fleetOptions{moves: true, restarts: true, joinFirst: true, cuts: true}),
 	)
 
 	It("keep both rules under disruptions, rates and joint parts drawn at random", func() {
@@ -405,7 +421,7 @@
 	deadlyPerSecond := slowest * math.Pow(fastest/slowest, random.Float64())
 	opts := fleetOptions{
 		daemons: 2 + random.IntN(10), endpoints: 6 + random.IntN(12), perSecond: deadlyPerSecond + 5 + 30*random.Float64(), things: 175,
-		restarts: random.IntN(2) == 0, joinFirst: true, cuts: random.IntN(2) == 0, companion: random.IntN(2) == 0,
+		restarts: random.IntN(2) == 0, joinFirst: true, cuts: random.IntN(2) == 0, moves: random.IntN(2) == 0, companion: random.IntN(2) == 0,
 		soundFrom:     time.Duration(random.Int64N(int64(30 * time.Second))),
 		companionFrom: time.Duration(random.Int64N(int64(60 * time.Second))),
 	}
--- a/pkg/gateway/crashes/trait.go
+++ b/pkg/gateway/crashes/trait.go
@@ -25,21 +25,36 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// Trait identifies, for one service, something that requests can have in common.
+// Trait identifies something that requests can have in common, for one service or for
+// all of them.
 type Trait uint64
 
+// ofService marks the traits of one service.
+const ofService Trait = 1 << 63
+
+// AllServices stands for the traits that requests to different services can share.
+const AllServices types.ServiceName = ""
+
+// Of returns the trait of requests to one service that have a trait of all services.
+func (t Trait) Of(service types.ServiceName) Trait {
+	if service == AllServices {
+		return t
+	}
+	return Trait(xxhash.Sum64String(t.String()+string(service))) | ofService
+}
+
 // ContentTrait is the trait of requests with the same method, path, query and body.
 func ContentTrait(service types.ServiceName, method, path, query string, body []byte) Trait {
 	digest := xxhash.New()
 	// Writing to a digest never fails.
-	_, _ = fmt.Fprintf(digest, "content\n%s\n%s %s?%s\n", service, method, path, query)
+	_, _ = fmt.Fprintf(digest, "content\n%s %s?%s\n", method, path, query)
 	_, _ = digest.Write(body)
-	return Trait(digest.Sum64())
+	return (Trait(digest.Sum64()) &^ ofService).Of(service)
 }
 
 // PartTrait is the trait of requests whose prompts share a part.
 func PartTrait(service types.ServiceName, part string) Trait {
-	return Trait(xxhash.Sum64String("part\n" + string(service) + "\n" + part))
+	return (Trait(xxhash.Sum64String("part\n"+part)) &^ ofService).Of(service)
 }
 
 // String returns the trait as it is logged.
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -105,12 +105,15 @@
 }
 
 // traits returns what may make the request crash an endpoint: its content, and the
-// parts of its prompt.
+// parts of its prompt, each for all services and for its own.
 func (r *Request) traits() crashes.Traits {
-	traits := make(crashes.Traits, 0, 1+len(r.SharedParts))
-	traits = append(traits, crashes.ContentTrait(r.Service, r.Method, r.Path, r.Query, r.Body))
+	traits := make(crashes.Traits, 0, 2*(1+len(r.SharedParts)))
+	traits = append(traits, crashes.ContentTrait(crashes.AllServices, r.Method, r.Path, r.Query, r.Body))
 	for _, part := range r.SharedParts {
-		traits = append(traits, crashes.PartTrait(r.Service, part))
+		traits = append(traits, crashes.PartTrait(crashes.AllServices, part))
+	}
+	for _, trait := range traits {
+		traits = append(traits, trait.Of(r.Service))
 	}
 	return traits
 }
--- a/pkg/gateway/proxy/withheld.go
+++ b/pkg/gateway/proxy/withheld.go
@@ -60,7 +60,10 @@
 // partOf returns the part of the prompt that a trait of the request stands for; empty
 // if it stands for the whole content.
 func (r *run) partOf(trait crashes.Trait) string {
-	index := slices.IndexFunc(r.req.SharedParts, func(part string) bool { return crashes.PartTrait(r.req.Service, part) == trait })
+	index := slices.IndexFunc(r.req.SharedParts, func(part string) bool {
+		shared := crashes.PartTrait(crashes.AllServices, part)
+		return shared == trait || shared.Of(r.req.Service) == trait
+	})
 	if index < 0 {
 		return ""
 	}
--- a/pkg/gateway/proxy/withheld_test.go
+++ b/pkg/gateway/proxy/withheld_test.go
@@ -51,6 +51,15 @@
 		Expect(e.count()).To(BeZero())
 	})
 
+	It("reaches no endpoint of the service to which its route moves", func() {
+		w, e := newTestProxy(catalog.Idempotent), newEndpoint(respondOK)
+		w.start(e)
+		w.withhold(inAnHour(), crashes.PartTrait(crashes.AllServices, "deadly"))
+		Expect(w.call("POST", "/r/", "x", headerParts, "system,deadly").status).To(Equal(503))
+		Expect(w.call("POST", "/r/", "x", headerParts, "system,other").status).To(Equal(200))
+		Expect(e.count()).To(Equal(1))
+	})
+
 	It("is served if the part is withheld only together with one that it lacks", func() {
 		w, e := newTestProxy(catalog.Idempotent), newEndpoint(respondOK)
 		w.start(e)
