Crashes: a spec that decisions end

Decisions repeat until nothing more is explained; since what is withheld may have conditions, each of them must explain a crash more. The spec decides on 300 random logs with crashes of several requests, clearances and earlier decisions.

--- a/pkg/gateway/crashes/crashes_test.go
+++ b/pkg/gateway/crashes/crashes_test.go
@@ -592,3 +592,30 @@
 		Expect(history.Contains(common)).To(BeFalse())
 	})
 })
+
+var _ = Describe("Decisions", func() {
+	It("come to an end, whatever crashes, clearances and earlier decisions there are", func(SpecContext) {
+		for seed := range uint64(300) {
+			random := rand.New(rand.NewPCG(seed, 43))
+			s := newScript()
+			for range 60 {
+				requests := make([]crashes.Traits, 1+random.IntN(3))
+				for i := range requests {
+					for trait := range crashes.Trait(6) {
+						if random.IntN(2) == 0 {
+							requests[i] = append(requests[i], trait+1)
+						}
+					}
+				}
+				s.crashOf(types.EndpointID(fmt.Sprint("e", random.IntN(8))), requests...)
+				if random.IntN(3) == 0 {
+					s.Clear(crashes.Trait(1+random.IntN(6)), s.now)
+				}
+				s.Decide(func(trait crashes.Trait) bool { return trait%2 == 0 && random.IntN(4) == 0 }, s.now)
+				for trait, verdict := range s.Withheld() {
+					Expect(verdict.With).NotTo(ContainElement(trait))
+				}
+			}
+		}
+	}, NodeTimeout(time.Minute))
+})
