--- a/pkg/gateway/proxy/withheld.go
+++ b/pkg/gateway/proxy/withheld.go
@@ -21,8 +21,9 @@
 	return r.traits
 }
 
-// withheld returns a trait of the request that is withheld from all endpoints, and
-// false if there is none.
+// withheld returns a trait of the request that is withheld from all endpoints, alone or
+// together with others of the request, and false if there is none. What is withheld only
+// together with the trait on trial is on trial with it.
 func (r *run) withheld() (crashes.Trait, bool) {
 	verdicts := r.h.opts.Snapshot().Withheld
 	if len(verdicts) == 0 {
@@ -30,8 +31,8 @@
 	}
 	traits := r.knownTraits()
 	index := slices.IndexFunc(traits, func(trait crashes.Trait) bool {
-		_, found := verdicts[trait]
-		return found && trait != r.trial
+		verdict, found := verdicts[trait]
+		return found && trait != r.trial && !slices.Contains(verdict.With, r.trial) && verdict.Applies(traits)
 	})
 	if index < 0 {
 		return 0, false
@@ -59,7 +60,10 @@
 // partOf returns the part of the prompt that a trait of the request stands for; empty
 // if it stands for the whole content.
 func (r *run) partOf(trait crashes.Trait) string {
-	index := slices.IndexFunc(r.req.SharedParts, func(part string) bool { return crashes.PartTrait(r.req.Service, part) == trait })
+	index := slices.IndexFunc(r.req.SharedParts, func(part string) bool {
+		shared := crashes.PartTrait(crashes.AllServices, part)
+		return shared == trait || shared.Of(r.req.Service) == trait
+	})
 	if index < 0 {
 		return ""
 	}
@@ -69,7 +73,7 @@
 
 // beginTrial lets the request try a withheld trait if its time has come, if this
 // daemon is the one that may try it, and if no other request does so now. Only one
-// attempt is made, and no other trait may be withheld.
+// attempt is made, and no other trait may be withheld without this one.
 func (r *run) beginTrial(trait crashes.Trait) bool {
 	if r.trial != 0 || r.sent > 0 || r.req.ForwardedBy != "" || !r.h.opts.Snapshot().MayTry(trait, r.h.opts.Now()) {
 		return false
