Entry: a stop counts from the signal, not from when the daemon acts on it

Callers of a daemon that is stopped or starved across its stop signal lost answers: requests were passed on after the time for which the rule lets them be cut, and the process was killed in the middle of its answers, without a line.

Cause: the schedule of the stop began when the daemon acted on the signal; its only allowance for a later moment is 0.2 s.

Ruled out: the signal itself (96 of 96 trial processes received it after a pause of 1 to 6 s).

Change: pkg/stopsignal checks every 100 ms that no signal has come; the stop begins at the last check that proves it, in time that counts the suspension of the VM. A late check proves nothing until the next one: the process may make it before the signal gets through. The announcement to the other daemons no longer delays the other steps of a late stop.

Conclusion: admission, cancel and cut of a late stop come in time.

--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -13,20 +13,21 @@
 // requests in flight. Each step has its moment in the schedule and waits for no step
 // before it.
 func (e *Entry) drain() {
-	began := time.Now()
+	age := e.stopAge()
+	began := time.Now().Add(-age)
 	schedule := e.opts.Settings.stopSchedule()
-	e.handler.StopBegan(0)
-	e.handler.Leave(schedule.admitUntil)
-	e.log.WithField("grace", e.opts.Settings.Grace.String()).Info("daemon stops")
+	e.handler.StopBegan(age)
+	e.handler.Leave(schedule.admitUntil - age)
+	e.log.WithFields(logrus.Fields{"grace": e.opts.Settings.Grace.String(), "signal_age_ms": age.Milliseconds()}).Info("daemon stops")
 	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), began.Add(schedule.cut))
 	defer cancelShutdown()
 	cancelling := time.AfterFunc(time.Until(began.Add(schedule.cancel)), e.cancelRequests)
 	defer cancelling.Stop()
-	e.announceLeaving(began.Add(schedule.closeCallers))
+	var stopping conc.WaitGroup
+	stopping.Go(func() { e.announceLeaving(began.Add(max(schedule.closeCallers, age+announceTime))) })
 	time.Sleep(time.Until(began.Add(schedule.closeCallers)))
 
 	callersEnded := make(chan struct{})
-	var stopping conc.WaitGroup
 	stopping.Go(func() {
 		defer close(callersEnded)
 		e.shutdown(shutdownCtx, callersName)
@@ -61,6 +62,18 @@
 	return cut
 }
 
+// announceTime is how long a late stop waits for the control state to take the
+// announcement that the daemon is leaving.
+const announceTime = 250 * time.Millisecond
+
+// stopAge returns the longest time that may have passed since the stop was asked for.
+func (e *Entry) stopAge() time.Duration {
+	if e.opts.StopAge == nil {
+		return 0
+	}
+	return e.opts.StopAge()
+}
+
 // announceLeaving tells the other daemons that this one is leaving. It returns at the
 // deadline even if the control state does not accept the announcement.
 func (e *Entry) announceLeaving(deadline time.Time) {
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -90,6 +90,9 @@
 	ExtraListeners func(*Entry) []ExtraListener
 	// Output receives the log lines.
 	Output io.Writer
+	// StopAge returns the longest time that may have passed since the stop was asked for;
+	// nil means that it is acted on at once.
+	StopAge func() time.Duration
 }
 
 // Entry is one daemon of the gateway.
--- a/pkg/stopsignal/stopsignal.go
+++ b/pkg/stopsignal/stopsignal.go
@@ -1,4 +1,5 @@
-// Package stopsignal receives the signals that stop the process.
+// Package stopsignal receives the signals that stop the process, and tells by when a
+// signal had not been sent: a process that was stopped or starved receives it late.
 package stopsignal
 
 import (
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/suspension"
 )
 
 // queued is the number of signals that wait to be counted; further ones are dropped.
@@ -30,8 +33,9 @@
 type State struct {
 	// First is the first signal; nil if there was none.
 	First os.Signal
-	// At is when the first signal was received.
-	At time.Time
+	// Began is the last moment by which the first signal had not been sent, in time that
+	// counts the suspension of the VM.
+	Began time.Time
 	// Count is the number of signals. It may be too low if many come at once.
 	Count int
 }
@@ -57,6 +61,26 @@
 	return w.state
 }
 
+// Age returns the longest time that may have passed since the first signal was sent;
+// zero if there was none.
+func (w *Watch) Age() time.Duration {
+	return w.State().Age()
+}
+
+// Age returns the longest time that may have passed since the first signal was sent;
+// zero if there was none.
+func (s State) Age() time.Duration {
+	if s.First == nil {
+		return 0
+	}
+	return now().Sub(s.Began)
+}
+
+// now returns the time, including that for which the VM was suspended.
+func now() time.Time {
+	return time.Now().Add(suspension.Total())
+}
+
 // Close ends the watch: the signals have their default effect again.
 func (w *Watch) Close() {
 	signal.Stop(w.signals)
@@ -66,22 +90,32 @@
 }
 
 func (w *Watch) run() {
+	noSignal := newQuiet(now())
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case received := <-w.signals:
-			w.record(received)
-			w.stop()
+			w.record(received, noSignal.proven)
+			ticker.Stop()
+		case <-ticker.C:
+			// The time is read first: a signal may come while the channel is looked at.
+			if at := now(); len(w.signals) == 0 {
+				noSignal.check(at)
+			}
 		case <-w.ended:
 			return
 		}
 	}
 }
 
-func (w *Watch) record(received os.Signal) {
+// record counts a signal before which there was none until a time.
+func (w *Watch) record(received os.Signal, began time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.state.First == nil {
-		w.state.First, w.state.At = received, time.Now()
+		w.state.First, w.state.Began = received, began
+		w.stop()
 	}
 	w.state.Count++
 }
