Soak: rolling stops with callers that speak on their connections themselves

Cause: the soak's callers sent each request in one piece, one at a time, to short streams, with a client that looks at the connection itself; the daemons stopped one by one, in two regions. Class: a promise that no check of ours looks at the way in which callers use it.

Change: `--rolling` plays three regions with long streams over hops; plan.Rolling stops the daemons of each region in overlapping series, with reloads, configurations and starts of the next process while one still ends. `visit` is the callers: pipelining, requests in pieces, chunks, slow readers, the next request at once. Their draws and the plan's are streams of their own; plan.New and the draws of other callers are untouched. Findings: `silent` (a whole request on an open connection whose close was not announced gets no answer), `peer` (the stop of the daemon at the endpoint cuts an answer). Stricter `lost`: what the end of a stop may cut has to be complete within 3 s of the first SIGTERM to its process, by its last byte, and its endpoint itself at work in the last sixth; before, the first byte, the last SIGTERM and the caller's own end counted. `unanswered` leaves out requests of the new callers that they themselves delay, and judges their others.

Evidence: each check has its planted fault, and the cases that it must accept.

--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 	"testing"
 	"time"
 
@@ -65,6 +67,15 @@
 	return standin.Run{ID: id, Path: path, Endpoint: endpoint, Service: "s", Started: after(at), Ended: after(at + 40*time.Millisecond)}
 }
 
+// visited is a call of a caller that speaks on its connection itself, sent whole at a time
+// and ended that long after without an answer.
+func visited(id string, at, took time.Duration) check.Call {
+	call := cut(id, at, took, true)
+	call.Manner = &check.Manner{Connection: check.Pipelined, Framing: check.Whole}
+	call.Outcome.Err = io.EOF
+	return call
+}
+
 // deadly plants five crashes by the deadly part, a second apart from the start, and so
 // many requests with it that reach an endpoint at a time.
 func deadly(r *check.Record, requests int, at time.Duration) {
@@ -157,6 +168,39 @@
 			r.Configs = []time.Time{after(0)}
 			r.Calls = append(r.Calls, cut("x", 3*time.Second, 300*time.Millisecond, true))
 		}, "lost: x"),
+		Entry("a stream that a planned stop cut after its endpoint had ended", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 2700*time.Millisecond, true))
+			done := arrival("x", "e1", time.Second, standin.Answered)
+			done.Ended = after(3 * time.Second)
+			r.Arrivals = append(r.Arrivals, done)
+		}, "lost: x"),
+		Entry("a stream at work at the end of a planned stop, of a request that was complete late", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+			late := cut("x", 2900*time.Millisecond, 900*time.Millisecond, true)
+			late.Outcome.Written = after(3100 * time.Millisecond)
+			r.Calls = append(r.Calls, late)
+			r.Arrivals = append(r.Arrivals, arrival("x", "e1", 3100*time.Millisecond, standin.Answered))
+		}, "lost: x"),
+		Entry("an answer that the stop of the daemon at the endpoint cut", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d2"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, time.Second, true))
+			far := arrival("x", "e1", time.Second, standin.Answered)
+			far.From, far.Ended = "d2#1", after(2*time.Second)
+			r.Arrivals = append(r.Arrivals, far)
+		}, "peer: x"),
+		Entry("a pipelined request that a planned stop left without an answer at once", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, visited("x", time.Second, 10*time.Millisecond))
+		}, "silent: x"),
+		Entry("a pipelined request that was sent before the close was announced", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+			r.Calls = append(r.Calls, visited("x", time.Second, 10*time.Millisecond))
+			r.Calls[3].Manner.CloseAnnounced = after(1005 * time.Millisecond)
+		}, "silent: x"),
+		Entry("a request on an open connection that ends without any planned work", func(r *check.Record) {
+			r.Calls = append(r.Calls, visited("x", time.Second, 10*time.Millisecond))
+		}, "silent: x"),
 		Entry("kept connections that end without an answer", func(r *check.Record) {
 			for _, id := range []string{"w", "x", "y", "z"} {
 				r.Calls = append(r.Calls, cut(id, time.Second, 10*time.Millisecond, true))
@@ -188,6 +232,13 @@
 				r.Calls = append(r.Calls, late)
 			}
 		}, "unanswered: 4 of 4"),
+		Entry("calls without an answer of callers that send each whole and wait for it", func(r *check.Record) {
+			for range 4 {
+				late := visited("l", 0, 5*time.Second)
+				late.Manner.Connection, late.Outcome.Err = check.Kept, os.ErrDeadlineExceeded
+				r.Calls = append(r.Calls, late)
+			}
+		}, "unanswered: 4 of 4"),
 		Entry("requests that arrive after their callers have left", func(r *check.Record) {
 			for _, id := range []string{"w", "x", "y", "z"} {
 				left := served(id, standin.StatusPath, 0)
@@ -306,6 +357,46 @@
 			r.Calls = append(r.Calls, cut("x", time.Second, 2700*time.Millisecond, true))
 			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Answered))
 		}),
+		Entry("a stream that its endpoint works on when the stop of the daemon there ends", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d2"}}
+			r.Calls = append(r.Calls, cut("x", time.Second, 2700*time.Millisecond, true))
+			far := arrival("x", "e1", time.Second, standin.Answered)
+			far.From = "d2#1"
+			r.Arrivals = append(r.Arrivals, far)
+		}),
+		Entry("what the end of a stop may cut, around a new configuration", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+			r.Configs = []time.Time{after(2 * time.Second)}
+			r.Calls = append(r.Calls, cut("x", time.Second, 2700*time.Millisecond, true))
+			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Answered))
+		}),
+		Entry("what the end of a stop may cut, while the next process is stopped too", func(r *check.Record) {
+			r.Stops = []check.Span{
+				{From: after(3 * time.Second), To: after(3500 * time.Millisecond), Daemon: "d1"}, {From: after(0), To: after(4 * time.Second), Daemon: "d1"},
+			}
+			r.Calls = append(r.Calls, cut("x", time.Second, 2700*time.Millisecond, true))
+			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Answered))
+		}),
+		Entry("a request that was sent after the close was announced", func(r *check.Record) {
+			r.Calls = append(r.Calls, visited("x", time.Second, 10*time.Millisecond))
+			r.Calls[3].Manner.CloseAnnounced = after(900 * time.Millisecond)
+		}),
+		Entry("a request that was sent just before its process ended", func(r *check.Record) {
+			r.Stops = []check.Span{{From: after(0), To: after(1100 * time.Millisecond), Daemon: "d1"}}
+			r.Calls = append(r.Calls, visited("x", time.Second, 10*time.Millisecond))
+		}),
+		Entry("answers that their callers' own requests or pauses make late", func(r *check.Record) {
+			for range 4 {
+				late := visited("l", 0, 5*time.Second)
+				late.Outcome.Err = os.ErrDeadlineExceeded
+				r.Calls = append(r.Calls, late)
+			}
+		}),
+		Entry("a request that its caller gave up", func(r *check.Record) {
+			given := visited("x", time.Second, 10*time.Millisecond)
+			given.Outcome.Err, given.Outcome.Left = os.ErrDeadlineExceeded, true
+			r.Calls = append(r.Calls, given)
+		}),
 		Entry("half a request", func(r *check.Record) {
 			r.Stops = []check.Span{{From: after(0), To: after(time.Second), Daemon: "d1"}}
 			half := cut("x", time.Second, time.Second, true)
@@ -329,6 +420,20 @@
 		}
 	})
 
+	It("counts calls by their class", func() {
+		r := record()
+		r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+		r.Calls = append(r.Calls, visited("x", time.Second, 10*time.Millisecond), visited("y", 3100*time.Millisecond, time.Second))
+		r.Calls[4].Outcome.Status, r.Calls[4].Path = 200, standin.AskPath
+		far := arrival("y", "e1", 3100*time.Millisecond, standin.Answered)
+		far.From = "d2#1"
+		r.Arrivals = append(r.Arrivals, far)
+		Expect(check.Tallies(r)).To(Equal([]check.Tally{
+			{Class: "plain | no endpoint | 0 to 3 s | whole | pipelined", Sent: 1, Silent: 1},
+			{Class: "stream | hop | 3 s on | whole | pipelined", Sent: 1, Cut: 1},
+		}))
+	})
+
 	It("excuses what a fault shortly before may have caused", func() {
 		r := record()
 		r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -40,6 +40,8 @@
 	flags.IntVar(&opts.Daemons, "daemons", 2, "daemons in each of the two regions")
 	flags.IntVar(&opts.Callers, "callers", 6, "callers in each region")
 	flags.BoolVar(&opts.Timed, "timed", true, "check bounds in time as well; needs a machine that is not overloaded")
+	flags.BoolVar(&opts.Rolling, "rolling", false, "stop the daemons of three regions in turn, with long streams and callers of their own kind")
+	flags.IntVar(&opts.Visitors, "visitors", 4, "callers that stay with each daemon in a rolling run")
 	flags.Uint64Var(&first, "seed", 1, "first seed")
 	flags.IntVar(&seeds, "seeds", 1, "number of seeds")
 	flags.IntVar(&side, "side", 4, "runs side by side")
@@ -113,10 +115,24 @@
 		return nil, "not started", err
 	}
 	steps := plan.New(opts.Seed, opts.Length)
+	if opts.Rolling {
+		steps = plan.Rolling(opts.Seed, one.DaemonsByRegion(), opts.Length)
+	}
 	record := one.Run(steps)
+	if opts.Rolling {
+		printTallies(opts.Seed, check.Tallies(record))
+	}
 	return check.All(record), summary(record, len(steps)), nil
 }
 
+// printTallies prints a line for each class of calls of a rolling run.
+func printTallies(seed uint64, tallies []check.Tally) {
+	for _, one := range tallies {
+		fmt.Printf("tally %d | %s | sent %d answered %d excused %d cut %d silent %d elsewhere %d\n",
+			seed, one.Class, one.Sent, one.Answered, one.Excused, one.Cut, one.Silent, one.Elsewhere)
+	}
+}
+
 func summary(record *check.Record, steps int) string {
 	served, refused := 0, 0
 	for _, call := range record.Calls {
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -25,6 +25,9 @@
 	Leave Kind = "leave"
 	// Stop stops a daemon with SIGTERM; it starts again.
 	Stop Kind = "stop"
+	// Replace stops a daemon whose supervisor starts the next process while it ends.
+	// No plan of New has such a step.
+	Replace Kind = "replace"
 	// Reload sends SIGHUP to a daemon.
 	Reload Kind = "reload"
 
@@ -57,7 +60,7 @@
 
 // Planned reports whether steps of the kind are planned work.
 func (k Kind) Planned() bool {
-	return slices.Contains(planned, k)
+	return k == Replace || slices.Contains(planned, k)
 }
 
 var (
--- a/tools/soak/plan/plan_test.go
+++ b/tools/soak/plan/plan_test.go
@@ -38,3 +38,30 @@
 		Expect(seen).To(HaveLen(19))
 	})
 })
+
+var _ = Describe("Rolling", func() {
+	regions := [][]int{{0, 1, 2}, {3, 4, 5}, {6, 7}}
+
+	It("draws the same plan from the same seed, and another from another one", func() {
+		Expect(plan.Rolling(5, regions, time.Minute)).To(Equal(plan.Rolling(5, regions, time.Minute)))
+		Expect(plan.Rolling(5, regions, time.Minute)).NotTo(Equal(plan.Rolling(6, regions, time.Minute)))
+	})
+
+	It("stops one daemon of a region at a time, all in turn, with planned work only", func() {
+		last := map[int]plan.Step{}
+		stopped := map[int]bool{}
+		for _, step := range plan.Rolling(7, regions, time.Minute) {
+			Expect(step.Kind.Planned()).To(BeTrue())
+			if step.Kind != plan.Stop && step.Kind != plan.Replace {
+				continue
+			}
+			region := step.Target / 3
+			if before, found := last[region]; found {
+				Expect(step.At - before.At).To(BeNumerically(">", 8*time.Second))
+			}
+			last[region] = step
+			stopped[step.Target] = true
+		}
+		Expect(stopped).To(HaveLen(8))
+	})
+})
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -102,4 +102,16 @@
 		}
 		Expect(play(world.Options{Seed: 117, Length: shortRun, Timed: true}, steps...)).NotTo(ContainElement(HavePrefix("lost")))
 	})
+
+	// Requests that follow on a connection got EOF or a reset once its daemon had begun to stop.
+	It("answers what was sent before a close was announced when both ends of a hop stop", func() {
+		var steps []plan.Step
+		for number, daemon := range []int{0, 2, 4, 1, 3} {
+			at := time.Second + time.Duration(number)*700*time.Millisecond
+			steps = append(steps, plan.Step{At: at, Kind: plan.Replace, Target: daemon, For: time.Second},
+				plan.Step{At: at + 100*time.Millisecond, Kind: plan.Reload, Target: daemon})
+		}
+		broken := play(world.Options{Seed: 105, Length: 6 * time.Second, Rolling: true, Visitors: 8}, steps...)
+		Expect(broken).NotTo(ContainElement(Or(HavePrefix("silent"), HavePrefix("mixed"))))
+	})
 })
