Proxy: specs for what mutants of the forwarding and stall decisions let pass

No change of code. Nothing played more than two leaving daemons.

The spec of two daemons starts a number of them; only NonIdempotent has no retry budget.

--- a/pkg/gateway/proxy/leave_hop_test.go
+++ b/pkg/gateway/proxy/leave_hop_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,7 +12,6 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
-	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -24,11 +24,11 @@
 	var norths []*testProxy
 	var endpoints [][]*endpoint
 
-	// start starts two daemons in the north and one in the south, which may spend nothing
-	// on retries unless the kind is Streaming.
-	start := func(kind catalog.Kind, respond http.HandlerFunc) {
+	// startWith starts some daemons in the north and one in the south, which may spend
+	// nothing on retries if the kind is NonIdempotent.
+	startWith := func(daemons int, kind catalog.Kind, respond http.HandlerFunc) {
 		norths, endpoints = nil, nil
-		for range 2 {
+		for range daemons {
 			es := []*endpoint{newEndpoint(respond), newEndpoint(respond)}
 			north := newTestProxy(kind)
 			north.route.Resumable = kind == catalog.Streaming
@@ -37,13 +37,16 @@
 		}
 		south = newTestProxy(kind)
 		south.route.AllowedRegions, south.route.Resumable = []types.Region{"north"}, kind == catalog.Streaming
-		if kind != catalog.Streaming {
+		if kind == catalog.NonIdempotent {
 			south.retryRatio, south.retryFixed, south.route.MaxAttempts = 0, 0, 1
 		}
 		south.region, south.self = "south", "127.0.0.1:2"
-		south.members = []members.Member{norths[0].asMember(), norths[1].asMember()}
+		for _, north := range norths {
+			south.members = append(south.members, north.asMember())
+		}
 		south.start(endpoints[0]...)
 	}
+	start := func(kind catalog.Kind, respond http.HandlerFunc) { startWith(2, kind, respond) }
 	// owner returns the index of the daemon that gets the large prompts of the prefix.
 	owner := func() int {
 		home, _ := balance.PrefixHome(south.snap.View.Endpoints[service], 7, func(catalog.ActiveEndpoint) bool { return true })
@@ -84,6 +87,28 @@
 		Expect(south.call("POST", "/r/", "x", headerID, "q2").status).To(Equal(200))
 	})
 
+	It("is taken by a leaving daemon after three refusals, however many daemons leave", func() {
+		startWith(6, catalog.NonIdempotent, respondOK)
+		for _, north := range norths {
+			north.handler.Leave(time.Minute)
+		}
+		Expect(south.call("POST", "/r/", "x", headerPrefix, prefix).status).To(Equal(200))
+		Expect(south.call("POST", "/r/", "x", headerID, "q2").status).To(Equal(200))
+	})
+
+	It("goes by way of the same daemon again if only the endpoint did not take it", func() {
+		var requests atomic.Int64
+		startWith(1, catalog.Idempotent, func(w http.ResponseWriter, r *http.Request) {
+			if requests.Add(1) == 1 {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			respondOK(w, r)
+		})
+		Expect(south.call("GET", "/r/", "").status).To(Equal(200))
+		Expect(requests.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("may still resume over another hop after the refusal", func() {
 		start(catalog.Streaming, eventStream(4, 2))
 		leaving := owner()
@@ -99,8 +124,8 @@
 		for _, north := range norths {
 			north.handler.Leave(0)
 		}
-		response := south.call("POST", "/r/", "x", headerPrefix, prefix)
-		Expect(response.status).To(Equal(503))
+		Expect(south.call("POST", "/r/", "x", headerPrefix, prefix).status).To(Equal(503))
+		Expect(south.call("POST", "/r/", "x", headerID, "q2").status).To(Equal(503))
 		Expect(arrivals(endpoints[0]) + arrivals(endpoints[1])).To(BeZero())
 	})
 })
