--- /dev/null
+++ b/pkg/gateway/control/exchange.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// heartbeat sends a heartbeat to some of the other daemons.
+func (c *Control) heartbeat(now time.Time) {
+	c.table.Beat(c.opts.Loads())
+	for _, vm := range c.table.Targets(now, c.opts.Rand) {
+		c.send(vm, c.message(vm, now))
+	}
+}
+
+// message returns a heartbeat to a daemon, which carries the table.
+func (c *Control) message(to types.VMID, now time.Time) *Message {
+	message := c.statusMessage(now)
+	message.Members = c.table.HeartbeatMembers(to, now)
+	return message
+}
+
+// statusMessage returns a message without the table.
+func (c *Control) statusMessage(now time.Time) *Message {
+	message := &Message{
+		From:            c.table.Self().VM,
+		AppliedRevision: c.state.AppliedRevision(),
+		Evidence:        c.crashes.News(now),
+		Joining:         c.table.Joining(),
+		Evacuations:     c.state.EvacuationAges(now),
+	}
+	if _, found := c.storeReads[c.lastReader]; found {
+		c.addStoreRead(message, c.lastReader, now)
+	}
+	return message
+}
+
+// send sends a message in the background; the reply is handled as an event.
+func (c *Control) send(to types.VMID, message *Message) {
+	select {
+	case c.sendSlots <- struct{}{}:
+	default:
+		c.opts.Log.WithField("to", to).Warn("peer message dropped: too many messages in flight")
+		return
+	}
+	c.work.Go(func() {
+		defer func() { <-c.sendSlots }()
+		// The guard logs a panic; the next heartbeat retries.
+		_ = c.opts.Guard.Do("message", func() { c.exchange(to, message) })
+	})
+}
+
+// exchange sends a message and passes the reply to the control goroutine.
+func (c *Control) exchange(to types.VMID, message *Message) {
+	sentAt := c.opts.Now()
+	reply, err := c.opts.Peers.Send(c.ctx, to, message)
+	if err != nil {
+		c.submit(c.ctx, func(now time.Time) { c.markUnreachable(to, err, now) })
+		return
+	}
+	c.submit(c.ctx, func(now time.Time) {
+		c.mergeMessage(reply, now)
+		c.state.ConfirmEvacuations(reply.Evacuations, sentAt)
+	})
+}
+
+func (c *Control) markUnreachable(vm types.VMID, err error, now time.Time) {
+	c.table.MarkUnreachable(vm, now)
+	c.dirty = true
+	c.opts.Log.WithError(err).WithField("to", vm).Debug("peer unreachable")
+}
+
+// Receive handles a message from another daemon and returns the reply, or nil if
+// the message was not handled.
+func (c *Control) Receive(ctx context.Context, message *Message) *Message {
+	replies := make(chan *Message, 1)
+	ok := c.submit(ctx, func(now time.Time) {
+		// If the event panics, the closed channel yields a nil reply, which tells
+		// the sender that its message was not handled.
+		defer close(replies)
+		senderRevision := message.AppliedRevision
+		c.mergeMessage(message, now)
+		c.askEvacuationAges(message, now)
+		reply := c.reply(message, now)
+		if c.state.AppliedRevision() > senderRevision {
+			delta := c.state.Since(senderRevision, now)
+			reply.Delta = &delta
+		}
+		replies <- reply
+	})
+	if !ok {
+		return nil
+	}
+	select {
+	case reply := <-replies:
+		return reply
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// reply returns the reply to a message. Only a heartbeat, which carries the
+// table, gets the table in return: store changes are frequent and go to every
+// daemon.
+func (c *Control) reply(message *Message, now time.Time) *Message {
+	reply := c.statusMessage(now)
+	if len(message.Members) > 0 {
+		reply = c.message(message.From, now)
+	}
+	if message.Joining {
+		reply.Evidence = c.crashes.All(now)
+	}
+	return reply
+}
+
+// mergeMessage merges a message from another daemon. If the sender has a later
+// revision of the store than this daemon even after the merge, this daemon
+// requests the missing changes.
+func (c *Control) mergeMessage(message *Message, now time.Time) {
+	c.table.Merge(message.Members, now)
+	c.dirty = true
+	c.mergeEvidence(message, now)
+	if message.Delta != nil {
+		c.state.Apply(*message.Delta, now)
+	}
+	if message.AppliedRevision > c.state.AppliedRevision() {
+		c.send(message.From, c.statusMessage(now))
+		return
+	}
+	if message.StoreReader != "" {
+		c.recordStoreRead(message.StoreReader, storeRead{at: now.Add(-message.StoreReadAge), number: message.StoreReadNumber})
+	}
+	if message.Relay && message.Delta != nil {
+		c.sendToDataCentre(*message.Delta, message.StoreReader, now)
+	}
+}
+
+// askEvacuationAges asks the sender of a message for the age of an evacuation
+// that the message brought: only a reply bounds the age, since a message may have
+// been on its way for any time.
+func (c *Control) askEvacuationAges(message *Message, now time.Time) {
+	if message.Delta == nil {
+		return
+	}
+	if slices.ContainsFunc(message.Delta.Records, func(record catalog.Record) bool { return record.Evacuated != "" }) {
+		c.send(message.From, c.statusMessage(now))
+	}
+}
+
+// storeRead is one time that a daemon read the store.
+type storeRead struct {
+	at time.Time
+	// number grows with each read of the daemon; zero if the sender told none.
+	number uint64
+}
+
+// recordStoreRead records a time that a daemon read the store. The time of a known
+// read is not moved: each message that tells of it was on its way for a while, so
+// that its age is told too low, and lower each time that it is passed on.
+func (c *Control) recordStoreRead(origin types.VMID, read storeRead) {
+	known := c.storeReads[origin]
+	isNew := read.number == 0 || read.number > known.number
+	if isNew && read.at.After(known.at) {
+		c.storeReads[origin] = read
+	}
+	if c.lastReader == "" || c.storeReads[origin].at.After(c.storeReads[c.lastReader].at) {
+		c.lastReader = origin
+	}
+}
+
+// recordOwnRead records that this daemon has read the store.
+func (c *Control) recordOwnRead(now time.Time) {
+	c.ownReads++
+	c.recordStoreRead(c.table.Self().VM, storeRead{at: now, number: c.ownReads})
+}
+
+// addStoreRead adds the last time that a daemon read the store to a message.
+func (c *Control) addStoreRead(message *Message, origin types.VMID, now time.Time) {
+	read := c.storeReads[origin]
+	message.StoreReader, message.StoreReadAge, message.StoreReadNumber = origin, now.Sub(read.at), read.number
+}
+
+// storeAge returns how long ago daemons last read the store.
+func (c *Control) storeAge(now time.Time) members.StoreAge {
+	return members.StoreAge{
+		Newest:  now.Sub(c.storeReads[c.lastReader].at),
+		Primary: now.Sub(c.storeReads[c.table.PrimaryReader(now)].at),
+		Wait:    c.opts.WatchTimeout,
+	}
+}
+
+// distribute sends changes just read from the store to the daemons of the local
+// data centre and to one daemon of each other data centre of the region, which
+// relays them. Other regions have their own readers.
+func (c *Control) distribute(delta catalog.Delta, now time.Time) {
+	self := c.table.Self()
+	c.sendToDataCentre(delta, self.VM, now)
+	notified := map[types.DataCentre]bool{self.DataCentre: true}
+	for _, member := range c.table.Live(now) {
+		if member.Region != self.Region || notified[member.DataCentre] || member.State == members.Leaving {
+			continue
+		}
+		notified[member.DataCentre] = true
+		message := c.statusMessage(now)
+		message.Delta, message.Relay = &delta, true
+		c.send(member.VM, message)
+	}
+}
+
+// sendToDataCentre sends changes that origin read from the store to the daemons of
+// the local data centre.
+func (c *Control) sendToDataCentre(delta catalog.Delta, origin types.VMID, now time.Time) {
+	self := c.table.Self()
+	for _, member := range c.table.Live(now) {
+		if member.Region == self.Region && member.DataCentre == self.DataCentre {
+			message := c.statusMessage(now)
+			c.addStoreRead(message, origin, now)
+			message.Delta = &delta
+			c.send(member.VM, message)
+		}
+	}
+}
+
+// Leave announces to every live daemon that this one is leaving.
+func (c *Control) Leave(ctx context.Context) {
+	c.submit(ctx, func(now time.Time) {
+		c.table.SetState(members.Leaving)
+		c.table.Beat(c.opts.Loads())
+		c.dirty = true
+		for _, member := range c.table.Live(now) {
+			message := c.statusMessage(now)
+			message.Members = []members.Member{c.table.Self()}
+			c.send(member.VM, message)
+		}
+	})
+}
