--- a/tools/soak/link/link.go
+++ b/tools/soak/link/link.go
@@ -43,6 +43,8 @@
 	mu    sync.Mutex
 	mode  Mode
 	conns map[net.Conn]bool
+	// refused holds the addresses of callers whose connection the target did not take.
+	refused map[string]bool
 }
 
 // New listens on a loopback address and forwards to the target. If opened is not
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: target, opened: opened, conns: make(map[net.Conn]bool)}
+	l := &Link{listener: listener, target: target, opened: opened, conns: make(map[net.Conn]bool), refused: make(map[string]bool)}
 	go l.accept()
 	return l, nil
 }
@@ -83,6 +85,17 @@
 	clear(l.conns)
 }
 
+// Refused reports, once, whether the target did not take the connection of a caller
+// with this address. The caller sees a reset, maybe after it has sent something; with
+// no link before the target, its connection would have been refused.
+func (l *Link) Refused(caller net.Addr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	refused := l.refused[caller.String()]
+	delete(l.refused, caller.String())
+	return refused
+}
+
 // Close ends the link.
 func (l *Link) Close() {
 	_ = l.listener.Close() // closing twice is harmless
@@ -120,6 +133,9 @@
 	}
 	target, err := net.Dial("tcp", l.target)
 	if err != nil {
+		l.mu.Lock()
+		l.refused[caller.RemoteAddr().String()] = true
+		l.mu.Unlock()
 		abort(caller)
 		return
 	}
--- a/tools/soak/link/link_test.go
+++ b/tools/soak/link/link_test.go
@@ -61,6 +61,27 @@
 		Expect(answered(conn)).To(Succeed())
 	})
 
+	It("tells once which connections the target did not take, and of no other", func() {
+		taken := dial()
+		Expect(answered(taken)).To(Succeed())
+		Expect(one.Refused(taken.LocalAddr())).To(BeFalse())
+		gone, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(gone.Close()).To(Succeed())
+		before, err := link.New(gone.Addr().String(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(before.Close)
+		var conn net.Conn
+		// The reset may come before the connection is there; such a caller knows.
+		Eventually(func() error { conn, err = net.Dial("tcp", before.Address()); return err }, 10*time.Second).Should(Succeed())
+		DeferCleanup(conn.Close)
+		Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		_, err = conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		Expect(before.Refused(conn.LocalAddr())).To(BeTrue())
+		Expect(before.Refused(conn.LocalAddr())).To(BeFalse())
+	})
+
 	It("drops answers only, or everything, without closing", func() {
 		conn := dial()
 		one.Set(link.OneWay)
