Cold endpoints: news of the store is missing only if it is older than a watch waits

Change: the limit is the time of a watch plus 0.8 s: 2 s as before where a configuration may take 3 s.

The new spec fails for watches of 2 s and 3.2 s without the change.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -133,4 +133,7 @@
 	// gets at most rate times overshoot plus slack in any second.
 	ColdOvershoot float64
 	ColdSlack     float64
+	// WatchTimeout is how long one watch of the store waits for changes; zero means
+	// 1.2 s.
+	WatchTimeout time.Duration
 }
--- a/pkg/gateway/balance/news.go
+++ b/pkg/gateway/balance/news.go
@@ -4,10 +4,11 @@
 
 // Times of the news of the store.
 const (
-	// newsLimit is the age of the newest news from which on endpoints may have
-	// turned cold without being known to: it is longer than a watch of the store
-	// waits, and no shorter than what an entry takes to tell of it.
-	newsLimit = 2 * time.Second
+	// defaultWatchTimeout is the default of Bounds.WatchTimeout.
+	defaultWatchTimeout = 1200 * time.Millisecond
+	// newsMargin is the time in which what a watch of the store returned reaches the
+	// daemons of the region.
+	newsMargin = 800 * time.Millisecond
 	// newsSettleTime is how long after an outage of the store endpoints may not
 	// have told yet that they turned cold in it: they write with their heartbeats.
 	newsSettleTime = 2200 * time.Millisecond
@@ -19,6 +20,9 @@
 
 // news tells how recent the published state is that this daemon knows.
 type news struct {
+	// limit is the age of the newest news from which on endpoints may have turned cold
+	// without being known to: watches of the store bring news more often.
+	limit time.Duration
 	// readAt is when it was read from the store, by whichever daemon; zero if
 	// nothing is known of it.
 	readAt time.Time
@@ -26,12 +30,20 @@
 	settledAt time.Time
 }
 
+// newNews returns the news of a store whose watches wait for a time.
+func newNews(watchTimeout time.Duration) news {
+	if watchTimeout == 0 {
+		watchTimeout = defaultWatchTimeout
+	}
+	return news{limit: watchTimeout + newsMargin}
+}
+
 // record records that the state of the store at a time has become known.
 func (n *news) record(readAt, now time.Time) {
 	if !readAt.After(n.readAt) {
 		return
 	}
-	if !n.readAt.IsZero() && now.Sub(n.readAt) > newsLimit {
+	if !n.readAt.IsZero() && now.Sub(n.readAt) > n.limit {
 		n.settledAt = now.Add(newsSettleTime)
 	}
 	n.readAt = readAt
@@ -39,7 +51,7 @@
 
 // missing reports whether endpoints may have turned cold without news of it.
 func (n *news) missing(now time.Time) bool {
-	return !n.readAt.IsZero() && (now.Sub(n.readAt) > newsLimit || now.Before(n.settledAt))
+	return !n.readAt.IsZero() && (now.Sub(n.readAt) > n.limit || now.Before(n.settledAt))
 }
 
 // RecordNews records when the published state that this daemon knows was read from
--- a/pkg/gateway/balance/news_test.go
+++ b/pkg/gateway/balance/news_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 var _ = Describe("An endpoint that turns cold without news of it", func() {
@@ -160,6 +161,22 @@
 		Expect(float64(len(sent)) / span.Seconds()).To(BeNumerically(">", 4*bound))
 	})
 
+	DescribeTable("is not limited while the store is read with each watch, however long one waits", func(watchTimeout time.Duration) {
+		const onTheWay = 200 * time.Millisecond
+		pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3, WatchTimeout: watchTimeout})
+		pool.Update(published("/well", time.Time{}), balance.Membership{Self: "a", Live: []types.VMID{"a"}, PeakLive: 1})
+		for since := time.Duration(0); since < span; since += watchTimeout {
+			pool.RecordNews(start.Add(since), start.Add(since+onTheWay))
+			for at := since + onTheWay; at < since+watchTimeout+onTheWay; at += step {
+				permit, _ := pool.Permit(newRequest(engines, 0), start.Add(at))
+				Expect(permit).NotTo(BeNil(), "at %s", at)
+				pool.Done(permit, balance.Succeeded, start.Add(at))
+				due, _ := pool.DueConfirmations(start.Add(at))
+				Expect(due).To(BeEmpty(), "at %s", at)
+			}
+		}
+	}, Entry("1.2 s", 1200*time.Millisecond), Entry("2 s", 2*time.Second), Entry("3.2 s", 3200*time.Millisecond))
+
 	It("is looked after before the news is too old, not only with the next snapshot", func() {
 		pool := newPool(published("/well", time.Time{}), 1)
 		pool.RecordNews(start, start)
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -31,7 +31,7 @@
 // NewPool returns a pool without endpoints for a daemon in a data centre.
 func NewPool(region types.Region, dc types.DataCentre, bounds Bounds) *Pool {
 	return &Pool{
-		region: region, dc: dc, bounds: bounds, daemons: 1,
+		region: region, dc: dc, bounds: bounds, daemons: 1, news: newNews(bounds.WatchTimeout),
 		states:           make(map[types.EndpointID]*endpointState),
 		services:         make(map[types.ServiceName][]*endpointState),
 		queues:           make(map[types.ServiceName]*queue),
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -152,7 +152,10 @@
 	e.history = crashes.NewHistory()
 	e.unanswered = newUnansweredLog(e.log, e.registry, func() (time.Duration, bool) { return e.handler.SinceStop() })
 	e.lookups = newLookupLog(e.log, e.registry)
-	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, s.Cold), time.Now)
+	watchTimeout := time.Duration(float64(s.ConfigPropagationLimit) * watchShare)
+	bounds := s.Cold
+	bounds.WatchTimeout = watchTimeout
+	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, bounds), time.Now)
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
@@ -165,7 +168,7 @@
 		Seeds:        s.Seeds,
 		Store:        opts.Store,
 		Peers:        control.NewHTTPPeers(proxy.NewTransport()),
-		WatchTimeout: time.Duration(float64(s.ConfigPropagationLimit) * watchShare),
+		WatchTimeout: watchTimeout,
 
 		EvacuationLimit: s.EvacuationLimit,
 
