Graceful: what a review of the announced close found

Cause: the announced close left to us what the HTTP server had done by closing.

Change: the HTTP server closes a connection whose request's body was not read to its end when the response begins; the idle time counts from the first response that announced the close; a shutdown at the end of its time closes connections that only wait, without an error; a connection whose close was announced gives up its slot if all are taken; a request counts as begun when the HTTP server sets the deadline for its header. Stop signals: a check that follows at once on a late one proves nothing. Forwarding: a request that is not repeated must be taken by a leaving daemon (by reading, no spec).

--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -98,10 +98,10 @@
 }
 
 // canGoElsewhere reports whether the request can be forwarded to another daemon of a
-// member's region if the member refuses it. The last attempt that may be refused must
-// be accepted by a leaving daemon too.
+// member's region if the member refuses it. The last attempt that may be refused, and
+// one that is not repeated, must be accepted by a leaving daemon too.
 func (r *run) canGoElsewhere(snap *control.Snapshot, member members.Member) bool {
-	if r.unreached >= maxUnreached {
+	if r.unreached >= maxUnreached || r.trial != 0 {
 		return false
 	}
 	return slices.ContainsFunc(r.serving(snap, member.Region), func(other members.Member) bool { return other.VM != member.VM })
--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -37,14 +37,19 @@
 	// callerGone is true once the caller closed or reset the connection.
 	callerGone bool
 	closed     bool
-	// announced is true if the last response announced the close of the connection.
+	// announced is true once a response announced the close of the connection.
 	announced bool
-	// idleSince is when the last response was completed.
+	// idleSince is when the last response was completed, or the first one that announced
+	// the close.
 	idleSince time.Time
 	// handlings is the number of requests that handlers began to serve, request the ID
 	// of the last one if its handler named it.
 	handlings int
 	request   string
+	// awaiting is true while the HTTP server waits for the next request or reads its
+	// header; idleDeadlines is the number of read deadlines that it has set since.
+	awaiting      bool
+	idleDeadlines int
 	// ending is true while the connection is about to end: it ends at its read deadline
 	// unless a request has arrived.
 	ending bool
@@ -111,24 +116,41 @@
 }
 
 // SetReadDeadline implements net.Conn. A connection that is about to end keeps its
-// deadline while it waits. The HTTP server takes the deadline away when it has found the
-// begin of a request, which it may have read together with the one before.
+// deadline while it waits for a request.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ending {
-		return c.Conn.SetReadDeadline(t)
+	if c.foundRequest() {
+		c.begun, c.ending = true, false
 	}
-	if t.IsZero() {
-		c.begun = true
-		c.keep()
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// foundRequest reports whether the HTTP server has found the begin of the next request,
+// which it may have read together with the one before: it sets one deadline for the wait
+// and then one for the header. The caller holds the lock.
+func (c *conn) foundRequest() bool {
+	if !c.awaiting {
+		return false
 	}
-	return nil
+	c.idleDeadlines++
+	return c.idleDeadlines > 1
+}
+
+// becomeIdle records that the HTTP server begins to wait for the next request.
+func (c *conn) becomeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting, c.idleDeadlines = true, 0
 }
 
 // endIfWaiting lets the connection end if it waits for a request: an idle one when the
-// idle time after its last response is over, at once if it is. A connection that had no
-// request yet is left alone unless fresh ones are to end too.
+// idle time is over, at once if it is or if others wait for the slot of one whose close
+// was announced. A connection that had no request yet is left alone unless fresh ones are
+// to end too.
 func (c *conn) endIfWaiting(freshToo bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,15 +160,21 @@
 	}
 	c.ending = true
 	deadline := expired
-	if c.phase == idle {
+	if c.phase == idle && !(c.announced && c.server.full()) {
 		deadline = c.idleSince.Add(c.server.opts.Times.Idle)
 	}
 	// A closed connection needs no waking.
 	_ = c.Conn.SetReadDeadline(deadline)
 }
 
-// closeAnnounced reports whether the last response announced the close of the
-// connection.
+// waits reports whether nothing of a request that has no response has arrived.
+func (c *conn) waits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.begun && (c.phase == idle || c.phase == fresh)
+}
+
+// closeAnnounced reports whether a response announced the close of the connection.
 func (c *conn) closeAnnounced() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,6 +207,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = handling
+	c.awaiting = false
 	c.handlings++
 	c.request = ""
 }
@@ -203,8 +232,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = idle
-	c.idleSince = time.Now()
-	c.announced = announced
+	if !c.announced {
+		c.idleSince = time.Now()
+	}
+	c.announced = c.announced || announced
 	if !completed || c.callerGone {
 		c.phase = aborted
 	}
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -370,6 +370,19 @@
 		Expect(f.seen.all()).To(BeEmpty())
 	})
 
+	It("answers the next request whose first part was read with the one before, however late the rest comes", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		c.send(get("/") + half)
+		status, _ := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		time.Sleep(graceful.DefaultShutdownTimes().Idle * 3 / 2)
+		c.send("Host: h\r\n\r\n")
+		status, _ = c.status()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
 	It("ends a connection whose caller ignores that its close was announced", func() {
 		f := start()
 		c := f.dial()
@@ -378,11 +391,65 @@
 		status, closes := c.status()
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(closes).To(BeTrue())
+		answered := time.Now()
 		status, _ = c.status()
 		Expect(status).To(BeZero())
+		Expect(time.Since(answered)).To(BeNumerically("<", headerTimeout))
 		Expect(f.seen.all()).To(BeEmpty())
 	})
 
+	It("is not held up by a caller that goes on sending after the close was announced", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		ctx, cancel := context.WithTimeout(context.Background(), headerTimeout)
+		defer cancel()
+		wait := f.shutDown(ctx)
+		for status := http.StatusOK; status != 0; {
+			_, _ = io.WriteString(c, get("/"))
+			status, _ = c.status()
+			time.Sleep(graceful.DefaultShutdownTimes().Idle / 4)
+		}
+		Expect(wait()).To(Succeed())
+	})
+
+	It("answers at once a request whose body is not read to its end", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf")
+		Expect(c.SetReadDeadline(time.Now().Add(headerTimeout))).To(Succeed())
+		response, err := http.ReadResponse(c.reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Close).To(BeTrue())
+	})
+
+	It("does not fail if connections are left that only wait for a request", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		ctx, cancel := context.WithTimeout(context.Background(), graceful.DefaultShutdownTimes().Idle/2)
+		defer cancel()
+		c.send(get("/"))
+		status, _ := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(f.server.Shutdown(ctx)).To(Succeed())
+	})
+
+	It("holds no slot for a caller that was told to close its connection", func() {
+		const callers = 10
+		f := serveLimited(listen(), 1)
+		f.server.Leave()
+		began := time.Now()
+		for range callers {
+			c := f.dial()
+			c.send(get("/"))
+			status, _ := c.status()
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", callers*graceful.DefaultShutdownTimes().Idle/2))
+	})
+
 	It("answers the requests in flight when they are cancelled", func() {
 		f := start()
 		c := f.dial()
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -21,9 +21,10 @@
 	// Fresh is how long after the begin of the shutdown a connection may take to send
 	// its first byte.
 	Fresh time.Duration
-	// Idle is how long after its last response a connection still waits for the next
-	// request. A caller that sends its requests without a pause, or that was not told to
-	// close the connection, gets an answer to the next one.
+	// Idle is how long a connection still waits for the next request after its last
+	// response, or after the first one that announced its close. A caller that sends its
+	// requests without a pause, or that was not told to close the connection, gets an
+	// answer to the next one.
 	Idle time.Duration
 }
 
@@ -75,10 +76,6 @@
 	Unanswered func(Ending)
 }
 
-// defaultIdleTimeout applies if the HTTP server sets none: without any it would wait for
-// the next request of a connection for ever.
-const defaultIdleTimeout = time.Minute
-
 // closeOption is the value of the Connection field that announces the close of a
 // connection. The space, which is not sent, keeps the HTTP server from closing the
 // connection itself: it would drop requests that have arrived meanwhile.
@@ -159,9 +156,6 @@
 	if tcp, ok := opts.Listener.(*net.TCPListener); ok {
 		s.listener = newQueueListener(tcp)
 	}
-	if opts.HTTP.IdleTimeout <= 0 {
-		opts.HTTP.IdleTimeout = defaultIdleTimeout
-	}
 	opts.HTTP.Handler = http.HandlerFunc(s.handle)
 	opts.HTTP.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, trackedConn(accepted))
@@ -197,8 +191,9 @@
 
 // Shutdown closes the listener and waits until all connections have ended: every
 // request that has arrived is served, and a connection ends only when nothing of a
-// further request has arrived within the idle time after its last response. It returns the error of ctx if that ends first. The
-// server's own Shutdown would drop requests that it reads after its begin.
+// further request has arrived within the idle time. It returns the error of ctx if that
+// ends before all requests have. The HTTP server's own Shutdown would drop requests that
+// it reads after its begin.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
 	fresh := time.AfterFunc(s.opts.Times.Fresh, func() { s.endWaiting(true) })
@@ -216,8 +211,36 @@
 	case <-s.drained:
 		return nil
 	case <-ctx.Done():
+		return s.endOfTime(ctx)
+	}
+}
+
+// endOfTime returns the error of ctx, or nil if connections are left that only wait for
+// a request: it closes these.
+func (s *Server) endOfTime(ctx context.Context) error {
+	if !s.onlyWaiting() {
 		return ctx.Err()
 	}
+	// The listener is closed already.
+	_ = s.Close()
+	return nil
+}
+
+// onlyWaiting reports whether no connection has a request without a response.
+func (s *Server) onlyWaiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.waits() {
+			return false
+		}
+	}
+	return true
+}
+
+// full reports whether further connections wait for a slot, or would.
+func (s *Server) full() bool {
+	return s.slots != nil && len(s.slots) == cap(s.slots)
 }
 
 // ErrStopping is the cause of the end of a request's context when the server stops.
@@ -275,6 +298,9 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
 		AnnounceClose(w.Header())
+		body := &watchedBody{ReadCloser: r.Body, ended: r.Body == http.NoBody}
+		r.Body = body
+		w = &closeAnnouncer{ResponseWriter: w, body: body}
 	}
 	c := connOf(r.Context())
 	if c == nil {
@@ -294,6 +320,7 @@
 	if c == nil || state != http.StateIdle {
 		return
 	}
+	c.becomeIdle()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing || c.closeAnnounced() {
--- a/pkg/stopsignal/quiet.go
+++ b/pkg/stopsignal/quiet.go
@@ -10,6 +10,9 @@
 	// stopped nor starved for long in between. It bounds the time by which a signal may
 	// have been sent before a moment that counts as proven.
 	punctual = checkInterval * 3 / 2
+	// soonest is the shortest time between two checks that count. After a pause the next
+	// check may come at once, before a signal that was sent meanwhile gets through.
+	soonest = checkInterval / 2
 )
 
 // quiet keeps the last moment by which no signal had been sent, to within punctual, as far
@@ -28,8 +31,12 @@
 
 // check records that no signal was found at a time.
 func (q *quiet) check(now time.Time) {
+	gap := now.Sub(q.checked)
+	if gap < soonest {
+		return
+	}
 	q.proven = q.checked
-	if now.Sub(q.checked) <= punctual {
+	if gap <= punctual {
 		q.proven = now
 	}
 	q.checked = now
--- a/pkg/stopsignal/stopsignal_test.go
+++ b/pkg/stopsignal/stopsignal_test.go
@@ -42,6 +42,14 @@
 		}
 	})
 
+	It("is before a pause, also if two checks follow each other at its end", func() {
+		q := stopsignal.NewQuiet(noon)
+		q.Check(noon.Add(interval))
+		q.Check(noon.Add(interval + 3*time.Second))
+		q.Check(noon.Add(interval + 3*time.Second + time.Millisecond))
+		Expect(q.Proven()).To(Equal(noon.Add(interval)))
+	})
+
 	It("follows again after a pause without a signal", func() {
 		q := stopsignal.NewQuiet(noon)
 		q.Check(noon.Add(6 * time.Second))
