Graceful: a connection whose close was announced ends at once if nothing has arrived

Callers saw longer stops: connections were kept for 1 s after their last response, also those of callers that had been told to close them.

Change: after an announced close only what has arrived is served; otherwise a connection waits for 0.25 s; connections of other daemons end at once, since these send again. The specs of pkg/graceful, entry and proxy pass. The spec of connections that only wait gets its time limit from the times of a shutdown.

--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -44,10 +44,15 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s on %s", name, address)
 	}
+	times := e.opts.Settings.stopSchedule().shutdownTimes()
+	if name == peersName {
+		// Other daemons send again by themselves what an idle connection does not take.
+		times.Idle = 0
+	}
 	e.servers = append(e.servers, &server{name: name, Server: graceful.New(graceful.Options{
 		Listener:   listener,
 		HTTP:       e.httpServer(name, handler),
-		Times:      e.opts.Settings.stopSchedule().shutdownTimes(),
+		Times:      times,
 		Unanswered: e.unanswered.on(name),
 	})})
 	return nil
--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -147,10 +147,9 @@
 	c.awaiting, c.idleDeadlines = true, 0
 }
 
-// endIfWaiting lets the connection end if it waits for a request: an idle one when the
-// idle time is over, at once if it is or if others wait for the slot of one whose close
-// was announced. A connection that had no request yet is left alone unless fresh ones are
-// to end too.
+// endIfWaiting lets the connection end if it waits for a request: at once if its close
+// was announced, else when the idle time is over. A connection that had no request yet is
+// left alone unless fresh ones are to end too.
 func (c *conn) endIfWaiting(freshToo bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -160,7 +159,7 @@
 	}
 	c.ending = true
 	deadline := expired
-	if c.phase == idle && !(c.announced && c.server.full()) {
+	if c.phase == idle && !c.announced {
 		deadline = c.idleSince.Add(c.server.opts.Times.Idle)
 	}
 	// A closed connection needs no waking.
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -21,16 +21,14 @@
 	// Fresh is how long after the begin of the shutdown a connection may take to send
 	// its first byte.
 	Fresh time.Duration
-	// Idle is how long a connection still waits for the next request after its last
-	// response, or after the first one that announced its close. A caller that sends its
-	// requests without a pause, or that was not told to close the connection, gets an
-	// answer to the next one.
+	// Idle is how long after its last response a connection still waits for the next
+	// request if that response did not announce the close.
 	Idle time.Duration
 }
 
 // DefaultShutdownTimes returns the times of a shutdown whose end is far away.
 func DefaultShutdownTimes() ShutdownTimes {
-	return ShutdownTimes{Handshakes: 250 * time.Millisecond, Fresh: 1250 * time.Millisecond, Idle: time.Second}
+	return ShutdownTimes{Handshakes: 250 * time.Millisecond, Fresh: 1250 * time.Millisecond, Idle: 250 * time.Millisecond}
 }
 
 // Reason tells why a connection ended while a request had no complete response.
@@ -238,11 +236,6 @@
 	return true
 }
 
-// full reports whether further connections wait for a slot, or would.
-func (s *Server) full() bool {
-	return s.slots != nil && len(s.slots) == cap(s.slots)
-}
-
 // ErrStopping is the cause of the end of a request's context when the server stops.
 var ErrStopping = errors.New("the server stops")
 
