Directory: its log tells the routes behind the homes of a host, with their requests

An answer that leads callers out of their region is explained by homes that were taken from routes without any traffic, from routes whose homes are disjoint, or from daemons that are missing: the line had the homes and who is away, so that these could not be told apart. It now has each restricted route with its homes and the requests of the last 30 to 60 s, the daemons that serve, and the configuration's version. No decision changes.

--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -53,13 +53,24 @@
 	return nil
 }
 
+// RestrictedRoutesOf returns the routes of a host whose data is restricted to regions.
+func (c *Config) RestrictedRoutesOf(host string) []*Route {
+	var restricted []*Route
+	for _, route := range c.byHost[strings.ToLower(host)] {
+		if len(route.AllowedRegions) > 0 {
+			restricted = append(restricted, route)
+		}
+	}
+	return restricted
+}
+
 // HomeRegionsOf returns the regions that most of the host's restricted routes allow,
 // sorted: all of these routes, if they have a region in common. It returns nil if no
 // route of the host is restricted to regions.
 func (c *Config) HomeRegionsOf(host string) []types.Region {
 	allowedBy := make(map[types.Region]int)
 	most := 0
-	for _, route := range c.byHost[strings.ToLower(host)] {
+	for _, route := range c.RestrictedRoutesOf(host) {
 		for _, region := range route.AllowedRegions {
 			allowedBy[region]++
 			most = max(most, allowedBy[region])
--- /dev/null
+++ b/pkg/gateway/demand/demand.go
@@ -0,0 +1,73 @@
+// Package demand counts the requests of callers by route. Answers that are given for a
+// whole host, such as which daemons its callers should use, are weighed by these counts:
+// most routes of a host may have hardly any requests.
+package demand
+
+import (
+	"sync"
+	"time"
+)
+
+// Window is the time whose requests count in full; those of another Window before may
+// count too.
+const Window = 30 * time.Second
+
+// Counts holds numbers of requests by the name of their route.
+type Counts map[string]uint64
+
+// Add adds other counts.
+func (c Counts) Add(other Counts) {
+	for route, requests := range other {
+		c[route] += requests
+	}
+}
+
+// Counter counts requests by route over the last one to two windows. It is safe for
+// concurrent use.
+type Counter struct {
+	now func() time.Time
+
+	mu sync.Mutex
+	// began is when the current window began.
+	began             time.Time
+	current, previous Counts
+}
+
+// NewCounter returns an empty counter.
+func NewCounter(now func() time.Time) *Counter {
+	return &Counter{now: now, began: now(), current: make(Counts)}
+}
+
+// Record counts a request of a route.
+func (c *Counter) Record(route string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance()
+	c.current[route]++
+}
+
+// Counts returns the number of requests of each route that had any.
+func (c *Counter) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance()
+	counts := make(Counts, len(c.current))
+	counts.Add(c.previous)
+	counts.Add(c.current)
+	return counts
+}
+
+// advance begins a new window if the current one has ended.
+func (c *Counter) advance() {
+	now := c.now()
+	age := now.Sub(c.began)
+	if age < Window {
+		return
+	}
+	c.previous = c.current
+	if age >= 2*Window {
+		c.previous = nil
+	}
+	c.current = make(Counts)
+	c.began = now
+}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/health"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -109,6 +110,8 @@
 	// history remembers which answers got on; reporter passes on what attempts observe.
 	history  *crashes.History
 	reporter *reporter
+	// demand counts callers' requests by route, which weighs answers of the directory.
+	demand   *demand.Counter
 	registry *prometheus.Registry
 	// unanswered records requests that got no complete answer.
 	unanswered *unansweredLog
@@ -150,6 +153,7 @@
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.guard = guard.New(e.log, e.registry)
 	e.history = crashes.NewHistory()
+	e.demand = demand.NewCounter(time.Now)
 	e.unanswered = newUnansweredLog(e.log, e.registry, func() (time.Duration, bool) { return e.handler.SinceStop() })
 	e.lookups = newLookupLog(e.log, e.registry)
 	watchTimeout := time.Duration(float64(s.ConfigPropagationLimit) * watchShare)
@@ -183,7 +187,7 @@
 	e.reporter = newReporter(e.control, e.history, e.registry)
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, NextSnapshot: e.control.Next, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.reporter,
-		RetryBudgets: e.budgets, Transport: transport,
+		RetryBudgets: e.budgets, Demand: e.demand, Transport: transport,
 		BodyMemory: int64(float64(s.MemoryBytes) * bodyMemoryShare),
 		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Suspended: suspension.Total, Rand: sharedrand.Source{},
 	})
--- a/pkg/gateway/entry/entry_test.go
+++ b/pkg/gateway/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"slices"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/entry"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -127,6 +129,29 @@
 	})
 })
 
+var _ = Describe("the log of lookups", func() {
+	It("tells the routes behind the homes with their requests, and who serves and who does not", func() {
+		config := &catalog.Config{Version: 3, Routes: []*catalog.Route{
+			{Name: "r-busy", Host: "a.example", Prefix: "/a/", AllowedRegions: []types.Region{"north", "east"}},
+			{Name: "r-idle", Host: "a.example", Prefix: "/b/", AllowedRegions: []types.Region{"south"}},
+			{Name: "r-free", Host: "a.example", Prefix: "/c/"},
+		}}
+		config.Prepare()
+		snap := &control.Snapshot{Self: servingMember("e1", "east", "east-a"), View: &catalog.View{Config: config}}
+		snap.Members = []members.Member{{VM: "n1", State: members.Leaving, Region: "north"}}
+		var out bytes.Buffer
+		log := entry.NewLookupLog(entry.NewLog(&out))
+		log.Record(snap, entry.Lookup{Host: "a.example", Region: "north"}, entry.Answer{Addresses: []string{"e1"}, Scope: entry.HomesScope}, demand.Counts{"r-busy": 90})
+		var line map[string]any
+		Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
+		Expect(line).To(HaveKeyWithValue("restricted", ConsistOf(
+			HaveKeyWithValue("requests", BeNumerically("==", 90)), HaveKeyWithValue("homes", ConsistOf("south")),
+		)))
+		Expect(line).To(HaveKeyWithValue("serving", HaveKeyWithValue("east", BeNumerically("==", 1))))
+		Expect(line).To(HaveKeyWithValue("away", HaveKeyWithValue("north", BeNumerically("==", 1))))
+	})
+})
+
 var _ = Describe("the log", func() {
 	It("keeps more lines of failures than of successes, within its limits, and counts the skipped ones", func() {
 		var out bytes.Buffer
--- a/pkg/gateway/entry/export_test.go
+++ b/pkg/gateway/entry/export_test.go
@@ -3,8 +3,13 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 )
 
 // Internals of the package that the tests use.
@@ -21,6 +26,19 @@
 	NewLineWriter = newLineWriter
 )
 
+// LookupLog logs answers of the directory.
+type LookupLog struct{ *lookupLog }
+
+// NewLookupLog returns a log of answers.
+func NewLookupLog(log logrus.FieldLogger) LookupLog {
+	return LookupLog{newLookupLog(log, prometheus.NewRegistry())}
+}
+
+// Record logs an answer.
+func (l LookupLog) Record(snap *control.Snapshot, lookup Lookup, given Answer, counts demand.Counts) {
+	l.record(snap, lookup, given, counts)
+}
+
 // Dropped returns the number of dropped lines.
 func (w *lineWriter) Dropped() int64 {
 	return w.dropped.Load()
--- a/pkg/gateway/entry/lookups.go
+++ b/pkg/gateway/entry/lookups.go
@@ -1,14 +1,18 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // lookupLines limits the lines per second about answers that lead callers out of
@@ -40,7 +44,7 @@
 }
 
 // record counts an answer that was given on a snapshot, and logs it if it is unusual.
-func (l *lookupLog) record(snap *control.Snapshot, lookup Lookup, given Answer) {
+func (l *lookupLog) record(snap *control.Snapshot, lookup Lookup, given Answer, counts demand.Counts) {
 	l.answers.WithLabelValues(string(given.Scope)).Inc()
 	if given.Scope == LocalScope || given.Scope == RegionScope {
 		return
@@ -51,23 +55,51 @@
 	}
 	fields := logrus.Fields{
 		"host": lookup.Host, "region": lookup.Region, "scope": given.Scope, "named": len(given.Addresses),
-		"self": snap.Self.State, "joining": snap.Joining, "away": awayByRegion(snap),
+		"self": snap.Self.State, "joining": snap.Joining, "serving": countByRegion(serving(snap)), "away": countByRegion(away(snap)),
 	}
-	if snap.View.Config != nil {
-		fields["homes"] = snap.View.Config.HomeRegionsOf(lookup.Host)
+	if config := snap.View.Config; config != nil {
+		fields["config"] = config.Version
+		fields["homes"] = config.HomeRegionsOf(lookup.Host)
+		fields["restricted"] = restrictedRoutes(config, lookup.Host, counts)
 	}
 	line.WithFields(fields).Info("no daemon serves in the caller's region")
 }
 
-// awayByRegion counts the live daemons that do not serve, by region.
-func awayByRegion(snap *control.Snapshot) map[string]int {
-	away := make(map[string]int)
-	for _, member := range all(snap) {
-		if member.State != members.Serving {
-			away[string(member.Region)]++
+// restrictedRoute is a route behind an answer, as it is logged.
+type restrictedRoute struct {
+	Route    string         `json:"route"`
+	Homes    []types.Region `json:"homes"`
+	Requests uint64         `json:"requests"`
+}
+
+// maxLoggedRoutes bounds the routes in a line.
+const maxLoggedRoutes = 16
+
+// restrictedRoutes returns the routes of a host that are restricted to regions, with the
+// requests that they had.
+func restrictedRoutes(config *catalog.Config, host string, counts demand.Counts) []restrictedRoute {
+	var logged []restrictedRoute
+	for _, route := range config.RestrictedRoutesOf(host) {
+		if len(logged) == maxLoggedRoutes {
+			break
 		}
+		logged = append(logged, restrictedRoute{Route: route.Name, Homes: route.AllowedRegions, Requests: counts[route.Name]})
+	}
+	return logged
+}
+
+// away returns the live daemons that do not serve.
+func away(snap *control.Snapshot) []members.Member {
+	return slices.DeleteFunc(all(snap), func(member members.Member) bool { return member.State == members.Serving })
+}
+
+// countByRegion counts daemons by region.
+func countByRegion(daemons []members.Member) map[types.Region]int {
+	counts := make(map[types.Region]int)
+	for _, member := range daemons {
+		counts[member.Region]++
 	}
-	return away
+	return counts
 }
 
 // Resolve returns the addresses that a caller should use, by the newest snapshot; none
@@ -76,6 +108,6 @@
 	snap := e.Snapshot()
 	directory := Directory{Grace: e.opts.Settings.Grace}
 	given := directory.Answer(snap, lookup, time.Now())
-	e.lookups.record(snap, lookup, given)
+	e.lookups.record(snap, lookup, given, e.demand.Counts())
 	return given.Addresses
 }
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -18,6 +18,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/reserve"
 	"github.com/flamingomount/flamingomount/pkg/route"
@@ -68,6 +69,8 @@
 	Dialect      Dialect
 	Reporter     Reporter
 	RetryBudgets *RetryBudgets
+	// Demand counts callers' requests by route; nil means a counter of its own.
+	Demand *demand.Counter
 	// Transport sends attempts; nil means NewTransport.
 	Transport http.RoundTripper
 	// BodyMemory bounds the total size in bytes of the request bodies that are held or
@@ -111,6 +114,9 @@
 	if opts.Transport == nil {
 		opts.Transport = NewTransport()
 	}
+	if opts.Demand == nil {
+		opts.Demand = demand.NewCounter(opts.Now)
+	}
 	return &Handler{opts: opts, bodies: reserve.NewBudget(opts.BodyMemory), startedAt: opts.Now()}
 }
 
@@ -147,6 +153,7 @@
 	snap := h.awaitStartup(r.Context(), hasConfig)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
+		h.opts.Demand.Record(req.Route.Name)
 		h.opts.RetryBudgets.RecordRequest(req.Service, h.inBudgetTime(arrived))
 		failure = h.readBody(w, r, req, snap)
 		defer func() { h.bodies.Release(req.reservedBytes) }()
