--- a/pkg/gateway/demand/demand.go
+++ b/pkg/gateway/demand/demand.go
@@ -1,11 +1,14 @@
-// Package demand counts the requests of callers by route. Answers that are given for a
-// whole host, such as which daemons its callers should use, are weighed by these counts:
-// most routes of a host may have hardly any requests.
+// Package demand counts the requests of callers on routes whose data is restricted to
+// regions. Answers that are given for a whole host, such as which daemons its callers
+// should use, are weighed by these counts: most routes of a host may have hardly any
+// requests.
 package demand
 
 import (
 	"sync"
 	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 )
 
 // Window is the time whose requests count in full; those of another Window before may
@@ -38,12 +41,16 @@
 	return &Counter{now: now, began: now(), current: make(Counts)}
 }
 
-// Record counts a request of a route.
-func (c *Counter) Record(route string) {
+// Record counts a request of a route. Requests of routes without a restriction do not
+// count: their callers may use any daemon.
+func (c *Counter) Record(route *catalog.Route) {
+	if len(route.AllowedRegions) == 0 {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance()
-	c.current[route]++
+	c.current[route.Name]++
 }
 
 // Counts returns the number of requests of each route that had any.
--- a/pkg/gateway/demand/demand_test.go
+++ b/pkg/gateway/demand/demand_test.go
@@ -7,7 +7,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 func TestDemand(t *testing.T) {
@@ -24,7 +26,7 @@
 	})
 	record := func(route string, requests int) {
 		for range requests {
-			counter.Record(route)
+			counter.Record(&catalog.Route{Name: route, AllowedRegions: []types.Region{"north"}})
 		}
 	}
 
@@ -34,6 +36,11 @@
 		Expect(counter.Counts()).To(Equal(demand.Counts{"a": 3, "b": 1}))
 	})
 
+	It("leaves out routes whose data may be anywhere", func() {
+		counter.Record(&catalog.Route{Name: "free"})
+		Expect(counter.Counts()).To(BeEmpty())
+	})
+
 	It("keeps the requests of a whole window, and forgets those of two windows ago", func() {
 		record("a", 3)
 		now = now.Add(demand.Window)
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -153,7 +153,7 @@
 	snap := h.awaitStartup(r.Context(), hasConfig)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
-		h.opts.Demand.Record(req.Route.Name)
+		h.opts.Demand.Record(req.Route)
 		h.opts.RetryBudgets.RecordRequest(req.Service, h.inBudgetTime(arrived))
 		failure = h.readBody(w, r, req, snap)
 		defer func() { h.bodies.Release(req.reservedBytes) }()
