Directory: callers are led only where nearly all of their restricted requests may go

Cause: the directory answers for a host, homes belong to routes, and the limit counts requests. The regions that most restricted routes allow were named, each route counting alike: two routes without any traffic outvote the one with all of it, and routes with disjoint homes are led to each other's. The caller's own region, which is always allowed and whose daemons are back in seconds, was left first. Class: a count of rules stands for a share of requests.

Change: each daemon counts callers' requests on restricted routes over the last 30 to 60 s, and a daemon that leaves tells these counts in its row. Callers are led to another region only if at most 1 in 40 of their region's restricted requests may not enter it, a route weighing one more than its requests, so that few of them permit nothing. Else they get the daemons of their own region that stop or start. Only if there are none either, the regions that the most requests may enter; all daemons if no home has any.

--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -64,28 +64,6 @@
 	return restricted
 }
 
-// HomeRegionsOf returns the regions that most of the host's restricted routes allow,
-// sorted: all of these routes, if they have a region in common. It returns nil if no
-// route of the host is restricted to regions.
-func (c *Config) HomeRegionsOf(host string) []types.Region {
-	allowedBy := make(map[types.Region]int)
-	most := 0
-	for _, route := range c.RestrictedRoutesOf(host) {
-		for _, region := range route.AllowedRegions {
-			allowedBy[region]++
-			most = max(most, allowedBy[region])
-		}
-	}
-	var homes []types.Region
-	for region, routes := range allowedBy {
-		if routes == most {
-			homes = append(homes, region)
-		}
-	}
-	slices.Sort(homes)
-	return homes
-}
-
 // ServiceFor chooses one of the route's backends by weight. The same key always
 // yields the same service.
 func (r *Route) ServiceFor(key string) types.ServiceName {
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/route"
@@ -53,6 +54,9 @@
 	OnSnapshot func(*Snapshot)
 	// Loads returns the daemon's load by service; it must not block.
 	Loads func() []members.Load
+	// Demand returns the requests of restricted routes that the daemon lately had from
+	// callers; it must not block. Nil if they are not counted.
+	Demand func() demand.Counts
 	// Sound reports whether an answer got on to a request with the trait, as far as
 	// this daemon remembers; nil if it remembers nothing.
 	Sound func(crashes.Trait) bool
@@ -97,6 +101,9 @@
 	if opts.Sound == nil {
 		opts.Sound = func(crashes.Trait) bool { return false }
 	}
+	if opts.Demand == nil {
+		opts.Demand = func() demand.Counts { return nil }
+	}
 	if opts.WatchTimeout == 0 {
 		opts.WatchTimeout = DefaultWatchTimeout
 	}
@@ -243,6 +250,7 @@
 		Members: c.table.Live(now),
 		Peak:    c.table.Peak(),
 		Joining: c.table.Joining(),
+		Demand:  c.table.Demand(),
 
 		StoreReadAt: c.storeReads[c.lastReader].at,
 
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -24,6 +24,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -240,7 +241,8 @@
 		Self:  members.Member{VM: vm, Incarnation: 1, State: members.Starting, Region: "north", DataCentre: "north-a", CallerAddress: string(vm)},
 		Seeds: seeds, Store: store, Peers: f.peers,
 		OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads, EvacuationLimit: evacuationLimit,
-		Log: log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(len(f.daemons)), 1)),
+		Demand: func() demand.Counts { return demand.Counts{"r": 7} },
+		Log:    log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(len(f.daemons)), 1)),
 	})
 	f.daemons = append(f.daemons, daemon)
 	f.peers.daemons[vm] = daemon
@@ -535,6 +537,7 @@
 		Eventually(serving, waitLimit).Should(Equal(2))
 		f.daemons[1].Leave(context.Background())
 		Eventually(serving, waitLimit).Should(Equal(1))
+		Expect(f.daemons[0].Load().Demand).To(Equal(map[types.Region]demand.Counts{"north": {"r": 7}}), "what its callers asked for")
 	})
 
 	It("removes an unreachable daemon from the others' view, and adds it again when it returns", func() {
--- a/pkg/gateway/control/exchange.go
+++ b/pkg/gateway/control/exchange.go
@@ -229,7 +229,7 @@
 // Leave announces to every live daemon that this one is leaving.
 func (c *Control) Leave(ctx context.Context) {
 	c.submit(ctx, func(now time.Time) {
-		c.table.SetState(members.Leaving)
+		c.table.Leave(c.opts.Demand())
 		c.table.Beat(c.opts.Loads())
 		c.dirty = true
 		for _, member := range c.table.Live(now) {
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -21,7 +22,10 @@
 	// Joining is true shortly after the start, while the daemon may not know the
 	// others yet.
 	Joining bool
-	View    *catalog.View
+	// Demand holds, by region, what callers lately asked for, as the daemons that left
+	// there told it.
+	Demand map[types.Region]demand.Counts
+	View   *catalog.View
 	// StoreReadAt is when the store was last read, by whichever daemon, with nothing
 	// in the answer that this daemon lacks; zero if that is not known.
 	StoreReadAt time.Time
--- a/pkg/gateway/demand/demand.go
+++ b/pkg/gateway/demand/demand.go
@@ -5,6 +5,9 @@
 package demand
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +28,21 @@
 	}
 }
 
+// Largest returns the counts of at most n routes, those with the most requests.
+func (c Counts) Largest(n int) Counts {
+	if len(c) <= n {
+		return maps.Clone(c)
+	}
+	routes := slices.SortedFunc(maps.Keys(c), func(a, b string) int {
+		return cmp.Or(cmp.Compare(c[b], c[a]), cmp.Compare(a, b))
+	})
+	largest := make(Counts, n)
+	for _, route := range routes[:n] {
+		largest[route] = c[route]
+	}
+	return largest
+}
+
 // Counter counts requests by route over the last one to two windows. It is safe for
 // concurrent use.
 type Counter struct {
--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -34,11 +35,15 @@
 	LocalScope Scope = "data_centre"
 	// RegionScope: those of the caller's region.
 	RegionScope Scope = "region"
-	// HomesScope: those of the regions to which the host's data is restricted.
+	// HomesScope: those of the regions that nearly all restricted requests of the host's
+	// callers may enter.
 	HomesScope Scope = "homes"
 	// ReturningScope: the daemons of these regions and of the caller's that stop or
 	// start.
 	ReturningScope Scope = "returning"
+	// MostHomesScope: those of the regions that the most restricted requests may enter,
+	// since no region may have nearly all of them and the caller's has lost its daemons.
+	MostHomesScope Scope = "most_homes"
 	// AnywhereScope: those of all regions.
 	AnywhereScope Scope = "anywhere"
 	// NoScope: none, since this daemon knows too little. Callers keep the answer that
@@ -47,7 +52,7 @@
 )
 
 // Scopes lists all scopes.
-var Scopes = []Scope{LocalScope, RegionScope, HomesScope, ReturningScope, AnywhereScope, NoScope}
+var Scopes = []Scope{LocalScope, RegionScope, HomesScope, ReturningScope, MostHomesScope, AnywhereScope, NoScope}
 
 // Answer is the answer to a Lookup.
 type Answer struct {
@@ -66,15 +71,16 @@
 }
 
 // Answer returns the daemons that a caller should use: those of its data centre; if it
-// has too few, of its region; and if the region has none, of the regions to which the
-// host's data is restricted.
+// has too few, of its region; and if the region has none, of the regions that nearly all
+// restricted requests of its callers may enter. own holds the requests that this daemon
+// had from callers.
 //
-// If these have none either, because their daemons stop and start again, it returns
-// those daemons: they take requests for a part of their stop, and are back in seconds.
-// To lead their callers elsewhere meanwhile would send restricted data out of its
-// regions. Other daemons are named only for a host without restricted routes, or if the
-// regions have lost their daemons for longer than a planned stop takes.
-func (d Directory) Answer(snap *control.Snapshot, lookup Lookup, now time.Time) Answer {
+// If there is no such region with daemons, it returns the daemons of these regions and of
+// the caller's that stop and start again: they take requests for a part of their stop,
+// and are back in seconds. To lead their callers elsewhere meanwhile would send restricted
+// data out of its regions. Other daemons are named only for a host without restricted
+// routes, or if the regions have lost their daemons for longer than a planned stop takes.
+func (d Directory) Answer(snap *control.Snapshot, lookup Lookup, own demand.Counts, now time.Time) Answer {
 	regional := snap.InRegion(lookup.Region)
 	if local := inDataCentre(regional, lookup.DataCentre); len(local) >= minLocalDaemons {
 		return answer(LocalScope, local)
@@ -85,22 +91,53 @@
 	if snap.View.Config == nil {
 		return Answer{Scope: NoScope}
 	}
-	homes := snap.View.Config.HomeRegionsOf(lookup.Host)
-	if len(homes) == 0 {
+	restricted := snap.View.Config.RestrictedRoutesOf(lookup.Host)
+	if len(restricted) == 0 {
 		return answer(AnywhereScope, serving(snap))
 	}
-	if inHomes := inRegions(serving(snap), homes); len(inHomes) > 0 {
+	requests := callersDemand(snap, lookup.Region, own)
+	homes := newResidency(restricted, requests)
+	if inHomes := inRegions(serving(snap), homes.permits); len(inHomes) > 0 {
 		return answer(HomesScope, inHomes)
 	}
-	if back := d.returning(inRegions(all(snap), append(homes, lookup.Region)), now); len(back) > 0 {
+	permitted := func(region types.Region) bool { return region == lookup.Region || homes.permits(region) }
+	if back := d.returning(inRegions(all(snap), permitted), now); len(back) > 0 {
 		return answer(ReturningScope, back)
 	}
 	if snap.Joining {
 		return Answer{Scope: NoScope}
 	}
+	if len(requests) == 0 {
+		// Daemons of other regions have served these callers meanwhile.
+		homes = newResidency(restricted, own)
+	}
+	return d.leastLedOut(snap, homes, now)
+}
+
+// leastLedOut returns the daemons to which the fewest restricted requests are led out of
+// their regions: those that serve, else those that stop or start there, else all.
+func (d Directory) leastLedOut(snap *control.Snapshot, homes residency, now time.Time) Answer {
+	if best := homes.best(serving(snap)); len(best) > 0 {
+		return answer(MostHomesScope, best)
+	}
+	if best := homes.best(d.returning(all(snap), now)); len(best) > 0 {
+		return answer(ReturningScope, best)
+	}
 	return answer(AnywhereScope, serving(snap))
 }
 
+// callersDemand returns what the callers of a region asked for: what the daemons that
+// left there told, and for this daemon's region its own requests. Those of another region
+// tell nothing about them: callers may be of other organisations.
+func callersDemand(snap *control.Snapshot, region types.Region, own demand.Counts) demand.Counts {
+	counts := make(demand.Counts)
+	counts.Add(snap.Demand[region])
+	if snap.Self.Region == region {
+		counts.Add(own)
+	}
+	return counts
+}
+
 // returning returns the daemons that stop or start, without those that should be back.
 func (d Directory) returning(daemons []members.Member, now time.Time) []members.Member {
 	return slices.DeleteFunc(daemons, func(member members.Member) bool {
@@ -113,8 +150,8 @@
 	return slices.DeleteFunc(slices.Clone(daemons), func(member members.Member) bool { return member.DataCentre != dc })
 }
 
-func inRegions(daemons []members.Member, regions []types.Region) []members.Member {
-	return slices.DeleteFunc(slices.Clone(daemons), func(member members.Member) bool { return !slices.Contains(regions, member.Region) })
+func inRegions(daemons []members.Member, included func(types.Region) bool) []members.Member {
+	return slices.DeleteFunc(slices.Clone(daemons), func(member members.Member) bool { return !included(member.Region) })
 }
 
 // serving returns all serving daemons, including this one.
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -177,6 +177,7 @@
 		EvacuationLimit: s.EvacuationLimit,
 
 		Loads:      e.gate.Loads,
+		Demand:     e.demand.Counts,
 		Sound:      e.history.Contains,
 		OnSnapshot: e.published,
 		Log:        e.log,
--- a/pkg/gateway/entry/lookups.go
+++ b/pkg/gateway/entry/lookups.go
@@ -43,7 +43,8 @@
 	return l
 }
 
-// record counts an answer that was given on a snapshot, and logs it if it is unusual.
+// record counts an answer that was given on a snapshot, and logs it if it is unusual, with
+// the requests by which it was weighed.
 func (l *lookupLog) record(snap *control.Snapshot, lookup Lookup, given Answer, counts demand.Counts) {
 	l.answers.WithLabelValues(string(given.Scope)).Inc()
 	if given.Scope == LocalScope || given.Scope == RegionScope {
@@ -59,7 +60,6 @@
 	}
 	if config := snap.View.Config; config != nil {
 		fields["config"] = config.Version
-		fields["homes"] = config.HomeRegionsOf(lookup.Host)
 		fields["restricted"] = restrictedRoutes(config, lookup.Host, counts)
 	}
 	line.WithFields(fields).Info("no daemon serves in the caller's region")
@@ -106,8 +106,9 @@
 // mean that the caller should keep what it has, or ask another daemon.
 func (e *Entry) Resolve(lookup Lookup) []string {
 	snap := e.Snapshot()
+	own := e.demand.Counts()
 	directory := Directory{Grace: e.opts.Settings.Grace}
-	given := directory.Answer(snap, lookup, time.Now())
-	e.lookups.record(snap, lookup, given, e.demand.Counts())
+	given := directory.Answer(snap, lookup, own, time.Now())
+	e.lookups.record(snap, lookup, given, callersDemand(snap, lookup.Region, own))
 	return given.Addresses
 }
--- /dev/null
+++ b/pkg/gateway/members/demand_test.go
@@ -0,0 +1,67 @@
+package members_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+var _ = Describe("what daemons that leave tell of their callers", func() {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var table *members.Table
+	BeforeEach(func() {
+		table = members.New(members.Member{VM: "a:1", Region: "north", State: members.Serving}, nil)
+	})
+	leaving := func(vm types.VMID, beat uint64, counts demand.Counts) members.Member {
+		return members.Member{VM: vm, Incarnation: 1, Beat: beat, Region: "east", State: members.Leaving, Demand: counts}
+	}
+
+	It("is in the row of a daemon from when it leaves", func() {
+		Expect(table.Self().Demand).To(BeEmpty())
+		table.Leave(demand.Counts{"r": 3})
+		Expect(table.Self().State).To(Equal(members.Leaving))
+		Expect(table.Self().Demand).To(Equal(demand.Counts{"r": 3}))
+	})
+
+	It("is added up by region, each daemon once", func() {
+		table.Merge([]members.Member{leaving("e:1", 1, demand.Counts{"r": 3, "q": 1}), leaving("e:2", 1, demand.Counts{"r": 4})}, now)
+		table.Merge([]members.Member{leaving("e:1", 2, demand.Counts{"r": 3, "q": 1})}, now)
+		Expect(table.Demand()).To(Equal(map[types.Region]demand.Counts{"east": {"r": 7, "q": 1}}))
+	})
+
+	It("is kept while the daemon starts again, and for as long as it was counted", func() {
+		table.Merge([]members.Member{leaving("e:1", 1, demand.Counts{"r": 3})}, now)
+		table.Merge([]members.Member{{VM: "e:1", Incarnation: 2, Beat: 1, Region: "east", State: members.Serving}}, now.Add(time.Second))
+		table.Forget(now.Add(2 * demand.Window))
+		Expect(table.Demand()).To(HaveKey(types.Region("east")))
+		table.Forget(now.Add(2*demand.Window + time.Second))
+		Expect(table.Demand()).To(BeEmpty())
+	})
+
+	It("is not kept longer because the daemon repeats it", func() {
+		table.Merge([]members.Member{leaving("e:1", 1, demand.Counts{"r": 3})}, now)
+		table.Merge([]members.Member{leaving("e:1", 2, demand.Counts{"r": 3})}, now.Add(time.Minute))
+		table.Forget(now.Add(2*demand.Window + time.Second))
+		Expect(table.Demand()).To(BeEmpty())
+	})
+
+	It("is bounded, whatever a row says", func() {
+		many := make(demand.Counts)
+		for i := range 1000 {
+			many[fmt.Sprint(i)] = 1 + uint64(i)
+		}
+		table.Leave(many)
+		Expect(len(table.Self().Demand)).To(BeNumerically("<", len(many)))
+		Expect(table.Self().Demand).To(HaveKey("999"))
+		table.Merge([]members.Member{leaving("e:1", 1, many)}, now)
+		Expect(table.Demand()).To(BeEmpty())
+		table.Merge([]members.Member{leaving("e:2", 1, demand.Counts{"r": 1 << 63}), leaving("e:3", 1, demand.Counts{"r": 1 << 63})}, now)
+		Expect(table.Demand()["east"]["r"]).To(BeNumerically("<", uint64(1)<<62))
+	})
+})
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/control/rendezvous"
+	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -49,6 +50,8 @@
 	RegionPeak int `json:"peak,omitempty"`
 	// DataCentrePeak is the same for the daemon's data centre.
 	DataCentrePeak int `json:"dc_peak,omitempty"`
+	// Demand holds the requests that a leaving daemon had from its callers.
+	Demand demand.Counts `json:"demand,omitempty"`
 	// LeavingSince is when this daemon learned that the member is leaving; zero if it
 	// is not.
 	LeavingSince time.Time `json:"-"`
@@ -94,6 +97,8 @@
 	seeds []types.VMID
 	// peak is the largest number of daemons seen at once.
 	peak Peak
+	// demands holds what daemons told of their callers when they left.
+	demands map[types.VMID]regionDemand
 }
 
 // Peak is the largest number of daemons, including this one, that were ever live at
@@ -114,7 +119,10 @@
 
 // New returns a table that holds only this daemon and its seeds.
 func New(self Member, seeds []types.VMID) *Table {
-	table := &Table{self: self, rows: make(map[types.VMID]row), peak: Peak{DataCentre: 1, Region: 1, Fleet: 1}}
+	table := &Table{
+		self: self, rows: make(map[types.VMID]row), peak: Peak{DataCentre: 1, Region: 1, Fleet: 1},
+		demands: make(map[types.VMID]regionDemand),
+	}
 	table.SetSeeds(seeds)
 	return table
 }
@@ -176,6 +184,7 @@
 		return
 	}
 	member.LeavingSince = leavingSince(member, peer.Member, now)
+	t.recordDemand(member, now)
 	t.rows[member.VM] = row{Member: member, lastHeard: now}
 	// A daemon that has restarted learns how many others there may be.
 	if member.Region == t.self.Region {
@@ -205,13 +214,14 @@
 	return a.Beat > b.Beat
 }
 
-// Forget removes daemons whose beat has not grown for forgetAfter.
+// Forget removes daemons whose beat has not grown for forgetAfter, and old demand.
 func (t *Table) Forget(now time.Time) {
 	for vm, peer := range t.rows {
 		if now.Sub(peer.lastHeard) > forgetAfter {
 			delete(t.rows, vm)
 		}
 	}
+	t.forgetDemand(now)
 }
 
 // MarkUnreachable records that the daemon could not be reached. If its beat has not
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -111,13 +111,14 @@
 
 // New returns a handler.
 func New(opts Options) *Handler {
+	startedAt := opts.Now()
 	if opts.Transport == nil {
 		opts.Transport = NewTransport()
 	}
 	if opts.Demand == nil {
 		opts.Demand = demand.NewCounter(opts.Now)
 	}
-	return &Handler{opts: opts, bodies: reserve.NewBudget(opts.BodyMemory), startedAt: opts.Now()}
+	return &Handler{opts: opts, bodies: reserve.NewBudget(opts.BodyMemory), startedAt: startedAt}
 }
 
 // Leave makes every further response ask the caller to close its connection, so
