Demand: a daemon that joins learns what the callers of each region asked for

Daemons keep for a minute what those that left told of their callers; their replies to a daemon that joins carry the sums by region. It takes the larger of what it is told and what it heard itself, so that a repeated message adds nothing. A leaving daemon also knows since when it leaves.

--- a/pkg/gateway/control/exchange.go
+++ b/pkg/gateway/control/exchange.go
@@ -114,6 +114,7 @@
 	}
 	if message.Joining {
 		reply.Evidence = c.crashes.All(now)
+		reply.Demand = c.table.DemandAt(now)
 	}
 	return reply
 }
@@ -123,6 +124,7 @@
 // requests the missing changes.
 func (c *Control) mergeMessage(message *Message, now time.Time) {
 	c.table.Merge(message.Members, now)
+	c.table.MergeDemand(message.Demand, now)
 	c.dirty = true
 	c.mergeEvidence(message, now)
 	if message.Delta != nil {
@@ -229,7 +231,7 @@
 // Leave announces to every live daemon that this one is leaving.
 func (c *Control) Leave(ctx context.Context) {
 	c.submit(ctx, func(now time.Time) {
-		c.table.Leave(c.opts.Demand())
+		c.table.Leave(c.opts.Demand(), now)
 		c.table.Beat(c.opts.Loads())
 		c.dirty = true
 		for _, member := range c.table.Live(now) {
--- a/pkg/gateway/demand/demand.go
+++ b/pkg/gateway/demand/demand.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// Total returns the number of requests of all routes.
+func (c Counts) Total() uint64 {
+	var total uint64
+	for _, requests := range c {
+		total += requests
+	}
+	return total
+}
+
 // Largest returns the counts of at most n routes, those with the most requests.
 func (c Counts) Largest(n int) Counts {
 	if len(c) <= n {
--- a/pkg/gateway/members/demand_test.go
+++ b/pkg/gateway/members/demand_test.go
@@ -24,8 +24,9 @@
 
 	It("is in the row of a daemon from when it leaves", func() {
 		Expect(table.Self().Demand).To(BeEmpty())
-		table.Leave(demand.Counts{"r": 3})
+		table.Leave(demand.Counts{"r": 3}, now)
 		Expect(table.Self().State).To(Equal(members.Leaving))
+		Expect(table.Self().LeavingFor(now.Add(time.Second))).To(Equal(time.Second))
 		Expect(table.Self().Demand).To(Equal(demand.Counts{"r": 3}))
 	})
 
@@ -51,12 +52,36 @@
 		Expect(table.Demand()).To(BeEmpty())
 	})
 
+	It("is passed on to a daemon that joins, with its age", func() {
+		table.Merge([]members.Member{leaving("e:1", 1, demand.Counts{"r": 3}), leaving("e:2", 1, demand.Counts{"r": 4})}, now)
+		joining := members.New(members.Member{VM: "e:1", Region: "east"}, nil)
+		told := table.DemandAt(now.Add(50 * time.Second))
+		joining.MergeDemand(told, now)
+		Expect(joining.Demand()).To(Equal(map[types.Region]demand.Counts{"east": {"r": 7}}))
+		joining.MergeDemand(told, now)
+		Expect(joining.Demand()["east"]).To(Equal(demand.Counts{"r": 7}), "a repeated message adds nothing")
+		joining.Merge([]members.Member{leaving("e:2", 1, demand.Counts{"r": 4})}, now)
+		Expect(joining.Demand()["east"]).To(Equal(demand.Counts{"r": 7}), "nor does what is a part of it")
+		joining.Merge([]members.Member{leaving("e:3", 1, demand.Counts{"r": 9})}, now)
+		Expect(joining.Demand()["east"]).To(Equal(demand.Counts{"r": 13}))
+		joining.Forget(now.Add(2*demand.Window - 49*time.Second))
+		Expect(joining.DemandAt(now)).To(HaveLen(1))
+		joining.Forget(now.Add(2*demand.Window + time.Second))
+		Expect(joining.Demand()).To(BeEmpty())
+	})
+
+	It("does not live longer because daemons pass it on", func() {
+		told := []members.RegionDemand{{Region: "east", Counts: demand.Counts{"r": 3}, Age: time.Minute + time.Second}}
+		table.MergeDemand(told, now)
+		Expect(table.Demand()).To(BeEmpty())
+	})
+
 	It("is bounded, whatever a row says", func() {
 		many := make(demand.Counts)
 		for i := range 1000 {
 			many[fmt.Sprint(i)] = 1 + uint64(i)
 		}
-		table.Leave(many)
+		table.Leave(many, now)
 		Expect(len(table.Self().Demand)).To(BeNumerically("<", len(many)))
 		Expect(table.Self().Demand).To(HaveKey("999"))
 		table.Merge([]members.Member{leaving("e:1", 1, many)}, now)
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -57,6 +57,14 @@
 	LeavingSince time.Time `json:"-"`
 }
 
+// LeavingFor returns for how long the member is known to be leaving; zero if it is not.
+func (m Member) LeavingFor(now time.Time) time.Duration {
+	if m.LeavingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(m.LeavingSince)
+}
+
 // Load is the load of one daemon for one service at the endpoints of its region.
 type Load struct {
 	Service  types.ServiceName `json:"s"`
@@ -96,9 +104,8 @@
 	rows  map[types.VMID]row
 	seeds []types.VMID
 	// peak is the largest number of daemons seen at once.
-	peak Peak
-	// demands holds what daemons told of their callers when they left.
-	demands map[types.VMID]regionDemand
+	peak   Peak
+	demand demandTable
 }
 
 // Peak is the largest number of daemons, including this one, that were ever live at
@@ -121,7 +128,7 @@
 func New(self Member, seeds []types.VMID) *Table {
 	table := &Table{
 		self: self, rows: make(map[types.VMID]row), peak: Peak{DataCentre: 1, Region: 1, Fleet: 1},
-		demands: make(map[types.VMID]regionDemand),
+		demand: newDemandTable(),
 	}
 	table.SetSeeds(seeds)
 	return table
