--- a/pkg/gateway/entry/residency.go
+++ b/pkg/gateway/entry/residency.go
@@ -7,10 +7,14 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// maxLedOut is one in how many requests of restricted routes a region may not be allowed
-// to receive for callers to be led there: half of what operators tolerate, one in twenty,
-// since the requests are known from counts of a short time.
-const maxLedOut = 40
+const (
+	// maxLedOut is one in how many requests of restricted routes may be led to a region
+	// that they may not enter.
+	maxLedOut = 20
+	// unknownRequests is added to the requests of each route: those of a short time may
+	// leave out a route by chance, and with few of them each route counts.
+	unknownRequests = 2
+)
 
 // residency weighs regions by the requests of a host's callers whose data may enter them.
 type residency struct {
@@ -20,12 +24,12 @@
 	total   uint64
 }
 
-// newResidency returns the residency of a host with these restricted routes. A route
-// weighs one more than its requests: with few of them, each route counts.
+// newResidency returns the residency of a host with these restricted routes, given the
+// requests of its callers.
 func newResidency(routes []*catalog.Route, requests demand.Counts) residency {
 	r := residency{routes: routes}
 	for _, route := range routes {
-		weight := requests[route.Name] + 1
+		weight := requests[route.Name] + unknownRequests
 		r.weights = append(r.weights, weight)
 		r.total += weight
 	}
