Directory: callers of a host without restricted routes get the daemons that come back

Cause: for a host without restricted routes only serving daemons were named. Now those that stop or start are named if none serves, first those of the caller's region: they take requests for a part of their stop and are back in seconds. The spec failed before.

--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -93,7 +93,7 @@
 	}
 	restricted := snap.View.Config.RestrictedRoutesOf(lookup.Host)
 	if len(restricted) == 0 {
-		return answer(AnywhereScope, serving(snap))
+		return d.anywhere(snap, lookup.Region, now)
 	}
 	requests := callersDemand(snap, lookup.Region, own)
 	homes := newResidency(restricted, requests)
@@ -114,6 +114,19 @@
 	return d.leastLedOut(snap, homes, now)
 }
 
+// anywhere returns all serving daemons, or if there are none, those that stop or start:
+// first those of the caller's region.
+func (d Directory) anywhere(snap *control.Snapshot, region types.Region, now time.Time) Answer {
+	if daemons := serving(snap); len(daemons) > 0 {
+		return answer(AnywhereScope, daemons)
+	}
+	back := d.returning(all(snap), now)
+	if regional := inRegions(back, func(r types.Region) bool { return r == region }); len(regional) > 0 {
+		back = regional
+	}
+	return answer(ReturningScope, back)
+}
+
 // leastLedOut returns the daemons to which the fewest restricted requests are led out of
 // their regions: those that serve, else those that stop or start there, else all.
 func (d Directory) leastLedOut(snap *control.Snapshot, homes residency, now time.Time) Answer {
@@ -141,8 +154,7 @@
 // returning returns the daemons that stop or start, without those that should be back.
 func (d Directory) returning(daemons []members.Member, now time.Time) []members.Member {
 	return slices.DeleteFunc(daemons, func(member members.Member) bool {
-		overdue := !member.LeavingSince.IsZero() && now.Sub(member.LeavingSince) > d.Grace+restartTime
-		return member.State == members.Serving || overdue
+		return member.State == members.Serving || member.LeavingFor(now) > d.Grace+restartTime
 	})
 }
 
--- a/pkg/gateway/entry/entry_test.go
+++ b/pkg/gateway/entry/entry_test.go
@@ -134,6 +134,14 @@
 		Expect(entries("bound.example", "north", "north-a")).To(ConsistOf("e1", "n1", "n2", "n3"))
 	})
 
+	// Guards against callers of a host without restricted routes that get no daemon at all
+	// while all daemons stop.
+	It("names the daemons that stop or start for a host without restricted routes if none serves, first those of the caller's region", func() {
+		setState(members.Leaving, "n1", "n2", "n3", "e1", "s1")
+		Expect(entries("free.example", "north", "north-a")).To(ConsistOf("n1", "n2", "n3"))
+		Expect(entries("free.example", "west", "west-a")).To(ConsistOf("n1", "n2", "n3", "e1", "s1"))
+	})
+
 	It("names the daemons of other homes, or all, if those of the homes do not come back from a stop", func() {
 		setState(members.Leaving, "e1")
 		for i := range snap.Members {
