--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -58,8 +58,20 @@
 type Answer struct {
 	Addresses []string
 	Scope     Scope
+	// Lifetime is how long the caller may use the answer.
+	Lifetime time.Duration
 }
 
+const (
+	// usualLifetime is the lifetime of an answer that names daemons of the caller's
+	// region; a daemon that stops serves for longer.
+	usualLifetime = 2 * time.Second
+	// substituteLifetime is that of other answers: callers return as soon as daemons of
+	// their region serve, and what they hold is not used for long after a change of what
+	// they ask for or of the homes of routes.
+	substituteLifetime = time.Second
+)
+
 // restartTime is how long after the end of its grace time a daemon that was stopped
 // is expected back.
 const restartTime = 2 * time.Second
@@ -180,9 +192,13 @@
 	if len(daemons) == 0 {
 		return Answer{Scope: NoScope}
 	}
+	lifetime := substituteLifetime
+	if scope == LocalScope || scope == RegionScope {
+		lifetime = usualLifetime
+	}
 	addresses := make([]string, 0, min(len(daemons), maxEntries))
 	for _, member := range daemons[:min(len(daemons), maxEntries)] {
 		addresses = append(addresses, member.CallerAddress)
 	}
-	return Answer{Addresses: addresses, Scope: scope}
+	return Answer{Addresses: addresses, Scope: scope, Lifetime: lifetime}
 }
--- a/pkg/gateway/entry/entry_test.go
+++ b/pkg/gateway/entry/entry_test.go
@@ -80,6 +80,16 @@
 		Expect(entries("free.example", "west", "west-a")).To(HaveLen(5))
 	})
 
+	It("gives answers that lead callers away, or to daemons that stop, a short lifetime", func() {
+		lifetime := func(region types.Region) time.Duration {
+			return entry.Directory{Grace: grace}.Answer(snap, entry.Lookup{Host: "bound.example", Region: region}, nil, now).Lifetime
+		}
+		usual := lifetime("north")
+		Expect(lifetime("west")).To(BeNumerically("<", usual))
+		setState(members.Leaving, "e1", "n1", "n2", "n3")
+		Expect(lifetime("north")).To(BeNumerically("<", usual))
+	})
+
 	It("omits a leaving daemon", func() {
 		snap.Self.State = members.Leaving
 		Expect(entries("free.example", "north", "north-a")).To(ConsistOf("n2", "n3"))
--- a/pkg/gateway/entry/lookups.go
+++ b/pkg/gateway/entry/lookups.go
@@ -102,13 +102,13 @@
 	return counts
 }
 
-// Resolve returns the addresses that a caller should use, by the newest snapshot; none
-// mean that the caller should keep what it has, or ask another daemon.
-func (e *Entry) Resolve(lookup Lookup) []string {
+// Resolve returns which daemons a caller should use, by the newest snapshot; an answer
+// without any means that the caller should keep what it has, or ask another daemon.
+func (e *Entry) Resolve(lookup Lookup) Answer {
 	snap := e.Snapshot()
 	own := e.demand.Counts()
 	directory := Directory{Grace: e.opts.Settings.Grace}
 	given := directory.Answer(snap, lookup, own, time.Now())
 	e.lookups.record(snap, lookup, given, callersDemand(snap, lookup.Region, own))
-	return given.Addresses
+	return given
 }
