--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -251,6 +251,7 @@
 		Peak:    c.table.Peak(),
 		Joining: c.table.Joining(),
 		Demand:  c.table.Demand(),
+		Left:    c.table.LeftRegions(),
 
 		StoreReadAt: c.storeReads[c.lastReader].at,
 
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -540,6 +540,23 @@
 		Expect(f.daemons[0].Load().Demand).To(Equal(map[types.Region]demand.Counts{"north": {"r": 7}}), "what its callers asked for")
 	})
 
+	It("tells a daemon that joins what the callers of daemons that left asked for, and nobody else", func() {
+		store.put(configRecord(3))
+		f := newFleet(store, sharedStore, "a:1", "b:1")
+		defer f.stop()
+		Eventually(func() int { return len(f.daemons[0].Load().InRegion("north")) }, waitLimit).Should(Equal(2))
+		f.daemons[1].Leave(context.Background())
+		Eventually(func() any { return f.daemons[0].Load().Demand }, waitLimit).Should(HaveKey(types.Region("north")))
+		ask := func(joining bool) []members.ToldDemand {
+			return f.daemons[0].Receive(context.Background(), &control.Message{From: "c:1", Joining: joining}).Demand
+		}
+		Expect(ask(false)).To(BeEmpty())
+		Expect(ask(true)).To(ConsistOf(HaveField("Counts", demand.Counts{"r": 7})))
+		told := &control.Message{From: "c:1", Demand: []members.ToldDemand{{VM: "e:1", Region: "east", Counts: demand.Counts{"q": 2}}}}
+		Expect(f.daemons[0].Receive(context.Background(), told)).NotTo(BeNil())
+		Eventually(func() any { return f.daemons[0].Load().Demand }, waitLimit).Should(HaveKeyWithValue(types.Region("east"), demand.Counts{"q": 2}))
+	})
+
 	It("removes an unreachable daemon from the others' view, and adds it again when it returns", func() {
 		store.put(configRecord(3))
 		f := newFleet(store, sharedStore, "a:1", "b:1")
--- a/pkg/gateway/control/exchange.go
+++ b/pkg/gateway/control/exchange.go
@@ -114,7 +114,7 @@
 	}
 	if message.Joining {
 		reply.Evidence = c.crashes.All(now)
-		reply.Demand = c.table.DemandAt(now)
+		reply.Demand = c.table.ToldDemand(now)
 	}
 	return reply
 }
--- a/pkg/gateway/control/message.go
+++ b/pkg/gateway/control/message.go
@@ -31,9 +31,9 @@
 	Relay bool `json:"pass_on,omitempty"`
 	// Evidence tells of crashes of endpoints and of what is withheld from them.
 	Evidence crashes.Evidence `json:"evidence,omitzero"`
-	// Demand holds what the callers of the regions lately asked for; only replies to
-	// daemons that join carry it.
-	Demand []members.RegionDemand `json:"demand,omitempty"`
+	// Demand holds what callers lately asked for, as daemons that left told it; only
+	// replies to daemons that join carry it.
+	Demand []members.ToldDemand `json:"demand,omitempty"`
 	// Joining is true if the sender has just started and asks for all evidence and for
 	// the demand.
 	Joining bool `json:"joining,omitempty"`
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -25,7 +25,10 @@
 	// Demand holds, by region, what callers lately asked for, as the daemons that left
 	// there told it.
 	Demand map[types.Region]demand.Counts
-	View   *catalog.View
+	// Left holds the regions with daemons that announced that they leave and are not
+	// back yet.
+	Left map[types.Region]bool
+	View *catalog.View
 	// StoreReadAt is when the store was last read, by whichever daemon, with nothing
 	// in the answer that this daemon lacks; zero if that is not known.
 	StoreReadAt time.Time
--- a/pkg/gateway/demand/demand.go
+++ b/pkg/gateway/demand/demand.go
@@ -28,15 +28,6 @@
 	}
 }
 
-// Total returns the number of requests of all routes.
-func (c Counts) Total() uint64 {
-	var total uint64
-	for _, requests := range c {
-		total += requests
-	}
-	return total
-}
-
 // Largest returns the counts of at most n routes, those with the most requests.
 func (c Counts) Largest(n int) Counts {
 	if len(c) <= n {
@@ -61,6 +52,8 @@
 	// began is when the current window began.
 	began             time.Time
 	current, previous Counts
+	// suspendedUntil is until when requests do not count.
+	suspendedUntil time.Time
 }
 
 // NewCounter returns an empty counter.
@@ -77,9 +70,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance()
+	if c.now().Before(c.suspendedUntil) {
+		return
+	}
 	c.current[route.Name]++
 }
 
+// Suspend leaves out the requests of the given time from now on: they may be those of
+// callers that usually use other daemons.
+func (c *Counter) Suspend(length time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until := c.now().Add(length); until.After(c.suspendedUntil) {
+		c.suspendedUntil = until
+	}
+}
+
 // Counts returns the number of requests of each route that had any.
 func (c *Counter) Counts() Counts {
 	c.mu.Lock()
--- a/pkg/gateway/demand/demand_test.go
+++ b/pkg/gateway/demand/demand_test.go
@@ -61,4 +61,44 @@
 		counter.Counts()["a"] = 9
 		Expect(counter.Counts()).To(Equal(demand.Counts{"a": 1}))
 	})
+
+	It("leaves out requests while it is suspended", func() {
+		record("a", 1)
+		counter.Suspend(2 * time.Second)
+		counter.Suspend(time.Second)
+		now = now.Add(time.Second)
+		record("a", 5)
+		now = now.Add(time.Second)
+		record("a", 2)
+		Expect(counter.Counts()).To(Equal(demand.Counts{"a": 3}))
+	})
+})
+
+var _ = Describe("the largest counts", func() {
+	It("are those of the routes with the most requests, and a copy", func() {
+		counts := demand.Counts{"a": 3, "b": 1, "c": 2}
+		Expect(counts.Largest(2)).To(Equal(demand.Counts{"a": 3, "c": 2}))
+		counts.Largest(3)["a"] = 9
+		Expect(counts["a"]).To(Equal(uint64(3)))
+	})
+})
+
+var _ = Describe("visitors", func() {
+	It("are expected from when another region has lost its daemons until it has one, or for a minute", func() {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		var visitors demand.Visitors
+		regions := func(names ...types.Region) map[types.Region]bool {
+			serving := make(map[types.Region]bool)
+			for _, name := range names {
+				serving[name] = true
+			}
+			return serving
+		}
+		Expect(visitors.Expected("north", regions("north", "east"), now)).To(BeFalse())
+		Expect(visitors.Expected("north", regions("east"), now)).To(BeFalse(), "the own region's callers are no visitors")
+		Expect(visitors.Expected("north", regions("north"), now.Add(time.Second))).To(BeTrue())
+		Expect(visitors.Expected("north", regions("north", "east"), now.Add(2*time.Second))).To(BeFalse())
+		Expect(visitors.Expected("north", regions("north"), now.Add(time.Minute))).To(BeTrue())
+		Expect(visitors.Expected("north", regions("north"), now.Add(time.Minute+3*time.Second))).To(BeFalse())
+	})
 })
--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -70,6 +70,9 @@
 	// their region serve, and what they hold is not used for long after a change of what
 	// they ask for or of the homes of routes.
 	substituteLifetime = time.Second
+	// maxLifetimes is how many lifetimes callers use an answer, at most, if they get a
+	// newer one.
+	maxLifetimes = 3
 )
 
 // restartTime is how long after the end of its grace time a daemon that was stopped
@@ -91,7 +94,8 @@
 // the caller's that stop and start again: they take requests for a part of their stop,
 // and are back in seconds. To lead their callers elsewhere meanwhile would send restricted
 // data out of its regions. Other daemons are named only for a host without restricted
-// routes, or if the regions have lost their daemons for longer than a planned stop takes.
+// routes, or if the regions have lost their daemons without an announcement. After one,
+// callers keep the daemons that they have for as long as this daemon remembers it.
 func (d Directory) Answer(snap *control.Snapshot, lookup Lookup, own demand.Counts, now time.Time) Answer {
 	regional := snap.InRegion(lookup.Region)
 	if local := inDataCentre(regional, lookup.DataCentre); len(local) >= minLocalDaemons {
@@ -103,6 +107,9 @@
 	if snap.View.Config == nil {
 		return Answer{Scope: NoScope}
 	}
+	if isCutOff(snap) {
+		return Answer{Scope: NoScope}
+	}
 	restricted := snap.View.Config.RestrictedRoutesOf(lookup.Host)
 	if len(restricted) == 0 {
 		return d.anywhere(snap, lookup.Region, now)
@@ -116,16 +123,22 @@
 	if back := d.returning(inRegions(all(snap), permitted), now); len(back) > 0 {
 		return answer(ReturningScope, back)
 	}
-	if snap.Joining {
+	if snap.Joining || snap.Left[lookup.Region] {
 		return Answer{Scope: NoScope}
 	}
-	if len(requests) == 0 {
+	if homes.known == 0 {
 		// Daemons of other regions have served these callers meanwhile.
 		homes = newResidency(restricted, own)
 	}
 	return d.leastLedOut(snap, homes, now)
 }
 
+// isCutOff reports whether this daemon sees none of the daemons that it knew: it can
+// forward nothing, and knows nothing of their states.
+func isCutOff(snap *control.Snapshot) bool {
+	return len(snap.Members) == 0 && snap.Peak.Fleet > 1
+}
+
 // anywhere returns all serving daemons, or if there are none, those that stop or start:
 // first those of the caller's region.
 func (d Directory) anywhere(snap *control.Snapshot, region types.Region, now time.Time) Answer {
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -111,7 +111,9 @@
 	history  *crashes.History
 	reporter *reporter
 	// demand counts callers' requests by route, which weighs answers of the directory.
-	demand   *demand.Counter
+	demand *demand.Counter
+	// visitors is used only by the control goroutine.
+	visitors demand.Visitors
 	registry *prometheus.Registry
 	// unanswered records requests that got no complete answer.
 	unanswered *unansweredLog
@@ -202,6 +204,9 @@
 // published passes a new snapshot to the gate and the retry budgets, whose limits
 // are divided among the daemons.
 func (e *Entry) published(snap *control.Snapshot) {
+	if e.visitors.Expected(snap.Self.Region, snap.Serving(), time.Now()) {
+		e.demand.Suspend(maxLifetimes * substituteLifetime)
+	}
 	e.gate.RecordNews(snap.StoreReadAt)
 	e.gate.Update(snap.View, regionMembership(snap))
 	e.prober.Wake()
--- a/pkg/gateway/entry/entry_test.go
+++ b/pkg/gateway/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -88,6 +89,10 @@
 		Expect(lifetime("west")).To(BeNumerically("<", usual))
 		setState(members.Leaving, "e1", "n1", "n2", "n3")
 		Expect(lifetime("north")).To(BeNumerically("<", usual))
+		snap.Members = slices.DeleteFunc(snap.Members, func(member members.Member) bool { return member.Region != "south" })
+		snap.Self.State = members.Serving
+		snap.Self.Region = "south"
+		Expect(lifetime("west")).To(BeNumerically("<", usual), "all daemons")
 	})
 
 	It("omits a leaving daemon", func() {
@@ -113,6 +118,61 @@
 		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("n1", "n2", "n3"), "too few requests tell nothing")
 	})
 
+	It("lets a few requests of idle routes close no region, and names none on account of many routes without requests", func() {
+		setState(members.Leaving, "n1", "n2", "n3")
+		own = demand.Counts{"s-both": 85, "s-north": 2}
+		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("e1"))
+		config := &catalog.Config{Routes: []*catalog.Route{{Name: "busy", Host: "many.example", Prefix: "/b/", AllowedRegions: []types.Region{"north"}}}}
+		for i := range 100 {
+			config.Routes = append(config.Routes, &catalog.Route{Name: fmt.Sprint(i), Host: "many.example", Prefix: fmt.Sprintf("/%d/", i), AllowedRegions: []types.Region{"north", "east"}})
+		}
+		config.Prepare()
+		snap.View = &catalog.View{Config: config}
+		own = nil
+		Expect(entries("many.example", "north", "north-a")).To(ConsistOf("n1", "n2", "n3"))
+	})
+
+	It("leads callers to a region at its limit, and not beyond", func() {
+		setState(members.Leaving, "n1", "n2", "n3")
+		// 36 and the standard error of 6 are a twentieth of 840.
+		own = demand.Counts{"s-both": 804, "s-north": 36}
+		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("e1"))
+		own = demand.Counts{"s-both": 803, "s-north": 36}
+		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("n1", "n2", "n3"))
+		// One request is added for a route without any.
+		own = demand.Counts{"s-both": 20}
+		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("e1"))
+		own = demand.Counts{"s-both": 19}
+		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("n1", "n2", "n3"))
+	})
+
+	It("names nobody while the caller's region has lost its daemons after an announcement, unless a region is permitted", func() {
+		snap.Self, snap.Members[2] = snap.Members[2], snap.Self
+		snap.Members = slices.DeleteFunc(snap.Members, func(member members.Member) bool { return member.Region == "north" })
+		Expect(entries("split.example", "north", "north-a")).To(ConsistOf("e1"), "lost without one")
+		snap.Left = map[types.Region]bool{"north": true}
+		Expect(entries("split.example", "north", "north-a")).To(BeEmpty())
+		Expect(entries("bound.example", "north", "north-a")).To(ConsistOf("e1"))
+		Expect(entries("free.example", "north", "north-a")).To(ConsistOf("e1", "s1"))
+	})
+
+	It("names nobody if it sees none of the daemons that it knew", func() {
+		snap.Members, snap.Peak = nil, members.Peak{Fleet: 5}
+		Expect(entries("free.example", "west", "west-a")).To(BeEmpty())
+		Expect(entries("bound.example", "west", "west-a")).To(BeEmpty())
+		Expect(entries("bound.example", "north", "north-a")).To(ConsistOf("n1"))
+	})
+
+	It("still names a daemon that should be back at any moment", func() {
+		setState(members.Leaving, "e1")
+		for i := range snap.Members {
+			if snap.Members[i].CallerAddress == "e1" {
+				snap.Members[i].LeavingSince = now.Add(-grace - time.Second)
+			}
+		}
+		Expect(entries("east.example", "west", "west-a")).To(ConsistOf("e1"))
+	})
+
 	It("weighs routes by what the daemons that stop told of their callers, not by the requests of another region", func() {
 		setState(members.Leaving, "n1", "n2", "n3")
 		snap.Self, snap.Members[2] = snap.Members[2], snap.Self
@@ -193,7 +253,8 @@
 		snap.Members = []members.Member{{VM: "n1", State: members.Leaving, Region: "north"}}
 		var out bytes.Buffer
 		log := entry.NewLookupLog(entry.NewLog(&out))
-		log.Record(snap, entry.Lookup{Host: "a.example", Region: "north"}, entry.Answer{Addresses: []string{"e1"}, Scope: entry.HomesScope}, demand.Counts{"r-busy": 90})
+		snap.Demand = map[types.Region]demand.Counts{"north": {"r-busy": 90}}
+		log.Record(snap, entry.Lookup{Host: "a.example", Region: "north"}, entry.Answer{Addresses: []string{"e1"}, Scope: entry.HomesScope}, demand.Counts{"r-busy": 5})
 		var line map[string]any
 		Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
 		Expect(line).To(HaveKeyWithValue("restricted", ConsistOf(
--- a/pkg/gateway/entry/export_test.go
+++ b/pkg/gateway/entry/export_test.go
@@ -26,6 +26,9 @@
 	NewLineWriter = newLineWriter
 )
 
+// VisitTime is how long callers may go on using another region's daemons.
+const VisitTime = maxLifetimes * substituteLifetime
+
 // LookupLog logs answers of the directory.
 type LookupLog struct{ *lookupLog }
 
--- a/pkg/gateway/entry/homes_fleet_test.go
+++ b/pkg/gateway/entry/homes_fleet_test.go
@@ -38,7 +38,9 @@
 	run     uint64
 	table   *members.Table
 	counter *demand.Counter
-	state   members.State
+	// visitors holds back the counter while another region has lost its daemons.
+	visitors demand.Visitors
+	state    members.State
 	// until is when the state ends: a stop, or the time without a process.
 	until     time.Time
 	stoppedAt time.Time
@@ -130,7 +132,7 @@
 func (f *simFleet) start(daemon *simDaemon) {
 	daemon.run++
 	daemon.running, daemon.state, daemon.until = true, members.Starting, f.now.Add(simStart)
-	daemon.counter = demand.NewCounter(func() time.Time { return f.now })
+	daemon.counter, daemon.visitors = demand.NewCounter(func() time.Time { return f.now }), demand.Visitors{}
 	self := members.Member{
 		VM: daemon.vm, Incarnation: daemon.run, State: members.Starting, Region: daemon.region,
 		DataCentre: types.DataCentre(daemon.region + "-a"), CallerAddress: string(daemon.vm),
@@ -186,6 +188,9 @@
 	if !daemon.running || f.step%simHeartbeat != 0 && !daemon.table.Joining() {
 		return
 	}
+	if daemon.visitors.Expected(daemon.region, f.snapshot(daemon).Serving(), f.now) {
+		daemon.counter.Suspend(entry.VisitTime)
+	}
 	daemon.table.Forget(f.now)
 	daemon.table.Beat(nil)
 	for _, vm := range daemon.table.Targets(f.now, f.rand) {
@@ -203,7 +208,15 @@
 	to.table.Merge(from.table.HeartbeatMembers(to.vm, f.now), f.now)
 	from.table.Merge(to.table.HeartbeatMembers(from.vm, f.now), f.now)
 	if joining {
-		from.table.MergeDemand(to.table.DemandAt(f.now), f.now)
+		from.table.MergeDemand(to.table.ToldDemand(f.now), f.now)
+	}
+}
+
+// snapshot returns what a daemon knows.
+func (f *simFleet) snapshot(daemon *simDaemon) *control.Snapshot {
+	return &control.Snapshot{
+		Self: daemon.table.Self(), Members: daemon.table.Live(f.now), Peak: daemon.table.Peak(), Demand: daemon.table.Demand(),
+		Left: daemon.table.LeftRegions(), Joining: daemon.table.Joining(), View: &catalog.View{Config: f.config},
 	}
 }
 
@@ -223,10 +236,7 @@
 			continue
 		}
 		asked++
-		snap := &control.Snapshot{
-			Self: daemon.table.Self(), Members: daemon.table.Live(f.now), Demand: daemon.table.Demand(),
-			Joining: daemon.table.Joining(), View: &catalog.View{Config: f.config},
-		}
+		snap := f.snapshot(daemon)
 		query := entry.Lookup{Host: fleetHost, Region: caller.region, DataCentre: types.DataCentre(caller.region + "-a")}
 		answer := entry.Directory{Grace: stopGrace}.Answer(snap, query, daemon.counter.Counts(), f.now)
 		if len(answer.Addresses) > 0 {
--- a/pkg/gateway/entry/homes_test.go
+++ b/pkg/gateway/entry/homes_test.go
@@ -198,7 +198,34 @@
 		Expect(countLedOut(false, false)).To(BeZero(), "hosts, of %d", randomHosts)
 	})
 
-	It("does so for nearly all hosts if the requests that are known are a sample", func() {
-		Expect(countLedOut(false, true)).To(BeNumerically("<=", randomHosts/500), "hosts, of %d", randomHosts)
+	It("does so if the requests that are known are a sample", func() {
+		Expect(countLedOut(false, true)).To(BeZero(), "hosts, of %d", randomHosts)
+	})
+
+	// Known requests of a share just beyond the limit are below it by chance at times.
+	It("leads few callers out if the share that may not be led out is just beyond the limit", func() {
+		const draws = 2000
+		draw := rand.New(rand.NewPCG(1, 2))
+		fleet := newFleetOfHost(1, true)
+		fleet.caller = "north"
+		fleet.routes = []*catalog.Route{
+			{Name: "r-0", Host: fleetHost, Prefix: "/0/", AllowedRegions: []types.Region{"north", "east"}},
+			{Name: "r-1", Host: fleetHost, Prefix: "/1/", AllowedRegions: []types.Region{"north"}},
+		}
+		fleet.shares = []float64{0.93, 0.07}
+		fleet.stopRegion("north")
+		fleet.rand = draw
+		for _, known := range []int{80, 300, 1000} {
+			led := 0
+			for range draws {
+				snap := fleet.snapshotOf(len(fleet.daemons) - 1)
+				snap.Demand = map[types.Region]demand.Counts{"north": fleet.requests("north", known, true)}
+				answer := entry.Directory{Grace: stopGrace}.Answer(snap, entry.Lookup{Host: fleetHost, Region: "north"}, nil, fleet.now)
+				if fleet.ledOut(answer.Addresses) > mostLedOut {
+					led++
+				}
+			}
+			Expect(led).To(BeNumerically("<=", draws/10), "%d known requests", known)
+		}
 	})
 })
--- a/pkg/gateway/entry/lookups.go
+++ b/pkg/gateway/entry/lookups.go
@@ -44,8 +44,8 @@
 }
 
 // record counts an answer that was given on a snapshot, and logs it if it is unusual, with
-// the requests by which it was weighed.
-func (l *lookupLog) record(snap *control.Snapshot, lookup Lookup, given Answer, counts demand.Counts) {
+// the requests by which it was weighed; own holds those of this daemon's callers.
+func (l *lookupLog) record(snap *control.Snapshot, lookup Lookup, given Answer, own demand.Counts) {
 	l.answers.WithLabelValues(string(given.Scope)).Inc()
 	if given.Scope == LocalScope || given.Scope == RegionScope {
 		return
@@ -60,7 +60,7 @@
 	}
 	if config := snap.View.Config; config != nil {
 		fields["config"] = config.Version
-		fields["restricted"] = restrictedRoutes(config, lookup.Host, counts)
+		fields["restricted"] = restrictedRoutes(config, lookup.Host, callersDemand(snap, lookup.Region, own))
 	}
 	line.WithFields(fields).Info("no daemon serves in the caller's region")
 }
@@ -109,6 +109,6 @@
 	own := e.demand.Counts()
 	directory := Directory{Grace: e.opts.Settings.Grace}
 	given := directory.Answer(snap, lookup, own, time.Now())
-	e.lookups.record(snap, lookup, given, callersDemand(snap, lookup.Region, own))
+	e.lookups.record(snap, lookup, given, own)
 	return given
 }
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -134,11 +134,12 @@
 	return table
 }
 
-// EmptyCopy returns a table that holds only this daemon, its seeds and the peak
-// numbers of daemons.
+// EmptyCopy returns a table that holds only this daemon, its seeds, the peak numbers of
+// daemons and what daemons that left told of their callers.
 func (t *Table) EmptyCopy() *Table {
 	table := New(t.self, t.seeds)
 	table.peak = t.peak
+	table.demand = t.demand.copy()
 	return table
 }
 
@@ -191,7 +192,7 @@
 		return
 	}
 	member.LeavingSince = leavingSince(member, peer.Member, now)
-	t.recordDemand(member, now)
+	t.demand.record(demandKey{vm: member.VM, incarnation: member.Incarnation}, member.Region, member.Demand, now)
 	t.rows[member.VM] = row{Member: member, lastHeard: now}
 	// A daemon that has restarted learns how many others there may be.
 	if member.Region == t.self.Region {
@@ -228,7 +229,7 @@
 			delete(t.rows, vm)
 		}
 	}
-	t.forgetDemand(now)
+	t.demand.forget(now)
 }
 
 // MarkUnreachable records that the daemon could not be reached. If its beat has not
@@ -268,10 +269,10 @@
 func (t *Table) HeartbeatMembers(vm types.VMID, now time.Time) []Member {
 	peer, found := t.rows[vm]
 	local := found && t.isLocal(peer.Member)
-	rows := []Member{t.Self()}
+	rows := []Member{withoutOldDemand(t.Self(), now)}
 	for _, member := range t.Live(now) {
 		if local || !found || t.isLocal(member) || sameDataCentre(member, peer.Member) {
-			rows = append(rows, member)
+			rows = append(rows, withoutOldDemand(member, now))
 		}
 	}
 	return rows
