Stop: the server alone announces the close, from the signal on

Callers saw: a request whose body was only half sent, and which a stopping daemon refuses without reading it, got its refusal 1.00 s late, on 8 s of grace time from SIGTERM until the listener begins to close (2.55 s).

Cause: the proxy's handler and its response writer announced the close with a header field; the server of pkg/graceful, which leaves a half-sent body to the HTTP server to close, learned of the stop only at Shutdown. In a request that came before the stop, only the proxy announced, the product's own daemon not.

Change: Entry calls the callers' server's Leave at the signal; the server decides when a response begins, whichever moment its request came. The twin logic in the handler and the response writer is gone. The request that the handler gets is a copy, so that the HTTP server still knows of a caller that waits for a status 100 (without the copy, a spec of pkg/daemon hung). As handlers no longer see the HTTP server's own writer outside a stop either, http.MaxBytesReader can't make it close the connection: the two receivers of pkg/stage say so themselves, as the proxy's did.

Ruled out: the read deadline of a refusal (1 s) as the fault; it bounds the wait and still does.

"ends idle and unused connections" relied on the close not being announced to a request from before the stop; it now waits for the closed listener and demands the announcement.

--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -170,6 +171,24 @@
 	)
 })
 
+var _ = Describe("a body of unknown length", func() {
+	It("is refused as soon as it is too large, without a wait for its end", func() {
+		const chunk, slack = 1 << 17, 2 * time.Second
+		f := newFleet()
+		f.start(homeRegion)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(f.entries[0].url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", credential, chunk, strings.Repeat("x", chunk))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(slack))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(413))
+		Expect(response.Close).To(BeTrue())
+	})
+})
+
 var _ = Describe("requests that may not be repeated", func() {
 	var f *fleet
 	BeforeEach(func() { f = newFleet() })
--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -17,6 +17,7 @@
 	began := time.Now().Add(-age)
 	schedule := e.opts.Settings.stopSchedule()
 	e.handler.StopBegan(age)
+	e.leaveCallers()
 	e.handler.Leave(schedule.admitUntil - age)
 	e.log.WithFields(logrus.Fields{"grace": e.opts.Settings.Grace.String(), "signal_age_ms": age.Milliseconds()}).Info("daemon stops")
 	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), began.Add(schedule.cut))
@@ -101,6 +102,16 @@
 	}
 }
 
+// leaveCallers makes every response to a caller ask for the close of its connection, so
+// that the caller connects to another daemon.
+func (e *Entry) leaveCallers() {
+	for _, srv := range e.servers {
+		if srv.name == callersName {
+			srv.Leave()
+		}
+	}
+}
+
 // cancelRequests cancels the requests of callers. A daemon that forwarded a request
 // retries it better after a broken connection.
 func (e *Entry) cancelRequests() {
--- a/pkg/gateway/proxy/caller.go
+++ b/pkg/gateway/proxy/caller.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
-	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -17,8 +16,6 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	peer       bool
-	// leaving reports whether callers are to close their connections.
-	leaving func() bool
 	// endpoint is the target of the last attempt; it is reported to peers.
 	endpoint types.EndpointID
 	// leavingEndpoint is the last endpoint that said that it is leaving.
@@ -32,16 +29,8 @@
 	writeFailed bool
 }
 
-func newResponseWriter(w http.ResponseWriter, peer bool, leaving func() bool) *responseWriter {
-	return &responseWriter{writer: w, controller: http.NewResponseController(w), peer: peer, leaving: leaving}
-}
-
-// setConnectionHeader asks a caller to close the connection if the daemon leaves,
-// also when it began to leave after the request had arrived.
-func (w *responseWriter) setConnectionHeader() {
-	if !w.peer && w.leaving() {
-		graceful.AnnounceClose(w.writer.Header())
-	}
+func newResponseWriter(w http.ResponseWriter, peer bool) *responseWriter {
+	return &responseWriter{writer: w, controller: http.NewResponseController(w), peer: peer}
 }
 
 // writeHeader sends the header of an endpoint's response. A negative length means
@@ -58,7 +47,6 @@
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.setEndpointHeader()
-	w.setConnectionHeader()
 	w.committed = true
 	w.writer.WriteHeader(response.StatusCode)
 }
@@ -112,7 +100,6 @@
 	if w.peer {
 		w.writer.Header().Set(headerArrivals, strconv.Itoa(arrivals))
 	}
-	w.setConnectionHeader()
 	w.committed = true
 	writeFailure(w.writer, id, failure, w.peer)
 }
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -98,7 +98,7 @@
 	bodies *reserve.Budget
 	// trials holds the withheld traits that a request tries now.
 	trials sync.Map
-	// draining makes every response to a caller announce the close of its connection.
+	// draining makes the handler refuse forwarded requests that another daemon can take.
 	draining atomic.Bool
 	// admitUntil is the last moment, in budget time, at which a request is passed
 	// on; nil means that there is none.
@@ -121,10 +121,9 @@
 	return &Handler{opts: opts, bodies: reserve.NewBudget(opts.BodyMemory), startedAt: startedAt}
 }
 
-// Leave makes every further response ask the caller to close its connection, so
-// that it connects to another daemon. Requests that are complete only after the
-// admission time from now on are refused, whichever connection they come on: the stop
-// of the daemon would cut them off.
+// Leave makes the handler refuse requests that are complete only after the admission time
+// from now on, whichever connection they come on: the stop of the daemon would cut them
+// off. Forwarded requests that another daemon can take are refused at once.
 func (h *Handler) Leave(admission time.Duration) {
 	until := h.budgetTime().Add(admission)
 	h.admitUntil.Store(&until)
@@ -148,9 +147,6 @@
 // ServeHTTP serves a caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.opts.Now()
-	if h.draining.Load() {
-		graceful.AnnounceClose(w.Header())
-	}
 	snap := h.awaitStartup(r.Context(), hasConfig)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
@@ -286,7 +282,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	graceful.NameRequest(ctx, string(req.ID))
-	run := &run{h: h, ctx: ctx, req: req, out: newResponseWriter(w, req.ForwardedBy != "", h.draining.Load), complete: h.opts.Now()}
+	run := &run{h: h, ctx: ctx, req: req, out: newResponseWriter(w, req.ForwardedBy != ""), complete: h.opts.Now()}
 	defer run.recordPanic()
 	defer run.releaseReserved()
 	defer run.endTrial()
--- a/pkg/gateway/proxy/leave_test.go
+++ b/pkg/gateway/proxy/leave_test.go
@@ -24,11 +24,10 @@
 		w.start(ep)
 	})
 
-	It("passes requests on during the admission time, and closes their connections", func() {
+	It("passes requests on during the admission time", func() {
 		w.handler.Leave(time.Minute)
 		answer := w.serveCaller("order")
 		Expect(answer.Code).To(Equal(http.StatusOK))
-		Expect(sentField(answer, "Connection")).To(Equal("close"))
 		Expect(w.serveForwarded(forwarded, "order").Code).To(Equal(http.StatusOK))
 		Expect(ep.count()).To(Equal(2))
 	})
@@ -37,7 +36,6 @@
 		w.handler.Leave(0)
 		answer := w.serveCaller("order")
 		Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
-		Expect(sentField(answer, "Connection")).To(Equal("close"))
 		Expect(answer.Header().Get("Retry-After")).To(Equal("0.01"))
 		Expect(ep.count()).To(BeZero())
 	})
@@ -52,11 +50,6 @@
 	})
 })
 
-// sentField returns a field of a response as it is sent, without surrounding space.
-func sentField(answer *httptest.ResponseRecorder, name string) string {
-	return strings.TrimSpace(answer.Header().Get(name))
-}
-
 // serveCaller passes the handler a caller's request and returns the response.
 func (w *testProxy) serveCaller(body string) *httptest.ResponseRecorder {
 	request := httptest.NewRequest("POST", "/r/x", strings.NewReader(body))
--- a/pkg/graceful/announce.go
+++ b/pkg/graceful/announce.go
@@ -6,6 +6,14 @@
 	"net/http"
 )
 
+// closeOption is the value of the Connection field that announces the close of a
+// connection. The space, which is not sent, keeps the HTTP server from closing the
+// connection itself: it would drop requests that have arrived meanwhile.
+const closeOption = "close "
+
+// closeByServer is the value with which the HTTP server closes the connection itself.
+const closeByServer = "close"
+
 // watchedBody is a request body that remembers whether it was read to its end.
 type watchedBody struct {
 	io.ReadCloser
@@ -19,14 +27,27 @@
 	return n, err
 }
 
-// closeAnnouncer writes the response to a request of a connection whose close is
-// announced. If the request's body was not read to its end when the response begins, the
-// HTTP server closes the connection: otherwise it would wait for the rest of the body
-// before it sends the response.
+// watch returns a request whose body remembers its end, and that body. It leaves the given
+// request alone, from which the HTTP server knows whether the caller waits for a status
+// 100 before it sends the body.
+func watch(r *http.Request) (*http.Request, *watchedBody) {
+	if r.Body == http.NoBody {
+		return r, &watchedBody{ended: true}
+	}
+	watched := r.WithContext(r.Context())
+	body := &watchedBody{ReadCloser: r.Body}
+	watched.Body = body
+	return watched, body
+}
+
+// closeAnnouncer writes the response to a request. If the server is leaving when the
+// response begins, it announces the close of the connection.
 type closeAnnouncer struct {
 	http.ResponseWriter
-	body  *watchedBody
-	begun bool
+	server *Server
+	body   *watchedBody
+	// begun is true once the response has begun, announced if it announces the close.
+	begun, announced bool
 }
 
 // Unwrap lets http.ResponseController find the writer below.
@@ -54,13 +75,21 @@
 	return http.NewResponseController(a.ResponseWriter).Flush()
 }
 
-// begin decides, once, who closes the connection.
+// begin decides, once, whether the response announces the close of the connection, and
+// who closes it. If the request's body was not read to its end, that is the HTTP server:
+// otherwise it would wait for the rest of the body before it sends the response.
 func (a *closeAnnouncer) begin() {
 	if a.begun {
 		return
 	}
 	a.begun = true
-	if !a.body.ended && a.Header().Get("Connection") == closeOption {
-		a.Header().Set("Connection", "close")
+	if !a.server.leaving.Load() || a.Header().Get("Connection") == closeByServer {
+		return
+	}
+	if !a.body.ended {
+		a.Header().Set("Connection", closeByServer)
+		return
 	}
+	a.announced = true
+	a.Header().Set("Connection", closeOption)
 }
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -48,9 +48,10 @@
 	return append([]graceful.Reason(nil), r.list...)
 }
 
-// fixture is a server with a handler that answers "ok", aborts on /abort, answers
-// a part of its response before that on /part, waits for release on /wait, and answers a
-// part of its response before that on /stream.
+// fixture is a server with a handler that answers "ok", nothing on /empty, aborts on
+// /abort, answers a part of its response before that on /part, waits for release on /wait,
+// answers a part of its response before that on /stream, and asks for the end of the
+// connection on /close.
 type fixture struct {
 	server  *graceful.Server
 	address string
@@ -73,15 +74,23 @@
 }
 
 func serve(listener net.Listener) *fixture {
-	return serveLimited(listener, 0)
+	return serveOptions(graceful.Options{Listener: listener})
 }
 
 func serveLimited(listener net.Listener, maxConnections int) *fixture {
-	f := &fixture{address: listener.Addr().String(), seen: &reasons{}, handling: make(chan struct{}, 10), release: make(chan struct{})}
-	f.server = graceful.New(graceful.Options{
-		Listener: listener, Unanswered: f.seen.add, MaxConnections: maxConnections,
-		HTTP: &http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute},
-	})
+	return serveOptions(graceful.Options{Listener: listener, MaxConnections: maxConnections})
+}
+
+func serveWith(listener net.Listener, times graceful.ShutdownTimes) *fixture {
+	return serveOptions(graceful.Options{Listener: listener, Times: times})
+}
+
+// serveOptions serves with further options of the server.
+func serveOptions(opts graceful.Options) *fixture {
+	f := &fixture{address: opts.Listener.Addr().String(), seen: &reasons{}, handling: make(chan struct{}, 10), release: make(chan struct{})}
+	opts.Unanswered = f.seen.add
+	opts.HTTP = &http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+	f.server = graceful.New(opts)
 	var serving conc.WaitGroup
 	serving.Go(func() { Expect(f.server.Serve()).To(Succeed()) })
 	DeferCleanup(func() {
@@ -95,6 +104,10 @@
 	switch r.URL.Path {
 	case "/abort":
 		panic(http.ErrAbortHandler)
+	case "/empty":
+		return
+	case "/close":
+		w.Header().Set("Connection", "close")
 	case "/part":
 		_, _ = io.WriteString(w, "part")
 		_ = http.NewResponseController(w).Flush()
@@ -327,8 +340,11 @@
 		busy.send(get("/wait"))
 		Eventually(f.handling, eventuallyTimeout).Should(Receive())
 		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
 		close(f.release)
-		Expect(busy.status()).To(Equal(http.StatusOK))
+		status, closes := busy.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
 		Expect(wait()).To(Succeed())
 		Expect(f.seen.all()).To(BeEmpty())
 	})
@@ -424,6 +440,60 @@
 		Expect(response.Close).To(BeTrue())
 	})
 
+	It("announces the close also in the response to a request that came before it, and ends the connection at once", func() {
+		const muchIdle = time.Minute
+		f := serveWith(listen(), graceful.ShutdownTimes{Handshakes: time.Millisecond, Fresh: time.Millisecond, Idle: muchIdle})
+		c := f.dial()
+		c.send(get("/wait"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		f.server.Leave()
+		close(f.release)
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		status, _ = c.status()
+		Expect(status).To(BeZero())
+	})
+
+	It("announces the close in a response that its handler leaves empty", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		c.send(get("/empty"))
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+	})
+
+	It("leaves it to the HTTP server to close a connection if the handler asks for that", func() {
+		f := start()
+		c := f.dial()
+		f.server.Leave()
+		c.send(get("/close") + get("/"))
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		status, _ = c.status()
+		Expect(status).To(BeZero())
+	})
+
+	DescribeTable("answers at once a request whose caller waits for a status 100 before it sends the body", func(leaving bool) {
+		f := start()
+		c := f.dial()
+		if leaving {
+			f.server.Leave()
+		}
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n")
+		Expect(c.SetReadDeadline(time.Now().Add(headerTimeout))).To(Succeed())
+		response, err := http.ReadResponse(c.reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(response.Close).To(BeTrue())
+	},
+		Entry("while it serves", false),
+		Entry("while it leaves", true),
+	)
+
 	It("does not fail if connections are left that only wait for a request", func() {
 		f := start()
 		c := f.dial()
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -74,22 +74,11 @@
 	Unanswered func(Ending)
 }
 
-// closeOption is the value of the Connection field that announces the close of a
-// connection. The space, which is not sent, keeps the HTTP server from closing the
-// connection itself: it would drop requests that have arrived meanwhile.
-const closeOption = "close "
-
-// AnnounceClose makes a response ask the caller to close the connection. Requests that
-// follow on it nevertheless are served.
-func AnnounceClose(header http.Header) {
-	header.Set("Connection", closeOption)
-}
-
 // Server serves one listener. It is safe for concurrent use.
 type Server struct {
 	opts    Options
 	handler http.Handler
-	// leaving makes every response announce the close of its connection.
+	// leaving makes every response that begins announce the close of its connection.
 	leaving atomic.Bool
 	// requests is the context of all requests.
 	requests       context.Context
@@ -182,7 +171,8 @@
 	return listener
 }
 
-// Leave makes every further response announce the close of its connection.
+// Leave makes every response that begins from now on ask the caller to close its
+// connection. Requests that follow on it nevertheless are served.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
 }
@@ -289,21 +279,19 @@
 
 // handle serves a request and records whether its response was completed.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	if s.leaving.Load() {
-		AnnounceClose(w.Header())
-		body := &watchedBody{ReadCloser: r.Body, ended: r.Body == http.NoBody}
-		r.Body = body
-		w = &closeAnnouncer{ResponseWriter: w, body: body}
-	}
+	r, body := watch(r)
+	out := &closeAnnouncer{ResponseWriter: w, server: s, body: body}
 	c := connOf(r.Context())
 	if c == nil {
-		s.handler.ServeHTTP(w, r)
+		s.handler.ServeHTTP(out, r)
+		out.begin()
 		return
 	}
 	c.startHandling()
 	completed := false
-	defer func() { c.handled(completed, w.Header().Get("Connection") == closeOption) }()
-	s.handler.ServeHTTP(w, r)
+	defer func() { c.handled(completed, out.announced) }()
+	s.handler.ServeHTTP(out, r)
+	out.begin()
 	completed = true
 }
 
--- a/pkg/stage/forward/receiver.go
+++ b/pkg/stage/forward/receiver.go
@@ -107,6 +107,8 @@
 	_ = control.SetReadDeadline(time.Now().Add(r.opts.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, incoming.Body, r.opts.MaxBodyBytes))
 	if err != nil {
+		// The rest of the body must not delay the response.
+		w.Header().Set("Connection", "close")
 		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, "the forwarded body can't be read")
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/pkg/stage/ingress/body.go
+++ b/pkg/stage/ingress/body.go
@@ -128,6 +128,8 @@
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	if err != nil {
+		// The rest of the body must not delay the response.
+		w.Header().Set("Connection", "close")
 		return nil, bodyReadFailure(err, limit)
 	}
 	_ = controller.SetReadDeadline(time.Time{})
