--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -62,7 +62,9 @@
 	// HTTP is the server to use; its Handler, BaseContext, ConnContext and
 	// ConnState are replaced.
 	HTTP *http.Server
-	// TLS is the configuration of the listener's TLS; nil means plain HTTP.
+	// TLS is the configuration of the listener's TLS; nil means plain HTTP. Without a
+	// ReadHeaderTimeout of the HTTP server, a TLS 1.3 connection without any request may
+	// hold up a shutdown.
 	TLS *tls.Config
 	// MaxConnections bounds the connections that are open at once; 0 means no
 	// limit.
@@ -74,22 +76,11 @@
 	Unanswered func(Ending)
 }
 
-// closeOption is the value of the Connection field that announces the close of a
-// connection. The space, which is not sent, keeps the HTTP server from closing the
-// connection itself: it would drop requests that have arrived meanwhile.
-const closeOption = "close "
-
-// AnnounceClose makes a response ask the caller to close the connection. Requests that
-// follow on it nevertheless are served.
-func AnnounceClose(header http.Header) {
-	header.Set("Connection", closeOption)
-}
-
 // Server serves one listener. It is safe for concurrent use.
 type Server struct {
 	opts    Options
 	handler http.Handler
-	// leaving makes every response announce the close of its connection.
+	// leaving makes every response that begins announce the close of its connection.
 	leaving atomic.Bool
 	// requests is the context of all requests.
 	requests       context.Context
@@ -182,7 +173,14 @@
 	return listener
 }
 
-// Leave makes every further response announce the close of its connection.
+// knowsHandshakes reports whether the HTTP server tells when a TLS handshake is complete:
+// it removes the deadline that it set for it.
+func (s *Server) knowsHandshakes() bool {
+	return s.opts.TLS != nil && s.opts.HTTP.ReadHeaderTimeout > 0
+}
+
+// Leave makes every response that begins from now on ask the caller to close its
+// connection. Requests that follow on it nevertheless are served.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
 }
@@ -289,21 +287,19 @@
 
 // handle serves a request and records whether its response was completed.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	if s.leaving.Load() {
-		AnnounceClose(w.Header())
-		body := &watchedBody{ReadCloser: r.Body, ended: r.Body == http.NoBody}
-		r.Body = body
-		w = &closeAnnouncer{ResponseWriter: w, body: body}
-	}
+	r, body := watch(r)
+	out := &closeAnnouncer{ResponseWriter: w, server: s, body: body}
 	c := connOf(r.Context())
 	if c == nil {
-		s.handler.ServeHTTP(w, r)
+		s.handler.ServeHTTP(out, r)
+		out.begin()
 		return
 	}
 	c.startHandling()
 	completed := false
-	defer func() { c.handled(completed, w.Header().Get("Connection") == closeOption) }()
-	s.handler.ServeHTTP(w, r)
+	defer func() { c.handled(completed, out.announced) }()
+	s.handler.ServeHTTP(out, r)
+	out.begin()
 	completed = true
 }
 
@@ -367,6 +363,9 @@
 		return nil, err
 	}
 	c := &conn{Conn: accepted, server: l.server}
+	if l.server.knowsHandshakes() {
+		c.handshake = &handshake{}
+	}
 	l.server.track(c)
 	return c, nil
 }
