Proxy: a silent stream is moved over a hop only once the other daemon has an endpoint

Cause: without an endpoint here the silent attempt was ended as soon as another region had an endpoint that was not tried. Whether that one had room was known only from the answer.

Change: the other daemon gets the header first, reserves an endpoint without waiting and says so in an interim response; the body is held back until then. If the stream is still silent, the retry is charged, the silent attempt is ended and the body is sent. An event that comes before ends the request for the place, one that comes after is not passed on. A leaving daemon and a cold endpoint are not reserved. No events are passed on while the timers act.

Ruled out: waiting for the other attempt's response header (two engines could work on one stream for over 0.4 s, and prompts be prefilled in vain).

Why it works: nothing is ended, charged or sent before an endpoint is reserved for the rest.

--- a/pkg/gateway/balance/confirm.go
+++ b/pkg/gateway/balance/confirm.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
 
 // arrivalMargin bounds how long a request is on its way to an endpoint of the
 // region: one that was sent this long before a health check arrived before it.
@@ -40,6 +44,13 @@
 	return s.cold(now) || s.mayTurnCold(now)
 }
 
+// LimitedAsCold reports whether requests to an endpoint count towards the cold rate; an
+// endpoint that is not known has none.
+func (p *Pool) LimitedAsCold(endpoint types.EndpointID, now time.Time) bool {
+	ep := p.states[endpoint]
+	return ep != nil && ep.limitedAsCold(now)
+}
+
 // countedSends counts the requests of the window of the cold rate. At an endpoint
 // that may turn cold, those that arrived before a health check found it warm do
 // not count.
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // grantInterval is how often waiting requests are checked in addition to when a
@@ -155,6 +156,14 @@
 	g.pool.Done(permit, result, g.now())
 }
 
+// LimitedAsCold reports whether requests to an endpoint count towards the rate that it
+// takes while it is cold.
+func (g *Gate) LimitedAsCold(endpoint types.EndpointID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.LimitedAsCold(endpoint, g.now())
+}
+
 // Loads returns the numbers of requests of this daemon in flight and waiting and
 // of its blocked slots, sorted by service.
 func (g *Gate) Loads() []members.Load {
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,8 @@
 	// connecting tells whether the endpoint still wants the request; nil for an
 	// attempt by way of another daemon.
 	connecting *gate.Connecting
+	// interim handles an interim response; nil ignores it. An error ends the attempt.
+	interim func(status int, header textproto.MIMEHeader) error
 }
 
 // mayHaveArrived reports whether bytes of the request were written. It must not be
--- a/pkg/gateway/proxy/charge.go
+++ b/pkg/gateway/proxy/charge.go
@@ -114,9 +114,12 @@
 	return max(r.req.ArriveBy.Sub(r.h.budgetTime()), 1)
 }
 
-// release returns an endpoint's permit that no attempt will use.
+// release returns an endpoint's permit, or ends a handover, that no attempt will use.
 func (r *run) release(dest destination) {
-	if dest.endpoint != nil {
+	switch {
+	case dest.handover != nil:
+		r.dropHandover(dest.handover)
+	case dest.endpoint != nil:
 		r.h.opts.Gate.Done(dest.endpoint, balance.Abandoned)
 	}
 }
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -47,24 +47,49 @@
 	// Elsewhere is true if the sender can forward the request to another daemon of the
 	// receiver's region: a receiver that is leaving then refuses it.
 	Elsewhere bool `json:"elsewhere,omitempty"`
+	// Reserve asks the receiver to reserve an endpoint before it reads the body, and to
+	// say so in an interim response with headerReserved. The body comes after that.
+	Reserve bool `json:"reserve,omitempty"`
 }
 
 // forward sends the request to another daemon, of this region or another one,
 // and relays its response.
 func (r *run) forward(member members.Member) *types.Failure {
-	r.region = member.Region
-	r.hops++
-	r.tried = append(r.tried, types.EndpointID("daemon "+string(member.VM)))
+	r.noteForward(member)
 	var w attemptConn
-	outgoing, err := r.forwardRequest(member, &w)
+	snap := r.h.opts.Snapshot()
+	env := r.envelope(snap)
+	env.Elsewhere = r.canGoElsewhere(snap, member)
+	outgoing, err := r.forwardRequest(member, env, &w)
 	if err != nil {
 		return failureWithCause(types.NotRun, types.CodeInternal, "the request can't be forwarded", err)
 	}
 	defer w.cancel()
 	defer w.limit(r.forwardBy(), r.h.budgetTime)()
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
+	return r.relayForwarded(member, &w, response, err)
+}
+
+// completeHandover waits for the response to an admitted handover and relays it.
+func (r *run) completeHandover(plan *handover) *types.Failure {
+	r.noteForward(plan.member)
+	defer plan.conn.cancel()
+	<-plan.done
+	return r.relayForwarded(plan.member, &plan.conn, plan.response, plan.err)
+}
+
+// noteForward records an attempt at another daemon.
+func (r *run) noteForward(member members.Member) {
+	r.region = member.Region
+	r.hops++
+	r.tried = append(r.tried, types.EndpointID("daemon "+string(member.VM)))
+}
+
+// relayForwarded relays the response of another daemon, or returns the failure of an
+// attempt that got none.
+func (r *run) relayForwarded(member members.Member, w *attemptConn, response *http.Response, err error) *types.Failure {
 	if err != nil {
-		return r.handleForwardError(member, &w, err)
+		return r.handleForwardError(member, w, err)
 	}
 	defer closeBody(response)
 	r.noteRemoteResponse(member, response.Header)
@@ -76,7 +101,7 @@
 	if failure != nil {
 		return failure
 	}
-	failure, _ = r.handleResponse(response, &w)
+	failure, _ = r.handleResponse(response, w)
 	return failure
 }
 
@@ -120,18 +145,22 @@
 	return slices.Concat(r.req.Tried, r.remoteTried, r.tried)
 }
 
-func (r *run) forwardRequest(member members.Member, w *attemptConn) (*http.Request, error) {
-	snap := r.h.opts.Snapshot()
+// envelope describes the next attempt to another daemon.
+func (r *run) envelope(snap *control.Snapshot) envelope {
 	env := envelope{
 		ForwardedBy: snap.Self.VM, Route: r.req.Route, Service: r.req.Service, ModelEngine: r.req.ModelEngine, Tried: r.excludedEndpoints(),
 		Left:          r.req.Deadline.Sub(r.h.opts.Now()),
 		Waited:        r.h.opts.Now().Sub(r.req.Arrived),
 		CallerLimited: !r.req.CallerDeadline.IsZero(), ResumeAfter: r.lastEvent, PrefixUncached: len(r.homes) > 1,
-		Elsewhere: r.canGoElsewhere(snap, member),
 	}
 	if !r.chargedAt.IsZero() {
 		env.ArriveWithin = hopTime
 	}
+	return env
+}
+
+// forwardRequest builds the request of an attempt at another daemon.
+func (r *run) forwardRequest(member members.Member, env envelope, w *attemptConn) (*http.Request, error) {
 	encoded, err := json.Marshal(env)
 	if err != nil {
 		return nil, err
@@ -210,7 +239,11 @@
 		return
 	}
 	defer func() { h.bodies.Release(req.reservedBytes) }()
-	failure := h.receiveForwarded(r, req)
+	defer h.releaseReserved(req)
+	failure := h.reserveForwarded(w, r, req)
+	if failure == nil {
+		failure = h.receiveForwarded(w, r, req)
+	}
 	if failure == nil {
 		failure = h.refuseForwarded(req)
 	}
@@ -233,13 +266,16 @@
 
 // receiveForwarded reads the body of a forwarded request within the limits of size and
 // memory.
-func (h *Handler) receiveForwarded(r *http.Request, req *Request) *types.Failure {
+func (h *Handler) receiveForwarded(w http.ResponseWriter, r *http.Request, req *Request) *types.Failure {
 	if r.ContentLength > maxForwardedBody {
 		return bodyTooLarge()
 	}
 	if err := req.receiveBody(http.MaxBytesReader(nil, r.Body, maxForwardedBody), r.ContentLength, h.bodies); err != nil {
 		return bodyFailure(err)
 	}
+	if req.Reserve {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	return nil
 }
 
@@ -266,7 +302,7 @@
 	req := newRequest(r, info, env.Route)
 	req.Service, req.ModelEngine, req.AttemptLimit, req.ForwardedBy = env.Service, env.ModelEngine, 1, env.ForwardedBy
 	req.Arrived, req.Deadline = now.Add(-max(env.Waited, 0)), now.Add(env.Left)
-	req.PrefixUncached, req.Tried, req.Elsewhere = env.PrefixUncached, env.Tried, env.Elsewhere
+	req.PrefixUncached, req.Tried, req.Elsewhere, req.Reserve = env.PrefixUncached, env.Tried, env.Elsewhere, env.Reserve
 	if env.CallerLimited {
 		req.CallerDeadline = req.Deadline
 	}
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -236,6 +236,7 @@
 	// endpointRegion is the region of the endpoints.
 	endpointRegion types.Region
 	fakeReporter   *fakeReporter
+	bounds         balance.Bounds
 	// modelEngine makes the service one that runs model engines.
 	modelEngine bool
 	// transport sends the attempts; nil means the usual one.
@@ -282,7 +283,7 @@
 		Self: members.Member{VM: w.self, Region: w.region, State: members.Serving}, Members: w.members,
 		Peak: members.Peak{DataCentre: 1, Region: 1, Fleet: 1}, View: view, Withheld: w.withheld,
 	}
-	pool := balance.NewPool(w.region, "", balance.Bounds{})
+	pool := balance.NewPool(w.region, "", w.bounds)
 	w.gate = gate.New(pool, time.Now)
 	w.update()
 	w.handler = w.newHandler()
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -13,14 +13,15 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// destination is the target of an attempt: an endpoint of the local region, or
-// another daemon.
+// destination is the target of an attempt: an endpoint of the local region,
+// another daemon, or one that has admitted the attempt already.
 type destination struct {
 	endpoint *balance.Permit
 	member   members.Member
+	handover *handover
 }
 
-// place selects a destination: the reserved endpoint if there is one. A request with
+// place selects a destination: the one that is reserved if there is one. A request with
 // a large prefix goes to the home of the prefix. Any other one tries the local
 // region, then another region with spare capacity, then waits for capacity in the
 // local region.
@@ -28,6 +29,9 @@
 	if permit := r.takeReserved(); permit != nil {
 		return destination{endpoint: permit}, nil
 	}
+	if plan := r.takeHandover(); plan != nil {
+		return destination{handover: plan}, nil
+	}
 	if r.req.PrefixTokens >= balance.MinLargePrefixTokens {
 		return r.placeLargePrompt(snap)
 	}
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -48,6 +48,9 @@
 	// Elsewhere is true for a forwarded request that another daemon of this region can
 	// take.
 	Elsewhere bool
+	// Reserve is true for a forwarded request whose body comes only once an endpoint is
+	// reserved.
+	Reserve bool
 	// ArriveBy is when, in budget time, a forwarded retry must have reached an
 	// endpoint; zero sets no limit.
 	ArriveBy time.Time
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -71,6 +71,9 @@
 	// current one.
 	chargedAt       time.Time
 	retryReservedAt atomic.Pointer[time.Time]
+	// handover is the next attempt if another daemon has admitted it during the current
+	// one; nil if none has. The stall detector's mutex guards it until that is stopped.
+	handover *handover
 	// retryDenied is true if the retry budget did not permit another attempt.
 	retryDenied bool
 	// homes lists the endpoints that were tried as homes of the prefix.
@@ -107,7 +110,7 @@
 			r.release(dest)
 			return failure
 		}
-		if !r.charge() {
+		if dest.handover == nil && !r.charge() {
 			r.release(dest)
 			return lastFailure
 		}
@@ -158,7 +161,10 @@
 // endpoint, so that attempts are counted in one place, also after a broken
 // connection.
 func (r *run) send(dest destination) (*types.Failure, attemptWay) {
-	if dest.endpoint == nil {
+	switch {
+	case dest.handover != nil:
+		return r.completeHandover(dest.handover), toDaemon
+	case dest.endpoint == nil:
 		return r.forward(dest.member), toDaemon
 	}
 	r.region = ""
@@ -205,6 +211,9 @@
 
 // finish sends the final response if none was sent and records the outcome.
 func (r *run) finish(failure *types.Failure) {
+	if plan := r.takeHandover(); plan != nil {
+		r.dropHandover(plan)
+	}
 	r.refundAll()
 	if failure != nil && r.fallback != nil && !r.out.committed {
 		r.fallback.send(r.out)
--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -28,7 +28,7 @@
 // stallDetector ends an attempt whose stream makes no progress. Only complete
 // events count as progress, not bytes. A resumable stream is ended while its
 // caller still waits, if it can go on elsewhere: an event was sent to the caller,
-// an endpoint is reserved for the rest or another region has one, and the retry
+// an endpoint is reserved for the rest, here or by another daemon, and the retry
 // budget permits. Any other stream is ended only when its caller has given up, and
 // not at all if a deadline ends it anyway.
 type stallDetector struct {
@@ -38,6 +38,10 @@
 
 	mu      sync.Mutex
 	stopped bool
+	// relaying is true while events are passed on.
+	relaying bool
+	// handover is under way or was admitted; nil if there is none.
+	handover *handover
 }
 
 // stallTimer calls a function when its limit has passed since the last reset.
@@ -57,7 +61,7 @@
 	detector := &stallDetector{}
 	if route.Resumable && r.sent < r.req.AttemptLimit {
 		detector.resume = newStallTimer(time.Duration(float64(stallTimeout)*resumeShare), func() {
-			detector.unlessStopped(func() { r.resumeElsewhere(w) })
+			detector.ifSilent(func() { r.resumeElsewhere(detector, w) })
 		})
 	}
 	if r.req.CallerDeadline.IsZero() && route.Timeout <= 0 {
@@ -68,14 +72,18 @@
 }
 
 // resumeElsewhere ends the attempt if the stream can go on at another endpoint and
-// the retry budget permits another attempt. A daemon that is leaving ends none: the other
-// endpoint may refuse the rest, or the end of the stop may cut it off.
-func (r *run) resumeElsewhere(w *attemptConn) {
+// the retry budget permits another attempt. Without any endpoint here it asks another
+// daemon first. A daemon that is leaving ends none: the other endpoint may refuse the
+// rest, or the end of the stop may cut it off.
+func (r *run) resumeElsewhere(d *stallDetector, w *attemptConn) {
 	if r.h.draining.Load() {
 		return
 	}
-	permit, found := r.reserveElsewhere()
-	if !found {
+	permit, noneHere := r.reserveHere()
+	if noneHere {
+		r.beginHandover(d, w)
+	}
+	if permit == nil {
 		return
 	}
 	r.req.reserved = permit
@@ -86,18 +94,14 @@
 	w.cancel()
 }
 
-// reserveElsewhere reserves an endpoint of this region for the rest of the stream.
-// Without any endpoint here it returns no permit and whether another region may take
-// the stream.
-func (r *run) reserveElsewhere() (*balance.Permit, bool) {
-	snap := r.h.opts.Snapshot()
-	if r.req.Route.Allows(snap.Self.Region) {
-		permit, refusal := r.h.opts.Gate.Try(r.balancerRequest())
-		if permit != nil || refusal == nil {
-			return permit, permit != nil
-		}
+// reserveHere reserves an endpoint of this region for the rest of the stream. It
+// returns no permit if none is free, and whether no endpoint here may run the request.
+func (r *run) reserveHere() (permit *balance.Permit, noneHere bool) {
+	if !r.req.Route.Allows(r.h.opts.Snapshot().Self.Region) {
+		return nil, true
 	}
-	return nil, r.hops < maxHops && r.remoteEndpointLeft(snap)
+	permit, refusal := r.h.opts.Gate.Try(r.balancerRequest())
+	return permit, refusal != nil
 }
 
 // remoteEndpointLeft reports whether the next attempt finds an endpoint in another region
@@ -124,14 +128,49 @@
 
 // releaseReserved releases an endpoint that was reserved and not used.
 func (r *run) releaseReserved() {
-	if permit := r.takeReserved(); permit != nil {
-		r.h.opts.Gate.Done(permit, balance.Abandoned)
+	r.h.releaseReserved(r.req)
+}
+
+// releaseReserved releases an endpoint that was reserved for a request and not used.
+func (h *Handler) releaseReserved(req *Request) {
+	if permit := req.reserved; permit != nil {
+		req.reserved = nil
+		h.opts.Gate.Done(permit, balance.Abandoned)
+	}
+}
+
+// beginRelay is called before events are passed on, and reports whether they may be:
+// not if another daemon has taken the rest of the stream. A handover under way ends.
+func (d *stallDetector) beginRelay() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.moved() {
+		return false
+	}
+	d.relaying = true
+	d.endHandover()
+	return true
+}
+
+// moved reports whether another daemon has taken the rest of the stream.
+func (d *stallDetector) moved() bool {
+	return d.handover != nil && d.handover.admitted
+}
+
+// endHandover ends a handover that was not admitted.
+func (d *stallDetector) endHandover() {
+	if d.handover != nil && !d.handover.admitted {
+		d.handover.conn.cancel()
+		d.handover = nil
 	}
 }
 
 // reset restarts the timers after an event. A stream that can't resume yet is not
 // ended in order to resume.
 func (d *stallDetector) reset(canResume bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.relaying = false
 	if canResume {
 		d.resume.reset()
 	} else {
@@ -147,6 +186,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stopped = true
+	d.endHandover()
 }
 
 // reset restarts the timer; a nil timer does nothing.
@@ -163,11 +203,12 @@
 	}
 }
 
-// unlessStopped runs work unless the detector was stopped; stop waits for its end.
-func (d *stallDetector) unlessStopped(work func()) {
+// ifSilent runs work unless events are passed on or the detector was stopped; stop waits
+// for its end.
+func (d *stallDetector) ifSilent(work func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.stopped {
+	if !d.stopped && !d.relaying {
 		work()
 	}
 }
--- a/pkg/gateway/proxy/stall_internal_test.go
+++ b/pkg/gateway/proxy/stall_internal_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"net/http"
+	"net/textproto"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -54,3 +56,40 @@
 		Expect(r.remoteEndpointLeft(snap)).To(BeFalse())
 	})
 })
+
+// Guards against an event that is passed on twice, or lost, when a handover is admitted as it comes.
+var _ = ginkgo.Describe("A handover that is admitted while an event comes", func() {
+	var r *run
+	var d *stallDetector
+	var silent attemptConn
+	var plan *handover
+	var silentEnded, handoverEnded bool
+	admit := func() error {
+		return r.admitHandover(d, plan, &silent, http.StatusEarlyHints, textproto.MIMEHeader{headerReserved: {"1"}})
+	}
+	ginkgo.BeforeEach(func() {
+		budgets := NewRetryBudgets(0, 10, 0, time.Now().Add(-time.Hour))
+		budgets.SetFleetSize(1)
+		r = &run{sent: 1, h: &Handler{opts: Options{Now: time.Now, RetryBudgets: budgets}}, req: &Request{Service: "svc", Route: &catalog.Route{}}}
+		silentEnded, handoverEnded = false, false
+		silent = attemptConn{cancel: func() { silentEnded = true }}
+		plan = &handover{body: newHeldBody(nil), conn: attemptConn{cancel: func() { handoverEnded = true }}}
+		d = &stallDetector{handover: plan}
+	})
+
+	ginkgo.It("is dropped if the event was first", func() {
+		Expect(d.beginRelay()).To(BeTrue())
+		Expect(admit()).NotTo(Succeed())
+		Expect([]bool{silentEnded, handoverEnded}).To(Equal([]bool{false, true}))
+		Expect(r.handover).To(BeNil())
+		Expect(r.retryReservedAt.Load()).To(BeNil())
+	})
+
+	ginkgo.It("keeps the event from being passed on if the event was second", func() {
+		Expect(admit()).To(Succeed())
+		Expect(d.beginRelay()).To(BeFalse())
+		Expect([]bool{silentEnded, handoverEnded}).To(Equal([]bool{true, false}))
+		Expect(r.handover).To(BeIdenticalTo(plan))
+		Expect(r.retryReservedAt.Load()).NotTo(BeNil())
+	})
+})
--- a/pkg/gateway/proxy/stream.go
+++ b/pkg/gateway/proxy/stream.go
@@ -39,6 +39,9 @@
 		if err != nil {
 			return r.handleBrokenResponse(err)
 		}
+		if !detector.beginRelay() {
+			return r.handleBrokenResponse(errMoved)
+		}
 		if !r.out.write(events) || !r.out.flush() {
 			return r.callerGone()
 		}
@@ -52,6 +55,10 @@
 	}
 }
 
+// errMoved means that another daemon has taken the rest of a stream, so that nothing
+// more of the attempt may be passed on.
+var errMoved = errors.New("another daemon has taken the rest of the stream")
+
 // errNoEvent means that a stream that ends with its connection brought no event.
 var errNoEvent = errors.New("stream without events ended with its connection")
 
