Proxy: a pause of the process does not pass for the endpoint's silence

Callers saw: after the daemon's process was stopped for over 2 s (suspension, SIGSTOP), streams without a deadline ended broken, `ended_by` `endpoint`, although their endpoint went on (docs/incidents/answers-cut-off-over-a-hop.md, "Not covered").

Cause: the stall timer runs on during the pause. When the process goes on, the timer's function and the reading of the events that had come meanwhile start side by side, and the first ends the attempt.

Ruled out: the endpoint and the connections (all events were sent; the rest of the streams were complete), the deadline (none).

Change: silence is measured in four steps. A step whose end is noticed late by over half of its length does not count, so after a pause a step at least is left for reading. The timers act only while no events are passed on, so a caller that reads slowly is not taken for a silent endpoint either; its write has a limit of its own.

"The timer of a silent stream" checks the steps without a clock.

Why it works: the limit runs out only with steps that ended in time, in which the process could read. A process that is starved in every step ends no stream for silence.

--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -21,6 +21,11 @@
 	// resumeShare is the fraction of the callers' waiting time after which a
 	// resumable stream moves to another endpoint.
 	resumeShare = 0.5
+	// stallSteps is the number of steps in which the silence of an endpoint is measured.
+	stallSteps = 4
+	// lateShare is the fraction of a step by which its end may be noticed late. A later
+	// one tells of a pause of this process, in which it read nothing.
+	lateShare = 0.5
 	// maxStreamTime bounds a stream if neither the caller nor the route sets a limit.
 	maxStreamTime = time.Hour
 )
@@ -44,14 +49,59 @@
 	handover *handover
 }
 
-// stallTimer calls a function when its limit has passed since the last reset.
+// stallTimer calls a function once when its limit has passed since the last reset, while
+// the detector's mutex is held. The limit is measured in steps: one that ends late does
+// not count, so that a pause of this process does not pass for the endpoint's silence.
+// The detector's mutex guards it.
 type stallTimer struct {
-	limit time.Duration
-	timer *time.Timer
+	step    time.Duration
+	stalled func()
+	timer   *time.Timer
+	// stepEnd is when the current step ends, zero if the timer is stopped; silent counts
+	// the steps before it.
+	stepEnd time.Time
+	silent  int
 }
 
-func newStallTimer(limit time.Duration, stalled func()) *stallTimer {
-	return &stallTimer{limit: limit, timer: time.AfterFunc(limit, stalled)}
+// newTimer returns a timer that runs after its first reset.
+func (d *stallDetector) newTimer(limit time.Duration, stalled func()) *stallTimer {
+	t := &stallTimer{step: limit / stallSteps, stalled: stalled}
+	t.timer = time.AfterFunc(limit, func() { d.endStep(t) })
+	return t
+}
+
+// endStep handles the end of a timer's step.
+func (d *stallDetector) endStep(t *stallTimer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped || d.relaying || d.moved() {
+		return
+	}
+	if t.countStep(time.Now()) {
+		t.stalled()
+	}
+}
+
+// countStep counts a step that has ended and begins the next one. It reports whether the
+// limit has passed.
+func (t *stallTimer) countStep(now time.Time) bool {
+	late := now.Sub(t.stepEnd)
+	if t.stepEnd.IsZero() || late < 0 {
+		return false // the timer was stopped or reset meanwhile
+	}
+	if late <= time.Duration(float64(t.step)*lateShare) {
+		t.silent++
+	}
+	if t.silent >= stallSteps {
+		return true
+	}
+	t.beginStep(now)
+	return false
+}
+
+func (t *stallTimer) beginStep(now time.Time) {
+	t.stepEnd = now.Add(t.step)
+	t.timer.Reset(t.step)
 }
 
 // startStallDetector starts to watch the stream of an attempt.
@@ -60,12 +110,10 @@
 	stallTimeout := max(minStallTimeout, objectiveMultiple*route.Objective, gapMultiple*route.LongestGap)
 	detector := &stallDetector{}
 	if route.Resumable && r.sent < r.req.AttemptLimit {
-		detector.resume = newStallTimer(time.Duration(float64(stallTimeout)*resumeShare), func() {
-			detector.ifSilent(func() { r.resumeElsewhere(detector, w) })
-		})
+		detector.resume = detector.newTimer(time.Duration(float64(stallTimeout)*resumeShare), func() { r.resumeElsewhere(detector, w) })
 	}
 	if r.req.CallerDeadline.IsZero() && route.Timeout <= 0 {
-		detector.giveUp = newStallTimer(stallTimeout, w.cancel)
+		detector.giveUp = detector.newTimer(stallTimeout, w.cancel)
 	}
 	detector.reset(r.canResume())
 	return detector
@@ -181,10 +229,10 @@
 
 // stop stops the timers and waits for what they have begun.
 func (d *stallDetector) stop() {
-	d.resume.stop()
-	d.giveUp.stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.resume.stop()
+	d.giveUp.stop()
 	d.stopped = true
 	d.endHandover()
 }
@@ -192,23 +240,15 @@
 // reset restarts the timer; a nil timer does nothing.
 func (t *stallTimer) reset() {
 	if t != nil {
-		t.timer.Reset(t.limit)
+		t.silent = 0
+		t.beginStep(time.Now())
 	}
 }
 
 // stop stops the timer; a nil timer does nothing.
 func (t *stallTimer) stop() {
 	if t != nil {
+		t.stepEnd = time.Time{}
 		t.timer.Stop()
 	}
 }
-
-// ifSilent runs work unless events are passed on or the detector was stopped; stop waits
-// for its end.
-func (d *stallDetector) ifSilent(work func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.stopped && !d.relaying {
-		work()
-	}
-}
--- a/pkg/gateway/proxy/stall_internal_test.go
+++ b/pkg/gateway/proxy/stall_internal_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"time"
@@ -93,3 +94,60 @@
 		Expect(r.retryReservedAt.Load()).NotTo(BeNil())
 	})
 })
+
+// Guards against a pause of this process that passes for the endpoint's silence.
+var _ = ginkgo.Describe("The timer of a silent stream", func() {
+	const limit = 2 * time.Second
+	const step = limit / stallSteps
+	var t *stallTimer
+	var now time.Time
+	ginkgo.BeforeEach(func() {
+		t = (&stallDetector{}).newTimer(limit, func() {})
+		ginkgo.DeferCleanup(t.timer.Stop)
+		now = time.Date(2026, 12, 6, 2, 0, 0, 0, time.UTC)
+		t.beginStep(now)
+	})
+	// endStep ends the current step late by a time.
+	endStep := func(late time.Duration) bool {
+		now = t.stepEnd.Add(late)
+		return t.countStep(now)
+	}
+
+	ginkgo.It("runs out after its limit", func() {
+		begin := now
+		for range stallSteps - 1 {
+			Expect(endStep(0)).To(BeFalse())
+		}
+		Expect(endStep(0)).To(BeTrue())
+		Expect(now.Sub(begin)).To(Equal(limit))
+	})
+
+	for paused := range stallSteps {
+		ginkgo.It(fmt.Sprintf("leaves time for reading after a pause in step %d", paused+1), func() {
+			for range paused {
+				Expect(endStep(0)).To(BeFalse())
+			}
+			Expect(endStep(5 * time.Second)).To(BeFalse())
+			resumed := now
+			for !endStep(0) {
+			}
+			Expect(now.Sub(resumed)).To(Equal(time.Duration(stallSteps-paused) * step))
+		})
+	}
+
+	ginkgo.It("counts steps that end a little late", func() {
+		for range stallSteps - 1 {
+			Expect(endStep(step / 2)).To(BeFalse())
+		}
+		Expect(endStep(step / 2)).To(BeTrue())
+	})
+
+	ginkgo.It("does not run out by a step that ended when it was reset or stopped", func() {
+		for range stallSteps - 1 {
+			Expect(endStep(0)).To(BeFalse())
+		}
+		Expect(t.countStep(t.stepEnd.Add(-1))).To(BeFalse())
+		t.stop()
+		Expect(t.countStep(now.Add(limit))).To(BeFalse())
+	})
+})
