--- a/pkg/gateway/proxy/handover_test.go
+++ b/pkg/gateway/proxy/handover_test.go
@@ -98,6 +98,23 @@
 		north.start(es...)
 		return north
 	}
+	// expectWholeAfter expects a whole stream of its first endpoint after a change that is
+	// made while it is silent.
+	expectWholeAfter := func(es []*endpoint, change func()) {
+		GinkgoHelper()
+		responses := make(chan callerResponse, 1)
+		go func() {
+			defer GinkgoRecover()
+			responses <- south.call("POST", "/r/", "x")
+		}()
+		Eventually(func() int { return arrivals(es) }, eventuallyTimeout).Should(Equal(1))
+		change()
+		var resp callerResponse
+		Eventually(responses, eventuallyTimeout).Should(Receive(&resp))
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(resp.body).To(Equal(whole))
+		Expect(arrivals(es)).To(Equal(1))
+	}
 	refuse := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		w.Header().Set("X-Gateway-Failure", string(types.CodeOverloaded))
@@ -121,39 +138,21 @@
 		es := silentFirst(silence)
 		north := startNorth(es...)
 		startSouth([]members.Member{north.asMember()}, es...)
-		responses := make(chan callerResponse, 1)
-		go func() {
-			defer GinkgoRecover()
-			responses <- south.call("POST", "/r/", "x")
-		}()
-		Eventually(func() int { return arrivals(es) }, eventuallyTimeout).Should(Equal(1))
-		north.fillSlots()
-		var resp callerResponse
-		Eventually(responses, eventuallyTimeout).Should(Receive(&resp))
-		Expect(resp.err).NotTo(HaveOccurred())
-		Expect(resp.body).To(Equal(whole))
-		Expect(arrivals(es)).To(Equal(1))
+		expectWholeAfter(es, func() {
+			north.fillSlots()
+		})
 	})
 
 	It("goes on when the other daemon is leaving", func() {
 		es := silentFirst(silence)
 		north, leaving := startNorth(es...), startNorth(es...)
 		startSouth([]members.Member{north.asMember()}, es...)
-		responses := make(chan callerResponse, 1)
-		go func() {
-			defer GinkgoRecover()
-			responses <- south.call("POST", "/r/", "x")
-		}()
-		Eventually(func() int { return arrivals(es) }, eventuallyTimeout).Should(Equal(1))
-		leaving.handler.Leave(time.Minute)
-		moved := *south.snap
-		moved.Members = []members.Member{leaving.asMember()}
-		south.published.Store(&moved)
-		var resp callerResponse
-		Eventually(responses, eventuallyTimeout).Should(Receive(&resp))
-		Expect(resp.err).NotTo(HaveOccurred())
-		Expect(resp.body).To(Equal(whole))
-		Expect(arrivals(es)).To(Equal(1))
+		expectWholeAfter(es, func() {
+			leaving.handler.Leave(time.Minute)
+			moved := *south.snap
+			moved.Members = []members.Member{leaving.asMember()}
+			south.published.Store(&moved)
+		})
 	})
 
 	It("goes on when the other endpoint is cold", func() {
@@ -164,24 +163,15 @@
 		north.snap.View.Config.Services[service].ColdPerSecond = 100
 		north.update()
 		startSouth([]members.Member{north.asMember()}, es...)
-		responses := make(chan callerResponse, 1)
-		go func() {
-			defer GinkgoRecover()
-			responses <- south.call("POST", "/r/", "x")
-		}()
-		Eventually(func() int { return arrivals(es) }, eventuallyTimeout).Should(Equal(1))
-		view := *north.snap.View
-		cold := slices.Clone(view.Endpoints[service])
-		for i := range cold {
-			cold[i].ColdUntil = time.Now().Add(time.Minute)
-		}
-		view.Endpoints = map[types.ServiceName][]catalog.ActiveEndpoint{service: cold}
-		north.gate.Update(&view, balance.Membership{Self: north.self, PeakLive: 1})
-		var resp callerResponse
-		Eventually(responses, eventuallyTimeout).Should(Receive(&resp))
-		Expect(resp.err).NotTo(HaveOccurred())
-		Expect(resp.body).To(Equal(whole))
-		Expect(arrivals(es)).To(Equal(1))
+		expectWholeAfter(es, func() {
+			view := *north.snap.View
+			cold := slices.Clone(view.Endpoints[service])
+			for i := range cold {
+				cold[i].ColdUntil = time.Now().Add(time.Minute)
+			}
+			view.Endpoints = map[types.ServiceName][]catalog.ActiveEndpoint{service: cold}
+			north.gate.Update(&view, balance.Membership{Self: north.self, PeakLive: 1})
+		})
 	})
 
 	It("goes on, and nothing is sent elsewhere, when its next event comes before the other daemon has room", func() {
