Proxy: a stream that tries what is withheld is not ended for silence

Callers saw: a resumable stream whose request tries a withheld part ends broken after it was silent for half of what callers wait, although its endpoint goes on (found by reading, not reported).

Cause: the stall timer ended the attempt in order to resume; a trial is one attempt, so nothing followed.

Change: no timer for resuming if the request tries something.

Evidence: spec of "Slow streams" fails without the change (EOF after one event) and passes with it. The other conditions of a further attempt (kind, attempts, budget, an event that was sent) were checked before.

--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -37,8 +37,8 @@
 // budget permits. Any other stream is ended only when its caller has given up, and
 // not at all if a deadline ends it anyway.
 type stallDetector struct {
-	// resume ends the attempt in order to resume elsewhere; nil if no attempt is
-	// left. giveUp ends it for good; nil if a deadline does.
+	// resume ends the attempt in order to resume elsewhere; nil if no further attempt may be
+	// made. giveUp ends it for good; nil if a deadline does.
 	resume, giveUp *stallTimer
 
 	mu      sync.Mutex
@@ -109,7 +109,7 @@
 	route := r.req.Route
 	stallTimeout := max(minStallTimeout, objectiveMultiple*route.Objective, gapMultiple*route.LongestGap)
 	detector := &stallDetector{}
-	if route.Resumable && r.sent < r.req.AttemptLimit {
+	if route.Resumable && r.sent < r.req.AttemptLimit && r.trial == 0 {
 		detector.resume = detector.newTimer(time.Duration(float64(stallTimeout)*resumeShare), func() { r.resumeElsewhere(detector, w) })
 	}
 	if r.req.CallerDeadline.IsZero() && route.Timeout <= 0 {
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -351,6 +351,19 @@
 		Expect(first.count() + second.count()).To(Equal(1))
 	})
 
+	// Guards against a stream that is ended to resume, which its trial does not permit.
+	It("are not ended while their caller waits and they try what is withheld", func() {
+		w := newSlowProxy()
+		w.route.Resumable = true
+		first, second := lateStream(0, longPause), lateStream(0, longPause)
+		startWithRaw(w, first, second)
+		w.withhold(time.Now().Add(-time.Second), deadlyPart)
+		resp := w.call("POST", "/r/", "x", headerParts, "deadly")
+		Expect(resp.err).NotTo(HaveOccurred())
+		Expect(strings.Count(resp.body, "data:")).To(Equal(2))
+		Expect(first.count() + second.count()).To(Equal(1))
+	})
+
 	DescribeTable("over a hop are not ended while their caller waits and the other region has no further endpoint", func(fields ...string) {
 		south, north := newSlowProxy(), newSlowProxy()
 		late := lateStream(0, longPause)
