--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -487,6 +487,15 @@
 		}))
 	})
 
+	It("tells when a request without an answer was sent, on its connection and in a stop", func() {
+		r := record()
+		r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+		r.Calls = append(r.Calls, visited("x", 3*time.Second, 10*time.Millisecond))
+		r.Calls[3].Manner.Idle = 2 * time.Second
+		Expect(check.All(r)).To(ContainElement(ContainSubstring("on a connection that had waited for 2s, sent 3s to 3.001s after the signal to its process, " +
+			"ended 3.011s after it, its process 4s after it")))
+	})
+
 	It("excuses what a fault shortly before may have caused", func() {
 		r := record()
 		r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
--- a/tools/soak/check/manner.go
+++ b/tools/soak/check/manner.go
@@ -49,7 +49,8 @@
 	// for ReadPause.
 	ReadFirst int64
 	ReadPause time.Duration
-	// Idle is the time between the end of the answer before and this request.
+	// Idle is the time between the end of the answer before, or the begin of the connection,
+	// and this request.
 	Idle time.Duration
 	// CloseAnnounced is when the caller had read that the connection will be closed;
 	// zero if it never was.
@@ -72,7 +73,8 @@
 	var broken []string
 	for _, call := range r.Calls {
 		if r.endedSilently(call, arrivals[call.ID]) {
-			broken = append(broken, fmt.Sprintf("silent: %s, %s: %v", describe(call, arrivals[call.ID]), r.class(call, arrivals[call.ID]), call.Outcome.Err))
+			broken = append(broken, fmt.Sprintf("silent: %s, %s%s: %v",
+				describe(call, arrivals[call.ID]), r.class(call, arrivals[call.ID]), r.course(call), call.Outcome.Err))
 		}
 	}
 	return broken
@@ -95,6 +97,17 @@
 	})
 }
 
+// course tells when a call was sent, on its connection and in a stop of its daemon.
+func (r *Record) course(call Call) string {
+	text := fmt.Sprintf(", on a connection that had waited for %s", call.Manner.Idle.Round(time.Millisecond))
+	if stop, found := r.stopOf(call, r.Grace+time.Second); found {
+		text += fmt.Sprintf(", sent %s to %s after the signal to its process, ended %s after it, its process %s after it",
+			call.Sent.Sub(stop.From).Round(time.Millisecond), call.Outcome.Written.Sub(stop.From).Round(time.Millisecond),
+			call.Ended.Sub(stop.From).Round(time.Millisecond), stop.To.Sub(stop.From).Round(time.Millisecond))
+	}
+	return text
+}
+
 func isTimeout(err error) bool {
 	return eris.Is(err, os.ErrDeadlineExceeded)
 }
--- a/tools/soak/visit/visit.go
+++ b/tools/soak/visit/visit.go
@@ -54,7 +54,7 @@
 		return nil, eris.Wrap(err, "connect")
 	}
 	defer func() { _ = netConn.Close() }() // everything that matters was read
-	v := &visit{conn: netConn.(*net.TCPConn), reader: bufio.NewReader(netConn), calls: calls, opts: opts}
+	v := &visit{conn: netConn.(*net.TCPConn), opened: time.Now(), reader: bufio.NewReader(netConn), calls: calls, opts: opts}
 	if opts.SmallWindow {
 		_ = v.conn.SetReadBuffer(smallWindowBytes) // a larger buffer does no harm
 	}
@@ -69,6 +69,7 @@
 // visit is the state of one connection.
 type visit struct {
 	conn   *net.TCPConn
+	opened time.Time
 	reader *bufio.Reader
 	opts   Options
 	calls  []check.Call
@@ -197,6 +198,9 @@
 		if number == 0 {
 			v.mu.Lock()
 			call.Sent = time.Now()
+			if at == 0 {
+				call.Manner.Idle = call.Sent.Sub(v.opened)
+			}
 			v.mu.Unlock()
 		}
 		if _, err := io.WriteString(v.conn, piece); err != nil {
