Soak: the supervisor starts no second process beside one that goes on

The daemon's log: stopped at 24.486, restarted at 24.79; a second process, begun within the same tenth of a second, found "address already in use" and ended. So the soak itself, not the daemon.

Cause: a step "replace" starts the next process after a drawn time, also when the one before has ended by then and its successor serves. Whichever of the two lost the address ended without having been told to; if it was the later one, the soak tried again every 0.3 s and stops that followed went to the process that wasn't there.

Change: the next process is started early only beside one that was asked to stop.

--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -228,8 +228,14 @@
 	}
 }
 
-// startNext lets the supervisor start the next process now.
+// startNext lets the supervisor start the next process now if the one before still ends.
 func (d *daemon) startNext() {
+	d.mu.Lock()
+	stops := d.live[d.current] && !d.current.stopped.IsZero()
+	d.mu.Unlock()
+	if !stops {
+		return
+	}
 	select {
 	case d.replace <- struct{}{}:
 	default: // it starts one already
