--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -172,6 +173,7 @@
 // unserved checks that callers are served while no fault excuses anything.
 func (r *Record) unserved() []string {
 	sent, served := 0, 0
+	var failed []Call
 	for _, call := range r.Calls {
 		if call.Direct || call.Outcome.Left || call.deadly() || r.disturbedAnywhere(call.Sent, call.Ended) {
 			continue
@@ -179,12 +181,37 @@
 		sent++
 		if call.Outcome.Status == 200 && call.Outcome.Complete {
 			served++
+		} else {
+			failed = append(failed, call)
 		}
 	}
 	if sent < minCalls || float64(served) >= r.LeastServed*float64(sent) {
 		return nil
 	}
-	return []string{fmt.Sprintf("unserved: %d of %d calls that no fault touched were answered", served, sent)}
+	return []string{fmt.Sprintf("unserved: %d of %d calls that no fault touched were answered; the others: %s", served, sent, tellFailures(failed))}
+}
+
+// tellFailures counts calls by second, by the region of their callers and by what came of
+// them.
+func tellFailures(calls []Call) string {
+	counts := make(map[string]int)
+	for _, call := range calls {
+		outcome := fmt.Sprint("status ", call.Outcome.Status)
+		switch {
+		case !call.Outcome.Connected:
+			outcome = "no connection"
+		case call.Outcome.Status == 0:
+			outcome = "no answer"
+		case call.Outcome.Status == 200:
+			outcome = "cut off"
+		}
+		counts[fmt.Sprintf("%s %s %s", call.Sent.Format(time.TimeOnly), call.Region, outcome)]++
+	}
+	var told []string
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		told = append(told, fmt.Sprintf("%s: %d", kind, counts[kind]))
+	}
+	return strings.Join(told, ", ")
 }
 
 // answer checks that a success is the whole answer to this very request, and
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -311,10 +311,10 @@
 		Entry("callers that are refused though nothing is wrong", func(r *check.Record) {
 			for range 30 {
 				refused := served("r", standin.StatusPath, 0)
-				refused.Outcome = standin.Outcome{Status: 503, Complete: true}
+				refused.Outcome, refused.Region = standin.Outcome{Status: 503, Complete: true, Connected: true}, "north"
 				r.Calls = append(r.Calls, refused)
 			}
-		}, "unserved"),
+		}, "unserved: 3 of 33 calls that no fault touched were answered; the others: 08:00:00 north status 503: 30"),
 	)
 
 	// leaving plants an endpoint that says, by one answer that its caller gets at
