--- a/pkg/gateway/proxy/handover.go
+++ b/pkg/gateway/proxy/handover.go
@@ -216,7 +216,7 @@
 // whose rate is bounded since it is cold can't be reserved: the rate counts requests when
 // they are sent.
 func (h *Handler) reserveEndpoint(r *http.Request, w http.ResponseWriter, req *Request) *types.Failure {
-	asking := &run{h: h, ctx: r.Context(), req: req, out: newResponseWriter(w, true, h.draining.Load)}
+	asking := &run{h: h, ctx: r.Context(), req: req, out: newResponseWriter(w, true)}
 	dest, failure := asking.placeLocally(h.opts.Snapshot())
 	if failure != nil {
 		return failure
