Stop: the first bytes of a request don't hold it up for the idle timeout

Callers saw nothing; a caller that has sent one to three bytes of a request on a kept connection before it ends, and then no more, held up the stop for the idle timeout (60 s) or until it was cut.

Cause: the HTTP server waits for four bytes of a request within the idle timeout and only then within the time for a header. A connection on which a part of a request had come was left alone when waiting connections end.

Change: it then gets the time for a header.

Ruled out: four bytes and more; the HTTP server sets the time itself. Bytes that come later, while the connection is about to end, had it before.

Evidence: pkg/graceful "waits for the rest of a request whose first byte has come no longer than for any header, and reports it" hangs before (cut by test limits of 60 and 25 s), passes now, 4 of 4 runs, one with -race.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -124,6 +124,11 @@
 		return
 	}
 	c.ending = false
+	c.limitHeader()
+}
+
+// limitHeader bounds the time for the rest of a request's header. The caller holds the lock.
+func (c *conn) limitHeader() {
 	var deadline time.Time
 	if timeout := c.server.opts.HTTP.ReadHeaderTimeout; timeout > 0 {
 		deadline = time.Now().Add(timeout)
@@ -170,10 +175,14 @@
 
 // endIfWaiting lets the connection end if it waits for a request: at once if its close
 // was announced, else when the idle time is over. A connection that had no request yet is
-// left alone unless fresh ones are to end too.
+// left alone unless fresh ones are to end too. A request that has begun gets the time for a
+// header if the HTTP server has not found it yet, and would wait for the idle timeout.
 func (c *conn) endIfWaiting(freshToo bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.begun && c.awaiting && c.idleDeadlines <= 1 {
+		c.limitHeader()
+	}
 	waits := c.phase == idle || c.phase == fresh && freshToo
 	if c.begun || !waits || c.ending {
 		return
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -89,7 +89,10 @@
 func serveOptions(opts graceful.Options) *fixture {
 	f := &fixture{address: opts.Listener.Addr().String(), seen: &reasons{}, handling: make(chan struct{}, 10), release: make(chan struct{})}
 	opts.Unanswered = f.seen.add
-	opts.HTTP = &http.Server{Handler: http.HandlerFunc(f.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+	if opts.HTTP == nil {
+		opts.HTTP = &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+	}
+	opts.HTTP.Handler = http.HandlerFunc(f.handle)
 	f.server = graceful.New(opts)
 	var serving conc.WaitGroup
 	serving.Go(func() { Expect(f.server.Serve()).To(Succeed()) })
@@ -506,6 +509,21 @@
 		Expect(f.server.Shutdown(ctx)).To(Succeed())
 	})
 
+	It("waits for the rest of a request whose first byte has come no longer than for any header, and reports the request", func() {
+		const headerLimit, slack = 500 * time.Millisecond, time.Second
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: &http.Server{ReadHeaderTimeout: headerLimit, IdleTimeout: time.Minute}})
+		c := f.dial()
+		c.send(get("/"))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		began := time.Now()
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		c.send("G")
+		Expect(wait()).To(Succeed())
+		Expect(time.Since(began)).To(BeNumerically("<", graceful.DefaultShutdownTimes().Fresh+headerLimit+slack))
+		Expect(f.seen.all()).To(Equal([]graceful.Reason{graceful.Dropped}))
+	})
+
 	It("holds no slot for a caller that was told to close its connection", func() {
 		const callers = 10
 		f := serveLimited(listen(), 1)
