--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -42,8 +42,7 @@
 	closed     bool
 	// announced is true once a response announced the close of the connection.
 	announced bool
-	// idleSince is when the last response was completed, or the first one that announced
-	// the close.
+	// idleSince is when the last response was completed.
 	idleSince time.Time
 	// handlings is the number of requests that handlers began to serve, request the ID
 	// of the last one if its handler named it.
@@ -261,9 +260,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = idle
-	if !c.announced {
-		c.idleSince = time.Now()
-	}
+	c.idleSince = time.Now()
 	c.announced = c.announced || announced
 	if !completed || c.callerGone {
 		c.phase = aborted
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -50,8 +50,8 @@
 
 // fixture is a server with a handler that answers "ok", nothing on /empty, aborts on
 // /abort, answers a part of its response before that on /part, waits for release on /wait,
-// answers a part of its response before that on /stream, and asks for the end of the
-// connection on /close.
+// answers a part of its response before that on /stream and a status 103 on /hint, and asks
+// for the end of the connection on /close.
 type fixture struct {
 	server  *graceful.Server
 	address string
@@ -109,6 +109,10 @@
 		panic(http.ErrAbortHandler)
 	case "/empty":
 		return
+	case "/hint":
+		w.WriteHeader(http.StatusEarlyHints)
+		f.handling <- struct{}{}
+		<-f.release
 	case "/close":
 		w.Header().Set("Connection", "close")
 	case "/part":
@@ -509,6 +513,48 @@
 		Expect(f.server.Shutdown(ctx)).To(Succeed())
 	})
 
+	It("announces the close in a response that follows on a status 103 from before it", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/hint"))
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		f.server.Leave()
+		close(f.release)
+		Expect(c.status()).To(Equal(http.StatusEarlyHints))
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+	})
+
+	It("counts the idle time of a connection from its last response", func() {
+		const idle = 2 * time.Second
+		f := serveWith(listen(), graceful.ShutdownTimes{Handshakes: time.Millisecond, Fresh: idle, Idle: idle})
+		c := f.dial()
+		c.send(get("/"))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		time.Sleep(idle)
+		began := time.Now()
+		Expect(f.server.Shutdown(context.Background())).To(Succeed())
+		Expect(time.Since(began)).To(BeNumerically("<", idle/2))
+	})
+
+	It("answers a request that begins in the idle time, however late its rest comes", func() {
+		f := start()
+		c := f.dial()
+		c.send(get("/"))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		wait := f.shutDown(context.Background())
+		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+		request := get("/")
+		c.send(request[:2])
+		time.Sleep(graceful.DefaultShutdownTimes().Handshakes + 2*graceful.DefaultShutdownTimes().Idle)
+		c.send(request[2:])
+		status, closes := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(closes).To(BeTrue())
+		Expect(wait()).To(Succeed())
+	})
+
 	It("waits for the rest of a request whose first byte has come no longer than for any header, and reports the request", func() {
 		const headerLimit, slack = 500 * time.Millisecond, time.Second
 		f := serveOptions(graceful.Options{Listener: listen(), HTTP: &http.Server{ReadHeaderTimeout: headerLimit, IdleTimeout: time.Minute}})
@@ -524,6 +570,46 @@
 		Expect(f.seen.all()).To(Equal([]graceful.Reason{graceful.Dropped}))
 	})
 
+	DescribeTable("answers a request that is whole only after the time for new connections, if its first part came before", func(before string) {
+		f := start()
+		c := f.dial()
+		c.send(before + half)
+		if before != "" {
+			Expect(c.status()).To(Equal(http.StatusOK))
+		}
+		wait := f.shutDown(context.Background())
+		time.Sleep(graceful.DefaultShutdownTimes().Fresh * 5 / 4)
+		c.send("Host: h\r\n\r\n")
+		status, _ := c.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(wait()).To(Succeed())
+	},
+		Entry("on a new connection", ""),
+		Entry("on a kept connection", get("/")),
+	)
+
+	It("fails, and reports the request, if a part of one is left when its time is over", func() {
+		f := start()
+		f.dial().send(half)
+		time.Sleep(50 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), graceful.DefaultShutdownTimes().Handshakes+graceful.DefaultShutdownTimes().Idle/2)
+		defer cancel()
+		Expect(f.server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+		_ = f.server.Close()
+		Eventually(f.seen.all, eventuallyTimeout).Should(Equal([]graceful.Reason{graceful.Dropped}))
+	})
+
+	It("ends connections without any request by the time for new ones", func() {
+		const slack = 500 * time.Millisecond
+		f := start()
+		f.dial()
+		began := time.Now()
+		Expect(f.server.Shutdown(context.Background())).To(Succeed())
+		Expect(time.Since(began)).To(And(
+			BeNumerically(">=", graceful.DefaultShutdownTimes().Fresh), BeNumerically("<", graceful.DefaultShutdownTimes().Fresh+slack),
+		))
+	})
+
 	It("holds no slot for a caller that was told to close its connection", func() {
 		const callers = 10
 		f := serveLimited(listen(), 1)
