--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -42,8 +42,7 @@
 	closed     bool
 	// announced is true once a response announced the close of the connection.
 	announced bool
-	// idleSince is when the last response was completed, or the first one that announced
-	// the close.
+	// idleSince is when the last response was completed.
 	idleSince time.Time
 	// handlings is the number of requests that handlers began to serve, request the ID
 	// of the last one if its handler named it.
@@ -124,6 +123,11 @@
 		return
 	}
 	c.ending = false
+	c.limitHeader()
+}
+
+// limitHeader bounds the time for the rest of a request's header. The caller holds the lock.
+func (c *conn) limitHeader() {
 	var deadline time.Time
 	if timeout := c.server.opts.HTTP.ReadHeaderTimeout; timeout > 0 {
 		deadline = time.Now().Add(timeout)
@@ -170,10 +174,14 @@
 
 // endIfWaiting lets the connection end if it waits for a request: at once if its close
 // was announced, else when the idle time is over. A connection that had no request yet is
-// left alone unless fresh ones are to end too.
+// left alone unless fresh ones are to end too. A request that has begun gets the time for a
+// header if the HTTP server has not found it yet, and would wait for the idle timeout.
 func (c *conn) endIfWaiting(freshToo bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.begun && c.awaiting && c.idleDeadlines <= 1 {
+		c.limitHeader()
+	}
 	waits := c.phase == idle || c.phase == fresh && freshToo
 	if c.begun || !waits || c.ending {
 		return
@@ -252,9 +260,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = idle
-	if !c.announced {
-		c.idleSince = time.Now()
-	}
+	c.idleSince = time.Now()
 	c.announced = c.announced || announced
 	if !completed || c.callerGone {
 		c.phase = aborted
