Balance: files by job: health of endpoints, cold endpoints, membership

endpoint.go held what is known of an endpoint, how it is suspended and ejected, and when it is cold; pool.go also the membership.

--- a/pkg/gateway/balance/coldshare.go
+++ b/pkg/gateway/balance/coldshare.go
@@ -7,6 +7,23 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
+// Limits of the rate of cold endpoints.
+const (
+	// coldSenders is how many daemons of a region at least share the rate of a cold
+	// endpoint; more do if the rate suffices for a request a second from each.
+	coldSenders = 3
+	// maxUnseenSenders bounds the senders assumed on the other side of a
+	// partition: two more groups of daemons.
+	maxUnseenSenders = 2 * coldSenders
+	// coldMargin keeps the sum of the shares below the bound in regions with more
+	// daemons than coldSenders, when one of them counts itself as one more sender
+	// because the others do not know it yet.
+	coldMargin = 0.75
+	// joiningShare bounds the requests per second to a cold endpoint from a daemon
+	// that has just started and may not know all others of its region yet.
+	joiningShare = 1
+)
+
 // coldShare returns how many requests per second this daemon may send to the
 // endpoint while it is cold or may have turned cold: the same in both cases, so
 // that the shares add up also while only some daemons know that it is cold.
