--- a/pkg/gateway/proxy/handover_test.go
+++ b/pkg/gateway/proxy/handover_test.go
@@ -35,7 +35,7 @@
 		south = newTestProxy(catalog.Streaming)
 		south.route.Timeout, south.route.Objective, south.route.LongestGap = 0, 100*time.Millisecond, 100*time.Millisecond
 		south.route.Resumable, south.route.AllowedRegions = true, []types.Region{"north"}
-		south.region, south.self, south.members = "south", "127.0.0.1:2", north
+		south.moveSouth(north...)
 		south.start(es...)
 	}
 	// silentEndedAt is when a silent stream was ended, resumedAt when another request came.
@@ -74,7 +74,7 @@
 			silentAfterFirst(silence)(w, r)
 		}))
 		DeferCleanup(server.CloseClientConnections)
-		return members.Member{VM: types.VMID(server.Listener.Addr().String()), Region: "north", State: members.Serving}
+		return northDaemon(server)
 	}
 	// silentFirst makes the first request at either endpoint a stream that is silent for a
 	// time; the others resume.
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -362,6 +362,17 @@
 	w.gate.Update(&view, balance.Membership{Self: w.self, PeakLive: 1})
 }
 
+// moveSouth puts the proxy into another region than that of newTestProxy, with other
+// daemons that it knows.
+func (w *testProxy) moveSouth(others ...members.Member) {
+	w.region, w.self, w.members = "south", "127.0.0.1:2", others
+}
+
+// northDaemon describes a server as a daemon of the region of newTestProxy.
+func northDaemon(server *httptest.Server) members.Member {
+	return members.Member{VM: types.VMID(server.Listener.Addr().String()), Region: "north", State: members.Serving}
+}
+
 // asMember describes the proxy as another daemon's member list has it.
 func (w *testProxy) asMember() members.Member {
 	return members.Member{VM: types.VMID(w.peerServer.Listener.Addr().String()), Region: w.region, State: members.Serving}
--- a/pkg/gateway/proxy/leave_hop_test.go
+++ b/pkg/gateway/proxy/leave_hop_test.go
@@ -40,7 +40,7 @@
 		if kind == catalog.NonIdempotent {
 			south.retryRatio, south.retryFixed, south.route.MaxAttempts = 0, 0, 1
 		}
-		south.region, south.self = "south", "127.0.0.1:2"
+		south.moveSouth()
 		for _, north := range norths {
 			south.members = append(south.members, north.asMember())
 		}
--- a/pkg/gateway/proxy/notice_test.go
+++ b/pkg/gateway/proxy/notice_test.go
@@ -175,8 +175,8 @@
 		north := newTestProxy(catalog.NonIdempotent)
 		north.start(remote)
 		south := newTestProxy(catalog.NonIdempotent)
-		south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
-		south.members = []members.Member{north.asMember()}
+		south.endpointRegion = "south"
+		south.moveSouth(north.asMember())
 		south.start(local)
 		addRemoteEndpoint(south, "north")
 		for range 5 {
@@ -369,8 +369,8 @@
 			north.start(remote)
 			south := newTestProxy(catalog.NonIdempotent)
 			south.route.AllowedRegions = []types.Region{"north"}
-			south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
-			south.members = []members.Member{north.asMember()}
+			south.endpointRegion = "south"
+			south.moveSouth(north.asMember())
 			south.start(local)
 			addRemoteEndpoint(south, "north")
 			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
--- a/pkg/gateway/proxy/pause_test.go
+++ b/pkg/gateway/proxy/pause_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
-	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -102,8 +101,8 @@
 		north.endpointOf(0).ID = "remote"
 		north.update()
 		south := newTestProxy(catalog.NonIdempotent)
-		south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
-		south.members = []members.Member{north.asMember()}
+		south.endpointRegion = "south"
+		south.moveSouth(north.asMember())
 		south.start(local)
 		addRemoteEndpoint(south, "north")
 		for range 5 {
--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -329,8 +329,7 @@
 		north.start(es...)
 		south = newTestProxy(kind)
 		south.route.AllowedRegions = homes
-		south.region, south.self = "south", "127.0.0.1:2"
-		south.members = []members.Member{north.asMember()}
+		south.moveSouth(north.asMember())
 		south.start(es...)
 		return south, north
 	}
--- a/pkg/gateway/proxy/retry_test.go
+++ b/pkg/gateway/proxy/retry_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
-	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -41,8 +40,7 @@
 	north.start(endpoints...)
 	south := newTestProxy(kind)
 	south.retryRatio, south.retryFixed, south.route.MaxAttempts, south.route.Objective = 0, budgetFixed, 9, shortObjective
-	south.region, south.self = "south", "127.0.0.1:2"
-	south.members = []members.Member{north.asMember()}
+	south.moveSouth(north.asMember())
 	south.start(endpoints...)
 	return south
 }
@@ -130,8 +128,7 @@
 		DeferCleanup(daemon.CloseClientConnections)
 		south := newTestProxy(catalog.NonIdempotent)
 		south.retryRatio, south.retryFixed = 0, 0
-		south.region, south.self = "south", "127.0.0.1:2"
-		south.members = []members.Member{{VM: types.VMID(daemon.Listener.Addr().String()), Region: "north", State: members.Serving}}
+		south.moveSouth(northDaemon(daemon))
 		south.start(newEndpoint(respondOK))
 		for i := range 4 {
 			Expect(south.call("POST", "/r/", "x", headerID, fmt.Sprintf("q%d", i)).status).To(Equal(200))
@@ -155,8 +152,7 @@
 			DeferCleanup(daemon.CloseClientConnections)
 			south := newTestProxy(catalog.Idempotent)
 			south.route.MaxAttempts = 1
-			south.region, south.self = "south", "127.0.0.1:2"
-			south.members = []members.Member{{VM: types.VMID(daemon.Listener.Addr().String()), Region: "north", State: members.Serving}}
+			south.moveSouth(northDaemon(daemon))
 			south.start(newEndpoint(respondOK))
 			Expect(south.call("GET", "/r/", "").status).To(Equal(503))
 			Expect(received).To(Equal(attempts))
@@ -213,8 +209,7 @@
 		}))
 		DeferCleanup(daemon.CloseClientConnections)
 		south := newTestProxy(catalog.Idempotent)
-		south.region, south.self = "south", "127.0.0.1:2"
-		south.members = []members.Member{{VM: types.VMID(daemon.Listener.Addr().String()), Region: "north", State: members.Serving}}
+		south.moveSouth(northDaemon(daemon))
 		south.start(newEndpoint(respondOK))
 		south.call("GET", "/r/", "")
 		Expect(envelopes).To(HaveLen(2))
--- a/pkg/gateway/proxy/trouble_test.go
+++ b/pkg/gateway/proxy/trouble_test.go
@@ -20,7 +20,6 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
-	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -369,8 +368,7 @@
 		late := lateStream(0, longPause)
 		startWithRaw(north, late)
 		south.route.Resumable, south.route.AllowedRegions = true, []types.Region{"north"}
-		south.region, south.self = "south", "127.0.0.1:2"
-		south.members = []members.Member{north.asMember()}
+		south.moveSouth(north.asMember())
 		startWithRaw(south, late)
 		resp := south.call("POST", "/r/", "x", fields...)
 		Expect(resp.err).NotTo(HaveOccurred())
--- a/pkg/gateway/proxy/withheld_test.go
+++ b/pkg/gateway/proxy/withheld_test.go
@@ -40,7 +40,8 @@
 	It("reaches no endpoint by way of another daemon either", func() {
 		e := newEndpoint(respondOK)
 		remote := newTestProxy(catalog.Idempotent)
-		remote.region, remote.endpointRegion, remote.self = "south", "south", "127.0.0.1:2"
+		remote.endpointRegion = "south"
+		remote.moveSouth()
 		remote.start(e)
 		remote.withhold(inAnHour(), deadlyPart)
 		local := newTestProxy(catalog.Idempotent)
@@ -201,7 +202,8 @@
 			w.route.MaxAttempts = 1
 			if overHop {
 				remote := newTestProxy(kind)
-				remote.region, remote.endpointRegion, remote.self = "south", "south", "127.0.0.1:2"
+				remote.endpointRegion = "south"
+				remote.moveSouth()
 				remote.start(e)
 				w.endpointRegion = "south"
 				w.members = []members.Member{remote.asMember()}
