Sleep: one function waits in a way that a context can end

pkg/daemon, dispatch and isolate each had it; the same as theirs, but for a wait of zero that begins after its context has ended, which isolate answered at random and now always as ended.

--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/control/drain"
 	"github.com/flamingomount/flamingomount/pkg/control/event"
+	"github.com/flamingomount/flamingomount/pkg/sleep"
 )
 
 // drainPollInterval is how often the progress of a drain is checked.
@@ -56,7 +57,7 @@
 // ctx ends first.
 func (d *Daemon) awaitPhase(ctx context.Context, state *drain.Daemon, phase drain.Phase) bool {
 	for state.Step(d.opts.Now(), int(d.inFlight.Load())+d.guard.InFlight()) < phase {
-		if !sleep(ctx, drainPollInterval) {
+		if !sleep.For(ctx, drainPollInterval) {
 			return false
 		}
 	}
--- a/pkg/daemon/servers.go
+++ b/pkg/daemon/servers.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -84,15 +83,3 @@
 	}
 	return nil
 }
-
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/stage/dispatch/enter.go
+++ b/pkg/stage/dispatch/enter.go
@@ -5,6 +5,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/sleep"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/isolate"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -48,7 +49,7 @@
 	decision.Endpoint = findEndpoint(r.d.opts.Snapshot(), r.req, permit.Endpoint)
 	if decision.Endpoint == nil {
 		permit.Finish(isolate.Ended)
-		wait(ctx, rerouteDelay)
+		sleep.For(ctx, rerouteDelay)
 		return permittedDecision{}, nil
 	}
 	return permittedDecision{decision: decision, permit: permit, allowed: true}, nil
--- a/pkg/stage/dispatch/run.go
+++ b/pkg/stage/dispatch/run.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/route"
+	"github.com/flamingomount/flamingomount/pkg/sleep"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
@@ -175,7 +175,7 @@
 		Now:      r.d.opts.Now(),
 		Rand:     r.d.opts.Rand,
 	})
-	return decision.ShouldRetry && wait(ctx, decision.Delay)
+	return decision.ShouldRetry && sleep.For(ctx, decision.Delay)
 }
 
 // recordRequest credits the retry budget with the request.
@@ -194,21 +194,6 @@
 	}
 }
 
-// wait sleeps for the delay and reports whether ctx is still active.
-func wait(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // finish reports a failure to the caller, with the verdict merged over all
 // attempts, and returns the summary.
 func (r *run) finish(failure *types.Failure) Summary {
--- a/pkg/stage/isolate/isolate.go
+++ b/pkg/stage/isolate/isolate.go
@@ -24,6 +24,7 @@
 	"github.com/flamingomount/flamingomount/pkg/control/entries"
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/request"
+	"github.com/flamingomount/flamingomount/pkg/sleep"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -222,12 +223,8 @@
 }
 
 func waitFor(ctx context.Context, wait time.Duration) *types.Failure {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if sleep.For(ctx, wait) {
 		return nil
-	case <-ctx.Done():
 	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return types.NewFailure(types.NotRun, types.CodeDeadline, "the deadline passed while a request suspected of crashing endpoints was held")
