--- a/pkg/gateway/proxy/notice_test.go
+++ b/pkg/gateway/proxy/notice_test.go
@@ -1,13 +1,11 @@
 package proxy_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,51 +61,6 @@
 	return w.snap.View.Endpoints[service][index].Endpoint
 }
 
-// heldDials is a transport whose dials of one address wait once they are held.
-type heldDials struct {
-	*http.Transport
-	mu      sync.Mutex
-	address string
-	release chan struct{}
-	waiting int
-}
-
-func newHeldDials() *heldDials {
-	h := &heldDials{Transport: proxy.NewTransport()}
-	dialer := proxy.NewDialer()
-	h.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		h.mu.Lock()
-		release := h.release
-		if address != h.address {
-			release = nil
-		}
-		if release != nil {
-			h.waiting++
-		}
-		h.mu.Unlock()
-		if release != nil {
-			<-release
-		}
-		return dialer.DialContext(context.WithoutCancel(ctx), network, address)
-	}
-	return h
-}
-
-// hold makes further dials of an address wait until the returned function is called.
-func (h *heldDials) hold(address string) (release func()) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	held := make(chan struct{})
-	h.address, h.release = address, held
-	return sync.OnceFunc(func() { close(held) })
-}
-
-func (h *heldDials) held() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.waiting
-}
-
 var _ = Describe("An endpoint that says that it is leaving", func() {
 	DescribeTable("gets no further request", func(kind catalog.Kind, method string, respond http.HandlerFunc) {
 		w := newTestProxy(kind)
@@ -222,8 +175,8 @@
 		north := newTestProxy(catalog.NonIdempotent)
 		north.start(remote)
 		south := newTestProxy(catalog.NonIdempotent)
-		south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
-		south.members = []members.Member{north.asMember()}
+		south.endpointRegion = "south"
+		south.moveSouth(north.asMember())
 		south.start(local)
 		addRemoteEndpoint(south, "north")
 		for range 5 {
@@ -416,8 +369,8 @@
 			north.start(remote)
 			south := newTestProxy(catalog.NonIdempotent)
 			south.route.AllowedRegions = []types.Region{"north"}
-			south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
-			south.members = []members.Member{north.asMember()}
+			south.endpointRegion = "south"
+			south.moveSouth(north.asMember())
 			south.start(local)
 			addRemoteEndpoint(south, "north")
 			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
@@ -474,193 +427,3 @@
 	}})
 	w.update()
 }
-
-var _ = Describe("An endpoint that asks for a pause", func() {
-	const pause = 400 * time.Millisecond
-
-	DescribeTable("gets no request until its end, and then again", func(respond http.HandlerFunc) {
-		w := newTestProxy(catalog.Idempotent)
-		w.route.MaxAttempts = 1
-		var mu sync.Mutex
-		var asked time.Time
-		near := newEndpoint(func(rw http.ResponseWriter, r *http.Request) {
-			mu.Lock()
-			first := asked.IsZero()
-			if first {
-				asked = time.Now()
-			}
-			mu.Unlock()
-			if first {
-				respond(rw, r)
-				return
-			}
-			respondOK(rw, r)
-		})
-		startNearAndFar(w, near, newEndpoint(respondOK))
-		Expect(w.call("GET", "/r/", "").status).To(Equal(503))
-		for time.Since(asked) < pause {
-			Expect(w.call("GET", "/r/", "").status).To(Equal(200))
-			if time.Since(asked) < pause {
-				Expect(near.count()).To(Equal(1))
-			}
-		}
-		Eventually(func() int {
-			w.call("GET", "/r/", "")
-			return near.count()
-		}, eventuallyTimeout).Should(BeNumerically(">", 1))
-	},
-		Entry("with a refusal", asksPause(pause)),
-		Entry("with a 503 that does not say whether the request was run", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			signResponse(w, r)
-			w.Header().Set(headerBackoff, pause.String())
-			w.WriteHeader(http.StatusServiceUnavailable)
-		})),
-	)
-
-	It("makes a request that can't wait be refused at once, with the time until the end", func() {
-		w := newTestProxy(catalog.Idempotent)
-		only := newEndpoint(asksPause(20 * time.Second))
-		w.start(only)
-		for range 5 {
-			began := time.Now()
-			resp := w.call("GET", "/r/", "")
-			Expect(time.Since(began)).To(BeNumerically("<", w.route.Objective))
-			Expect(resp.status).To(Equal(503))
-			Expect(resp.body).To(ContainSubstring(string(types.CodePaused)))
-			advice, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(advice).To(BeNumerically("~", 25, 6))
-		}
-		Expect(only.count()).To(Equal(1))
-	})
-
-	It("gets a request that can wait when the pause has ended", func() {
-		w := newTestProxy(catalog.Idempotent)
-		only := newEndpoint(respondOK)
-		w.start(only)
-		ctx, stop := context.WithCancel(context.Background())
-		var running conc.WaitGroup
-		running.Go(func() { w.gate.Run(ctx) })
-		DeferCleanup(func() {
-			stop()
-			running.Wait()
-		})
-		began := time.Now()
-		w.gate.Note(w.endpointOf(0), balance.Notice{Backoff: pause})
-		Expect(w.call("GET", "/r/", "").status).To(Equal(200))
-		Expect(time.Since(began)).To(BeNumerically(">=", pause))
-	})
-
-	It("makes requests go to another region", func() {
-		local, remote := newEndpoint(asksPause(time.Minute)), newEndpoint(respondOK)
-		north := newTestProxy(catalog.NonIdempotent)
-		north.start(remote)
-		north.endpointOf(0).ID = "remote"
-		north.update()
-		south := newTestProxy(catalog.NonIdempotent)
-		south.region, south.endpointRegion, south.self = "south", "south", "127.0.0.1:2"
-		south.members = []members.Member{north.asMember()}
-		south.start(local)
-		addRemoteEndpoint(south, "north")
-		for range 5 {
-			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
-		}
-		Expect([]int{local.count(), remote.count()}).To(Equal([]int{1, 5}))
-	})
-
-	It("gets no request that waited for a connection to it", func() {
-		w := newTestProxy(catalog.NonIdempotent)
-		w.route.MaxAttempts = 1
-		held := newHeldDials()
-		w.transport = held
-		finish := make(chan struct{})
-		near := newEndpoint(func(w http.ResponseWriter, r *http.Request) {
-			<-finish
-			// A kept connection would take the next request before the response is seen.
-			w.Header().Set("Connection", "close")
-			asksPause(time.Minute)(w, r)
-		})
-		far := newEndpoint(respondOK)
-		startNearAndFar(w, near, far)
-		var running conc.WaitGroup
-		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(503)) })
-		Eventually(near.count, eventuallyTimeout).Should(Equal(1))
-		release := held.hold(near.address())
-		defer release()
-		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(200)) })
-		Eventually(held.held, eventuallyTimeout).Should(Equal(1))
-		close(finish)
-		running.Wait()
-		release()
-		Consistently(near.count, 200*time.Millisecond).Should(Equal(1))
-		Expect(far.count()).To(Equal(1))
-	})
-
-	It("gets at most two requests later than half a second after it asked, under load", func() {
-		const long = 1500 * time.Millisecond
-		w := newTestProxy(catalog.Idempotent)
-		w.retryRatio, w.retryFixed = 1, 1000
-		var mu sync.Mutex
-		served := 0
-		var until time.Time
-		late, within := 0, 0
-		near := newEndpoint(func(rw http.ResponseWriter, r *http.Request) {
-			mu.Lock()
-			now := time.Now()
-			asks := served >= 100 && until.IsZero()
-			if asks {
-				until = now.Add(long)
-			}
-			if !asks && now.Before(until) {
-				within++
-			}
-			if now.Before(until) && now.After(until.Add(500*time.Millisecond-long)) {
-				late++
-			}
-			served++
-			mu.Unlock()
-			if asks {
-				asksPause(long)(rw, r)
-				return
-			}
-			respondOK(rw, r)
-		})
-		startNearAndFar(w, near, newEndpoint(respondOK))
-		ended := func() bool {
-			mu.Lock()
-			defer mu.Unlock()
-			return !until.IsZero() && time.Now().After(until)
-		}
-		var callers conc.WaitGroup
-		for range 8 {
-			callers.Go(func() {
-				for !ended() {
-					w.call("GET", "/r/", "")
-					time.Sleep(time.Millisecond)
-				}
-			})
-		}
-		callers.Wait()
-		mu.Lock()
-		defer mu.Unlock()
-		By(fmt.Sprintf("%d requests in the pause, %d of them later than 0.5 s", within, late))
-		Expect(late).To(BeNumerically("<=", 2))
-	})
-
-	It("of a stream is resumed elsewhere", func() {
-		w := newTestProxy(catalog.Streaming)
-		w.route.Resumable, w.route.MaxAttempts = true, 3
-		near := newEndpoint(eventStream(4, 2))
-		paused := newEndpoint(eventStream(4, 0))
-		far := newEndpoint(eventStream(4, 0))
-		w.start(near, paused, far)
-		w.snap.View.Endpoints[service][1].DataCentre = farDataCentre
-		w.snap.View.Endpoints[service][2].DataCentre = farDataCentre
-		w.update()
-		w.gate.Note(w.endpointOf(1), balance.Notice{Backoff: time.Minute})
-		resp := w.call("POST", "/r/", "x")
-		Expect(resp.err).NotTo(HaveOccurred())
-		Expect(strings.Count(resp.body, "data:")).To(Equal(4))
-		Expect([]int{near.count(), paused.count(), far.count()}).To(Equal([]int{1, 0, 1}))
-	})
-})
