Directory: the only daemon that is left names itself

A daemon that saw none of those that it knew named nobody, since it may be cut off. It can't be told from the only one left after the others were lost, which then served the callers of its own region alone.

--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -107,9 +107,6 @@
 	if snap.View.Config == nil {
 		return Answer{Scope: NoScope}
 	}
-	if isCutOff(snap) {
-		return Answer{Scope: NoScope}
-	}
 	restricted := snap.View.Config.RestrictedRoutesOf(lookup.Host)
 	if len(restricted) == 0 {
 		return d.anywhere(snap, lookup.Region, now)
@@ -133,12 +130,6 @@
 	return d.leastLedOut(snap, homes, now)
 }
 
-// isCutOff reports whether this daemon sees none of the daemons that it knew: it can
-// forward nothing, and knows nothing of their states.
-func isCutOff(snap *control.Snapshot) bool {
-	return len(snap.Members) == 0 && snap.Peak.Fleet > 1
-}
-
 // anywhere returns all serving daemons, or if there are none, those that stop or start:
 // first those of the caller's region.
 func (d Directory) anywhere(snap *control.Snapshot, region types.Region, now time.Time) Answer {
