Log: an endpoint that starts again under its ID, and what it got before that was known

The line tells both start times, how many requests the daemon sent to the ID within the last window of the cold rate and whether these were limited as to a cold endpoint. Requests that are forgotten at the news show as limited and sent; a restart that went unnoticed as not limited.

--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -34,12 +34,16 @@
 	return &Gate{pool: pool, now: now, connecting: make(map[*Connecting]bool)}
 }
 
-// Update applies the published view and the daemons that share the endpoints.
-func (g *Gate) Update(view *catalog.View, membership balance.Membership) {
+// Update applies the published view and the daemons that share the endpoints. It
+// returns the endpoints that have started again.
+func (g *Gate) Update(view *catalog.View, membership balance.Membership) []balance.Restart {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.now()
 	g.pool.Update(view, membership)
-	g.pool.GrantAll(g.now())
+	restarts := g.pool.TakeRestarts(now)
+	g.pool.GrantAll(now)
+	return restarts
 }
 
 // RecordNews records when the published state was read from the store.
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -24,6 +24,8 @@
 	news news
 	// withdrawals holds the endpoints that said they want no requests.
 	withdrawals withdrawals
+	// restarts holds the restarts that have not been taken yet.
+	restarts []restart
 	// constraintsCache caches what was derived from the routes of the view.
 	constraintsCache map[routeConstraintsKey]routeConstraints
 }
@@ -89,7 +91,11 @@
 // the same start time and address, else a new one.
 func (p *Pool) stateOf(placed catalog.ActiveEndpoint) *endpointState {
 	existing := p.states[placed.ID]
-	if existing == nil || existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
+	if existing == nil {
+		return &endpointState{placed: placed, news: &p.news}
+	}
+	if existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
+		p.restarts = append(p.restarts, restart{previous: existing, endpoint: placed.Endpoint})
 		return &endpointState{placed: placed, news: &p.news}
 	}
 	existing.placed = placed
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -118,6 +118,7 @@
 	// unanswered records requests that got no complete answer.
 	unanswered *unansweredLog
 	lookups    *lookupLog
+	restarts   *restartLog
 	servers    []*server
 	// handling is the number of requests that handlers serve.
 	handling atomic.Int64
@@ -163,6 +164,7 @@
 	bounds.WatchTimeout = watchTimeout
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, bounds), time.Now)
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
+	e.restarts = newRestartLog(e.log)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
@@ -208,7 +210,7 @@
 		e.demand.Suspend(maxLifetimes * substituteLifetime)
 	}
 	e.gate.RecordNews(snap.StoreReadAt)
-	e.gate.Update(snap.View, regionMembership(snap))
+	e.restarts.record(e.gate.Update(snap.View, regionMembership(snap)))
 	e.prober.Wake()
 	if size, known := fleetSize(e.opts.Settings, snap); known {
 		e.budgets.SetFleetSize(size)
--- a/pkg/gateway/entry/export_test.go
+++ b/pkg/gateway/entry/export_test.go
@@ -17,6 +17,7 @@
 	SuccessLines = successLines
 	LineBuffer   = lineBuffer
 	NoticeLines  = noticeLines
+	RestartLines = restartLines
 )
 
 var (
@@ -52,6 +53,19 @@
 	l.observe(endpoint, notice, change)
 }
 
+// RestartLog logs restarts of endpoints.
+type RestartLog struct{ *restartLog }
+
+// NewRestartLog returns a log of restarts.
+func NewRestartLog(log logrus.FieldLogger) RestartLog {
+	return RestartLog{newRestartLog(log)}
+}
+
+// Record logs restarts.
+func (l RestartLog) Record(restarts []balance.Restart) {
+	l.record(restarts)
+}
+
 // SignalDelay is the delay of a stop signal that the schedule allows for.
 const SignalDelay = signalDelay
 
