Balancer: a request counts at the start of the endpoint that it was sent to

What callers may see: after an endpoint has started again under its ID, ends of requests to its earlier process freed places of the new one, and their failures counted against it. Daemons then keep more requests at the new process than its limit, and suspend it for connections that broke before.

Cause: permits found the state of their endpoint by its ID. A permit now holds the state for which it was granted.

The spec failed before: 0 requests in flight where 4 run.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -88,7 +88,9 @@
 	// PrefixMissing is true if the endpoint is not known to have the request's
 	// large prefix cached.
 	PrefixMissing bool
-	req           RequestInfo
+	// state is that of the start of the endpoint for which the permit was granted.
+	state *endpointState
+	req   RequestInfo
 	// prefillTokens is the number of prompt tokens that the endpoint has to
 	// prefill for the request.
 	prefillTokens float64
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -206,7 +206,7 @@
 // reserve counts the request as in flight at the endpoint and returns its
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
-	permit := &Permit{Endpoint: ep.placed, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
+	permit := &Permit{Endpoint: ep.placed, state: ep, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
 	ep.inFlight++
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
@@ -225,11 +225,10 @@
 	if !permit.markResponseStarted() {
 		return
 	}
-	if ep := p.states[permit.Endpoint.ID]; ep != nil {
-		ep.removePending(permit)
-		ep.lastResponseAt = now
-		ep.observeResponseTime(permit, now)
-	}
+	ep := permit.state
+	ep.removePending(permit)
+	ep.lastResponseAt = now
+	ep.observeResponseTime(permit, now)
 }
 
 // Done records the result of the attempt, releases the permit and grants the
@@ -239,10 +238,7 @@
 		return
 	}
 	permit.finished = true
-	ep := p.states[permit.Endpoint.ID]
-	if ep == nil {
-		return
-	}
+	ep := permit.state
 	if permit.markResponseStarted() {
 		ep.removePending(permit)
 	}
--- a/pkg/gateway/balance/restart_test.go
+++ b/pkg/gateway/balance/restart_test.go
@@ -79,6 +79,24 @@
 			}
 		}
 	}, Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8))
+
+	It("keeps the place of each request that the new process runs when requests to the earlier one end", func() {
+		pool := newPool(published(0), 1)
+		var earlier []*balance.Permit
+		for range 4 {
+			earlier = append(earlier, requestPermit(pool, newRequest(engines, 0), start))
+		}
+		pool.Update(published(time.Second), balance.Membership{Self: "d0", PeakLive: 1})
+		later := start.Add(time.Second + coldStart)
+		for range 4 {
+			requestPermit(pool, newRequest(engines, 0), later)
+		}
+		for _, permit := range earlier {
+			pool.ResponseStarted(permit, later)
+			pool.Done(permit, balance.Interrupted, later)
+		}
+		Expect(pool.InFlight()[engines]).To(Equal(4))
+	})
 })
 
 // mostPerSecond is the largest number of the times, in order, in any second from one
