Cold rate: a new connection may lead to a process that has just started

Cause: only a refused connection told a daemon of a restart. One that sent nothing while the endpoint was down, or whose connections waited for it, went on at the warm rate until the news. In regions with more daemons than share the rate, each one's first request after refused connections was not limited either (28 daemons, 28 requests). One class: a connection to the address was taken for one to the process that had been known there.

Now connections tell. One process has an address at a time, so a new connection leads to the known process if that one sends something on an earlier connection afterwards, or did so less than 200 ms before with no connection broken since (pkg/gateway/continuity; time of suspensions counts). Any other connection is in doubt: requests on it are counted when they are about to be sent, in one place whatever way they take, and are sent within the daemon's share of the cold rate only; a health check on a connection that answers warm ends the doubt. What does not fit is not sent, and tries another endpoint. Daemons without a share wait for the check.

Ruled out: late news at some daemons only; a cold time that ends early.

--- a/pkg/gateway/balance/confirm.go
+++ b/pkg/gateway/balance/confirm.go
@@ -14,10 +14,16 @@
 // endpoint that may turn cold before it checks the endpoint again.
 const confirmShare = 0.65
 
-// mayTurnCold reports whether the endpoint may become cold at any moment without
+// mayTurnCold reports whether the endpoint may be or become cold without news of it:
+// it may have started again, or it may turn cold at any moment.
+func (s *endpointState) mayTurnCold(now time.Time) bool {
+	return s.mayTurnColdAnyTime(now) || s.hasColdRate() && s.inDoubt()
+}
+
+// mayTurnColdAnyTime reports whether the endpoint may become cold at any moment without
 // news of it: there is no recent news of the store, or its data centre is being
 // evacuated and it still gets requests.
-func (s *endpointState) mayTurnCold(now time.Time) bool {
+func (s *endpointState) mayTurnColdAnyTime(now time.Time) bool {
 	if !s.hasColdRate() {
 		return false
 	}
@@ -56,10 +62,13 @@
 // not count.
 func (s *endpointState) countedSends(now time.Time) int {
 	s.coldSends = withinColdWindow(s.coldSends, now)
-	if s.cold(now) {
+	switch {
+	case s.cold(now):
 		return len(s.coldSends)
+	case s.mayTurnColdAnyTime(now):
+		return len(s.unconfirmedSends())
 	}
-	return len(s.unconfirmedSends())
+	return s.doubtfulSends(now)
 }
 
 // unconfirmedSends returns the requests that may have arrived after the newest
@@ -79,16 +88,16 @@
 	return ep.placed.Accepts(now) && (!ep.mayTurnCold(now) || p.coldShare(ep) > 0)
 }
 
-// DueConfirmations returns the endpoints that may turn cold and to which this
-// daemon has sent so much that it has to check again whether they are warm.
-// Pending is false if no endpoint may turn cold now or soon.
+// DueConfirmations returns the endpoints that may be cold and to which this daemon has
+// sent so much that it has to check again whether they are warm. Pending is false if
+// none is to be checked soon.
 func (p *Pool) DueConfirmations(now time.Time) (due []Probe, pending bool) {
 	for _, states := range p.services {
 		for _, ep := range states {
-			pending = pending || ep.mayTurnCold(now) || ep.mayTurnCold(now.Add(newsLookahead))
+			pending = pending || ep.mayTurnColdAnyTime(now) || ep.mayTurnColdAnyTime(now.Add(newsLookahead)) || ep.usedInDoubt(now)
 			if ep.mayTurnCold(now) && p.confirmationDue(ep, now) {
 				probe := ep.probe(now)
-				probe.Confirms = true
+				probe.Confirms, probe.InDoubt = true, ep.inDoubt()
 				due = append(due, probe)
 			}
 		}
@@ -100,8 +109,15 @@
 	if ep.service.HealthPath == "" || ep.cold(now) || now.Before(ep.nextProbeAt) || p.closed(ep, now) {
 		return false
 	}
+	if ep.usedInDoubt(now) && now.Sub(ep.doubtSince) >= probeInterval {
+		return true
+	}
 	share := float64(p.coldShare(ep))
-	return share > 0 && float64(ep.countedSends(now)) >= share*confirmShare
+	if share == 0 {
+		// Without a share only the check lets this daemon use an endpoint in doubt.
+		return ep.usedInDoubt(now) && (ep.assigned || ep.owned)
+	}
+	return float64(ep.countedSends(now)) >= share*confirmShare
 }
 
 // recordConfirmation records the result of a health check of an endpoint that may
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -54,6 +54,12 @@
 	// coldSends holds the times of the most recent requests to an endpoint with a
 	// cold rate, oldest first.
 	coldSends []time.Time
+	// doubtful is the newest connection that was not trusted when it was opened, since
+	// doubtSince the endpoint may have started again; arrivals holds the times of the
+	// most recent requests on such connections.
+	doubtful   Connection
+	doubtSince time.Time
+	arrivals   []time.Time
 	// connectFailures and interruptions count consecutive connection failures
 	// and interrupted responses.
 	connectFailures int
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -27,6 +27,7 @@
 	// connecting holds the attempts that have no connection yet.
 	connecting map[*Connecting]bool
 	observe    Observer
+	onDoubt    func()
 }
 
 // New returns a gate for a pool, which the gate owns from then on.
@@ -46,6 +47,20 @@
 	return restarts
 }
 
+// OnDoubt sets a function that is called when an endpoint may have started again
+// unnoticed, so that its health is to be checked. It must not block. Call OnDoubt before
+// the gate is used.
+func (g *Gate) OnDoubt(call func()) {
+	g.onDoubt = call
+}
+
+// connected tells the pool of the connection of an attempt.
+func (g *Gate) connected(permit *balance.Permit, conn balance.Connection) (permitted, doubtful bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Connected(permit, conn, g.now())
+}
+
 // RecordNews records when the published state was read from the store.
 func (g *Gate) RecordNews(readAt time.Time) {
 	g.mu.Lock()
--- a/pkg/gateway/balance/gate/notice.go
+++ b/pkg/gateway/balance/gate/notice.go
@@ -27,7 +27,7 @@
 	g.mu.Lock()
 	change := g.pool.Note(endpoint, notice, g.now())
 	for attempt := range g.connecting {
-		if attempt.endpoint.ID == endpoint.ID {
+		if attempt.permit.Endpoint.ID == endpoint.ID {
 			attempt.abort()
 		}
 	}
--- a/pkg/gateway/balance/gate_notice_test.go
+++ b/pkg/gateway/balance/gate_notice_test.go
@@ -30,7 +30,7 @@
 	// attempt returns an attempt and a function that tells whether it was cancelled.
 	attempt := func() (*gate.Connecting, func() bool) {
 		cancelled := false
-		return g.NewConnecting(only, func() { cancelled = true }), func() bool { return cancelled }
+		return g.NewConnecting(&balance.Permit{Endpoint: catalog.ActiveEndpoint{Endpoint: only}}, func() { cancelled = true }), func() bool { return cancelled }
 	}
 
 	DescribeTable("cancels the attempts that have no connection yet, and no others", func(notice balance.Notice) {
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -133,7 +133,7 @@
 func (p *Pool) noEndpoint(req RequestInfo, now time.Time) *Refusal {
 	allowed := max(maxWait(req, now), 0)
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) && !p.beingChecked(ep, now) {
 			continue
 		}
 		if available := p.availability(ep, now); !available.leaving && available.pausedUntil.Sub(now) <= allowed {
--- a/pkg/gateway/balance/probe.go
+++ b/pkg/gateway/balance/probe.go
@@ -19,6 +19,9 @@
 	// Confirms is true for an endpoint that may turn cold at any moment; otherwise
 	// the check replaces a cold time that was assumed.
 	Confirms bool
+	// InDoubt is true if the endpoint may have started again since it was last known to
+	// be warm.
+	InDoubt bool
 }
 
 // DueProbes returns the endpoints to check now: those to which this daemon sends
--- a/pkg/gateway/balance/restart.go
+++ b/pkg/gateway/balance/restart.go
@@ -25,6 +25,7 @@
 	next := &endpointState{placed: placed, news: s.news}
 	if placed.Address == s.placed.Address {
 		next.coldSends = s.coldSends
+		next.doubtful, next.doubtSince, next.arrivals = s.doubtful, s.doubtSince, s.arrivals
 	}
 	return next
 }
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -167,6 +167,7 @@
 	e.restarts = newRestartLog(e.log)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
+	e.gate.OnDoubt(e.prober.Wake)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
 	e.control = control.New(control.Options{
 		Self: members.Member{
--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -1,13 +1,15 @@
 // Package health checks endpoints that may or may not be cold. Those of a data
 // centre that is being evacuated, or has just returned, may have become cold, and
-// so may all while there is no news of the store. What they have published does not
-// tell; their health checks do. An endpoint that
-// does not answer counts as cold.
+// so may all while there is no news of the store, and each one to which a new
+// connection may lead to a process that has just started. What they have published does
+// not tell; their health checks do. An endpoint that does not answer counts as cold.
 package health
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -67,6 +69,12 @@
 	RecordProbe(probe balance.Probe, coldUntil time.Time)
 }
 
+// Confirmer is a connection that takes note that the endpoint at its other end has
+// answered that it is warm.
+type Confirmer interface {
+	Confirm()
+}
+
 // Prober checks endpoints each time that it is woken.
 type Prober struct {
 	pool      Pool
@@ -131,6 +139,8 @@
 	switch {
 	case !probe.Confirms:
 		p.log.WithFields(fields).Info("endpoint checked after an evacuation")
+	case info.Cold > 0 && probe.InDoubt:
+		p.log.WithFields(fields).Info("endpoint had started again before its entry told")
 	case info.Cold > 0 && !probe.Endpoint.LastRequestAt.IsZero():
 		p.log.WithFields(fields).Info("endpoint turned cold during an evacuation")
 	case info.Cold > 0:
@@ -152,7 +162,9 @@
 		p.log.WithError(err).WithField("endpoint", endpoint.ID).Warn("health check can't be sent")
 		return
 	}
-	response, err := p.transport.RoundTrip(request)
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { conn = got.Conn }}
+	response, err := p.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		p.log.WithError(err).WithField("endpoint", endpoint.ID).Debug("health check failed")
 		return
@@ -168,6 +180,8 @@
 	var coldUntil time.Time
 	if info.Cold > 0 {
 		coldUntil = p.now().Add(info.Cold)
+	} else if confirmer, ok := conn.(Confirmer); ok {
+		confirmer.Confirm()
 	}
 	p.pool.RecordProbe(probe, coldUntil)
 	p.logResult(probe, info)
--- a/pkg/gateway/health/prober_test.go
+++ b/pkg/gateway/health/prober_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,6 +104,27 @@
 	return until, found
 }
 
+// confirmedConn is a connection that counts the answers that the endpoint is warm.
+type confirmedConn struct {
+	net.Conn
+	confirmed *atomic.Int64
+}
+
+var _ health.Confirmer = confirmedConn{}
+
+// Confirm implements health.Confirmer.
+func (c confirmedConn) Confirm() { c.confirmed.Add(1) }
+
+// confirmations returns a transport and the number of answers, on its connections, that
+// the endpoint is warm.
+func confirmations() (*http.Transport, *atomic.Int64) {
+	var confirmed atomic.Int64
+	return &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return confirmedConn{Conn: conn, confirmed: &confirmed}, err
+	}}, &confirmed
+}
+
 type testDialect struct{}
 
 func (testDialect) HealthInfo(status int, header http.Header) health.Info {
@@ -114,6 +137,12 @@
 }
 
 var _ = Describe("Prober", func() {
+	var transport *http.Transport
+	var confirmed *atomic.Int64
+	BeforeEach(func() {
+		transport, confirmed = confirmations()
+		DeferCleanup(transport.CloseIdleConnections)
+	})
 	// check lets a prober check an endpoint e1 and returns the pool and when the
 	// endpoint has been asked.
 	check := func(respond http.HandlerFunc, change ...func(*fakePool)) (*fakePool, chan struct{}) {
@@ -132,7 +161,7 @@
 		}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		prober := health.NewProber(pool, testDialect{}, http.DefaultTransport, log, time.Now)
+		prober := health.NewProber(pool, testDialect{}, transport, log, time.Now)
 		ctx, cancel := context.WithCancel(context.Background())
 		var running conc.WaitGroup
 		running.Go(func() { prober.Run(ctx) })
@@ -150,6 +179,7 @@
 			until, found := pool.result("e1")
 			return found && !until.After(time.Now())
 		}, waitLimit).Should(BeTrue())
+		Expect(confirmed.Load()).To(BeEquivalentTo(1))
 	})
 
 	It("finds how long an endpoint stays cold", func() {
@@ -161,6 +191,7 @@
 			until, found := pool.result("e1")
 			return found && time.Until(until) > 59*time.Minute
 		}, waitLimit).Should(BeTrue())
+		Expect(confirmed.Load()).To(BeZero())
 	})
 
 	It("checks endpoints at once and again and again while their data centre is being evacuated", func() {
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -96,6 +96,9 @@
 	if !w.connected() && w.connecting.Aborted() {
 		return r.handleWithdrawal(permit)
 	}
+	if !w.connected() && w.connecting.Limited() {
+		return r.handleLimit(permit)
+	}
 	if w.expired.Load() && !w.mayHaveArrived() {
 		r.reached = false
 		r.h.opts.Gate.Done(permit, balance.Abandoned)
--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -29,7 +29,7 @@
 // meanwhile that it wants no request, or if the request is withheld from all endpoints,
 // it is closed, so that nothing is sent on it.
 func (w *attemptConn) gotConn(info httptrace.GotConnInfo) {
-	wanted := w.connecting.End()
+	wanted := w.connecting.Connected(connectionOf(info.Conn))
 	if w.tooLate != nil && w.tooLate() || w.withheld != nil && w.withheld() {
 		w.expired.Store(true)
 		wanted = false
@@ -47,7 +47,7 @@
 // roundTrip sends the request of an attempt at an endpoint, unless the endpoint
 // wants no request before a connection to it is obtained.
 func (r *run) roundTrip(outgoing *http.Request, permit *balance.Permit, w *attemptConn) (*http.Response, error) {
-	w.connecting = r.h.opts.Gate.NewConnecting(permit.Endpoint.Endpoint, w.cancel)
+	w.connecting = r.h.opts.Gate.NewConnecting(permit, w.cancel)
 	defer w.connecting.End()
 	if !w.connecting.Begin() {
 		return nil, outgoing.Context().Err()
@@ -55,6 +55,15 @@
 	return r.h.opts.Transport.RoundTrip(outgoing)
 }
 
+// handleLimit returns the failure of an attempt that was not sent because the endpoint
+// may have just started and gets as many requests as it can take, and releases its
+// permit.
+func (r *run) handleLimit(permit *balance.Permit) *types.Failure {
+	r.reached = false
+	r.h.opts.Gate.Done(permit, balance.Abandoned)
+	return notRunFailure(types.CodeOverloaded, "the endpoint may have just started", refusedRetryAfter)
+}
+
 // handleWithdrawal returns the failure of an attempt that was not sent because the
 // endpoint wants no request, and releases its permit.
 func (r *run) handleWithdrawal(permit *balance.Permit) *types.Failure {
--- a/pkg/gateway/proxy/transport.go
+++ b/pkg/gateway/proxy/transport.go
@@ -9,6 +9,10 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/continuity"
+	"github.com/flamingomount/flamingomount/pkg/gateway/health"
 )
 
 // Limits of connections to endpoints and other daemons.
@@ -32,7 +36,7 @@
 // It uses no proxy and requests no compression.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            dialCounting(NewDialer()),
+		DialContext:            dialCounting(NewDialer(), continuity.NewTracker(continuity.NewClock())),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
@@ -47,6 +51,18 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// tracked tells whether the connection leads to a process that is known; nil if
+	// that is not followed.
+	tracked *continuity.Conn
+}
+
+var _ health.Confirmer = (*countingConn)(nil)
+
+// Confirm implements health.Confirmer.
+func (c *countingConn) Confirm() {
+	if c.tracked != nil {
+		c.tracked.Confirm()
+	}
 }
 
 // Write implements net.Conn.
@@ -55,14 +71,24 @@
 	return c.Conn.Write(data)
 }
 
-// dialCounting returns a function that dials counting connections.
-func dialCounting(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+// connectionOf returns what is known of the process at the other end of a connection.
+func connectionOf(conn net.Conn) balance.Connection {
+	if counting, ok := conn.(*countingConn); ok {
+		return counting.tracked
+	}
+	return nil
+}
+
+// dialCounting returns a function that dials counting connections whose processes
+// the tracker follows.
+func dialCounting(dialer *net.Dialer, tracker *continuity.Tracker) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		tracked := tracker.Conn(conn, address)
+		return &countingConn{Conn: tracked, tracked: tracked}, nil
 	}
 }
 
