Cold rate: a connection that outlasts the cold start leads to a warm process

What callers would see: without a health path, or while health checks are not answered, an endpoint got the cold rate for as long as daemons needed new connections to it, since nothing ended the doubt about its process.

A process is cold for its cold start at most, so a connection that has been open for a second longer leads to a warm one.

--- a/pkg/gateway/balance/confirm.go
+++ b/pkg/gateway/balance/confirm.go
@@ -17,7 +17,7 @@
 // mayTurnCold reports whether the endpoint may be or become cold without news of it:
 // it may have started again, or it may turn cold at any moment.
 func (s *endpointState) mayTurnCold(now time.Time) bool {
-	return s.mayTurnColdAnyTime(now) || s.hasColdRate() && s.inDoubt()
+	return s.mayTurnColdAnyTime(now) || s.inDoubt(now)
 }
 
 // mayTurnColdAnyTime reports whether the endpoint may become cold at any moment without
@@ -97,7 +97,7 @@
 			pending = pending || ep.mayTurnColdAnyTime(now) || ep.mayTurnColdAnyTime(now.Add(newsLookahead)) || ep.usedInDoubt(now)
 			if ep.mayTurnCold(now) && p.confirmationDue(ep, now) {
 				probe := ep.probe(now)
-				probe.Confirms, probe.InDoubt = true, ep.inDoubt()
+				probe.Confirms, probe.InDoubt = true, ep.inDoubt(now)
 				due = append(due, probe)
 			}
 		}
--- a/pkg/gateway/balance/doubt.go
+++ b/pkg/gateway/balance/doubt.go
@@ -8,18 +8,40 @@
 	// warm before it was opened, or was found to be warm since. It may become true
 	// later.
 	Trusted() bool
+	// Age is the time since the connection was opened.
+	Age() time.Duration
+	// Trust makes the connection trusted.
+	Trust()
+}
+
+// trusted reports whether a connection leads to a process that is warm: it is trusted,
+// or has been open for longer than a process is cold after its start.
+func (s *endpointState) trusted(conn Connection) bool {
+	if conn.Trusted() {
+		return true
+	}
+	if conn.Age() <= s.longestCold() {
+		return false
+	}
+	conn.Trust()
+	return true
+}
+
+// longestCold is the longest time for which a process may be cold after its start.
+func (s *endpointState) longestCold() time.Duration {
+	return s.service.ColdStart + restartSlack
 }
 
 // inDoubt reports whether the endpoint may have started again since it was last known
-// to be warm: the newest connection to it is not trusted.
-func (s *endpointState) inDoubt() bool {
-	return s.doubtful != nil && !s.doubtful.Trusted()
+// to be warm: the newest connection to it that was not trusted is not yet.
+func (s *endpointState) inDoubt(now time.Time) bool {
+	return s.hasColdRate() && s.doubtful != nil && now.Sub(s.doubtfulAt) <= s.longestCold() && !s.doubtful.Trusted()
 }
 
 // usedInDoubt reports whether this daemon lately sent, or meant to send, requests to an
 // endpoint in doubt.
 func (s *endpointState) usedInDoubt(now time.Time) bool {
-	return s.hasColdRate() && s.inDoubt() && s.doubtfulSends(now) > 0
+	return s.inDoubt(now) && s.doubtfulSends(now) > 0
 }
 
 // Connected records the connection of an attempt, before anything is sent on it. It
@@ -28,13 +50,15 @@
 // a cold endpoint takes, whatever each of them knows of it.
 func (p *Pool) Connected(permit *Permit, conn Connection, now time.Time) (permitted, doubtful bool) {
 	ep := permit.state
-	if conn == nil || !ep.hasColdRate() || conn.Trusted() {
+	if conn == nil || !ep.hasColdRate() || ep.trusted(conn) {
 		return true, false
 	}
-	if !ep.inDoubt() {
+	if !ep.inDoubt(now) {
 		ep.doubtSince = now
 	}
-	ep.doubtful = conn
+	if ep.doubtful != conn {
+		ep.doubtful, ep.doubtfulAt = conn, now
+	}
 	ep.arrivals = withinColdWindow(ep.arrivals, now)
 	if len(ep.arrivals) >= p.coldShare(ep) {
 		return false, true
@@ -50,7 +74,7 @@
 // beingChecked reports whether a health check may soon let this daemon, which has no
 // share of the cold rate, use an endpoint in doubt.
 func (p *Pool) beingChecked(ep *endpointState, now time.Time) bool {
-	return ep.placed.Accepts(now) && ep.inDoubt() && !ep.mayTurnColdAnyTime(now) && !ep.cold(now) &&
+	return ep.placed.Accepts(now) && ep.inDoubt(now) && !ep.mayTurnColdAnyTime(now) && !ep.cold(now) &&
 		ep.service.HealthPath != "" && (ep.assigned || ep.owned)
 }
 
--- a/pkg/gateway/balance/doubt_test.go
+++ b/pkg/gateway/balance/doubt_test.go
@@ -14,6 +14,7 @@
 type playedConn struct {
 	process int
 	trusted bool
+	age     time.Duration
 }
 
 var _ balance.Connection = (*playedConn)(nil)
@@ -21,6 +22,12 @@
 // Trusted implements balance.Connection.
 func (c *playedConn) Trusted() bool { return c.trusted }
 
+// Age implements balance.Connection.
+func (c *playedConn) Age() time.Duration { return c.age }
+
+// Trust implements balance.Connection.
+func (c *playedConn) Trust() { c.trusted = true }
+
 // playedDaemon is a daemon with at most one kept connection to the endpoint.
 type playedDaemon struct {
 	pool *balance.Pool
@@ -216,6 +223,32 @@
 		}
 	})
 
+	It("gets many times the cold rate again if its health can't be checked, once connections outlast the cold time", func() {
+		v := published()
+		v.Config.Services[engines].HealthPath = ""
+		pool := newPool(v, 1)
+		conn := &playedConn{process: 2}
+		// sent counts the requests that may be sent on the connection after a time.
+		sent := func(age time.Duration) (count int) {
+			conn.age = age
+			now := start.Add(age)
+			for range 100 {
+				permit, _ := pool.Permit(newRequest(engines, 0), now)
+				if permit == nil {
+					break
+				}
+				if permitted, _ := pool.Connected(permit, conn, now); permitted {
+					count++
+				}
+				pool.Done(permit, balance.Succeeded, now)
+			}
+			return count
+		}
+		Expect(float64(sent(0))).To(BeNumerically("<=", bound))
+		Expect(float64(sent(coldStart))).To(BeNumerically("<=", bound))
+		Expect(float64(sent(coldStart + 1100*time.Millisecond))).To(BeNumerically(">", 2*bound))
+	})
+
 	It("is used by a daemon without a share of its cold rate once a check has found it warm", func() {
 		pools := newFleet(published(), 28)
 		tried := 0
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -54,10 +54,11 @@
 	// coldSends holds the times of the most recent requests to an endpoint with a
 	// cold rate, oldest first.
 	coldSends []time.Time
-	// doubtful is the newest connection that was not trusted when it was opened, since
-	// doubtSince the endpoint may have started again; arrivals holds the times of the
-	// most recent requests on such connections.
+	// doubtful is the newest connection that was not trusted when it was obtained, at
+	// doubtfulAt. Since doubtSince the endpoint may have started again. Arrivals holds
+	// the times of the most recent requests on such connections.
 	doubtful   Connection
+	doubtfulAt time.Time
 	doubtSince time.Time
 	arrivals   []time.Time
 	// connectFailures and interruptions count consecutive connection failures
--- a/pkg/gateway/balance/restart.go
+++ b/pkg/gateway/balance/restart.go
@@ -25,7 +25,8 @@
 	next := &endpointState{placed: placed, news: s.news}
 	if placed.Address == s.placed.Address {
 		next.coldSends = s.coldSends
-		next.doubtful, next.doubtSince, next.arrivals = s.doubtful, s.doubtSince, s.arrivals
+		next.doubtful, next.doubtfulAt, next.doubtSince = s.doubtful, s.doubtfulAt, s.doubtSince
+		next.arrivals = s.arrivals
 	}
 	return next
 }
--- a/pkg/gateway/continuity/conn.go
+++ b/pkg/gateway/continuity/conn.go
@@ -34,6 +34,16 @@
 	return true
 }
 
+// Age returns the time since the connection was opened, that of suspensions included.
+func (c *Conn) Age() time.Duration {
+	return c.clock.now() - c.openedAt
+}
+
+// Trust makes the connection trusted: its process is known to be warm by other means.
+func (c *Conn) Trust() {
+	c.trusted.Store(true)
+}
+
 // Confirm records that the process at the other end has just answered that it is
 // warm.
 func (c *Conn) Confirm() {
--- a/pkg/gateway/continuity/continuity_test.go
+++ b/pkg/gateway/continuity/continuity_test.go
@@ -142,6 +142,16 @@
 		Expect(conn.Trusted()).To(BeTrue())
 	})
 
+	It("counts its age with suspensions, and is trusted once it is known to be warm by other means", func() {
+		conn := open("e1:80")
+		running, suspended = running+time.Second, 2*time.Second
+		Expect(conn.Age()).To(Equal(3 * time.Second))
+		Expect(conn.Trusted()).To(BeFalse())
+		conn.Trust()
+		Expect(conn.Trusted()).To(BeTrue())
+		Expect(open("e1:80").Trusted()).To(BeFalse())
+	})
+
 	It("is not trusted for what is known of another address", func() {
 		known().sends()
 		Expect(open("e2:80").Trusted()).To(BeFalse())
