Balancer: a daemon without a share of the cold rate goes on checking an endpoint in doubt

What callers see: in regions with more daemons than share the cold rate, a daemon without a share loses each endpoint to which it opens a connection that is not trusted, for good: requests wait for a check that is never made, and are refused. A daemon that has just started loses all of them at its first requests.

Cause: a check is due only at an endpoint to which the daemon lately sent, or meant to send, something. The refused attempt was counted at its grant, which is before the doubt began, and a daemon without a share gets no later one. The spec granted and connected at the same instant, so it passed. Also where a check was made and failed, nothing asked for the next one.

Now the refused attempt, and each request that passes over the endpoint while it waits for a check, count as wishes to use it for the window of the cold rate.

--- a/pkg/gateway/balance/cold.go
+++ b/pkg/gateway/balance/cold.go
@@ -26,12 +26,15 @@
 	return s.placed.ColdAssumed && s.probedFor.Equal(s.placed.ColdUntil)
 }
 
+// coldWindow is the time for which a request counts towards the cold rate: the second of
+// the bound, with a margin for the time that requests are on their way.
+const coldWindow = 1050 * time.Millisecond
+
 // withinColdWindow drops the times that are older than the window of the cold
 // rate.
 func withinColdWindow(sends []time.Time, now time.Time) []time.Time {
-	const window = 1050 * time.Millisecond
 	drop := 0
-	for drop < len(sends) && now.Sub(sends[drop]) > window {
+	for drop < len(sends) && now.Sub(sends[drop]) > coldWindow {
 		drop++
 	}
 	return sends[drop:]
--- a/pkg/gateway/balance/doubt.go
+++ b/pkg/gateway/balance/doubt.go
@@ -19,7 +19,11 @@
 // usedInDoubt reports whether this daemon lately sent, or meant to send, requests to an
 // endpoint in doubt.
 func (s *endpointState) usedInDoubt(now time.Time) bool {
-	return s.hasColdRate() && s.inDoubt() && s.doubtfulSends(now) > 0
+	if !s.hasColdRate() || !s.inDoubt() {
+		return false
+	}
+	wanted := !s.wantedAt.IsZero() && now.Sub(s.wantedAt) <= coldWindow
+	return wanted || s.doubtfulSends(now) > 0
 }
 
 // Connected records the connection of an attempt, before anything is sent on it. It
@@ -34,7 +38,7 @@
 	if !ep.inDoubt() {
 		ep.doubtSince = now
 	}
-	ep.doubtful = conn
+	ep.doubtful, ep.wantedAt = conn, now
 	ep.arrivals = withinColdWindow(ep.arrivals, now)
 	if len(ep.arrivals) >= p.coldShare(ep) {
 		return false, true
--- a/pkg/gateway/balance/doubt_test.go
+++ b/pkg/gateway/balance/doubt_test.go
@@ -216,29 +216,54 @@
 		}
 	})
 
-	It("is used by a daemon without a share of its cold rate once a check has found it warm", func() {
-		pools := newFleet(published(), 28)
-		tried := 0
-		for _, pool := range pools {
+	// withoutShare calls a function for each of many daemons that has no share of the cold
+	// rate, with its connection to the endpoint, on which it has sent nothing.
+	withoutShare := func(call func(pool *balance.Pool, conn *playedConn, now time.Time)) {
+		called := 0
+		for _, pool := range newFleet(published(), 28) {
 			permit := requestPermit(pool, newRequest(engines, 0), start)
 			conn := &playedConn{process: 1}
-			if permitted, _ := pool.Connected(permit, conn, start); permitted {
-				pool.Done(permit, balance.Succeeded, start)
+			// Connecting takes a moment.
+			now := start.Add(time.Millisecond)
+			if permitted, _ := pool.Connected(permit, conn, now); permitted {
+				pool.Done(permit, balance.Succeeded, now)
 				continue
 			}
-			pool.Done(permit, balance.Abandoned, start)
-			due, pending := pool.DueConfirmations(start)
+			pool.Done(permit, balance.Abandoned, now)
+			called++
+			call(pool, conn, now)
+		}
+		Expect(called).To(BeNumerically(">", 0))
+	}
+
+	It("is used by a daemon without a share of its cold rate once a check has found it warm", func() {
+		withoutShare(func(pool *balance.Pool, conn *playedConn, now time.Time) {
+			due, pending := pool.DueConfirmations(now)
 			Expect(pending).To(BeTrue())
-			if len(due) == 0 {
-				continue
-			}
-			tried++
-			_, refusal := pool.Permit(newRequest(engines, 0), start)
+			Expect(due).To(HaveLen(1))
+			_, refusal := pool.Permit(newRequest(engines, 0), now)
 			Expect(refusal).To(BeNil(), "it waits for the check")
 			conn.trusted = true
 			pool.RecordProbe(due[0], time.Time{})
-			Expect(requestPermit(pool, newRequest(engines, 0), start.Add(10*time.Millisecond))).NotTo(BeNil())
-		}
-		Expect(tried).To(BeNumerically(">", 0))
+			Expect(requestPermit(pool, newRequest(engines, 0), now.Add(10*time.Millisecond))).NotTo(BeNil())
+		})
+	})
+
+	It("is checked by a daemon without a share of its cold rate for as long as requests wait for it", func() {
+		withoutShare(func(pool *balance.Pool, _ *playedConn, now time.Time) {
+			pool.DueConfirmations(now)
+			checked := 0
+			for range 100 {
+				now = now.Add(50 * time.Millisecond)
+				_, refusal := pool.Permit(newRequest(engines, 0), now)
+				Expect(refusal).To(BeNil(), "it waits for the check")
+				due, pending := pool.DueConfirmations(now)
+				Expect(pending).To(BeTrue())
+				checked += len(due)
+			}
+			Expect(checked).To(BeNumerically(">", 10))
+			_, pending := pool.DueConfirmations(now.Add(2 * time.Second))
+			Expect(pending).To(BeFalse(), "nothing waits any more")
+		})
 	})
 })
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -60,6 +60,8 @@
 	doubtful   Connection
 	doubtSince time.Time
 	arrivals   []time.Time
+	// wantedAt is when this daemon last meant to send a request to the endpoint in doubt.
+	wantedAt time.Time
 	// connectFailures and interruptions count consecutive connection failures
 	// and interrupted responses.
 	connectFailures int
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -155,7 +155,13 @@
 	var eligible, ejected []*endpointState
 	var soonest *endpointState
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) || p.closed(ep, now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || p.closed(ep, now) {
+			continue
+		}
+		if !p.accepts(ep, now) {
+			if p.beingChecked(ep, now) {
+				ep.wantedAt = now
+			}
 			continue
 		}
 		switch {
