Balancer: an endpoint whose entry lapses keeps the requests that it got

An endpoint that is back before its entry lapses, or its grace ends, and whose new entry comes within the second, gets the whole cold rate twice in it.

Cause: what a daemon knows of an endpoint was dropped with its published entry; the entry's return began an account of its own, as a new start time did before. The requests in flight at it were forgotten too.

The state is now kept until no request of this daemon runs there and none was sent within the window of the cold rate; an entry that returns takes it over, or passes it on to the new start.

Evidence: a play in which the entry lapses 0.4 s after the return, for 0.01 to 1 s.

--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -11,13 +11,15 @@
 // Pool holds the endpoints of the local region. It is not safe for concurrent
 // use.
 type Pool struct {
-	region   types.Region
-	dc       types.DataCentre
-	bounds   Bounds
-	view     *catalog.View
-	peers    Membership
-	daemons  int
-	states   map[types.EndpointID]*endpointState
+	region  types.Region
+	dc      types.DataCentre
+	bounds  Bounds
+	view    *catalog.View
+	peers   Membership
+	daemons int
+	states  map[types.EndpointID]*endpointState
+	// lapsed holds the states of endpoints that were published lately.
+	lapsed   map[types.EndpointID]*endpointState
 	services map[types.ServiceName][]*endpointState
 	queues   map[types.ServiceName]*queue
 	// news is how recent the view is.
@@ -35,6 +37,7 @@
 	return &Pool{
 		region: region, dc: dc, bounds: bounds, daemons: 1, news: newNews(bounds.WatchTimeout),
 		states:           make(map[types.EndpointID]*endpointState),
+		lapsed:           make(map[types.EndpointID]*endpointState),
 		services:         make(map[types.ServiceName][]*endpointState),
 		queues:           make(map[types.ServiceName]*queue),
 		constraintsCache: make(map[routeConstraintsKey]routeConstraints),
@@ -66,6 +69,7 @@
 	for name, endpoints := range view.Endpoints {
 		p.services[name] = p.addStates(states, name, endpoints)
 	}
+	p.keepLapsed(states)
 	p.states = states
 }
 
@@ -90,7 +94,7 @@
 // stateOf returns the state of an endpoint: the existing one if the endpoint has
 // the same start time and address, else one of a new start.
 func (p *Pool) stateOf(placed catalog.ActiveEndpoint) *endpointState {
-	existing := p.states[placed.ID]
+	existing := p.known(placed.ID)
 	if existing == nil {
 		return &endpointState{placed: placed, news: &p.news}
 	}
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -190,6 +190,7 @@
 // endpoints that left long ago.
 func (p *Pool) GrantAll(now time.Time) {
 	p.expireWithdrawals(now)
+	p.expireLapsed(now)
 	for service := range p.queues {
 		p.Grant(service, now)
 	}
--- a/pkg/gateway/balance/restart.go
+++ b/pkg/gateway/balance/restart.go
@@ -1,9 +1,11 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // Restart is a new start of an endpoint under the ID that it had before.
@@ -24,12 +26,44 @@
 func (s *endpointState) successor(placed catalog.ActiveEndpoint) *endpointState {
 	next := &endpointState{placed: placed, news: s.news}
 	if placed.Address == s.placed.Address {
-		next.coldSends = s.coldSends
-		next.doubtful, next.doubtSince, next.arrivals = s.doubtful, s.doubtSince, s.arrivals
+		next.coldSends = slices.Clone(s.coldSends)
+		next.doubtful, next.doubtSince, next.arrivals = s.doubtful, s.doubtSince, slices.Clone(s.arrivals)
 	}
 	return next
 }
 
+// known returns what is known of an endpoint: its state, also if its entry has lapsed
+// lately; nil if there is none.
+func (p *Pool) known(id types.EndpointID) *endpointState {
+	if ep := p.states[id]; ep != nil {
+		return ep
+	}
+	return p.lapsed[id]
+}
+
+// keepLapsed keeps the states of endpoints that are no longer published. They may still
+// run, and be published again at any time.
+func (p *Pool) keepLapsed(published map[types.EndpointID]*endpointState) {
+	for id, ep := range p.states {
+		if published[id] == nil {
+			p.lapsed[id] = ep
+		}
+	}
+	for id := range published {
+		delete(p.lapsed, id)
+	}
+}
+
+// expireLapsed forgets lapsed endpoints that run no request of this daemon and got none
+// in the window of the cold rate.
+func (p *Pool) expireLapsed(now time.Time) {
+	for id, ep := range p.lapsed {
+		if ep.inFlight == 0 && len(withinColdWindow(ep.coldSends, now)) == 0 && len(withinColdWindow(ep.arrivals, now)) == 0 {
+			delete(p.lapsed, id)
+		}
+	}
+}
+
 // restart is a Restart that has not been taken yet.
 type restart struct {
 	previous *endpointState
--- a/pkg/gateway/balance/restart_test.go
+++ b/pkg/gateway/balance/restart_test.go
@@ -80,6 +80,50 @@
 		}
 	}, Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8))
 
+	DescribeTable("gets no more than the cold rate if its entry lapses after it is back", func(daemons int) {
+		live := fleetOf(daemons)
+		for lapsed := step; lapsed <= time.Second; lapsed += 90 * time.Millisecond {
+			const lapsesAt = 400 * time.Millisecond
+			var arrived []time.Time
+			pools := newFleet(published(0), daemons)
+			for since := time.Duration(0); since < 2*time.Second; since += step {
+				now := start.Add(since)
+				for i, pool := range pools {
+					membership := balance.Membership{Self: live[i], Live: live, SameDataCentre: live, PeakLive: daemons}
+					switch since {
+					case lapsesAt:
+						pool.Update(view(0, 0, nil), membership)
+					case lapsesAt + lapsed:
+						pool.Update(published(lapsesAt+lapsed), membership)
+					}
+					pool.GrantAll(now)
+					permit, _ := pool.Permit(newRequest(engines, 0), now)
+					if permit == nil {
+						continue
+					}
+					if permitted, _ := pool.Connected(permit, &playedConn{process: 2}, now); permitted {
+						arrived = append(arrived, now)
+					}
+					pool.Done(permit, balance.Succeeded, now)
+				}
+			}
+			Expect(float64(mostPerSecond(arrived, start))).To(BeNumerically("<=", bound), "lapsed for %s", lapsed)
+		}
+	}, Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8), Entry("28 daemons", 28))
+
+	It("keeps its requests in flight while its entry lapses", func() {
+		pool := newPool(published(0), 1)
+		permit := requestPermit(pool, newRequest(engines, 0), start)
+		member := balance.Membership{Self: "d0", PeakLive: 1}
+		pool.Update(view(0, 0, nil), member)
+		later := start.Add(10 * time.Second)
+		pool.GrantAll(later)
+		pool.Update(published(0), member)
+		Expect(pool.InFlight()[engines]).To(Equal(1))
+		pool.Done(permit, balance.Succeeded, later)
+		Expect(pool.InFlight()[engines]).To(Equal(0))
+	})
+
 	It("keeps the place of each request that the new process runs when requests to the earlier one end", func() {
 		pool := newPool(published(0), 1)
 		var earlier []*balance.Permit
