Cold rate: a request counts when it is sent, also at an endpoint that is known to be cold

Callers' platform: FAILBACK. A cold endpoint gets up to twice its rate in a second if requests wait for their connections for a tenth of a second or more.

Cause: requests counted at their grants. Only those on connections that were not trusted counted again when they were sent; on trusted ones, as at an endpoint that turned cold, those that had waited fell out of the window before or soon after they were sent.

A request that has waited for its connection now counts from the moment at which it is sent, instead of from its grant, and is not sent if the endpoint has got its share by then.

Evidence: the spec lets all daemons send what they may, with connections that come 0.1 to 1.5 s late. With a share's requests all 0.5 s late, all are sent.

--- a/pkg/gateway/balance/doubt.go
+++ b/pkg/gateway/balance/doubt.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Connection tells of the process at the other end of a connection.
 type Connection interface {
@@ -29,26 +32,47 @@
 // Connected records the connection of an attempt, before anything is sent on it. It
 // returns whether the request may be sent, and whether the connection may lead to a
 // process that has just started. All daemons together send such a process no more than
-// a cold endpoint takes, whatever each of them knows of it.
+// a cold endpoint takes, whatever each of them knows of it. A request counts from now on:
+// it may have waited long for the connection.
 func (p *Pool) Connected(permit *Permit, conn Connection, now time.Time) (permitted, doubtful bool) {
 	ep := permit.state
-	if conn == nil || !ep.hasColdRate() || conn.Trusted() {
+	if conn == nil || !ep.hasColdRate() {
 		return true, false
 	}
-	if !ep.inDoubt() {
-		ep.doubtSince = now
+	doubtful = !conn.Trusted()
+	if doubtful {
+		if !ep.inDoubt() {
+			ep.doubtSince = now
+		}
+		ep.doubtful, ep.wantedAt = conn, now
+		ep.arrivals = withinColdWindow(ep.arrivals, now)
+		if len(ep.arrivals) >= p.coldShare(ep) {
+			return false, true
+		}
+	}
+	if !p.sendsLate(ep, permit, now) {
+		return false, doubtful
+	}
+	if doubtful {
+		ep.arrivals = append(ep.arrivals, now)
 	}
-	ep.doubtful, ep.wantedAt = conn, now
-	ep.arrivals = withinColdWindow(ep.arrivals, now)
-	if len(ep.arrivals) >= p.coldShare(ep) {
-		return false, true
+	return true, doubtful
+}
+
+// sendsLate lets a request that has waited for its connection count from now on, instead
+// of from its grant. It returns false if the endpoint takes no more requests now.
+func (p *Pool) sendsLate(ep *endpointState, permit *Permit, now time.Time) bool {
+	if now.Sub(permit.grantedAt) <= arrivalMargin {
+		return true
 	}
-	ep.arrivals = append(ep.arrivals, now)
-	if now.Sub(permit.grantedAt) > arrivalMargin {
-		// It counted when it was granted, but arrives only now.
-		ep.coldSends = append(withinColdWindow(ep.coldSends, now), now)
+	if i := slices.IndexFunc(ep.coldSends, permit.grantedAt.Equal); i >= 0 {
+		ep.coldSends = slices.Delete(ep.coldSends, i, i+1)
+	}
+	if (ep.cold(now) || ep.mayTurnColdAnyTime(now)) && ep.countedSends(now) >= p.coldShare(ep) {
+		return false
 	}
-	return true, true
+	ep.coldSends = append(withinColdWindow(ep.coldSends, now), now)
+	return true
 }
 
 // beingChecked reports whether a health check may soon let this daemon, which has no
--- a/pkg/gateway/balance/doubt_test.go
+++ b/pkg/gateway/balance/doubt_test.go
@@ -188,6 +188,50 @@
 		}
 	}, fleetSizes)
 
+	DescribeTable("gets no more than the cold rate while it is known to be cold, also from requests that waited for a connection", func(daemons int, trusted bool) {
+		for waited := 100 * time.Millisecond; waited <= 1500*time.Millisecond; waited += 100 * time.Millisecond {
+			v := published()
+			v.Endpoints[engines][0].ColdUntil = start.Add(coldStart)
+			var arrived []time.Time
+			pools := newFleet(v, daemons)
+			waiting := make([][]*balance.Permit, daemons)
+			for now := start; now.Before(start.Add(waited + time.Second)); now = now.Add(10 * time.Millisecond) {
+				for i, pool := range pools {
+					if permit, _ := pool.Permit(newRequest(engines, 0), now); permit != nil {
+						waiting[i] = append(waiting[i], permit)
+					}
+					if now.Before(start.Add(waited)) {
+						continue
+					}
+					for _, permit := range waiting[i] {
+						if permitted, _ := pool.Connected(permit, &playedConn{process: 1, trusted: trusted}, now); permitted {
+							arrived = append(arrived, now)
+						}
+						pool.Done(permit, balance.Succeeded, now)
+					}
+					waiting[i] = nil
+				}
+			}
+			Expect(float64(mostPerSecond(arrived, start))).To(BeNumerically("<=", bound), "waited for %s", waited)
+			Expect(arrived).NotTo(BeEmpty())
+		}
+	}, Entry("1 daemon", 1, true), Entry("2 daemons", 2, true), Entry("3 daemons", 3, true), Entry("8 daemons", 8, true), Entry("28 daemons", 28, true), Entry("3 daemons, new connections", 3, false))
+
+	It("gets as many requests as it may although each waited for its connection", func() {
+		v := published()
+		v.Endpoints[engines][0].ColdUntil = start.Add(coldStart)
+		pool := newFleet(v, 1)[0]
+		var waiting []*balance.Permit
+		for permit, _ := pool.Permit(newRequest(engines, 0), start); permit != nil; permit, _ = pool.Permit(newRequest(engines, 0), start) {
+			waiting = append(waiting, permit)
+		}
+		Expect(waiting).NotTo(BeEmpty())
+		for _, permit := range waiting {
+			permitted, _ := pool.Connected(permit, &playedConn{process: 1, trusted: true}, start.Add(500*time.Millisecond))
+			Expect(permitted).To(BeTrue())
+		}
+	})
+
 	DescribeTable("gets many times the cold rate again once it is warm", func(daemons int) {
 		play := newPlay(time.Second)
 		play.run(newFleet(published(), daemons), play.warmAt.Add(4*time.Second))
--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -55,13 +55,13 @@
 	return r.h.opts.Transport.RoundTrip(outgoing)
 }
 
-// handleLimit returns the failure of an attempt that was not sent because the endpoint
-// may have just started and gets as many requests as it can take, and releases its
+// handleLimit returns the failure of an attempt that was not sent because the endpoint is
+// or may be cold and gets as many requests as it can take, and releases its
 // permit.
 func (r *run) handleLimit(permit *balance.Permit) *types.Failure {
 	r.reached = false
 	r.h.opts.Gate.Done(permit, balance.Abandoned)
-	return notRunFailure(types.CodeOverloaded, "the endpoint may have just started", refusedRetryAfter)
+	return notRunFailure(types.CodeOverloaded, "the endpoint is or may be cold", refusedRetryAfter)
 }
 
 // handleWithdrawal returns the failure of an attempt that was not sent because the
