Cold rate: a request that waited for its connection counts at the start that it reaches

An endpoint that has started again gets up to twice the cold rate in a second if requests granted before the news of its new start get their connections after it.

Cause: a permit holds the state for which it was granted, and its connection was recorded there: the request counted, and was limited, in the account of the process before, while the new start's account was spent once more.

A connection is now recorded at the state of the newest start at the same address.

Evidence: the spec, in which requests wait 0.1 to 1.5 s and the news comes just before their connections.

--- a/pkg/gateway/balance/doubt.go
+++ b/pkg/gateway/balance/doubt.go
@@ -35,7 +35,7 @@
 // a cold endpoint takes, whatever each of them knows of it. A request counts from now on:
 // it may have waited long for the connection.
 func (p *Pool) Connected(permit *Permit, conn Connection, now time.Time) (permitted, doubtful bool) {
-	ep := permit.state
+	ep := permit.state.newest()
 	if conn == nil || !ep.hasColdRate() {
 		return true, false
 	}
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -62,6 +62,9 @@
 	arrivals   []time.Time
 	// wantedAt is when this daemon last meant to send a request to the endpoint in doubt.
 	wantedAt time.Time
+	// next is the state of the next start of the endpoint at the same address; nil if
+	// there is none.
+	next *endpointState
 	// connectFailures and interruptions count consecutive connection failures
 	// and interrupted responses.
 	connectFailures int
--- a/pkg/gateway/balance/restart.go
+++ b/pkg/gateway/balance/restart.go
@@ -28,10 +28,20 @@
 	if placed.Address == s.placed.Address {
 		next.coldSends = slices.Clone(s.coldSends)
 		next.doubtful, next.doubtSince, next.arrivals = s.doubtful, s.doubtSince, slices.Clone(s.arrivals)
+		s.next = next
 	}
 	return next
 }
 
+// newest returns the state of the newest start of the endpoint at its address: what is
+// sent there now reaches that one.
+func (s *endpointState) newest() *endpointState {
+	for s.next != nil {
+		s = s.next
+	}
+	return s
+}
+
 // known returns what is known of an endpoint: its state, also if its entry has lapsed
 // lately; nil if there is none.
 func (p *Pool) known(id types.EndpointID) *endpointState {
--- a/pkg/gateway/balance/restart_test.go
+++ b/pkg/gateway/balance/restart_test.go
@@ -111,6 +111,42 @@
 		}
 	}, Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8), Entry("28 daemons", 28))
 
+	DescribeTable("gets no more than the cold rate from requests that waited for a connection while its new start became known", func(daemons int) {
+		live := fleetOf(daemons)
+		for waited := 100 * time.Millisecond; waited <= 1500*time.Millisecond; waited += 100 * time.Millisecond {
+			var arrived []time.Time
+			var waiting [][]*balance.Permit
+			pools := newFleet(published(0), daemons)
+			for i, pool := range pools {
+				waiting = append(waiting, nil)
+				for range 20 {
+					if permit, _ := pool.Permit(newRequest(engines, 0), start); permit != nil {
+						waiting[i] = append(waiting[i], permit)
+					}
+				}
+				pool.Update(published(0), balance.Membership{Self: live[i], Live: live, SameDataCentre: live, PeakLive: daemons})
+				pool.Update(published(waited), balance.Membership{Self: live[i], Live: live, SameDataCentre: live, PeakLive: daemons})
+			}
+			for since := waited; since < waited+time.Second; since += step {
+				now := start.Add(since)
+				for i, pool := range pools {
+					granted := waiting[i]
+					waiting[i] = nil
+					if permit, _ := pool.Permit(newRequest(engines, 0), now); permit != nil {
+						granted = append(granted, permit)
+					}
+					for _, permit := range granted {
+						if permitted, _ := pool.Connected(permit, &playedConn{process: 2}, now); permitted {
+							arrived = append(arrived, now)
+						}
+						pool.Done(permit, balance.Succeeded, now)
+					}
+				}
+			}
+			Expect(float64(mostPerSecond(arrived, start))).To(BeNumerically("<=", bound), "waited for %s", waited)
+		}
+	}, Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8), Entry("28 daemons", 28))
+
 	It("keeps its requests in flight while its entry lapses", func() {
 		pool := newPool(published(0), 1)
 		permit := requestPermit(pool, newRequest(engines, 0), start)
