Continuity: a health answer tells of the process that was asked, not of the one that is there when it is read

A daemon that reads the last health answer of a process late (it was frozen, had no processor time, or waited for the link) takes new connections to the next process for connections to the one that answered, and sends at the warm rate; what that process then sends makes all further ones trusted too.

Cause: the answer counted at the moment at which it was read, so connections opened while it waited counted as opened before it.

An answer now counts at the moment before its question was sent: the process held its address then, whatever the time that the answer took.

Evidence: a spec in which a connection is opened between question and answer; with the confirmation at the time of reading it fails, as does the prober's spec if the question is recorded after it was sent.

--- a/pkg/gateway/continuity/conn.go
+++ b/pkg/gateway/continuity/conn.go
@@ -34,11 +34,15 @@
 	return true
 }
 
-// Confirm records that the process at the other end has just answered that it is
-// warm.
-func (c *Conn) Confirm() {
-	c.trusted.Store(true)
-	c.process.confirmedAt.raise(c.clock.now())
+// Asking records that the process at the other end is about to be asked whether it is
+// warm. It returns a function to call if the answer is that it is: the process has held
+// its address since it was asked, however late the answer was read.
+func (c *Conn) Asking() (confirm func()) {
+	askedAt := c.clock.now()
+	return func() {
+		c.trusted.Store(true)
+		c.process.confirmedAt.raise(askedAt)
+	}
 }
 
 // Read implements net.Conn.
--- a/pkg/gateway/continuity/continuity.go
+++ b/pkg/gateway/continuity/continuity.go
@@ -93,8 +93,8 @@
 // tracker's clock; zero means never.
 type process struct {
 	// sentAt is when bytes were last read on a trusted connection, confirmedAt when
-	// the process last confirmed that it is warm, and brokenAt when a connection to it
-	// last broke.
+	// the process was last asked whether it is warm and confirmed it, and brokenAt when
+	// a connection to it last broke.
 	sentAt      latest
 	confirmedAt latest
 	brokenAt    latest
--- a/pkg/gateway/continuity/continuity_test.go
+++ b/pkg/gateway/continuity/continuity_test.go
@@ -53,7 +53,7 @@
 	// known opens a connection whose process has confirmed that it is warm.
 	known := func() peer {
 		conn := open("e1:80")
-		conn.Confirm()
+		conn.Asking()()
 		return conn
 	}
 
@@ -142,6 +142,25 @@
 		Expect(conn.Trusted()).To(BeTrue())
 	})
 
+	It("is not trusted for an answer to a question that was asked before it was opened, however late that is read", func() {
+		confirm := known().Asking()
+		running += 300 * time.Millisecond
+		conn := open("e1:80")
+		running += 300 * time.Millisecond
+		confirm()
+		Expect(conn.Trusted()).To(BeFalse())
+		Expect(open("e1:80").Trusted()).To(BeFalse())
+	})
+
+	It("is trusted for an answer to a question that was asked after it was opened", func() {
+		earlier := known()
+		running += time.Minute
+		conn := open("e1:80")
+		running += time.Millisecond
+		earlier.Asking()()
+		Expect(conn.Trusted()).To(BeTrue())
+	})
+
 	It("is not trusted for what is known of another address", func() {
 		known().sends()
 		Expect(open("e2:80").Trusted()).To(BeFalse())
@@ -154,7 +173,7 @@
 		}
 		conn := open("e1:80")
 		Expect(conn.Trusted()).To(BeFalse())
-		conn.Confirm()
+		conn.Asking()()
 		Expect(open("e1:80").Trusted()).To(BeTrue())
 	})
 })
--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -72,7 +71,9 @@
 // Confirmer is a connection that takes note that the endpoint at its other end has
 // answered that it is warm.
 type Confirmer interface {
-	Confirm()
+	// Asking is called before a health check is sent on the connection. The returned
+	// function is called if the answer is that the endpoint is warm.
+	Asking() (confirm func())
 }
 
 // Prober checks endpoints each time that it is woken.
@@ -162,8 +163,12 @@
 		p.log.WithError(err).WithField("endpoint", endpoint.ID).Warn("health check can't be sent")
 		return
 	}
-	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { conn = got.Conn }}
+	confirm := func() {}
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		if confirmer, ok := got.Conn.(Confirmer); ok {
+			confirm = confirmer.Asking()
+		}
+	}}
 	response, err := p.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		p.log.WithError(err).WithField("endpoint", endpoint.ID).Debug("health check failed")
@@ -180,8 +185,8 @@
 	var coldUntil time.Time
 	if info.Cold > 0 {
 		coldUntil = p.now().Add(info.Cold)
-	} else if confirmer, ok := conn.(Confirmer); ok {
-		confirmer.Confirm()
+	} else {
+		confirm()
 	}
 	p.pool.RecordProbe(probe, coldUntil)
 	p.logResult(probe, info)
--- a/pkg/gateway/health/prober_test.go
+++ b/pkg/gateway/health/prober_test.go
@@ -104,16 +104,31 @@
 	return until, found
 }
 
-// confirmedConn is a connection that counts the answers that the endpoint is warm.
+// confirmedConn is a connection that counts the answers that the endpoint is warm. Those
+// to a question that had been sent when it was told of it do not count.
 type confirmedConn struct {
 	net.Conn
 	confirmed *atomic.Int64
+	written   atomic.Int64
 }
 
-var _ health.Confirmer = confirmedConn{}
+var _ health.Confirmer = (*confirmedConn)(nil)
 
-// Confirm implements health.Confirmer.
-func (c confirmedConn) Confirm() { c.confirmed.Add(1) }
+// Write implements net.Conn.
+func (c *confirmedConn) Write(data []byte) (int, error) {
+	c.written.Add(1)
+	return c.Conn.Write(data)
+}
+
+// Asking implements health.Confirmer.
+func (c *confirmedConn) Asking() (confirm func()) {
+	written := c.written.Load()
+	return func() {
+		if c.written.Load() > written {
+			c.confirmed.Add(1)
+		}
+	}
+}
 
 // confirmations returns a transport and the number of answers, on its connections, that
 // the endpoint is warm.
@@ -121,7 +136,7 @@
 	var confirmed atomic.Int64
 	return &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return confirmedConn{Conn: conn, confirmed: &confirmed}, err
+		return &confirmedConn{Conn: conn, confirmed: &confirmed}, err
 	}}, &confirmed
 }
 
--- a/pkg/gateway/proxy/transport.go
+++ b/pkg/gateway/proxy/transport.go
@@ -58,11 +58,12 @@
 
 var _ health.Confirmer = (*countingConn)(nil)
 
-// Confirm implements health.Confirmer.
-func (c *countingConn) Confirm() {
-	if c.tracked != nil {
-		c.tracked.Confirm()
+// Asking implements health.Confirmer.
+func (c *countingConn) Asking() (confirm func()) {
+	if c.tracked == nil {
+		return func() {}
 	}
+	return c.tracked.Asking()
 }
 
 // Write implements net.Conn.
