Continuity: bytes count at the moment at which they arrived, not at which they were read

While a daemon passes an answer on to a slow caller, or gets no processor time, bytes of the endpoint wait to be read. Read after the endpoint has started again, they showed that its earlier process still ran: new connections were trusted, requests went at the warm rate, and the new process's own bytes made all further connections trusted.

Cause: the moment of the reading was taken for that of the sending. How long bytes wait has no bound; the 50 ms of transitTime are for the way.

The moment of arrival is asked from the kernel (TCP_INFO), at most each 20 ms and address as before. Bytes of a dead process that the network holds back for longer than transitTime are still mistaken.

--- a/pkg/gateway/continuity/conn.go
+++ b/pkg/gateway/continuity/conn.go
@@ -64,8 +64,12 @@
 	if last := c.process.readAt.get(); last != 0 && running-last < readInterval || !c.Trusted() {
 		return
 	}
+	waited, known := sinceArrival(c.Conn)
+	if !known {
+		return
+	}
 	c.process.readAt.raise(running)
-	c.process.sentAt.raise(c.clock.now())
+	c.process.sentAt.raise(c.clock.now() - waited)
 }
 
 // Close implements net.Conn.
--- a/pkg/gateway/continuity/continuity.go
+++ b/pkg/gateway/continuity/continuity.go
@@ -92,7 +92,7 @@
 // process is what is known of the process behind an address. Times are those of the
 // tracker's clock; zero means never.
 type process struct {
-	// sentAt is when bytes were last read on a trusted connection, confirmedAt when
+	// sentAt is when bytes that were read on a trusted connection arrived, confirmedAt when
 	// the process was last asked whether it is warm and confirmed it, and brokenAt when
 	// a connection to it last broke.
 	sentAt      latest
