Cold rate: a connection that is older than the cold time leads to a warm process

What callers see: an endpoint whose health check is not configured, does not answer in time or is turned away gets no more than a daemon's share of the cold rate, for as long as the daemon runs. Health checks wait for a slot as requests do, so it is the busy endpoint that is held back.

Cause: only a health answer could make the first connections to an address trusted. Nothing else ended a doubt where no earlier connection was trusted.

A process is cold for the service's cold time after its start. It started before the connection was opened, so one that has been open for longer, by the second of restartSlack, leads to a warm process; a cold time that the entry tells stays in force. Other connections stay as they are. Without a known cold time nothing changes.

Evidence: a daemon that sends 100 requests a second on one kept connection, without a health check, gets 8 through in the two seconds after the cold time before, over 150 now.

--- a/pkg/gateway/balance/doubt.go
+++ b/pkg/gateway/balance/doubt.go
@@ -11,12 +11,29 @@
 	// warm before it was opened, or was found to be warm since. It may become true
 	// later.
 	Trusted() bool
+	// OpenFor returns the time since the connection was opened.
+	OpenFor() time.Duration
+	// Trust records that the connection leads to a process that is warm.
+	Trust()
 }
 
 // inDoubt reports whether the endpoint may have started again since it was last known
 // to be warm: the newest connection to it is not trusted.
 func (s *endpointState) inDoubt() bool {
-	return s.doubtful != nil && !s.doubtful.Trusted()
+	return s.doubtful != nil && !s.trusts(s.doubtful)
+}
+
+// trusts reports whether a connection leads to a process that is known to be warm, or
+// has been open for longer than a process is cold after its start.
+func (s *endpointState) trusts(conn Connection) bool {
+	if conn.Trusted() {
+		return true
+	}
+	if s.service == nil || s.service.ColdStart <= 0 || conn.OpenFor() < s.service.ColdStart+restartSlack {
+		return false
+	}
+	conn.Trust()
+	return true
 }
 
 // usedInDoubt reports whether this daemon lately sent, or meant to send, requests to an
@@ -39,7 +56,7 @@
 	if conn == nil || !ep.hasColdRate() {
 		return true, false
 	}
-	doubtful = !conn.Trusted()
+	doubtful = !ep.trusts(conn)
 	if doubtful {
 		if !ep.inDoubt() {
 			ep.doubtSince = now
--- a/pkg/gateway/balance/doubt_test.go
+++ b/pkg/gateway/balance/doubt_test.go
@@ -14,6 +14,7 @@
 type playedConn struct {
 	process int
 	trusted bool
+	age     time.Duration
 }
 
 var _ balance.Connection = (*playedConn)(nil)
@@ -21,6 +22,12 @@
 // Trusted implements balance.Connection.
 func (c *playedConn) Trusted() bool { return c.trusted }
 
+// OpenFor implements balance.Connection.
+func (c *playedConn) OpenFor() time.Duration { return c.age }
+
+// Trust implements balance.Connection.
+func (c *playedConn) Trust() { c.trusted = true }
+
 // playedDaemon is a daemon with at most one kept connection to the endpoint.
 type playedDaemon struct {
 	pool *balance.Pool
@@ -260,6 +267,37 @@
 		}
 	})
 
+	// unchecked lets a daemon send what it may on one connection for twice the cold time and
+	// returns the number of requests after the cold time and a second. No check succeeds.
+	unchecked := func(v *catalog.View) int {
+		pool, conn, sent := newFleet(v, 1)[0], &playedConn{process: 1}, 0
+		for since := time.Duration(0); since < 2*coldStart; since += 10 * time.Millisecond {
+			now := start.Add(since)
+			conn.age = since
+			permit, _ := pool.Permit(newRequest(engines, 0), now)
+			if permit == nil {
+				continue
+			}
+			if permitted, _ := pool.Connected(permit, conn, now); permitted && since >= coldStart+time.Second {
+				sent++
+			}
+			pool.Done(permit, balance.Succeeded, now)
+		}
+		return sent
+	}
+
+	It("gets many times the cold rate without a check on a connection that is older than its cold time", func() {
+		v := published()
+		v.Config.Services[engines].HealthPath = ""
+		Expect(unchecked(v)).To(BeNumerically(">", 150))
+	})
+
+	It("gets no more than the cold rate without a check if its cold time is not known", func() {
+		v := published()
+		v.Config.Services[engines].ColdStart = 0
+		Expect(float64(unchecked(v)) / 2).To(BeNumerically("<=", bound))
+	})
+
 	// withoutShare calls a function for each of many daemons that has no share of the cold
 	// rate, with its connection to the endpoint, on which it has sent nothing.
 	withoutShare := func(call func(pool *balance.Pool, conn *playedConn, now time.Time)) {
--- a/pkg/gateway/continuity/conn.go
+++ b/pkg/gateway/continuity/conn.go
@@ -34,6 +34,18 @@
 	return true
 }
 
+// OpenFor returns the time since the connection was opened, that of suspensions of this VM
+// included.
+func (c *Conn) OpenFor() time.Duration {
+	return c.clock.now() - c.openedAt
+}
+
+// Trust records that the process at the other end is known to be warm. What is known of
+// other connections stays.
+func (c *Conn) Trust() {
+	c.trusted.Store(true)
+}
+
 // Asking records that the process at the other end is about to be asked whether it is
 // warm. It returns a function to call if the answer is that it is: the process has held
 // its address since it was asked, however late the answer was read.
--- a/pkg/gateway/continuity/continuity_test.go
+++ b/pkg/gateway/continuity/continuity_test.go
@@ -161,6 +161,21 @@
 		Expect(conn.Trusted()).To(BeTrue())
 	})
 
+	It("is not trusted because an earlier one is, until the process sends something on that", func() {
+		running += time.Minute
+		earlier := open("e1:80")
+		running += 3 * time.Second
+		suspended += time.Second
+		Expect(earlier.OpenFor()).To(Equal(4 * time.Second))
+		conn := open("e1:80")
+		earlier.Trust()
+		Expect(earlier.Trusted()).To(BeTrue())
+		Expect(conn.Trusted()).To(BeFalse())
+		running += time.Second
+		earlier.sends()
+		Expect(conn.Trusted()).To(BeTrue())
+	})
+
 	It("is not trusted for what is known of another address", func() {
 		known().sends()
 		Expect(open("e2:80").Trusted()).To(BeFalse())
