--- a/pkg/gateway/continuity/conn.go
+++ b/pkg/gateway/continuity/conn.go
@@ -34,21 +34,27 @@
 	return true
 }
 
-// Age returns the time since the connection was opened, that of suspensions included.
-func (c *Conn) Age() time.Duration {
+// OpenFor returns the time since the connection was opened, that of suspensions of this VM
+// included.
+func (c *Conn) OpenFor() time.Duration {
 	return c.clock.now() - c.openedAt
 }
 
-// Trust makes the connection trusted: its process is known to be warm by other means.
+// Trust records that the process at the other end is known to be warm. What is known of
+// other connections stays.
 func (c *Conn) Trust() {
 	c.trusted.Store(true)
 }
 
-// Confirm records that the process at the other end has just answered that it is
-// warm.
-func (c *Conn) Confirm() {
-	c.trusted.Store(true)
-	c.process.confirmedAt.raise(c.clock.now())
+// Asking records that the process at the other end is about to be asked whether it is
+// warm. It returns a function to call if the answer is that it is: the process has held
+// its address since it was asked, however late the answer was read.
+func (c *Conn) Asking() (confirm func()) {
+	askedAt := c.clock.now()
+	return func() {
+		c.trusted.Store(true)
+		c.process.confirmedAt.raise(askedAt)
+	}
 }
 
 // Read implements net.Conn.
@@ -70,8 +76,12 @@
 	if last := c.process.readAt.get(); last != 0 && running-last < readInterval || !c.Trusted() {
 		return
 	}
+	waited, known := sinceArrival(c.Conn)
+	if !known {
+		return
+	}
 	c.process.readAt.raise(running)
-	c.process.sentAt.raise(c.clock.now())
+	c.process.sentAt.raise(c.clock.now() - waited)
 }
 
 // Close implements net.Conn.
