Entry: a daemon one of whose parts fails finishes its requests before it ends

What callers saw: when a listener failed while the daemon served, also one that serves no callers, every request in flight was cut off at once, and callers that connected next met a closed address.

Cause: Run acted on a failed part by closing all connections, without the schedule of a stop.

Change: Run drains as on a stop signal, within the grace time, and returns the error.

Evidence: a spec for each of the four listeners, which fails because its socket is shut down from outside. Before: 4 of 4 streams of 2 s end with "unexpected EOF" 0.2 s after the failure. Now: 4 of 4 are complete, a kept connection gets 200 with the close announced, and Run ends with "serve <name>" within the grace time of 4 s.

Ruled out: that a failed part hinders the drain for long: each step has its moment in the schedule, and the announcement to the others has a deadline.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -287,7 +287,8 @@
 	return mux
 }
 
-// Run serves until stop ends, then shuts down gracefully within the grace time.
+// Run serves until stop ends or a part fails without which the daemon cannot run, then shuts
+// down gracefully within the grace time. It returns the error of the part that failed.
 func (e *Entry) Run(stop context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	stopLog := make(chan struct{})
@@ -301,8 +302,8 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(newLibraryLog(e.log))
 	failed := make(chan error, len(e.servers)+componentCount)
-	// The daemon cannot run without a component that panicked: Run returns the
-	// error and the daemon is started again.
+	// The daemon cannot run without a component that panicked: it finishes its requests,
+	// Run returns the error and the daemon is started again.
 	start := func(component string, work func()) {
 		running.Go(func() {
 			if err := e.guard.Do(component, work); err != nil {
@@ -322,14 +323,12 @@
 	}
 	s := e.opts.Settings
 	e.log.WithFields(logrus.Fields{"vm": s.VM, "region": s.Region, "data_centre": s.DataCentre, "callers": s.CallerAddress}).Info("daemon serves")
+	var failure error
 	select {
-	case err := <-failed:
-		e.log.WithError(err).Error("a component failed: the daemon ends")
-		e.handler.StopBegan(0)
-		e.cutOff()
-		return err
+	case failure = <-failed:
+		e.log.WithError(failure).Error("a component failed: the daemon ends")
 	case <-stop.Done():
 	}
 	e.drain()
-	return nil
+	return failure
 }
