Entry: from the begin of a stop on the daemon says that it is leaving

What callers saw: a daemon whose control state no longer takes anything in answered readiness checks with 200, and named itself in the directory as one that serves, until its listeners had closed; callers that it named met a closed address.

The announcement gives up at its deadline if that event is not taken.

Ruled out: a change for ordinary stops: their control state says the same within milliseconds, and the directory treats both alike (LeavingSince is the begin of the stop).

--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -16,6 +16,7 @@
 	age := e.stopAge()
 	began := time.Now().Add(-age)
 	schedule := e.opts.Settings.stopSchedule()
+	e.leavingSince.Store(&began)
 	e.handler.StopBegan(age)
 	e.leaveCallers()
 	e.handler.Leave(schedule.admitUntil - age)
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -121,6 +121,8 @@
 	servers    []*server
 	// handling is the number of requests that handlers serve.
 	handling atomic.Int64
+	// leavingSince is when a stop began; nil while there is none.
+	leavingSince atomic.Pointer[time.Time]
 }
 
 // memoryShare is the fraction of the memory limit that is set as the soft limit of
@@ -229,9 +231,16 @@
 	return membership
 }
 
-// Snapshot returns the newest snapshot of the control state.
+// Snapshot returns the newest snapshot of the control state. From the begin of a stop on it
+// tells that this daemon is leaving, also if the control state can't take that in any more.
 func (e *Entry) Snapshot() *control.Snapshot {
-	return e.control.Load()
+	snap, since := e.control.Load(), e.leavingSince.Load()
+	if since == nil || snap.Self.State == members.Leaving {
+		return snap
+	}
+	leaving := *snap
+	leaving.Self.State, leaving.Self.LeavingSince = members.Leaving, *since
+	return &leaving
 }
 
 // Log returns the entry's logger.
