A daemon handles SIGHUP from early in its own start on

Cause, by reading and trial: SIGHUP ends a process that has not begun to handle it, and the daemon began in its main function, after some 170 packages had been initialized.

Change: a package that imports only os, os/signal and syscall receives the signal from its initialization on; Go initializes it 22nd. The settings are read later, so such a signal asks for nothing more. The own daemon (without "platform") does not reload: it still ends by SIGHUP (checked by hand: status 129).

Remains: a signal before the program's own code runs (fork, exec, the runtime's start) ends it; only the process that starts it could change that. SIGTERM that early ends the process as before, which is what it asks for.

--- a/cmd/flamingomountd/main.go
+++ b/cmd/flamingomountd/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/flamingomount/flamingomount/pkg/daemon"
+	_ "github.com/flamingomount/flamingomount/pkg/hangup"
 	"github.com/flamingomount/flamingomount/pkg/settings"
 	"github.com/flamingomount/flamingomount/platform"
 )
@@ -58,6 +59,7 @@
 	// Signals are handled before the first caller can connect.
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer release()
+	signal.Reset(syscall.SIGHUP) // nothing here is reloaded
 	loaded, err := settings.Load(file)
 	if err != nil || stop.Err() != nil {
 		return err
