Specs of the proxy: an endpoint that outlives its spec reads nothing that the next one writes

What was seen: go test -race ./pkg/gateway/proxy fails now and then (known red, 1 of 5 runs): all specs pass, one race between the goroutine of a spec and that of a server's connection which had ended.

Cause: the specs of "the line of a request that got no whole answer" share a variable for the channel that releases the endpoint. The endpoint reads it after its first event, when the spec may go on and end without it; the next spec's BeforeEach writes it. A fault of the specs: the code under test is in neither stack.

Change: the endpoint gets the channel of its spec as a parameter. No check changes.

Ruled out: the same pattern in the other specs with shared variables (leave, path, startup, body, retry, handover): by reading, their endpoints and handlers capture none of them.

--- a/pkg/gateway/proxy/ending_test.go
+++ b/pkg/gateway/proxy/ending_test.go
@@ -153,13 +153,10 @@
 	return -1
 }
 
-// Guards against answers that end around a stop and leave no trace of what ended them.
-var _ = Describe("the line of a request that got no whole answer", func() {
-	const forwarded = `X-Gateway-Forward: {"from":"127.0.0.1:9","route":{"name":"r","kind":"streaming"},"service":"svc","left":5000000000}` + "\r\n"
-	const unknown = "GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n"
-	var f *endingFixture
-	var release chan struct{}
-	hold := func(w http.ResponseWriter, r *http.Request) {
+// holdAfterEvent sends one event of a stream and goes on when release is closed. It may run
+// longer than its spec.
+func holdAfterEvent(release <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		signResponse(w, r)
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
@@ -169,9 +166,18 @@
 		case <-r.Context().Done():
 		}
 	}
+}
+
+// Guards against answers that end around a stop and leave no trace of what ended them.
+var _ = Describe("the line of a request that got no whole answer", func() {
+	const forwarded = `X-Gateway-Forward: {"from":"127.0.0.1:9","route":{"name":"r","kind":"streaming"},"service":"svc","left":5000000000}` + "\r\n"
+	const unknown = "GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	var f *endingFixture
+	var hold http.HandlerFunc
 	BeforeEach(func() {
-		release = make(chan struct{})
+		release := make(chan struct{})
 		DeferCleanup(func() { close(release) })
+		hold = holdAfterEvent(release)
 		f = newEndingFixture()
 	})
 
