--- a/pkg/gateway/balance/doubt_test.go
+++ b/pkg/gateway/balance/doubt_test.go
@@ -195,13 +195,20 @@
 		}
 	}, fleetSizes)
 
-	DescribeTable("gets no more than the cold rate while it is known to be cold, also from requests that waited for a connection", func(daemons int, trusted bool) {
+	DescribeTable("gets no more than the cold rate while it may be cold, also from requests that waited for a connection", func(daemons int, trusted, told bool) {
 		for waited := 100 * time.Millisecond; waited <= 1500*time.Millisecond; waited += 100 * time.Millisecond {
 			v := published()
-			v.Endpoints[engines][0].ColdUntil = start.Add(coldStart)
+			if told {
+				v.Endpoints[engines][0].ColdUntil = start.Add(coldStart)
+			}
 			var arrived []time.Time
 			pools := newFleet(v, daemons)
 			waiting := make([][]*balance.Permit, daemons)
+			if !told {
+				for _, pool := range pools {
+					pool.RecordNews(start.Add(-10*time.Second), start.Add(-10*time.Second))
+				}
+			}
 			for now := start; now.Before(start.Add(waited + time.Second)); now = now.Add(10 * time.Millisecond) {
 				for i, pool := range pools {
 					if permit, _ := pool.Permit(newRequest(engines, 0), now); permit != nil {
@@ -222,7 +229,26 @@
 			Expect(float64(mostPerSecond(arrived, start))).To(BeNumerically("<=", bound), "waited for %s", waited)
 			Expect(arrived).NotTo(BeEmpty())
 		}
-	}, Entry("1 daemon", 1, true), Entry("2 daemons", 2, true), Entry("3 daemons", 3, true), Entry("8 daemons", 8, true), Entry("28 daemons", 28, true), Entry("3 daemons, new connections", 3, false))
+	}, Entry("1 daemon", 1, true, true), Entry("2 daemons", 2, true, true), Entry("3 daemons", 3, true, true), Entry("8 daemons", 8, true, true), Entry("28 daemons", 28, true, true),
+		Entry("3 daemons, new connections", 3, false, true), Entry("3 daemons without news of the store", 3, true, false))
+
+	It("gets no more than the cold rate from requests that wait for a connection while the news of the store becomes too old", func() {
+		sent := 0
+		for _, pool := range newFleet(published(), 3) {
+			pool.RecordNews(start, start)
+			var waiting []*balance.Permit
+			for range 20 {
+				waiting = append(waiting, requestPermit(pool, newRequest(engines, 0), start.Add(1900*time.Millisecond)))
+			}
+			for _, permit := range waiting {
+				if permitted, _ := pool.Connected(permit, &playedConn{process: 1, trusted: true}, start.Add(2100*time.Millisecond)); permitted {
+					sent++
+				}
+			}
+		}
+		Expect(float64(sent)).To(BeNumerically("<=", bound))
+		Expect(sent).To(BeNumerically(">", 0))
+	})
 
 	It("gets as many requests as it may although each waited for its connection", func() {
 		v := published()
@@ -348,4 +374,94 @@
 			Expect(pending).To(BeFalse(), "nothing waits any more")
 		})
 	})
+
+	It("is checked within a third of a second although few requests reach it, each on a new connection", func() {
+		pool := newFleet(published(), 3)[0]
+		for now := start; now.Before(start.Add(310 * time.Millisecond)); now = now.Add(150 * time.Millisecond) {
+			permit := requestPermit(pool, newRequest(engines, 0), now)
+			permitted, doubtful := pool.Connected(permit, &playedConn{process: 2}, now)
+			Expect(permitted && doubtful).To(BeTrue())
+			pool.Done(permit, balance.Succeeded, now)
+		}
+		due, _ := pool.DueConfirmations(start.Add(310 * time.Millisecond))
+		Expect(due).To(HaveLen(1))
+		Expect(due[0].Confirms && due[0].InDoubt).To(BeTrue())
+	})
+
+	It("is given no more requests than it may get while they connect", func() {
+		for _, pool := range newFleet(published(), 3) {
+			first := requestPermit(pool, newRequest(engines, 0), start)
+			pool.Connected(first, &playedConn{process: 2}, start)
+			granted := 1
+			for permit, _ := pool.Permit(newRequest(engines, 0), start); permit != nil; permit, _ = pool.Permit(newRequest(engines, 0), start) {
+				granted++
+			}
+			Expect(float64(granted)).To(BeNumerically("<=", bound/3))
+		}
+	})
+
+	It("is given no request after it got as many as it may that were granted before the doubt", func() {
+		for _, pool := range newFleet(published(), 3) {
+			var granted []*balance.Permit
+			for range 10 {
+				granted = append(granted, requestPermit(pool, newRequest(engines, 0), start))
+			}
+			now := start.Add(time.Millisecond)
+			for _, permit := range granted {
+				pool.Connected(permit, &playedConn{process: 2}, now)
+			}
+			permit, _ := pool.Permit(newRequest(engines, 0), now)
+			Expect(permit).To(BeNil())
+		}
+	})
+
+	It("gets every request if its service has no cold rate", func() {
+		pool := newFleet(view(0, 1, nil), 28)[0]
+		for range 100 {
+			permit := requestPermit(pool, newRequest(desk, 0), start)
+			permitted, doubtful := pool.Connected(permit, &playedConn{process: 2}, start)
+			Expect(permitted).To(BeTrue())
+			Expect(doubtful).To(BeFalse())
+			pool.Done(permit, balance.Succeeded, start)
+		}
+	})
+
+	It("lets no request wait at a daemon without a share of its cold rate once a check has found it cold", func() {
+		withoutShare(func(pool *balance.Pool, _ *playedConn, now time.Time) {
+			due, _ := pool.DueConfirmations(now)
+			pool.RecordProbe(due[0], now.Add(coldStart))
+			_, refusal := pool.Permit(newRequest(engines, 0), now)
+			Expect(refusal).NotTo(BeNil())
+		})
+	})
+
+	It("lets requests wait only at the daemons that check it, which are few", func() {
+		const daemons = 28
+		live := fleetOf(daemons)
+		var serving []balance.Daemon
+		for _, vm := range live {
+			serving = append(serving, balance.Daemon{VM: vm, DataCentre: "north-a"})
+		}
+		v := view(20, 0, nil)
+		v.Config.Services[engines].HealthPath = "/well"
+		req := newRequest(engines, 0)
+		for _, endpoint := range v.Endpoints[engines][1:] {
+			req.Tried = append(req.Tried, endpoint.ID)
+		}
+		checking := 0
+		for _, vm := range live {
+			pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+			pool.Update(v, balance.Membership{Self: vm, Live: live, SameDataCentre: live, Serving: serving, PeakLive: daemons})
+			permit := requestPermit(pool, req, start)
+			if permitted, _ := pool.Connected(permit, &playedConn{process: 2}, start); permitted {
+				continue
+			}
+			pool.Done(permit, balance.Abandoned, start)
+			due, _ := pool.DueConfirmations(start)
+			_, refusal := pool.Permit(req, start)
+			Expect(refusal == nil).To(Equal(len(due) > 0))
+			checking += len(due)
+		}
+		Expect(checking).To(BeNumerically("<=", 5))
+	})
 })
--- a/pkg/gateway/balance/restart_test.go
+++ b/pkg/gateway/balance/restart_test.go
@@ -147,6 +147,52 @@
 		}
 	}, Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8), Entry("28 daemons", 28))
 
+	It("gets a share of its own if it has another address", func() {
+		moved := published(500 * time.Millisecond)
+		moved.Endpoints[engines][0].Address = "e9:80"
+		pool := newPool(published(0), 1)
+		for range 20 {
+			pool.Connected(requestPermit(pool, newRequest(engines, 0), start), &playedConn{process: 1, trusted: true}, start)
+		}
+		pool.Update(moved, balance.Membership{Self: "d0", PeakLive: 1})
+		now := start.Add(500 * time.Millisecond)
+		permit := requestPermit(pool, newRequest(engines, 0), now)
+		Expect(permit).NotTo(BeNil())
+		permitted, _ := pool.Connected(permit, &playedConn{process: 2}, now)
+		Expect(permitted).To(BeTrue())
+		Expect(pool.LimitedAsCold(permit.Endpoint.ID, now)).To(BeTrue())
+	})
+
+	It("stays in doubt, with the requests that it got, if its entry does not tell that it is cold", func() {
+		pool := newFleet(published(0), 3)[0]
+		var granted []*balance.Permit
+		for range 10 {
+			granted = append(granted, requestPermit(pool, newRequest(engines, 0), start))
+		}
+		now := start.Add(time.Millisecond)
+		for _, permit := range granted {
+			pool.Connected(permit, &playedConn{process: 2}, now)
+		}
+		again := published(0)
+		again.Endpoints[engines][0].StartedAt = 2
+		live := fleetOf(3)
+		pool.Update(again, balance.Membership{Self: "d0", Live: live, SameDataCentre: live, PeakLive: 3})
+		Expect(pool.LimitedAsCold(granted[0].Endpoint.ID, now)).To(BeTrue())
+		permit, _ := pool.Permit(newRequest(engines, 0), now)
+		Expect(permit).To(BeNil())
+	})
+
+	It("is forgotten if its entry lapses for longer than its requests count", func() {
+		pool := newPool(published(0), 1)
+		pool.Done(requestPermit(pool, newRequest(engines, 0), start), balance.Succeeded, start)
+		member := balance.Membership{Self: "d0", PeakLive: 1}
+		pool.Update(view(0, 0, nil), member)
+		later := start.Add(2 * time.Second)
+		pool.GrantAll(later)
+		pool.Update(published(2*time.Second), member)
+		Expect(pool.TakeRestarts(later)).To(BeEmpty())
+	})
+
 	It("keeps its requests in flight while its entry lapses", func() {
 		pool := newPool(published(0), 1)
 		permit := requestPermit(pool, newRequest(engines, 0), start)
