Continuity: the age of bytes that arrived before a suspension of this VM is not known

A daemon whose VM was suspended reads bytes that had arrived before; their age, as the kernel tells it, leaves the suspension out, so a process that may have started again meanwhile was taken for one that has just sent something, and new connections to it were trusted.

Bytes now count only if they arrived after the last suspension became known.

Evidence: a spec with 100 bytes that arrive before a suspension of 2 s and are read after it; a new connection was trusted before, and is not now until bytes arrive after it.

--- a/pkg/gateway/continuity/conn.go
+++ b/pkg/gateway/continuity/conn.go
@@ -77,7 +77,7 @@
 		return
 	}
 	waited, known := sinceArrival(c.Conn)
-	if !known {
+	if !known || running-waited < c.process.resumed(running, c.clock.Suspended()) {
 		return
 	}
 	c.process.readAt.raise(running)
--- a/pkg/gateway/continuity/continuity.go
+++ b/pkg/gateway/continuity/continuity.go
@@ -100,6 +100,20 @@
 	brokenAt    latest
 	// readAt is the running time at which sentAt was last set.
 	readAt latest
+	// suspended is the total time of suspensions of this VM that is known, resumedAt the
+	// running time at which it became known.
+	suspended latest
+	resumedAt latest
+}
+
+// resumed returns the running time from which on the VM has not been suspended. The age
+// of bytes that arrived before does not include the suspension.
+func (p *process) resumed(running, suspended time.Duration) time.Duration {
+	if suspended > p.suspended.get() {
+		p.resumedAt.raise(running)
+		p.suspended.raise(suspended)
+	}
+	return p.resumedAt.get()
 }
 
 // sentLately reports whether the process has sent something so recently that it is
