--- a/pkg/gateway/entry/drain.go
+++ b/pkg/gateway/entry/drain.go
@@ -91,34 +91,32 @@
 	}
 }
 
-// shutdown shuts down the server of a name until ctx ends.
-func (e *Entry) shutdown(ctx context.Context, name string) {
+// withServer calls use with the server of a name if it is open.
+func (e *Entry) withServer(name string, use func(*server)) {
 	for _, srv := range e.servers {
-		if srv.name != name {
-			continue
+		if srv.name == name {
+			use(srv)
 		}
+	}
+}
+
+// shutdown shuts down the server of a name until ctx ends.
+func (e *Entry) shutdown(ctx context.Context, name string) {
+	e.withServer(name, func(srv *server) {
 		if err := srv.Shutdown(ctx); err != nil {
 			e.log.WithField("listener", name).Warn("requests in flight were cut off at the end of the grace time")
 		}
-	}
+	})
 }
 
 // leaveCallers makes every response to a caller ask for the close of its connection, so
 // that the caller connects to another daemon.
 func (e *Entry) leaveCallers() {
-	for _, srv := range e.servers {
-		if srv.name == callersName {
-			srv.Leave()
-		}
-	}
+	e.withServer(callersName, func(srv *server) { srv.Leave() })
 }
 
 // cancelRequests cancels the requests of callers. A daemon that forwarded a request
 // retries it better after a broken connection.
 func (e *Entry) cancelRequests() {
-	for _, srv := range e.servers {
-		if srv.name == callersName {
-			srv.CancelRequests()
-		}
-	}
+	e.withServer(callersName, func(srv *server) { srv.CancelRequests() })
 }
