Demand: the clock is read once for each request that counts

Record asked for the time to move the window, and again for the suspension. advance returns the time now.

A spec counts the reads: 10 for 5 requests before, 5 now.

--- a/pkg/gateway/demand/demand.go
+++ b/pkg/gateway/demand/demand.go
@@ -69,8 +69,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.advance()
-	if c.now().Before(c.suspendedUntil) {
+	if c.advance().Before(c.suspendedUntil) {
 		return
 	}
 	c.current[route.Name]++
@@ -97,12 +96,12 @@
 	return counts
 }
 
-// advance begins a new window if the current one has ended.
-func (c *Counter) advance() {
+// advance begins a new window if the current one has ended, and returns the time.
+func (c *Counter) advance() time.Time {
 	now := c.now()
 	age := now.Sub(c.began)
 	if age < Window {
-		return
+		return now
 	}
 	c.previous = c.current
 	if age >= 2*Window {
@@ -110,4 +109,5 @@
 	}
 	c.current = make(Counts)
 	c.began = now
+	return now
 }
--- a/pkg/gateway/demand/demand_test.go
+++ b/pkg/gateway/demand/demand_test.go
@@ -62,6 +62,19 @@
 		Expect(counter.Counts()).To(Equal(demand.Counts{"a": 1}))
 	})
 
+	It("reads the clock once for each request, and not for one that does not count", func() {
+		reads := 0
+		counter = demand.NewCounter(func() time.Time {
+			reads++
+			return now
+		})
+		reads = 0
+		record("a", 5)
+		Expect(reads).To(Equal(5))
+		counter.Record(&catalog.Route{Name: "free"})
+		Expect(reads).To(Equal(5))
+	})
+
 	It("leaves out requests while it is suspended", func() {
 		record("a", 1)
 		counter.Suspend(2 * time.Second)
