Specs of the handover: wait until the silent endpoint has learned of its end

Cause: the spec read when the silent endpoint was ended as soon as the caller had its answer; the endpoint learns of the closed connection by itself, and may do so later. The variable also kept the time of the spec before, so that a later entry could have been checked against that.

Change: the spec waits for the endpoint's time, and then makes the same check on it; the times are those of the spec alone.

Ruled out: the daemon ends the stream late: the time is taken before it is stored, and is checked against the same bound.

--- a/pkg/gateway/proxy/handover_test.go
+++ b/pkg/gateway/proxy/handover_test.go
@@ -19,6 +19,11 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
+// handoverTimes holds when a silent stream was ended, and when another request came.
+type handoverTimes struct {
+	silentEnded, resumed atomic.Value
+}
+
 // Guards against a silent stream that is given up before another daemon has taken the rest.
 var _ = Describe("A silent stream over a hop", func() {
 	const (
@@ -38,10 +43,13 @@
 		south.moveSouth(north...)
 		south.start(es...)
 	}
-	// silentEndedAt is when a silent stream was ended, resumedAt when another request came.
-	var silentEndedAt, resumedAt atomic.Value
+	// seen is what the endpoints of the spec tell. An endpoint may outlive its spec, so it
+	// takes this when it is made.
+	var seen *handoverTimes
+	BeforeEach(func() { seen = &handoverTimes{} })
 	// silentAfterFirst sends one event of three and, after a pause, the others.
 	silentAfterFirst := func(pause time.Duration) http.HandlerFunc {
+		seen := seen
 		return func(w http.ResponseWriter, r *http.Request) {
 			signResponse(w, r)
 			w.Header().Set("Content-Type", "text/event-stream")
@@ -54,7 +62,7 @@
 				select {
 				case <-time.After(pause):
 				case <-r.Context().Done():
-					silentEndedAt.Store(time.Now())
+					seen.silentEnded.Store(time.Now())
 					return
 				}
 			}
@@ -64,6 +72,7 @@
 	// for a time, and any other as told.
 	fakeDaemon := func(other http.HandlerFunc) members.Member {
 		var requests atomic.Int64
+		silent := silentAfterFirst(silence)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if requests.Add(1) > 1 {
 				other(w, r)
@@ -71,7 +80,7 @@
 			}
 			_, _ = io.Copy(io.Discard, r.Body)
 			w.Header().Set("X-Gateway-Endpoint", "e0")
-			silentAfterFirst(silence)(w, r)
+			silent(w, r)
 		}))
 		DeferCleanup(server.CloseClientConnections)
 		return northDaemon(server)
@@ -80,13 +89,14 @@
 	// time; the others resume.
 	silentFirst := func(pause time.Duration) (es []*endpoint) {
 		var requests atomic.Int64
+		seen, silent := seen, silentAfterFirst(pause)
 		for range 2 {
 			es = append(es, newEndpoint(func(w http.ResponseWriter, r *http.Request) {
 				if requests.Add(1) == 1 {
-					silentAfterFirst(pause)(w, r)
+					silent(w, r)
 					return
 				}
-				resumedAt.Store(time.Now())
+				seen.resumed.Store(time.Now())
 				eventStream(3, 0)(w, r)
 			}))
 		}
@@ -203,7 +213,8 @@
 		Expect(resp.err).NotTo(HaveOccurred())
 		Expect(resp.body).To(Equal(whole))
 		Expect([]int{es[0].count(), es[1].count()}).To(Equal([]int{1, 1}))
-		Expect(silentEndedAt.Load()).To(BeTemporally("~", resumedAt.Load().(time.Time), overlap))
+		Eventually(seen.silentEnded.Load, eventuallyTimeout).ShouldNot(BeNil(), "the endpoint learns of it after the caller has its answer")
+		Expect(seen.silentEnded.Load()).To(BeTemporally("~", seen.resumed.Load().(time.Time), overlap))
 		Expect(es[0].bodies).To(Equal([]string{body}))
 		Expect(es[1].bodies).To(Equal([]string{body}))
 		Expect(left(south)).To(Equal(int(south.retryFixed*0.9) - 1))
