Directory: the counts of demand are copied only for an answer that needs them

Each lookup copied the counts of all restricted routes, under the lock that every request takes, although an answer that names daemons of the caller's own region is not weighed by them, nor logged with them.

Change: that answer is found first; only without one the counts are asked for.

--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -97,12 +97,8 @@
 // routes, or if the regions have lost their daemons without an announcement. After one,
 // callers keep the daemons that they have for as long as this daemon remembers it.
 func (d Directory) Answer(snap *control.Snapshot, lookup Lookup, own demand.Counts, now time.Time) Answer {
-	regional := snap.InRegion(lookup.Region)
-	if local := inDataCentre(regional, lookup.DataCentre); len(local) >= minLocalDaemons {
-		return answer(LocalScope, local)
-	}
-	if len(regional) > 0 {
-		return answer(RegionScope, regional)
+	if near, found := d.near(snap, lookup); found {
+		return near
 	}
 	if snap.View.Config == nil {
 		return Answer{Scope: NoScope}
@@ -130,6 +126,16 @@
 	return d.leastLedOut(snap, homes, now)
 }
 
+// near returns the daemons of the caller's data centre, or if that has too few, of its
+// region; false if the region has none.
+func (d Directory) near(snap *control.Snapshot, lookup Lookup) (Answer, bool) {
+	regional := snap.InRegion(lookup.Region)
+	if local := inDataCentre(regional, lookup.DataCentre); len(local) >= minLocalDaemons {
+		return answer(LocalScope, local), true
+	}
+	return answer(RegionScope, regional), len(regional) > 0
+}
+
 // anywhere returns all serving daemons, or if there are none, those that stop or start:
 // first those of the caller's region.
 func (d Directory) anywhere(snap *control.Snapshot, region types.Region, now time.Time) Answer {
--- a/pkg/gateway/entry/lookups.go
+++ b/pkg/gateway/entry/lookups.go
@@ -105,10 +105,19 @@
 // Resolve returns which daemons a caller should use, by the newest snapshot; an answer
 // without any means that the caller should keep what it has, or ask another daemon.
 func (e *Entry) Resolve(lookup Lookup) Answer {
-	snap := e.Snapshot()
-	own := e.demand.Counts()
+	return e.resolve(e.Snapshot(), lookup)
+}
+
+// resolve is Resolve on a snapshot.
+func (e *Entry) resolve(snap *control.Snapshot, lookup Lookup) Answer {
 	directory := Directory{Grace: e.opts.Settings.Grace}
-	given := directory.Answer(snap, lookup, own, time.Now())
+	given, found := directory.near(snap, lookup)
+	var own demand.Counts
+	if !found {
+		// Only an answer that leads callers elsewhere is weighed by what they ask for.
+		own = e.demand.Counts()
+		given = directory.Answer(snap, lookup, own, time.Now())
+	}
 	e.lookups.record(snap, lookup, given, own)
 	return given
 }
