Specs of notices and pauses share their steps

The specs "gets no request that waited for a connection to it" and "makes requests go to another region" stood twice, for an endpoint that leaves and for one that asks for a pause. Their steps and checks stand once now, with what differs as parameters. In the second, the remote endpoint has the same ID at both daemons for both (before: only for the pause).

go test ./pkg/gateway/proxy for both groups passes.

--- a/pkg/gateway/proxy/held_dials_test.go
+++ b/pkg/gateway/proxy/held_dials_test.go
@@ -5,7 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 )
 
@@ -53,3 +59,35 @@
 	defer h.mu.Unlock()
 	return h.waiting
 }
+
+// expectElsewhereAfter lets requests wait for a connection to an endpoint while its response
+// to an earlier one, of a status, comes. After that response the endpoint gets none of them:
+// they go to another one.
+func expectElsewhereAfter(respond http.HandlerFunc, status, waiting int) {
+	GinkgoHelper()
+	w := newTestProxy(catalog.NonIdempotent)
+	w.route.MaxAttempts = 1
+	held := newHeldDials()
+	w.transport = held
+	finish := make(chan struct{})
+	near := newEndpoint(func(w http.ResponseWriter, r *http.Request) {
+		<-finish
+		respond(w, r)
+	})
+	far := newEndpoint(respondOK)
+	startNearAndFar(w, near, far)
+	var running conc.WaitGroup
+	running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(status)) })
+	Eventually(near.count, eventuallyTimeout).Should(Equal(1))
+	release := held.hold(near.address())
+	defer release()
+	for range waiting {
+		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(http.StatusOK)) })
+	}
+	Eventually(held.held, eventuallyTimeout).Should(Equal(waiting))
+	close(finish)
+	running.Wait()
+	Expect(far.count()).To(Equal(waiting))
+	release()
+	Consistently(near.count, 200*time.Millisecond).Should(Equal(1))
+}
--- a/pkg/gateway/proxy/notice_test.go
+++ b/pkg/gateway/proxy/notice_test.go
@@ -130,31 +130,7 @@
 	)
 
 	It("gets no request that waited for a connection to it; that request is not counted as sent and goes elsewhere", func() {
-		w := newTestProxy(catalog.NonIdempotent)
-		w.route.MaxAttempts = 1
-		held := newHeldDials()
-		w.transport = held
-		finish := make(chan struct{})
-		near := newEndpoint(saysLeaving(func(w http.ResponseWriter, r *http.Request) {
-			<-finish
-			respondOK(w, r)
-		}))
-		far := newEndpoint(respondOK)
-		startNearAndFar(w, near, far)
-		var running conc.WaitGroup
-		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(200)) })
-		Eventually(near.count, eventuallyTimeout).Should(Equal(1))
-		release := held.hold(near.address())
-		defer release()
-		for range 3 {
-			running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(200)) })
-		}
-		Eventually(held.held, eventuallyTimeout).Should(Equal(3))
-		close(finish)
-		running.Wait()
-		Expect(far.count()).To(Equal(3))
-		release()
-		Consistently(near.count, 200*time.Millisecond).Should(Equal(1))
+		expectElsewhereAfter(saysLeaving(respondOK), http.StatusOK, 3)
 	})
 
 	It("as the last one of its service makes requests be refused as not run, and at once", func() {
@@ -171,18 +147,7 @@
 	})
 
 	It("as the last one of its region makes requests go to another region", func() {
-		local, remote := newEndpoint(saysLeaving(respondOK)), newEndpoint(respondOK)
-		north := newTestProxy(catalog.NonIdempotent)
-		north.start(remote)
-		south := newTestProxy(catalog.NonIdempotent)
-		south.endpointRegion = "south"
-		south.moveSouth(north.asMember())
-		south.start(local)
-		addRemoteEndpoint(south, "north")
-		for range 5 {
-			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
-		}
-		Expect([]int{local.count(), remote.count()}).To(Equal([]int{1, 4}))
+		expectRemoteAfterFirst(saysLeaving(respondOK), 4)
 	})
 
 	It("is not the one that answered for another one with the same address", func() {
@@ -427,3 +392,24 @@
 	}})
 	w.update()
 }
+
+// expectRemoteAfterFirst sends five requests to a proxy whose region has one endpoint, which
+// responds as told, and another region another one. All are answered; the first endpoint gets
+// only the first, and the other one a number of them.
+func expectRemoteAfterFirst(respond http.HandlerFunc, remote int) {
+	GinkgoHelper()
+	localEndpoint, remoteEndpoint := newEndpoint(respond), newEndpoint(respondOK)
+	north := newTestProxy(catalog.NonIdempotent)
+	north.start(remoteEndpoint)
+	north.endpointOf(0).ID = "remote"
+	north.update()
+	south := newTestProxy(catalog.NonIdempotent)
+	south.endpointRegion = "south"
+	south.moveSouth(north.asMember())
+	south.start(localEndpoint)
+	addRemoteEndpoint(south, "north")
+	for range 5 {
+		Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
+	}
+	Expect([]int{localEndpoint.count(), remoteEndpoint.count()}).To(Equal([]int{1, remote}))
+}
--- a/pkg/gateway/proxy/pause_test.go
+++ b/pkg/gateway/proxy/pause_test.go
@@ -95,48 +95,15 @@
 	})
 
 	It("makes requests go to another region", func() {
-		local, remote := newEndpoint(asksPause(time.Minute)), newEndpoint(respondOK)
-		north := newTestProxy(catalog.NonIdempotent)
-		north.start(remote)
-		north.endpointOf(0).ID = "remote"
-		north.update()
-		south := newTestProxy(catalog.NonIdempotent)
-		south.endpointRegion = "south"
-		south.moveSouth(north.asMember())
-		south.start(local)
-		addRemoteEndpoint(south, "north")
-		for range 5 {
-			Expect(south.call("POST", "/r/", "x").status).To(Equal(200))
-		}
-		Expect([]int{local.count(), remote.count()}).To(Equal([]int{1, 5}))
+		expectRemoteAfterFirst(asksPause(time.Minute), 5)
 	})
 
 	It("gets no request that waited for a connection to it", func() {
-		w := newTestProxy(catalog.NonIdempotent)
-		w.route.MaxAttempts = 1
-		held := newHeldDials()
-		w.transport = held
-		finish := make(chan struct{})
-		near := newEndpoint(func(w http.ResponseWriter, r *http.Request) {
-			<-finish
+		expectElsewhereAfter(func(w http.ResponseWriter, r *http.Request) {
 			// A kept connection would take the next request before the response is seen.
 			w.Header().Set("Connection", "close")
 			asksPause(time.Minute)(w, r)
-		})
-		far := newEndpoint(respondOK)
-		startNearAndFar(w, near, far)
-		var running conc.WaitGroup
-		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(503)) })
-		Eventually(near.count, eventuallyTimeout).Should(Equal(1))
-		release := held.hold(near.address())
-		defer release()
-		running.Go(func() { Expect(w.call("POST", "/r/", "x").status).To(Equal(200)) })
-		Eventually(held.held, eventuallyTimeout).Should(Equal(1))
-		close(finish)
-		running.Wait()
-		release()
-		Consistently(near.count, 200*time.Millisecond).Should(Equal(1))
-		Expect(far.count()).To(Equal(1))
+		}, http.StatusServiceUnavailable, 1)
 	})
 
 	It("gets at most two requests later than half a second after it asked, under load", func() {
