soak: endpoints that start again under the ID that they had

Others leave as planned and start again. Beside that the store is away, daemons stop, are killed or stand still.

The link before an endpoint can refuse as the port of an ended process does, or keep silent until the endpoint is back. An arrival names the start of the endpoint that it reached: the checks of leaving, pausing and cold endpoints are by start. For endpoints that do not start again they are as before. Endpoints write their start time, and listen on addresses of the run's range.

--- a/tools/soak/check/bounds.go
+++ b/tools/soak/check/bounds.go
@@ -22,12 +22,13 @@
 	coldWindow = time.Second
 )
 
-// Cold is the time after its start in which an endpoint may get at most Most
-// requests in each coldWindow.
+// Cold is the time after one start of an endpoint in which that start may get at most
+// Most requests in each coldWindow.
 type Cold struct {
-	Endpoint string
-	From, To time.Time
-	Most     float64
+	Endpoint  string
+	StartedAt time.Time
+	From, To  time.Time
+	Most      float64
 }
 
 // attempts checks that no request is sent to more endpoints than its route
@@ -124,15 +125,19 @@
 
 // overheated checks the rate of requests at endpoints that have just started.
 func (r *Record) overheated() []string {
-	times := make(map[string][]time.Time)
+	type start struct {
+		endpoint string
+		at       time.Time
+	}
+	times := make(map[start][]time.Time)
 	for _, arrival := range r.Arrivals {
-		if arrival.Result != standin.Misdirected {
-			times[arrival.Endpoint] = append(times[arrival.Endpoint], arrival.At)
+		if of := (start{arrival.Endpoint, arrival.StartedAt}); arrival.Result != standin.Misdirected {
+			times[of] = append(times[of], arrival.At)
 		}
 	}
 	var broken []string
 	for _, cold := range r.Colds {
-		at := times[cold.Endpoint]
+		at := times[start{cold.Endpoint, cold.StartedAt}]
 		slices.SortFunc(at, time.Time.Compare)
 		for _, begin := range at {
 			end := begin.Add(coldWindow)
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -64,6 +64,21 @@
 	return found
 }
 
+// again lets an endpoint start again under its ID after 0.9 s, cold, and requests reach it
+// at these times.
+func again(r *check.Record, times ...time.Duration) {
+	started := after(900 * time.Millisecond)
+	r.Colds = []check.Cold{
+		{Endpoint: "e1", From: after(0), To: after(900 * time.Millisecond), Most: 2.5},
+		{Endpoint: "e1", StartedAt: started, From: started, To: after(4 * time.Second), Most: 2.5},
+	}
+	for at, arrived := range times {
+		one := arrival(string(rune('p'+at)), "e1", arrived, standin.Answered)
+		one.StartedAt = started
+		r.Arrivals = append(r.Arrivals, one)
+	}
+}
+
 func run(id, path, endpoint string, at time.Duration) standin.Run {
 	return standin.Run{ID: id, Path: path, Endpoint: endpoint, Service: "s", Started: after(at), Ended: after(at + 40*time.Millisecond)}
 }
@@ -290,6 +305,9 @@
 				arrival("c", "e1", 1900*time.Millisecond, standin.Refused),
 			}
 		}, "cold: e1"),
+		Entry("an endpoint that gets too much right after it has started again under its ID", func(r *check.Record) {
+			again(r, time.Second, 1500*time.Millisecond, 1900*time.Millisecond)
+		}, "cold: e1"),
 		Entry("an endpoint used too long after it was told to leave", func(r *check.Record) {
 			r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
 				Forbids: func(run standin.Run) bool { return run.Endpoint == "e2" }}}
@@ -389,6 +407,14 @@
 			r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, standin.Broken))
 		}),
 		Entry("a request to a leaving endpoint within the bound", func(r *check.Record) { leaving(r, 4*time.Second, "d1#1") }),
+		Entry("requests that reached an endpoint before it started again under its ID", func(r *check.Record) {
+			again(r, time.Second, 1900*time.Millisecond)
+			r.Arrivals = append(r.Arrivals, arrival("z", "e1", 500*time.Millisecond, standin.Answered))
+		}),
+		Entry("a request to a leaving endpoint that has started again under its ID", func(r *check.Record) {
+			leaving(r, 5*time.Second, "d1#1")
+			r.Arrivals[len(r.Arrivals)-1].StartedAt = after(4 * time.Second)
+		}),
 		Entry("a request to a leaving endpoint from a new process", func(r *check.Record) { leaving(r, 5*time.Second, "d1#2") }),
 		Entry("a request to a leaving endpoint after a freeze", func(r *check.Record) {
 			leaving(r, 5*time.Second, "d1#1")
--- a/tools/soak/check/leaving.go
+++ b/tools/soak/check/leaving.go
@@ -16,9 +16,10 @@
 	maxInPause = 2
 )
 
-// pair is a daemon's process and an endpoint.
+// pair is a daemon's process and one start of an endpoint.
 type pair struct {
 	process, endpoint string
+	startedAt         time.Time
 }
 
 // byPair returns the arrivals of every pair, in order.
@@ -26,7 +27,7 @@
 	found := make(map[pair][]standin.Arrival)
 	for _, arrival := range arrivals {
 		if arrival.From != "" {
-			of := pair{arrival.From, arrival.Endpoint}
+			of := pair{arrival.From, arrival.Endpoint, arrival.StartedAt}
 			found[of] = append(found[of], arrival)
 		}
 	}
--- a/tools/soak/link/link.go
+++ b/tools/soak/link/link.go
@@ -35,34 +35,83 @@
 // Link forwards connections from an address of its own to a target. It is safe
 // for concurrent use.
 type Link struct {
-	listener net.Listener
-	target   string
+	// address is where callers connect.
+	address string
 	// opened is told of each forwarded connection before any byte is.
 	opened func(onward, caller, here net.Addr)
 
-	mu    sync.Mutex
-	mode  Mode
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
+	mode     Mode
+	// lost is true while the target is gone without a word.
+	lost  bool
 	conns map[net.Conn]bool
 	// refused holds the addresses of callers whose connection the target did not take.
 	refused map[string]bool
 }
 
+// AnyAddress is a free loopback address.
+const AnyAddress = "127.0.0.1:0"
+
 // New listens on a loopback address and forwards to the target. If opened is not
 // nil, it is told of each connection, before any byte is forwarded: the address
 // from which it is forwarded, the caller's address and the link's.
 func New(target string, opened func(onward, caller, here net.Addr)) (*Link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewAt(AnyAddress, target, opened)
+}
+
+// NewAt is New for an address of the caller's choice.
+func NewAt(address, target string, opened func(onward, caller, here net.Addr)) (*Link, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: target, opened: opened, conns: make(map[net.Conn]bool), refused: make(map[string]bool)}
-	go l.accept()
+	l := &Link{
+		address: listener.Addr().String(), listener: listener, target: target, opened: opened,
+		conns: make(map[net.Conn]bool), refused: make(map[string]bool),
+	}
+	go l.accept(listener)
 	return l, nil
 }
 
 // Address is where callers connect.
 func (l *Link) Address() string {
-	return l.listener.Addr().String()
+	return l.address
+}
+
+// Down treats the target as gone until Up. If silent is false, its process has ended:
+// open connections are reset and new ones refused. If it is true, its machine has:
+// nothing is passed on, and no connection ends before Up.
+func (l *Link) Down(silent bool) {
+	l.mu.Lock()
+	l.lost = silent
+	listener := l.listener
+	l.mu.Unlock()
+	if !silent {
+		_ = listener.Close() // Up opens another one
+		l.Reset()
+	}
+}
+
+// Up forwards to a target that has started in place of the one before, at the same
+// address. What was open before is reset.
+func (l *Link) Up(target string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+	if l.lost {
+		l.lost = false
+		l.reset()
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
 }
 
 // Set changes the mode; Refuse also resets what is open.
@@ -79,6 +128,11 @@
 func (l *Link) Reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.reset()
+}
+
+// reset is Reset for a caller that holds mu.
+func (l *Link) reset() {
 	for conn := range l.conns {
 		abort(conn)
 	}
@@ -98,8 +152,10 @@
 
 // Close ends the link.
 func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	_ = l.listener.Close() // closing twice is harmless
-	l.Reset()
+	l.reset()
 }
 
 // abort closes a connection with a reset.
@@ -116,9 +172,16 @@
 	return l.mode
 }
 
-func (l *Link) accept() {
+// targetIsLost reports whether the target is gone without a word.
+func (l *Link) targetIsLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
+func (l *Link) accept(listener net.Listener) {
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -131,7 +194,16 @@
 		abort(caller)
 		return
 	}
-	target, err := net.Dial("tcp", l.target)
+	if l.targetIsLost() {
+		l.keep(caller)
+		defer l.drop(caller)
+		_, _ = io.Copy(io.Discard, caller) // it ends by a reset
+		return
+	}
+	l.mu.Lock()
+	to := l.target
+	l.mu.Unlock()
+	target, err := net.Dial("tcp", to)
 	if err != nil {
 		l.mu.Lock()
 		l.refused[caller.RemoteAddr().String()] = true
@@ -174,7 +246,7 @@
 	for {
 		n, err := from.Read(piece)
 		if n > 0 && l.passes(answers) {
-			if _, err := to.Write(piece[:n]); err != nil {
+			if _, err := to.Write(piece[:n]); err != nil && !l.targetIsLost() {
 				abort(from)
 				return
 			}
@@ -182,6 +254,9 @@
 		if err == nil {
 			continue
 		}
+		if l.targetIsLost() {
+			return // Up resets the other side
+		}
 		if err != io.EOF {
 			abort(to)
 		} else if tcp, ok := to.(*net.TCPConn); ok {
@@ -193,6 +268,9 @@
 
 // passes waits as the mode says and reports whether bytes go on.
 func (l *Link) passes(answers bool) bool {
+	if l.targetIsLost() {
+		return false
+	}
 	switch l.now() {
 	case Slow:
 		time.Sleep(delay)
--- a/tools/soak/link/link_test.go
+++ b/tools/soak/link/link_test.go
@@ -92,6 +92,51 @@
 		Expect(arrived).NotTo(Receive())
 	})
 
+	// moved returns the address of another target in place of the one before.
+	moved := func() string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go echo(conn, arrived)
+			}
+		}()
+		return listener.Addr().String()
+	}
+
+	It("refuses while its target is away, and leads to the next one from the same address", func() {
+		conn := dial()
+		Expect(answered(conn)).To(Succeed())
+		one.Down(false)
+		_, err := conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		_, err = net.Dial("tcp", one.Address())
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		Expect(one.Up(moved())).To(Succeed())
+		Expect(answered(dial())).To(Succeed())
+	})
+
+	It("ends no connection while its target is away without a word, and all of them after that", func() {
+		conn := dial()
+		Expect(answered(conn)).To(Succeed())
+		one.Down(true)
+		Expect(answered(conn)).To(MatchError(ContainSubstring("timeout")))
+		late := dial()
+		Expect(answered(late)).To(MatchError(ContainSubstring("timeout")))
+		Expect(one.Up(moved())).To(Succeed())
+		for _, old := range []net.Conn{conn, late} {
+			Expect(old.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+			_, err := old.Read(make([]byte, 1))
+			Expect(err).To(MatchError(syscall.ECONNRESET))
+		}
+		Expect(answered(dial())).To(Succeed())
+	})
+
 	It("resets what is open and what comes", func() {
 		conn := dial()
 		Expect(answered(conn)).To(Succeed())
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc/pool"
 	"github.com/spf13/cobra"
 
@@ -32,9 +31,6 @@
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
-			if opts.Rolling && opts.Homes {
-				return eris.New("rolling runs and runs with homes exclude each other")
-			}
 			return soak(opts, first, seeds, side, keep)
 		},
 	}
@@ -47,10 +43,12 @@
 	flags.BoolVar(&opts.Rolling, "rolling", false, "stop the daemons of three regions in turn, with long streams and callers of their own kind")
 	flags.IntVar(&opts.Visitors, "visitors", 4, "callers that stay with each daemon in a rolling run")
 	flags.BoolVar(&opts.Homes, "homes", false, "stop all daemons of a region at once, of three regions in turn, with callers that keep the directory's answers for routes with homes")
+	flags.BoolVar(&opts.Restarts, "restarts", false, "let endpoints crash or leave and start again under their IDs, in series")
 	flags.Uint64Var(&first, "seed", 1, "first seed")
 	flags.IntVar(&seeds, "seeds", 1, "number of seeds")
 	flags.IntVar(&side, "side", 4, "runs side by side")
 	flags.StringVar(&keep, "keep", "soak-failures", "directory for the logs of runs that failed")
+	command.MarkFlagsMutuallyExclusive("rolling", "homes", "restarts")
 	if err := command.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -119,13 +117,7 @@
 	if err != nil {
 		return nil, "not started", err
 	}
-	steps := plan.New(opts.Seed, opts.Length)
-	if opts.Rolling {
-		steps = plan.Rolling(opts.Seed, one.DaemonsByRegion(), opts.Length)
-	}
-	if opts.Homes {
-		steps = plan.Homes(opts.Seed, one.DaemonsByRegion(), opts.Length)
-	}
+	steps := drawPlan(opts, one.DaemonsByRegion())
 	record := one.Run(steps)
 	if opts.Homes {
 		fmt.Printf("homes %d | %s\n", opts.Seed, one.HomeRoutes())
@@ -137,6 +129,19 @@
 	return check.All(record), summary(record, len(steps)), nil
 }
 
+// drawPlan draws the plan of the kind of run that the options ask for.
+func drawPlan(opts world.Options, daemons [][]int) []plan.Step {
+	switch {
+	case opts.Rolling:
+		return plan.Rolling(opts.Seed, daemons, opts.Length)
+	case opts.Homes:
+		return plan.Homes(opts.Seed, daemons, opts.Length)
+	case opts.Restarts:
+		return plan.Restarts(opts.Seed, opts.Length)
+	}
+	return plan.New(opts.Seed, opts.Length)
+}
+
 // printTallies prints a line for each class of calls of a rolling run.
 func printTallies(seed uint64, tallies []check.Tally) {
 	for _, one := range tallies {
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -31,6 +31,13 @@
 	// Reload sends SIGHUP to a daemon.
 	Reload Kind = "reload"
 
+	// Rejoin lets an endpoint leave, and start again under its ID and address. Only
+	// plans of Restarts have such a step.
+	Rejoin Kind = "rejoin"
+	// Revive crashes a part of a service's endpoints, each of which starts again under
+	// its ID and address. Only plans of Restarts have such a step.
+	Revive Kind = "revive"
+
 	// Kill ends a daemon with SIGKILL; it starts again.
 	Kill Kind = "kill"
 	// KillAll ends all of them at once.
@@ -60,7 +67,7 @@
 
 // Planned reports whether steps of the kind are planned work.
 func (k Kind) Planned() bool {
-	return k == Replace || slices.Contains(planned, k)
+	return k == Replace || k == Rejoin || slices.Contains(planned, k)
 }
 
 var (
--- a/tools/soak/plan/plan_test.go
+++ b/tools/soak/plan/plan_test.go
@@ -71,6 +71,33 @@
 	})
 })
 
+var _ = Describe("Restarts", func() {
+	It("draws the same plan from the same seed, and another from another one", func() {
+		Expect(plan.Restarts(5, time.Minute)).To(Equal(plan.Restarts(5, time.Minute)))
+		Expect(plan.Restarts(5, time.Minute)).NotTo(Equal(plan.Restarts(6, time.Minute)))
+	})
+
+	It("lets endpoints be away for 0.3 to 4 s, also at the same time, with other steps beside them", func() {
+		seen, overlaps := map[plan.Kind]bool{}, 0
+		for seed := range uint64(10) {
+			var until time.Duration
+			for _, step := range plan.Restarts(seed, time.Minute) {
+				seen[step.Kind] = true
+				if step.Kind != plan.Revive {
+					continue
+				}
+				Expect(step.For).To(And(BeNumerically(">=", 300*time.Millisecond), BeNumerically("<=", 4*time.Second)))
+				if step.At < until {
+					overlaps++
+				}
+				until = max(until, step.At+step.For)
+			}
+		}
+		Expect(seen).To(HaveLen(11))
+		Expect(overlaps).To(BeNumerically(">", 20))
+	})
+})
+
 var _ = Describe("Rolling", func() {
 
 	It("draws the same plan from the same seed, and another from another one", func() {
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -152,6 +152,8 @@
 // the endpoint whose link was disturbed, if one was.
 func (w *World) faultElsewhere(step plan.Step) string {
 	switch step.Kind {
+	case plan.Revive:
+		w.revive(step)
 	case plan.StoreDown:
 		w.store.SetFault([]standin.Fault{standin.Unavailable, standin.RateLimited, standin.Unresponsive}[step.Variant%3])
 		time.Sleep(step.For)
@@ -201,7 +203,7 @@
 // backoff lets an endpoint, or every other time all endpoints of its service, ask
 // for a pause.
 func (w *World) backoff(step plan.Step) {
-	asking := []*endpoint{w.pick(step)}
+	asking := []*endpoint{w.pick(step.Target)}
 	if step.Variant%2 == 0 {
 		asking = w.endpointsOf(asking[0].service)
 	}
@@ -211,18 +213,6 @@
 	time.Sleep(step.For)
 }
 
-func (w *World) endpointsOf(service types.ServiceName) []*endpoint {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var found []*endpoint
-	for _, one := range w.endpoints {
-		if one.service == service {
-			found = append(found, one)
-		}
-	}
-	return found
-}
-
 // behave sets the behaviour of every endpoint of a service.
 func (w *World) behave(service types.ServiceName, behaviour standin.Behaviour) {
 	for _, one := range w.endpointsOf(service) {
@@ -241,7 +231,7 @@
 // endpointFault lets a fault of one endpoint happen, and returns the endpoint if
 // its link was disturbed.
 func (w *World) endpointFault(step plan.Step) string {
-	one := w.pick(step)
+	one := w.pick(step.Target)
 	switch step.Kind {
 	case plan.Crash:
 		w.crash(one, step.For)
@@ -286,18 +276,6 @@
 	})
 }
 
-func (w *World) pick(step plan.Step) *endpoint {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.endpoints[step.Target%len(w.endpoints)]
-}
-
-func (w *World) remove(one *endpoint) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.endpoints = slices.DeleteFunc(w.endpoints, func(other *endpoint) bool { return other == one })
-}
-
 // planned lets planned work happen.
 func (w *World) planned(step plan.Step) {
 	target := w.daemons[step.Target%len(w.daemons)]
@@ -310,6 +288,8 @@
 		w.drain(step)
 	case plan.Leave:
 		w.leave(step)
+	case plan.Rejoin:
+		w.rejoin(step)
 	case plan.Stop:
 		w.stop(target)
 	case plan.Replace:
@@ -396,7 +376,7 @@
 
 // drain replaces an endpoint: the new one comes first.
 func (w *World) drain(step plan.Step) {
-	one := w.pick(step)
+	one := w.pick(step.Target)
 	if _, err := w.addEndpoint(one.service, one.region); err != nil {
 		return
 	}
@@ -413,7 +393,7 @@
 // leave replaces an endpoint that says in its answers that it leaves. The store
 // learns of it at the same time or only at the end.
 func (w *World) leave(step plan.Step) {
-	one := w.pick(step)
+	one := w.pick(step.Target)
 	if _, err := w.addEndpoint(one.service, one.region); err != nil {
 		return
 	}
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -11,7 +11,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,8 +74,12 @@
 	maxAttempts   = 2
 	coldStart     = 2 * time.Second
 	coldPerSecond = 9
-	coldOvershoot = 1.5
-	coldSlack     = 3
+	// coldStartRestarts and coldPerSecondRestarts hold in runs with endpoints that start
+	// again, where each gets a smaller part of the requests than its rate would be.
+	coldStartRestarts     = 3 * time.Second
+	coldPerSecondRestarts = 3
+	coldOvershoot         = 1.5
+	coldSlack             = 3
 	// leastServed is the part of the undisturbed calls that has to be answered, and
 	// leastServedHomes that of a run in which no daemon of a region serves for seconds.
 	leastServed      = 0.95
@@ -104,6 +107,16 @@
 	Visitors int
 	// Homes adds a region and a host with homes, whose callers keep the directory's answers.
 	Homes bool
+	// Restarts lets engines be cold for longer, at a lower rate.
+	Restarts bool
+}
+
+// cold returns how long engines are cold after their start, and their rate then.
+func (o Options) cold() (length time.Duration, perSecond float64) {
+	if o.Restarts {
+		return coldStartRestarts, coldPerSecondRestarts
+	}
+	return coldStart, coldPerSecond
 }
 
 // routeTimeout returns every route's timeout.
@@ -171,15 +184,6 @@
 	service types.ServiceName
 }
 
-// endpoint is a back end with the link before it.
-type endpoint struct {
-	*standin.Endpoint
-	id      string
-	service types.ServiceName
-	region  types.Region
-	link    *link.Link
-}
-
 // New starts everything and waits until each daemon takes callers. After an error
 // the world, if there is one, still has to be closed.
 func New(ctx context.Context, opts Options) (*World, error) {
@@ -194,6 +198,9 @@
 	}
 	w.storeHTTP = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Minute}
 	w.serving.Go(func() { _ = w.storeHTTP.Serve(listener) }) // always http.ErrServerClosed
+	if err := w.reserve(); err != nil {
+		return w, err
+	}
 	w.publish(desk)
 	for _, region := range w.regions() {
 		for _, service := range w.servicesIn(region) {
@@ -233,9 +240,6 @@
 }
 
 func (w *World) startDaemons(store string) error {
-	if err := w.reserve(); err != nil {
-		return err
-	}
 	var seeds []types.VMID
 	for at, region := range w.regions() {
 		for number := range w.daemonsIn(region) {
@@ -354,8 +358,9 @@
 		route("status", standin.StatusPath, catalog.Idempotent, desk),
 		route("fetch", standin.FetchPath, catalog.Idempotent, vault),
 	}
+	cold, perSecond := w.opts.cold()
 	services := map[types.ServiceName]*catalog.Service{
-		engines: {ColdStart: coldStart, ColdPerSecond: coldPerSecond, HealthPath: standin.HealthPath, Engine: &catalog.Engine{Slots: 16, CacheTokens: 100_000}},
+		engines: {ColdStart: cold, ColdPerSecond: perSecond, HealthPath: standin.HealthPath, Engine: &catalog.Engine{Slots: 16, CacheTokens: 100_000}},
 		desk:    {}, annex: {},
 	}
 	if w.opts.Rolling {
@@ -375,47 +380,6 @@
 	})
 }
 
-// addEndpoint starts an endpoint behind a link and publishes it.
-func (w *World) addEndpoint(service types.ServiceName, region types.Region) (*endpoint, error) {
-	const slots = 16
-	w.mu.Lock()
-	w.born++
-	id := fmt.Sprintf("i-%s-%s-%d", service, region, w.born)
-	// Engines that start before the daemons have warmed up.
-	now, coldUntil := time.Now(), time.Time{}
-	if service == engines && len(w.daemons) > 0 {
-		coldUntil = now.Add(coldStart)
-	}
-	w.mu.Unlock()
-	var found *endpoint
-	one, err := standin.NewEndpoint(standin.EndpointOptions{
-		Deadly: func(parts string) bool { return w.tainted.Load() && strings.Contains(parts, check.DeadlyPart) },
-		Crash:  func() { w.crashByPart(found) },
-		ID:     id, Service: service, DataCentre: dataCentreOf(region), Slots: slots, Ledger: w.ledger, Store: w.store,
-		ColdUntil: coldUntil, Sender: w.senders.name,
-	})
-	if err != nil {
-		return nil, eris.Wrap(err, "endpoint")
-	}
-	before, err := link.New(one.Address(), w.senders.opened)
-	if err != nil {
-		return nil, eris.Wrap(err, "link")
-	}
-	one.SetAdvertisedAddress(before.Address())
-	one.SetBehaviour(standin.Behaviour{Delay: workTime})
-	found = &endpoint{Endpoint: one, id: id, service: service, region: region, link: before}
-	w.serving.Go(one.Serve)
-	w.mu.Lock()
-	w.endpoints = append(w.endpoints, found)
-	w.placeOf[id] = dataCentreOf(region)
-	if !coldUntil.IsZero() {
-		w.record.Colds = append(w.record.Colds, check.Cold{Endpoint: id, From: now, To: coldUntil, Most: coldPerSecond*coldOvershoot + coldSlack})
-	}
-	w.mu.Unlock()
-	one.Publish()
-	return found, nil
-}
-
 // workTime is how long a sound endpoint works on a request, and pauses between
 // two events.
 const workTime = 8 * time.Millisecond
