soak: a store that comes back from a copy some seconds old

Revisions go back and are given out again, a watch from one that the store lacks gets 410, Store-Era rises by one. Operator and endpoints write again, within 2 s, what is lost; the entries of endpoints that are gone lapse again after 3 s.

In these runs each version of the configuration has a route that no other version has, and each daemon is asked for the latest ones all the while. 'version' finds an acknowledged version that is not in force in time, or one before it that still is; 'older' a process that goes back behind a version that it has served, which no fault of the store excuses.

'late' no longer lets a fault of endpoints or of the store shortly before a change excuse the change for the rest of the run: such a fault excuses the requests sent within 5 s after it, as before.

--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -26,6 +26,11 @@
 	Region types.Region
 	Sent   time.Time
 	Ended  time.Time
+	// Marker is the one version of the configuration that has the call's route; zero if
+	// others have it too. Process is the daemon's process that took such a call; empty if
+	// that is not known.
+	Marker  uint64
+	Process string
 	// Manner is how a caller that speaks on its connections itself sent the request;
 	// nil for other callers.
 	Manner *Manner
@@ -73,6 +78,9 @@
 	Exits []Span
 	// Configs lists the times at which configurations were published.
 	Configs []time.Time
+	// Markers lists the versions of the configuration that have a route of their own, in
+	// their order.
+	Markers []Marker
 	// Colds lists the endpoints that were cold for a while.
 	Colds []Cold
 	// Changes lists what was published. Bounds in time are checked only if
@@ -156,8 +164,10 @@
 	broken = append(broken, r.left()...)
 	broken = append(broken, r.paused()...)
 	broken = append(broken, r.homes()...)
+	broken = append(broken, r.older()...)
 	if r.Timed {
 		broken = append(broken, r.unserved()...)
+		broken = append(broken, r.notInForce()...)
 		broken = append(broken, r.unanswered()...)
 		broken = append(broken, r.deadly(arrivals)...)
 		broken = append(broken, r.gone(arrivals)...)
@@ -315,7 +325,7 @@
 			continue
 		}
 		for _, run := range runs {
-			if change.Forbids(run) && !r.disturbed("", call.Sent, call.Ended) && !r.disturbed(call.Daemon, change.At, call.Ended) {
+			if change.Forbids(run) && !r.disturbed("", call.Sent, call.Ended) && !r.disturbedDaemon(call.Daemon, change.At, call.Ended) {
 				broken = append(broken, fmt.Sprintf("late: %s %s ran at %s %s after %s", call.ID, call.Path, run.Endpoint,
 					call.Sent.Sub(change.At).Round(time.Millisecond), change.What))
 			}
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// versions publishes version 1 at the start and version 2 a second later.
+func versions(r *check.Record) {
+	r.ConfigWithin = time.Second
+	r.Markers = []check.Marker{{Version: 1, From: after(0), Acknowledged: after(0)}, {Version: 2, From: after(900 * time.Millisecond), Acknowledged: after(time.Second)}}
+}
+
+// probe is a call of the route of a version, which a process answered.
+func probe(version uint64, status int, at time.Duration, process string) check.Call {
+	call := served(fmt.Sprintf("probe-%d-%s", version, at), "/marker", at)
+	call.Direct, call.Marker, call.Process = true, version, process
+	if call.Outcome.Status = status; status != 200 {
+		call.Outcome.Sealed = false
+	}
+	return call
+}
+
 func run(id, path, endpoint string, at time.Duration) standin.Run {
 	return standin.Run{ID: id, Path: path, Endpoint: endpoint, Service: "s", Started: after(at), Ended: after(at + 40*time.Millisecond)}
 }
@@ -308,6 +324,24 @@
 		Entry("an endpoint that gets too much right after it has started again under its ID", func(r *check.Record) {
 			again(r, time.Second, 1500*time.Millisecond, 1900*time.Millisecond)
 		}, "cold: e1"),
+		Entry("an acknowledged configuration that is not in force in time", func(r *check.Record) {
+			versions(r)
+			r.Calls = append(r.Calls, probe(2, 404, 2300*time.Millisecond, "d1#1"))
+		}, "version: d1 answered 404 for the route of version 2, 1.3s after version 2"),
+		Entry("a configuration that was acknowledged soon after the store was away and is never in force", func(r *check.Record) {
+			versions(r)
+			r.Faults = []check.Span{{From: after(0), To: after(800 * time.Millisecond), Elsewhere: true}}
+			r.Calls = append(r.Calls, probe(2, 404, 6*time.Second, "d1#1"))
+		}, "version: d1 answered 404 for the route of version 2, 5s after version 2"),
+		Entry("an endpoint that left soon after the store was away, and is used long after that", func(r *check.Record) {
+			r.Faults = []check.Span{{From: after(-9 * time.Second), To: after(-8 * time.Second), Elsewhere: true}}
+			r.Changes = []check.Change{{What: "leaving", At: after(-4 * time.Second), Within: 3 * time.Second,
+				Forbids: func(run standin.Run) bool { return run.Endpoint == "e2" }}}
+		}, "late: c"),
+		Entry("a configuration that is in force long after the next one was acknowledged", func(r *check.Record) {
+			versions(r)
+			r.Calls = append(r.Calls, probe(1, 200, 2300*time.Millisecond, "d1#1"))
+		}, "version: d1 answered 200 for the route of version 1, 1.3s after version 2"),
 		Entry("an endpoint used too long after it was told to leave", func(r *check.Record) {
 			r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
 				Forbids: func(run standin.Run) bool { return run.Endpoint == "e2" }}}
@@ -522,6 +556,41 @@
 			"ended 3.011s after it, its process 4s after it")))
 	})
 
+	DescribeTable("finds a process that goes back to an older configuration, also while the store is away", func(back check.Call) {
+		r := record()
+		versions(r)
+		r.Faults = []check.Span{{From: after(1500 * time.Millisecond), To: after(2500 * time.Millisecond), Elsewhere: true}}
+		r.Calls = append(r.Calls, probe(2, 200, 1200*time.Millisecond, "d1#1"), back)
+		Expect(check.All(r)).To(ConsistOf(HavePrefix("older: d1#1 answered")))
+	},
+		Entry("a route of an older one is back", probe(1, 200, 1700*time.Millisecond, "d1#1")),
+		Entry("its own route is gone", probe(2, 404, 1700*time.Millisecond, "d1#1")),
+	)
+
+	DescribeTable("allows versions", func(plant func(r *check.Record)) {
+		r := record()
+		versions(r)
+		plant(r)
+		Expect(check.All(r)).To(BeEmpty())
+	},
+		Entry("that are in force within the bound", func(r *check.Record) {
+			r.Calls = append(r.Calls, probe(1, 200, 1900*time.Millisecond, "d1#1"), probe(2, 404, 1950*time.Millisecond, "d1#1"))
+		}),
+		Entry("that are late while the store is away and shortly after", func(r *check.Record) {
+			r.Faults = []check.Span{{From: after(1500 * time.Millisecond), To: after(2500 * time.Millisecond), Elsewhere: true}}
+			r.Calls = append(r.Calls, probe(2, 404, 7*time.Second, "d1#1"))
+		}),
+		Entry("that a new process does not have yet", func(r *check.Record) {
+			r.Calls = append(r.Calls, probe(2, 200, 1200*time.Millisecond, "d1#1"), probe(1, 200, 1900*time.Millisecond, "d1#2"))
+		}),
+		Entry("that give way to a newer one", func(r *check.Record) {
+			r.Calls = append(r.Calls, probe(1, 200, 500*time.Millisecond, "d1#1"), probe(1, 404, 1900*time.Millisecond, "d1#1"))
+		}),
+		Entry("that an older request shows within the slack", func(r *check.Record) {
+			r.Calls = append(r.Calls, probe(2, 200, 1200*time.Millisecond, "d1#1"), probe(1, 200, 1600*time.Millisecond, "d1#1"))
+		}),
+	)
+
 	It("excuses what a fault shortly before may have caused", func() {
 		r := record()
 		r.Changes = []check.Change{{What: "leaving", At: after(-2 * time.Second), Within: 3 * time.Second,
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -44,11 +44,12 @@
 	flags.IntVar(&opts.Visitors, "visitors", 4, "callers that stay with each daemon in a rolling run")
 	flags.BoolVar(&opts.Homes, "homes", false, "stop all daemons of a region at once, of three regions in turn, with callers that keep the directory's answers for routes with homes")
 	flags.BoolVar(&opts.Restarts, "restarts", false, "let endpoints crash or leave and start again under their IDs, in series")
+	flags.BoolVar(&opts.Restored, "restored", false, "let the store come back from copies that are some seconds old")
 	flags.Uint64Var(&first, "seed", 1, "first seed")
 	flags.IntVar(&seeds, "seeds", 1, "number of seeds")
 	flags.IntVar(&side, "side", 4, "runs side by side")
 	flags.StringVar(&keep, "keep", "soak-failures", "directory for the logs of runs that failed")
-	command.MarkFlagsMutuallyExclusive("rolling", "homes", "restarts")
+	command.MarkFlagsMutuallyExclusive("rolling", "homes", "restarts", "restored")
 	if err := command.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -138,6 +139,8 @@
 		return plan.Homes(opts.Seed, daemons, opts.Length)
 	case opts.Restarts:
 		return plan.Restarts(opts.Seed, opts.Length)
+	case opts.Restored:
+		return plan.Restored(opts.Seed, opts.Length)
 	}
 	return plan.New(opts.Seed, opts.Length)
 }
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -38,6 +38,10 @@
 	// its ID and address. Only plans of Restarts have such a step.
 	Revive Kind = "revive"
 
+	// Restore lets the store go away and come back from a copy that was taken at the
+	// step's time. Only plans of Restored have such a step.
+	Restore Kind = "restore"
+
 	// Kill ends a daemon with SIGKILL; it starts again.
 	Kill Kind = "kill"
 	// KillAll ends all of them at once.
--- a/tools/soak/plan/plan_test.go
+++ b/tools/soak/plan/plan_test.go
@@ -98,6 +98,33 @@
 	})
 })
 
+var _ = Describe("Restored", func() {
+	It("draws the same plan from the same seed, and another from another one", func() {
+		Expect(plan.Restored(5, time.Minute)).To(Equal(plan.Restored(5, time.Minute)))
+		Expect(plan.Restored(5, time.Minute)).NotTo(Equal(plan.Restored(6, time.Minute)))
+	})
+
+	It("has the store come back from copies some seconds old, with records that are lost, and copies that overlap", func() {
+		seen, overlaps := map[plan.Kind]bool{}, 0
+		for seed := range uint64(20) {
+			var gone time.Duration
+			for _, step := range plan.Restored(seed, time.Minute) {
+				seen[step.Kind] = true
+				if step.Kind != plan.Restore {
+					continue
+				}
+				Expect(step.For).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 5*time.Second)))
+				if step.At < gone {
+					overlaps++
+				}
+				gone = step.At + step.For
+			}
+		}
+		Expect(seen).To(HaveLen(12))
+		Expect(overlaps).To(BeNumerically(">", 2))
+	})
+})
+
 var _ = Describe("Rolling", func() {
 
 	It("draws the same plan from the same seed, and another from another one", func() {
--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -228,6 +228,16 @@
 	}
 }
 
+// latest returns the name of the process that started last; empty if it has ended.
+func (d *daemon) latest() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.live[d.current] {
+		return ""
+	}
+	return d.current.name
+}
+
 // startNext lets the supervisor start the next process now if the one before still ends.
 func (d *daemon) startNext() {
 	d.mu.Lock()
--- a/tools/soak/world/endpoint.go
+++ b/tools/soak/world/endpoint.go
@@ -51,7 +51,7 @@
 		return nil, eris.Wrap(err, "link")
 	}
 	w.enter(found, cold)
-	found.Publish()
+	w.announce(found, ready)
 	return found, nil
 }
 
@@ -97,13 +97,6 @@
 	}
 }
 
-// awaitStore waits until the store takes what is written.
-func (w *World) awaitStore() {
-	for !w.store.Available() {
-		time.Sleep(pollStore)
-	}
-}
-
 // pick returns an endpoint of those that are there.
 func (w *World) pick(number int) *endpoint {
 	w.mu.Lock()
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -34,6 +34,7 @@
 func (w *World) Run(steps []plan.Step) *check.Record {
 	traffic, stop := context.WithTimeout(context.Background(), w.opts.Length)
 	defer stop()
+	w.traffic = traffic
 	var happening conc.WaitGroup
 	started := time.Now()
 	if w.opts.Homes {
@@ -42,6 +43,9 @@
 		w.callers(traffic)
 	}
 	w.directCallers(traffic)
+	if w.opts.Restored {
+		w.probers(traffic)
+	}
 	var visiting conc.WaitGroup
 	if w.opts.Rolling {
 		w.visitors(traffic, &visiting)
@@ -74,7 +78,7 @@
 // call. It is asked after the run.
 func (w *World) servicesOf(call check.Call) []types.ServiceName {
 	switch {
-	case strings.HasPrefix(call.Path, standin.StatusPath), call.Host == homesHost:
+	case strings.HasPrefix(call.Path, standin.StatusPath), call.Host == homesHost, call.Marker > 0:
 		return []types.ServiceName{desk}
 	case strings.HasPrefix(call.Path, standin.FetchPath):
 		return []types.ServiceName{vault}
@@ -99,7 +103,7 @@
 	switch {
 	case strings.HasPrefix(run.Path, standin.OrderPath):
 		return run.Service == desk || run.Service == annex
-	case strings.HasPrefix(run.Path, standin.StatusPath):
+	case strings.HasPrefix(run.Path, standin.StatusPath), strings.HasPrefix(run.Path, markerPath):
 		return run.Service == desk
 	case strings.HasPrefix(run.Path, standin.FetchPath):
 		return run.Service == vault
@@ -119,6 +123,10 @@
 		w.planned(step)
 		return
 	}
+	if step.Kind == plan.Restore {
+		w.restore(step)
+		return
+	}
 	target := w.daemons[step.Target%len(w.daemons)]
 	fault := check.Span{From: time.Now(), Daemon: target.name}
 	switch step.Kind {
@@ -155,9 +163,7 @@
 	case plan.Revive:
 		w.revive(step)
 	case plan.StoreDown:
-		w.store.SetFault([]standin.Fault{standin.Unavailable, standin.RateLimited, standin.Unresponsive}[step.Variant%3])
-		time.Sleep(step.For)
-		w.store.SetFault(standin.NoFault)
+		w.storeAway(step, step.For, func() {})
 	case plan.StoreForgets:
 		w.store.DropHistory()
 	case plan.Taint:
@@ -255,7 +261,7 @@
 	w.remove(one)
 	one.Kill()
 	time.Sleep(after)
-	one.Withdraw()
+	w.announce(one, absent)
 	// An endpoint that can't listen again is one fewer for the rest.
 	_, _ = w.addEndpoint(one.service, one.region)
 }
@@ -283,7 +289,7 @@
 	case plan.Move:
 		w.move(step)
 	case plan.Evacuate:
-		w.evacuate()
+		w.evacuate(step)
 	case plan.Drain:
 		w.drain(step)
 	case plan.Leave:
@@ -361,17 +367,20 @@
 
 // evacuate takes the south out and back. Reports have one home only, the north,
 // which stays. One evacuation of a data centre follows another.
-func (w *World) evacuate() {
+func (w *World) evacuate(step plan.Step) {
 	w.evacuating.Lock()
 	defer w.evacuating.Unlock()
 	south := dataCentreOf(regions[1])
-	w.store.Evacuate(south)
+	w.setEvacuated(south, true)
 	at := w.change(check.Change{What: "evacuation of " + string(south), Within: evacuateWithin, Forbids: func(run standin.Run) bool {
 		return w.placeOf[run.Endpoint] == south
 	}})
 	time.Sleep(evacuateFor)
+	if step.Variant%2 == 0 {
+		w.awaitEnd()
+	}
 	w.takenBack(at)
-	w.store.EndEvacuation(south)
+	w.setEvacuated(south, false)
 }
 
 // drain replaces an endpoint: the new one comes first.
@@ -381,12 +390,13 @@
 		return
 	}
 	w.remove(one)
-	one.PublishDraining()
+	w.announce(one, draining)
 	w.change(check.Change{What: "leaving of " + one.id, Within: drainWithin, Forbids: func(run standin.Run) bool {
 		return run.Endpoint == one.id
 	}})
 	time.Sleep(lingerAfterDrain)
-	one.Withdraw()
+	w.announce(one, absent)
+	w.awaitEnd()
 	one.Kill()
 }
 
@@ -400,10 +410,10 @@
 	w.remove(one)
 	one.SetLeaving()
 	if step.Variant%2 == 0 {
-		one.PublishDraining()
+		w.announce(one, draining)
 	}
 	time.Sleep(lingerAfterLeave)
-	one.Withdraw()
+	w.announce(one, absent)
 	time.Sleep(drainWithin + time.Second)
 	one.Kill()
 }
--- a/tools/soak/world/restarts.go
+++ b/tools/soak/world/restarts.go
@@ -39,11 +39,10 @@
 	if silent {
 		fault.Endpoint = one.id
 	}
-	one.link.Down(silent)
-	one.Kill()
+	one.end(silent)
 	if step.For > lapse {
 		time.Sleep(lapse)
-		one.Withdraw()
+		w.announce(one, absent)
 	}
 	time.Sleep(time.Until(fault.From.Add(step.For)))
 	w.startAgain(one, step)
@@ -53,6 +52,18 @@
 	w.record.Faults = append(w.record.Faults, fault)
 }
 
+// end ends an endpoint. A silent end comes to the link first, so that no connection tells
+// of it.
+func (e *endpoint) end(silent bool) {
+	if silent {
+		e.link.Down(true)
+		e.Kill()
+		return
+	}
+	e.Kill()
+	e.link.Down(false)
+}
+
 // startAgain starts an endpoint that has ended again, under its ID and address. Its entry
 // is written a little later, or once the store takes it.
 func (w *World) startAgain(one *endpoint, step plan.Step) {
@@ -69,7 +80,7 @@
 	time.Sleep(mostWriteDelay * time.Duration(step.Variant%8) / 8)
 	w.awaitStore()
 	if w.isThere(again) {
-		again.Publish()
+		w.announce(again, ready)
 	}
 }
 
@@ -81,7 +92,7 @@
 }
 
 // takeOut removes an endpoint from those that are there, and reports whether it was there
-// and more than so many others of its service and region stay.
+// and at least so many others of its service and region stay.
 func (w *World) takeOut(one *endpoint, others int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -102,6 +113,9 @@
 // says in its answers, too, that it leaves.
 func (w *World) rejoin(step plan.Step) {
 	candidates := w.endpointsOf(revived[step.Target%len(revived)])
+	if len(candidates) == 0 {
+		return
+	}
 	one := candidates[step.Variant/2%len(candidates)]
 	if !w.takeOut(one, 1) {
 		return
@@ -109,16 +123,13 @@
 	if step.Variant%2 == 0 {
 		one.SetLeaving()
 	}
-	w.awaitStore()
-	one.PublishDraining()
+	w.announce(one, draining)
 	leaving := w.change(check.Change{What: "leaving of " + one.id, Within: drainWithin, Forbids: func(run standin.Run) bool {
 		return run.Endpoint == one.id
 	}})
 	time.Sleep(lingerAfterDrain)
-	w.awaitStore()
-	one.Withdraw()
-	one.link.Down(false)
-	one.Kill()
+	w.announce(one, absent)
+	one.end(false)
 	time.Sleep(step.For)
 	w.takenBack(leaving)
 	w.startAgain(one, step)
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -109,6 +109,9 @@
 	Homes bool
 	// Restarts lets engines be cold for longer, at a lower rate.
 	Restarts bool
+	// Restored marks each configuration by a route of its own, which is asked for all the
+	// while, and lets what was written last longer.
+	Restored bool
 }
 
 // cold returns how long engines are cold after their start, and their rate then.
@@ -162,6 +165,11 @@
 	// evacuating is held while a data centre is evacuated.
 	evacuating sync.Mutex
 
+	// away is held while the store is away, writing while the operator writes.
+	away, writing sync.Mutex
+	// traffic ends with the traffic of the run.
+	traffic context.Context
+
 	// tainted is true from the moment at which the deadly part crashes endpoints.
 	tainted atomic.Bool
 
@@ -176,6 +184,11 @@
 	senders senders
 	// placeOf holds the data centre of every endpoint that ever was, by ID.
 	placeOf map[string]types.DataCentre
+	// entries holds what endpoints have written last, by ID, latest and evacuated what
+	// the operator has: the configuration and the evacuations.
+	entries   map[string]told
+	latest    operatorConfig
+	evacuated map[types.DataCentre]evacuation
 }
 
 // ordersTo is the service to which orders go from a time on.
@@ -188,6 +201,7 @@
 // the world, if there is one, still has to be closed.
 func New(ctx context.Context, opts Options) (*World, error) {
 	w := &World{opts: opts, store: standin.NewStore(), ledger: &standin.Ledger{}, placeOf: make(map[string]types.DataCentre)}
+	w.entries, w.evacuated = make(map[string]told), make(map[types.DataCentre]evacuation)
 	if opts.Homes {
 		w.homeRoutes = drawHomeRoutes(opts.Seed)
 	}
@@ -336,6 +350,9 @@
 
 // publish writes a configuration in which the orders go to a service.
 func (w *World) publish(orders types.ServiceName) {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	w.awaitStore()
 	w.mu.Lock()
 	w.version += 3
 	version := w.version
@@ -374,7 +391,10 @@
 		restricted.Host, restricted.AllowedRegions = homesHost, one.homes
 		routes = append(routes, restricted)
 	}
-	w.store.PublishConfig(&catalog.Config{
+	if w.opts.Restored {
+		routes = append(routes, route("marker", markerPrefix(version), catalog.Idempotent, desk))
+	}
+	w.writeConfig(now, &catalog.Config{
 		Version: version, Routes: routes, Services: services,
 		Limits: catalog.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
 	})
