--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -24,6 +24,8 @@
 	news news
 	// withdrawals holds the endpoints that said they want no requests.
 	withdrawals withdrawals
+	// restarts holds the restarts that have not been taken yet.
+	restarts []restart
 	// constraintsCache caches what was derived from the routes of the view.
 	constraintsCache map[routeConstraintsKey]routeConstraints
 }
@@ -86,12 +88,16 @@
 }
 
 // stateOf returns the state of an endpoint: the existing one if the endpoint has
-// the same start time and address, else a new one.
+// the same start time and address, else one of a new start.
 func (p *Pool) stateOf(placed catalog.ActiveEndpoint) *endpointState {
 	existing := p.states[placed.ID]
-	if existing == nil || existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
+	if existing == nil {
 		return &endpointState{placed: placed, news: &p.news}
 	}
+	if existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
+		p.restarts = append(p.restarts, restart{previous: existing, endpoint: placed.Endpoint})
+		return existing.successor(placed)
+	}
 	existing.placed = placed
 	return existing
 }
@@ -127,7 +133,7 @@
 func (p *Pool) noEndpoint(req RequestInfo, now time.Time) *Refusal {
 	allowed := max(maxWait(req, now), 0)
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) && !p.beingChecked(ep, now) {
 			continue
 		}
 		if available := p.availability(ep, now); !available.leaving && available.pausedUntil.Sub(now) <= allowed {
@@ -200,7 +206,7 @@
 // reserve counts the request as in flight at the endpoint and returns its
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
-	permit := &Permit{Endpoint: ep.placed, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
+	permit := &Permit{Endpoint: ep.placed, state: ep, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
 	ep.inFlight++
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
@@ -219,11 +225,10 @@
 	if !permit.markResponseStarted() {
 		return
 	}
-	if ep := p.states[permit.Endpoint.ID]; ep != nil {
-		ep.removePending(permit)
-		ep.lastResponseAt = now
-		ep.observeResponseTime(permit, now)
-	}
+	ep := permit.state
+	ep.removePending(permit)
+	ep.lastResponseAt = now
+	ep.observeResponseTime(permit, now)
 }
 
 // Done records the result of the attempt, releases the permit and grants the
@@ -233,10 +238,7 @@
 		return
 	}
 	permit.finished = true
-	ep := p.states[permit.Endpoint.ID]
-	if ep == nil {
-		return
-	}
+	ep := permit.state
 	if permit.markResponseStarted() {
 		ep.removePending(permit)
 	}
