--- a/tools/soak/check/bounds.go
+++ b/tools/soak/check/bounds.go
@@ -129,20 +129,25 @@
 		endpoint string
 		at       time.Time
 	}
-	times := make(map[start][]time.Time)
+	arrivals := make(map[start][]standin.Arrival)
 	for _, arrival := range r.Arrivals {
 		if of := (start{arrival.Endpoint, arrival.StartedAt}); arrival.Result != standin.Misdirected {
-			times[of] = append(times[of], arrival.At)
+			arrivals[of] = append(arrivals[of], arrival)
 		}
 	}
 	var broken []string
 	for _, cold := range r.Colds {
-		at := times[start{cold.Endpoint, cold.StartedAt}]
-		slices.SortFunc(at, time.Time.Compare)
-		for _, begin := range at {
-			end := begin.Add(coldWindow)
-			if count := within(at, begin, end); !begin.Before(cold.From) && !end.After(cold.To) && float64(count) > cold.Most {
-				broken = append(broken, fmt.Sprintf("cold: %s got %d requests in the second from %s; %.1f are allowed", cold.Endpoint, count, clock(begin), cold.Most))
+		at := arrivals[start{cold.Endpoint, cold.StartedAt}]
+		slices.SortFunc(at, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
+		for number, first := range at {
+			end := first.At.Add(coldWindow)
+			count := len(at[number:])
+			if beyond := slices.IndexFunc(at[number:], func(one standin.Arrival) bool { return one.At.After(end) }); beyond >= 0 {
+				count = beyond
+			}
+			if !first.At.Before(cold.From) && !end.After(cold.To) && float64(count) > cold.Most {
+				broken = append(broken, fmt.Sprintf("cold: %s got %d requests in the second from %s, %s after its start; %.1f are allowed:%s",
+					cold.Endpoint, count, clock(first.At), first.At.Sub(cold.From).Round(time.Millisecond), cold.Most, tellArrivals(at[number:number+count])))
 				break
 			}
 		}
@@ -150,6 +155,19 @@
 	return broken
 }
 
+// tellArrivals lists from where arrivals came, and when after the first one.
+func tellArrivals(arrivals []standin.Arrival) string {
+	var text strings.Builder
+	for _, one := range arrivals {
+		id := one.ID
+		if id == "" {
+			id = "health"
+		}
+		fmt.Fprintf(&text, " %s %s %d ms,", one.From, id, one.At.Sub(arrivals[0].At).Milliseconds())
+	}
+	return strings.TrimSuffix(text.String(), ",")
+}
+
 // ProcessName names a daemon's process by how often the daemon was started.
 func ProcessName(daemon string, starts int) string {
 	return fmt.Sprintf("%s#%d", daemon, starts)
