soak: requests do not wait until their sender is known

The link before an endpoint looked for the process behind each new connection, by the kernel's tables, before it passed anything on.

--- a/tools/soak/world/sender.go
+++ b/tools/soak/world/sender.go
@@ -22,15 +22,18 @@
 	processes func() map[string]int
 
 	mu    sync.Mutex
-	names map[string]string
+	names map[string]func() string
 }
 
-// opened notes which process opened a connection that a link forwards.
+// opened begins to look for the process that opened a connection which a link forwards.
+// The search takes long on a busy machine; what is sent on the connection does not wait
+// for it.
 func (s *senders) opened(onward, caller, here net.Addr) {
-	name := s.owner(addressOf(caller), addressOf(here))
+	name := sync.OnceValue(func() string { return s.owner(addressOf(caller), addressOf(here)) })
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.names[onward.String()] = name
+	s.mu.Unlock()
+	go name()
 }
 
 func addressOf(address net.Addr) netip.AddrPort {
@@ -38,12 +41,16 @@
 	return netip.AddrPortFrom(tcp.AddrPort().Addr().Unmap(), tcp.AddrPort().Port())
 }
 
-// name returns the process behind a forwarded connection; empty if it was gone
-// when the link looked.
+// name returns the process behind a forwarded connection, as soon as it is known; empty
+// if it was gone when the soak looked.
 func (s *senders) name(onward string) string {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.names[onward]
+	name := s.names[onward]
+	s.mu.Unlock()
+	if name == nil {
+		return ""
+	}
+	return name()
 }
 
 // owner returns the process that holds the socket with these addresses.
--- a/tools/soak/world/world.go
+++ b/tools/soak/world/world.go
@@ -205,7 +205,7 @@
 	if opts.Homes {
 		w.homeRoutes = drawHomeRoutes(opts.Seed)
 	}
-	w.senders = senders{processes: w.processes, names: make(map[string]string)}
+	w.senders = senders{processes: w.processes, names: make(map[string]func() string)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "store")
