--- a/pkg/gateway/balance/doubt.go
+++ b/pkg/gateway/balance/doubt.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Connection tells of the process at the other end of a connection.
 type Connection interface {
@@ -8,67 +11,106 @@
 	// warm before it was opened, or was found to be warm since. It may become true
 	// later.
 	Trusted() bool
-	// Age is the time since the connection was opened.
-	Age() time.Duration
-	// Trust makes the connection trusted.
+	// OpenFor returns the time since the connection was opened.
+	OpenFor() time.Duration
+	// Trust records that the connection leads to a process that is warm.
 	Trust()
 }
 
-// trusted reports whether a connection leads to a process that is warm: it is trusted,
-// or has been open for longer than a process is cold after its start.
-func (s *endpointState) trusted(conn Connection) bool {
+// longestCold is the longest time for which a process may be cold after its start; it
+// returns false if that is not known.
+func (s *endpointState) longestCold() (time.Duration, bool) {
+	if s.service == nil || s.service.ColdStart <= 0 {
+		return 0, false
+	}
+	return s.service.ColdStart + restartSlack, true
+}
+
+// trusts reports whether a connection leads to a process that is known to be warm, or
+// has been open for longer than a process is cold after its start.
+func (s *endpointState) trusts(conn Connection) bool {
 	if conn.Trusted() {
 		return true
 	}
-	if conn.Age() <= s.longestCold() {
+	if longest, known := s.longestCold(); !known || conn.OpenFor() < longest {
 		return false
 	}
 	conn.Trust()
 	return true
 }
 
-// longestCold is the longest time for which a process may be cold after its start.
-func (s *endpointState) longestCold() time.Duration {
-	return s.service.ColdStart + restartSlack
-}
-
 // inDoubt reports whether the endpoint may have started again since it was last known
 // to be warm: the newest connection to it that was not trusted is not yet.
 func (s *endpointState) inDoubt(now time.Time) bool {
-	return s.hasColdRate() && s.doubtful != nil && now.Sub(s.doubtfulAt) <= s.longestCold() && !s.doubtful.Trusted()
+	if !s.hasColdRate() || s.doubtful == nil || s.doubtful.Trusted() {
+		return false
+	}
+	longest, known := s.longestCold()
+	return !known || now.Sub(s.doubtfulAt) < longest
 }
 
 // usedInDoubt reports whether this daemon lately sent, or meant to send, requests to an
 // endpoint in doubt.
 func (s *endpointState) usedInDoubt(now time.Time) bool {
-	return s.inDoubt(now) && s.doubtfulSends(now) > 0
+	if !s.inDoubt(now) {
+		return false
+	}
+	wanted := !s.wantedAt.IsZero() && now.Sub(s.wantedAt) <= coldWindow
+	return wanted || s.doubtfulSends(now) > 0
 }
 
 // Connected records the connection of an attempt, before anything is sent on it. It
 // returns whether the request may be sent, and whether the connection may lead to a
 // process that has just started. All daemons together send such a process no more than
-// a cold endpoint takes, whatever each of them knows of it.
+// a cold endpoint takes, whatever each of them knows of it. A request counts from now on:
+// it may have waited long for the connection.
 func (p *Pool) Connected(permit *Permit, conn Connection, now time.Time) (permitted, doubtful bool) {
-	ep := permit.state
-	if conn == nil || !ep.hasColdRate() || ep.trusted(conn) {
+	ep := permit.state.newest()
+	if conn == nil || !ep.hasColdRate() {
 		return true, false
 	}
-	if !ep.inDoubt(now) {
-		ep.doubtSince = now
+	doubtful = !ep.trusts(conn)
+	if doubtful {
+		ep.doubt(conn, now)
+		ep.arrivals = withinColdWindow(ep.arrivals, now)
+		if len(ep.arrivals) >= p.coldShare(ep) {
+			return false, true
+		}
 	}
-	if ep.doubtful != conn {
-		ep.doubtful, ep.doubtfulAt = conn, now
+	if !p.sendsLate(ep, permit, now) {
+		return false, doubtful
 	}
-	ep.arrivals = withinColdWindow(ep.arrivals, now)
-	if len(ep.arrivals) >= p.coldShare(ep) {
-		return false, true
+	if doubtful {
+		ep.arrivals = append(ep.arrivals, now)
 	}
-	ep.arrivals = append(ep.arrivals, now)
-	if now.Sub(permit.grantedAt) > arrivalMargin {
-		// It counted when it was granted, but arrives only now.
-		ep.coldSends = append(withinColdWindow(ep.coldSends, now), now)
+	return true, doubtful
+}
+
+// doubt records a connection that is not trusted.
+func (s *endpointState) doubt(conn Connection, now time.Time) {
+	if !s.inDoubt(now) {
+		s.doubtSince = now
+	}
+	if s.doubtful != conn {
+		s.doubtful, s.doubtfulAt = conn, now
+	}
+	s.wantedAt = now
+}
+
+// sendsLate lets a request that has waited for its connection count from now on, instead
+// of from its grant. It returns false if the endpoint takes no more requests now.
+func (p *Pool) sendsLate(ep *endpointState, permit *Permit, now time.Time) bool {
+	if now.Sub(permit.grantedAt) <= arrivalMargin {
+		return true
+	}
+	if i := slices.IndexFunc(ep.coldSends, permit.grantedAt.Equal); i >= 0 {
+		ep.coldSends = slices.Delete(ep.coldSends, i, i+1)
 	}
-	return true, true
+	if (ep.cold(now) || ep.mayTurnColdAnyTime(now)) && ep.countedSends(now) >= p.coldShare(ep) {
+		return false
+	}
+	ep.coldSends = append(withinColdWindow(ep.coldSends, now), now)
+	return true
 }
 
 // beingChecked reports whether a health check may soon let this daemon, which has no
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -122,6 +122,8 @@
 	servers    []*server
 	// handling is the number of requests that handlers serve.
 	handling atomic.Int64
+	// leavingSince is when a stop began; nil while there is none.
+	leavingSince atomic.Pointer[time.Time]
 }
 
 // memoryShare is the fraction of the memory limit that is set as the soft limit of
@@ -232,9 +234,16 @@
 	return membership
 }
 
-// Snapshot returns the newest snapshot of the control state.
+// Snapshot returns the newest snapshot of the control state. From the begin of a stop on it
+// tells that this daemon is leaving, also if the control state can't take that in any more.
 func (e *Entry) Snapshot() *control.Snapshot {
-	return e.control.Load()
+	snap, since := e.control.Load(), e.leavingSince.Load()
+	if since == nil || snap.Self.State == members.Leaving {
+		return snap
+	}
+	leaving := *snap
+	leaving.Self.State, leaving.Self.LeavingSince = members.Leaving, *since
+	return &leaving
 }
 
 // Log returns the entry's logger.
@@ -290,7 +299,8 @@
 	return mux
 }
 
-// Run serves until stop ends, then shuts down gracefully within the grace time.
+// Run serves until stop ends or a part fails without which the daemon cannot run, then shuts
+// down gracefully within the grace time. It returns the error of the part that failed.
 func (e *Entry) Run(stop context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	stopLog := make(chan struct{})
@@ -304,8 +314,8 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(newLibraryLog(e.log))
 	failed := make(chan error, len(e.servers)+componentCount)
-	// The daemon cannot run without a component that panicked: Run returns the
-	// error and the daemon is started again.
+	// The daemon cannot run without a component that panicked: it finishes its requests,
+	// Run returns the error and the daemon is started again.
 	start := func(component string, work func()) {
 		running.Go(func() {
 			if err := e.guard.Do(component, work); err != nil {
@@ -325,14 +335,12 @@
 	}
 	s := e.opts.Settings
 	e.log.WithFields(logrus.Fields{"vm": s.VM, "region": s.Region, "data_centre": s.DataCentre, "callers": s.CallerAddress}).Info("daemon serves")
+	var failure error
 	select {
-	case err := <-failed:
-		e.log.WithError(err).Error("a component failed: the daemon ends")
-		e.handler.StopBegan(0)
-		e.cutOff()
-		return err
+	case failure = <-failed:
+		e.log.WithError(failure).Error("a component failed: the daemon ends")
 	case <-stop.Done():
 	}
 	e.drain()
-	return nil
+	return failure
 }
