--- a/tools/soak/link/link.go
+++ b/tools/soak/link/link.go
@@ -81,8 +81,8 @@
 }
 
 // Down treats the target as gone until Up. If silent is false, its process has ended:
-// open connections are reset and new ones refused. If it is true, its machine has:
-// nothing is passed on, and no connection ends before Up.
+// new connections are refused, and open ones end as it ended them, with what it had sent.
+// If it is true, its machine has: nothing is passed on, and no connection ends before Up.
 func (l *Link) Down(silent bool) {
 	l.mu.Lock()
 	l.lost = silent
@@ -90,7 +90,6 @@
 	l.mu.Unlock()
 	if !silent {
 		_ = listener.Close() // Up opens another one
-		l.Reset()
 	}
 }
 
