--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -31,6 +31,17 @@
 	// Reload sends SIGHUP to a daemon.
 	Reload Kind = "reload"
 
+	// Rejoin lets an endpoint leave, and start again under its ID and address. Only
+	// plans of Restarts have such a step.
+	Rejoin Kind = "rejoin"
+	// Revive crashes a part of a service's endpoints, each of which starts again under
+	// its ID and address. Only plans of Restarts have such a step.
+	Revive Kind = "revive"
+
+	// Restore lets the store go away and come back from a copy that was taken at the
+	// step's time. Only plans of Restored have such a step.
+	Restore Kind = "restore"
+
 	// Kill ends a daemon with SIGKILL; it starts again.
 	Kill Kind = "kill"
 	// KillAll ends all of them at once.
@@ -60,7 +71,7 @@
 
 // Planned reports whether steps of the kind are planned work.
 func (k Kind) Planned() bool {
-	return k == Replace || slices.Contains(planned, k)
+	return k == Replace || k == Rejoin || slices.Contains(planned, k)
 }
 
 var (
