--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/sleep"
 )
 
 // Store gives read access to the published state.
@@ -80,7 +81,7 @@
 	for ctx.Err() == nil {
 		if err := r.control.opts.Guard.Do("store reader", func() { r.run(ctx) }); err != nil {
 			r.needFullRead, r.lastRevision = true, 0
-			sleep(ctx, maxBackoff)
+			sleep.For(ctx, maxBackoff)
 		}
 	}
 }
@@ -90,7 +91,7 @@
 		if !r.shouldRead(ctx) {
 			r.active.Store(false)
 			r.needFullRead, r.lastRevision = true, 0
-			sleep(ctx, idlePoll)
+			sleep.For(ctx, idlePoll)
 			continue
 		}
 		if err := r.poll(ctx); err != nil && ctx.Err() == nil {
@@ -173,7 +174,7 @@
 func (r *reader) batchChanges(ctx context.Context) {
 	now := r.control.opts.Now()
 	if now.Sub(r.lastChangeAt) < quietPeriod {
-		sleep(ctx, batchDelay)
+		sleep.For(ctx, batchDelay)
 	}
 	r.lastChangeAt = now
 }
@@ -204,7 +205,7 @@
 			// The guard logs a panic; the next poll tries again.
 			_ = r.control.opts.Guard.Do("evacuation reader", func() { r.readEvacuations(ctx) })
 		}
-		sleep(ctx, evacuationPoll)
+		sleep.For(ctx, evacuationPoll)
 	}
 }
 
@@ -252,17 +253,7 @@
 		r.control.opts.Log.WithError(err).Warn("the store does not answer")
 	}
 	r.backoff = min(max(r.backoff*2, minBackoff), maxBackoff)
-	sleep(ctx, r.backoff)
-}
-
-// sleep waits for the delay or until ctx ends.
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	sleep.For(ctx, r.backoff)
 }
 
 // decideReading decides whether this daemon should read the store now.
