--- a/pkg/gateway/control/log.go
+++ b/pkg/gateway/control/log.go
@@ -51,6 +51,21 @@
 	}).Info("configuration in force")
 }
 
+// logFullRead logs what a full read of the store holds beside what is known. A read
+// below the known revision changes nothing.
+func logFullRead(log logrus.FieldLogger, records []catalog.Record, base uint64, known *catalog.View) {
+	fields := logrus.Fields{"revision": base, "known_revision": known.AppliedRevision, "records": len(records)}
+	for _, record := range records {
+		if record.Config != nil {
+			fields["version"], fields["config_revision"] = record.Config.Version, record.Revision
+		}
+	}
+	if known.Config != nil {
+		fields["known_version"] = known.Config.Version
+	}
+	log.WithFields(fields).Info("all records of the store were read")
+}
+
 func logEndpoints(log logrus.FieldLogger, before, after *catalog.View) {
 	previous, current := endpointsOf(before), endpointsOf(after)
 	for id, endpoint := range current {
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -291,6 +291,7 @@
 func (c *Control) applyFullRead(records []catalog.Record, base uint64, grace time.Duration, now time.Time) {
 	c.recordOwnRead(now)
 	before := c.state.AppliedRevision()
+	logFullRead(c.opts.Log, records, base, c.state.View(now))
 	c.state.Replace(records, base, grace, now)
 	c.dirty = true
 	c.distribute(c.state.Since(before, now), now)
