catalog: a lagging peer does not bring back an endpoint that a full read lacked

Callers could be sent to an endpoint that is gone: a daemon that had started with a full read has no tombstones of earlier deletions, and a peer's delta from the beginning, which was on its way meanwhile, brought the deleted entry back for good.

Cause: a record was merged if its key was unknown, whatever the state was complete up to. Now one that is not later than what the state is complete up to, and that the state does not have, is left out; records of evacuations that a watch did not report, and configurations, which have their own order, are not.

--- a/pkg/gateway/catalog/catalog_test.go
+++ b/pkg/gateway/catalog/catalog_test.go
@@ -69,6 +69,12 @@
 		Expect(state.View(start).Endpoints[service]).To(BeEmpty())
 	})
 
+	It("does not bring back an endpoint that a full read lacked and that a lagging peer still has", func() {
+		state.Replace([]catalog.Record{configRecord(1, 2)}, 9, 0, start)
+		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
+		Expect(state.View(start).Endpoints[service]).To(BeEmpty())
+	})
+
 	It("removes an endpoint that a full read lacks, as after a loss of the history", func() {
 		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil), endpointRecord("e2", 4, nil)), start)
 		state.Replace([]catalog.Record{endpointRecord("e2", 4, nil)}, 9, 0, start)
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -78,7 +78,9 @@
 		return false
 	}
 	for _, record := range delta.Records {
-		s.mergeRecord(record, now)
+		if !s.outdated(record, delta) {
+			s.mergeRecord(record, now)
+		}
 	}
 	if delta.From > s.appliedRevision {
 		return false
@@ -87,6 +89,14 @@
 	return true
 }
 
+// outdated reports whether a record of a delta is of an item that is gone: the state
+// includes every change up to a later one and does not have it.
+func (s *State) outdated(record Record, delta Delta) bool {
+	_, found := s.byKey[record.Key]
+	partOfHistory := delta.To > 0 && record.Config == nil
+	return partOfHistory && !found && record.Revision <= s.appliedRevision
+}
+
 // Replace merges a full read of the store that includes at least every change
 // up to base. Items that it lacks were deleted; their endpoints are used for
 // the grace time longer. A read that is older than the state changes nothing.
