A store that comes back from a copy: changes are ordered by era and revision

Cause: a revision alone was taken as an order of all changes, and the store gives revisions out again. A record was merged only above the known revision, a full read ignored below the state's, peers asked each other by revision. Ruled out: a configuration of the copy that comes into force (no read held one, no daemon went back).

Change: Position{Era, Revision} in place of the revision, in records, deltas, messages, readings and ages of evacuations; the adapter reads the era of each answer. A reader that gets an answer of a later era, also one that looks normal, reads everything. Entering an era keeps what the store lacks for a while (entries 2.2 s, evacuations 5 s) and drops it unless it is written again. An endpoint that the copy shows as ready and that is known to drain stays draining, one known to be gone is held for 6 s. The newest configuration ever seen stays in force and is told to daemons that start, also between daemons at the same position. Messages keep their format; those without an era change nothing under a store that names one, and their senders' reads do not count, so others read.

Tests: platform 'gives a configuration whose revision a lost one had' failed on the code before (timed out after 30 s with the old service).

--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -2,7 +2,8 @@
 // routed by host and path: the operators' configuration, the endpoints that
 // announce themselves and the data centres that are being evacuated.
 //
-// The state is a set of records ordered by revision. Applying records is
+// The state is a set of records ordered by position: the era of the store and the
+// revision in it. Applying records is
 // idempotent and commutative, so daemons may relay them in any order. All
 // methods take the time as a parameter; nothing here reads a clock.
 package catalog
@@ -183,13 +184,23 @@
 type Record struct {
 	Key      string `json:"key"`
 	Revision uint64 `json:"revision"`
+	// Era is the era of Revision; zero if the store has no eras.
+	Era uint64 `json:"era,omitempty"`
 	// Deleted marks a tombstone: the item was removed.
 	Deleted bool `json:"deleted,omitempty"`
 	// Grace is how much longer a deleted endpoint is used, because its entry may
 	// only have expired while the store could not be reached.
 	Grace time.Duration `json:"grace,omitempty"`
+	// Held is how much longer the endpoint gets no requests, because it was known to be
+	// gone before the store came back from a copy that shows it.
+	Held time.Duration `json:"held,omitempty"`
 
 	Config    *Config          `json:"config,omitempty"`
 	Endpoint  *Endpoint        `json:"endpoint,omitempty"`
 	Evacuated types.DataCentre `json:"evacuated,omitempty"`
 }
+
+// Position returns the record's position.
+func (r Record) Position() Position {
+	return Position{Era: r.Era, Revision: r.Revision}
+}
--- a/pkg/gateway/catalog/catalog_test.go
+++ b/pkg/gateway/catalog/catalog_test.go
@@ -58,7 +58,7 @@
 	It("does not advance its revision across a gap", func() {
 		Expect(state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)).To(BeTrue())
 		Expect(state.Apply(deltaOf(5, endpointRecord("e2", 6, nil)), start)).To(BeFalse())
-		Expect(state.AppliedRevision()).To(BeEquivalentTo(3))
+		Expect(state.Applied().Revision).To(BeEquivalentTo(3))
 		Expect(state.View(start).Endpoints[service]).To(HaveLen(2))
 	})
 
@@ -70,27 +70,27 @@
 	})
 
 	It("does not bring back an endpoint that a full read lacked and that a lagging peer still has", func() {
-		state.Replace([]catalog.Record{configRecord(1, 2)}, 9, 0, start)
+		state.Replace([]catalog.Record{configRecord(1, 2)}, catalog.Position{Revision: 9}, 0, start)
 		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
 		Expect(state.View(start).Endpoints[service]).To(BeEmpty())
 	})
 
 	It("removes an endpoint that a full read lacks, as after a loss of the history", func() {
 		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil), endpointRecord("e2", 4, nil)), start)
-		state.Replace([]catalog.Record{endpointRecord("e2", 4, nil)}, 9, 0, start)
+		state.Replace([]catalog.Record{endpointRecord("e2", 4, nil)}, catalog.Position{Revision: 9}, 0, start)
 		Expect(state.View(start).Endpoints[service]).To(HaveLen(1))
-		Expect(state.AppliedRevision()).To(BeEquivalentTo(9))
+		Expect(state.Applied().Revision).To(BeEquivalentTo(9))
 	})
 
 	It("ignores a full read that is older than the state", func() {
 		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
-		state.Replace(nil, 2, 0, start)
+		state.Replace(nil, catalog.Position{Revision: 2}, 0, start)
 		Expect(state.View(start).Endpoints[service]).To(HaveLen(1))
 	})
 
 	It("uses an endpoint whose entry expired in an outage until the grace ends", func() {
 		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
-		state.Replace(nil, 9, 2*time.Second, start)
+		state.Replace(nil, catalog.Position{Revision: 9}, 2*time.Second, start)
 		Expect(state.View(start).Endpoints[service]).To(HaveLen(1))
 		state.Expire(start.Add(1900 * time.Millisecond))
 		Expect(state.View(start).Endpoints[service]).To(HaveLen(1))
@@ -100,17 +100,17 @@
 
 	It("gives no grace to an endpoint that was draining", func() {
 		state.Apply(deltaOf(0, endpointRecord("e1", 3, func(e *catalog.Endpoint) { e.Draining = true })), start)
-		state.Replace(nil, 9, 2*time.Second, start)
+		state.Replace(nil, catalog.Position{Revision: 9}, 2*time.Second, start)
 		Expect(state.View(start).Endpoints[service]).To(BeEmpty())
 	})
 
 	It("sends the remaining grace time to peers", func() {
 		state.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
-		state.Replace(nil, 9, 2*time.Second, start)
+		state.Replace(nil, catalog.Position{Revision: 9}, 2*time.Second, start)
 		later := start.Add(1500 * time.Millisecond)
 		peer := catalog.NewState()
 		peer.Apply(deltaOf(0, endpointRecord("e1", 3, nil)), start)
-		Expect(peer.Apply(state.Since(3, later), later)).To(BeTrue())
+		Expect(peer.Apply(state.Since(catalog.Position{Revision: 3}, later), later)).To(BeTrue())
 		Expect(peer.View(start).Endpoints[service]).To(HaveLen(1))
 		peer.Expire(later.Add(500 * time.Millisecond))
 		Expect(peer.View(start).Endpoints[service]).To(BeEmpty())
@@ -150,10 +150,10 @@
 		})
 
 		It("is used until shortly before the limit, counted from the last reading without the record", func() {
-			state.RecordReading(3, at(0))
-			state.RecordReading(3, at(1))
+			state.RecordReading(catalog.Position{Revision: 3}, at(0))
+			state.RecordReading(catalog.Position{Revision: 3}, at(1))
 			state.Apply(evacuation(4), at(1.5))
-			state.RecordReading(4, at(1.6))
+			state.RecordReading(catalog.Position{Revision: 4}, at(1.6))
 			Expect(used(at(5.4))).To(Equal(1))
 			Expect(state.View(at(2)).Endpoints[service][0].Accepts(at(5.4))).To(BeTrue())
 			Expect(state.View(at(2)).Endpoints[service][0].Accepts(at(6))).To(BeFalse())
@@ -163,29 +163,29 @@
 
 		It("gets nothing at once when nothing tells how old the record is", func() {
 			state.Apply(evacuation(4), at(1))
-			state.RecordReading(4, at(1))
+			state.RecordReading(catalog.Position{Revision: 4}, at(1))
 			Expect(used(at(1))).To(BeZero())
 		})
 
 		It("gets nothing at once when the reading was of a later revision", func() {
-			state.RecordReading(9, at(1))
+			state.RecordReading(catalog.Position{Revision: 9}, at(1))
 			state.Apply(evacuation(4), at(1.1))
 			Expect(used(at(1.2))).To(BeZero())
 		})
 
 		It("gets no more time when the evacuation is requested again", func() {
-			state.RecordReading(3, at(0))
+			state.RecordReading(catalog.Position{Revision: 3}, at(0))
 			state.Apply(evacuation(4), at(0.5))
-			state.RecordReading(4, at(3))
+			state.RecordReading(catalog.Position{Revision: 4}, at(3))
 			state.Apply(evacuation(6), at(3.5))
 			Expect(used(at(5))).To(BeZero())
 		})
 
 		It("gets its time again when it is evacuated anew", func() {
-			state.RecordReading(3, at(0))
+			state.RecordReading(catalog.Position{Revision: 3}, at(0))
 			state.Apply(evacuation(4), at(0.5))
 			state.Apply(end(5), at(10))
-			state.RecordReading(5, at(11))
+			state.RecordReading(catalog.Position{Revision: 5}, at(11))
 			state.Apply(evacuation(6), at(11.5))
 			Expect(used(at(15))).To(Equal(1))
 			Expect(used(at(16))).To(BeZero())
@@ -194,7 +194,7 @@
 		It("is used for the time that a reply of another daemon confirms, whatever the delay of the reply", func() {
 			other := catalog.NewState()
 			other.SetEvacuationLimit(limit)
-			other.RecordReading(3, at(1))
+			other.RecordReading(catalog.Position{Revision: 3}, at(1))
 			other.Apply(evacuation(4), at(1.5))
 			state.Apply(evacuation(4), at(2))
 			Expect(used(at(2))).To(BeZero())
@@ -217,7 +217,7 @@
 		})
 
 		It("is not named by a record without a data centre or of an unknown one", func() {
-			state.RecordReading(3, at(0))
+			state.RecordReading(catalog.Position{Revision: 3}, at(0))
 			for i := range 300 {
 				dc := types.DataCentre("")
 				if i > 0 {
--- a/pkg/gateway/catalog/evacuation.go
+++ b/pkg/gateway/catalog/evacuation.go
@@ -14,9 +14,9 @@
 const maxReadings = 8
 
 // reading tells that the store was asked at a time and answered with the state
-// of a revision. Every later revision was written after that time.
+// of a position. Every later revision of its era was written after that time.
 type reading struct {
-	revision uint64
+	position Position
 	askedAt  time.Time
 }
 
@@ -25,6 +25,7 @@
 type EvacuationAge struct {
 	Key      string `json:"key"`
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
 	// Age is measured when the message that holds it is created.
 	Age time.Duration `json:"age"`
 }
@@ -36,20 +37,21 @@
 }
 
 // RecordReading records that the store was asked at askedAt and answered with
-// the state of a revision. Call it after the records of the answer were applied.
-func (s *State) RecordReading(revision uint64, askedAt time.Time) {
-	s.readings = append(s.readings, reading{revision: revision, askedAt: askedAt})
+// the state of a position. Call it after the records of the answer were applied.
+func (s *State) RecordReading(position Position, askedAt time.Time) {
+	s.readings = append(s.readings, reading{position: position, askedAt: askedAt})
 	if len(s.readings) > maxReadings {
 		s.readings = s.readings[1:]
 	}
 }
 
-// notBefore returns a time before which the revision was not written; zero if
-// none is known.
-func (s *State) notBefore(revision uint64) time.Time {
+// notBefore returns a time before which the record of a position was not written; zero
+// if none is known. A record of a copy may be older than every reading of earlier eras.
+func (s *State) notBefore(position Position) time.Time {
 	var latest time.Time
 	for _, reading := range s.readings {
-		if reading.revision < revision && reading.askedAt.After(latest) {
+		sameEra := reading.position.Era == position.Era
+		if sameEra && reading.position.Before(position) && reading.askedAt.After(latest) {
 			latest = reading.askedAt
 		}
 	}
@@ -63,7 +65,7 @@
 	if stored.Evacuated != "" {
 		return stored.requestedAfter
 	}
-	return s.notBefore(record.Revision)
+	return s.notBefore(record.Position())
 }
 
 // EvacuationAges returns the ages of the evacuations in force whose age is known.
@@ -71,7 +73,9 @@
 	var ages []EvacuationAge
 	for key := range s.evacuationKeys {
 		if stored := s.byKey[key]; !stored.requestedAfter.IsZero() {
-			ages = append(ages, EvacuationAge{Key: key, Revision: stored.Revision, Age: now.Sub(stored.requestedAfter)})
+			ages = append(ages, EvacuationAge{
+				Key: key, Revision: stored.Revision, Era: stored.Era, Age: now.Sub(stored.requestedAfter),
+			})
 		}
 	}
 	return ages
@@ -83,7 +87,8 @@
 func (s *State) ConfirmEvacuations(ages []EvacuationAge, askedAt time.Time) {
 	for _, age := range ages {
 		stored, found := s.byKey[age.Key]
-		if !found || !s.evacuationKeys[age.Key] || stored.Revision != age.Revision || age.Age < 0 {
+		same := found && s.evacuationKeys[age.Key] && stored.Position() == Position{Era: age.Era, Revision: age.Revision}
+		if !same || age.Age < 0 {
 			continue
 		}
 		if requestedAfter := askedAt.Add(-age.Age); requestedAfter.After(stored.requestedAfter) {
@@ -94,12 +99,12 @@
 	}
 }
 
-// NewRecords returns the records that the state does not have in this or a later
-// revision.
+// NewRecords returns the records that the state does not have at this or a later
+// position.
 func (s *State) NewRecords(records []Record) []Record {
 	var unknown []Record
 	for _, record := range records {
-		if stored, found := s.byKey[record.Key]; !found || stored.Revision < record.Revision {
+		if stored, found := s.byKey[record.Key]; !found || stored.Position().Before(record.Position()) {
 			unknown = append(unknown, record)
 		}
 	}
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -16,11 +15,17 @@
 // concurrent use.
 type State struct {
 	byKey map[string]storedRecord
-	// appliedRevision is the revision up to which every change is known.
-	appliedRevision uint64
-	// config is the newest configuration ever received; an older version never
-	// replaces it.
-	config *Config
+	// applied is the position up to which every change is known.
+	applied Position
+	// eraEnteredAt is when the state entered the era of applied from an earlier one;
+	// zero if it didn't.
+	eraEnteredAt time.Time
+	// restored tells of a restoration that was not consumed yet.
+	restored *Restoration
+	// config is the newest configuration ever received, by configRecord; an older
+	// version never replaces it, in whatever era.
+	config       *Config
+	configRecord Record
 	// evacuationEnded holds the time at which the last evacuation of each data
 	// centre ended.
 	evacuationEnded map[types.DataCentre]time.Time
@@ -47,6 +52,12 @@
 	// requestedAfter is a time before which the record's evacuation was not
 	// requested; zero if none is known.
 	requestedAfter time.Time
+	// departed is the last known endpoint of a deleted record.
+	departed *Endpoint
+	// left is true if the record is the first of its era and shows an endpoint as ready
+	// that was known to leave or to be gone; heldUntil is until when it gets no requests.
+	left      bool
+	heldUntil time.Time
 }
 
 // NewState returns an empty State.
@@ -58,16 +69,37 @@
 	}
 }
 
-// AppliedRevision returns the revision up to which every change is known.
-func (s *State) AppliedRevision() uint64 {
-	return s.appliedRevision
+// Applied returns the position up to which every change is known.
+func (s *State) Applied() Position {
+	return s.applied
 }
 
-// Delta holds every change after revision From up to and including To.
+// ConfigVersion returns the version of the newest configuration; zero if there is none.
+func (s *State) ConfigVersion() uint64 {
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Version
+}
+
+// ConfigRecord returns the record that brought the newest configuration; its Config is
+// nil if there is none.
+func (s *State) ConfigRecord() Record {
+	return s.configRecord
+}
+
+// Delta holds every change of an era after revision From up to and including To.
 type Delta struct {
-	From    uint64   `json:"from"`
-	To      uint64   `json:"to"`
-	Records []Record `json:"records,omitempty"`
+	// Era is zero if the store has no eras.
+	Era  uint64 `json:"era,omitempty"`
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"`
+	// Whole is true if Records is all that the sender knows, also from earlier eras.
+	Whole bool `json:"whole,omitempty"`
+	// EraAge is how long ago the sender entered the era from an earlier one; zero if it
+	// didn't. It is measured when the delta is created.
+	EraAge  time.Duration `json:"era_age,omitempty"`
+	Records []Record      `json:"records,omitempty"`
 }
 
 // Apply merges a delta. It reports whether the state now includes every change
@@ -77,15 +109,18 @@
 	if slices.ContainsFunc(delta.Records, func(record Record) bool { return !record.Config.valid() }) {
 		return false
 	}
+	if delta.Whole {
+		s.alignEra(delta, now)
+	}
 	for _, record := range delta.Records {
 		if !s.outdated(record, delta) {
 			s.mergeRecord(record, now)
 		}
 	}
-	if delta.From > s.appliedRevision {
+	if delta.Era != s.applied.Era || delta.From > s.applied.Revision {
 		return false
 	}
-	s.appliedRevision = max(s.appliedRevision, delta.To)
+	s.applied.Revision = max(s.applied.Revision, delta.To)
 	return true
 }
 
@@ -94,43 +129,60 @@
 func (s *State) outdated(record Record, delta Delta) bool {
 	_, found := s.byKey[record.Key]
 	partOfHistory := delta.To > 0 && record.Config == nil
-	return partOfHistory && !found && record.Revision <= s.appliedRevision
+	return partOfHistory && !found && record.Era == s.applied.Era && record.Revision <= s.applied.Revision
+}
+
+// alignEra enters the era of a whole delta if it is later, as of the time at which the
+// sender did.
+func (s *State) alignEra(delta Delta, now time.Time) {
+	enteredAt := now.Add(-max(delta.EraAge, 0))
+	switch {
+	case delta.Era > s.applied.Era:
+		s.enterEra(delta.Era, enteredAt)
+	case delta.Era < s.applied.Era:
+		return
+	}
+	if delta.EraAge > 0 && s.eraEnteredAt.IsZero() {
+		s.eraEnteredAt = enteredAt
+	}
 }
 
 // Replace merges a full read of the store that includes at least every change
-// up to base. Items that it lacks were deleted; their endpoints are used for
-// the grace time longer. A read that is older than the state changes nothing.
-func (s *State) Replace(records []Record, base uint64, grace time.Duration, now time.Time) {
-	if base < s.appliedRevision {
+// up to base. Items of its era that it lacks were deleted; their endpoints are used
+// for the grace time longer. Items of earlier eras that it lacks are kept for a while,
+// in which they are written again. A read that is older than the state changes nothing.
+func (s *State) Replace(records []Record, base Position, grace time.Duration, now time.Time) {
+	if base.Before(s.applied) {
 		return
 	}
+	if base.Era > s.applied.Era {
+		s.enterEra(base.Era, now)
+	}
 	present := make(map[string]bool, len(records))
 	for _, record := range records {
 		present[record.Key] = true
 		s.mergeRecord(record, now)
 	}
 	for key, stored := range s.byKey {
-		if !stored.Deleted && !present[key] && stored.Revision <= base {
-			s.mergeRecord(Record{Key: key, Revision: base, Deleted: true, Grace: grace}, now)
+		if !stored.Deleted && !present[key] && stored.Era == base.Era && stored.Revision <= base.Revision {
+			s.mergeRecord(Record{Key: key, Era: base.Era, Revision: base.Revision, Deleted: true, Grace: grace}, now)
 		}
 	}
-	s.appliedRevision = max(s.appliedRevision, base)
+	s.applied = base
 }
 
-// mergeRecord merges one record unless the state has the same or a later revision
-// of it.
+// mergeRecord merges one record unless the state has it at the same or a later
+// position, or it is of an earlier era and no longer kept.
 func (s *State) mergeRecord(record Record, now time.Time) {
+	s.adoptConfig(record)
 	stored, found := s.byKey[record.Key]
-	if found && stored.Revision >= record.Revision {
+	if found && !stored.Position().Before(record.Position()) {
 		return
 	}
-	next := storedRecord{Record: record, mergedAt: now}
-	if record.Deleted && record.Grace > 0 && stored.Endpoint != nil && !stored.Endpoint.Draining {
-		next.graceEndpoint, next.graceEnds = stored.Endpoint, now.Add(record.Grace)
-	}
-	if record.Endpoint != nil && record.Endpoint.Cold > 0 {
-		next.coldUntil = coldEnd(record.Endpoint, stored, now)
+	if record.Era < s.applied.Era && !s.kept(record, now) {
+		return
 	}
+	next := s.nextRecord(record, stored, now)
 	delete(s.evacuationKeys, record.Key)
 	if record.Evacuated != "" {
 		next.requestedAfter = s.evacuationStart(record, stored)
@@ -141,10 +193,44 @@
 	}
 	s.byKey[record.Key] = next
 	s.changed = true
-	if record.Config != nil && (s.config == nil || record.Config.Version > s.config.Version) {
-		record.Config.Prepare()
-		s.config = record.Config
+}
+
+// nextRecord returns what is stored of an endpoint's record, or of its deletion, in
+// place of the stored one.
+func (s *State) nextRecord(record Record, stored storedRecord, now time.Time) storedRecord {
+	next := storedRecord{Record: record, mergedAt: now}
+	if record.Deleted {
+		next.departed = stored.lastKnown()
+		inUse := stored.Endpoint != nil && !stored.Endpoint.Draining && stored.heldUntil.IsZero()
+		if record.Grace > 0 && inUse {
+			next.graceEndpoint, next.graceEnds = stored.Endpoint, now.Add(record.Grace)
+		}
+	}
+	if record.Endpoint != nil && record.Endpoint.Cold > 0 {
+		next.coldUntil = coldEnd(record.Endpoint, stored, now)
+	}
+	if record.Held > 0 {
+		next.heldUntil = now.Add(min(record.Held, heldTime))
 	}
+	if stored.Era < record.Era {
+		next.carryOver(stored, now)
+	}
+	return next
+}
+
+// AdoptConfig adopts a configuration that was in force before, without its record.
+func (s *State) AdoptConfig(record Record) {
+	s.adoptConfig(record)
+}
+
+// adoptConfig adopts the record's configuration if it is the newest one ever received.
+func (s *State) adoptConfig(record Record) {
+	if record.Config == nil || s.config != nil && record.Config.Version <= s.config.Version {
+		return
+	}
+	record.Config.Prepare()
+	s.config, s.configRecord = record.Config, record
+	s.changed = true
 }
 
 // coldEnd returns the end of an endpoint's cold time. A record holds the time
@@ -160,32 +246,68 @@
 	return end
 }
 
-// Since returns the changes after a revision, for a lagging peer.
-func (s *State) Since(revision uint64, now time.Time) Delta {
-	delta := Delta{From: revision, To: s.appliedRevision}
-	if revision >= s.appliedRevision {
-		delta.To = revision
-		return delta
+// Since returns the changes after a position, for a lagging peer: everything if the
+// position is of an earlier era. It includes the newest configuration if the store
+// shows an older one.
+func (s *State) Since(position Position, now time.Time) Delta {
+	if !position.Before(s.applied) {
+		return Delta{Era: position.Era, From: position.Revision, To: position.Revision}
+	}
+	if position.Era < s.applied.Era {
+		return s.Whole(now)
+	}
+	delta := Delta{Era: s.applied.Era, From: position.Revision, To: s.applied.Revision}
+	delta.Records = s.recordsAfter(position, now)
+	return delta
+}
+
+// Whole returns all that is known, for a peer that knows nothing or an earlier era.
+func (s *State) Whole(now time.Time) Delta {
+	delta := Delta{Era: s.applied.Era, To: s.applied.Revision, Whole: true, Records: s.recordsAfter(Position{}, now)}
+	if !s.eraEnteredAt.IsZero() {
+		delta.EraAge = max(now.Sub(s.eraEnteredAt), 1)
 	}
+	if s.config != nil && s.byKey[s.configRecord.Key].Config != s.config {
+		delta.Records = append(delta.Records, s.configRecord)
+	}
+	return delta
+}
+
+// recordsAfter returns the stored records after a position, in order.
+func (s *State) recordsAfter(position Position, now time.Time) []Record {
+	var records []Record
 	for _, stored := range s.byKey {
-		if stored.Revision <= revision {
+		if !position.Before(stored.Position()) {
 			continue
 		}
 		record := stored.Record
-		record.Grace = max(stored.graceEnds.Sub(now), 0)
-		if stored.graceEnds.IsZero() {
-			record.Grace = 0
-		}
-		delta.Records = append(delta.Records, record)
+		record.Grace = remaining(stored.graceEnds, now)
+		record.Held = remaining(stored.heldUntil, now)
+		records = append(records, record)
 	}
-	slices.SortFunc(delta.Records, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
-	return delta
+	slices.SortFunc(records, func(a, b Record) int { return a.Position().compare(b.Position()) })
+	return records
 }
 
-// Expire removes old tombstones and the endpoints whose grace time has ended.
-// Call it a few times per second.
-func (s *State) Expire(now time.Time) {
+// remaining returns the time until end; zero if it is over or not set.
+func remaining(end, now time.Time) time.Duration {
+	if end.IsZero() {
+		return 0
+	}
+	return max(end.Sub(now), 0)
+}
+
+// Expire removes old tombstones and the endpoints whose grace time has ended. It
+// returns the keys of items that were kept after a restoration of the store and have
+// not been written again. Call it a few times per second.
+func (s *State) Expire(now time.Time) (dropped []string) {
+	dropped = s.dropUnconfirmed(now)
 	for key, stored := range s.byKey {
+		if !stored.heldUntil.IsZero() && !now.Before(stored.heldUntil) {
+			stored.heldUntil, stored.left = time.Time{}, false
+			s.byKey[key] = stored
+			s.changed = true
+		}
 		if stored.graceEndpoint != nil && !now.Before(stored.graceEnds) {
 			stored.graceEndpoint = nil
 			s.byKey[key] = stored
@@ -195,6 +317,7 @@
 			delete(s.byKey, key)
 		}
 	}
+	return dropped
 }
 
 // ConsumeChanged reports whether the state changed since the last call, and clears
--- a/pkg/gateway/catalog/view.go
+++ b/pkg/gateway/catalog/view.go
@@ -12,11 +12,13 @@
 type View struct {
 	// Config is nil until a configuration has been received.
 	Config *Config
-	// AppliedRevision is the revision up to which every change is included.
+	// AppliedRevision is the revision of Era up to which every change is included.
 	AppliedRevision uint64
-	Endpoints       map[types.ServiceName][]ActiveEndpoint
-	// Leaving lists the endpoints that get no more requests but still run: they
-	// are draining, or their data centre has been evacuated.
+	// Era is the store's era; zero if it has none.
+	Era       uint64
+	Endpoints map[types.ServiceName][]ActiveEndpoint
+	// Leaving lists the endpoints that get no more requests but may still run: they
+	// are draining or held, or their data centre has been evacuated.
 	Leaving   map[types.ServiceName][]ActiveEndpoint
 	Evacuated map[types.DataCentre]bool
 }
@@ -39,13 +41,19 @@
 	return e.LastRequestAt.IsZero() || now.Before(e.LastRequestAt)
 }
 
+// Position returns the position up to which every change is included.
+func (v *View) Position() Position {
+	return Position{Era: v.Era, Revision: v.AppliedRevision}
+}
+
 // View returns a snapshot with the current configuration and the endpoints that
 // are not deleted (beyond their grace time). Endpoints are sorted by ID; those
-// that are draining or in a data centre that has been evacuated are listed apart.
+// that are draining, held or in a data centre that has been evacuated are listed apart.
 func (s *State) View(now time.Time) *View {
 	view := &View{
 		Config:          s.config,
-		AppliedRevision: s.appliedRevision,
+		AppliedRevision: s.applied.Revision,
+		Era:             s.applied.Era,
 		Endpoints:       make(map[types.ServiceName][]ActiveEndpoint),
 		Leaving:         make(map[types.ServiceName][]ActiveEndpoint),
 		Evacuated:       make(map[types.DataCentre]bool),
@@ -65,7 +73,7 @@
 		last, evacuated := evacuations[endpoint.DataCentre]
 		active := ActiveEndpoint{Endpoint: endpoint, LastRequestAt: last}
 		active.ColdUntil, active.ColdAssumed = s.coldUntil(endpoint, stored.coldUntil)
-		if endpoint.Draining || evacuated && !now.Before(last) {
+		if endpoint.Draining || now.Before(stored.heldUntil) || evacuated && !now.Before(last) {
 			view.Leaving[endpoint.Service] = append(view.Leaving[endpoint.Service], active)
 			continue
 		}
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -217,11 +217,13 @@
 	}
 }
 
-// resetState replaces the state by an empty one. Requests use the view of the last
-// snapshot until the new state has received at least the same revision from the
-// store or another daemon.
+// resetState replaces the state by an empty one that keeps the newest configuration.
+// Requests use the view of the last snapshot until the new state has received at least
+// the same position from the store or another daemon.
 func (c *Control) resetState() {
+	newest := c.state.ConfigRecord()
 	c.state = catalog.NewState()
+	c.state.AdoptConfig(newest)
 	c.state.SetEvacuationLimit(c.opts.EvacuationLimit)
 	c.table = c.table.EmptyCopy()
 	c.crashes = crashes.NewLog()
@@ -232,7 +234,7 @@
 
 // tick expires old state and sends heartbeats.
 func (c *Control) tick(now time.Time) {
-	c.state.Expire(now)
+	logDropped(c.opts.Log, c.state.Expire(now))
 	c.table.Forget(now)
 	c.crashes.Expire(now)
 	c.decide(now)
@@ -261,7 +263,7 @@
 	switch {
 	case previous == nil:
 		next.View = c.state.View(now)
-	case c.state.AppliedRevision() < previous.View.AppliedRevision:
+	case c.state.Applied().Before(previous.View.Position()):
 		next.View = previous.View
 		if len(next.Members) == 0 {
 			next.Members = previous.Members
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http/httptest"
 	"slices"
@@ -56,6 +57,8 @@
 	records map[string]catalog.Record
 	log     []catalog.Record
 	rev     uint64
+	// era rises by one with each restore.
+	era uint64
 	// kept is the oldest revision after which the history is complete.
 	kept   uint64
 	down   bool
@@ -77,7 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
-	record.Revision = s.rev
+	record.Revision, record.Era = s.rev, s.era
 	if record.Deleted {
 		delete(s.records, record.Key)
 	} else {
@@ -94,27 +97,72 @@
 	change()
 }
 
+// copied is the content of a fakeStore at one time.
+type copied struct {
+	records map[string]catalog.Record
+	log     []catalog.Record
+	rev     uint64
+}
+
+func (s *fakeStore) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copied{records: maps.Clone(s.records), log: slices.Clone(s.log), rev: s.rev}
+}
+
+// restore goes on from a copy in a new era. The copy's records are of that era too, as
+// its answers say.
+func (s *fakeStore) restore(from copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.records, s.log, s.rev = map[string]catalog.Record{}, nil, from.rev
+	for key, record := range from.records {
+		record.Era = s.era
+		s.records[key] = record
+	}
+	for _, record := range from.log {
+		record.Era = s.era
+		s.log = append(s.log, record)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// endpoints returns the IDs of the endpoints that the store shows.
+func (s *fakeStore) endpoints() []types.EndpointID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []types.EndpointID
+	for _, record := range s.records {
+		if record.Endpoint != nil {
+			ids = append(ids, record.Endpoint.ID)
+		}
+	}
+	return ids
+}
+
 // ReadAll implements control.Store.
-func (s *fakeStore) ReadAll(context.Context) ([]catalog.Record, uint64, error) {
+func (s *fakeStore) ReadAll(context.Context) ([]catalog.Record, catalog.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.down {
-		return nil, 0, errDown
+		return nil, catalog.Position{}, errDown
 	}
 	var all []catalog.Record
 	for _, record := range s.records {
 		all = append(all, record)
 	}
-	return jsonCopy(all), s.rev, nil
+	return jsonCopy(all), catalog.Position{Era: s.era, Revision: s.rev}, nil
 }
 
 // ReadEvacuations implements control.Store.
-func (s *fakeStore) ReadEvacuations(context.Context) ([]catalog.Record, uint64, error) {
+func (s *fakeStore) ReadEvacuations(context.Context) ([]catalog.Record, catalog.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, errDown
+		return nil, catalog.Position{}, errDown
 	}
 	var found []catalog.Record
 	for _, record := range s.records {
@@ -122,11 +170,11 @@
 			found = append(found, record)
 		}
 	}
-	return jsonCopy(found), s.rev, nil
+	return jsonCopy(found), catalog.Position{Era: s.era, Revision: s.rev}, nil
 }
 
 // Watch implements control.Store.
-func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Delta, error) {
+func (s *fakeStore) Watch(ctx context.Context, after catalog.Position, wait time.Duration) (catalog.Delta, error) {
 	s.watches.Add(1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -145,16 +193,19 @@
 	}
 }
 
-func (s *fakeStore) since(after uint64) (catalog.Delta, chan struct{}, error) {
+func (s *fakeStore) since(position catalog.Position) (catalog.Delta, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delta := catalog.Delta{From: after, To: s.rev}
+	after := position.Revision
+	delta := catalog.Delta{Era: s.era, From: after, To: s.rev}
 	switch {
 	case s.down:
 		return delta, nil, errDown
 	case s.silent || s.deaf:
 		delta.To = after
 		return delta, make(chan struct{}), nil
+	case position.Era < s.era:
+		return delta, nil, control.ErrRestored
 	case after < s.kept:
 		return delta, nil, control.ErrHistoryLost
 	}
@@ -173,10 +224,27 @@
 	cut     map[types.VMID]bool
 	// rows counts the table rows in replies to messages without a table.
 	rows int
+	// sent counts the messages.
+	sent atomic.Int64
+}
+
+func newFakePeers() *fakePeers {
+	return &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}}
+}
+
+// runUntil runs a function in the background and returns one that cancels it and waits.
+func runUntil(cancel func(), run func()) (stop func()) {
+	var running conc.WaitGroup
+	running.Go(run)
+	return func() {
+		cancel()
+		running.Wait()
+	}
 }
 
 // Send implements control.Peers.
 func (p *fakePeers) Send(ctx context.Context, to types.VMID, message *control.Message) (*control.Message, error) {
+	p.sent.Add(1)
 	p.mu.Lock()
 	target, broken := p.daemons[to], p.cut[to] || p.cut[message.From]
 	p.mu.Unlock()
@@ -730,6 +798,7 @@
 	`{"from":"x","delta":{"from":0,"to":9,"records":[{"key":"op/config","revision":9,"config":{"version":99,"routes":[null]}}]}}`,
 	`{"from":"x","delta":{"from":0,"to":9,"records":[{"key":"op/config","revision":9,"config":{"version":99,"services":{"s":null}}}]}}`,
 	`{"from":"x","delta":{"from":9,"to":0,"records":[{"key":"servers/a","revision":9,"endpoint":{"cold":-9223372036854775808,"slots":-5}}]}}`,
+	`{"from":"x","era":0,"config_version":18446744073709551615,"delta":{"whole":true,"era_age":-9223372036854775808,"records":[{"key":"servers/a","era":3,"held":9223372036854775807},{"key":"servers/b","era":3,"held":-5,"endpoint":{}}]}}`,
 	`{"from":"x","pass_on":true,"delta":{"records":[{}]},"evidence":{"crashes":[{}],"clearances":[{"age":-9223372036854775808}],"withheld":[{}]},"news_age":-9223372036854775808}`,
 }
 
--- a/pkg/gateway/control/evidence.go
+++ b/pkg/gateway/control/evidence.go
@@ -99,7 +99,8 @@
 	self := c.table.Self()
 	notified := make(map[types.DataCentre]bool)
 	for _, member := range c.table.Live(now) {
-		message := &Message{From: self.VM, AppliedRevision: c.state.AppliedRevision(), Evidence: evidence}
+		message := &Message{From: self.VM, ConfigVersion: c.state.ConfigVersion(), Evidence: evidence}
+		message.setApplied(c.state.Applied())
 		if member.DataCentre != self.DataCentre {
 			if !everywhere || notified[member.DataCentre] {
 				continue
--- a/pkg/gateway/control/exchange.go
+++ b/pkg/gateway/control/exchange.go
@@ -28,12 +28,13 @@
 // statusMessage returns a message without the table.
 func (c *Control) statusMessage(now time.Time) *Message {
 	message := &Message{
-		From:            c.table.Self().VM,
-		AppliedRevision: c.state.AppliedRevision(),
-		Evidence:        c.crashes.News(now),
-		Joining:         c.table.Joining(),
-		Evacuations:     c.state.EvacuationAges(now),
+		From:          c.table.Self().VM,
+		ConfigVersion: c.state.ConfigVersion(),
+		Evidence:      c.crashes.News(now),
+		Joining:       c.table.Joining(),
+		Evacuations:   c.state.EvacuationAges(now),
 	}
+	message.setApplied(c.state.Applied())
 	if _, found := c.storeReads[c.lastReader]; found {
 		c.addStoreRead(message, c.lastReader, now)
 	}
@@ -83,14 +84,11 @@
 		// If the event panics, the closed channel yields a nil reply, which tells
 		// the sender that its message was not handled.
 		defer close(replies)
-		senderRevision := message.AppliedRevision
 		c.mergeMessage(message, now)
 		c.askEvacuationAges(message, now)
+		c.askConfig(message, now)
 		reply := c.reply(message, now)
-		if c.state.AppliedRevision() > senderRevision {
-			delta := c.state.Since(senderRevision, now)
-			reply.Delta = &delta
-		}
+		reply.Delta = c.missing(message, now)
 		replies <- reply
 	})
 	if !ok {
@@ -119,8 +117,49 @@
 	return reply
 }
 
+// missing returns what the sender of a message lacks; nil if that is nothing.
+func (c *Control) missing(message *Message, now time.Time) *catalog.Delta {
+	applied, sender := c.state.Applied(), message.applied()
+	if message.Era == nil {
+		// Its release knows revisions only.
+		sender.Era = applied.Era
+	}
+	delta := catalog.Delta{Era: applied.Era, From: applied.Revision, To: applied.Revision}
+	behind := sender.Before(applied)
+	switch {
+	case message.Joining && c.state.Settling(now) && sender.Era <= applied.Era:
+		behind, delta = true, c.state.Whole(now)
+	case behind:
+		delta = c.state.Since(sender, now)
+	}
+	if message.Era != nil && message.ConfigVersion < c.state.ConfigVersion() {
+		return withConfig(delta, c.state.ConfigRecord())
+	}
+	if !behind {
+		return nil
+	}
+	return &delta
+}
+
+// withConfig returns the delta with the record of the newest configuration, which the
+// store may have lost.
+func withConfig(delta catalog.Delta, newest catalog.Record) *catalog.Delta {
+	if !slices.ContainsFunc(delta.Records, func(record catalog.Record) bool { return record.Config == newest.Config }) {
+		delta.Records = append(delta.Records, newest)
+	}
+	return &delta
+}
+
+// askConfig asks the sender of a message for its configuration if it has a newer one at
+// no later position: the store may have lost it.
+func (c *Control) askConfig(message *Message, now time.Time) {
+	if message.ConfigVersion > c.state.ConfigVersion() && !c.state.Applied().Before(message.applied()) {
+		c.send(message.From, c.statusMessage(now))
+	}
+}
+
 // mergeMessage merges a message from another daemon. If the sender has a later
-// revision of the store than this daemon even after the merge, this daemon
+// position of the store than this daemon even after the merge, this daemon
 // requests the missing changes.
 func (c *Control) mergeMessage(message *Message, now time.Time) {
 	c.table.Merge(message.Members, now)
@@ -129,11 +168,17 @@
 	c.mergeEvidence(message, now)
 	if message.Delta != nil {
 		c.state.Apply(*message.Delta, now)
+		c.logRestoration()
 	}
-	if message.AppliedRevision > c.state.AppliedRevision() {
+	sender, applied := message.applied(), c.state.Applied()
+	if applied.Before(sender) {
 		c.send(message.From, c.statusMessage(now))
 		return
 	}
+	if sender.Era < applied.Era {
+		// Its reads were of a store that is gone, and so are its changes.
+		return
+	}
 	if message.StoreReader != "" {
 		c.recordStoreRead(message.StoreReader, storeRead{at: now.Add(-message.StoreReadAge), number: message.StoreReadNumber})
 	}
--- a/pkg/gateway/control/log.go
+++ b/pkg/gateway/control/log.go
@@ -47,14 +47,46 @@
 		return
 	}
 	log.WithFields(logrus.Fields{
-		"version": after.Config.Version, "routes": len(after.Config.Routes), "revision": after.AppliedRevision,
+		"version": after.Config.Version, "routes": len(after.Config.Routes), "revision": after.AppliedRevision, "era": after.Era,
 	}).Info("configuration in force")
 }
 
+// maxLoggedKeys bounds the keys in a log line.
+const maxLoggedKeys = 32
+
+func firstKeys(keys []string) []string {
+	return keys[:min(len(keys), maxLoggedKeys)]
+}
+
+// logRestoration logs that the store came back from a copy, once for each era.
+func (c *Control) logRestoration() {
+	restored := c.state.ConsumeRestoration()
+	if restored == nil {
+		return
+	}
+	c.opts.Log.WithFields(logrus.Fields{
+		"era": restored.To.Era, "revision": restored.To.Revision, "version": restored.Version,
+		"known_era": restored.From.Era, "known_revision": restored.From.Revision, "known_version": restored.InForce,
+		"missing": firstKeys(restored.Missing), "missing_count": len(restored.Missing),
+		"left": firstKeys(restored.Left), "left_count": len(restored.Left),
+	}).Warn("the store came back from a copy")
+}
+
+// logDropped logs what a restored store lacks and nobody has written again.
+func logDropped(log logrus.FieldLogger, keys []string) {
+	if len(keys) > 0 {
+		log.WithFields(logrus.Fields{"keys": firstKeys(keys), "count": len(keys)}).
+			Warn("items that the restored store lacks were not written again and are dropped")
+	}
+}
+
 // logFullRead logs what a full read of the store holds beside what is known. A read
 // below the known revision changes nothing.
-func logFullRead(log logrus.FieldLogger, records []catalog.Record, base uint64, known *catalog.View) {
-	fields := logrus.Fields{"revision": base, "known_revision": known.AppliedRevision, "records": len(records)}
+func logFullRead(log logrus.FieldLogger, records []catalog.Record, base catalog.Position, known *catalog.View) {
+	fields := logrus.Fields{
+		"era": base.Era, "revision": base.Revision, "records": len(records),
+		"known_era": known.Era, "known_revision": known.AppliedRevision,
+	}
 	for _, record := range records {
 		if record.Config != nil {
 			fields["version"], fields["config_revision"] = record.Config.Version, record.Revision
--- a/pkg/gateway/control/message.go
+++ b/pkg/gateway/control/message.go
@@ -15,8 +15,12 @@
 type Message struct {
 	From    types.VMID       `json:"from"`
 	Members []members.Member `json:"members,omitempty"`
-	// AppliedRevision is the revision up to which the sender has every change.
+	// AppliedRevision is the revision of Era up to which the sender has every change.
 	AppliedRevision uint64 `json:"complete"`
+	// Era is the store's era; nil in messages of releases that know no eras.
+	Era *uint64 `json:"era,omitempty"`
+	// ConfigVersion is the version of the sender's configuration; zero if it has none.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// StoreReader is the daemon that read the store last, and StoreReadAge how long
 	// ago it did, as far as the sender knows; empty if no daemon has read it yet.
 	StoreReader  types.VMID    `json:"origin,omitempty"`
@@ -41,3 +45,18 @@
 	// sender knows them.
 	Evacuations []catalog.EvacuationAge `json:"evacuations,omitempty"`
 }
+
+// applied returns the position up to which the sender has every change. Releases that
+// know no eras are behind every era that the store names.
+func (m *Message) applied() catalog.Position {
+	position := catalog.Position{Revision: m.AppliedRevision}
+	if m.Era != nil {
+		position.Era = *m.Era
+	}
+	return position
+}
+
+// setApplied sets the position up to which the sender has every change.
+func (m *Message) setApplied(position catalog.Position) {
+	m.AppliedRevision, m.Era = position.Revision, &position.Era
+}
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -13,18 +13,26 @@
 // Store gives read access to the published state.
 type Store interface {
 	// ReadAll reads every record. The result includes at least every change up
-	// to revision base.
-	ReadAll(ctx context.Context) (records []catalog.Record, base uint64, err error)
-	// Watch returns the changes after a revision. It waits for changes for up to
+	// to the position base, and all of it is of the era of base.
+	ReadAll(ctx context.Context) (records []catalog.Record, base catalog.Position, err error)
+	// Watch returns the changes after a position. It waits for changes for up to
 	// wait and returns an empty delta if there are none. It returns
-	// ErrHistoryLost if the store no longer holds the changes.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Delta, error)
+	// ErrHistoryLost if the store no longer holds the changes, and ErrRestored if
+	// it has begun a later era.
+	Watch(ctx context.Context, after catalog.Position, wait time.Duration) (catalog.Delta, error)
 	// ReadEvacuations reads the records of the evacuations in force. The result
-	// includes every change up to the revision, and none that was made before
+	// includes every change up to the position, and none that was made before
 	// the call is missing.
-	ReadEvacuations(ctx context.Context) (records []catalog.Record, revision uint64, err error)
+	ReadEvacuations(ctx context.Context) (records []catalog.Record, position catalog.Position, err error)
 }
 
+// ErrRestored means that the store came back from a copy: its revisions say nothing of
+// those before.
+var ErrRestored = errors.New("the store came back from a copy")
+
+// ErrEarlierEra means that the store answered in an era that is over.
+var ErrEarlierEra = errors.New("the store answers in an earlier era")
+
 // ErrHistoryLost means that the store no longer holds the requested changes.
 var ErrHistoryLost = errors.New("the store no longer holds this history")
 
@@ -39,7 +47,7 @@
 	readTimeout = 1500 * time.Millisecond
 	// settleTime is how long entries of live endpoints may be missing after an
 	// outage of the store.
-	settleTime = 2200 * time.Millisecond
+	settleTime = catalog.SettleTime
 	// batchDelay is how long the reader collects changes that follow others within
 	// quietPeriod.
 	batchDelay  = 150 * time.Millisecond
@@ -58,8 +66,10 @@
 // reader reads the store while this daemon is one of its region's readers.
 type reader struct {
 	control *Control
-	// lastRevision is the revision of the last read.
-	lastRevision uint64
+	// last is the position of the last read.
+	last catalog.Position
+	// known is the position of the control state at the last decision to read.
+	known catalog.Position
 	// needFullRead is true while the next call must read all records.
 	needFullRead bool
 	// down is true from a failed call to the next successful one.
@@ -80,7 +90,7 @@
 func (r *reader) supervise(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := r.control.opts.Guard.Do("store reader", func() { r.run(ctx) }); err != nil {
-			r.needFullRead, r.lastRevision = true, 0
+			r.needFullRead, r.last = true, catalog.Position{}
 			sleep.For(ctx, maxBackoff)
 		}
 	}
@@ -90,7 +100,7 @@
 	for ctx.Err() == nil {
 		if !r.shouldRead(ctx) {
 			r.active.Store(false)
-			r.needFullRead, r.lastRevision = true, 0
+			r.needFullRead, r.last = true, catalog.Position{}
 			sleep.For(ctx, idlePoll)
 			continue
 		}
@@ -104,12 +114,12 @@
 type readDecision struct {
 	// reading is true while this daemon should read the store.
 	reading bool
-	// appliedRevision is the revision of the control state.
-	appliedRevision uint64
+	// applied is the position of the control state.
+	applied catalog.Position
 }
 
 // shouldRead asks the control goroutine whether this daemon should read the store
-// now, and aligns the reader's revision with the control state. It returns false
+// now, and aligns the reader's position with the control state. It returns false
 // when ctx ends or the decision fails.
 func (r *reader) shouldRead(ctx context.Context) bool {
 	decisions := make(chan readDecision, 1)
@@ -126,21 +136,24 @@
 		if !ok {
 			return false
 		}
-		r.align(decision.appliedRevision)
+		r.align(decision.applied)
 		return decision.reading
 	case <-ctx.Done():
 		return false
 	}
 }
 
-// align continues from the revision of the control state: from the beginning if
-// the state was reset, from its revision if this daemon has read nothing yet.
-func (r *reader) align(appliedRevision uint64) {
-	if appliedRevision < r.lastRevision {
-		r.needFullRead, r.lastRevision = true, 0
+// align continues from the position of the control state: from the beginning if
+// the state was reset, from its position if this daemon has read nothing yet, or
+// nothing in the state's era.
+func (r *reader) align(applied catalog.Position) {
+	r.known = applied
+	if applied.Before(r.last) {
+		r.needFullRead, r.last = true, catalog.Position{}
 	}
-	if r.lastRevision == 0 && appliedRevision > 0 {
-		r.needFullRead, r.lastRevision = false, appliedRevision
+	nothingRead := r.last == catalog.Position{} && applied != catalog.Position{}
+	if nothingRead || r.last.Era < applied.Era {
+		r.needFullRead, r.last = false, applied
 	}
 }
 
@@ -149,7 +162,7 @@
 	if r.needFullRead {
 		return r.readAll(ctx)
 	}
-	delta, err := r.control.opts.Store.Watch(ctx, r.lastRevision, r.control.opts.WatchTimeout)
+	delta, err := r.control.opts.Store.Watch(ctx, r.last, r.control.opts.WatchTimeout)
 	if err != nil {
 		return err
 	}
@@ -160,7 +173,7 @@
 			delta.Records[i].Grace = grace
 		}
 	}
-	r.lastRevision = max(r.lastRevision, delta.To)
+	r.last.Revision = max(r.last.Revision, delta.To)
 	r.control.submit(ctx, func(now time.Time) { r.control.applyChanges(delta, now) })
 	if len(delta.Records) > 0 {
 		r.batchChanges(ctx)
@@ -187,9 +200,15 @@
 	if err != nil {
 		return err
 	}
+	if base.Era < r.known.Era {
+		return ErrEarlierEra
+	}
 	r.recovered()
+	if base.Era > r.known.Era {
+		r.settledAt = r.control.opts.Now().Add(settleTime)
+	}
 	grace := r.grace()
-	r.needFullRead, r.lastRevision = false, base
+	r.needFullRead, r.last = false, base
 	r.control.submit(ctx, func(now time.Time) {
 		r.control.applyFullRead(records, base, grace, now)
 		r.control.state.RecordReading(base, askedAt)
@@ -215,14 +234,14 @@
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	askedAt := r.control.opts.Now()
-	records, revision, err := r.control.opts.Store.ReadEvacuations(bounded)
+	records, position, err := r.control.opts.Store.ReadEvacuations(bounded)
 	if err != nil {
 		r.control.opts.Log.WithError(err).Debug("evacuations could not be read")
 		return
 	}
 	r.control.submit(ctx, func(now time.Time) {
-		r.control.applyEvacuations(records, now)
-		r.control.state.RecordReading(revision, askedAt)
+		r.control.applyEvacuations(records, position, now)
+		r.control.state.RecordReading(position, askedAt)
 	})
 }
 
@@ -242,6 +261,11 @@
 }
 
 func (r *reader) handleError(ctx context.Context, err error) {
+	if errors.Is(err, ErrRestored) {
+		r.control.opts.Log.Info("the store has begun a new era: reading all records")
+		r.needFullRead = true
+		return
+	}
 	if errors.Is(err, ErrHistoryLost) {
 		r.control.opts.Log.Info("the store dropped its history: reading all records")
 		r.needFullRead = true
@@ -263,11 +287,15 @@
 		c.opts.Log.WithField("reads", reading).Info("this daemon's part in reading the store changed")
 	}
 	c.reading = reading
-	return readDecision{reading: reading, appliedRevision: c.state.AppliedRevision()}
+	return readDecision{reading: reading, applied: c.state.Applied()}
 }
 
-// applyChanges applies and distributes the changes that a watch returned.
+// applyChanges applies and distributes the changes that a watch returned, unless the
+// store is known to have begun a later era since.
 func (c *Control) applyChanges(delta catalog.Delta, now time.Time) {
+	if delta.Era < c.state.Applied().Era {
+		return
+	}
 	c.recordOwnRead(now)
 	c.state.Apply(delta, now)
 	c.dirty = true
@@ -276,23 +304,24 @@
 
 // applyEvacuations applies and distributes evacuations that the watch has not
 // reported.
-func (c *Control) applyEvacuations(records []catalog.Record, now time.Time) {
+func (c *Control) applyEvacuations(records []catalog.Record, read catalog.Position, now time.Time) {
 	unknown := c.state.NewRecords(records)
 	if len(unknown) == 0 {
 		return
 	}
-	delta := catalog.Delta{Records: unknown}
+	delta := catalog.Delta{Era: read.Era, Records: unknown}
 	c.state.Apply(delta, now)
 	c.dirty = true
 	c.distribute(delta, now)
 }
 
 // applyFullRead applies a full read of the store and distributes the changes.
-func (c *Control) applyFullRead(records []catalog.Record, base uint64, grace time.Duration, now time.Time) {
+func (c *Control) applyFullRead(records []catalog.Record, base catalog.Position, grace time.Duration, now time.Time) {
 	c.recordOwnRead(now)
-	before := c.state.AppliedRevision()
+	before := c.state.Applied()
 	logFullRead(c.opts.Log, records, base, c.state.View(now))
 	c.state.Replace(records, base, grace, now)
+	c.logRestoration()
 	c.dirty = true
 	c.distribute(c.state.Since(before, now), now)
 }
--- a/pkg/gateway/control/reader_test.go
+++ b/pkg/gateway/control/reader_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 )
 
@@ -18,7 +19,7 @@
 		log.SetOutput(io.Discard)
 		c := New(Options{Self: members.Member{VM: "a:1"}, OnSnapshot: func(*Snapshot) {}, Log: log, Now: time.Now})
 		r := newReader(c)
-		r.needFullRead, r.lastRevision = false, 7
+		r.needFullRead, r.last = false, catalog.Position{Era: 1, Revision: 7}
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		// A stopped reader submits its event or not, at random.
@@ -26,7 +27,7 @@
 			Expect(r.shouldRead(ctx)).To(BeFalse())
 		}
 		(<-c.events)(time.Now())
-		Expect(r.lastRevision).To(BeEquivalentTo(7))
+		Expect(r.last).To(Equal(catalog.Position{Era: 1, Revision: 7}))
 		Expect(r.needFullRead).To(BeFalse())
 	})
 })
