Metrics of the published state: era, revision, version of the configuration

What a daemon has in force could only be read from its log: the metrics tell at a glance which daemons are in which era of the store and on which version.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -187,6 +187,7 @@
 		Now:        time.Now,
 		Rand:       sharedrand.Source{},
 	})
+	registerPublished(e.control, e.registry)
 	e.reporter = newReporter(e.control, e.history, e.registry)
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, NextSnapshot: e.control.Next, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.reporter,
