Specs of eras that mutants of the change had shown to be missing

Mutants that the specs let pass: drained and then gone, a hold renewed by the next copy, what the copy lacks below a revision passed again, a question for a newer configuration at the same position, reads of an earlier era, a daemon that joins. Each has a spec now.

--- a/pkg/gateway/catalog/restore_test.go
+++ b/pkg/gateway/catalog/restore_test.go
@@ -72,6 +72,11 @@
 		Expect(used(at(4))).To(HaveLen(1))
 	})
 
+	It("keeps what the copy lacks also if the store has passed its revision again", func() {
+		state.Replace(inEra(2, configRecord(3, 2)), position(2, 18), 0, at(1))
+		Expect(used(at(2))).To(ConsistOf(types.EndpointID("e1")))
+	})
+
 	It("uses an endpoint that was written again for good", func() {
 		state.Replace(inEra(2, configRecord(3, 2)), position(2, 3), 0, at(1))
 		state.Apply(changes(2, 3, 4, endpointRecord("e1", 4, nil)), at(2))
@@ -110,6 +115,23 @@
 			Expect(used(at(8))).To(HaveLen(1))
 		})
 
+		It("stays out of use if it drained before it was gone, however long its entry stays", func() {
+			state.Apply(changes(1, 20, 22, endpointRecord("e1", 21, draining), deleted("servers/e1", 22)), at(1))
+			state.Replace(copied(2, nil), position(2, 18), 0, at(2))
+			state.Expire(at(60))
+			Expect(used(at(60))).To(BeEmpty())
+		})
+
+		It("is held anew by each copy that shows it", func() {
+			state.Apply(changes(1, 20, 21, deleted("servers/e1", 21)), at(1))
+			state.Replace(copied(2, nil), position(2, 18), 0, at(2))
+			state.Replace(copied(3, nil), position(3, 18), 0, at(7))
+			state.Expire(at(12.9))
+			Expect(used(at(12.9))).To(BeEmpty())
+			state.Expire(at(13))
+			Expect(used(at(13))).To(HaveLen(1))
+		})
+
 		It("gets no grace when its entry is removed again", func() {
 			state.Apply(changes(1, 20, 21, deleted("servers/e1", 21)), at(1))
 			state.Replace(copied(2, nil), position(2, 18), 0, at(2))
--- a/pkg/gateway/control/control_test.go
+++ b/pkg/gateway/control/control_test.go
@@ -228,6 +228,13 @@
 	sent atomic.Int64
 }
 
+// connect makes a daemon reachable.
+func (p *fakePeers) connect(vm types.VMID, daemon *control.Control) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.daemons[vm] = daemon
+}
+
 func newFakePeers() *fakePeers {
 	return &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}}
 }
--- a/pkg/gateway/control/restore_test.go
+++ b/pkg/gateway/control/restore_test.go
@@ -120,6 +120,40 @@
 		Eventually(other.versions, waitLimit).Should(Equal([]uint64{5}))
 	})
 
+	It("asks a daemon at the same position for the newer configuration that its message names", func() {
+		store.put(configRecord(3))
+		copied := store.copy()
+		store.put(configRecord(5))
+		knowing := newFleet(store, sharedStore, "b:1")
+		defer knowing.stop()
+		Eventually(knowing.versions, waitLimit).Should(Equal([]uint64{5}))
+		store.restore(copied)
+		Eventually(positions(knowing), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
+
+		f := newFleet(store, sharedStore, "a:1")
+		defer f.stop()
+		Eventually(f.versions, waitLimit).Should(Equal([]uint64{3}))
+		f.peers.connect("b:1", knowing.daemons[0])
+		Expect(f.daemons[0].Receive(context.Background(), message("b:1", catalog.Position{Era: 2, Revision: 1}, 5))).NotTo(BeNil())
+		Eventually(f.versions, waitLimit).Should(Equal([]uint64{5}))
+	})
+
+	It("tells a daemon that joins what the copy lacks while it is kept, and not later", func() {
+		store.put(configRecord(3))
+		copied := store.copy()
+		store.put(endpointRecord("e1"))
+		f := newFleet(store, sharedStore, "a:1")
+		defer f.stop()
+		Eventually(endpoints(f.daemons[0]), waitLimit).Should(HaveLen(1))
+		store.restore(copied)
+		Eventually(positions(f), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
+		joining := message("b:1", catalog.Position{Era: 2, Revision: 1}, 3)
+		joining.Joining = true
+		Expect(f.daemons[0].Receive(context.Background(), joining).Delta).To(HaveField("Records", ContainElement(HaveField("Key", "servers/e1"))))
+		missing := func() any { return f.daemons[0].Receive(context.Background(), joining).Delta }
+		Eventually(missing, waitLimit).Should(BeNil())
+	})
+
 	It("keeps the newest configuration when a panic resets the state", func() {
 		store.put(configRecord(3))
 		copied := store.copy()
@@ -156,7 +190,7 @@
 		Expect(f.peers.sent.Load() - sent).To(BeNumerically("<=", 2*heartbeats*daemons))
 	})
 
-	It("takes nothing from a daemon of an earlier era, and does not count its reads of the store", func() {
+	It("takes nothing from a daemon of an earlier era", func() {
 		store.put(configRecord(3))
 		f := newFleet(store, sharedStore, "a:1")
 		defer f.stop()
@@ -164,7 +198,6 @@
 		store.restore(store.copy())
 		Eventually(positions(f), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
 		late := message("z:1", catalog.Position{Era: 1, Revision: 90}, 3)
-		late.StoreReader, late.StoreReadNumber = "z:1", 1<<62
 		record := endpointRecord("e9")
 		record.Era, record.Revision = 1, 80
 		late.Delta = &catalog.Delta{Era: 1, From: 0, To: 90, Records: []catalog.Record{record}}
@@ -174,6 +207,23 @@
 		Consistently(endpoints(f.daemons[0]), 500*time.Millisecond).Should(BeEmpty())
 	})
 
+	It("does not take a read by a daemon of an earlier era for one of the store", func() {
+		store.put(configRecord(3))
+		f := newFleet(store, sharedStore, "a:1")
+		defer f.stop()
+		Eventually(f.versions, waitLimit).Should(Equal([]uint64{3}))
+		store.restore(store.copy())
+		Eventually(positions(f), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
+		store.set(func() { store.down = true })
+		// The call that was under way has ended by then.
+		time.Sleep(2 * control.DefaultWatchTimeout)
+		readAt := f.daemons[0].Load().StoreReadAt
+		late := message("z:1", catalog.Position{Era: 1, Revision: 90}, 3)
+		late.StoreReader, late.StoreReadNumber = "z:1", 1
+		Expect(f.daemons[0].Receive(context.Background(), late)).NotTo(BeNil())
+		Consistently(func() time.Time { return f.daemons[0].Load().StoreReadAt }, time.Second).Should(BeTemporally("==", readAt))
+	})
+
 	It("works with daemons of a release that knows no eras", func() {
 		store.put(configRecord(3))
 		store.put(endpointRecord("e1"))
