--- a/pkg/gateway/control/reader_test.go
+++ b/pkg/gateway/control/reader_test.go
@@ -13,7 +13,37 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 )
 
+// oldStore answers every full read at a position.
+type oldStore struct {
+	Store
+	base catalog.Position
+}
+
+// ReadAll implements Store.
+func (s oldStore) ReadAll(context.Context) ([]catalog.Record, catalog.Position, error) {
+	return nil, s.base, nil
+}
+
 var _ = Describe("The store reader", func() {
+	It("continues from the state's position when peers brought a later era, and from the beginning when the state was reset", func() {
+		r := &reader{last: catalog.Position{Era: 1, Revision: 20}, needFullRead: true}
+		r.align(catalog.Position{Era: 2, Revision: 18})
+		Expect(r.last).To(Equal(catalog.Position{Era: 2, Revision: 18}))
+		Expect(r.needFullRead).To(BeFalse())
+		r.align(catalog.Position{})
+		Expect(r.needFullRead).To(BeTrue())
+	})
+
+	It("takes no answer of an era that is over", func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c := New(Options{Self: members.Member{VM: "a:1"}, Store: oldStore{base: catalog.Position{Era: 1, Revision: 30}}, OnSnapshot: func(*Snapshot) {}, Log: log, Now: time.Now})
+		r := newReader(c)
+		r.known = catalog.Position{Era: 2, Revision: 18}
+		Expect(r.readAll(context.Background())).To(MatchError(ErrEarlierEra))
+		Expect(c.events).To(BeEmpty())
+	})
+
 	It("is not changed by the control goroutine after it has given up at a stop", func() {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
