--- a/pkg/gateway/control/reader_test.go
+++ b/pkg/gateway/control/reader_test.go
@@ -34,6 +34,16 @@
 		Expect(r.needFullRead).To(BeTrue())
 	})
 
+	It("does not count a watch that ends after the state has entered a later era", func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c := New(Options{Self: members.Member{VM: "a:1"}, OnSnapshot: func(*Snapshot) {}, Log: log, Now: time.Now})
+		c.state.Replace(nil, catalog.Position{Era: 2, Revision: 18}, 0, time.Now())
+		c.applyChanges(catalog.Delta{Era: 1, From: 18, To: 30}, time.Now())
+		Expect(c.storeReads).To(BeEmpty())
+		Expect(c.state.Applied()).To(Equal(catalog.Position{Era: 2, Revision: 18}))
+	})
+
 	It("takes no answer of an era that is over", func() {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
