--- a/pkg/gateway/control/reader_test.go
+++ b/pkg/gateway/control/reader_test.go
@@ -13,14 +13,14 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 )
 
-// oldStore answers every full read at a position.
-type oldStore struct {
+// storeAt answers every full read at a position.
+type storeAt struct {
 	Store
 	base catalog.Position
 }
 
 // ReadAll implements Store.
-func (s oldStore) ReadAll(context.Context) ([]catalog.Record, catalog.Position, error) {
+func (s storeAt) ReadAll(context.Context) ([]catalog.Record, catalog.Position, error) {
 	return nil, s.base, nil
 }
 
@@ -44,10 +44,23 @@
 		Expect(c.state.Applied()).To(Equal(catalog.Position{Era: 2, Revision: 18}))
 	})
 
+	It("gives entries that are removed a grace time after a new era has begun, also if no call had failed", func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c := New(Options{Self: members.Member{VM: "a:1"}, Store: storeAt{base: catalog.Position{Era: 2, Revision: 18}}, OnSnapshot: func(*Snapshot) {}, Log: log, Now: time.Now})
+		r := newReader(c)
+		r.known = catalog.Position{Era: 2, Revision: 9}
+		Expect(r.readAll(context.Background())).To(Succeed())
+		Expect(r.grace()).To(BeZero())
+		r.known = catalog.Position{Era: 1, Revision: 20}
+		Expect(r.readAll(context.Background())).To(Succeed())
+		Expect(r.grace()).To(BeNumerically(">", 0))
+	})
+
 	It("takes no answer of an era that is over", func() {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		c := New(Options{Self: members.Member{VM: "a:1"}, Store: oldStore{base: catalog.Position{Era: 1, Revision: 30}}, OnSnapshot: func(*Snapshot) {}, Log: log, Now: time.Now})
+		c := New(Options{Self: members.Member{VM: "a:1"}, Store: storeAt{base: catalog.Position{Era: 1, Revision: 30}}, OnSnapshot: func(*Snapshot) {}, Log: log, Now: time.Now})
 		r := newReader(c)
 		r.known = catalog.Position{Era: 2, Revision: 18}
 		Expect(r.readAll(context.Background())).To(MatchError(ErrEarlierEra))
