--- a/tools/soak/world/written.go
+++ b/tools/soak/world/written.go
@@ -2,13 +2,11 @@
 
 import (
 	"maps"
-	"strings"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/platform/standin"
-	"github.com/flamingomount/flamingomount/platform/wire"
 	"github.com/flamingomount/flamingomount/tools/soak/check"
 	"github.com/flamingomount/flamingomount/tools/soak/plan"
 )
@@ -202,9 +200,9 @@
 func (w *World) lapseAgain() {
 	time.Sleep(lapse)
 	w.awaitStore()
-	for _, key := range w.store.Keys(wire.ServersPrefix) {
+	for _, id := range w.store.Endpoints() {
 		w.mu.Lock()
-		last := w.entries[strings.TrimPrefix(key, wire.ServersPrefix)]
+		last := w.entries[id]
 		w.mu.Unlock()
 		if last.state == absent {
 			last.one.Withdraw()
