Control: a panic outside an event ends the control state

What callers saw: after such a panic the daemon served on without a control state, ready and named in the directory, and without a line about it.

Cause: Run waited for its readers, whose context did not end, so the error never reached Entry.Run. Run now has a context of its own that ends before the wait.

--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -158,8 +158,11 @@
 
 // Run runs the control goroutine until ctx ends.
 func (c *Control) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	c.ctx = ctx
 	defer c.work.Wait()
+	// Also after a panic: what runs in the background must not keep it from ending.
+	defer cancel()
 	reader := newReader(c)
 	c.work.Go(func() { reader.supervise(ctx) })
 	c.work.Go(func() { reader.superviseEvacuations(ctx) })
