--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -34,17 +34,21 @@
 	})
 
 	// Bounds in time are left to runs by hand: the machine of CI may be busy.
-	DescribeTable("keeps every promise that no clock decides", func(seed uint64) {
+	DescribeTable("keeps every promise that no clock decides", func(opts world.Options) {
 		dir, err := os.MkdirTemp("", "soak-ci-")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(os.RemoveAll, dir)
-		broken, summary, err := run(world.Options{
-			Seed: seed, Binary: binary, Dir: dir, Length: shortRun, Daemons: 2, Callers: 3,
-		})
+		opts.Binary, opts.Dir, opts.Length, opts.Daemons, opts.Callers = binary, dir, shortRun, 2, 3
+		broken, summary, err := run(opts)
 		Expect(err).NotTo(HaveOccurred())
 		GinkgoWriter.Println(summary)
 		Expect(broken).To(BeEmpty())
-	}, Entry("planned work", uint64(4)), Entry("faults", uint64(3)))
+	},
+		Entry("planned work", world.Options{Seed: 4}),
+		Entry("faults", world.Options{Seed: 3}),
+		Entry("endpoints that start again", world.Options{Seed: 48101, Restarts: true}),
+		Entry("endpoints that start again, beside stops", world.Options{Seed: 48122, Restarts: true}),
+	)
 
 	// play lets steps happen in a run and returns what broke.
 	play := func(opts world.Options, steps ...plan.Step) []string {
