catalog: a late message does not confirm what a later read of the era lacks

An evacuation, or an endpoint, that a restored store had lost and whose end had been written again stayed in force for good at a daemon: it had read the store after that end, kept the item as one that the copy lacks, and a peer's delta of the new era, older than that read, made it one of the new era.

Cause: only a record whose key was unknown was checked against what the state is complete up to. Now also one that the state has of an earlier era only, or has dropped.

--- a/pkg/gateway/catalog/restore_test.go
+++ b/pkg/gateway/catalog/restore_test.go
@@ -234,6 +234,16 @@
 	})
 
 	Describe("messages of daemons", func() {
+		It("do not confirm what a later read of the era lacks, before or after it is dropped", func() {
+			state.Apply(changes(1, 20, 21, evacuation(21)), at(1))
+			state.Replace(inEra(2, configRecord(3, 2), endpointRecord("e1", 4, nil)), position(2, 40), 0, at(2))
+			late := changes(2, 0, 39, evacuation(21))
+			state.Apply(late, at(3))
+			Expect(state.Expire(at(7))).To(ConsistOf(evacuationKey))
+			state.Apply(late, at(8))
+			Expect(used(at(8))).To(HaveLen(1))
+		})
+
 		It("of an earlier era change nothing that a later one has settled", func() {
 			state.Replace(inEra(2, configRecord(12, 19), endpointRecord("e1", 4, nil)), position(2, 19), 0, at(1))
 			state.Expire(at(7))
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -125,11 +125,12 @@
 }
 
 // outdated reports whether a record of a delta is of an item that is gone: the state
-// includes every change up to a later one and does not have it.
+// includes every change up to a later one and does not have it in this era.
 func (s *State) outdated(record Record, delta Delta) bool {
-	_, found := s.byKey[record.Key]
+	stored, found := s.byKey[record.Key]
+	inEra := found && stored.Era == s.applied.Era && stored.Revision > 0
 	partOfHistory := delta.To > 0 && record.Config == nil
-	return partOfHistory && !found && record.Era == s.applied.Era && record.Revision <= s.applied.Revision
+	return partOfHistory && !inEra && record.Era == s.applied.Era && record.Revision <= s.applied.Revision
 }
 
 // alignEra enters the era of a whole delta if it is later, as of the time at which the
