catalog: a daemon that read late tells a lagging one everything

Callers were sent to an endpoint that is gone, for good: a lagging daemon took its changes from a peer that had started, or read everything anew, later. That peer had never seen the deletion between the two positions, its delta lacked it, and the lagging one took itself to be complete. Without eras the fault is the same.

Now a state knows after which revision it has seen deletions; a peer before it gets the whole state, and what that lacks in its era is deleted. Two catalog specs.

--- a/pkg/gateway/catalog/restore_test.go
+++ b/pkg/gateway/catalog/restore_test.go
@@ -234,6 +234,24 @@
 	})
 
 	Describe("messages of daemons", func() {
+		It("do not confirm an endpoint that the sender keeps of an earlier era, and that the receiver saw in the copy", func() {
+			peer := catalog.NewState()
+			peer.Apply(state.Whole(start), start)
+			state.Replace(inEra(2, configRecord(3, 2), endpointRecord("e1", 4, nil)), position(2, 10), 0, at(1))
+			peer.Replace(inEra(2, configRecord(3, 2)), position(2, 13), 0, at(2))
+			Expect(state.Apply(peer.Since(state.Applied(), at(2)), at(2))).To(BeTrue())
+			Expect(used(at(2))).To(BeEmpty())
+		})
+
+		It("tell a lagging daemon of deletions that the sender, which read later, has not seen", func() {
+			state.Replace(inEra(2, configRecord(3, 2), endpointRecord("e1", 4, nil)), position(2, 10), 0, at(1))
+			peer := catalog.NewState()
+			peer.Replace(inEra(2, configRecord(3, 2)), position(2, 13), 0, at(2))
+			Expect(state.Apply(peer.Since(state.Applied(), at(2)), at(2))).To(BeTrue())
+			Expect(state.Applied()).To(Equal(position(2, 13)))
+			Expect(used(at(2))).To(BeEmpty())
+		})
+
 		It("do not confirm what a later read of the era lacks, before or after it is dropped", func() {
 			state.Apply(changes(1, 20, 21, evacuation(21)), at(1))
 			state.Replace(inEra(2, configRecord(3, 2), endpointRecord("e1", 4, nil)), position(2, 40), 0, at(2))
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -17,6 +17,8 @@
 	byKey map[string]storedRecord
 	// applied is the position up to which every change is known.
 	applied Position
+	// historyFrom is the revision of the era after which deletions are known.
+	historyFrom uint64
 	// eraEnteredAt is when the state entered the era of applied from an earlier one;
 	// zero if it didn't.
 	eraEnteredAt time.Time
@@ -117,6 +119,9 @@
 			s.mergeRecord(record, now)
 		}
 	}
+	if delta.Whole {
+		s.deleteAbsent(delta.Records, Position{Era: delta.Era, Revision: delta.To}, 0, now)
+	}
 	if delta.Era != s.applied.Era || delta.From > s.applied.Revision {
 		return false
 	}
@@ -140,6 +145,7 @@
 	switch {
 	case delta.Era > s.applied.Era:
 		s.enterEra(delta.Era, enteredAt)
+		s.historyFrom = delta.To
 	case delta.Era < s.applied.Era:
 		return
 	}
@@ -159,17 +165,27 @@
 	if base.Era > s.applied.Era {
 		s.enterEra(base.Era, now)
 	}
-	present := make(map[string]bool, len(records))
+	if s.applied.Revision == 0 {
+		s.historyFrom = base.Revision
+	}
 	for _, record := range records {
-		present[record.Key] = true
 		s.mergeRecord(record, now)
 	}
+	s.deleteAbsent(records, base, grace, now)
+	s.applied = base
+}
+
+// deleteAbsent deletes the items of an era that its complete state at a position lacks.
+func (s *State) deleteAbsent(records []Record, base Position, grace time.Duration, now time.Time) {
+	present := make(map[string]bool, len(records))
+	for _, record := range records {
+		present[record.Key] = present[record.Key] || record.Era == base.Era
+	}
 	for key, stored := range s.byKey {
 		if !stored.Deleted && !present[key] && stored.Era == base.Era && stored.Revision <= base.Revision {
 			s.mergeRecord(Record{Key: key, Era: base.Era, Revision: base.Revision, Deleted: true, Grace: grace}, now)
 		}
 	}
-	s.applied = base
 }
 
 // mergeRecord merges one record unless the state has it at the same or a later
@@ -248,13 +264,13 @@
 }
 
 // Since returns the changes after a position, for a lagging peer: everything if the
-// position is of an earlier era. It includes the newest configuration if the store
+// position is of an earlier era, or deletions after it are not known. It includes the newest configuration if the store
 // shows an older one.
 func (s *State) Since(position Position, now time.Time) Delta {
 	if !position.Before(s.applied) {
 		return Delta{Era: position.Era, From: position.Revision, To: position.Revision}
 	}
-	if position.Era < s.applied.Era {
+	if position.Era < s.applied.Era || position.Revision < s.historyFrom {
 		return s.Whole(now)
 	}
 	delta := Delta{Era: s.applied.Era, From: position.Revision, To: s.applied.Revision}
