--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -54,6 +54,18 @@
 	// coldSends holds the times of the most recent requests to an endpoint with a
 	// cold rate, oldest first.
 	coldSends []time.Time
+	// doubtful is the newest connection that was not trusted when it was obtained, at
+	// doubtfulAt. Since doubtSince the endpoint may have started again. Arrivals holds
+	// the times of the most recent requests on such connections.
+	doubtful   Connection
+	doubtfulAt time.Time
+	doubtSince time.Time
+	arrivals   []time.Time
+	// wantedAt is when this daemon last meant to send a request to the endpoint in doubt.
+	wantedAt time.Time
+	// next is the state of the next start of the endpoint at the same address; nil if
+	// there is none.
+	next *endpointState
 	// connectFailures and interruptions count consecutive connection failures
 	// and interrupted responses.
 	connectFailures int
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -11,19 +11,23 @@
 // Pool holds the endpoints of the local region. It is not safe for concurrent
 // use.
 type Pool struct {
-	region   types.Region
-	dc       types.DataCentre
-	bounds   Bounds
-	view     *catalog.View
-	peers    Membership
-	daemons  int
-	states   map[types.EndpointID]*endpointState
+	region  types.Region
+	dc      types.DataCentre
+	bounds  Bounds
+	view    *catalog.View
+	peers   Membership
+	daemons int
+	states  map[types.EndpointID]*endpointState
+	// lapsed holds the states of endpoints that were published lately.
+	lapsed   map[types.EndpointID]*endpointState
 	services map[types.ServiceName][]*endpointState
 	queues   map[types.ServiceName]*queue
 	// news is how recent the view is.
 	news news
 	// withdrawals holds the endpoints that said they want no requests.
 	withdrawals withdrawals
+	// restarts holds the restarts that have not been taken yet.
+	restarts []restart
 	// constraintsCache caches what was derived from the routes of the view.
 	constraintsCache map[routeConstraintsKey]routeConstraints
 }
@@ -33,6 +37,7 @@
 	return &Pool{
 		region: region, dc: dc, bounds: bounds, daemons: 1, news: newNews(bounds.WatchTimeout),
 		states:           make(map[types.EndpointID]*endpointState),
+		lapsed:           make(map[types.EndpointID]*endpointState),
 		services:         make(map[types.ServiceName][]*endpointState),
 		queues:           make(map[types.ServiceName]*queue),
 		constraintsCache: make(map[routeConstraintsKey]routeConstraints),
@@ -64,6 +69,7 @@
 	for name, endpoints := range view.Endpoints {
 		p.services[name] = p.addStates(states, name, endpoints)
 	}
+	p.keepLapsed(states)
 	p.states = states
 }
 
@@ -86,12 +92,16 @@
 }
 
 // stateOf returns the state of an endpoint: the existing one if the endpoint has
-// the same start time and address, else a new one.
+// the same start time and address, else one of a new start.
 func (p *Pool) stateOf(placed catalog.ActiveEndpoint) *endpointState {
-	existing := p.states[placed.ID]
-	if existing == nil || existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
+	existing := p.known(placed.ID)
+	if existing == nil {
 		return &endpointState{placed: placed, news: &p.news}
 	}
+	if existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
+		p.restarts = append(p.restarts, restart{previous: existing, endpoint: placed.Endpoint})
+		return existing.successor(placed)
+	}
 	existing.placed = placed
 	return existing
 }
@@ -127,7 +137,7 @@
 func (p *Pool) noEndpoint(req RequestInfo, now time.Time) *Refusal {
 	allowed := max(maxWait(req, now), 0)
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) && !p.beingChecked(ep, now) {
 			continue
 		}
 		if available := p.availability(ep, now); !available.leaving && available.pausedUntil.Sub(now) <= allowed {
@@ -149,7 +159,13 @@
 	var eligible, ejected []*endpointState
 	var soonest *endpointState
 	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || !p.accepts(ep, now) || p.closed(ep, now) {
+		if slices.Contains(req.Tried, ep.placed.ID) || p.closed(ep, now) {
+			continue
+		}
+		if !p.accepts(ep, now) {
+			if p.beingChecked(ep, now) {
+				ep.wantedAt = now
+			}
 			continue
 		}
 		switch {
@@ -200,7 +216,7 @@
 // reserve counts the request as in flight at the endpoint and returns its
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
-	permit := &Permit{Endpoint: ep.placed, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
+	permit := &Permit{Endpoint: ep.placed, state: ep, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
 	ep.inFlight++
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
@@ -219,11 +235,10 @@
 	if !permit.markResponseStarted() {
 		return
 	}
-	if ep := p.states[permit.Endpoint.ID]; ep != nil {
-		ep.removePending(permit)
-		ep.lastResponseAt = now
-		ep.observeResponseTime(permit, now)
-	}
+	ep := permit.state
+	ep.removePending(permit)
+	ep.lastResponseAt = now
+	ep.observeResponseTime(permit, now)
 }
 
 // Done records the result of the attempt, releases the permit and grants the
@@ -233,10 +248,7 @@
 		return
 	}
 	permit.finished = true
-	ep := p.states[permit.Endpoint.ID]
-	if ep == nil {
-		return
-	}
+	ep := permit.state
 	if permit.markResponseStarted() {
 		ep.removePending(permit)
 	}
