catalog: a peer's hold on an endpoint that is gone is kept over its known entry

What callers saw: none was seen. After a restoration of the store, a daemon that had missed the deletion of an endpoint and learned of the new era from another daemon sent requests to that endpoint, which the other one held as gone.

Cause: carryOver took the hold of the stored record of the earlier era, which had none, in place of the one that the peer's record told.

Evidence: the new spec failed before (e1 was in use at 7.9 s). The later of the two ends applies now.

--- a/pkg/gateway/catalog/restore.go
+++ b/pkg/gateway/catalog/restore.go
@@ -117,7 +117,10 @@
 	case earlierRun:
 		r.Endpoint, r.coldUntil, r.heldUntil, r.left = known, stored.coldUntil, stored.heldUntil, stored.left
 	case sameRun(r.Endpoint, known):
-		r.heldUntil, r.left = stored.heldUntil, !stored.heldUntil.IsZero()
+		if stored.heldUntil.After(r.heldUntil) {
+			r.heldUntil = stored.heldUntil
+		}
+		r.left = !r.heldUntil.IsZero()
 		r.carryCold(stored)
 		r.keepDraining(known)
 	}
--- /dev/null
+++ b/pkg/gateway/catalog/restore_merge_test.go
@@ -0,0 +1,32 @@
+package catalog_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+var _ = Describe("What a daemon tells others after the store came back from a copy", func() {
+	var knowing, other *catalog.State
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	copied := inEra(2, configRecord(3, 2), endpointRecord("e1", 4, nil))
+
+	BeforeEach(func() {
+		knowing, other = catalog.NewState(), catalog.NewState()
+		for _, state := range []*catalog.State{knowing, other} {
+			state.Replace(inEra(1, configRecord(3, 2), endpointRecord("e1", 4, nil)), position(1, 18), 0, start)
+		}
+	})
+
+	It("holds an endpoint that is gone at a daemon that knows its entry of the earlier era only", func() {
+		knowing.Apply(changes(1, 18, 21, catalog.Record{Key: "servers/e1", Revision: 21, Deleted: true}), at(1))
+		knowing.Replace(copied, position(2, 18), 0, at(2))
+		Expect(other.Apply(knowing.Since(other.Applied(), at(3)), at(3))).To(BeTrue())
+		Expect(usedBy(other, at(7.9))).To(BeEmpty())
+		Expect(usedBy(other, at(8))).To(ConsistOf(types.EndpointID("e1")))
+	})
+})
