catalog: what a peer knows better than the copy is merged at the same position

What callers saw: none was seen. A daemon that started after a restoration and read the copy before it heard of another daemon sent requests to endpoints that the others knew to drain or to be gone, and to the address of an earlier process.

Cause: the whole state that a joining daemon is given has the same position for these entries as the copy, and a record at a known position was left out. The order of the two messages decided; records are said to be commutative.

Evidence: the three new specs failed before. At the same position the entry of the store is the same, so that what differs is what a daemon knows besides: draining, the hold, a later process. Each is merged one way only.

--- a/pkg/gateway/catalog/restore.go
+++ b/pkg/gateway/catalog/restore.go
@@ -126,6 +126,26 @@
 	}
 }
 
+// learnFromSame merges what another daemon knows of an endpoint better than the entry
+// at the stored record's position says: that it leaves, is gone or has started again.
+func (s *State) learnFromSame(record Record, stored storedRecord, now time.Time) {
+	if record.Position() != stored.Position() || record.Endpoint == nil || stored.Endpoint == nil {
+		return
+	}
+	next := stored
+	if record.Endpoint.StartedAt > stored.Endpoint.StartedAt {
+		next = s.nextRecord(record, storedRecord{}, now)
+	}
+	next.keepDraining(record.Endpoint)
+	if record.Held > 0 && next.heldUntil.IsZero() {
+		next.heldUntil, next.left = now.Add(min(record.Held, heldTime)), true
+	}
+	if next.Endpoint != stored.Endpoint || !next.heldUntil.Equal(stored.heldUntil) {
+		s.byKey[record.Key] = next
+		s.changed = true
+	}
+}
+
 // lastKnown returns the record's endpoint, or the one that it had before its deletion.
 func (r *storedRecord) lastKnown() *Endpoint {
 	if r.Endpoint != nil {
--- a/pkg/gateway/catalog/restore_merge_test.go
+++ b/pkg/gateway/catalog/restore_merge_test.go
@@ -29,4 +29,34 @@
 		Expect(usedBy(other, at(7.9))).To(BeEmpty())
 		Expect(usedBy(other, at(8))).To(ConsistOf(types.EndpointID("e1")))
 	})
+
+	It("keeps an endpoint draining at a daemon that has read the same copy", func() {
+		knowing.Apply(changes(1, 18, 21, endpointRecord("e1", 21, draining)), at(1))
+		knowing.Replace(copied, position(2, 18), 0, at(2))
+		started := catalog.NewState()
+		started.Replace(copied, position(2, 18), 0, at(2.5))
+		Expect(started.Apply(knowing.Whole(at(3)), at(3))).To(BeTrue())
+		Expect(usedBy(started, at(3))).To(BeEmpty())
+		Expect(started.ConsumeChanged()).To(BeTrue())
+	})
+
+	It("holds an endpoint that is gone at a daemon that has read the same copy", func() {
+		knowing.Apply(changes(1, 18, 21, catalog.Record{Key: "servers/e1", Revision: 21, Deleted: true}), at(1))
+		knowing.Replace(copied, position(2, 18), 0, at(2))
+		started := catalog.NewState()
+		started.Replace(copied, position(2, 18), 0, at(2.5))
+		started.Apply(knowing.Whole(at(3)), at(3))
+		Expect(usedBy(started, at(7.9))).To(BeEmpty())
+		Expect(usedBy(started, at(8))).To(HaveLen(1))
+	})
+
+	It("brings the later process of an endpoint to a daemon that has read the same copy", func() {
+		knowing.Apply(changes(1, 18, 21, endpointRecord("e1", 21, func(e *catalog.Endpoint) { e.StartedAt, e.Address = 7, "10.0.0.2:80" })), at(1))
+		copied := inEra(2, endpointRecord("e1", 4, func(e *catalog.Endpoint) { e.StartedAt = 5 }))
+		knowing.Replace(copied, position(2, 18), 0, at(2))
+		started := catalog.NewState()
+		started.Replace(copied, position(2, 18), 0, at(2.5))
+		started.Apply(knowing.Whole(at(3)), at(3))
+		Expect(started.View(at(3)).Endpoints[service]).To(HaveExactElements(HaveField("Address", "10.0.0.2:80")))
+	})
 })
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -177,6 +177,7 @@
 	s.adoptConfig(record)
 	stored, found := s.byKey[record.Key]
 	if found && !stored.Position().Before(record.Position()) {
+		s.learnFromSame(record, stored, now)
 		return
 	}
 	if record.Era < s.applied.Era && !s.kept(record, now) {
