catalog: what a daemon received of an era before it entered it does not stay for ever

What callers saw: none was seen. A daemon that read an evacuation, or was told of an endpoint, of a restored store's new era while it was in the earlier one, and that came to the new era by another daemon, kept both for good if they had been removed before that daemon's full read: a data centre without requests, an endpoint that is gone in use.

Cause: a full read of the store removes what it lacks; the whole state of a daemon, which tells as much, removed nothing, and the position that came with it is past the removal, so that no watch tells of it either.

They leave no tombstone, so that an evacuation that the sender had missed comes back with the next poll (a spec).

--- a/pkg/gateway/catalog/restore_merge_test.go
+++ b/pkg/gateway/catalog/restore_merge_test.go
@@ -59,4 +59,31 @@
 		started.Apply(knowing.Whole(at(3)), at(3))
 		Expect(started.View(at(3)).Endpoints[service]).To(HaveExactElements(HaveField("Address", "10.0.0.2:80")))
 	})
+
+	It("ends an evacuation that another daemon has read in the new era before that one learned of the era", func() {
+		other.Apply(catalog.Delta{Era: 2, Records: inEra(2, catalog.Record{Key: "op/evacuate/north-a", Revision: 17, Evacuated: "north-a"})}, at(2))
+		Expect(usedBy(other, at(2))).To(BeEmpty())
+		knowing.Replace(copied, position(2, 19), 0, at(2.5))
+		Expect(other.Apply(knowing.Since(other.Applied(), at(3)), at(3))).To(BeTrue())
+		other.Expire(at(60))
+		Expect(usedBy(other, at(60))).To(HaveLen(1))
+	})
+
+	It("removes an endpoint of the new era of which another daemon knew before it learned of the era", func() {
+		other.Apply(changes(2, 18, 19, endpointRecord("e2", 19, nil)), at(2))
+		knowing.Replace(copied, position(2, 20), 0, at(2.5))
+		Expect(other.Apply(knowing.Since(other.Applied(), at(3)), at(3))).To(BeTrue())
+		other.Expire(at(60))
+		Expect(usedBy(other, at(60))).To(ConsistOf(types.EndpointID("e1")))
+	})
+
+	It("keeps an evacuation that is read after the whole state of a daemon that missed it", func() {
+		knowing.Replace(copied, position(2, 19), 0, at(2))
+		evacuated := catalog.Delta{Era: 2, Records: inEra(2, catalog.Record{Key: "op/evacuate/north-a", Revision: 17, Evacuated: "north-a"})}
+		other.Apply(evacuated, at(2))
+		other.Apply(knowing.Since(other.Applied(), at(3)), at(3))
+		Expect(other.NewRecords(evacuated.Records)).To(HaveLen(1))
+		other.Apply(evacuated, at(4))
+		Expect(usedBy(other, at(4))).To(BeEmpty())
+	})
 })
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -109,6 +109,7 @@
 	if slices.ContainsFunc(delta.Records, func(record Record) bool { return !record.Config.valid() }) {
 		return false
 	}
+	entered := delta.Whole && delta.Era > s.applied.Era
 	if delta.Whole {
 		s.alignEra(delta, now)
 	}
@@ -117,6 +118,9 @@
 			s.mergeRecord(record, now)
 		}
 	}
+	if entered {
+		s.forgetUnknown(delta, now)
+	}
 	if delta.Era != s.applied.Era || delta.From > s.applied.Revision {
 		return false
 	}
@@ -132,6 +136,30 @@
 	return partOfHistory && !found && record.Era == s.applied.Era && record.Revision <= s.applied.Revision
 }
 
+// forgetUnknown removes the items of the era of a whole delta that were received before
+// the state entered it and that the delta, which includes every change, does not have.
+// They leave no tombstone: a sender that missed a change must not hide it.
+func (s *State) forgetUnknown(delta Delta, now time.Time) {
+	told := make(map[string]Position, len(delta.Records))
+	for _, record := range delta.Records {
+		if told[record.Key].Before(record.Position()) {
+			told[record.Key] = record.Position()
+		}
+	}
+	for key, stored := range s.byKey {
+		position := stored.Position()
+		if stored.Deleted || stored.Era != delta.Era || stored.Revision > delta.To || !told[key].Before(position) {
+			continue
+		}
+		delete(s.byKey, key)
+		delete(s.evacuationKeys, key)
+		if stored.Evacuated != "" {
+			s.evacuationEnded[stored.Evacuated] = now
+		}
+		s.changed = true
+	}
+}
+
 // alignEra enters the era of a whole delta if it is later, as of the time at which the
 // sender did.
 func (s *State) alignEra(delta Delta, now time.Time) {
