--- a/pkg/gateway/catalog/restore.go
+++ b/pkg/gateway/catalog/restore.go
@@ -117,12 +117,54 @@
 	case earlierRun:
 		r.Endpoint, r.coldUntil, r.heldUntil, r.left = known, stored.coldUntil, stored.heldUntil, stored.left
 	case sameRun(r.Endpoint, known):
-		r.heldUntil, r.left = stored.heldUntil, !stored.heldUntil.IsZero()
+		if stored.heldUntil.After(r.heldUntil) {
+			r.heldUntil = stored.heldUntil
+		}
+		r.left = !r.heldUntil.IsZero()
 		r.carryCold(stored)
 		r.keepDraining(known)
 	}
 }
 
+// learnFromSame merges what another daemon knows of an endpoint better than the entry
+// at the stored record's position says: that it leaves, is gone or has started again.
+func (s *State) learnFromSame(record Record, stored storedRecord, now time.Time) {
+	if record.Position() != stored.Position() || record.Endpoint == nil || stored.Endpoint == nil {
+		return
+	}
+	next := stored
+	if record.Endpoint.StartedAt > stored.Endpoint.StartedAt {
+		next = s.nextRecord(record, storedRecord{}, now)
+		// It may be the start that is known to be gone.
+		next.heldUntil, next.left = stored.heldUntil, stored.left
+	}
+	next.keepDraining(record.Endpoint)
+	if record.Held > 0 && next.heldUntil.IsZero() {
+		next.heldUntil, next.left = now.Add(min(record.Held, heldTime)), true
+	}
+	if next.Endpoint != stored.Endpoint || !next.heldUntil.Equal(stored.heldUntil) {
+		s.byKey[record.Key] = next
+		s.changed = true
+	}
+}
+
+// forgotten reports whether the record stands for an item that was removed because
+// another daemon did not have it.
+func (r *storedRecord) forgotten() bool {
+	return r.Deleted && r.Revision == 0
+}
+
+// remember keeps what is known of an endpoint that was forgotten and is told of again.
+func (r *storedRecord) remember(stored storedRecord) {
+	if r.Endpoint == nil || stored.departed == nil || !sameRun(r.Endpoint, stored.departed) {
+		return
+	}
+	if stored.heldUntil.After(r.heldUntil) {
+		r.heldUntil, r.left = stored.heldUntil, true
+	}
+	r.keepDraining(stored.departed)
+}
+
 // lastKnown returns the record's endpoint, or the one that it had before its deletion.
 func (r *storedRecord) lastKnown() *Endpoint {
 	if r.Endpoint != nil {
--- a/pkg/gateway/catalog/state.go
+++ b/pkg/gateway/catalog/state.go
@@ -111,6 +111,7 @@
 	if slices.ContainsFunc(delta.Records, func(record Record) bool { return !record.Config.valid() }) {
 		return false
 	}
+	ahead := s.applied.Before(Position{Era: delta.Era, Revision: delta.To})
 	if delta.Whole {
 		s.alignEra(delta, now)
 	}
@@ -119,8 +120,8 @@
 			s.mergeRecord(record, now)
 		}
 	}
-	if delta.Whole {
-		s.deleteAbsent(delta.Records, Position{Era: delta.Era, Revision: delta.To}, 0, now)
+	if delta.Whole && ahead {
+		s.forgetUnknown(delta, now)
 	}
 	if delta.Era != s.applied.Era || delta.From > s.applied.Revision {
 		return false
@@ -138,6 +139,38 @@
 	return partOfHistory && !inEra && record.Era == s.applied.Era && record.Revision <= s.applied.Revision
 }
 
+// forgetUnknown removes the items of the era of a whole delta that the delta, which
+// includes every change, does not have: what was received before the state entered the
+// era, and what was deleted in a part of the history that the state has not seen.
+func (s *State) forgetUnknown(delta Delta, now time.Time) {
+	told := make(map[string]Position, len(delta.Records))
+	for _, record := range delta.Records {
+		if told[record.Key].Before(record.Position()) {
+			told[record.Key] = record.Position()
+		}
+	}
+	for key, stored := range s.byKey {
+		position := stored.Position()
+		if stored.Deleted || stored.Era != delta.Era || stored.Revision > delta.To || !told[key].Before(position) {
+			continue
+		}
+		s.forget(key, stored, now)
+	}
+}
+
+// forget removes an item that another daemon does not have. Whatever is written in this
+// era, or was, has a later position: a daemon that missed a change must not hide it.
+func (s *State) forget(key string, stored storedRecord, now time.Time) {
+	next := s.nextRecord(Record{Key: key, Era: stored.Era, Deleted: true}, stored, now)
+	next.heldUntil, next.left = stored.heldUntil, stored.left
+	delete(s.evacuationKeys, key)
+	if stored.Evacuated != "" {
+		s.evacuationEnded[stored.Evacuated] = now
+	}
+	s.byKey[key] = next
+	s.changed = true
+}
+
 // alignEra enters the era of a whole delta if it is later, as of the time at which the
 // sender did.
 func (s *State) alignEra(delta Delta, now time.Time) {
@@ -194,6 +227,7 @@
 	s.adoptConfig(record)
 	stored, found := s.byKey[record.Key]
 	if found && !stored.Position().Before(record.Position()) {
+		s.learnFromSame(record, stored, now)
 		return
 	}
 	if record.Era < s.applied.Era && !s.kept(record, now) {
@@ -229,8 +263,11 @@
 	if record.Held > 0 {
 		next.heldUntil = now.Add(min(record.Held, heldTime))
 	}
-	if stored.Era < record.Era {
+	switch {
+	case stored.Era < record.Era:
 		next.carryOver(stored, now)
+	case stored.forgotten():
+		next.remember(stored)
 	}
 	return next
 }
