control: a reader gives grace in an era of which peers have told it

What callers saw: none was seen. A sound endpoint whose entry had expired while the store was away, and whose removal a region's reader saw in the new era, went out of use at once instead of up to 2.2 s later, when that reader had learned of the era from another region and none of its own calls had failed.

Cause: only a failed call and a full read of a later era began the grace time; a reader that is brought to the era by peers watches from there without a full read.

Evidence: the new spec failed before.

--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -73,7 +73,9 @@
 	// needFullRead is true while the next call must read all records.
 	needFullRead bool
 	// down is true from a failed call to the next successful one.
-	down      bool
+	down bool
+	// eraBegan is true from the news of a later era by peers to the next successful call.
+	eraBegan  bool
 	settledAt time.Time
 	backoff   time.Duration
 	// lastChangeAt is when the store last returned a change.
@@ -151,6 +153,9 @@
 	if applied.Before(r.last) {
 		r.needFullRead, r.last = true, catalog.Position{}
 	}
+	if r.last != (catalog.Position{}) && r.last.Era < applied.Era {
+		r.eraBegan = true
+	}
 	nothingRead := r.last == catalog.Position{} && applied != catalog.Position{}
 	if nothingRead || r.last.Era < applied.Era {
 		r.needFullRead, r.last = false, applied
@@ -245,14 +250,16 @@
 	})
 }
 
-// recovered records a successful call. The first one after an outage starts the
-// period in which entries of live endpoints may still be missing.
+// recovered records a successful call. The first one after an outage, or in an era that
+// peers have told, starts the period in which entries of live endpoints may still be missing.
 func (r *reader) recovered() {
 	if r.down {
 		r.control.opts.Log.Info("the store answers again")
+	}
+	if r.down || r.eraBegan {
 		r.settledAt = r.control.opts.Now().Add(settleTime)
 	}
-	r.down, r.backoff = false, 0
+	r.down, r.eraBegan, r.backoff = false, false, 0
 	r.active.Store(true)
 }
 
--- a/pkg/gateway/control/reader_test.go
+++ b/pkg/gateway/control/reader_test.go
@@ -57,6 +57,18 @@
 		Expect(r.grace()).To(BeNumerically(">", 0))
 	})
 
+	It("gives entries that are removed a grace time after peers have brought a new era, also if no call had failed", func() {
+		c := New(Options{Self: members.Member{VM: "a:1"}, OnSnapshot: func(*Snapshot) {}, Log: logrus.New(), Now: time.Now})
+		r := newReader(c)
+		r.needFullRead, r.last = false, catalog.Position{Era: 1, Revision: 20}
+		r.align(catalog.Position{Era: 1, Revision: 21})
+		r.recovered()
+		Expect(r.grace()).To(BeZero())
+		r.align(catalog.Position{Era: 2, Revision: 18})
+		r.recovered()
+		Expect(r.grace()).To(BeNumerically(">", 0))
+	})
+
 	It("takes no answer of an era that is over", func() {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
