--- a/pkg/gateway/continuity/continuity.go
+++ b/pkg/gateway/continuity/continuity.go
@@ -21,7 +21,7 @@
 	// shortestRestart is less than the time that a process takes to end and start
 	// again: one that has sent something this recently has not been replaced.
 	shortestRestart = 200 * time.Millisecond
-	// transitTime bounds the time between the sending of bytes and their reading. A
+	// transitTime bounds the time between the sending of bytes and their arrival. Their
 	// process may have ended meanwhile.
 	transitTime = 50 * time.Millisecond
 	// readInterval is the time between two records of what a process sent.
