--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -60,6 +60,8 @@
 	// Affinity enables cache affinity: the prompts of the route share prefixes
 	// that endpoints cache.
 	Affinity bool `json:"affinity,omitempty"`
+	// Public routes need no credential where the configuration has organisations.
+	Public bool `json:"public,omitempty"`
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -69,15 +71,12 @@
 
 // Allows reports whether the route's data may be in the region.
 func (r *Route) Allows(region types.Region) bool {
-	if len(r.AllowedRegions) == 0 {
-		return true
-	}
-	for _, allowed := range r.AllowedRegions {
-		if allowed == region {
-			return true
-		}
-	}
-	return false
+	return allows(r.AllowedRegions, region)
+}
+
+// allows reports whether a list of regions holds the region; an empty list holds all.
+func allows(regions []types.Region, region types.Region) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
 // Uses reports whether the route sends requests to the service.
@@ -144,12 +143,15 @@
 	Routes   []*Route                       `json:"routes"`
 	Services map[types.ServiceName]*Service `json:"services"`
 	Limits   Limits                         `json:"limits"`
+	// Organisations lists who may call; without any, requests need no credential.
+	Organisations []*Organisation `json:"organisations,omitempty"`
 
-	byHost map[string][]*Route
+	byHost       map[string][]*Route
+	byCredential map[CredentialDigest]*Organisation
 }
 
-// valid reports whether the configuration contains no nil route or service. A nil
-// configuration is valid.
+// valid reports whether the configuration contains no nil route, service or
+// organisation. A nil configuration is valid.
 func (c *Config) valid() bool {
 	if c == nil {
 		return true
@@ -159,7 +161,7 @@
 			return false
 		}
 	}
-	return !slices.Contains(c.Routes, nil)
+	return !slices.Contains(c.Routes, nil) && !slices.Contains(c.Organisations, nil)
 }
 
 // Endpoint is what an endpoint announces about itself.
--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -12,8 +12,9 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// Prepare builds the index that Match uses.
+// Prepare builds the indexes that Match and OrganisationOf use.
 func (c *Config) Prepare() {
+	c.indexCredentials()
 	c.byHost = make(map[string][]*Route)
 	for _, route := range c.Routes {
 		route.sentPrefix = sentPrefix(route.Prefix)
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
 	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
@@ -67,6 +68,12 @@
 	// RetryWindow is the time over which the retry budget is counted; zero means
 	// 10 s.
 	RetryWindow time.Duration
+	// RevocationLimit is the time within which a credential that was taken away stops
+	// working, also at a daemon that cannot hear of it; zero sets no bound beyond
+	// ConfigPropagationLimit.
+	RevocationLimit time.Duration
+	// Quota is how far all daemons together may exceed the quota of an organisation.
+	Quota catalog.QuotaBounds
 }
 
 // ExtraListener is an additional listener that does not serve traffic.
