--- a/pkg/gateway/proxy/dialect.go
+++ b/pkg/gateway/proxy/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -44,6 +45,9 @@
 	// ResumeAfter is the ID of the last event that the caller received of a
 	// stream that it resumes; empty for a new stream.
 	ResumeAfter string
+	// Credential is the digest of the caller's credential; empty if it sent none that
+	// can be read.
+	Credential catalog.CredentialDigest
 }
 
 // Attempt is what an endpoint is told in addition to the caller's header.
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -27,8 +27,11 @@
 	// reservedBytes is the memory that is reserved for the body.
 	reservedBytes int64
 
-	Route   *catalog.Route
-	Service types.ServiceName
+	Route *catalog.Route
+	// Organisation is who calls; nil if the configuration has no organisations, or the
+	// route is public.
+	Organisation *catalog.Organisation
+	Service      types.ServiceName
 	// ModelEngine is true if the service runs model engines.
 	ModelEngine bool
 	// AttemptLimit bounds the number of endpoints that the request is sent to.
