Spec of restored stores: daemons of the model stay in touch while it settles

Traced by the records of each daemon: daemon 1 knew run 7 of e3 as gone, held it in eras 9, 10 and 11 for 6 s each, as the copies showed it, and then had no answer of the store for 4 s, because the model's settle() let no daemon read until 4 s had passed. Its step() states that a daemon in touch goes at most 1 s without asking; the hold rests on that (the entry expires or is removed again within it, and a daemon in touch hears so).

Change: settle() keeps the model's own rule; every check stays as it was. Ruled out: a fault of the state (with reads each second it is told of the change 2 s before the hold ends).

--- a/pkg/gateway/catalog/restore_model_test.go
+++ b/pkg/gateway/catalog/restore_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -243,13 +244,18 @@
 // longestUnread is how long a daemon in touch goes without an answer of the store.
 const longestUnread = time.Second
 
-// step does one random thing.
-func (m *model) step() {
+// readWhatIsDue lets each daemon read that has not asked for longestUnread.
+func (m *model) readWhatIsDue() {
 	for _, daemon := range m.daemons {
 		if m.now.Sub(daemon.askedAt) > longestUnread {
 			m.read(daemon)
 		}
 	}
+}
+
+// step does one random thing.
+func (m *model) step() {
+	m.readWhatIsDue()
 	pick := func() int { return m.rng.IntN(len(m.daemons)) }
 	switch m.rng.IntN(16) {
 	case 0:
@@ -308,7 +314,10 @@
 
 // settle ends all disturbances and lets the daemons read what is written.
 func (m *model) settle() {
-	m.advance(rewriteTime + 2*time.Second)
+	for range (rewriteTime + 2*time.Second) / longestUnread * 2 {
+		m.readWhatIsDue()
+		m.advance(longestUnread / 2)
+	}
 	for range 2 {
 		for _, daemon := range m.daemons {
 			m.read(daemon)
@@ -342,10 +351,22 @@
 	}
 }
 
+// upTo yields the numbers from 0 to limit-1.
+func upTo(limit uint64) iter.Seq[uint64] {
+	return func(yield func(uint64) bool) {
+		for n := range limit {
+			if !yield(n) {
+				return
+			}
+		}
+	}
+}
+
 var _ = Describe("States of daemons that read a store restored at any moment", func() {
 	It("all come to the store's state, and none goes back to an older configuration or to an endpoint that leaves", func() {
 		const seeds, steps = 400, 150
-		for seed := range uint64(seeds) {
+		// With seed 2843 an endpoint is held across two restorations before the last reads.
+		for _, seed := range append(slices.Collect(upTo(seeds)), 2843) {
 			By(fmt.Sprint("seed ", seed))
 			m := newModel(seed)
 			for range steps {
