soak: an answer that its endpoint broke off, and that the next one refused to go on with, is not lost

The rule leaves out what an endpoint broke off; the check judged by the last endpoint, which had refused.

Change: once an answer has begun, refusals after it do not count as its endpoint. Still found, with specs: a request without any answer whose endpoint crashed and that the next one refused (the daemon owes it a failure), and a stream whose endpoint had ended it. The spec of the allowed case fails before the change (lost: x), the two others pass before and after.

--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -160,6 +160,16 @@
 	}
 }
 
+// resumedInVain plants a request that ends while its daemon stops: its first endpoint gave
+// a result, and the next one refused it. The status is what the caller read, 0 for none.
+func resumedInVain(r *check.Record, first standin.Result, status int) {
+	r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d1"}}
+	call := cut("x", time.Second, time.Second, true)
+	call.Outcome.Status, call.Outcome.ID, call.Outcome.Sealed = status, call.ID, status != 0
+	r.Calls = append(r.Calls, call)
+	r.Arrivals = append(r.Arrivals, arrival("x", "e1", time.Second, first), arrival("x", "e2", 1900*time.Millisecond, standin.Refused))
+}
+
 var _ = Describe("All", func() {
 	It("finds nothing where nothing broke", func() {
 		Expect(check.All(record())).To(BeEmpty())
@@ -235,6 +245,12 @@
 			r.Calls = append(r.Calls, late)
 			r.Arrivals = append(r.Arrivals, arrival("x", "e1", 3100*time.Millisecond, standin.Answered))
 		}, "lost: x"),
+		Entry("a stream whose endpoint ended it, cut while a planned stop goes on, though another endpoint refused it too", func(r *check.Record) {
+			resumedInVain(r, standin.Answered, 200)
+		}, "lost: x"),
+		Entry("a request without an answer whose endpoint crashed and that the next one refused", func(r *check.Record) {
+			resumedInVain(r, standin.Broken, 0)
+		}, "lost: x"),
 		Entry("an answer that the stop of the daemon at the endpoint cut", func(r *check.Record) {
 			r.Stops = []check.Span{{From: after(0), To: after(4 * time.Second), Daemon: "d2"}}
 			r.Calls = append(r.Calls, cut("x", time.Second, time.Second, true))
@@ -407,6 +423,9 @@
 		plant(r)
 		Expect(check.All(r)).To(BeEmpty())
 	},
+		Entry("a stream whose endpoint crashed, cut while a planned stop goes on since the next one refused it", func(r *check.Record) {
+			resumedInVain(r, standin.Broken, 200)
+		}),
 		Entry("retries within the fixed number", func(r *check.Record) { r.Arrivals = repeated(3, time.Second, standin.Refused) }),
 		Entry("retries within the ratio of the window before", func(r *check.Record) {
 			for number := range 20 {
--- a/tools/soak/check/lost.go
+++ b/tools/soak/check/lost.go
@@ -74,7 +74,22 @@
 	if len(arrivals) == 0 {
 		return !r.stuck(call)
 	}
-	return r.sound(arrivals[len(arrivals)-1])
+	return r.sound(r.answering(call, arrivals))
+}
+
+// answering returns the arrival whose end may have cut off the answer of a call: the last
+// one, but for those that were refused after an answer had begun, which nothing can follow.
+func (r *Record) answering(call Call, arrivals []standin.Arrival) standin.Arrival {
+	last := arrivals[len(arrivals)-1]
+	if call.Outcome.Status == 0 {
+		return last
+	}
+	for _, arrival := range slices.Backward(arrivals) {
+		if arrival.Result != standin.Refused && arrival.Result != standin.Misdirected {
+			return arrival
+		}
+	}
+	return last
 }
 
 // stuck reports whether a call that reached no endpoint may have been sent over a
