--- a/pkg/gateway/balance/doubt_test.go
+++ b/pkg/gateway/balance/doubt_test.go
@@ -167,32 +167,30 @@
 		return &restartPlay{downAt: downAt, backAt: backAt, warmAt: backAt.Add(coldStart)}
 	}
 
-	fleetSizes := []TableEntry{Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8), Entry("28 daemons", 28)}
-
-	DescribeTable("gets no more than the cold rate from daemons that had no connection refused", func(daemons int) {
+	// expectColdRate plays restarts that last differently long, and expects no more than
+	// the cold rate after each.
+	expectColdRate := func(daemons int, vary func(play *restartPlay)) {
+		GinkgoHelper()
 		for down := 300 * time.Millisecond; down <= 2*time.Second; down += 170 * time.Millisecond {
 			play := newPlay(down)
-			play.idle = true
+			vary(play)
 			play.run(newFleet(published(), daemons), play.warmAt)
 			Expect(float64(mostPerSecond(play.arrived, play.backAt))).To(BeNumerically("<=", bound), "down for %s", down)
 		}
+	}
+
+	fleetSizes := []TableEntry{Entry("1 daemon", 1), Entry("2 daemons", 2), Entry("3 daemons", 3), Entry("5 daemons", 5), Entry("8 daemons", 8), Entry("28 daemons", 28)}
+
+	DescribeTable("gets no more than the cold rate from daemons that had no connection refused", func(daemons int) {
+		expectColdRate(daemons, func(play *restartPlay) { play.idle = true })
 	}, fleetSizes)
 
 	DescribeTable("gets no more than the cold rate from daemons that had connections refused", func(daemons int) {
-		for down := 300 * time.Millisecond; down <= 2*time.Second; down += 170 * time.Millisecond {
-			play := newPlay(down)
-			play.run(newFleet(published(), daemons), play.warmAt)
-			Expect(float64(mostPerSecond(play.arrived, play.backAt))).To(BeNumerically("<=", bound), "down for %s", down)
-		}
+		expectColdRate(daemons, func(*restartPlay) {})
 	}, fleetSizes)
 
 	DescribeTable("gets no more than the cold rate from requests that waited for a connection", func(daemons int) {
-		for down := 300 * time.Millisecond; down <= 2*time.Second; down += 170 * time.Millisecond {
-			play := newPlay(down)
-			play.silent = true
-			play.run(newFleet(published(), daemons), play.warmAt)
-			Expect(float64(mostPerSecond(play.arrived, play.backAt))).To(BeNumerically("<=", bound), "down for %s", down)
-		}
+		expectColdRate(daemons, func(play *restartPlay) { play.silent = true })
 	}, fleetSizes)
 
 	DescribeTable("gets no more than the cold rate while it may be cold, also from requests that waited for a connection", func(daemons int, trusted, told bool) {
--- a/pkg/gateway/control/restore_test.go
+++ b/pkg/gateway/control/restore_test.go
@@ -40,6 +40,30 @@
 		}
 	}
 
+	secondEra := catalog.Position{Era: 2, Revision: 1}
+	// newFleetInSecondEra returns a daemon with version 3 whose store has come back from
+	// a copy that lacks nothing.
+	newFleetInSecondEra := func(vm types.VMID) *fleet {
+		store.put(configRecord(3))
+		f := newFleet(store, sharedStore, vm)
+		Eventually(f.versions, waitLimit).Should(Equal([]uint64{3}))
+		store.restore(store.copy())
+		Eventually(positions(f), waitLimit).Should(HaveEach(secondEra))
+		return f
+	}
+	// newFleetAheadOfStore returns a daemon with version 5 whose store has come back from
+	// a copy with version 3.
+	newFleetAheadOfStore := func(vm types.VMID) *fleet {
+		store.put(configRecord(3))
+		copied := store.copy()
+		store.put(configRecord(5))
+		f := newFleet(store, sharedStore, vm)
+		Eventually(f.versions, waitLimit).Should(Equal([]uint64{5}))
+		store.restore(copied)
+		Eventually(positions(f), waitLimit).Should(HaveEach(secondEra))
+		return f
+	}
+
 	BeforeEach(func() {
 		store = newFakeStore()
 		store.era = 1
@@ -103,14 +127,8 @@
 	})
 
 	It("tells a daemon that starts then the newest configuration, though both have read the same copy", func() {
-		store.put(configRecord(3))
-		copied := store.copy()
-		store.put(configRecord(5))
-		f := newFleet(store, sharedStore, "a:1")
+		f := newFleetAheadOfStore("a:1")
 		defer f.stop()
-		Eventually(f.versions, waitLimit).Should(Equal([]uint64{5}))
-		store.restore(copied)
-		Eventually(positions(f), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
 
 		other := newFleet(store, sharedStore, "b:1")
 		defer other.stop()
@@ -121,14 +139,8 @@
 	})
 
 	It("asks a daemon at the same position for the newer configuration that its message names", func() {
-		store.put(configRecord(3))
-		copied := store.copy()
-		store.put(configRecord(5))
-		knowing := newFleet(store, sharedStore, "b:1")
+		knowing := newFleetAheadOfStore("b:1")
 		defer knowing.stop()
-		Eventually(knowing.versions, waitLimit).Should(Equal([]uint64{5}))
-		store.restore(copied)
-		Eventually(positions(knowing), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
 
 		f := newFleet(store, sharedStore, "a:1")
 		defer f.stop()
@@ -155,14 +167,8 @@
 	})
 
 	It("keeps the newest configuration when a panic resets the state", func() {
-		store.put(configRecord(3))
-		copied := store.copy()
-		store.put(configRecord(5))
-		f := newFleet(store, sharedStore, "a:1")
+		f := newFleetAheadOfStore("a:1")
 		defer f.stop()
-		Eventually(f.versions, waitLimit).Should(Equal([]uint64{5}))
-		store.restore(copied)
-		Eventually(positions(f), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
 		f.faults.Store(1)
 		Consistently(func() uint64 { return slices.Min(f.versions()) }, 3*time.Second, 5*time.Millisecond).Should(BeEquivalentTo(5))
 	})
@@ -191,12 +197,8 @@
 	})
 
 	It("takes nothing from a daemon of an earlier era", func() {
-		store.put(configRecord(3))
-		f := newFleet(store, sharedStore, "a:1")
+		f := newFleetInSecondEra("a:1")
 		defer f.stop()
-		Eventually(f.versions, waitLimit).Should(Equal([]uint64{3}))
-		store.restore(store.copy())
-		Eventually(positions(f), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
 		late := message("z:1", catalog.Position{Era: 1, Revision: 90}, 3)
 		record := endpointRecord("e9")
 		record.Era, record.Revision = 1, 80
@@ -208,12 +210,8 @@
 	})
 
 	It("does not take a read by a daemon of an earlier era for one of the store", func() {
-		store.put(configRecord(3))
-		f := newFleet(store, sharedStore, "a:1")
+		f := newFleetInSecondEra("a:1")
 		defer f.stop()
-		Eventually(f.versions, waitLimit).Should(Equal([]uint64{3}))
-		store.restore(store.copy())
-		Eventually(positions(f), waitLimit).Should(HaveEach(catalog.Position{Era: 2, Revision: 1}))
 		store.set(func() { store.down = true })
 		// The call that was under way has ended by then.
 		time.Sleep(2 * control.DefaultWatchTimeout)
