proxy: requests name their organisation by a credential

Change: the daemon that takes a request looks its credential's digest up in the configuration in force; unknown or missing ones get 401 with WWW-Authenticate before anything else is done. The lookup is repeated after each wait, right before each attempt, and behind a hop: there the envelope carries the digest and the version it was found in, a receiver with an older configuration refuses as not run, one with a newer one that lacks it refuses for good. Credential and organisation fields of the caller go neither to endpoints nor over hops. Home regions of route and organisation both bind. The organisation's rank goes before the route's in queues, and at engines as the position among all pairs of ranks. Without organisations in the configuration headers, ranks and answers are as before (spec).

Ruled out: sending name, rank and regions over the hop: the receiver's own configuration holds them, and a newer one there must bind.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -22,6 +22,9 @@
 	Service types.ServiceName
 	// Rank is the urgency; 0 is the most urgent.
 	Rank int
+	// CallerRank is the rank of the organisation that calls; it goes before Rank where
+	// requests wait.
+	CallerRank int
 	// PromptTokens estimates the prompt length; zero for plain services.
 	PromptTokens int
 	// Prefix identifies the shared part of the prompt; zero means none.
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -109,7 +109,7 @@
 // Try places a request that has not waited yet; waiting requests that are at
 // least as urgent go first. Both results are nil when there is no capacity now.
 func (p *Pool) Try(req RequestInfo, now time.Time) (*Permit, *Refusal) {
-	if p.queueOf(req.Service).ahead(req.Rank) > 0 {
+	if p.queueOf(req.Service).ahead(req) > 0 {
 		return nil, nil
 	}
 	return p.Permit(req, now)
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -69,16 +69,21 @@
 	q.serviceTime += serviceTimeWeight * (took.Seconds() - q.serviceTime)
 }
 
-// compareWaiters orders by rank, then by deadline, then by arrival in the queue.
+// compareWaiters orders by the ranks of caller and request, then by deadline, then by arrival in the queue.
 func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(cmp.Compare(a.RequestInfo.Rank, b.RequestInfo.Rank), a.RequestInfo.Deadline.Compare(b.RequestInfo.Deadline), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(a.RequestInfo.compareUrgency(b.RequestInfo), a.RequestInfo.Deadline.Compare(b.RequestInfo.Deadline), cmp.Compare(a.seq, b.seq))
 }
 
-// ahead counts the waiting requests that precede a new request of the rank.
-func (q *queue) ahead(rank int) int {
+// compareUrgency orders by the rank of the caller, then by that of the request.
+func (r RequestInfo) compareUrgency(other RequestInfo) int {
+	return cmp.Or(cmp.Compare(r.CallerRank, other.CallerRank), cmp.Compare(r.Rank, other.Rank))
+}
+
+// ahead counts the waiting requests that precede a new request.
+func (q *queue) ahead(req RequestInfo) int {
 	count := 0
 	for _, waiter := range q.waiting {
-		if waiter.RequestInfo.Rank <= rank {
+		if waiter.RequestInfo.compareUrgency(req) <= 0 {
 			count++
 		}
 	}
@@ -127,7 +132,7 @@
 			capacity += p.limit(req, ep)
 		}
 	}
-	seconds := float64(q.ahead(req.Rank)+1) * q.serviceTime / float64(max(capacity, 1))
+	seconds := float64(q.ahead(req)+1) * q.serviceTime / float64(max(capacity, 1))
 	return pause + time.Duration(seconds*float64(time.Second))
 }
 
--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -148,6 +148,7 @@
 
 	byHost       map[string][]*Route
 	byCredential map[CredentialDigest]*Organisation
+	urgencies    []urgency
 }
 
 // valid reports whether the configuration contains no nil route, service or
--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -12,9 +12,10 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// Prepare builds the indexes that Match and OrganisationOf use.
+// Prepare builds the indexes that Match, OrganisationOf and Urgency use.
 func (c *Config) Prepare() {
 	c.indexCredentials()
+	c.indexUrgencies()
 	c.byHost = make(map[string][]*Route)
 	for _, route := range c.Routes {
 		route.sentPrefix = sentPrefix(route.Prefix)
--- a/pkg/gateway/catalog/organisation.go
+++ b/pkg/gateway/catalog/organisation.go
@@ -1,8 +1,10 @@
 package catalog
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -37,6 +39,15 @@
 	return o == nil || allows(o.AllowedRegions, region)
 }
 
+// RankOf returns the rank of an organisation. Requests that need no credential, of a nil
+// organisation, have the highest one.
+func (o *Organisation) RankOf() int {
+	if o == nil {
+		return 0
+	}
+	return o.Rank
+}
+
 // Quota bounds what an organisation may ask of all daemons together, in its unit.
 type Quota struct {
 	// Rate is the units per second, and Burst the units beyond it that may be used at once.
@@ -85,3 +96,39 @@
 		}
 	}
 }
+
+// urgency orders requests: by the rank of the organisation, then by that of the route.
+type urgency struct {
+	organisation, route int
+}
+
+func (u urgency) compare(other urgency) int {
+	return cmp.Or(cmp.Compare(u.organisation, other.organisation), cmp.Compare(u.route, other.route))
+}
+
+// Urgency returns the rank of an organisation's requests on a route among those of all
+// organisations and routes of the configuration, 0 being the most urgent, and the number
+// of these ranks. Prepare must have been called.
+func (c *Config) Urgency(organisation *Organisation, route *Route) (rank, ranks int) {
+	position, _ := slices.BinarySearchFunc(c.urgencies, urgency{organisation.RankOf(), route.Rank}, urgency.compare)
+	return min(position, max(len(c.urgencies)-1, 0)), len(c.urgencies)
+}
+
+// indexUrgencies lists the ranks of all requests, the most urgent first.
+func (c *Config) indexUrgencies() {
+	ofOrganisations := map[int]bool{(*Organisation)(nil).RankOf(): true}
+	for _, organisation := range c.Organisations {
+		ofOrganisations[organisation.Rank] = true
+	}
+	ofRoutes := make(map[int]bool)
+	for _, route := range c.Routes {
+		ofRoutes[route.Rank] = true
+	}
+	c.urgencies = nil
+	for organisation := range ofOrganisations {
+		for route := range ofRoutes {
+			c.urgencies = append(c.urgencies, urgency{organisation, route})
+		}
+	}
+	slices.SortFunc(c.urgencies, urgency.compare)
+}
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -39,8 +39,14 @@
 
 // endpointRequest builds the request for one attempt at an endpoint.
 func (r *run) endpointRequest(permit *balance.Permit, w *attemptConn) *http.Request {
-	header := r.req.Header.Clone()
+	header := r.outgoingHeader()
 	attempt := Attempt{Endpoint: permit.Endpoint.ID, Rank: r.req.Route.Rank, ModelEngine: r.req.ModelEngine, ResumeAfter: r.req.ResumeAfter}
+	if config := r.h.opts.Snapshot().View.Config; r.req.Identified && config != nil {
+		attempt.Rank, attempt.Ranks = config.Urgency(r.req.Organisation, r.req.Route)
+	}
+	if r.req.Organisation != nil {
+		attempt.Organisation = r.req.Organisation.Name
+	}
 	if r.lastEvent != "" {
 		attempt.ResumeAfter = r.lastEvent
 	}
@@ -57,7 +63,7 @@
 // prefixSource returns the address of an endpoint from which another one may copy
 // the request's prefix; empty if there is none.
 func (r *run) prefixSource(to catalog.ActiveEndpoint) string {
-	source, found := r.h.opts.Gate.PrefixSource(r.req.Service, r.req.Prefix, to, r.req.Route.Allows)
+	source, found := r.h.opts.Gate.PrefixSource(r.req.Service, r.req.Prefix, to, r.req.allows)
 	if !found {
 		return ""
 	}
--- a/pkg/gateway/proxy/dialect.go
+++ b/pkg/gateway/proxy/dialect.go
@@ -15,6 +15,9 @@
 	// RequestInfo decodes the header of a caller's request and removes the
 	// fields that only the gateway may set.
 	RequestInfo(header http.Header) (RequestInfo, error)
+	// RemoveCaller removes the caller's credential and what the caller says of its
+	// organisation.
+	RemoveCaller(header http.Header)
 	// Attempt writes the header fields of an attempt at an endpoint.
 	Attempt(header http.Header, attempt Attempt)
 	// ResponseInfo decodes the header of an endpoint's response.
@@ -58,6 +61,10 @@
 	TimeLeft time.Duration
 	// Rank is the urgency; 0 is the most urgent.
 	Rank int
+	// Ranks is the number of ranks; zero if it is not known.
+	Ranks int
+	// Organisation is who calls; empty if the caller needs no credential.
+	Organisation types.OrgName
 	// ModelEngine is true for requests that a model engine schedules by rank.
 	ModelEngine bool
 	// FetchFrom is the address of an endpoint from which the engine may copy the
--- a/pkg/gateway/proxy/failure.go
+++ b/pkg/gateway/proxy/failure.go
@@ -31,7 +31,7 @@
 func failureStatus(failure *types.Failure) int {
 	if failure.Verdict == types.NotRun {
 		switch failure.Code {
-		case types.CodeBadRequest, types.CodeUnknownService, types.CodeTooLarge:
+		case types.CodeBadRequest, types.CodeUnauthenticated, types.CodeUnknownService, types.CodeTooLarge:
 			return failure.Status
 		}
 		return http.StatusServiceUnavailable
@@ -47,6 +47,9 @@
 	relay.ExtendWriteDeadline(w, writeTimeout)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
+	if failure.Code == types.CodeUnauthenticated {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if failure.RetryAfter > 0 && failure.Verdict == types.NotRun {
 		header.Set("Retry-After", formatSeconds(failure.RetryAfter))
 	}
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -47,6 +47,11 @@
 	// Elsewhere is true if the sender can forward the request to another daemon of the
 	// receiver's region: a receiver that is leaving then refuses it.
 	Elsewhere bool `json:"elsewhere,omitempty"`
+	// Credential is the digest of the caller's credential, and ConfigVersion the version
+	// of the configuration in which an organisation holds it; both are empty if the
+	// request needs none. The receiver looks it up in its own configuration.
+	Credential    catalog.CredentialDigest `json:"credential,omitempty"`
+	ConfigVersion uint64                   `json:"config_version,omitempty"`
 	// Reserve asks the receiver to reserve an endpoint before it reads the body, and to
 	// say so in an interim response with headerReserved. The body comes after that.
 	Reserve bool `json:"reserve,omitempty"`
@@ -156,6 +161,9 @@
 	if !r.chargedAt.IsZero() {
 		env.ArriveWithin = hopTime
 	}
+	if r.req.Organisation != nil && snap.View.Config != nil {
+		env.Credential, env.ConfigVersion = r.req.Credential, snap.View.Config.Version
+	}
 	return env
 }
 
@@ -165,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	header := r.req.Header.Clone()
+	header := r.outgoingHeader()
 	header.Set(headerForward, string(encoded))
 	return r.outgoing(string(member.VM), header, w), nil
 }
@@ -240,7 +248,10 @@
 	}
 	defer func() { h.bodies.Release(req.reservedBytes) }()
 	defer h.releaseReserved(req)
-	failure := h.reserveForwarded(w, r, req)
+	failure := h.identify(req, h.opts.Snapshot())
+	if failure == nil {
+		failure = h.reserveForwarded(w, r, req)
+	}
 	if failure == nil {
 		failure = h.receiveForwarded(w, r, req)
 	}
@@ -299,10 +310,14 @@
 	if env.ResumeAfter != "" {
 		info.ResumeAfter = env.ResumeAfter
 	}
+	if env.Credential != "" {
+		info.Credential = env.Credential
+	}
 	req := newRequest(r, info, env.Route)
 	req.Service, req.ModelEngine, req.AttemptLimit, req.ForwardedBy = env.Service, env.ModelEngine, 1, env.ForwardedBy
 	req.Arrived, req.Deadline = now.Add(-max(env.Waited, 0)), now.Add(env.Left)
 	req.PrefixUncached, req.Tried, req.Elsewhere, req.Reserve = env.PrefixUncached, env.Tried, env.Elsewhere, env.Reserve
+	req.identifiedIn = env.ConfigVersion
 	if env.CallerLimited {
 		req.CallerDeadline = req.Deadline
 	}
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -200,6 +200,9 @@
 	if !req.hasExactTarget() {
 		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, "the path can't be passed on as it was sent")
 	}
+	if failure := h.identify(req, snap); failure != nil {
+		return nil, failure
+	}
 	req.Service, req.AttemptLimit, req.Arrived = matched.ServiceFor(string(info.ID)), max(matched.MaxAttempts, 1), arrived
 	if service := config.Services[req.Service]; service != nil {
 		req.ModelEngine = service.Engine != nil
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -45,17 +45,20 @@
 
 // Header fields of the dialect that the tests use.
 const (
-	headerID          = "X-Id"
-	headerSignature   = "X-Seal"
-	headerNotRun      = "X-Not-Run"
-	headerEndpoint    = "X-Endpoint"
-	headerFetchFrom   = "X-Test-Fetch-From"
-	headerResumeAfter = "X-After"
-	headerTimeout     = "X-Allowed"
-	headerPrefix      = "X-Prefix"
-	headerLeaving     = "X-Leaving"
-	headerBackoff     = "X-Backoff"
-	headerParts       = "X-Parts"
+	headerID           = "X-Id"
+	headerSignature    = "X-Seal"
+	headerNotRun       = "X-Not-Run"
+	headerEndpoint     = "X-Endpoint"
+	headerFetchFrom    = "X-Test-Fetch-From"
+	headerResumeAfter  = "X-After"
+	headerTimeout      = "X-Allowed"
+	headerPrefix       = "X-Prefix"
+	headerLeaving      = "X-Leaving"
+	headerBackoff      = "X-Backoff"
+	headerParts        = "X-Parts"
+	headerCredential   = "X-Credential"
+	headerOrganisation = "X-Organisation"
+	headerRank         = "X-Rank"
 )
 
 type testDialect struct{}
@@ -73,11 +76,25 @@
 	if prefix, err := strconv.ParseUint(header.Get(headerPrefix), 10, 64); err == nil {
 		info.Prefix, info.PrefixTokens, info.PromptTokens = prefix, 13_300, 17_000
 	}
+	if credential := header.Get(headerCredential); credential != "" {
+		info.Credential = catalog.DigestOf(credential)
+	}
 	return info, nil
 }
 
+func (testDialect) RemoveCaller(header http.Header) {
+	header.Del(headerCredential)
+	header.Del(headerOrganisation)
+}
+
 func (testDialect) Attempt(header http.Header, attempt proxy.Attempt) {
 	header.Set(headerEndpoint, string(attempt.Endpoint))
+	if attempt.ModelEngine {
+		header.Set(headerRank, strconv.Itoa(attempt.Rank))
+	}
+	if attempt.Organisation != "" {
+		header.Set(headerOrganisation, string(attempt.Organisation))
+	}
 	if attempt.ResumeAfter != "" {
 		header.Set(headerResumeAfter, attempt.ResumeAfter)
 	}
@@ -225,6 +242,8 @@
 type testProxy struct {
 	route  *catalog.Route
 	limits catalog.Limits
+	// organisations are those of the configuration.
+	organisations []*catalog.Organisation
 	// bodyMemory bounds the memory of bodies; zero means no bound.
 	bodyMemory int64
 	withheld   map[crashes.Trait]crashes.Verdict
@@ -249,7 +268,9 @@
 	// published replaces snap while requests run.
 	published atomic.Pointer[control.Snapshot]
 	gate      *gate.Gate
-	budgets   *proxy.RetryBudgets
+	// taken are the permits of fillSlots.
+	taken   []*balance.Permit
+	budgets *proxy.RetryBudgets
 }
 
 const service = types.ServiceName("svc")
@@ -266,7 +287,7 @@
 
 func (w *testProxy) start(endpoints ...*endpoint) {
 	config := &catalog.Config{
-		Version: 1, Routes: []*catalog.Route{w.route}, Limits: w.limits,
+		Version: 1, Routes: []*catalog.Route{w.route}, Limits: w.limits, Organisations: w.organisations,
 		Services: map[types.ServiceName]*catalog.Service{service: {Name: service}},
 	}
 	if w.modelEngine {
@@ -353,9 +374,25 @@
 		if permit == nil {
 			return info
 		}
+		w.taken = append(w.taken, permit)
 	}
 }
 
+// releaseSlot gives back a slot that fillSlots took.
+func (w *testProxy) releaseSlot() {
+	permit := w.taken[0]
+	w.taken = w.taken[1:]
+	w.gate.Done(permit, balance.Abandoned)
+}
+
+// addEndpoint adds an endpoint of a region to those that a started proxy knows.
+func (w *testProxy) addEndpoint(id types.EndpointID, e *endpoint, region types.Region) {
+	w.snap.View.Endpoints[service] = append(w.snap.View.Endpoints[service], catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{
+		ID: id, Service: service, Address: e.address(), Region: region, Slots: 4,
+	}})
+	w.update()
+}
+
 // update passes the view to the balancer again.
 func (w *testProxy) update() {
 	view := *w.snap.View
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -35,7 +35,7 @@
 	if r.req.PrefixTokens >= balance.MinLargePrefixTokens {
 		return r.placeLargePrompt(snap)
 	}
-	if !r.req.Route.Allows(snap.Self.Region) {
+	if !r.req.allows(snap.Self.Region) {
 		return r.placeRemotely(snap)
 	}
 	balancerRequest := r.balancerRequest()
@@ -120,7 +120,7 @@
 
 // placeLocally selects an endpoint of the local region without waiting.
 func (r *run) placeLocally(snap *control.Snapshot) (destination, *types.Failure) {
-	if !r.req.Route.Allows(snap.Self.Region) {
+	if !r.req.allows(snap.Self.Region) {
 		return destination{}, notRunFailure(types.CodeResidency, "the route's data may not be used in this region", notReadyRetryAfter)
 	}
 	balancerRequest := r.balancerRequest()
@@ -156,7 +156,7 @@
 func (r *run) usableRegion(snap *control.Snapshot) func(types.Region) bool {
 	serving := r.servingRegions(snap)
 	return func(region types.Region) bool {
-		return serving[region] && r.req.Route.Allows(region)
+		return serving[region] && r.req.allows(region)
 	}
 }
 
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -31,6 +31,12 @@
 	// Organisation is who calls; nil if the configuration has no organisations, or the
 	// route is public.
 	Organisation *catalog.Organisation
+	// Identified is true if the configuration lists organisations: the caller's
+	// credential, and what the caller says of its organisation, then go no further.
+	Identified bool
+	// identifiedIn is the version of the configuration in which the daemon that forwarded
+	// the request found its organisation; zero if it needed none.
+	identifiedIn uint64
 	Service      types.ServiceName
 	// ModelEngine is true if the service runs model engines.
 	ModelEngine bool
@@ -102,6 +108,7 @@
 	return balance.RequestInfo{
 		Service:         r.Service,
 		Rank:            r.Route.Rank,
+		CallerRank:      r.Organisation.RankOf(),
 		PromptTokens:    r.PromptTokens,
 		Prefix:          r.Prefix,
 		PrefixTokens:    r.PrefixTokens,
@@ -113,6 +120,12 @@
 	}
 }
 
+// allows reports whether the data of the request's route and of its organisation may both
+// be in the region.
+func (r *Request) allows(region types.Region) bool {
+	return r.Route.Allows(region) && r.Organisation.Allows(region)
+}
+
 // traits returns what may make the request crash an endpoint: its content, and the
 // parts of its prompt, each for all services and for its own.
 func (r *Request) traits() crashes.Traits {
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -110,6 +110,10 @@
 			r.release(dest)
 			return failure
 		}
+		if failure := r.identifyAgain(); failure != nil && dest.handover == nil {
+			r.release(dest)
+			return failure
+		}
 		if dest.handover == nil && !r.charge() {
 			r.release(dest)
 			return lastFailure
@@ -188,7 +192,7 @@
 // budget, but the number of these is limited.
 func (r *run) shouldRetry(failure *types.Failure) bool {
 	switch {
-	case r.ctx.Err() != nil || r.out.writeFailed || r.trial != 0:
+	case r.ctx.Err() != nil || r.out.writeFailed || r.trial != 0 || failure.Code == types.CodeUnauthenticated:
 		return false
 	case !outcome.MayRepeat(r.req.Route.Repeatable(), r.verdict):
 		return false
--- a/pkg/gateway/proxy/stall.go
+++ b/pkg/gateway/proxy/stall.go
@@ -145,7 +145,7 @@
 // reserveHere reserves an endpoint of this region for the rest of the stream. It
 // returns no permit if none is free, and whether no endpoint here may run the request.
 func (r *run) reserveHere() (permit *balance.Permit, noneHere bool) {
-	if !r.req.Route.Allows(r.h.opts.Snapshot().Self.Region) {
+	if !r.req.allows(r.h.opts.Snapshot().Self.Region) {
 		return nil, true
 	}
 	permit, refusal := r.h.opts.Gate.Try(r.balancerRequest())
--- a/pkg/gateway/proxy/startup.go
+++ b/pkg/gateway/proxy/startup.go
@@ -56,7 +56,7 @@
 	leaving := snap.Self.State == members.Leaving
 	now := r.h.opts.Now()
 	for _, endpoint := range snap.View.Endpoints[r.req.Service] {
-		own := leaving && endpoint.Region == snap.Self.Region && r.req.Route.Allows(endpoint.Region)
+		own := leaving && endpoint.Region == snap.Self.Region && r.req.allows(endpoint.Region)
 		if (own || usable(endpoint.Region)) && endpoint.Accepts(now) {
 			return true
 		}
