Credentials that were taken away stop working within the limit, also at daemons that hear nothing

Change: pkg/gateway/freshness keeps a lower bound of the moment up to which a daemon has every acknowledged version. Readings of the store and replies of peers raise it, to the moment of the question (less the age told); messages do not. Replies carry the age. With a limit in the settings daemons ask one of their data centre, that one the region's reader, once their bound is older than 0.7 s. From 0.8 of the limit on requests with a credential get 503, not run; the check is repeated right before attempts, bounds the time for which a connection may be awaited, and is made again behind a hop. An unknown credential gets 401 only while the configuration may not be old. The clock counts suspensions.

Also ruled out: readings within the settling time of an era, and any while a peer has a newer version.

--- a/pkg/gateway/catalog/restore.go
+++ b/pkg/gateway/catalog/restore.go
@@ -72,6 +72,14 @@
 	return restored
 }
 
+// ShowsAll reports whether a store that was asked at askedAt, and answered with a position,
+// showed all that it had acknowledged: it does not just after it came back from a copy, nor
+// if this state has not seen its era begin.
+func (s *State) ShowsAll(position Position, askedAt time.Time) bool {
+	settled := s.eraEnteredAt.IsZero() || !askedAt.Before(s.eraEnteredAt.Add(SettleTime))
+	return settled && position.Era == s.applied.Era
+}
+
 // Settling reports whether records of earlier eras are kept.
 func (s *State) Settling(now time.Time) bool {
 	return !s.eraEnteredAt.IsZero() && now.Before(s.eraEnteredAt.Add(evacuationKeepTime))
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
 	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
+	"github.com/flamingomount/flamingomount/pkg/gateway/freshness"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/route"
@@ -50,6 +51,13 @@
 	// EvacuationLimit is the time, from the request of an evacuation, within
 	// which the data centre must get no more requests; zero means at once.
 	EvacuationLimit time.Duration
+	// RevocationLimit is the time within which a credential that was taken away stops
+	// working. If it is set, daemons ask each other often enough how old their
+	// configuration may be.
+	RevocationLimit time.Duration
+	// Suspended returns for how long the VM was suspended, which Now does not count;
+	// nil means never.
+	Suspended func() time.Duration
 	// OnSnapshot is called with each new snapshot and must not block.
 	OnSnapshot func(*Snapshot)
 	// Loads returns the daemon's load by service; it must not block.
@@ -79,6 +87,10 @@
 	state   *catalog.State
 	table   *members.Table
 	crashes *crashes.Log
+	// confirmation tells how old the configuration may be.
+	confirmation freshness.Confirmation
+	// unconfirmed is true while that is longer than a daemon in touch needs.
+	unconfirmed bool
 	// broadcasts limits the evidence that is sent to all daemons at once.
 	broadcasts *rate.Limiter
 	// storeReads holds the last time that each daemon read the store, as far as this
@@ -104,6 +116,9 @@
 	if opts.Demand == nil {
 		opts.Demand = func() demand.Counts { return nil }
 	}
+	if opts.Suspended == nil {
+		opts.Suspended = func() time.Duration { return 0 }
+	}
 	if opts.WatchTimeout == 0 {
 		opts.WatchTimeout = DefaultWatchTimeout
 	}
@@ -230,6 +245,7 @@
 	c.state.SetEvacuationLimit(c.opts.EvacuationLimit)
 	c.table = c.table.EmptyCopy()
 	c.crashes = crashes.NewLog()
+	c.confirmation.Forget()
 	clear(c.storeReads)
 	c.lastReader = ""
 	c.dirty = true
@@ -242,6 +258,7 @@
 	c.crashes.Expire(now)
 	c.decide(now)
 	c.heartbeat(now)
+	c.askConfirmation(now)
 	c.dirty = true
 }
 
@@ -249,6 +266,7 @@
 func (c *Control) publish(now time.Time) {
 	c.dirty = false
 	defer func() { c.viewOutdated = false }()
+	c.confirmation.Settle(c.state.Applied(), c.state.ConfigVersion())
 	previous := c.snapshotHolder.load()
 	next := &Snapshot{
 		Self:    c.table.Self(),
@@ -259,6 +277,7 @@
 		Left:    c.table.LeftRegions(),
 
 		StoreReadAt: c.storeReads[c.lastReader].at,
+		ConfirmedAt: c.confirmation.At(),
 
 		Withheld:  c.crashes.Withheld(),
 		Suspected: c.crashes.Suspected(),
@@ -267,7 +286,7 @@
 	case previous == nil:
 		next.View = c.state.View(now)
 	case c.state.Applied().Before(previous.View.Position()):
-		next.View = previous.View
+		next.View, next.ConfirmedAt = previous.View, previous.ConfirmedAt
 		if len(next.Members) == 0 {
 			next.Members = previous.Members
 		}
--- a/pkg/gateway/control/exchange.go
+++ b/pkg/gateway/control/exchange.go
@@ -33,6 +33,7 @@
 		Evidence:      c.crashes.News(now),
 		Joining:       c.table.Joining(),
 		Evacuations:   c.state.EvacuationAges(now),
+		ConfirmedAge:  c.confirmation.Age(c.counted(now)),
 	}
 	message.setApplied(c.state.Applied())
 	if _, found := c.storeReads[c.lastReader]; found {
@@ -59,6 +60,7 @@
 // exchange sends a message and passes the reply to the control goroutine.
 func (c *Control) exchange(to types.VMID, message *Message) {
 	sentAt := c.opts.Now()
+	countedAt := c.counted(sentAt)
 	reply, err := c.opts.Peers.Send(c.ctx, to, message)
 	if err != nil {
 		c.submit(c.ctx, func(now time.Time) { c.markUnreachable(to, err, now) })
@@ -67,6 +69,7 @@
 	c.submit(c.ctx, func(now time.Time) {
 		c.mergeMessage(reply, now)
 		c.state.ConfirmEvacuations(reply.Evacuations, sentAt)
+		c.confirmation.RecordReply(reply.ConfigVersion, reply.ConfirmedAge, countedAt)
 	})
 }
 
@@ -165,6 +168,7 @@
 	c.table.Merge(message.Members, now)
 	c.table.MergeDemand(message.Demand, now)
 	c.dirty = true
+	c.confirmation.RecordVersion(message.ConfigVersion)
 	c.mergeEvidence(message, now)
 	if message.Delta != nil {
 		c.state.Apply(*message.Delta, now)
--- a/pkg/gateway/control/fleet_test.go
+++ b/pkg/gateway/control/fleet_test.go
@@ -31,11 +31,18 @@
 	stop    func()
 	// faults is how many of the next heartbeats panic, over all daemons.
 	faults atomic.Int32
+	// revocationLimit is that of the daemons.
+	revocationLimit time.Duration
 }
 
 // newFleet starts a daemon for each address; storeOf returns its store.
 func newFleet(store *fakeStore, storeOf func(types.VMID) control.Store, vms ...types.VMID) *fleet {
-	f := &fleet{store: store, peers: &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}}}
+	return newRevokingFleet(0, store, storeOf, vms...)
+}
+
+// newRevokingFleet starts daemons at which credentials stop working within a limit.
+func newRevokingFleet(limit time.Duration, store *fakeStore, storeOf func(types.VMID) control.Store, vms ...types.VMID) *fleet {
+	f := &fleet{revocationLimit: limit, store: store, peers: &fakePeers{daemons: map[types.VMID]*control.Control{}, cut: map[types.VMID]bool{}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running conc.WaitGroup
 	log := logrus.New()
@@ -58,7 +65,7 @@
 	daemon := control.New(control.Options{
 		Self:  members.Member{VM: vm, Incarnation: 1, State: members.Starting, Region: "north", DataCentre: "north-a", CallerAddress: string(vm)},
 		Seeds: seeds, Store: store, Peers: f.peers,
-		OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads, EvacuationLimit: evacuationLimit,
+		OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads, EvacuationLimit: evacuationLimit, RevocationLimit: f.revocationLimit,
 		Demand: func() demand.Counts { return demand.Counts{"r": 7} },
 		Log:    log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(len(f.daemons)), 1)),
 	})
--- a/pkg/gateway/control/message.go
+++ b/pkg/gateway/control/message.go
@@ -21,6 +21,9 @@
 	Era *uint64 `json:"era,omitempty"`
 	// ConfigVersion is the version of the sender's configuration; zero if it has none.
 	ConfigVersion uint64 `json:"config_version,omitempty"`
+	// ConfirmedAge is how long ago the sender had every version of the configuration that
+	// the store had acknowledged; zero if it does not know. It holds in replies only.
+	ConfirmedAge time.Duration `json:"confirmed_age,omitempty"`
 	// StoreReader is the daemon that read the store last, and StoreReadAge how long
 	// ago it did, as far as the sender knows; empty if no daemon has read it yet.
 	StoreReader  types.VMID    `json:"origin,omitempty"`
--- a/pkg/gateway/control/reader.go
+++ b/pkg/gateway/control/reader.go
@@ -167,7 +167,7 @@
 	if r.needFullRead {
 		return r.readAll(ctx)
 	}
-	delta, err := r.control.opts.Store.Watch(ctx, r.last, r.control.opts.WatchTimeout)
+	delta, err := r.control.opts.Store.Watch(ctx, r.last, r.watchTime())
 	if err != nil {
 		return err
 	}
@@ -186,6 +186,18 @@
 	return nil
 }
 
+// probeWait is the longest time that a watch waits for changes when it is to tell whether
+// the store answers again.
+const probeWait = time.Millisecond
+
+// watchTime returns how long the next watch may wait for changes.
+func (r *reader) watchTime() time.Duration {
+	if r.down && r.control.opts.RevocationLimit > 0 {
+		return probeWait
+	}
+	return r.control.opts.WatchTimeout
+}
+
 // batchChanges delays the next watch when changes follow each other, so that a
 // fleet of endpoints that changes continuously costs a bounded number of calls
 // and messages. A change after a quiet period is distributed without delay.
@@ -201,6 +213,7 @@
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	askedAt := r.control.opts.Now()
+	countedAt := r.control.counted(askedAt)
 	records, base, err := r.control.opts.Store.ReadAll(bounded)
 	if err != nil {
 		return err
@@ -216,7 +229,7 @@
 	r.needFullRead, r.last = false, base
 	r.control.submit(ctx, func(now time.Time) {
 		r.control.applyFullRead(records, base, grace, now)
-		r.control.state.RecordReading(base, askedAt)
+		r.control.recordReading(base, askedAt, countedAt)
 	})
 	return nil
 }
@@ -239,6 +252,7 @@
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	askedAt := r.control.opts.Now()
+	countedAt := r.control.counted(askedAt)
 	records, position, err := r.control.opts.Store.ReadEvacuations(bounded)
 	if err != nil {
 		r.control.opts.Log.WithError(err).Debug("evacuations could not be read")
@@ -246,7 +260,7 @@
 	}
 	r.control.submit(ctx, func(now time.Time) {
 		r.control.applyEvacuations(records, position, now)
-		r.control.state.RecordReading(position, askedAt)
+		r.control.recordReading(position, askedAt, countedAt)
 	})
 }
 
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -32,6 +32,9 @@
 	// StoreReadAt is when the store was last read, by whichever daemon, with nothing
 	// in the answer that this daemon lacks; zero if that is not known.
 	StoreReadAt time.Time
+	// ConfirmedAt is the moment, in time that counts suspensions of the VM, up to which
+	// View.Config includes every version that the store acknowledged; zero if none is known.
+	ConfirmedAt time.Time
 	// Withheld holds the traits that no request to an endpoint may have.
 	Withheld map[crashes.Trait]crashes.Verdict
 	// Suspected holds the traits of which answers that got on are reported.
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -189,6 +189,8 @@
 		WatchTimeout: watchTimeout,
 
 		EvacuationLimit: s.EvacuationLimit,
+		RevocationLimit: s.RevocationLimit,
+		Suspended:       suspension.Total,
 
 		Loads:      e.gate.Loads,
 		Demand:     e.demand.Counts,
@@ -200,12 +202,14 @@
 		Rand:       sharedrand.Source{},
 	})
 	registerPublished(e.control, e.registry)
+	registerConfirmation(e.control, e.registry)
 	e.reporter = newReporter(e.control, e.history, e.registry)
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, NextSnapshot: e.control.Next, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.reporter,
 		RetryBudgets: e.budgets, Demand: e.demand, Transport: transport,
-		BodyMemory: int64(float64(s.MemoryBytes) * bodyMemoryShare),
-		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Suspended: suspension.Total, Rand: sharedrand.Source{},
+		BodyMemory:      int64(float64(s.MemoryBytes) * bodyMemoryShare),
+		RevocationLimit: s.RevocationLimit, ConfigLimit: s.ConfigPropagationLimit,
+		Log: newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Suspended: suspension.Total, Rand: sharedrand.Source{},
 	})
 	if err := e.listen(); err != nil {
 		e.close()
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -21,7 +21,7 @@
 	outgoing := r.endpointRequest(permit, &w)
 	defer w.cancel()
 	w.withheld = func() bool { _, found := r.withheld(); return found }
-	defer w.limit(earliest(r.h.inBudgetTime(permit.Endpoint.LastRequestAt), r.arriveBy()), r.h.budgetTime)()
+	defer w.limit(earliest(earliest(r.h.inBudgetTime(permit.Endpoint.LastRequestAt), r.arriveBy()), r.usableBy()), r.h.budgetTime)()
 	response, err := r.roundTrip(outgoing, permit, &w)
 	if err != nil {
 		return r.handleSendError(permit, &w, err)
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -70,7 +70,7 @@
 		return failureWithCause(types.NotRun, types.CodeInternal, "the request can't be forwarded", err)
 	}
 	defer w.cancel()
-	defer w.limit(r.forwardBy(), r.h.budgetTime)()
+	defer w.limit(earliest(r.forwardBy(), r.usableBy()), r.h.budgetTime)()
 	response, err := r.h.opts.Transport.RoundTrip(outgoing)
 	return r.relayForwarded(member, &w, response, err)
 }
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -81,6 +81,10 @@
 	Now        func() time.Time
 	// Rand must be safe for concurrent use.
 	Rand route.Rand
+	// RevocationLimit is the time within which a credential that was taken away stops
+	// working, also while this daemon hears nothing; zero sets no limit. ConfigLimit is
+	// the time within which a daemon that hears of changes has them; zero means at once.
+	RevocationLimit, ConfigLimit time.Duration
 	// Suspended returns for how long the VM was suspended, which Now does not count;
 	// nil means never.
 	Suspended func() time.Duration
@@ -147,7 +151,7 @@
 // ServeHTTP serves a caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.opts.Now()
-	snap := h.awaitStartup(r.Context(), hasConfig)
+	snap := h.awaitStartup(r.Context(), h.identifiable)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
 		h.opts.Demand.Record(req.Route)
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -246,12 +246,14 @@
 	organisations []*catalog.Organisation
 	// bodyMemory bounds the memory of bodies; zero means no bound.
 	bodyMemory int64
-	withheld   map[crashes.Trait]crashes.Verdict
-	retryRatio float64
-	retryFixed float64
-	region     types.Region
-	self       types.VMID
-	members    []members.Member
+	// revocationLimit and configLimit are the options of the same names.
+	revocationLimit, configLimit time.Duration
+	withheld                     map[crashes.Trait]crashes.Verdict
+	retryRatio                   float64
+	retryFixed                   float64
+	region                       types.Region
+	self                         types.VMID
+	members                      []members.Member
 	// endpointRegion is the region of the endpoints.
 	endpointRegion types.Region
 	fakeReporter   *fakeReporter
@@ -325,7 +327,7 @@
 		Snapshot: w.snapshot, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
 		RetryBudgets: w.budgets, Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
 		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)), Transport: w.transport,
-		BodyMemory: w.bodyMemory,
+		BodyMemory: w.bodyMemory, RevocationLimit: w.revocationLimit, ConfigLimit: w.configLimit,
 	}
 }
 
--- a/pkg/gateway/proxy/organisation_test.go
+++ b/pkg/gateway/proxy/organisation_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -219,3 +220,100 @@
 		Expect(e.count()).To(BeZero())
 	})
 })
+
+// confirm publishes that the configuration was confirmed some time ago.
+func (w *testProxy) confirm(age time.Duration) {
+	snap := *w.snapshot()
+	snap.ConfirmedAt = time.Now().Add(-age)
+	w.published.Store(&snap)
+}
+
+var _ = Describe("a credential at a daemon that may not hear of its end", func() {
+	const limit = time.Hour // far longer than a spec takes
+	var w *testProxy
+	var e *endpoint
+	BeforeEach(func() {
+		w, e = newTestProxy(catalog.Idempotent), newEndpoint(respondOK)
+		w.organisations, w.revocationLimit = []*catalog.Organisation{organisation("first")}, limit
+		w.route.Objective = time.Minute // leaves time to wait for capacity
+		w.start(e)
+	})
+	call := func() callerResponse { return w.call("GET", "/r/", "", headerCredential, "first") }
+	refused := func(resp callerResponse) {
+		GinkgoHelper()
+		Expect(resp.status).To(Equal(503))
+		Expect(resp.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(resp.body).To(ContainSubstring("unconfirmed"))
+	}
+
+	It("is refused as not run until the configuration is confirmed", func() {
+		refused(call())
+		Expect(e.count()).To(BeZero())
+		w.confirm(time.Minute)
+		Expect(call().status).To(Equal(200))
+	})
+
+	It("is refused as not run well before the limit", func() {
+		w.confirm(limit / 2)
+		Expect(call().status).To(Equal(200))
+		w.confirm(limit - limit/10)
+		refused(call())
+		Expect(e.count()).To(Equal(1))
+	})
+
+	It("is not looked at on a public route", func() {
+		w.route.Public = true
+		Expect(call().status).To(Equal(200))
+	})
+
+	It("is refused, not denied, if nobody is known to hold it", func() {
+		refused(w.call("GET", "/r/", "", headerCredential, "other"))
+		w.confirm(time.Minute)
+		Expect(w.call("GET", "/r/", "", headerCredential, "other").status).To(Equal(401))
+	})
+
+	It("is not used after a wait during which the configuration became too old", func() {
+		w.confirm(time.Minute)
+		w.fillSlots()
+		done := make(chan callerResponse, 1)
+		go func() { done <- call() }()
+		Eventually(func() int { return w.gate.Loads()[0].Waiting }, eventuallyTimeout).Should(Equal(1))
+		w.confirm(limit)
+		w.releaseSlot()
+		var resp callerResponse
+		Eventually(done, eventuallyTimeout).Should(Receive(&resp))
+		refused(resp)
+		Expect(e.count()).To(BeZero())
+	})
+
+	It("is not used by the daemon behind a hop either", func() {
+		w.confirm(limit)
+		south := newTestProxy(catalog.Idempotent)
+		south.moveSouth(w.asMember())
+		south.organisations = []*catalog.Organisation{organisation("first")}
+		south.start(e)
+		Expect(south.call("GET", "/r/", "", headerCredential, "first").status).To(Equal(503))
+		Expect(e.count()).To(BeZero())
+		w.confirm(time.Minute)
+		Expect(south.call("GET", "/r/", "", headerCredential, "first").status).To(Equal(200))
+	})
+
+	It("counts the time for which the VM was suspended", func() {
+		w.confirm(time.Minute)
+		options := w.options()
+		options.Suspended = func() time.Duration { return limit }
+		w.handler = proxy.New(options)
+		w.callerServer.Config.Handler = w.handler
+		refused(call())
+	})
+
+	It("is denied or refused by the age of the configuration where no limit binds", func() {
+		w = newTestProxy(catalog.Idempotent)
+		w.organisations, w.configLimit = []*catalog.Organisation{organisation("first")}, limit
+		w.start(e)
+		Expect(call().status).To(Equal(200))
+		refused(w.call("GET", "/r/", "", headerCredential, "other"))
+		w.confirm(limit / 2)
+		Expect(w.call("GET", "/r/", "", headerCredential, "other").status).To(Equal(401))
+	})
+})
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -245,6 +245,7 @@
 	if view := r.h.opts.Snapshot().View; view.Config != nil {
 		fields["config"], fields["revision"] = view.Config.Version, view.AppliedRevision
 	}
+	r.recordOrganisation(fields)
 	if r.req.Route.Objective > 0 {
 		fields["objective_ms"] = r.req.Route.Objective.Milliseconds()
 	}
--- a/pkg/types/verdict.go
+++ b/pkg/types/verdict.go
@@ -60,8 +60,10 @@
 
 // The failure codes that callers see in the "code" field of an error body.
 const (
-	CodeBadRequest       Code = "bad_request"
-	CodeUnauthenticated  Code = "unauthenticated"
+	CodeBadRequest      Code = "bad_request"
+	CodeUnauthenticated Code = "unauthenticated"
+	// CodeUnconfirmed: the daemon can't tell whether a credential still holds.
+	CodeUnconfirmed      Code = "unconfirmed"
 	CodeForbidden        Code = "forbidden"
 	CodeUnknownService   Code = "unknown_service"
 	CodeTooLarge         Code = "too_large"
@@ -161,6 +163,7 @@
 var statusByCode = map[Code]int{
 	CodeBadRequest:       400,
 	CodeUnauthenticated:  401,
+	CodeUnconfirmed:      503,
 	CodeForbidden:        403,
 	CodeUnknownService:   404,
 	CodeTooLarge:         413,
