graceful, entry: bounds on connections and on the memory of request heads

Cause: a listener took every connection, and the HTTP server holds up to 68 KiB of a head whose lines take some ten times that in memory, for 5 s. Ruled out: empty lines, chunk extensions, trailers and HTTP/0.9 lines, which net/http bounds or refuses.

Change: each listener has a bound on its connections, a share of the descriptors (settings maxFds, or the operating system's) and, for callers, of the memory. Beyond it the connection that has waited longest for a request yields, 250 ms at least after it was accepted or answered. Request heads of all listeners together take at most 0.15 of the memory; beyond that the connection with the largest incomplete one is closed.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/health"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/sharedrand"
 	"github.com/flamingomount/flamingomount/pkg/suspension"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -49,6 +50,9 @@
 	DataCentres int
 	// MemoryBytes is the memory limit of the process; zero means unknown.
 	MemoryBytes int64
+	// Descriptors is the limit of the process on open descriptors; zero means that of the
+	// operating system.
+	Descriptors int
 	// ConfigPropagationLimit is the time within which a change must be in force on
 	// every daemon; zero means unknown.
 	ConfigPropagationLimit time.Duration
@@ -127,6 +131,10 @@
 	lookups    *lookupLog
 	restarts   *restartLog
 	servers    []*server
+	// heads bounds the memory of request heads, yielded counts the connections that were
+	// closed to make room for others.
+	heads   *graceful.Heads
+	yielded *prometheus.CounterVec
 	// handling is the number of requests that handlers serve.
 	handling atomic.Int64
 	// leavingSince is when a stop began; nil while there is none.
@@ -167,6 +175,7 @@
 	e.history = crashes.NewHistory()
 	e.demand = demand.NewCounter(time.Now)
 	e.unanswered = newUnansweredLog(e.log, e.registry, func() (time.Duration, bool) { return e.handler.SinceStop() })
+	e.heads, e.yielded = s.newHeads(), newYieldedTotal(e.registry)
 	e.lookups = newLookupLog(e.log, e.registry)
 	watchTimeout := time.Duration(float64(s.ConfigPropagationLimit) * watchShare)
 	bounds := s.Cold
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -54,6 +54,10 @@
 		HTTP:       e.httpServer(name, handler),
 		Times:      times,
 		Unanswered: e.unanswered.on(name),
+
+		MaxConnections: e.opts.Settings.maxConnections(name),
+		Heads:          e.heads,
+		Yielded:        e.yielded.WithLabelValues(name).Inc,
 	})})
 	return nil
 }
--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -55,6 +55,8 @@
 	// ending is true while the connection is about to end: it ends at its read deadline
 	// unless a request has arrived.
 	ending bool
+	// yielded is true once the connection was closed to make room for others.
+	yielded bool
 }
 
 // expired is a read deadline that wakes a pending read.
@@ -70,7 +72,14 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
 		n, err = c.readArrived(b, err)
 	}
-	c.recordRead(b[:max(n, 0)], err)
+	read := b[:max(n, 0)]
+	ofHead, beginsHead := c.recordRead(read, err)
+	if beginsHead {
+		c.server.waiters.addHead(c)
+	}
+	if ofHead {
+		c.server.growHead(c, read)
+	}
 	return n, err
 }
 
@@ -101,19 +110,24 @@
 	return c.ending
 }
 
-func (c *conn) recordRead(read []byte, err error) {
+// recordRead takes account of what a read returned. It reports whether that is part of the
+// head of a request, and whether it begins the head of a further one.
+func (c *conn) recordRead(read []byte, err error) (ofHead, beginsHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.handshake != nil:
 		c.handshake.record(read)
 	case len(read) > 0:
+		ofHead = c.awaiting || c.phase == fresh
+		beginsHead = c.awaiting && !c.begun && !c.closed
 		c.begun = true
 		c.keep()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.callerGone = true
 	}
+	return ofHead, beginsHead
 }
 
 // keep lets a connection that is about to end receive the rest of its request. The
@@ -165,6 +179,15 @@
 	return c.idleDeadlines > 1
 }
 
+// yield closes the connection to make room for others.
+func (c *conn) yield() {
+	c.mu.Lock()
+	c.yielded = true
+	c.mu.Unlock()
+	// A connection that is closed already makes room as well.
+	_ = c.Close()
+}
+
 // becomeIdle records that the HTTP server begins to wait for the next request.
 func (c *conn) becomeIdle() {
 	c.mu.Lock()
@@ -230,14 +253,21 @@
 	}
 }
 
-// startHandling records that a handler serves the request.
-func (c *conn) startHandling() {
+// startHandling records that a handler serves the request. It returns false if the
+// connection was closed meanwhile to make room for others.
+func (c *conn) startHandling() bool {
+	c.server.waiters.remove(c)
+	c.server.heads.complete(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.yielded {
+		return false
+	}
 	c.phase = handling
 	c.awaiting = false
 	c.handlings++
 	c.request = ""
+	return true
 }
 
 // name records the ID of the request that a handler serves.
@@ -301,6 +331,8 @@
 // holds the lock.
 func (c *conn) endReason() Reason {
 	switch {
+	case c.yielded:
+		return Yielded
 	case c.callerGone:
 		return CallerGone
 	case c.phase == handling:
--- /dev/null
+++ b/pkg/graceful/room_test.go
@@ -0,0 +1,122 @@
+package graceful_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/graceful"
+)
+
+// patientServer returns an HTTP server that does not end a connection by itself during a test.
+func patientServer() *http.Server {
+	return &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+}
+
+// isClosed reports whether the server closes the connection.
+func (c *caller) isClosed() bool {
+	_ = c.SetReadDeadline(time.Now().Add(eventuallyTimeout)) // an error shows in the read
+	_, err := c.reader.ReadByte()
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+var _ = Describe("connections that wait for a request", func() {
+	It("yield beyond the limit, the longest first, before those that had one", func() {
+		const most = 3
+		var yielded atomic.Int64
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), MaxConnections: most, Yielded: func() { yielded.Add(1) }})
+		kept := f.dial()
+		kept.send(get("/"))
+		status, _ := kept.status()
+		Expect(status).To(Equal(http.StatusOK))
+		first, second := f.dial(), f.dial()
+		late := f.dial()
+		late.send(get("/"))
+		status, _ = late.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(yielded.Load()).To(BeEquivalentTo(1))
+		Expect(first.isClosed()).To(BeTrue())
+		for _, open := range []*caller{kept, second} {
+			open.send(get("/"))
+			status, _ = open.status()
+			Expect(status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("leave a caller that has sent a part of its request for last", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), MaxConnections: 2})
+		silent, begun := f.dial(), f.dial()
+		begun.send("GET / HTTP/1.1\r\nHost: h\r\n")
+		late := f.dial()
+		late.send(get("/"))
+		status, _ := late.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(silent.isClosed()).To(BeTrue())
+		begun.send("\r\n")
+		status, _ = begun.status()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
+	It("do not yield while there is room", func() {
+		f := serveLimited(listen(), 4)
+		first := f.dial()
+		for range 3 {
+			f.dial()
+		}
+		time.Sleep(300 * time.Millisecond)
+		first.send(get("/"))
+		status, _ := first.status()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+})
+
+var _ = Describe("the heads of requests", func() {
+	lines := func(count int) string {
+		var text strings.Builder
+		for number := range count {
+			fmt.Fprintf(&text, "X%d:\r\n", number)
+		}
+		return text.String()
+	}
+
+	It("close the connection with the largest one beyond the limit, on all servers together", func() {
+		heads := graceful.NewHeads(64 << 10)
+		here, there := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: heads}), serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: heads})
+		large, small := here.dial(), there.dial()
+		large.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(300))
+		small.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(250))
+		Expect(large.isClosed()).To(BeTrue())
+		small.send("\r\n")
+		status, _ := small.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(here.seen.all()).To(ConsistOf(graceful.Yielded))
+	})
+
+	It("count until the response, and no longer", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
+		c := f.dial()
+		for range 5 {
+			c.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(300) + "\r\n")
+			status, _ := c.status()
+			Expect(status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("do not count the bytes of bodies", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(16 << 10)})
+		c := f.dial()
+		body := strings.Repeat("\n", 100<<10)
+		for range 2 {
+			c.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+			status, _ := c.status()
+			Expect(status).To(Equal(http.StatusOK))
+		}
+	})
+})
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -44,10 +44,13 @@
 	Cut Reason = "cut"
 	// Dropped: the request, or a part of it, was read and no handler got it.
 	Dropped Reason = "dropped"
+	// Yielded: the connection was closed to make room for others before its request had
+	// arrived as a whole.
+	Yielded Reason = "yielded"
 )
 
 // Reasons lists all reasons.
-var Reasons = []Reason{CallerGone, Aborted, Cut, Dropped}
+var Reasons = []Reason{CallerGone, Aborted, Cut, Dropped, Yielded}
 
 // Ending tells of a request whose connection ended without a complete response.
 type Ending struct {
@@ -67,13 +70,20 @@
 	// hold up a shutdown.
 	TLS *tls.Config
 	// MaxConnections bounds the connections that are open at once; 0 means no
-	// limit.
+	// limit. Beyond it the connection that has waited longest for a request is closed; while
+	// all of them have one, the next connection waits.
 	MaxConnections int
+	// Heads bounds the memory of request heads, together with that of the other servers with
+	// the same value; nil means no limit.
+	Heads *Heads
 	// Times are those of a shutdown; the zero value means DefaultShutdownTimes.
 	Times ShutdownTimes
 	// Unanswered is called for each connection that ends while a request has no
 	// complete response; nil means not at all. It must not block.
 	Unanswered func(Ending)
+	// Yielded is called for each connection that is closed to make room for others; nil
+	// means not at all. It must not block.
+	Yielded func()
 }
 
 // Server serves one listener. It is safe for concurrent use.
@@ -88,7 +98,9 @@
 
 	listener net.Listener
 	// slots holds a value for each open connection; nil means no limit.
-	slots chan struct{}
+	slots   chan struct{}
+	waiters waiters
+	heads   *Heads
 	// closed is closed by Close.
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -138,6 +150,10 @@
 		opts: opts, handler: opts.HTTP.Handler, listener: opts.Listener, conns: make(map[*conn]struct{}),
 		closed: make(chan struct{}), served: make(chan struct{}), drained: make(chan struct{}),
 	}
+	s.heads = opts.Heads
+	if s.heads == nil {
+		s.heads = NewHeads(0)
+	}
 	if opts.MaxConnections > 0 {
 		s.slots = make(chan struct{}, opts.MaxConnections)
 	}
@@ -295,7 +311,9 @@
 		out.begin()
 		return
 	}
-	c.startHandling()
+	if !c.startHandling() {
+		panic(http.ErrAbortHandler)
+	}
 	completed := false
 	defer func() { c.handled(completed, out.announced) }()
 	s.handler.ServeHTTP(out, r)
@@ -310,6 +328,8 @@
 		return
 	}
 	c.becomeIdle()
+	s.heads.reset(c)
+	s.waiters.addIdle(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing || c.closeAnnounced() {
@@ -323,13 +343,18 @@
 	}
 }
 
+// track begins to keep account of an accepted connection.
 func (s *Server) track(c *conn) {
+	s.heads.track(c)
+	s.waiters.addHead(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 }
 
 func (s *Server) forget(c *conn) {
+	s.heads.forget(c)
+	s.waiters.remove(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, known := s.conns[c]; !known {
@@ -342,26 +367,39 @@
 	}
 }
 
+// growHead takes account of a part of a request head and closes the connections that have to
+// yield for it.
+func (s *Server) growHead(c *conn, part []byte) {
+	for _, yielding := range s.heads.grow(c, headMemory(part)) {
+		yielding.server.yield(yielding)
+	}
+}
+
+// yield closes a connection to make room for others.
+func (s *Server) yield(c *conn) {
+	c.yield()
+	if s.opts.Yielded != nil {
+		s.opts.Yielded()
+	}
+}
+
 // trackingListener accepts connections that the server keeps account of.
 type trackingListener struct {
 	net.Listener
 	server *Server
 }
 
-// Accept implements net.Listener. It waits for a slot if their number is limited.
+// Accept implements net.Listener. If the number of connections is limited, another one has
+// to yield to the accepted one, which waits as long as there is none.
 func (l trackingListener) Accept() (net.Conn, error) {
-	if l.server.slots != nil {
-		select {
-		case l.server.slots <- struct{}{}:
-		case <-l.server.closed:
-			return nil, net.ErrClosed
-		}
-	}
 	accepted, err := l.Listener.Accept()
 	if err != nil {
-		l.server.releaseSlot()
 		return nil, err
 	}
+	if !l.server.takeSlot() {
+		_ = accepted.Close() // as all others are
+		return nil, net.ErrClosed
+	}
 	c := &conn{Conn: accepted, server: l.server}
 	if l.server.knowsHandshakes() {
 		c.handshake = &handshake{}
@@ -370,6 +408,32 @@
 	return c, nil
 }
 
+// takeSlot takes a slot for a connection. It returns false if the server was closed meanwhile.
+func (s *Server) takeSlot() bool {
+	if s.slots == nil {
+		return true
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	for {
+		longest, wait := s.waiters.takeLongest()
+		if longest != nil {
+			s.yield(longest)
+			wait = yieldAfter
+		}
+		select {
+		case s.slots <- struct{}{}:
+			return true
+		case <-s.closed:
+			return false
+		case <-time.After(wait):
+		}
+	}
+}
+
 func (s *Server) releaseSlot() {
 	if s.slots != nil {
 		<-s.slots
