proxy: a response whose status is none is a failure of its endpoint

Cause: net/http reads any three digits as a status, and 101 too. 000 and 099 made the handler panic, so that the caller's connection closed without an answer; 600 and 999 were passed on; with the header that promises that the request did not run, all became a 503 with that promise, and were sent again.

Ruled out: no digits, a sign, no status and interim responses without end are errors of net/http already (the latter shown by trouble_test.go).

Change: below 200 or over 599 the response of an endpoint or another daemon is discarded with its connection, before anything that it says is noted; the caller gets 502 or, where the kind of request allows it, another attempt.

--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/oncebody"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -27,6 +28,11 @@
 		return r.handleSendError(permit, &w, err)
 	}
 	defer closeBody(response)
+	if !relay.IsFinalStatus(response.StatusCode) {
+		failure, result := r.rejectResponse(&w, relay.ErrNoStatus)
+		r.h.opts.Gate.Done(permit, result)
+		return failure
+	}
 	r.noteResponse(permit, response)
 	r.h.opts.Gate.ResponseStarted(permit)
 	failure, result := r.handleResponse(response, &w)
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -14,6 +14,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -92,6 +93,10 @@
 		return r.handleForwardError(member, w, err)
 	}
 	defer closeBody(response)
+	if !relay.IsFinalStatus(response.StatusCode) {
+		failure, _ := r.rejectResponse(w, relay.ErrNoStatus)
+		return failure
+	}
 	r.noteRemoteResponse(member, response.Header)
 	failure := r.failureFromDaemon(response)
 	if failure != nil && refusedByLeaving(failure, response.Header) {
--- a/pkg/stage/relay/whole.go
+++ b/pkg/stage/relay/whole.go
@@ -20,6 +20,18 @@
 // its end can't be distinguished from a lost connection.
 var ErrUndelimited = errors.New("answer has no length and is not chunked")
 
+// ErrNoStatus means that the status of a response is none that a response to a request can have.
+var ErrNoStatus = errors.New("the status of the answer is none")
+
+// lastStatus is the highest status of HTTP.
+const lastStatus = 599
+
+// IsFinalStatus reports whether a status can be that of the response to a request, other than
+// an interim one.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status <= lastStatus
+}
+
 // BufferedResponse is the part of a response that was read. Complete is false when
 // the response exceeds Limits.MaxBufferedBytes; the rest can then still be read
 // from the response body.
