dispatch: a response whose status is none is a failure of its endpoint

Change: such a response is discarded with its connection; the verdict is that the request may have run, the caller gets 502.

--- a/pkg/stage/dispatch/attempt.go
+++ b/pkg/stage/dispatch/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch/outcome"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -91,6 +92,10 @@
 		return a.transportFailure(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !relay.IsFinalStatus(response.StatusCode) {
+		a.dropConnection()
+		return a.invalidResponse(relay.ErrNoStatus)
+	}
 	a.headersAt = a.run.d.opts.Now()
 	a.recordHeaders(response)
 	if !a.evidence.Echoed {
