estimate: prefill rate, pace and queue of each endpoint are learned; placing uses them

Cause: placing predicted with 55,000 tokens a second and 2 ms a running request for every engine; the engines of one service differ by 2.4. Change: estimate.Endpoint learns the prefill rate from the time to the first event against the outstanding prompt work, a short-lived slowdown and wait, and the growth of the pause between events with what runs; estimate.Service holds the averages that new endpoints begin with. balance/{score,reading} use it in place of prefillRate, runCost and the moving averages. A response that is no success teaches nothing (proxy tells ResponseFailed).

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -97,9 +97,25 @@
 	// prefillBacklog is the endpoint's outstanding prompt work, in tokens, when
 	// the permit was granted, this request included.
 	prefillBacklog float64
-	grantedAt      time.Time
-	responseSeen   bool
-	finished       bool
+	// running is the number of requests that ran at the endpoint when the permit was
+	// granted, this one included.
+	running      float64
+	grantedAt    time.Time
+	pace         Pace
+	responseSeen bool
+	finished     bool
+}
+
+// Pace is how fast the events of a response came.
+type Pace struct {
+	// Mean is the mean pause between two events, Longest the longest one; zero if there
+	// were too few.
+	Mean, Longest time.Duration
+}
+
+// SetPace tells the pace of the response, before the attempt is done.
+func (p *Permit) SetPace(pace Pace) {
+	p.pace = pace
 }
 
 // markResponseStarted records that the request no longer waits for a response,
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
 )
 
 // Limits on the load that one endpoint is given.
@@ -39,11 +40,8 @@
 	inFlight int
 	// large is the number of in-flight requests with a large prefix.
 	large int
-	// prefillSlowdown is the prefill time of the engine relative to prefillRate;
-	// responseTime is the time, in seconds, until the responses to small prompts
-	// start.
-	prefillSlowdown ewma
-	responseTime    ewma
+	// speed is what is known of how fast an engine works.
+	speed *estimate.Endpoint
 	// owned is true when this daemon sends the endpoint its large prompts.
 	owned bool
 	// prefillTokens is the prompt work, in tokens, of requests whose responses
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -128,13 +128,20 @@
 	}
 }
 
-// ResponseStarted records that the endpoint started its response.
+// ResponseStarted records that the endpoint started the response of a request that it runs.
 func (g *Gate) ResponseStarted(permit *balance.Permit) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.ResponseStarted(permit, g.now())
 }
 
+// ResponseFailed records that the endpoint started a response to a request that failed.
+func (g *Gate) ResponseFailed(permit *balance.Permit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.ResponseFailed(permit, g.now())
+}
+
 // DueProbes returns the endpoints whose health is to be checked now.
 func (g *Gate) DueProbes() []balance.Probe {
 	g.mu.Lock()
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -21,7 +22,9 @@
 	// lapsed holds the states of endpoints that were published lately.
 	lapsed   map[types.EndpointID]*endpointState
 	services map[types.ServiceName][]*endpointState
-	queues   map[types.ServiceName]*queue
+	// estimates holds what is known of the engines of each service on average.
+	estimates map[types.ServiceName]*estimate.Service
+	queues    map[types.ServiceName]*queue
 	// news is how recent the view is.
 	news news
 	// withdrawals holds the endpoints that said they want no requests.
@@ -39,6 +42,7 @@
 		states:           make(map[types.EndpointID]*endpointState),
 		lapsed:           make(map[types.EndpointID]*endpointState),
 		services:         make(map[types.ServiceName][]*endpointState),
+		estimates:        make(map[types.ServiceName]*estimate.Service),
 		queues:           make(map[types.ServiceName]*queue),
 		constraintsCache: make(map[routeConstraintsKey]routeConstraints),
 	}
@@ -81,7 +85,7 @@
 		if placed.Region != p.region {
 			continue
 		}
-		ep := p.stateOf(placed)
+		ep := p.stateOf(name, placed)
 		if p.view.Config != nil {
 			ep.service = p.view.Config.Services[name]
 		}
@@ -93,10 +97,10 @@
 
 // stateOf returns the state of an endpoint: the existing one if the endpoint has
 // the same start time and address, else one of a new start.
-func (p *Pool) stateOf(placed catalog.ActiveEndpoint) *endpointState {
+func (p *Pool) stateOf(name types.ServiceName, placed catalog.ActiveEndpoint) *endpointState {
 	existing := p.known(placed.ID)
 	if existing == nil {
-		return &endpointState{placed: placed, news: &p.news}
+		return &endpointState{placed: placed, news: &p.news, speed: p.estimateOf(name).NewEndpoint()}
 	}
 	if existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
 		p.restarts = append(p.restarts, restart{previous: existing, endpoint: placed.Endpoint})
@@ -106,6 +110,16 @@
 	return existing
 }
 
+// estimateOf returns what is known of the engines of a service on average.
+func (p *Pool) estimateOf(name types.ServiceName) *estimate.Service {
+	known := p.estimates[name]
+	if known == nil {
+		known = estimate.NewService()
+		p.estimates[name] = known
+	}
+	return known
+}
+
 // Try places a request that has not waited yet; waiting requests that are at
 // least as urgent go first. Both results are nil when there is no capacity now.
 func (p *Pool) Try(req RequestInfo, now time.Time) (*Permit, *Refusal) {
@@ -220,6 +234,7 @@
 	ep.inFlight++
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
+	permit.running = ep.assumedRunning()
 	ep.pendingSince = append(ep.pendingSince, now)
 	ep.recordSend(now)
 	if req.large() {
@@ -230,15 +245,21 @@
 	return permit
 }
 
-// ResponseStarted records that the endpoint started its response.
+// ResponseStarted records that the endpoint started the response of a request that it runs.
 func (p *Pool) ResponseStarted(permit *Permit, now time.Time) {
-	if !permit.markResponseStarted() {
-		return
+	if !permit.responseSeen {
+		permit.state.observeFirstEvent(permit, now)
+	}
+	p.ResponseFailed(permit, now)
+}
+
+// ResponseFailed records that the endpoint started a response that says nothing of how fast
+// it works, since the request failed.
+func (p *Pool) ResponseFailed(permit *Permit, now time.Time) {
+	if permit.markResponseStarted() {
+		permit.state.removePending(permit)
+		permit.state.lastResponseAt = now
 	}
-	ep := permit.state
-	ep.removePending(permit)
-	ep.lastResponseAt = now
-	ep.observeResponseTime(permit, now)
 }
 
 // Done records the result of the attempt, releases the permit and grants the
@@ -259,6 +280,7 @@
 	ep.recordResult(result, now)
 	if result == Succeeded {
 		p.queueOf(permit.req.Service).recordServiceTime(now.Sub(permit.grantedAt))
+		ep.observePace(permit, now)
 	}
 	p.Grant(permit.req.Service, now)
 }
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -9,15 +9,6 @@
 
 // Limits on the prompt work that an engine is given.
 const (
-	// ewmaWeight is the weight of a new observation of an engine.
-	ewmaWeight = 0.2
-	// minSlowdown and maxSlowdown bound the slowdown relative to prefillRate: a
-	// response whose prompt was cached, and one from an engine in trouble, say
-	// little about the next one.
-	minSlowdown = 0.25
-	maxSlowdown = 8.0
-	// observationTTL is how long an observation of an engine stays valid.
-	observationTTL = 1500 * time.Millisecond
 	// responseShare is the share of its objective within which a response must
 	// be predicted to start; the rest is for the way to the caller.
 	responseShare = 0.8
@@ -30,42 +21,18 @@
 	maxBusyShare = 0.75
 )
 
-// ewma is an exponentially weighted moving average with the time of its last
-// observation.
-type ewma struct {
-	value      float64
-	observedAt time.Time
-}
-
-// observe adds an observation; one that comes more than observationTTL after the
-// last replaces the average.
-func (o *ewma) observe(value float64, now time.Time) {
-	if now.Sub(o.observedAt) > observationTTL {
-		o.value = value
-	}
-	o.value += ewmaWeight * (value - o.value)
-	o.observedAt = now
-}
-
-// valueOr returns the average, or fallback when the last observation is older
-// than observationTTL.
-func (o *ewma) valueOr(fallback float64, now time.Time) float64 {
-	if now.Sub(o.observedAt) > observationTTL {
-		return fallback
+// observeFirstEvent learns from the time until a response started.
+func (s *endpointState) observeFirstEvent(permit *Permit, now time.Time) {
+	if s.isEngine() {
+		s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.req.large(), now.Sub(permit.grantedAt), now)
 	}
-	return o.value
 }
 
-// observeResponseTime learns from the time until a response started: for a large
-// prompt the prefill slowdown of the engine, for others the response time.
-func (s *endpointState) observeResponseTime(permit *Permit, now time.Time) {
-	took := now.Sub(permit.grantedAt).Seconds()
-	if permit.req.large() {
-		prefillSlowdown := took * prefillRate / max(permit.prefillBacklog, 1)
-		s.prefillSlowdown.observe(min(max(prefillSlowdown, minSlowdown), maxSlowdown), now)
-		return
+// observePace learns from the pace of the events of a complete response.
+func (s *endpointState) observePace(permit *Permit, now time.Time) {
+	if s.isEngine() {
+		s.speed.ObservePace(permit.running, permit.pace.Mean, permit.pace.Longest, now)
 	}
-	s.responseTime.observe(took, now)
 }
 
 // respondsInTime predicts whether the response would start in time if the engine
@@ -79,7 +46,7 @@
 		allowed -= waited
 	}
 	if !req.large() {
-		return ep.responseTime.valueOr(0, now) <= allowed.Seconds() && ep.oldestPending(now) <= allowed
+		return ep.speed.Wait(now) <= allowed && ep.oldestPending(now) <= allowed
 	}
 	constraints := p.routeConstraints(req)
 	if constraints.hasMoreUrgent && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
@@ -93,8 +60,8 @@
 	if req.PrefixUncached {
 		allowed = min(allowed, time.Duration(float64(constraints.objective)*uncachedShare))
 	}
-	seconds := (ep.prefillTokens + p.prefillTokens(req, ep, home && !req.PrefixUncached, now)) / prefillRate * ep.prefillSlowdown.valueOr(1, now)
-	return seconds <= allowed.Seconds()
+	work := p.prefillTokens(req, ep, home && !req.PrefixUncached, now)
+	return ep.speed.PrefillTime(ep.prefillTokens+work, now) <= allowed
 }
 
 // oldestPending returns how long the oldest request without a response has
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -7,15 +7,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 // Weights of the score, in seconds unless stated otherwise.
 const (
-	// prefillRate is how many prompt tokens an engine prefills per second.
-	prefillRate = 55_000.0
-	// runCost is what each request that runs at an engine adds to another one.
-	runCost = 0.002
 	// slotCost is what a full endpoint adds to a request of a plain service.
 	slotCost = 0.05
 	// errorCost is what an endpoint that fails every request would add.
@@ -44,7 +41,6 @@
 // cost predicts the seconds that the request would take at the endpoint in
 // addition to what it takes at any endpoint.
 func (p *Pool) cost(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
-	others := 1 + otherDaemonsShare*float64(max(ep.peers, 1)-1)
 	cost := ep.errorRate * errorCost
 	if ep.stalledFor(now) > stallAfter {
 		cost += stallCost
@@ -56,21 +52,27 @@
 		cost += otherDCCost
 	}
 	if !ep.isEngine() {
-		return cost + slotCost*float64(ep.inFlight)*others/float64(ep.slots()) + tieBreak(ep.placed.ID, now)
+		return cost + slotCost*ep.assumedRunning()/float64(ep.slots()) + tieBreak(ep.placed.ID, now)
 	}
-	cost += p.prefillTokens(req, ep, home, now) / prefillRate
-	wait := ep.prefillTokens / prefillRate
 	if req.large() && !home {
-		wait += offHomeCost
+		cost += offHomeCost
 	}
-	if !req.large() {
-		wait = max(wait, ep.responseTime.valueOr(0, now))
-	}
-	cost += wait
-	cost += runCost * float64(ep.inFlight) * others
+	cost += p.predict(req, ep, home, now).FirstEvent.Seconds()
 	return cost + tieBreak(ep.placed.ID, now)
 }
 
+// predict returns what the request would see at an engine if it were sent there now.
+func (p *Pool) predict(req RequestInfo, ep *endpointState, home bool, now time.Time) estimate.Prediction {
+	work := estimate.Work{PrefillTokens: p.prefillTokens(req, ep, home, now), Large: req.large()}
+	return ep.speed.Predict(work, estimate.Load{Running: ep.assumedRunning(), BacklogTokens: ep.prefillTokens}, now)
+}
+
+// assumedRunning returns how many requests of all daemons are assumed to run at the
+// endpoint.
+func (s *endpointState) assumedRunning() float64 {
+	return float64(s.inFlight) * (1 + otherDaemonsShare*float64(max(s.peers, 1)-1))
+}
+
 // tieBreak spreads requests over endpoints of equal cost without a random
 // source.
 func tieBreak(id types.EndpointID, now time.Time) float64 {
@@ -129,7 +131,8 @@
 	})
 }
 
-// minFetchShare is the least rate, relative to prefillRate, at which copying a
+// minFetchShare is the least rate, relative to the prefill rate of
+// the service, at which copying a
 // prefix is better than prefilling it: copies wait for each other on the links of
 // both engines.
 const minFetchShare = 1.5
@@ -139,8 +142,8 @@
 // its home if that is another endpoint, else the home in another region, which
 // stands in while the data centre of to is not used. It returns false where copying
 // is too slow.
-func prefixSource(view *catalog.View, service types.ServiceName, prefix uint64, to catalog.ActiveEndpoint, allowed func(catalog.ActiveEndpoint) bool) (catalog.ActiveEndpoint, bool) {
-	if !copiesPrefixes(view, service) {
+func prefixSource(view *catalog.View, rate float64, service types.ServiceName, prefix uint64, to catalog.ActiveEndpoint, allowed func(catalog.ActiveEndpoint) bool) (catalog.ActiveEndpoint, bool) {
+	if !copiesPrefixes(view, rate, service) {
 		return catalog.ActiveEndpoint{}, false
 	}
 	candidates := slices.Concat(view.Endpoints[service], view.Leaving[service])
@@ -152,13 +155,13 @@
 }
 
 // copiesPrefixes reports whether the engines of a service copy prefixes from each
-// other fast enough.
-func copiesPrefixes(view *catalog.View, service types.ServiceName) bool {
+// other fast enough beside prefilling them at a rate in tokens per second.
+func copiesPrefixes(view *catalog.View, rate float64, service types.ServiceName) bool {
 	if view.Config == nil || view.Config.Services[service] == nil {
 		return false
 	}
 	engine := view.Config.Services[service].Engine
-	return engine != nil && engine.FetchRate >= prefillRate*minFetchShare
+	return engine != nil && engine.FetchRate >= rate*minFetchShare
 }
 
 // highestWeighted returns the endpoint with the highest rendezvous weight for a
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -28,8 +28,13 @@
 	}
 	defer closeBody(response)
 	r.noteResponse(permit, response)
-	r.h.opts.Gate.ResponseStarted(permit)
+	if isSuccess(response.StatusCode) {
+		r.h.opts.Gate.ResponseStarted(permit)
+	} else {
+		r.h.opts.Gate.ResponseFailed(permit)
+	}
 	failure, result := r.handleResponse(response, &w)
+	permit.SetPace(w.pace.result())
 	r.h.opts.Gate.Done(permit, result)
 	if result == balance.Interrupted {
 		r.reportBroken(permit.Endpoint.Endpoint)
--- a/pkg/gateway/proxy/conn.go
+++ b/pkg/gateway/proxy/conn.go
@@ -29,6 +29,8 @@
 	// connecting tells whether the endpoint still wants the request; nil for an
 	// attempt by way of another daemon.
 	connecting *gate.Connecting
+	// pace is that of the events of the response.
+	pace eventPace
 	// interim handles an interim response; nil ignores it. An error ends the attempt.
 	interim func(status int, header textproto.MIMEHeader) error
 }
--- a/pkg/gateway/proxy/stream.go
+++ b/pkg/gateway/proxy/stream.go
@@ -45,8 +45,9 @@
 		if !r.out.write(events) || !r.out.flush() {
 			return r.callerGone()
 		}
-		r.recordLastEvent(events)
+		count := r.recordLastEvent(events)
 		previous = r.recordGap(previous)
+		w.pace.add(count, previous)
 		if firstEvent.IsZero() {
 			firstEvent = previous
 		}
@@ -81,13 +82,16 @@
 	return now
 }
 
-// recordLastEvent records the ID of the last event sent.
-func (r *run) recordLastEvent(events []byte) {
+// recordLastEvent records the ID of the last event sent, and returns the number of events.
+func (r *run) recordLastEvent(events []byte) int {
+	count := 0
 	eachEvent(events, func(event []byte) {
+		count++
 		if id := r.h.opts.Dialect.EventID(event); id != "" {
 			r.lastEvent = id
 		}
 	})
+	return count
 }
 
 // callerGone ends an attempt whose caller no longer reads the response.
