estimate: fixed time of a first event told from the time of its prompt; levels of endpoints relative to their service

Cause: engines take a fixed time before the first event whatever the prompt; read as prompt work it makes a short prompt at a fast engine look like a slow one. Change: the service learns the line, each endpoint its level relative to it.

--- a/pkg/gateway/estimate/average.go
+++ b/pkg/gateway/estimate/average.go
@@ -26,12 +26,6 @@
 	return a.mass * decay(now.Sub(a.at), lifetime)
 }
 
-// blended returns the mean of the observations and of a prior.
-func (a *average) blended(prior, priorMass float64, lifetime time.Duration, now time.Time) float64 {
-	mass := a.massAt(lifetime, now)
-	return (mass*a.mean + priorMass*prior) / (mass + priorMass)
-}
-
 // addMoment adds an observation of what changes within a moment: an older observation
 // counts by its age and at most momentMass times as much as a new one.
 func (a *average) addMoment(value float64, now time.Time) {
@@ -58,3 +52,9 @@
 	}
 	return math.Exp(-age.Seconds() / lifetime.Seconds())
 }
+
+// blended returns the mean of the observations and of a prior.
+func (a *average) blended(prior, priorMass float64, lifetime time.Duration, now time.Time) float64 {
+	mass := a.massAt(lifetime, now)
+	return (mass*a.mean + priorMass*prior) / (mass + priorMass)
+}
--- a/pkg/gateway/estimate/estimate.go
+++ b/pkg/gateway/estimate/estimate.go
@@ -41,13 +41,14 @@
 // Endpoint is what is known of one start of an endpoint.
 type Endpoint struct {
 	service *Service
-	// rate is the average logarithm of prompt tokens per second.
-	rate average
-	// slowdown is the average logarithm of the time that prompt work just took, relative
-	// to the time that the rate predicts.
+	// level is the average logarithm of the time to the first event, in seconds, converted
+	// to levelTokens of prompt work along the line of the service.
+	level average
+	// slowdown is the same for this moment, relative to what level predicts.
 	slowdown average
 	// wait is the average time, in seconds, until responses to small prompts started.
 	wait average
+	// pace is the pause between events over the number of running requests.
 	pace line
 	// pause is the average of the longest pause, in seconds, between events of one
 	// response.
@@ -55,15 +56,11 @@
 }
 
 const (
-	// minRateTokens is the least prompt work, in tokens, that tells the prefill rate: less
-	// of it takes no longer than a step.
-	minRateTokens = 1000.0
-	// fullRateTokens is the prompt work, in tokens, whose observation has half of the
-	// largest weight.
-	fullRateTokens = 2000.0
-	// maxRateFactor bounds one observation of a rate relative to the rate of the service:
-	// a prompt that was cached, or waited for a slot, tells little about the rate.
-	maxRateFactor = 4.0
+	// maxFactor bounds one observation of the level, either way: a prompt that was
+	// cached, or waited for a slot, tells little about the speed.
+	maxFactor = 4.0
+	// maxPromptWork bounds the prompt work of an observation, in tokens.
+	maxPromptWork = 1e6
 	// maxSlowdown bounds one observation of a slowdown.
 	maxSlowdown = 8.0
 	// priorMass is how many observations the average of the service counts as.
@@ -90,7 +87,29 @@
 
 // PrefillRate returns how many prompt tokens the endpoint prefills per second.
 func (e *Endpoint) PrefillRate(now time.Time) float64 {
-	return math.Exp(e.rate.blended(e.service.logRate(now), priorMass, endpointLifetime, now))
+	perToken, _ := e.prefillModel(now)
+	return 1 / perToken
+}
+
+// prefillModel returns the time that each token of prompt work takes, and the time to the
+// first event without any, in seconds.
+func (e *Endpoint) prefillModel(now time.Time) (perToken, base float64) {
+	service := e.service.modelAt(now)
+	factor := math.Exp(e.logLevel(now) - service.level)
+	return service.perToken * factor, service.base * factor
+}
+
+// logLevel returns the logarithm of the time, in seconds, that the endpoint takes for
+// levelTokens of prompt work.
+func (e *Endpoint) logLevel(now time.Time) float64 {
+	return e.level.blended(e.service.modelAt(now).level, priorMass, endpointLifetime, now)
+}
+
+// paceModel returns what each running request adds to the pause between events, and the
+// pause without any, in seconds.
+func (e *Endpoint) paceModel(now time.Time) (growth, base float64) {
+	service := e.service.modelAt(now)
+	return e.pace.momentsAt(endpointLifetime, now).plus(service.pace).fit(service.growth)
 }
 
 // Slowdown returns how much longer than PrefillRate predicts prompt work takes at this
@@ -107,38 +126,38 @@
 // StepGrowth returns the time that each running request adds to the pause between two
 // events of the others.
 func (e *Endpoint) StepGrowth(now time.Time) time.Duration {
-	growth, _ := e.pace.fit(e.service.growth(), now)
+	growth, _ := e.paceModel(now)
 	return seconds(growth)
 }
 
 // Predict returns what a request would see at the endpoint beside its load.
 func (e *Endpoint) Predict(work Work, load Load, now time.Time) Prediction {
-	growth, pace := e.pace.fit(e.service.growth(), now)
-	queue := e.prefillSeconds(load.BacklogTokens, now)
+	growth, pace := e.paceModel(now)
+	perToken, base := e.prefillModel(now)
+	slowdown := e.Slowdown(now)
+	queue := base + load.BacklogTokens*perToken*slowdown
 	if !work.Large {
 		queue = max(queue, e.wait.recent(0, now))
 	}
 	step := growth * load.Running
 	gap := max(pace+growth*(load.Running+1), e.pause.recent(0, now))
 	return Prediction{
-		FirstEvent: seconds(queue + e.prefillSeconds(work.PrefillTokens, now) + step),
+		FirstEvent: seconds(queue + work.PrefillTokens*perToken*slowdown + step),
 		Gap:        seconds(gap),
 		Certainty:  e.certainty(now),
 	}
 }
 
-// PrefillTime predicts how long prompt work of a number of tokens takes now.
+// PrefillTime predicts the time to the first event after prompt work of a number of tokens
+// now.
 func (e *Endpoint) PrefillTime(tokens float64, now time.Time) time.Duration {
-	return seconds(e.prefillSeconds(tokens, now))
-}
-
-func (e *Endpoint) prefillSeconds(tokens float64, now time.Time) float64 {
-	return tokens / e.PrefillRate(now) * e.Slowdown(now)
+	perToken, base := e.prefillModel(now)
+	return seconds((base + tokens*perToken) * e.Slowdown(now))
 }
 
 // certainty weighs what was seen of the endpoint against what is assumed of it.
 func (e *Endpoint) certainty(now time.Time) float64 {
-	mass := e.rate.massAt(endpointLifetime, now) + e.pace.massAt(now)
+	mass := e.level.massAt(endpointLifetime, now) + e.pace.momentsAt(endpointLifetime, now).mass
 	return mass / (mass + priorMass)
 }
 
@@ -146,22 +165,23 @@
 // of the request and of those before it that had no first event when it was sent. Only
 // requests that the endpoint runs may be observed.
 func (e *Endpoint) ObserveFirstEvent(promptWork float64, large bool, took time.Duration, now time.Time) {
-	if took <= 0 {
+	if took <= 0 || promptWork < 0 {
 		return
 	}
 	if !large {
 		e.wait.addMoment(took.Seconds(), now)
+		return
 	}
-	if promptWork < minRateTokens || !large {
+	promptWork = min(promptWork, maxPromptWork)
+	service := e.service.modelAt(now)
+	usual, level := service.base+promptWork*service.perToken, service.level
+	if usual <= 0 {
 		return
 	}
-	usual := e.PrefillRate(now)
-	e.slowdown.addMoment(clampLog(took.Seconds()*usual/promptWork, maxSlowdown), now)
-	service := e.service.logRate(now)
-	seen := service + clampLog(promptWork/took.Seconds()/math.Exp(service), maxRateFactor)
-	weight := promptWork / (promptWork + fullRateTokens)
-	e.rate.add(seen, weight, endpointLifetime, now)
-	e.service.observeRate(promptWork/took.Seconds(), weight, now)
+	ratio := took.Seconds() / usual
+	e.slowdown.addMoment(clampLog(ratio/math.Exp(e.logLevel(now)-level), maxSlowdown), now)
+	e.level.add(level+clampLog(ratio, maxFactor), 1, endpointLifetime, now)
+	e.service.observe(promptWork, usual*ratio, usual, e.logLevel(now), now)
 }
 
 // ObservePace learns from the mean and the longest pause between the events of a response
@@ -171,7 +191,7 @@
 		return
 	}
 	e.pace.add(running, mean.Seconds(), endpointLifetime, now)
-	e.service.pace.add(running, mean.Seconds(), serviceLifetime, now)
+	e.service.observePace(running, mean.Seconds(), now)
 	e.pause.addMoment(longest.Seconds(), now)
 }
 
--- a/pkg/gateway/estimate/estimate_test.go
+++ b/pkg/gateway/estimate/estimate_test.go
@@ -54,6 +54,18 @@
 	},
 		Entry("a slow one", 26_500.0), Entry("one of songlam", 37_900.0), Entry("one of hcc", 62_400.0), Entry("a fast one", 106_000.0))
 
+	It("tells the time that each response takes from the time of its prompt", func() {
+		known := estimate.New()
+		now := start
+		for range 60 {
+			now = now.Add(100 * time.Millisecond)
+			work := promptWork()
+			known.ObserveFirstEvent(work, true, 120*time.Millisecond+engine{62_400}.prefill(work), now)
+		}
+		Expect(known.PrefillRate(now)).To(BeNumerically("~", 62_400, 6500))
+		Expect(known.PrefillTime(0, now)).To(BeNumerically("~", 120*time.Millisecond, 20*time.Millisecond))
+	})
+
 	It("begins with what is known of its service", func() {
 		service := estimate.NewService()
 		now := engine{37_900}.observe(service.NewEndpoint(), start, 50, promptWork)
--- a/pkg/gateway/estimate/line.go
+++ b/pkg/gateway/estimate/line.go
@@ -2,41 +2,63 @@
 
 import "time"
 
-// line fits the pause between events as a straight line over the number of running
-// requests, from observations whose weights decay with their age.
+// line fits a time, in seconds, as a straight line over an amount of load, from
+// observations whose weights decay with their age.
 type line struct {
+	moments
+	at time.Time
+}
+
+// moments are weighted sums over observations (x, y).
+type moments struct {
 	mass, x, y, xx, xy float64
-	at                 time.Time
 }
 
-// growthMass is the spread of running requests, summed up in squares, that the growth
-// assumed before counts as.
-const growthMass = 100.0
+// scaled returns the moments with all weights multiplied by a factor.
+func (m moments) scaled(factor float64) moments {
+	return moments{mass: m.mass * factor, x: m.x * factor, y: m.y * factor, xx: m.xx * factor, xy: m.xy * factor}
+}
+
+// plus returns the moments of both sets of observations.
+func (m moments) plus(other moments) moments {
+	return moments{mass: m.mass + other.mass, x: m.x + other.x, y: m.y + other.y, xx: m.xx + other.xx, xy: m.xy + other.xy}
+}
 
-// add adds an observation: the pause in seconds beside a number of running requests.
-func (l *line) add(running, pause float64, lifetime time.Duration, now time.Time) {
-	kept := decay(now.Sub(l.at), lifetime)
-	l.mass = l.mass*kept + 1
-	l.x = l.x*kept + running
-	l.y = l.y*kept + pause
-	l.xx = l.xx*kept + running*running
-	l.xy = l.xy*kept + running*pause
-	l.at = now
+// slopePrior is what is assumed of the slope of a line before any observation.
+type slopePrior struct {
+	slope float64
+	// spread is the sum of squared distances from the mean load that the assumption counts
+	// as.
+	spread float64
 }
 
-// fit returns what each running request adds and the pause without any, in seconds.
-func (l *line) fit(prior float64, now time.Time) (growth, start float64) {
-	if l.mass == 0 {
-		return prior, 0
+// fit returns the slope and the value at no load; neither is negative.
+func (m moments) fit(prior slopePrior) (slope, base float64) {
+	if m.mass == 0 {
+		return prior.slope, 0
 	}
-	kept := decay(now.Sub(l.at), endpointLifetime)
-	x, y := l.x/l.mass, l.y/l.mass
-	spread := kept * max(l.xx-l.x*x, 0)
-	growth = max((kept*(l.xy-l.x*y)+growthMass*prior)/(spread+growthMass), 0)
-	return growth, max(y-growth*x, 0)
+	x, y := m.x/m.mass, m.y/m.mass
+	spread := max(m.xx-m.x*x, 0)
+	slope = max((m.xy-m.x*y+prior.spread*prior.slope)/(spread+prior.spread), 0)
+	return slope, max(y-slope*x, 0)
 }
 
-// massAt returns the sum of the weights now.
-func (l *line) massAt(now time.Time) float64 {
-	return l.mass * decay(now.Sub(l.at), endpointLifetime)
+// add adds an observation: the time in seconds at a load.
+func (l *line) add(load, took float64, lifetime time.Duration, now time.Time) {
+	seen := moments{mass: 1, x: load, y: took, xx: load * load, xy: load * took}
+	l.moments = l.momentsAt(lifetime, now).plus(seen)
+	l.at = now
+}
+
+// momentsAt returns the sums with the weights of now.
+func (l *line) momentsAt(lifetime time.Duration, now time.Time) moments {
+	return l.scaled(decay(now.Sub(l.at), lifetime))
+}
+
+// normalised returns the sums with a total weight of at most mass.
+func (m moments) normalised(mass float64) moments {
+	if m.mass <= mass {
+		return m
+	}
+	return m.scaled(mass / m.mass)
 }
--- a/pkg/gateway/estimate/service.go
+++ b/pkg/gateway/estimate/service.go
@@ -5,24 +5,60 @@
 	"time"
 )
 
+// serviceLifetime is the time within which an observation of the endpoints of a service
+// loses most of its weight.
+const serviceLifetime = 30 * time.Second
+
 // Start values of a service of which nothing is known.
-const (
-	// startPrefillRate is in prompt tokens per second.
-	startPrefillRate = 55_000.0
+var (
+	// startPrefill assumes 55,000 prompt tokens a second, in seconds per token.
+	startPrefill = slopePrior{slope: 1 / 55_000.0, spread: 5e7}
 	// startGrowth is what each running request adds to the pause between events, in
 	// seconds.
-	startGrowth = 0.002
-	// maxStartFactor bounds one observation of a rate relative to startPrefillRate.
-	maxStartFactor = 16.0
-	// serviceLifetime is the time within which an observation of the endpoints of a
-	// service loses most of its weight.
-	serviceLifetime = 30 * time.Second
+	startGrowth = slopePrior{slope: 0.002, spread: 100}
 )
 
 // Service is what is known of the endpoints of a service on average.
 type Service struct {
-	rate average
+	// prefill is the time to the first event over the outstanding prompt work in tokens, at
+	// an endpoint of average speed.
+	prefill line
+	// level is the average of the levels of the endpoints.
+	level average
+	// pace is the pause between events over the number of running requests.
 	pace line
+	// model is what these say at a time.
+	model serviceModel
+}
+
+// serviceModel is what the observations of a service say at a time.
+type serviceModel struct {
+	at    time.Time
+	valid bool
+	// perToken and base are the time that each token of prompt work takes and the time to
+	// the first event without any, in seconds, at an endpoint of average speed.
+	perToken, base float64
+	// level is the logarithm of the time, in seconds, for levelTokens of prompt work.
+	level float64
+	// pace holds the observations of the pace as far as they count for each endpoint;
+	// growth is what is assumed of its slope.
+	pace   moments
+	growth slopePrior
+}
+
+// modelAt returns what the observations say at a time.
+func (s *Service) modelAt(now time.Time) *serviceModel {
+	if s.model.valid && s.model.at.Equal(now) {
+		return &s.model
+	}
+	perToken, base := boundedPrefill(s.prefill.momentsAt(serviceLifetime, now).fit(startPrefill))
+	pace := s.pace.momentsAt(serviceLifetime, now)
+	growth, _ := pace.fit(startGrowth)
+	s.model = serviceModel{
+		at: now, valid: true, perToken: perToken, base: base, level: math.Log(base + perToken*levelTokens),
+		pace: pace.normalised(priorMass), growth: slopePrior{slope: growth, spread: startGrowth.spread},
+	}
+	return &s.model
 }
 
 // NewService returns what is known of a service before any observation.
@@ -38,20 +74,34 @@
 // PrefillRate returns how many prompt tokens an endpoint of the service prefills per
 // second on average.
 func (s *Service) PrefillRate(now time.Time) float64 {
-	return math.Exp(s.logRate(now))
+	return 1 / s.modelAt(now).perToken
 }
 
-func (s *Service) logRate(now time.Time) float64 {
-	return s.rate.blended(math.Log(startPrefillRate), priorMass, serviceLifetime, now)
+// observe learns from a time to the first event, in seconds, beside the one that the line
+// predicts, at an endpoint with a level.
+func (s *Service) observe(promptWork, took, usual, level float64, now time.Time) {
+	s.model.valid = false
+	s.level.add(level, 1, serviceLifetime, now)
+	ratio := took / usual / math.Exp(level-s.level.mean)
+	s.prefill.add(promptWork, usual*min(max(ratio, 1/maxStep), maxStep), serviceLifetime, now)
 }
 
-func (s *Service) observeRate(rate, weight float64, now time.Time) {
-	logged := math.Log(startPrefillRate) + clampLog(rate/startPrefillRate, maxStartFactor)
-	s.rate.add(logged, weight, serviceLifetime, now)
+// observePace learns from a pause between events, in seconds, beside running requests.
+func (s *Service) observePace(running, pause float64, now time.Time) {
+	s.model.valid = false
+	s.pace.add(running, pause, serviceLifetime, now)
 }
 
-// growth returns what each running request adds to the pause between events, in seconds.
-func (s *Service) growth() float64 {
-	growth, _ := s.pace.fit(startGrowth, s.pace.at)
-	return growth
+// levelTokens is the prompt work, in tokens, by which the speeds of endpoints are compared.
+const levelTokens = 10_000.0
+
+// maxStep bounds how far one observation lies from the line, as a factor either way.
+const maxStep = 2.0
+
+// boundedPrefill bounds the time per token to what engines may take.
+func boundedPrefill(perToken, base float64) (float64, float64) {
+	return min(max(perToken, startPrefill.slope/maxStartFactor), startPrefill.slope*maxStartFactor), base
 }
+
+// maxStartFactor bounds the time per token relative to the start value.
+const maxStartFactor = 16.0
