regions: small requests go where the response is predicted to start sooner, by share

Change: each daemon tells the average time until responses started (members.Load, one number). A request goes to another region if that responds sooner by more than the way, with a probability that grows with the gain and is bounded. Regions that told nothing get nothing. Ruled out: all to the best region; the spec of the step fails with it. Spec: a step of demand between three regions, reports 1 to 2 s old: even stream, nothing sent back, the helping region stays under 250 ms.

--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -200,8 +200,9 @@
 	for service, count := range g.pool.InFlight() {
 		load := members.Load{
 			Service: service, InFlight: count, Waiting: g.pool.Waiting(service), Blocked: g.pool.Blocked(service, now),
+			ResponseMillis: int(g.pool.Response(service, now).Milliseconds()),
 		}
-		if load.InFlight > 0 || load.Waiting > 0 || load.Blocked > 0 {
+		if load.InFlight > 0 || load.Waiting > 0 || load.Blocked > 0 || load.ResponseMillis > 0 {
 			loads = append(loads, load)
 		}
 	}
@@ -209,6 +210,14 @@
 	return loads
 }
 
+// Response returns the average time until the responses to small requests of a service
+// started lately in the local region; zero if this daemon saw none.
+func (g *Gate) Response(service types.ServiceName) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Response(service, g.now())
+}
+
 // Run grants capacity to waiting requests until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	ticker := time.NewTicker(grantInterval)
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -249,6 +249,7 @@
 func (p *Pool) ResponseStarted(permit *Permit, now time.Time) {
 	if !permit.responseSeen {
 		permit.state.observeFirstEvent(permit, now)
+		p.observeResponse(permit, now)
 	}
 	p.ResponseFailed(permit, now)
 }
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -28,6 +28,22 @@
 	}
 }
 
+// observeResponse learns from the time until the response to a small request started.
+func (p *Pool) observeResponse(permit *Permit, now time.Time) {
+	if !permit.req.large() {
+		p.estimateOf(permit.req.Service).ObserveResponse(now.Sub(permit.grantedAt), now)
+	}
+}
+
+// Response returns the average time until the responses to small requests of a service
+// started lately in the local region; zero if this daemon saw none.
+func (p *Pool) Response(service types.ServiceName, now time.Time) time.Duration {
+	if known := p.estimates[service]; known != nil {
+		return known.Response(now)
+	}
+	return 0
+}
+
 // observePace learns from the pace of the events of a complete response.
 func (s *endpointState) observePace(permit *Permit, now time.Time) {
 	if s.isEngine() {
--- a/pkg/gateway/estimate/service.go
+++ b/pkg/gateway/estimate/service.go
@@ -27,6 +27,8 @@
 	level average
 	// pace is the pause between events over the number of running requests.
 	pace line
+	// response is the average time, in seconds, until responses to small requests started.
+	response average
 	// model is what these say at a time.
 	model serviceModel
 }
@@ -92,6 +94,18 @@
 	s.pace.add(running, pause, serviceLifetime, now)
 }
 
+// ObserveResponse learns from the time until the response to a small request started at any
+// endpoint of the service.
+func (s *Service) ObserveResponse(took time.Duration, now time.Time) {
+	s.response.addMoment(took.Seconds(), now)
+}
+
+// Response returns the average time until the responses to small requests started lately;
+// zero if none did.
+func (s *Service) Response(now time.Time) time.Duration {
+	return seconds(s.response.recent(0, now))
+}
+
 // levelTokens is the prompt work, in tokens, by which the speeds of endpoints are compared.
 const levelTokens = 10_000.0
 
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -73,6 +73,9 @@
 	Waiting int `json:"w,omitempty"`
 	// Blocked counts the slots of published endpoints that cannot be used now.
 	Blocked int `json:"b,omitempty"`
+	// ResponseMillis is the average time, in milliseconds, until the responses to small
+	// requests of the daemon started lately; zero if there were none.
+	ResponseMillis int `json:"r,omitempty"`
 }
 
 // Timeouts of the table.
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -38,6 +38,9 @@
 	if !r.req.Route.Allows(snap.Self.Region) {
 		return r.placeRemotely(snap)
 	}
+	if member, found := r.soonerElsewhere(snap); found {
+		return destination{member: member}, nil
+	}
 	balancerRequest := r.balancerRequest()
 	place, refusal := r.h.opts.Gate.Try(balancerRequest)
 	if place != nil {
@@ -206,6 +209,36 @@
 	return destination{}, notRunFailure(types.CodeNoEndpoint, "no region that may run the request can be reached", notReadyRetryAfter)
 }
 
+// soonerElsewhere selects a daemon of another region whose endpoints are predicted to
+// respond sooner than those here, although there is capacity here.
+func (r *run) soonerElsewhere(snap *control.Snapshot) (members.Member, bool) {
+	if r.req.ForwardedBy != "" || r.hops > 0 || r.out.committed {
+		return members.Member{}, false
+	}
+	here := r.h.opts.Gate.Response(r.req.Service)
+	if here <= regions.RoundTrip {
+		return members.Member{}, false
+	}
+	usableRegion := r.usableRegion(snap)
+	loads := regions.Loads(snap.View, snap.Members, r.req.Service)
+	if told := loads[snap.Self.Region].Response; told > 0 {
+		here = told
+	}
+	region, found := regions.PickSooner(loads, here, func(region types.Region) bool {
+		return region != snap.Self.Region && usableRegion(region)
+	}, r.h.opts.Rand)
+	if !found {
+		return members.Member{}, false
+	}
+	return r.randomDaemon(snap, region), true
+}
+
+// randomDaemon picks a daemon of a region that has some.
+func (r *run) randomDaemon(snap *control.Snapshot, region types.Region) members.Member {
+	serving := r.serving(snap, region)
+	return serving[route.IntN(r.h.opts.Rand, len(serving))]
+}
+
 // spillover selects a daemon of another region for a request that finds no
 // capacity here. noLocalEndpoint is true if no local endpoint may run the request,
 // so that waiting would not help.
@@ -241,6 +274,5 @@
 	if !found {
 		return members.Member{}, false
 	}
-	serving := r.serving(snap, region)
-	return serving[route.IntN(r.h.opts.Rand, len(serving))], true
+	return r.randomDaemon(snap, region), true
 }
--- a/pkg/gateway/regions/regions.go
+++ b/pkg/gateway/regions/regions.go
@@ -7,6 +7,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -21,6 +22,9 @@
 	// used; it may exceed Slots.
 	Slots float64
 	Busy  float64
+	// Response is the average time until responses started lately, of all daemons that
+	// saw some; zero if none did.
+	Response time.Duration
 }
 
 // FreeFraction returns the fraction of the slots that is free; it is negative when
@@ -41,6 +45,7 @@
 		load.Slots += float64(max(endpoint.Slots, 1))
 		loads[endpoint.Region] = load
 	}
+	told := make(map[types.Region]int)
 	for _, member := range daemons {
 		load, hasEndpoints := loads[member.Region]
 		if !hasEndpoints {
@@ -49,6 +54,7 @@
 		for _, serviceLoad := range member.Loads {
 			if serviceLoad.Service == service {
 				load.Busy += float64(serviceLoad.InFlight + serviceLoad.Waiting + serviceLoad.Blocked)
+				load.addResponse(serviceLoad, told, member.Region)
 			}
 		}
 		loads[member.Region] = load
