--- a/pkg/gateway/regions/sooner.go
+++ b/pkg/gateway/regions/sooner.go
@@ -34,15 +34,15 @@
 }
 
 // share returns the share of the requests that would be sent from a region with a response
-// time to one with another: as much as the other region responds sooner, the way included.
-// It falls to zero as the two approach each other, so that daemons that act on the same old
-// reports don't send all of their requests at once.
+// time to one with another. It falls to zero as the other region, the way included, responds
+// no sooner, and grows slowly, so that daemons that act on the same old reports neither send
+// all of their requests at once nor swing.
 func share(here, there time.Duration) float64 {
 	gain := here - there - RoundTrip
 	if there <= 0 || gain < minGain {
 		return 0
 	}
-	return min(gain.Seconds()/here.Seconds(), maxShare)
+	return min(gain.Seconds()/(here+RoundTrip).Seconds(), maxShare)
 }
 
 // PickSooner decides whether a request goes to another usable region that is predicted to
