balance: small requests go by the predicted time to their response, learned with what runs

Cause: the wait of small requests was one moving average that was forgotten at once after 1.5 s, beside 2 ms a running request; daemons that share engines were in fixed groups if their number divides by four, so that a group could have slow engines alone. Change: estimate fits that time over the running requests (prior: the service), and keeps what is unexplained for a moment; the engines that a group shares move on each round; daemons use all engines where each would get fewer than two.

--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -24,7 +24,7 @@
 // observeFirstEvent learns from the time until a response started.
 func (s *endpointState) observeFirstEvent(permit *Permit, now time.Time) {
 	if s.isEngine() {
-		s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.req.large(), now.Sub(permit.grantedAt), now)
+		s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.running, permit.req.large(), now.Sub(permit.grantedAt), now)
 	}
 }
 
--- a/pkg/gateway/balance/share.go
+++ b/pkg/gateway/balance/share.go
@@ -14,9 +14,12 @@
 // useful share of the slots.
 const daemonsPerEndpoint = 4
 
+// minChoices is the least number of endpoints, on average, among which each daemon chooses.
+const minChoices = 2
+
 // assignEndpoints distributes the endpoints of the local data centre over its
 // daemons, evenly and with the same result at every daemon. Where there are few
-// daemons, or too few endpoints for each to get one, all of them use all
+// daemons, or too few endpoints for each to choose, all of them use all
 // endpoints of the region.
 func (p *Pool) assignEndpoints() {
 	for _, states := range p.services {
@@ -31,7 +34,7 @@
 		ep.owned = !found || owner == p.peers.Self
 	}
 	daemons := orderedDaemons(p.peers)
-	useAll := len(daemons) <= daemonsPerEndpoint || p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)
+	useAll := len(daemons) <= daemonsPerEndpoint || p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)*minChoices
 	next := 0
 	for _, ep := range states {
 		if useAll {
@@ -48,6 +51,11 @@
 			}
 			next++
 		}
+		if len(daemons)%daemonsPerEndpoint == 0 && next%len(daemons) == 0 {
+			// Other daemons share the next endpoints, so that no group of daemons has
+			// only slow ones.
+			next++
+		}
 	}
 }
 
--- a/pkg/gateway/estimate/estimate.go
+++ b/pkg/gateway/estimate/estimate.go
@@ -46,8 +46,13 @@
 	level average
 	// slowdown is the same for this moment, relative to what level predicts.
 	slowdown average
-	// wait is the average time, in seconds, until responses to small prompts started.
-	wait average
+	// small is the time, in seconds, until responses to small prompts started over the
+	// number of running requests; wait is the average of the moment of what it leaves
+	// unexplained.
+	small line
+	wait  average
+	// answer is the average time of the moment, in seconds, until these started.
+	answer average
 	// pace is the pause between events over the number of running requests.
 	pace line
 	// pause is the average of the longest pause, in seconds, between events of one
@@ -68,6 +73,10 @@
 	// endpointLifetime is the time within which an observation of the speed of an endpoint
 	// loses most of its weight.
 	endpointLifetime = 8 * time.Second
+	// smallLifetime is the same for the time until responses to small prompts start.
+	smallLifetime = 3 * time.Second
+	// maxSmallSeconds bounds an observation of that time.
+	maxSmallSeconds = 5.0
 	// momentLifetime is the same for what changes within a moment: its queue, and how much
 	// slower than usual it is.
 	momentLifetime = 500 * time.Millisecond
@@ -120,7 +129,25 @@
 
 // Wait returns the time until responses to small prompts started lately; zero if none did.
 func (e *Endpoint) Wait(now time.Time) time.Duration {
-	return seconds(e.wait.recent(0, now))
+	return seconds(e.answer.recent(0, now))
+}
+
+// smallModel returns what each running request adds to the time until the response to a
+// small prompt starts, and the time without any, in seconds.
+func (e *Endpoint) smallModel(now time.Time) (growth, base float64) {
+	service := e.service.modelAt(now)
+	return e.small.momentsAt(smallLifetime, now).plus(service.small).fit(service.smallGrowth)
+}
+
+// smallSeconds predicts the time until the response to a small prompt starts beside running
+// requests. What was unexplained at the last one counts less the longer ago it was.
+func (e *Endpoint) smallSeconds(running float64, now time.Time) float64 {
+	growth, base := e.smallModel(now)
+	unexplained := 0.0
+	if e.wait.mass > 0 {
+		unexplained = e.wait.mean * decay(now.Sub(e.wait.at), momentLifetime)
+	}
+	return max(base+growth*running+unexplained, 0)
 }
 
 // StepGrowth returns the time that each running request adds to the pause between two
@@ -136,10 +163,10 @@
 	perToken, base := e.prefillModel(now)
 	slowdown := e.Slowdown(now)
 	queue := base + load.BacklogTokens*perToken*slowdown
+	step := growth * load.Running
 	if !work.Large {
-		queue = max(queue, e.wait.recent(0, now))
+		queue, step = max(queue, e.smallSeconds(load.Running, now)), 0
 	}
-	step := growth * load.Running
 	gap := max(pace+growth*(load.Running+1), e.pause.recent(0, now))
 	return Prediction{
 		FirstEvent: seconds(queue + work.PrefillTokens*perToken*slowdown + step),
@@ -164,12 +191,12 @@
 // ObserveFirstEvent learns from the time until a response started. The prompt work is that
 // of the request and of those before it that had no first event when it was sent. Only
 // requests that the endpoint runs may be observed.
-func (e *Endpoint) ObserveFirstEvent(promptWork float64, large bool, took time.Duration, now time.Time) {
+func (e *Endpoint) ObserveFirstEvent(promptWork, running float64, large bool, took time.Duration, now time.Time) {
 	if took <= 0 || promptWork < 0 {
 		return
 	}
 	if !large {
-		e.wait.addMoment(took.Seconds(), now)
+		e.observeSmall(running, min(took.Seconds(), maxSmallSeconds), now)
 		return
 	}
 	promptWork = min(promptWork, maxPromptWork)
@@ -184,6 +211,16 @@
 	e.service.observe(promptWork, usual*ratio, usual, e.logLevel(now), now)
 }
 
+// observeSmall learns from the time until the response to a small prompt started beside
+// running requests.
+func (e *Endpoint) observeSmall(running, took float64, now time.Time) {
+	growth, base := e.smallModel(now)
+	e.answer.addMoment(took, now)
+	e.wait.addMoment(took-base-growth*running, now)
+	e.small.add(running, took, smallLifetime, now)
+	e.service.observeSmall(running, took, now)
+}
+
 // ObservePace learns from the mean and the longest pause between the events of a response
 // that ran beside others.
 func (e *Endpoint) ObservePace(running float64, mean, longest time.Duration, now time.Time) {
--- a/pkg/gateway/estimate/service.go
+++ b/pkg/gateway/estimate/service.go
@@ -27,6 +27,9 @@
 	level average
 	// pace is the pause between events over the number of running requests.
 	pace line
+	// small is the time until responses to small prompts started, in seconds, over the
+	// number of running requests.
+	small line
 	// response is the average time, in seconds, until responses to small requests started.
 	response average
 	// model is what these say at a time.
@@ -46,6 +49,10 @@
 	// growth is what is assumed of its slope.
 	pace   moments
 	growth slopePrior
+	// small and smallGrowth are the same for the time until responses to small prompts
+	// start.
+	small       moments
+	smallGrowth slopePrior
 }
 
 // modelAt returns what the observations say at a time.
@@ -56,9 +63,12 @@
 	perToken, base := boundedPrefill(s.prefill.momentsAt(serviceLifetime, now).fit(startPrefill))
 	pace := s.pace.momentsAt(serviceLifetime, now)
 	growth, _ := pace.fit(startGrowth)
+	small := s.small.momentsAt(serviceLifetime, now)
+	smallGrowth, _ := small.fit(startGrowth)
 	s.model = serviceModel{
 		at: now, valid: true, perToken: perToken, base: base, level: math.Log(base + perToken*levelTokens),
 		pace: pace.normalised(priorMass), growth: slopePrior{slope: growth, spread: startGrowth.spread},
+		small: small.normalised(priorMass), smallGrowth: slopePrior{slope: smallGrowth, spread: startGrowth.spread},
 	}
 	return &s.model
 }
@@ -88,6 +98,13 @@
 	s.prefill.add(promptWork, usual*min(max(ratio, 1/maxStep), maxStep), serviceLifetime, now)
 }
 
+// observeSmall learns from the time until the response to a small prompt started beside
+// running requests.
+func (s *Service) observeSmall(running, took float64, now time.Time) {
+	s.model.valid = false
+	s.small.add(running, took, serviceLifetime, now)
+}
+
 // observePace learns from a pause between events, in seconds, beside running requests.
 func (s *Service) observePace(running, pause float64, now time.Time) {
 	s.model.valid = false
