--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -57,14 +57,15 @@
 	if req.large() && !home {
 		cost += offHomeCost
 	}
-	cost += p.predict(req, ep, home, now).FirstEvent.Seconds()
+	cost += p.firstEvent(req, ep, home, now)
 	return cost + tieBreak(ep.placed.ID, now)
 }
 
-// predict returns what the request would see at an engine if it were sent there now.
-func (p *Pool) predict(req RequestInfo, ep *endpointState, home bool, now time.Time) estimate.Prediction {
+// firstEvent predicts the seconds until the response would start if the request were sent to
+// an engine now.
+func (p *Pool) firstEvent(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
 	work := estimate.Work{PrefillTokens: p.prefillTokens(req, ep, home, now), Large: req.large()}
-	return ep.speed.Predict(work, estimate.Load{Running: ep.assumedRunning(), BacklogTokens: ep.prefillTokens}, now)
+	return ep.speed.FirstEvent(work, estimate.Load{Running: ep.assumedRunning(), BacklogTokens: ep.prefillTokens}, now)
 }
 
 // assumedRunning returns how many requests of all daemons are assumed to run at the
--- a/pkg/gateway/estimate/estimate.go
+++ b/pkg/gateway/estimate/estimate.go
@@ -58,6 +58,8 @@
 	// pause is the average of the longest pause, in seconds, between events of one
 	// response.
 	pause average
+	// model is what these say at a time.
+	model endpointModel
 }
 
 const (
@@ -96,35 +98,13 @@
 
 // PrefillRate returns how many prompt tokens the endpoint prefills per second.
 func (e *Endpoint) PrefillRate(now time.Time) float64 {
-	perToken, _ := e.prefillModel(now)
-	return 1 / perToken
-}
-
-// prefillModel returns the time that each token of prompt work takes, and the time to the
-// first event without any, in seconds.
-func (e *Endpoint) prefillModel(now time.Time) (perToken, base float64) {
-	service := e.service.modelAt(now)
-	factor := math.Exp(e.logLevel(now) - service.level)
-	return service.perToken * factor, service.base * factor
-}
-
-// logLevel returns the logarithm of the time, in seconds, that the endpoint takes for
-// levelTokens of prompt work.
-func (e *Endpoint) logLevel(now time.Time) float64 {
-	return e.level.blended(e.service.modelAt(now).level, priorMass, endpointLifetime, now)
-}
-
-// paceModel returns what each running request adds to the pause between events, and the
-// pause without any, in seconds.
-func (e *Endpoint) paceModel(now time.Time) (growth, base float64) {
-	service := e.service.modelAt(now)
-	return e.pace.momentsAt(endpointLifetime, now).plus(service.pace).fit(service.growth)
+	return 1 / e.modelAt(now).perToken
 }
 
 // Slowdown returns how much longer than PrefillRate predicts prompt work takes at this
 // moment; 1 if nothing is known.
 func (e *Endpoint) Slowdown(now time.Time) float64 {
-	return math.Exp(e.slowdown.recent(0, now))
+	return e.modelAt(now).slowdown
 }
 
 // Wait returns the time until responses to small prompts started lately; zero if none did.
@@ -132,54 +112,37 @@
 	return seconds(e.answer.recent(0, now))
 }
 
-// smallModel returns what each running request adds to the time until the response to a
-// small prompt starts, and the time without any, in seconds.
-func (e *Endpoint) smallModel(now time.Time) (growth, base float64) {
-	service := e.service.modelAt(now)
-	return e.small.momentsAt(smallLifetime, now).plus(service.small).fit(service.smallGrowth)
-}
-
-// smallSeconds predicts the time until the response to a small prompt starts beside running
-// requests. What was unexplained at the last one counts less the longer ago it was.
-func (e *Endpoint) smallSeconds(running float64, now time.Time) float64 {
-	growth, base := e.smallModel(now)
-	unexplained := 0.0
-	if e.wait.mass > 0 {
-		unexplained = e.wait.mean * decay(now.Sub(e.wait.at), momentLifetime)
-	}
-	return max(base+growth*running+unexplained, 0)
-}
-
 // StepGrowth returns the time that each running request adds to the pause between two
 // events of the others.
 func (e *Endpoint) StepGrowth(now time.Time) time.Duration {
-	growth, _ := e.paceModel(now)
-	return seconds(growth)
+	return seconds(e.modelAt(now).paceGrowth)
 }
 
 // Predict returns what a request would see at the endpoint beside its load.
 func (e *Endpoint) Predict(work Work, load Load, now time.Time) Prediction {
-	growth, pace := e.paceModel(now)
-	perToken, base := e.prefillModel(now)
-	slowdown := e.Slowdown(now)
-	queue := base + load.BacklogTokens*perToken*slowdown
-	step := growth * load.Running
-	if !work.Large {
-		queue, step = max(queue, e.smallSeconds(load.Running, now)), 0
-	}
-	gap := max(pace+growth*(load.Running+1), e.pause.recent(0, now))
+	model := e.modelAt(now)
 	return Prediction{
-		FirstEvent: seconds(queue + work.PrefillTokens*perToken*slowdown + step),
-		Gap:        seconds(gap),
+		FirstEvent: seconds(e.FirstEvent(work, load, now)),
+		Gap:        seconds(max(model.paceBase+model.paceGrowth*(load.Running+1), e.pause.recent(0, now))),
 		Certainty:  e.certainty(now),
 	}
 }
 
+// FirstEvent returns the first part of Predict, in seconds.
+func (e *Endpoint) FirstEvent(work Work, load Load, now time.Time) float64 {
+	model := e.modelAt(now)
+	queue, own := model.base+load.BacklogTokens*model.perToken*model.slowdown, work.PrefillTokens*model.perToken*model.slowdown
+	if work.Large {
+		return queue + own + model.paceGrowth*load.Running
+	}
+	return max(queue, model.smallSeconds(load.Running)) + own
+}
+
 // PrefillTime predicts the time to the first event after prompt work of a number of tokens
 // now.
 func (e *Endpoint) PrefillTime(tokens float64, now time.Time) time.Duration {
-	perToken, base := e.prefillModel(now)
-	return seconds((base + tokens*perToken) * e.Slowdown(now))
+	model := e.modelAt(now)
+	return seconds((model.base + tokens*model.perToken) * model.slowdown)
 }
 
 // certainty weighs what was seen of the endpoint against what is assumed of it.
@@ -206,6 +169,7 @@
 		return
 	}
 	ratio := took.Seconds() / usual
+	e.model.valid = false
 	e.slowdown.addMoment(clampLog(ratio/math.Exp(e.logLevel(now)-level), maxSlowdown), now)
 	e.level.add(level+clampLog(ratio, maxFactor), 1, endpointLifetime, now)
 	e.service.observe(promptWork, usual*ratio, usual, e.logLevel(now), now)
@@ -214,9 +178,10 @@
 // observeSmall learns from the time until the response to a small prompt started beside
 // running requests.
 func (e *Endpoint) observeSmall(running, took float64, now time.Time) {
-	growth, base := e.smallModel(now)
+	model := e.modelAt(now)
+	e.model.valid = false
 	e.answer.addMoment(took, now)
-	e.wait.addMoment(took-base-growth*running, now)
+	e.wait.addMoment(took-model.smallBase-model.smallGrowth*running, now)
 	e.small.add(running, took, smallLifetime, now)
 	e.service.observeSmall(running, took, now)
 }
@@ -227,6 +192,7 @@
 	if mean <= 0 || longest < mean {
 		return
 	}
+	e.model.valid = false
 	e.pace.add(running, mean.Seconds(), endpointLifetime, now)
 	e.service.observePace(running, mean.Seconds(), now)
 	e.pause.addMoment(longest.Seconds(), now)
--- a/pkg/gateway/estimate/service.go
+++ b/pkg/gateway/estimate/service.go
@@ -57,7 +57,7 @@
 
 // modelAt returns what the observations say at a time.
 func (s *Service) modelAt(now time.Time) *serviceModel {
-	if s.model.valid && s.model.at.Equal(now) {
+	if s.model.valid && current(s.model.at, now) {
 		return &s.model
 	}
 	perToken, base := boundedPrefill(s.prefill.momentsAt(serviceLifetime, now).fit(startPrefill))
