--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -283,6 +283,9 @@
 		p.queueOf(permit.req.Service).recordServiceTime(now.Sub(permit.grantedAt))
 		ep.observePace(permit, now)
 	}
+	if result == Refused {
+		p.observeRefusal(permit, now)
+	}
 	p.Grant(permit.req.Service, now)
 }
 
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// refusedTime is what a refusal by a full endpoint counts as: the request would have waited
+// longer than those that the endpoint took.
+const refusedTime = 600 * time.Millisecond
+
+// observeRefusal records that a full endpoint refused a request.
+func (p *Pool) observeRefusal(permit *Permit, now time.Time) {
+	if !permit.req.large() {
+		p.estimateOf(permit.req.Service).ObserveResponse(max(refusedTime, now.Sub(permit.grantedAt)), now)
+	}
+}
+
 // Response returns the average time until the responses to small requests of a service
 // started lately in the local region; zero if this daemon saw none.
 func (p *Pool) Response(service types.ServiceName, now time.Time) time.Duration {
--- a/pkg/gateway/regions/sooner.go
+++ b/pkg/gateway/regions/sooner.go
@@ -19,8 +19,6 @@
 	// maxShare bounds the share of the requests that are sent to other regions: the
 	// reports by which it is decided are some seconds old.
 	maxShare = 0.6
-	// soonerMinFree is the fraction of the slots of another region that must be free.
-	soonerMinFree = 0.2
 )
 
 // addResponse adds what one daemon told of its responses to the average of its region.
@@ -47,7 +45,8 @@
 
 // PickSooner decides whether a request goes to another usable region that is predicted to
 // respond sooner than the local one, although that has capacity, and to which. Of regions
-// that do, each is chosen by its share and its free slots. Regions that told nothing lately
+// that do, each is chosen by its share and its slots; how many of them are free shows in how soon it
+// responds. Regions that told nothing lately
 // are not chosen.
 func PickSooner(loads map[types.Region]Load, here time.Duration, usable func(types.Region) bool, rand route.Rand) (types.Region, bool) {
 	type candidate struct {
@@ -58,10 +57,10 @@
 	var largest, total float64
 	for region, load := range loads {
 		portion := share(here, load.Response)
-		if portion == 0 || load.FreeFraction() < soonerMinFree || !usable(region) {
+		if portion == 0 || !usable(region) {
 			continue
 		}
-		weight := portion * (load.Slots - load.Busy)
+		weight := portion * load.Slots
 		candidates = append(candidates, candidate{region, weight})
 		largest = max(largest, portion)
 	}
