--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -99,7 +100,10 @@
 	prefillBacklog float64
 	// running is the number of requests that ran at the endpoint when the permit was
 	// granted, this one included.
-	running      float64
+	running float64
+	// prediction is what was predicted when the permit was granted; zero unless the
+	// endpoint is an engine.
+	prediction   estimate.Prediction
 	grantedAt    time.Time
 	pace         Pace
 	responseSeen bool
@@ -113,6 +117,17 @@
 	Mean, Longest time.Duration
 }
 
+// Prediction returns what was predicted for the request when the permit was granted; zero
+// unless the endpoint is an engine.
+func (p *Permit) Prediction() estimate.Prediction {
+	return p.prediction
+}
+
+// GrantedAt returns when the permit was granted.
+func (p *Permit) GrantedAt() time.Time {
+	return p.grantedAt
+}
+
 // SetPace tells the pace of the response, before the attempt is done.
 func (p *Permit) SetPace(pace Pace) {
 	p.pace = pace
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -231,6 +231,9 @@
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
 	permit := &Permit{Endpoint: ep.placed, state: ep, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
+	if ep.isEngine() {
+		permit.prediction = p.predict(req, ep, home, now)
+	}
 	ep.inFlight++
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -64,8 +64,22 @@
 // firstEvent predicts the seconds until the response would start if the request were sent to
 // an engine now.
 func (p *Pool) firstEvent(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
-	work := estimate.Work{PrefillTokens: p.prefillTokens(req, ep, home, now), Large: req.large()}
-	return ep.speed.FirstEvent(work, estimate.Load{Running: ep.assumedRunning(), BacklogTokens: ep.prefillTokens}, now)
+	return ep.speed.FirstEvent(p.work(req, ep, home, now), ep.load(), now)
+}
+
+// predict predicts what the request would see at an engine if it were sent there now.
+func (p *Pool) predict(req RequestInfo, ep *endpointState, home bool, now time.Time) estimate.Prediction {
+	return ep.speed.Predict(p.work(req, ep, home, now), ep.load(), now)
+}
+
+// work returns what the request asks of an engine.
+func (p *Pool) work(req RequestInfo, ep *endpointState, home bool, now time.Time) estimate.Work {
+	return estimate.Work{PrefillTokens: p.prefillTokens(req, ep, home, now), Large: req.large()}
+}
+
+// load returns what an engine has to do, as far as this daemon knows.
+func (s *endpointState) load() estimate.Load {
+	return estimate.Load{Running: s.assumedRunning(), BacklogTokens: s.prefillTokens}
 }
 
 // assumedRunning returns how many requests of all daemons are assumed to run at the
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -30,6 +30,7 @@
 	r.noteResponse(permit, response)
 	if isSuccess(response.StatusCode) {
 		r.h.opts.Gate.ResponseStarted(permit)
+		r.h.opts.Metrics.observePrediction(r.req.Service, permit.Prediction(), r.h.opts.Now().Sub(permit.GrantedAt()))
 	} else {
 		r.h.opts.Gate.ResponseFailed(permit)
 	}
--- a/pkg/gateway/proxy/metrics.go
+++ b/pkg/gateway/proxy/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -20,6 +21,12 @@
 	seconds  *prometheus.HistogramVec
 	// incomplete counts requests that ended without a whole answer.
 	incomplete *prometheus.CounterVec
+	// predictions is the time to the first event relative to the predicted one, certainty
+	// how certain the predictions were.
+	predictions *prometheus.HistogramVec
+	certainty   *prometheus.HistogramVec
+	// sooner counts requests sent to a region that responds sooner.
+	sooner *prometheus.CounterVec
 }
 
 // attemptKind says how an attempt counts towards the retry budget.
@@ -74,8 +81,22 @@
 			Help:    "Time from arrival to the end of the answer, by service.",
 			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
 		}, []string{"service"}),
+		predictions: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "flamingomount_gateway_prediction_ratio",
+			Help:    "Time to the first event of an engine relative to the predicted one, by service.",
+			Buckets: []float64{0.25, 0.5, 0.8, 1.25, 2, 4},
+		}, []string{"service"}),
+		certainty: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "flamingomount_gateway_prediction_certainty",
+			Help:    "How certain predictions were, from 0 if nothing was known of the engine to 1, by service.",
+			Buckets: []float64{0, 0.5, 0.8, 0.9, 0.95},
+		}, []string{"service"}),
+		sooner: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingomount_gateway_sooner_elsewhere_total",
+			Help: "Requests sent to another region because it responds sooner, although there was capacity here, by service.",
+		}, []string{"service"}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.denied, m.withheld, m.seconds, m.incomplete)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.denied, m.withheld, m.seconds, m.incomplete, m.predictions, m.certainty, m.sooner)
 	for _, by := range enders {
 		m.incompleteOf(by, false)
 		m.incompleteOf(by, true)
@@ -92,6 +113,20 @@
 	m.seconds.WithLabelValues(string(req.Service)).Observe(elapsed.Seconds())
 }
 
+// observePrediction compares the time to the first event with the predicted one; a zero
+// prediction is none.
+func (m *Metrics) observePrediction(service types.ServiceName, predicted estimate.Prediction, took time.Duration) {
+	if predicted.FirstEvent <= 0 {
+		return
+	}
+	m.predictions.WithLabelValues(string(service)).Observe(took.Seconds() / predicted.FirstEvent.Seconds())
+	m.certainty.WithLabelValues(string(service)).Observe(predicted.Certainty)
+}
+
+func (m *Metrics) countSooner(service types.ServiceName) {
+	m.sooner.WithLabelValues(string(service)).Inc()
+}
+
 func (m *Metrics) countIncomplete(by ender, stopping bool) {
 	m.incompleteOf(by, stopping).Inc()
 }
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -230,6 +230,7 @@
 	if !found {
 		return members.Member{}, false
 	}
+	r.h.opts.Metrics.countSooner(r.req.Service)
 	return r.randomDaemon(snap, region), true
 }
 
