--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -353,6 +353,37 @@
 		Expect(e.count()).To(Equal(1))
 	})
 
+	// callsNorth makes a few calls in the south, whose own endpoint takes 300 ms, while the
+	// daemon in the north tells of a response time, and returns how many go north.
+	callsNorth := func(told int, homes ...types.Region) int {
+		north := newEndpoint(respondOK)
+		local := newEndpoint(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			respondOK(w, r)
+		})
+		south, _ := startRegions(catalog.Idempotent, homes, north)
+		view := south.snap.View
+		view.Endpoints[service] = append(view.Endpoints[service], catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{
+			ID: "own", Service: service, Address: local.address(), Region: "south", Slots: 4,
+		}})
+		south.update()
+		south.snap.Members[0].Loads = []members.Load{{Service: service, InFlight: 1, ResponseMillis: told}}
+		for range 12 {
+			Expect(south.call("GET", "/r/", "").status).To(Equal(200))
+		}
+		return north.count()
+	}
+
+	It("gets some of the requests that the local region would answer later, although it has capacity", func() {
+		Expect(callsNorth(10)).To(And(BeNumerically(">", 0), BeNumerically("<", 12)))
+	})
+
+	It("gets none of them if it told nothing, if the way takes longer, or if the data may not go there", func() {
+		Expect(callsNorth(0)).To(BeZero())
+		Expect(callsNorth(60_000)).To(BeZero())
+		Expect(callsNorth(10, "south")).To(BeZero())
+	})
+
 	It("runs large prompts where their prefix is cached, however busy it is", func() {
 		north, local := newEndpoint(respondOK), newEndpoint(respondOK)
 		south, _ := startRegions(catalog.Idempotent, nil, north)
