--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -25,6 +25,8 @@
 	Rank int
 	// PromptTokens estimates the prompt length; zero for plain services.
 	PromptTokens int
+	// OutputTokens is the largest number of tokens of the response; zero if not known.
+	OutputTokens int
 	// Prefix identifies the shared part of the prompt; zero means none.
 	Prefix       uint64
 	PrefixTokens int
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -42,6 +42,8 @@
 	large int
 	// speed is what is known of how fast an engine works.
 	speed *estimate.Endpoint
+	// memory is what the requests in flight need of an engine's memory.
+	memory memoryUse
 	// owned is true when this daemon sends the endpoint its large prompts.
 	owned bool
 	// prefillTokens is the prompt work, in tokens, of requests whose responses
--- /dev/null
+++ b/pkg/gateway/balance/memory_test.go
@@ -0,0 +1,59 @@
+package balance_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+)
+
+var _ = Describe("The memory of an engine", func() {
+	prompt := func(prefix uint64) balance.RequestInfo {
+		req := withPrefix(prefix)
+		req.PromptTokens, req.OutputTokens = 90_000, 10_000
+		return req
+	}
+
+	It("is not given more than it holds, since it would put requests back", func() {
+		pool := newPool(view(1, 0, nil), 1)
+		var permits []*balance.Permit
+		for prefix := range uint64(3) {
+			permit := requestPermit(pool, prompt(prefix+1), start)
+			Expect(permit).NotTo(BeNil())
+			pool.ResponseStarted(permit, start.Add(readTime))
+			permits = append(permits, permit)
+		}
+		Expect(requestPermit(pool, prompt(4), start.Add(readTime))).To(BeNil())
+		pool.Done(permits[0], balance.Succeeded, start.Add(2*readTime))
+		Expect(requestPermit(pool, prompt(4), start.Add(2*readTime))).NotTo(BeNil())
+	})
+
+	It("holds a prefix once that several requests share", func() {
+		pool := newPool(view(1, 0, nil), 1)
+		count := func(share bool) (placed int) {
+			for number := range uint64(30) {
+				req := withPrefix(1)
+				if !share {
+					req.Prefix = 100 + number
+				}
+				permit := requestPermit(pool, req, start)
+				if permit == nil {
+					break
+				}
+				pool.ResponseStarted(permit, start.Add(readTime))
+				placed++
+				defer pool.Done(permit, balance.Succeeded, start.Add(readTime))
+			}
+			return placed
+		}
+		Expect(count(true)).To(Equal(30))
+		Expect(count(false)).To(Equal(18))
+	})
+
+	It("takes a prompt of any size if nothing else runs", func() {
+		pool := newPool(view(1, 0, nil), 1)
+		huge := withPrefix(1)
+		huge.PromptTokens = 1 << 40
+		Expect(requestPermit(pool, huge, start)).NotTo(BeNil())
+	})
+})
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -235,6 +235,7 @@
 		permit.prediction = p.predict(req, ep, home, now)
 	}
 	ep.inFlight++
+	ep.memory.add(req, ep.memoryTokens())
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
 	permit.running = ep.assumedRunning()
@@ -278,6 +279,7 @@
 		ep.removePending(permit)
 	}
 	ep.inFlight = max(ep.inFlight-1, 0)
+	ep.memory.remove(permit.req, ep.memoryTokens())
 	if permit.req.large() {
 		ep.large = max(ep.large-1, 0)
 	}
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -65,6 +65,9 @@
 // respondsInTime predicts whether the response would start in time if the engine
 // got the request now.
 func (p *Pool) respondsInTime(req RequestInfo, ep *endpointState, home bool, now time.Time) bool {
+	if !ep.fits(req) {
+		return false
+	}
 	if !ep.isEngine() || req.Objective <= 0 || len(ep.pendingSince) == 0 {
 		return true
 	}
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -103,6 +103,7 @@
 		Service:         r.Service,
 		Rank:            r.Route.Rank,
 		PromptTokens:    r.PromptTokens,
+		OutputTokens:    r.OutputTokens,
 		Prefix:          r.Prefix,
 		PrefixTokens:    r.PrefixTokens,
 		ShorterPrefixes: r.PrefixParts,
