balance: plain endpoints are placed by the predicted time to their response too

Cause: of endpoints that are no engines only the share of slots in use by this daemon counted. Change: the same learned time; a refusal by a full one counts as a long response there.

--- a/pkg/gateway/balance/fleet_test.go
+++ b/pkg/gateway/balance/fleet_test.go
@@ -17,6 +17,8 @@
 type fleetLoad struct {
 	speeds  []float64
 	daemons int
+	// plain is true for endpoints that are no engines.
+	plain bool
 	// use is the share of the time of all engines together that the requests take.
 	use     float64
 	seconds float64
@@ -106,21 +108,25 @@
 // placing chooses as the pools of several daemons do, none of which sees the requests of the
 // others.
 func (l fleetLoad) placing() choice {
-	pools := newFleet(view(len(l.speeds), 0, nil), l.daemons)
+	service, engineCount, deskCount := engines, len(l.speeds), 0
+	if l.plain {
+		service, engineCount, deskCount = desk, 0, len(l.speeds)
+	}
+	pools := newFleet(view(engineCount, deskCount, nil), l.daemons)
 	restarted := l.restartAt == 0
 	return func(daemon int, now time.Time, _ []time.Time) (int, func(time.Time)) {
 		if !restarted && now.Sub(start).Seconds() > l.restartAt {
-			pools, restarted = newFleet(view(len(l.speeds), 0, nil), l.daemons), true
+			pools, restarted = newFleet(view(engineCount, deskCount, nil), l.daemons), true
 		}
 		pool := pools[daemon]
-		req := newRequest(engines, 0)
+		req := newRequest(service, 0)
 		req.PromptTokens, req.Arrived, req.Deadline = 400, now, now.Add(5*time.Second)
 		permit, _ := pool.Permit(req, now)
 		if permit == nil {
 			return -1, nil
 		}
 		var engine int
-		_, err := fmt.Sscanf(string(permit.Endpoint.ID), string(engines)+"-%d", &engine)
+		_, err := fmt.Sscanf(string(permit.Endpoint.ID), string(service)+"-%d", &engine)
 		Expect(err).NotTo(HaveOccurred())
 		return engine, func(at time.Time) {
 			pool.ResponseStarted(permit, at)
@@ -179,6 +185,12 @@
 		Expect(float64(fast) / float64(slow) * 2).To(BeNumerically(">", 1.3))
 	})
 
+	It("does the same over plain endpoints", func() {
+		load := fleetLoad{speeds: threeSpeeds(6), daemons: 12, plain: true, use: 0.7, seconds: 20, silent: -1}
+		placed := load.play(rand.New(rand.NewPCG(57, 9)), load.placing())
+		Expect(placed.inTimeShare()).To(BeNumerically(">", 0.97))
+	})
+
 	It("avoids an engine in a slow moment", func() {
 		load := fleetLoad{speeds: threeSpeeds(18), daemons: 6, use: 0.6, seconds: 20, slowMoment: 2.5, silent: -1}
 		placed := load.play(rand.New(rand.NewPCG(57, 5)), load.placing())
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -23,9 +23,7 @@
 
 // observeFirstEvent learns from the time until a response started.
 func (s *endpointState) observeFirstEvent(permit *Permit, now time.Time) {
-	if s.isEngine() {
-		s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.running, permit.req.large(), now.Sub(permit.grantedAt), now)
-	}
+	s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.running, permit.req.large(), now.Sub(permit.grantedAt), now)
 }
 
 // observeResponse learns from the time until the response to a small request started.
@@ -44,6 +42,9 @@
 	if !permit.req.large() {
 		p.estimateOf(permit.req.Service).ObserveResponse(max(refusedTime, now.Sub(permit.grantedAt)), now)
 	}
+	if !permit.state.isEngine() {
+		permit.state.speed.ObserveFirstEvent(0, permit.running, false, refusedTime, now)
+	}
 }
 
 // Response returns the average time until the responses to small requests of a service
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -52,7 +52,7 @@
 		cost += otherDCCost
 	}
 	if !ep.isEngine() {
-		return cost + slotCost*ep.assumedRunning()/float64(ep.slots()) + tieBreak(ep.placed.ID, now)
+		cost += slotCost * ep.assumedRunning() / float64(ep.slots())
 	}
 	if req.large() && !home {
 		cost += offHomeCost
@@ -62,7 +62,7 @@
 }
 
 // firstEvent predicts the seconds until the response would start if the request were sent to
-// an engine now.
+// the endpoint now.
 func (p *Pool) firstEvent(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
 	return ep.speed.FirstEvent(p.work(req, ep, home, now), ep.load(), now)
 }
