--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -279,7 +279,9 @@
 		ep.removePending(permit)
 	}
 	ep.inFlight = max(ep.inFlight-1, 0)
-	ep.memory.remove(permit.req, ep.memoryTokens())
+	if ep.memory.remove(permit.req, ep.memoryTokens()); ep.inFlight == 0 {
+		ep.memory = memoryUse{} // the capacity may have changed meanwhile
+	}
 	if permit.req.large() {
 		ep.large = max(ep.large-1, 0)
 	}
