--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -170,7 +170,8 @@
 // is tried. When more endpoints are ejected than eligible, the requests are the
 // likelier cause, and the ejected ones are kept.
 func (p *Pool) filter(req RequestInfo, now time.Time) []*endpointState {
-	var eligible, ejected []*endpointState
+	var ejected []*endpointState
+	eligible := make([]*endpointState, 0, len(p.services[req.Service]))
 	var soonest *endpointState
 	for _, ep := range p.services[req.Service] {
 		if slices.Contains(req.Tried, ep.placed.ID) || p.closed(ep, now) {
--- a/pkg/gateway/balance/share.go
+++ b/pkg/gateway/balance/share.go
@@ -87,7 +87,7 @@
 // assignedEndpoints keeps the endpoints that are assigned to this daemon, or for
 // large prompts those that it owns; it keeps all of them when there are none.
 func assignedEndpoints(req RequestInfo, eligible []*endpointState) []*endpointState {
-	var own []*endpointState
+	own := make([]*endpointState, 0, len(eligible))
 	for _, ep := range eligible {
 		if req.large() && ep.owned || !req.large() && ep.assigned {
 			own = append(own, ep)
--- a/pkg/gateway/estimate/model.go
+++ b/pkg/gateway/estimate/model.go
@@ -7,7 +7,7 @@
 
 // modelTTL is how long what the observations say is used before their weights are
 // calculated again; they lose little within it.
-const modelTTL = 50 * time.Millisecond
+const modelTTL = 100 * time.Millisecond
 
 // endpointModel is what the observations of an endpoint say at a time; times in seconds.
 type endpointModel struct {
