--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -128,13 +128,20 @@
 	}
 }
 
-// ResponseStarted records that the endpoint started its response.
+// ResponseStarted records that the endpoint started the response of a request that it runs.
 func (g *Gate) ResponseStarted(permit *balance.Permit) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.ResponseStarted(permit, g.now())
 }
 
+// ResponseFailed records that the endpoint started a response to a request that failed.
+func (g *Gate) ResponseFailed(permit *balance.Permit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.ResponseFailed(permit, g.now())
+}
+
 // DueProbes returns the endpoints whose health is to be checked now.
 func (g *Gate) DueProbes() []balance.Probe {
 	g.mu.Lock()
@@ -193,8 +200,9 @@
 	for service, count := range g.pool.InFlight() {
 		load := members.Load{
 			Service: service, InFlight: count, Waiting: g.pool.Waiting(service), Blocked: g.pool.Blocked(service, now),
+			ResponseMillis: int(g.pool.Response(service, now).Milliseconds()),
 		}
-		if load.InFlight > 0 || load.Waiting > 0 || load.Blocked > 0 {
+		if load.InFlight > 0 || load.Waiting > 0 || load.Blocked > 0 || load.ResponseMillis > 0 {
 			loads = append(loads, load)
 		}
 	}
@@ -202,6 +210,14 @@
 	return loads
 }
 
+// Response returns the average time until the responses to small requests of a service
+// started lately in the local region; zero if this daemon saw none.
+func (g *Gate) Response(service types.ServiceName) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Response(service, g.now())
+}
+
 // Run grants capacity to waiting requests until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	ticker := time.NewTicker(grantInterval)
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -9,15 +9,6 @@
 
 // Limits on the prompt work that an engine is given.
 const (
-	// ewmaWeight is the weight of a new observation of an engine.
-	ewmaWeight = 0.2
-	// minSlowdown and maxSlowdown bound the slowdown relative to prefillRate: a
-	// response whose prompt was cached, and one from an engine in trouble, say
-	// little about the next one.
-	minSlowdown = 0.25
-	maxSlowdown = 8.0
-	// observationTTL is how long an observation of an engine stays valid.
-	observationTTL = 1500 * time.Millisecond
 	// responseShare is the share of its objective within which a response must
 	// be predicted to start; the rest is for the way to the caller.
 	responseShare = 0.8
@@ -30,47 +21,54 @@
 	maxBusyShare = 0.75
 )
 
-// ewma is an exponentially weighted moving average with the time of its last
-// observation.
-type ewma struct {
-	value      float64
-	observedAt time.Time
+// observeFirstEvent learns from the time until a response started.
+func (s *endpointState) observeFirstEvent(permit *Permit, now time.Time) {
+	s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.running, permit.req.large(), now.Sub(permit.grantedAt), now)
 }
 
-// observe adds an observation; one that comes more than observationTTL after the
-// last replaces the average.
-func (o *ewma) observe(value float64, now time.Time) {
-	if now.Sub(o.observedAt) > observationTTL {
-		o.value = value
+// observeResponse learns from the time until the response to a small request started.
+func (p *Pool) observeResponse(permit *Permit, now time.Time) {
+	if !permit.req.large() {
+		p.estimateOf(permit.req.Service).ObserveResponse(now.Sub(permit.grantedAt), now)
 	}
-	o.value += ewmaWeight * (value - o.value)
-	o.observedAt = now
 }
 
-// valueOr returns the average, or fallback when the last observation is older
-// than observationTTL.
-func (o *ewma) valueOr(fallback float64, now time.Time) float64 {
-	if now.Sub(o.observedAt) > observationTTL {
-		return fallback
+// refusedTime is what a refusal by a full endpoint counts as: the request would have waited
+// longer than those that the endpoint took.
+const refusedTime = 600 * time.Millisecond
+
+// observeRefusal records that a full endpoint refused a request.
+func (p *Pool) observeRefusal(permit *Permit, now time.Time) {
+	if !permit.req.large() {
+		p.estimateOf(permit.req.Service).ObserveResponse(max(refusedTime, now.Sub(permit.grantedAt)), now)
+	}
+	if !permit.state.isEngine() {
+		permit.state.speed.ObserveFirstEvent(0, permit.running, false, refusedTime, now)
 	}
-	return o.value
 }
 
-// observeResponseTime learns from the time until a response started: for a large
-// prompt the prefill slowdown of the engine, for others the response time.
-func (s *endpointState) observeResponseTime(permit *Permit, now time.Time) {
-	took := now.Sub(permit.grantedAt).Seconds()
-	if permit.req.large() {
-		prefillSlowdown := took * prefillRate / max(permit.prefillBacklog, 1)
-		s.prefillSlowdown.observe(min(max(prefillSlowdown, minSlowdown), maxSlowdown), now)
-		return
+// Response returns the average time until the responses to small requests of a service
+// started lately in the local region; zero if this daemon saw none.
+func (p *Pool) Response(service types.ServiceName, now time.Time) time.Duration {
+	if known := p.estimates[service]; known != nil {
+		return known.Response(now)
+	}
+	return 0
+}
+
+// observePace learns from the pace of the events of a complete response.
+func (s *endpointState) observePace(permit *Permit, now time.Time) {
+	if s.isEngine() {
+		s.speed.ObservePace(permit.running, permit.pace.Mean, permit.pace.Longest, now)
 	}
-	s.responseTime.observe(took, now)
 }
 
 // respondsInTime predicts whether the response would start in time if the engine
 // got the request now.
 func (p *Pool) respondsInTime(req RequestInfo, ep *endpointState, home bool, now time.Time) bool {
+	if !ep.fits(req) {
+		return false
+	}
 	if !ep.isEngine() || req.Objective <= 0 || len(ep.pendingSince) == 0 {
 		return true
 	}
@@ -79,7 +77,7 @@
 		allowed -= waited
 	}
 	if !req.large() {
-		return ep.responseTime.valueOr(0, now) <= allowed.Seconds() && ep.oldestPending(now) <= allowed
+		return ep.speed.Wait(now) <= allowed && ep.oldestPending(now) <= allowed
 	}
 	constraints := p.routeConstraints(req)
 	if constraints.hasMoreUrgent && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
@@ -93,8 +91,8 @@
 	if req.PrefixUncached {
 		allowed = min(allowed, time.Duration(float64(constraints.objective)*uncachedShare))
 	}
-	seconds := (ep.prefillTokens + p.prefillTokens(req, ep, home && !req.PrefixUncached, now)) / prefillRate * ep.prefillSlowdown.valueOr(1, now)
-	return seconds <= allowed.Seconds()
+	work := p.prefillTokens(req, ep, home && !req.PrefixUncached, now)
+	return ep.speed.PrefillTime(ep.prefillTokens+work, now) <= allowed
 }
 
 // oldestPending returns how long the oldest request without a response has
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -34,8 +34,14 @@
 		return failure
 	}
 	r.noteResponse(permit, response)
-	r.h.opts.Gate.ResponseStarted(permit)
+	if isSuccess(response.StatusCode) {
+		r.h.opts.Gate.ResponseStarted(permit)
+		r.h.opts.Metrics.observePrediction(r.req.Service, permit.Prediction(), r.h.opts.Now().Sub(permit.GrantedAt()))
+	} else {
+		r.h.opts.Gate.ResponseFailed(permit)
+	}
 	failure, result := r.handleResponse(response, &w)
+	permit.SetPace(w.pace.result())
 	r.h.opts.Gate.Done(permit, result)
 	if result == balance.Interrupted {
 		r.reportBroken(permit.Endpoint.Endpoint)
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -110,6 +110,7 @@
 		Rank:            r.Route.Rank,
 		CallerRank:      r.Organisation.RankOf(),
 		PromptTokens:    r.PromptTokens,
+		OutputTokens:    r.OutputTokens,
 		Prefix:          r.Prefix,
 		PrefixTokens:    r.PrefixTokens,
 		ShorterPrefixes: r.PrefixParts,
