balance: organisations share waiting room, so that one that floods takes no one else's

Change: start-time fair queueing between organisations inside a rank, with the deadline order inside each; a new request is behind only what precedes it fairly, so that its predicted wait, refusal and Retry-After are its organisation's own. A full queue makes room by refusing the last request of the organisation that crowds it. The rank of the organisation goes before the route's. State exists only while requests wait and is bounded. With one organisation, or none in the configuration, the order is as before (spec).

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -22,6 +22,8 @@
 	Service types.ServiceName
 	// Rank is the urgency; 0 is the most urgent.
 	Rank int
+	// Organisation is who calls; requests that name none count as one organisation.
+	Organisation types.OrgName
 	// CallerRank is the rank of the organisation that calls; it goes before Rank where
 	// requests wait.
 	CallerRank int
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -109,10 +109,15 @@
 // Try places a request that has not waited yet; waiting requests that are at
 // least as urgent go first. Both results are nil when there is no capacity now.
 func (p *Pool) Try(req RequestInfo, now time.Time) (*Permit, *Refusal) {
-	if p.queueOf(req.Service).ahead(req) > 0 {
+	q := p.queueOf(req.Service)
+	if q.shares.ahead(req) > 0 {
 		return nil, nil
 	}
-	return p.Permit(req, now)
+	permit, refusal := p.Permit(req, now)
+	if permit != nil {
+		q.served(req)
+	}
+	return permit, refusal
 }
 
 // Permit chooses an endpoint for the request. A nil permit means that no
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -38,6 +38,8 @@
 	// ExpiresAt is when the request is refused if it still waits.
 	ExpiresAt time.Time
 	seq       uint64
+	// left is true once the request waits no longer.
+	left bool
 	// Granted receives the permit, or Refused the refusal if waiting longer would
 	// not help; each buffers one value.
 	Granted chan *Permit
@@ -47,6 +49,7 @@
 // queue holds the waiting requests of one service, the most urgent first.
 type queue struct {
 	waiting []*Waiter
+	shares  fairShares
 	seq     uint64
 	// refused counts the requests refused for lack of capacity.
 	refused uint64
@@ -58,7 +61,7 @@
 func (p *Pool) queueOf(service types.ServiceName) *queue {
 	q := p.queues[service]
 	if q == nil {
-		q = &queue{serviceTime: initialServiceTime.Seconds()}
+		q = &queue{serviceTime: initialServiceTime.Seconds(), shares: newFairShares()}
 		p.queues[service] = q
 	}
 	return q
@@ -71,23 +74,56 @@
 
 // compareWaiters orders by the ranks of caller and request, then by deadline, then by arrival in the queue.
 func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(a.RequestInfo.compareUrgency(b.RequestInfo), a.RequestInfo.Deadline.Compare(b.RequestInfo.Deadline), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(rankOf(a.RequestInfo).compare(rankOf(b.RequestInfo)), a.RequestInfo.Deadline.Compare(b.RequestInfo.Deadline), cmp.Compare(a.seq, b.seq))
 }
 
-// compareUrgency orders by the rank of the caller, then by that of the request.
-func (r RequestInfo) compareUrgency(other RequestInfo) int {
-	return cmp.Or(cmp.Compare(r.CallerRank, other.CallerRank), cmp.Compare(r.Rank, other.Rank))
+// insert adds a waiting request.
+func (q *queue) insert(waiter *Waiter) {
+	i, _ := slices.BinarySearchFunc(q.waiting, waiter, compareWaiters)
+	q.waiting = slices.Insert(q.waiting, i, waiter)
+	q.shares.enter(waiter.RequestInfo)
 }
 
-// ahead counts the waiting requests that precede a new request.
-func (q *queue) ahead(req RequestInfo) int {
-	count := 0
-	for _, waiter := range q.waiting {
-		if waiter.RequestInfo.compareUrgency(req) <= 0 {
-			count++
+// removeLeft removes the requests that wait no longer.
+func (q *queue) removeLeft() {
+	q.waiting = slices.DeleteFunc(q.waiting, func(waiter *Waiter) bool {
+		if waiter.left {
+			q.shares.leave(waiter.RequestInfo)
 		}
+		return waiter.left
+	})
+	if len(q.waiting) == 0 {
+		q.shares.reset()
 	}
-	return count
+}
+
+// served records that a request got its endpoint. Only what is served while others wait
+// counts between organisations.
+func (q *queue) served(req RequestInfo) {
+	if len(q.waiting) > 0 {
+		q.shares.charge(req)
+	}
+}
+
+// makeRoom refuses the last request of the organisation that crowds a full queue, in favour
+// of a new one, and reports whether there is room.
+func (p *Pool) makeRoom(q *queue, req RequestInfo, now time.Time) bool {
+	if len(q.waiting) < maxWaiting {
+		return true
+	}
+	crowding, found := q.shares.crowding(req)
+	if !found {
+		return false
+	}
+	for _, waiter := range slices.Backward(q.waiting) {
+		if flowOf(waiter.RequestInfo) == crowding {
+			waiter.left = true
+			waiter.Refused <- p.Refuse(waiter.RequestInfo, now)
+			break
+		}
+	}
+	q.removeLeft()
+	return true
 }
 
 // maxWait returns how long a request may still wait and be useful; it may have
@@ -110,13 +146,12 @@
 	q := p.queueOf(req.Service)
 	predicted := p.predictedWait(req, now)
 	allowed := maxWait(req, now)
-	if predicted > allowed || len(q.waiting) >= maxWaiting {
+	if predicted > allowed || !p.makeRoom(q, req, now) {
 		return nil, p.Refuse(req, now)
 	}
 	q.seq++
 	waiter := &Waiter{RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1)}
-	i, _ := slices.BinarySearchFunc(q.waiting, waiter, compareWaiters)
-	q.waiting = slices.Insert(q.waiting, i, waiter)
+	q.insert(waiter)
 	return waiter, nil
 }
 
@@ -132,7 +167,7 @@
 			capacity += p.limit(req, ep)
 		}
 	}
-	seconds := float64(q.ahead(req)+1) * q.serviceTime / float64(max(capacity, 1))
+	seconds := float64(q.shares.ahead(req)+1) * q.serviceTime / float64(max(capacity, 1))
 	return pause + time.Duration(seconds*float64(time.Second))
 }
 
@@ -159,11 +194,13 @@
 // CancelWait removes a waiting request and returns its refusal.
 func (p *Pool) CancelWait(waiter *Waiter, now time.Time) *Refusal {
 	q := p.queueOf(waiter.RequestInfo.Service)
-	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiter) bool { return other == waiter })
+	waiter.left = true
+	q.removeLeft()
 	return p.Refuse(waiter.RequestInfo, now)
 }
 
-// Grant grants capacity to waiting requests of a service, the most urgent first.
+// Grant grants capacity to waiting requests of a service, the most urgent first, and of
+// these by turns to the organisations that wait.
 // A request that can use none of the free capacity, because it tried those
 // endpoints before or would be late there, does not hold back the ones behind it.
 // A request that can't get any is refused.
@@ -173,22 +210,24 @@
 		return
 	}
 	misses := 0
-	q.waiting = slices.DeleteFunc(q.waiting, func(waiter *Waiter) bool {
+	for _, waiter := range q.shares.order(q.waiting) {
 		if misses == maxGrantMisses {
-			return false
+			break
 		}
 		permit, refusal := p.Permit(waiter.RequestInfo, now)
-		if refusal != nil {
+		switch {
+		case refusal != nil:
 			waiter.Refused <- refusal
-			return true
-		}
-		if permit == nil {
+			waiter.left = true
+		case permit == nil:
 			misses++
-			return false
+		default:
+			q.shares.charge(waiter.RequestInfo)
+			waiter.Granted <- permit
+			waiter.left = true
 		}
-		waiter.Granted <- permit
-		return true
-	})
+	}
+	q.removeLeft()
 }
 
 // GrantAll grants capacity to waiting requests of every service, and forgets
--- a/pkg/gateway/catalog/organisation.go
+++ b/pkg/gateway/catalog/organisation.go
@@ -48,6 +48,14 @@
 	return o.Rank
 }
 
+// NameOf returns the name of an organisation; empty for a nil organisation.
+func (o *Organisation) NameOf() types.OrgName {
+	if o == nil {
+		return ""
+	}
+	return o.Name
+}
+
 // Quota bounds what an organisation may ask of all daemons together, in its unit.
 type Quota struct {
 	// Rate is the units per second, and Burst the units beyond it that may be used at once.
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -44,9 +44,7 @@
 	if config := r.h.opts.Snapshot().View.Config; r.req.Identified && config != nil {
 		attempt.Rank, attempt.Ranks = config.Urgency(r.req.Organisation, r.req.Route)
 	}
-	if r.req.Organisation != nil {
-		attempt.Organisation = r.req.Organisation.Name
-	}
+	attempt.Organisation = r.req.Organisation.NameOf()
 	if r.lastEvent != "" {
 		attempt.ResumeAfter = r.lastEvent
 	}
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -106,6 +106,7 @@
 // balancerRequest describes the request to the balancer.
 func (r *Request) balancerRequest(tried []types.EndpointID) balance.RequestInfo {
 	return balance.RequestInfo{
+		Organisation:    r.Organisation.NameOf(),
 		Service:         r.Service,
 		Rank:            r.Route.Rank,
 		CallerRank:      r.Organisation.RankOf(),
