proxy: an answer that ends with its connection is complete only if the request was written

Cause: an endpoint answers an upload at once with neither a length nor chunks, sends a part and resets the connection. The write that is under way takes the error that the reset leaves on the socket, and the read then sees an ordinary end.

Ruled out: answers with a length or in chunks, streams cut inside an event, uploads that fit into the buffer.

Change: the end of such a body counts only once the request was written as a whole; else the answer was broken off, over a hop too.

--- a/pkg/gateway/proxy/answer.go
+++ b/pkg/gateway/proxy/answer.go
@@ -27,6 +27,7 @@
 // handleResponse checks that the response belongs to the request and relays it.
 func (r *run) handleResponse(response *http.Response, w *attemptConn) (*types.Failure, balance.Result) {
 	r.answerBegun = true
+	w.guardEnd(r.ctx, response)
 	info := r.h.opts.Dialect.ResponseInfo(response.StatusCode, response.Header)
 	if info.ID != "" && info.ID != r.req.ID {
 		return r.rejectResponse(w, errOtherRequest)
--- a/pkg/gateway/proxy/attempt.go
+++ b/pkg/gateway/proxy/attempt.go
@@ -86,6 +86,7 @@
 	}
 	var ctx context.Context
 	ctx, w.cancel = context.WithCancel(r.ctx)
+	w.upload = newUpload()
 	return outgoing.WithContext(httptrace.WithClientTrace(ctx, w.trace()))
 }
 
--- a/pkg/gateway/proxy/conn.go
+++ b/pkg/gateway/proxy/conn.go
@@ -29,6 +29,8 @@
 	// connecting tells whether the endpoint still wants the request; nil for an
 	// attempt by way of another daemon.
 	connecting *gate.Connecting
+	// upload tells whether the request was written as a whole.
+	upload *upload
 	// interim handles an interim response; nil ignores it. An error ends the attempt.
 	interim func(status int, header textproto.MIMEHeader) error
 }
--- a/pkg/gateway/proxy/notice.go
+++ b/pkg/gateway/proxy/notice.go
@@ -20,6 +20,8 @@
 	return &httptrace.ClientTrace{
 		GetConn: func(string) { w.connecting.Begin() },
 		GotConn: w.gotConn,
+		// The connection's writer calls it, also after an error.
+		WroteRequest: w.upload.ended,
 		// A nil function leaves the limit on interim responses as it is.
 		Got1xxResponse: w.interim,
 	}
