dispatch: specs of an answer that is cut off while the upload is written

The own interface holds: a response without a length and chunks is refused, and a stream is complete only with its terminal event. One shows that net/http alone takes such an answer for complete.

--- /dev/null
+++ b/pkg/stage/dispatch/cut_upload_test.go
@@ -0,0 +1,93 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/stage/dispatch"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// newCuttingServer starts an endpoint that answers as soon as it has the head of a request and
+// resets the connection while the body is still being written.
+func newCuttingServer(rest string) net.Listener {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go cutAnswer(connection.(*net.TCPConn), rest)
+		}
+	}()
+	return listener
+}
+
+// cutAnswer serves one connection of a cutting endpoint.
+func cutAnswer(connection *net.TCPConn, rest string) {
+	const writing = 5 * time.Millisecond
+	defer func() { _ = connection.Close() }()
+	incoming, err := http.ReadRequest(bufio.NewReader(connection))
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s", types.HeaderAttemptID, incoming.Header.Get(types.HeaderAttemptID), rest)
+	time.Sleep(writing)
+	_ = connection.SetLinger(0) // Close then resets
+}
+
+var _ = Describe("an answer that is cut off while the upload is written", func() {
+	const tries, upload = 40, 30 << 20
+
+	// What net/http gives without a check; if this fails, the checks may have become needless.
+	It("may be taken for complete by the transport alone", func() {
+		server, complete := newCuttingServer("\r\npart"), 0
+		transport := dispatch.NewTransport(true)
+		defer transport.CloseIdleConnections()
+		body := strings.Repeat("x", upload)
+		for tried := 0; complete == 0 && tried < 10*tries; tried++ {
+			outgoing, err := http.NewRequest(http.MethodPost, "http://"+server.Addr().String(), strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			response, err := transport.RoundTrip(outgoing)
+			if err != nil {
+				continue
+			}
+			if _, err := io.ReadAll(response.Body); err == nil {
+				complete++
+			}
+			_ = response.Body.Close()
+		}
+		Expect(complete).NotTo(BeZero())
+	})
+
+	DescribeTable("is never taken for complete", func(streamed bool, rest string) {
+		server := newCuttingServer(rest)
+		body := strings.Repeat("x", upload)
+		for range tries {
+			req := newRequest(false, body)
+			req.Streamed = streamed
+			summary, recorder := run(newDispatcher(server.Addr().String()), req)
+			Expect(summary.Verdict).To(Equal(types.MayHaveRun))
+			Expect(recorder.Body.String()).NotTo(Equal("part"))
+			Expect(recorder.Body.String()).NotTo(ContainSubstring("[DONE]"))
+		}
+	},
+		Entry("without a length", false, "\r\npart"),
+		Entry("stream without a length, at the end of an event", true, "Content-Type: text/event-stream\r\n\r\ndata: {}\n\n"),
+		Entry("stream without a length, inside an event", true, "Content-Type: text/event-stream\r\n\r\ndata: {}\n\ndata"),
+		Entry("with a length", false, "Content-Length: 10\r\n\r\npart"),
+		Entry("in chunks", false, "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"),
+	)
+})
