daemon: bounds on connections by descriptors and on the memory of heads

Cause: the own interface's listeners took up to 40,000 connections whatever the descriptors, silent ones kept callers waiting for a slot, and heads were bounded one by one only.

Change: each listener also stays within its share of the process's descriptors, the connection that has waited longest yields, and limits.head_memory (128 MiB) bounds the heads of all listeners together.

Not shown yet by a test with the product's own process; the mechanism is that of pkg/graceful (room_test.go).

--- a/pkg/daemon/provision.go
+++ b/pkg/daemon/provision.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch"
 	"github.com/flamingomount/flamingomount/pkg/stage/forward"
@@ -53,12 +54,13 @@
 // use port zero.
 func (d *Daemon) listen() error {
 	s := d.opts.Settings
+	heads := graceful.NewHeads(s.Limits.HeadMemory)
 	var err error
-	d.caller, err = newServer("callers", s.Caller.Address, d.opts.CallerListener, s.Caller.TLS, s, d.opts.Log)
+	d.caller, err = newServer("callers", s.Caller.Address, d.opts.CallerListener, s.Caller.TLS, serverLimits{graceful.CallerShare, heads}, s, d.opts.Log)
 	if err != nil {
 		return err
 	}
-	d.peer, err = newServer("peers", s.Peer.Address, d.opts.PeerListener, s.Peer.TLS, s, d.opts.Log)
+	d.peer, err = newServer("peers", s.Peer.Address, d.opts.PeerListener, s.Peer.TLS, serverLimits{graceful.PeerShare, heads}, s, d.opts.Log)
 	if err != nil {
 		return err
 	}
@@ -71,7 +73,7 @@
 	if s.Admin.Address == "" && d.opts.AdminListener == nil {
 		return nil
 	}
-	d.admin, err = newServer("administrators", s.Admin.Address, d.opts.AdminListener, s.Caller.TLS, s, d.opts.Log)
+	d.admin, err = newServer("administrators", s.Admin.Address, d.opts.AdminListener, s.Caller.TLS, serverLimits{graceful.OtherShare, heads}, s, d.opts.Log)
 	return err
 }
 
--- a/pkg/daemon/servers.go
+++ b/pkg/daemon/servers.go
@@ -23,6 +23,14 @@
 	handler http.Handler
 }
 
+// serverLimits are the parts of the process's limits that a server may take.
+type serverLimits struct {
+	// share is that of the sockets.
+	share float64
+	// heads bounds the memory of the request heads of all servers.
+	heads *graceful.Heads
+}
+
 // listen opens a listener, or takes the existing one.
 func listen(name, address string, existing net.Listener) (net.Listener, error) {
 	if existing != nil {
@@ -32,9 +40,15 @@
 	return listener, eris.Wrapf(err, "listen for %s", name)
 }
 
+// maxConnections returns the bound on the connections of a listener with a share of the
+// process's sockets.
+func maxConnections(s *settings.Settings, share float64) int {
+	return max(1, min(s.Limits.Connections, int(float64(graceful.SocketLimit(0))*share)))
+}
+
 // newServer opens the listener of a server with the timeouts and limits of the
 // settings; it serves TLS if files are configured.
-func newServer(name, address string, existing net.Listener, files settings.TLS, s *settings.Settings, log logrus.FieldLogger) (*server, error) {
+func newServer(name, address string, existing net.Listener, files settings.TLS, limits serverLimits, s *settings.Settings, log logrus.FieldLogger) (*server, error) {
 	listener, err := listen(name, address, existing)
 	if err != nil {
 		return nil, err
@@ -46,7 +60,7 @@
 	}
 	srv := &server{name: name, listener: listener}
 	srv.Server = graceful.New(graceful.Options{
-		Listener: listener, TLS: secured, MaxConnections: s.Limits.Connections,
+		Listener: listener, TLS: secured, MaxConnections: maxConnections(s, limits.share), Heads: limits.heads,
 		HTTP: &http.Server{
 			Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { srv.handler.ServeHTTP(w, r) }),
 			ReadHeaderTimeout: s.Timeouts.Header,
--- a/pkg/gateway/entry/bounds.go
+++ b/pkg/gateway/entry/bounds.go
@@ -1,22 +1,13 @@
 package entry
 
 import (
-	"math"
-
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sys/unix"
 
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
 // Shares of the process's limits that accepted connections may take.
 const (
-	// callerConnections, peerConnections and otherConnections are shares of the descriptors for
-	// sockets; the last is that of each further listener. The rest is for connections to
-	// endpoints, other daemons and the store.
-	callerConnections = 0.55
-	peerConnections   = 0.2
-	otherConnections  = 0.02
 	// fewestConnections is the least bound of a listener.
 	fewestConnections = 4
 	// connectionMemory is the memory of a connection without a request, in bytes: a goroutine
@@ -26,37 +17,21 @@
 	// callers' connections without a request and for request heads.
 	connectionMemoryShare = 0.25
 	headMemoryShare       = 0.15
-	// fileDescriptors is the number of descriptors that are kept for files.
-	fileDescriptors = 200
 )
 
-// socketLimit returns how many sockets the process may have open: those of the settings, or
-// of the operating system if they set none.
-func (s *Settings) socketLimit() int {
-	files := s.Descriptors
-	if files <= 0 {
-		var limit unix.Rlimit
-		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-			return math.MaxInt32
-		}
-		files = int(min(limit.Cur, math.MaxInt32))
-	}
-	return max(files-fileDescriptors, files/2)
-}
-
 // maxConnections returns the bound on the connections that a listener has open at once.
 func (s *Settings) maxConnections(listener string) int {
-	most := float64(s.socketLimit())
+	most := float64(graceful.SocketLimit(s.Descriptors))
 	switch listener {
 	case callersName:
-		most *= callerConnections
+		most *= graceful.CallerShare
 		if s.MemoryBytes > 0 {
 			most = min(most, float64(s.MemoryBytes)*connectionMemoryShare/connectionMemory)
 		}
 	case peersName:
-		most *= peerConnections
+		most *= graceful.PeerShare
 	default:
-		most *= otherConnections
+		most *= graceful.OtherShare
 	}
 	return max(int(most), fewestConnections)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -102,8 +102,9 @@
 // Limits bounds the load and the memory use of the daemon.
 type Limits struct {
 	Requests     int64 `yaml:"requests" validate:"min=1,max=1000000" accepts:"1 to 1000000 requests at once" effect:"requests of callers at once; more are refused as not run"`
-	Connections  int   `yaml:"connections" validate:"min=1,max=1000000" accepts:"1 to 1000000 connections at once" effect:"connections of callers at once; more wait to be accepted"`
+	Connections  int   `yaml:"connections" validate:"min=1,max=1000000" accepts:"1 to 1000000 connections at once" effect:"connections of callers at once, also bounded by 0.55 of the descriptors; beyond that the longest without a request is closed"`
 	HeaderBytes  int   `yaml:"header_bytes" validate:"min=1024,max=1048576" accepts:"1024 to 1048576 bytes" effect:"the size of a request head; larger ones are refused"`
+	HeadMemory   int64 `yaml:"head_memory" validate:"min=1048576" accepts:"at least 1048576 bytes" effect:"the memory of all request heads together; beyond that the connection with the largest incomplete one is closed"`
 	BodyBytes    int64 `yaml:"body_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes" effect:"the size of a request body; larger ones are refused"`
 	BodyMemory   int64 `yaml:"body_memory" validate:"min=1048576" accepts:"at least 1048576 bytes" effect:"the memory of all request bodies together; more are refused as not run"`
 	AnswerBytes  int64 `yaml:"answer_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes" effect:"the size up to which an answer is held whole before it is passed on"`
@@ -144,6 +145,7 @@
 			Requests:     20_000,
 			Connections:  40_000,
 			HeaderBytes:  64 << 10,
+			HeadMemory:   128 << 20,
 			BodyBytes:    4 << 20,
 			BodyMemory:   256 << 20,
 			AnswerBytes:  1 << 20,
