--- a/pkg/gateway/proxy/conn.go
+++ b/pkg/gateway/proxy/conn.go
@@ -31,6 +31,8 @@
 	connecting *gate.Connecting
 	// pace is that of the events of the response.
 	pace eventPace
+	// upload tells whether the request was written as a whole.
+	upload *upload
 	// interim handles an interim response; nil ignores it. An error ends the attempt.
 	interim func(status int, header textproto.MIMEHeader) error
 }
