quota: ask other daemons for credit in stages

A request that lacks credit waits while the holder of the data centre, its daemons, the region and the other regions are asked in turn. Not connected yet.

--- /dev/null
+++ b/pkg/gateway/quota/exchange/round.go
@@ -0,0 +1,195 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Intervals and limits of rounds.
+const (
+	// askTimeout bounds one question to another daemon, serveTimeout its answer, which
+	// is lost if it comes later.
+	askTimeout   = 700 * time.Millisecond
+	serveTimeout = 450 * time.Millisecond
+	// minPause and maxPause bound the time from a round that brought too little to the
+	// next; each such round doubles it.
+	minPause = 100 * time.Millisecond
+	maxPause = 800 * time.Millisecond
+	// gatherPause is the least time between two questions to the daemons of the data
+	// centre.
+	gatherPause = 100 * time.Millisecond
+	// tradeIdle is how long a trade is kept after its last round.
+	tradeIdle = 5 * time.Second
+)
+
+// trade is the search for credit of one organisation. Exchange.mu guards it.
+type trade struct {
+	// wanted is the units that requests and other daemons wait for.
+	wanted float64
+	// running is true while a round asks other daemons.
+	running bool
+	// changed is closed and replaced when credit has come or a round has ended.
+	changed chan struct{}
+	// pausedUntil is when the next round may begin after one that brought too little.
+	pausedUntil time.Time
+	pause       time.Duration
+	gatheredAt  time.Time
+	usedAt      time.Time
+}
+
+func (t *trade) idle(now time.Time) bool {
+	return !t.running && t.wanted <= 0 && now.Sub(t.usedAt) > tradeIdle
+}
+
+func (e *Exchange) trade(name types.OrgName) *trade {
+	known := e.trades[name]
+	if known == nil {
+		known = &trade{changed: make(chan struct{})}
+		e.trades[name] = known
+	}
+	known.usedAt = e.opts.Now()
+	return known
+}
+
+// want adds to the units that are waited for.
+func (e *Exchange) want(name types.OrgName, units float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.trade(name).wanted += units
+}
+
+// signal wakes what waits for credit of an organisation. The mutex is held.
+func (e *Exchange) signal(name types.OrgName) {
+	if trade := e.trades[name]; trade != nil {
+		close(trade.changed)
+		trade.changed = make(chan struct{})
+	}
+}
+
+// startRound starts a round unless one runs or the last one brought too little. It
+// reports whether a round runs, and returns a channel that is closed when credit has come
+// or the round has ended. AsHolder is true to ask for another daemon.
+func (e *Exchange) startRound(name types.OrgName, asHolder bool) (changed <-chan struct{}, running bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	trade := e.trade(name)
+	if !trade.running && !e.opts.Now().Before(trade.pausedUntil) {
+		trade.running = true
+		stages := e.neighbours.Stages(asHolder)
+		asHolder = asHolder || e.neighbours.Holder == e.neighbours.Self
+		e.work.Go(func() {
+			defer e.endRound(name)
+			// The guard logs a panic; the next round asks again.
+			_ = e.opts.Guard.Do("quota", func() { e.runRound(name, stages, asHolder) })
+		})
+	}
+	return trade.changed, trade.running
+}
+
+// runRound asks the stages until there is enough. If the holder can't be asked, this
+// daemon does what the holder would do.
+func (e *Exchange) runRound(name types.OrgName, stages []quota.Stage, asHolder bool) {
+	answered := e.askStages(name, stages)
+	if answered || asHolder {
+		return
+	}
+	e.mu.Lock()
+	stages = e.neighbours.Stages(true)
+	e.mu.Unlock()
+	e.askStages(name, stages)
+}
+
+// askStages reports whether any daemon answered.
+func (e *Exchange) askStages(name types.OrgName, stages []quota.Stage) (answered bool) {
+	for _, stage := range stages {
+		need, ask := e.need(name, stage)
+		if need <= 0 {
+			return true
+		}
+		if ask && e.askAll(name, stage, need) {
+			answered = true
+		}
+	}
+	return answered
+}
+
+// need returns the units that are missing, and whether the stage may be asked now.
+func (e *Exchange) need(name types.OrgName, stage quota.Stage) (units float64, ask bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, trade := e.opts.Now(), e.trade(name)
+	units = e.ledger.Need(name, trade.wanted, now)
+	if stage.Scope != quota.Spare || units <= 0 {
+		return units, true
+	}
+	if now.Sub(trade.gatheredAt) < gatherPause {
+		return units, false
+	}
+	trade.gatheredAt = now
+	return units, true
+}
+
+// askAll asks the daemons of a stage at the same time, and reports whether any answered.
+func (e *Exchange) askAll(name types.OrgName, stage quota.Stage, need float64) bool {
+	ctx, cancel := context.WithTimeout(e.ctx, askTimeout)
+	defer cancel()
+	ask := Ask{Organisation: name, Units: stage.Part(need), Scope: stage.Scope}
+	answers := make([]bool, len(stage.To))
+	var asking conc.WaitGroup
+	for index, to := range stage.To {
+		asking.Go(func() { answers[index] = e.askOne(ctx, to, ask) })
+	}
+	asking.Wait()
+	for _, answered := range answers {
+		if answered {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Exchange) askOne(ctx context.Context, to types.VMID, ask Ask) bool {
+	askedAt := e.opts.Now()
+	e.opts.Metrics.count(asked, ask.Units)
+	answer, err := e.opts.Asker.Ask(ctx, to, ask)
+	if err != nil {
+		e.opts.Log.WithError(err).WithField("to", to).Debug("a daemon did not answer a question for credit")
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ledger.Receive(ask.Organisation, answer.Gifts, askedAt, e.opts.Now())
+	e.opts.Metrics.count(received, sum(answer.Gifts))
+	if len(answer.Gifts) > 0 {
+		e.signal(ask.Organisation)
+	}
+	return true
+}
+
+// endRound ends a round. If requests still wait, the next one begins only after a pause.
+func (e *Exchange) endRound(name types.OrgName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	trade, now := e.trade(name), e.opts.Now()
+	trade.running = false
+	if e.ledger.Credit(name, now) >= trade.wanted {
+		trade.pause = 0
+	} else {
+		trade.pause = min(max(2*trade.pause, minPause), maxPause)
+		trade.pausedUntil = now.Add(trade.pause)
+	}
+	e.signal(name)
+}
+
+func sum(gifts []quota.Gift) float64 {
+	units := 0.0
+	for _, gift := range gifts {
+		units += gift.Units
+	}
+	return units
+}
