--- a/pkg/gateway/quota/exchange/round.go
+++ b/pkg/gateway/quota/exchange/round.go
@@ -40,6 +40,8 @@
 	pause       time.Duration
 	gatheredAt  time.Time
 	usedAt      time.Time
+	// received is the units that the running round has brought.
+	received float64
 }
 
 func (t *trade) idle(now time.Time) bool {
@@ -79,7 +81,7 @@
 	defer e.mu.Unlock()
 	trade := e.trade(name)
 	if !trade.running && !e.opts.Now().Before(trade.pausedUntil) {
-		trade.running = true
+		trade.running, trade.received = true, 0
 		stages := e.neighbours.Stages(asHolder)
 		asHolder = asHolder || e.neighbours.Holder == e.neighbours.Self
 		e.work.Go(func() {
@@ -164,20 +166,26 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ledger.Receive(ask.Organisation, answer.Gifts, askedAt, e.opts.Now())
-	e.opts.Metrics.count(received, sum(answer.Gifts))
-	if len(answer.Gifts) > 0 {
+	if brought := sum(answer.Gifts); brought > 0 {
+		e.opts.Metrics.count(received, brought)
+		e.trade(ask.Organisation).received += brought
 		e.signal(ask.Organisation)
 	}
 	return true
 }
 
-// endRound ends a round. If requests still wait, the next one begins only after a pause.
+// fruitful is the part of what is still waited for that a round must have brought for the
+// next one to begin without a pause.
+const fruitful = 0.25
+
+// endRound ends a round. If requests still wait and it brought little, the next one begins
+// only after a pause.
 func (e *Exchange) endRound(name types.OrgName) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	trade, now := e.trade(name), e.opts.Now()
 	trade.running = false
-	if e.ledger.Credit(name, now) >= trade.wanted {
+	if lacking := trade.wanted - e.ledger.Credit(name, now); lacking <= 0 || trade.received >= fruitful*lacking {
 		trade.pause = 0
 	} else {
 		trade.pause = min(max(2*trade.pause, minPause), maxPause)
