--- a/pkg/gateway/quota/exchange/exchange.go
+++ b/pkg/gateway/quota/exchange/exchange.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	neighbours quota.Neighbours
 	forgotAt   time.Time
 	trades     map[types.OrgName]*trade
+	// silentUntil holds until when daemons are not asked that did not answer.
+	silentUntil map[types.VMID]time.Time
 }
 
 // Refusal tells why a request got no credit.
@@ -66,7 +69,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Exchange{
 		opts: opts, ctx: ctx, stop: stop,
-		ledger: quota.NewLedger(opts.Bounds), trades: make(map[types.OrgName]*trade),
+		ledger: quota.NewLedger(opts.Bounds), trades: make(map[types.OrgName]*trade), silentUntil: make(map[types.VMID]time.Time),
 	}
 }
 
@@ -97,6 +100,7 @@
 // forget removes what is kept of organisations without recent requests.
 func (e *Exchange) forget(now time.Time) {
 	e.ledger.Forget(now)
+	maps.DeleteFunc(e.silentUntil, func(_ types.VMID, until time.Time) bool { return !now.Before(until) })
 	for name, trade := range e.trades {
 		if trade.idle(now) {
 			delete(e.trades, name)
--- a/pkg/gateway/quota/exchange/round.go
+++ b/pkg/gateway/quota/exchange/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,9 +13,11 @@
 
 // Intervals and limits of rounds.
 const (
-	// askTimeout bounds one question to another daemon, serveTimeout its answer, which
-	// is lost if it comes later.
+	// askTimeout bounds a question to a daemon that may ask others, spareTimeout one to a
+	// daemon of the data centre that does not; serveTimeout bounds an answer, which is
+	// lost if it comes later.
 	askTimeout   = 700 * time.Millisecond
+	spareTimeout = 150 * time.Millisecond
 	serveTimeout = 450 * time.Millisecond
 	// minPause and maxPause bound the time from a round that brought too little to the
 	// next; each such round doubles it.
@@ -23,6 +26,8 @@
 	// gatherPause is the least time between two questions to the daemons of the data
 	// centre.
 	gatherPause = 100 * time.Millisecond
+	// silence is how long a daemon that did not answer is not asked again.
+	silence = 5 * time.Second
 	// tradeIdle is how long a trade is kept after its last round.
 	tradeIdle = 5 * time.Second
 )
@@ -80,10 +85,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	trade := e.trade(name)
+	asHolder = asHolder || e.neighbours.Holder == e.neighbours.Self || e.isSilent(e.neighbours.Holder)
 	if !trade.running && !e.opts.Now().Before(trade.pausedUntil) {
 		trade.running, trade.received = true, 0
 		stages := e.neighbours.Stages(asHolder)
-		asHolder = asHolder || e.neighbours.Holder == e.neighbours.Self
 		e.work.Go(func() {
 			defer e.endRound(name)
 			// The guard logs a panic; the next round asks again.
@@ -138,21 +143,40 @@
 
 // askAll asks the daemons of a stage at the same time, and reports whether any answered.
 func (e *Exchange) askAll(name types.OrgName, stage quota.Stage, need float64) bool {
-	ctx, cancel := context.WithTimeout(e.ctx, askTimeout)
+	timeout := askTimeout
+	if stage.Scope == quota.Spare {
+		timeout = spareTimeout
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, timeout)
 	defer cancel()
 	ask := Ask{Organisation: name, Units: stage.Part(need), Scope: stage.Scope}
-	answers := make([]bool, len(stage.To))
+	to := e.heard(stage.To)
+	answers := make([]bool, len(to))
 	var asking conc.WaitGroup
-	for index, to := range stage.To {
+	for index, to := range to {
 		asking.Go(func() { answers[index] = e.askOne(ctx, to, ask) })
 	}
 	asking.Wait()
-	for _, answered := range answers {
-		if answered {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(answers, true)
+}
+
+// heard returns the daemons without those that lately did not answer.
+func (e *Exchange) heard(daemons []types.VMID) []types.VMID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(daemons), e.isSilent)
+}
+
+// isSilent reports whether a daemon lately did not answer. The mutex is held.
+func (e *Exchange) isSilent(vm types.VMID) bool {
+	return e.opts.Now().Before(e.silentUntil[vm])
+}
+
+// noteSilence records that a daemon did not answer.
+func (e *Exchange) noteSilence(vm types.VMID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silentUntil[vm] = e.opts.Now().Add(silence)
 }
 
 func (e *Exchange) askOne(ctx context.Context, to types.VMID, ask Ask) bool {
@@ -160,6 +184,7 @@
 	e.opts.Metrics.count(asked, ask.Units)
 	answer, err := e.opts.Asker.Ask(ctx, to, ask)
 	if err != nil {
+		e.noteSilence(to)
 		e.opts.Log.WithError(err).WithField("to", to).Debug("a daemon did not answer a question for credit")
 		return false
 	}
