proxy: requests are charged to their organisation's quota before each attempt

Cause: nothing read catalog.Quota; an organisation that floods took everyone's room. Change: the daemon that took the request charges it, waits up to a quarter of the objective for credit of other daemons, else 429 not run (over_quota) with a predicted Retry-After. Units of an attempt that was not run are given back; a retry or a resumed stream after an attempt that may have run is charged again, since the bound counts each run at an endpoint.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/health"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
+	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
 	"github.com/flamingomount/flamingomount/pkg/sharedrand"
 	"github.com/flamingomount/flamingomount/pkg/suspension"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -113,6 +114,7 @@
 	gate    *gate.Gate
 	prober  *health.Prober
 	budgets *proxy.RetryBudgets
+	quotas  *exchange.Exchange
 	handler *proxy.Handler
 	// history remembers which answers got on; reporter passes on what attempts observe.
 	history  *crashes.History
@@ -178,6 +180,7 @@
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.gate.OnDoubt(e.prober.Wake)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
+	e.quotas = newQuotas(s, e.log, e.guard, e.registry)
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Incarnation: uint64(time.Now().UnixMilli()), State: members.Starting,
@@ -203,7 +206,7 @@
 	e.reporter = newReporter(e.control, e.history, e.registry)
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, NextSnapshot: e.control.Next, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.reporter,
-		RetryBudgets: e.budgets, Demand: e.demand, Transport: transport,
+		RetryBudgets: e.budgets, Quotas: e.quotas, Demand: e.demand, Transport: transport,
 		BodyMemory: int64(float64(s.MemoryBytes) * bodyMemoryShare),
 		Log:        newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Suspended: suspension.Total, Rand: sharedrand.Source{},
 	})
@@ -223,9 +226,13 @@
 	e.gate.RecordNews(snap.StoreReadAt)
 	e.restarts.record(e.gate.Update(snap.View, regionMembership(snap)))
 	e.prober.Wake()
-	if size, known := fleetSize(e.opts.Settings, snap); known {
+	size, known := fleetSize(e.opts.Settings, snap)
+	if known {
 		e.budgets.SetFleetSize(size)
 	}
+	if config := snap.View.Config; config != nil {
+		e.quotas.Update(config, quotaNeighbours(snap), size)
+	}
 }
 
 // regionMembership returns the daemons that send to the endpoints of the local
@@ -292,6 +299,8 @@
 		e.handler.ServeForwarded(w, r)
 	case r.URL.Path == control.MessagePath && r.Method == http.MethodPost:
 		e.control.ServeMessage(w, r)
+	case r.URL.Path == exchange.AskPath && r.Method == http.MethodPost:
+		e.quotas.ServeAsk(w, r)
 	default:
 		http.NotFound(w, r)
 	}
@@ -318,6 +327,7 @@
 	defer close(stopLog)
 	defer running.Wait()
 	defer e.close()
+	defer e.quotas.Close()
 	defer cancel()
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(newLibraryLog(e.log))
--- /dev/null
+++ b/pkg/gateway/entry/quotas.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
+	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
+	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
+	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
+	"github.com/flamingomount/flamingomount/pkg/sharedrand"
+	"github.com/flamingomount/flamingomount/pkg/suspension"
+)
+
+// newQuotas returns the quotas of organisations, which limit nothing until a configuration
+// has some.
+func newQuotas(settings Settings, log logrus.FieldLogger, panics *guard.Guard, registry prometheus.Registerer) *exchange.Exchange {
+	return exchange.New(exchange.Options{
+		Bounds:  settings.Quota,
+		Asker:   exchange.NewHTTPAsker(proxy.NewTransport()),
+		Metrics: exchange.NewMetrics(registry),
+		Guard:   panics,
+		Log:     log,
+		Now:     func() time.Time { return time.Now().Add(suspension.Total()) },
+		Rand:    sharedrand.Source{},
+	})
+}
+
+// quotaNeighbours returns whom this daemon asks for credit of organisations; nobody if the
+// configuration has none.
+func quotaNeighbours(snap *control.Snapshot) quota.Neighbours {
+	if len(snap.View.Config.Organisations) == 0 {
+		return quota.Neighbours{Self: snap.Self.VM, Holder: snap.Self.VM}
+	}
+	others := make([]quota.Daemon, 0, len(snap.Members))
+	for _, member := range snap.Members {
+		if member.State == members.Serving {
+			others = append(others, quota.Daemon{VM: member.VM, Region: member.Region, DataCentre: member.DataCentre})
+		}
+	}
+	self := quota.Daemon{VM: snap.Self.VM, Region: snap.Self.Region, DataCentre: snap.Self.DataCentre}
+	return quota.NeighboursOf(self, others)
+}
--- a/pkg/gateway/proxy/charge.go
+++ b/pkg/gateway/proxy/charge.go
@@ -60,6 +60,9 @@
 // reserveRetry charges an attempt that ends the current one, and reports whether the
 // budget permits it. It may be called from any goroutine.
 func (r *run) reserveRetry() bool {
+	if !r.reserveQuota() {
+		return false
+	}
 	now := r.h.budgetTime()
 	if !r.h.opts.RetryBudgets.Allow(r.req.Service, now) {
 		r.h.opts.Metrics.countDenied(r.req.Service)
--- a/pkg/gateway/proxy/failure.go
+++ b/pkg/gateway/proxy/failure.go
@@ -31,7 +31,7 @@
 func failureStatus(failure *types.Failure) int {
 	if failure.Verdict == types.NotRun {
 		switch failure.Code {
-		case types.CodeBadRequest, types.CodeUnauthenticated, types.CodeUnknownService, types.CodeTooLarge:
+		case types.CodeBadRequest, types.CodeUnauthenticated, types.CodeUnknownService, types.CodeTooLarge, types.CodeOverQuota:
 			return failure.Status
 		}
 		return http.StatusServiceUnavailable
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -19,6 +19,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
 	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
+	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/reserve"
 	"github.com/flamingomount/flamingomount/pkg/route"
@@ -69,6 +70,8 @@
 	Dialect      Dialect
 	Reporter     Reporter
 	RetryBudgets *RetryBudgets
+	// Quotas limits organisations; nil means that nothing does.
+	Quotas *exchange.Exchange
 	// Demand counts callers' requests by route; nil means a counter of its own.
 	Demand *demand.Counter
 	// Transport sends attempts; nil means NewTransport.
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -74,6 +74,8 @@
 	// handover is the next attempt if another daemon has admitted it during the current
 	// one; nil if none has. The stall detector's mutex guards it until that is stopped.
 	handover *handover
+	// quota holds the units of the organisation's quota that attempts use.
+	quota quotaCharge
 	// retryDenied is true if the retry budget did not permit another attempt.
 	retryDenied bool
 	// homes lists the endpoints that were tried as homes of the prefix.
@@ -102,6 +104,9 @@
 		if failure := r.refuseWithheld(); failure != nil {
 			return failure
 		}
+		if failure := r.chargeQuota(); failure != nil {
+			return quotaRefusal(lastFailure, failure)
+		}
 		dest, failure := r.place(r.snapshot())
 		if failure != nil {
 			return moreInformative(lastFailure, failure)
@@ -119,6 +124,7 @@
 			return lastFailure
 		}
 		lastFailure = r.makeAttempt(dest)
+		r.settleQuota(lastFailure)
 		if lastFailure == nil || !r.shouldRetry(lastFailure) {
 			return lastFailure
 		}
@@ -219,6 +225,7 @@
 		r.dropHandover(plan)
 	}
 	r.refundAll()
+	r.refundQuotas()
 	if failure != nil && r.fallback != nil && !r.out.committed {
 		r.fallback.send(r.out)
 		failure = nil
@@ -279,6 +286,7 @@
 		fields["first_ms"], fields["gap_ms"] = r.timeToFirstEvent.Milliseconds(), r.longestGap.Milliseconds()
 		fields["longest_gap_ms"] = r.req.Route.LongestGap.Milliseconds()
 	}
+	r.addQuotaFields(fields)
 	r.recordEnding(fields, failure)
 	r.h.opts.Log.Request(fields, failure != nil || r.incomplete(failure) || r.status >= http.StatusInternalServerError)
 }
--- a/pkg/gateway/quota/exchange/answer.go
+++ b/pkg/gateway/quota/exchange/answer.go
@@ -66,12 +66,8 @@
 func (e *Exchange) gather(ask Ask, answer *Answer) {
 	missing := ask.Units - sum(answer.Gifts)
 	e.mu.Lock()
-	now, trade := e.opts.Now(), e.trade(ask.Organisation)
 	stage := quota.Stage{To: e.neighbours.DataCentre, Scope: quota.Spare}
-	allowed := now.Sub(trade.gatheredAt) >= gatherPause
-	if allowed {
-		trade.gatheredAt = now
-	}
+	allowed := e.trade(ask.Organisation).mayGather(e.opts.Now())
 	e.mu.Unlock()
 	if allowed {
 		e.askAll(ask.Organisation, stage, missing)
--- a/pkg/gateway/quota/exchange/exchange.go
+++ b/pkg/gateway/quota/exchange/exchange.go
@@ -86,7 +86,7 @@
 	defer e.mu.Unlock()
 	now := e.opts.Now()
 	e.neighbours = neighbours
-	if config != nil && config != e.config {
+	if config != e.config {
 		e.config = config
 		e.ledger.SetOrganisations(config.Organisations, now)
 	}
@@ -142,6 +142,12 @@
 	}
 }
 
+// TryCharge takes the cost of a further attempt without a wait; false if there is not
+// enough credit.
+func (e *Exchange) TryCharge(name types.OrgName, cost float64) (quota.Charge, bool) {
+	return e.charge(name, cost, false)
+}
+
 func (e *Exchange) charge(name types.OrgName, cost float64, first bool) (quota.Charge, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/gateway/quota/exchange/round.go
+++ b/pkg/gateway/quota/exchange/round.go
@@ -23,8 +23,8 @@
 	// next; each such round doubles it.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
-	// gatherPause is the least time between two questions to the daemons of the data
-	// centre.
+	// gatherPause is the time in which the daemons of the data centre are not asked again
+	// after they gave little.
 	gatherPause = 100 * time.Millisecond
 	// silence is how long a daemon that did not answer is not asked again.
 	silence = 5 * time.Second
@@ -43,8 +43,9 @@
 	// pausedUntil is when the next round may begin after one that brought too little.
 	pausedUntil time.Time
 	pause       time.Duration
-	gatheredAt  time.Time
-	usedAt      time.Time
+	// barrenAt is when the daemons of the data centre last gave little.
+	barrenAt time.Time
+	usedAt   time.Time
 	// received is the units that the running round has brought.
 	received float64
 }
@@ -131,14 +132,12 @@
 	defer e.mu.Unlock()
 	now, trade := e.opts.Now(), e.trade(name)
 	units = e.ledger.Need(name, trade.wanted, now)
-	if stage.Scope != quota.Spare || units <= 0 {
-		return units, true
-	}
-	if now.Sub(trade.gatheredAt) < gatherPause {
-		return units, false
-	}
-	trade.gatheredAt = now
-	return units, true
+	return units, stage.Scope != quota.Spare || trade.mayGather(now)
+}
+
+// mayGather reports whether the daemons of the data centre may be asked.
+func (t *trade) mayGather(now time.Time) bool {
+	return now.Sub(t.barrenAt) >= gatherPause
 }
 
 // askAll asks the daemons of a stage at the same time, and reports whether any answered.
@@ -152,14 +151,31 @@
 	ask := Ask{Organisation: name, Units: stage.Part(need), Scope: stage.Scope}
 	to := e.heard(stage.To)
 	answers := make([]bool, len(to))
+	brought := make([]float64, len(to))
 	var asking conc.WaitGroup
-	for index, to := range to {
-		asking.Go(func() { answers[index] = e.askOne(ctx, to, ask) })
+	for index, vm := range to {
+		asking.Go(func() { brought[index], answers[index] = e.askOne(ctx, vm, ask) })
 	}
 	asking.Wait()
+	if stage.Scope == quota.Spare {
+		e.noteGathered(name, brought, need)
+	}
 	return slices.Contains(answers, true)
 }
 
+// noteGathered records whether the daemons of the data centre gave little.
+func (e *Exchange) noteGathered(name types.OrgName, brought []float64, need float64) {
+	units := 0.0
+	for _, part := range brought {
+		units += part
+	}
+	if units < fruitful*need {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.trade(name).barrenAt = e.opts.Now()
+	}
+}
+
 // heard returns the daemons without those that lately did not answer.
 func (e *Exchange) heard(daemons []types.VMID) []types.VMID {
 	e.mu.Lock()
@@ -179,24 +195,25 @@
 	e.silentUntil[vm] = e.opts.Now().Add(silence)
 }
 
-func (e *Exchange) askOne(ctx context.Context, to types.VMID, ask Ask) bool {
+// askOne returns the units that a daemon gave, and whether it answered.
+func (e *Exchange) askOne(ctx context.Context, to types.VMID, ask Ask) (units float64, answered bool) {
 	askedAt := e.opts.Now()
 	e.opts.Metrics.count(asked, ask.Units)
 	answer, err := e.opts.Asker.Ask(ctx, to, ask)
 	if err != nil {
 		e.noteSilence(to)
 		e.opts.Log.WithError(err).WithField("to", to).Debug("a daemon did not answer a question for credit")
-		return false
+		return 0, false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ledger.Receive(ask.Organisation, answer.Gifts, askedAt, e.opts.Now())
-	if brought := sum(answer.Gifts); brought > 0 {
-		e.opts.Metrics.count(received, brought)
-		e.trade(ask.Organisation).received += brought
+	if units = sum(answer.Gifts); units > 0 {
+		e.opts.Metrics.count(received, units)
+		e.trade(ask.Organisation).received += units
 		e.signal(ask.Organisation)
 	}
-	return true
+	return units, true
 }
 
 // fruitful is the part of what is still waited for that a round must have brought for the
--- a/pkg/request/outcome.go
+++ b/pkg/request/outcome.go
@@ -53,7 +53,7 @@
 	case types.CodeBadRequest, types.CodeUnauthenticated, types.CodeForbidden,
 		types.CodeUnknownService, types.CodeTooLarge, types.CodeCallerGone,
 		types.CodeKeyReused, types.CodeQuarantined, types.CodeResidency,
-		types.CodeLoop, types.CodeInProgress:
+		types.CodeLoop, types.CodeInProgress, types.CodeOverQuota:
 		return true
 	}
 	return false
--- a/pkg/types/verdict.go
+++ b/pkg/types/verdict.go
@@ -67,6 +67,7 @@
 	CodeTooLarge         Code = "too_large"
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeOverloaded       Code = "overloaded"
+	CodeOverQuota        Code = "over_quota"
 	CodeNoEndpoint       Code = "no_endpoint"
 	CodePaused           Code = "paused"
 	CodeResidency        Code = "wrong_region"
@@ -166,6 +167,7 @@
 	CodeTooLarge:         413,
 	CodeDeadline:         504,
 	CodeOverloaded:       429,
+	CodeOverQuota:        429,
 	CodeNoEndpoint:       503,
 	CodePaused:           503,
 	CodeResidency:        421,
