--- a/pkg/gateway/quota/exchange/fleet_test.go
+++ b/pkg/gateway/quota/exchange/fleet_test.go
@@ -271,12 +271,13 @@
 	var result *outcome
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(catalog.Quota{Rate: rate, Burst: rate}, seed)
-		defer f.close()
+
 		time.Sleep(10 * time.Second)
 		if kill != nil {
 			kill(f)
 		}
 		result = f.play(load{unitsPerSecond: part * rate, region: region, took: 24 * time.Second}, seed)
+		f.close()
 		t.Logf("rate %.0f: %v; between regions %d asks, %d bytes", rate, result, f.asks, f.bytes)
 	})
 	const window = 8 * time.Second
