--- a/pkg/gateway/quota/exchange/fleet_test.go
+++ b/pkg/gateway/quota/exchange/fleet_test.go
@@ -271,7 +271,6 @@
 	var result *outcome
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(catalog.Quota{Rate: rate, Burst: rate}, seed)
-
 		time.Sleep(10 * time.Second)
 		if kill != nil {
 			kill(f)
