quota: a restarted fleet grants within a second what it has minted since the start

Cause: the number of daemons counted as unknown for the whole time of joining, and the time before it was known was not minted. Change: while joining the number is taken once no further daemon has been seen for 0.6 s, and the share is then minted from the moment on at which the daemon heard of the quota.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -133,6 +133,8 @@
 	lookups    *lookupLog
 	restarts   *restartLog
 	servers    []*server
+	// quotaFleet is the number of daemons among which quotas are divided.
+	quotaFleet settledFleet
 	// heads bounds the memory of request heads, yielded counts the connections that were
 	// closed to make room for others.
 	heads   *graceful.Heads
@@ -244,7 +246,7 @@
 		e.budgets.SetFleetSize(size)
 	}
 	if config := snap.View.Config; config != nil {
-		e.quotas.Update(config, quotaNeighbours(snap), size)
+		e.quotas.Update(config, quotaNeighbours(snap), e.quotaFleet.observe(e.opts.Settings, snap, time.Now()))
 	}
 }
 
--- a/pkg/gateway/entry/fleet_internal_test.go
+++ b/pkg/gateway/entry/fleet_internal_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -48,3 +50,35 @@
 		Expect(size).To(Equal(1))
 	})
 })
+
+var _ = ginkgo.Describe("The number of daemons that share quotas", func() {
+	settings := Settings{VM: "a:1", Seeds: []types.VMID{"a:1", "b:1"}, DataCentres: 3}
+	start := time.Unix(1_700_000_000, 0)
+	joining := func(seen int) *control.Snapshot {
+		return &control.Snapshot{Peak: members.Peak{DataCentre: seen, Region: seen, Fleet: seen}, Joining: true}
+	}
+
+	ginkgo.It("is known while the daemon joins once it has seen no further one for a while", func() {
+		var fleet settledFleet
+		Expect(fleet.observe(settings, joining(1), start)).To(BeZero(), "no other daemon seen")
+		Expect(fleet.observe(settings, joining(3), start.Add(200*time.Millisecond))).To(BeZero())
+		Expect(fleet.observe(settings, joining(4), start.Add(600*time.Millisecond))).To(BeZero(), "one more seen")
+		Expect(fleet.observe(settings, joining(4), start.Add(time.Second))).To(BeZero())
+		Expect(fleet.observe(settings, joining(4), start.Add(1200*time.Millisecond))).To(Equal(12))
+	})
+
+	ginkgo.It("is never known to a daemon that sees none of the others", func() {
+		var fleet settledFleet
+		alone := joining(1)
+		alone.Joining = false
+		Expect(fleet.observe(settings, joining(1), start)).To(BeZero())
+		Expect(fleet.observe(settings, alone, start.Add(time.Hour))).To(BeZero())
+	})
+
+	ginkgo.It("changes at once after the daemon has joined", func() {
+		var fleet settledFleet
+		joined := joining(5)
+		joined.Joining = false
+		Expect(fleet.observe(settings, joined, start)).To(Equal(15))
+	})
+})
--- a/pkg/gateway/quota/account.go
+++ b/pkg/gateway/quota/account.go
@@ -16,7 +16,8 @@
 // account is the credit of one organisation at one daemon.
 type account struct {
 	share share
-	// stock is what the daemon minted itself; minted is up to when.
+	// stock is what the daemon minted itself; minted is up to when. While the share is not
+	// known it stays, and the share is minted from then on once it is.
 	stock  float64
 	minted time.Time
 	// loose is what other daemons gave and what requests gave back.
@@ -29,7 +30,7 @@
 // advance mints up to now.
 func (a *account) advance(now time.Time) {
 	a.loose.expire(now)
-	if elapsed := now.Sub(a.minted); elapsed > 0 {
+	if elapsed := now.Sub(a.minted); elapsed > 0 && a.share.mint > 0 {
 		a.stock = min(a.stock+a.share.mint*elapsed.Seconds(), a.share.stock)
 		a.minted = now
 	}
--- a/pkg/gateway/quota/ledger.go
+++ b/pkg/gateway/quota/ledger.go
@@ -14,7 +14,9 @@
 	// daemons is the number of daemons that may be minting; zero if it is not known,
 	// and then this one mints nothing.
 	daemons int
-	// since is when this daemon began to mint for the organisations without an account.
+	// since is when this daemon heard of the quotas of the organisations without an
+	// account: its share of what is minted from then on is its own, also while it does not
+	// know yet how large that is.
 	since    time.Time
 	quotas   map[types.OrgName]catalog.Quota
 	accounts map[types.OrgName]*account
@@ -49,9 +51,6 @@
 	if daemons <= 0 || daemons == l.daemons {
 		return
 	}
-	if l.daemons == 0 {
-		l.since = now
-	}
 	l.daemons = daemons
 	for name, account := range l.accounts {
 		account.setShare(l.share(name), now)
@@ -128,10 +127,7 @@
 func (l *Ledger) account(name types.OrgName, now time.Time) *account {
 	known := l.accounts[name]
 	if known == nil {
-		known = &account{share: l.share(name), minted: now}
-		if l.daemons > 0 {
-			known.minted = l.since
-		}
+		known = &account{share: l.share(name), minted: l.since}
 		l.accounts[name] = known
 	}
 	known.advance(now)
