--- a/pkg/gateway/control/confirmation.go
+++ b/pkg/gateway/control/confirmation.go
@@ -51,9 +51,9 @@
 }
 
 // noteUnconfirmed logs when the configuration may be too old for credentials, and when it is
-// confirmed again.
+// confirmed again. At the start nothing is confirmed yet.
 func (c *Control) noteUnconfirmed(age time.Duration) {
-	unconfirmed := age == 0 || age > unconfirmedAfter
+	unconfirmed := !c.table.Joining() && (age == 0 || age > unconfirmedAfter)
 	if unconfirmed == c.unconfirmed {
 		return
 	}
--- a/pkg/gateway/freshness/freshness.go
+++ b/pkg/gateway/freshness/freshness.go
@@ -19,10 +19,10 @@
 const maxPending = 8
 
 // answer tells that every version up to a moment is included in a position of the store,
-// or in a version of the configuration.
+// or, in the reply of a daemon, in the version that it told.
 type answer struct {
 	position catalog.Position
-	version  uint64
+	reply    bool
 	at       time.Time
 }
 
@@ -46,7 +46,7 @@
 func (c *Confirmation) RecordReply(version uint64, age time.Duration, askedAt time.Time) {
 	c.RecordVersion(version)
 	if age > 0 && version > 0 {
-		c.add(answer{version: version, at: askedAt.Add(-age)})
+		c.add(answer{reply: true, at: askedAt.Add(-age)})
 	}
 }
 
@@ -70,21 +70,20 @@
 
 // Settle raises the bound by the answers that tell of nothing that this daemon lacks, given
 // the position up to which it has every change and the version of its configuration. It
-// reports whether the bound was raised. Readings of another era are dropped: what an
+// reports whether the bound was raised. The versions that replies told are among those that
+// RecordVersion knows. Readings of another era are dropped: what an
 // earlier one showed may be lost, and a later one may not show all yet.
 func (c *Confirmation) Settle(applied catalog.Position, version uint64) (raised bool) {
 	if version == 0 || version < c.newest {
 		return false
 	}
 	c.pending = slices.DeleteFunc(c.pending, func(a answer) bool {
-		included := a.position.Era == applied.Era && !applied.Before(a.position)
-		if a.version > 0 {
-			included = version >= a.version
-		}
+		sameEra := a.position.Era == applied.Era
+		included := a.reply || sameEra && !applied.Before(a.position)
 		if included && a.at.After(c.at) {
 			c.at, raised = a.at, true
 		}
-		return included || a.version == 0 && a.position.Era != applied.Era || !a.at.After(c.at)
+		return included || !sameEra || !a.at.After(c.at)
 	})
 	return raised
 }
--- a/pkg/gateway/freshness/model_test.go
+++ b/pkg/gateway/freshness/model_test.go
@@ -148,7 +148,6 @@
 			if d.state.ShowsAll(position, askedAt) {
 				d.confirmation.RecordReading(position, askedAt)
 			}
-			d.settle()
 		})
 	}})
 }
@@ -167,7 +166,6 @@
 			from.confirmation.RecordVersion(replied)
 			from.state.Apply(reply, now)
 			from.confirmation.RecordReply(replied, age, askedAt)
-			from.settle()
 		})
 	})
 }
@@ -251,6 +249,10 @@
 			daemon.suspended--
 			continue
 		}
+		// Several answers may come between two snapshots.
+		if m.rand.IntN(3) > 0 {
+			daemon.settle()
+		}
 		daemon.state.Expire(m.now)
 		if m.rand.IntN(6) == 0 {
 			m.read(daemon)
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -172,8 +172,10 @@
 // refuse responds to a request that can't be accepted.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, failure *types.Failure) {
 	h.opts.Metrics.countRefusal(failure)
+	// A header without an ID that can be read gives none.
+	info, _ := h.opts.Dialect.RequestInfo(r.Header)
 	h.opts.Log.Request(logrus.Fields{
-		"method": r.Method, "host": r.Host, "path": pathOf(r), "code": failure.Code, "reason": failure.Message,
+		"request": info.ID, "method": r.Method, "host": r.Host, "path": pathOf(r), "code": failure.Code, "reason": failure.Message,
 	}, true)
 	// The unread rest of the body must not delay the response.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyDrainTimeout))
