--- a/pkg/gateway/quota/exchange/exchange.go
+++ b/pkg/gateway/quota/exchange/exchange.go
@@ -60,6 +60,8 @@
 const (
 	// minRetryAfter is the shortest advice to a caller beyond its quota.
 	minRetryAfter = 200 * time.Millisecond
+	// mintInterval is how often a request that waits looks for what this daemon minted.
+	mintInterval = 20 * time.Millisecond
 	// forgetInterval is the time between two looks for accounts without requests.
 	forgetInterval = 5 * time.Second
 )
@@ -121,6 +123,8 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	ticker := time.NewTicker(mintInterval)
+	defer ticker.Stop()
 	e.want(name, cost)
 	defer e.want(name, -cost)
 	for {
@@ -134,6 +138,7 @@
 		}
 		select {
 		case <-changed:
+		case <-ticker.C:
 		case <-timer.C:
 			return quota.Charge{}, e.refuse(name, cost, false), nil
 		case <-ctx.Done():
