proxy: a daemon behind a hop that lacks a configuration refuses as unconfirmed

not_ready told an operator's trace that the daemon knew no configuration at all. The status (503, not run) is the same. Specs of proxy pass.

--- a/pkg/gateway/proxy/organisation.go
+++ b/pkg/gateway/proxy/organisation.go
@@ -22,7 +22,7 @@
 		return nil
 	}
 	if config == nil || config.Version < req.identifiedIn && config.OrganisationOf(req.Credential) == nil {
-		return notRunFailure(types.CodeNotReady, "this daemon lacks the configuration that names the caller", notReadyRetryAfter)
+		return notRunFailure(types.CodeUnconfirmed, "this daemon lacks the configuration that names the caller", notReadyRetryAfter)
 	}
 	if !req.Identified || req.Route.Public {
 		return nil
--- a/pkg/types/verdict.go
+++ b/pkg/types/verdict.go
@@ -62,7 +62,7 @@
 const (
 	CodeBadRequest      Code = "bad_request"
 	CodeUnauthenticated Code = "unauthenticated"
-	// CodeUnconfirmed: the daemon can't tell whether a credential still holds.
+	// CodeUnconfirmed: the daemon can't tell whether a credential holds now.
 	CodeUnconfirmed      Code = "unconfirmed"
 	CodeForbidden        Code = "forbidden"
 	CodeUnknownService   Code = "unknown_service"
