--- /dev/null
+++ b/pkg/gateway/balance/observe.go
@@ -0,0 +1,78 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// estimateOf returns what is known of the engines of a service on average.
+func (p *Pool) estimateOf(name types.ServiceName) *estimate.Service {
+	known := p.estimates[name]
+	if known == nil {
+		known = estimate.NewService()
+		p.estimates[name] = known
+	}
+	return known
+}
+
+// ResponseStarted records that the endpoint started the response of a request that it runs.
+func (p *Pool) ResponseStarted(permit *Permit, now time.Time) {
+	if !permit.responseSeen {
+		permit.state.observeFirstEvent(permit, now)
+		p.observeResponse(permit, now)
+	}
+	p.ResponseFailed(permit, now)
+}
+
+// ResponseFailed records that the endpoint started a response that says nothing of how fast
+// it works, since the request failed.
+func (p *Pool) ResponseFailed(permit *Permit, now time.Time) {
+	if permit.markResponseStarted() {
+		permit.state.removePending(permit)
+		permit.state.lastResponseAt = now
+	}
+}
+
+// observeFirstEvent learns from the time until a response started.
+func (s *endpointState) observeFirstEvent(permit *Permit, now time.Time) {
+	s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.running, permit.req.large(), now.Sub(permit.grantedAt), now)
+}
+
+// observeResponse learns from the time until the response to a small request started.
+func (p *Pool) observeResponse(permit *Permit, now time.Time) {
+	if !permit.req.large() {
+		p.estimateOf(permit.req.Service).ObserveResponse(now.Sub(permit.grantedAt), now)
+	}
+}
+
+// refusedTime is what a refusal by a full endpoint counts as: the request would have waited
+// longer than those that the endpoint took.
+const refusedTime = 600 * time.Millisecond
+
+// observeRefusal records that a full endpoint refused a request.
+func (p *Pool) observeRefusal(permit *Permit, now time.Time) {
+	if !permit.req.large() {
+		p.estimateOf(permit.req.Service).ObserveResponse(max(refusedTime, now.Sub(permit.grantedAt)), now)
+	}
+	if !permit.state.isEngine() {
+		permit.state.speed.ObserveFirstEvent(0, permit.running, false, refusedTime, now)
+	}
+}
+
+// Response returns the average time until the responses to small requests of a service
+// started lately in the local region; zero if this daemon saw none.
+func (p *Pool) Response(service types.ServiceName, now time.Time) time.Duration {
+	if known := p.estimates[service]; known != nil {
+		return known.Response(now)
+	}
+	return 0
+}
+
+// observePace learns from the pace of the events of a complete response.
+func (s *endpointState) observePace(permit *Permit, now time.Time) {
+	if s.isEngine() {
+		s.speed.ObservePace(permit.running, permit.pace.Mean, permit.pace.Longest, now)
+	}
+}
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -110,16 +110,6 @@
 	return existing
 }
 
-// estimateOf returns what is known of the engines of a service on average.
-func (p *Pool) estimateOf(name types.ServiceName) *estimate.Service {
-	known := p.estimates[name]
-	if known == nil {
-		known = estimate.NewService()
-		p.estimates[name] = known
-	}
-	return known
-}
-
 // Try places a request that has not waited yet; waiting requests that are at
 // least as urgent go first. Both results are nil when there is no capacity now.
 func (p *Pool) Try(req RequestInfo, now time.Time) (*Permit, *Refusal) {
@@ -250,24 +240,6 @@
 	return permit
 }
 
-// ResponseStarted records that the endpoint started the response of a request that it runs.
-func (p *Pool) ResponseStarted(permit *Permit, now time.Time) {
-	if !permit.responseSeen {
-		permit.state.observeFirstEvent(permit, now)
-		p.observeResponse(permit, now)
-	}
-	p.ResponseFailed(permit, now)
-}
-
-// ResponseFailed records that the endpoint started a response that says nothing of how fast
-// it works, since the request failed.
-func (p *Pool) ResponseFailed(permit *Permit, now time.Time) {
-	if permit.markResponseStarted() {
-		permit.state.removePending(permit)
-		permit.state.lastResponseAt = now
-	}
-}
-
 // Done records the result of the attempt, releases the permit and grants the
 // capacity to waiting requests.
 func (p *Pool) Done(permit *Permit, result Result, now time.Time) {
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -21,48 +21,6 @@
 	maxBusyShare = 0.75
 )
 
-// observeFirstEvent learns from the time until a response started.
-func (s *endpointState) observeFirstEvent(permit *Permit, now time.Time) {
-	s.speed.ObserveFirstEvent(permit.prefillBacklog, permit.running, permit.req.large(), now.Sub(permit.grantedAt), now)
-}
-
-// observeResponse learns from the time until the response to a small request started.
-func (p *Pool) observeResponse(permit *Permit, now time.Time) {
-	if !permit.req.large() {
-		p.estimateOf(permit.req.Service).ObserveResponse(now.Sub(permit.grantedAt), now)
-	}
-}
-
-// refusedTime is what a refusal by a full endpoint counts as: the request would have waited
-// longer than those that the endpoint took.
-const refusedTime = 600 * time.Millisecond
-
-// observeRefusal records that a full endpoint refused a request.
-func (p *Pool) observeRefusal(permit *Permit, now time.Time) {
-	if !permit.req.large() {
-		p.estimateOf(permit.req.Service).ObserveResponse(max(refusedTime, now.Sub(permit.grantedAt)), now)
-	}
-	if !permit.state.isEngine() {
-		permit.state.speed.ObserveFirstEvent(0, permit.running, false, refusedTime, now)
-	}
-}
-
-// Response returns the average time until the responses to small requests of a service
-// started lately in the local region; zero if this daemon saw none.
-func (p *Pool) Response(service types.ServiceName, now time.Time) time.Duration {
-	if known := p.estimates[service]; known != nil {
-		return known.Response(now)
-	}
-	return 0
-}
-
-// observePace learns from the pace of the events of a complete response.
-func (s *endpointState) observePace(permit *Permit, now time.Time) {
-	if s.isEngine() {
-		s.speed.ObservePace(permit.running, permit.pace.Mean, permit.pace.Longest, now)
-	}
-}
-
 // respondsInTime predicts whether the response would start in time if the engine
 // got the request now.
 func (p *Pool) respondsInTime(req RequestInfo, ep *endpointState, home bool, now time.Time) bool {
