--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -18,10 +18,8 @@
 	// urgentOvercommit is the factor by which requests of rank 0 may exceed that
 	// limit, since endpoints admit them first.
 	urgentOvercommit = 1.5
-	// minInFlight ensures that every daemon can send to an engine, and minPlainInFlight to
-	// a plain endpoint: many daemons share few of these, whose queues are short.
-	minInFlight      = 2
-	minPlainInFlight = 1
+	// minInFlight ensures that every daemon can send.
+	minInFlight = 2
 )
 
 // endpointState is what this daemon knows of one endpoint from its own attempts.
@@ -135,13 +133,13 @@
 // limit returns how many requests of a rank this daemon may keep in flight at
 // the endpoint.
 func (s *endpointState) limit(rank, daemons int) int {
-	overcommit, least := plainOvercommit, minPlainInFlight
+	overcommit := plainOvercommit
 	if s.isEngine() {
-		overcommit, least = engineOvercommit, minInFlight
+		overcommit = engineOvercommit
 	}
 	if rank == 0 {
 		overcommit *= urgentOvercommit
 	}
 	share := float64(s.slots()) * overcommit / float64(max(daemons, 1))
-	return max(int(share+0.999), least)
+	return max(int(share+0.999), minInFlight)
 }
