balance: large prompts beside more urgent requests are held until their engine has room

Cause: a large prompt that does not fit now is refused at once, though its own objective leaves it time; its caller comes back after the objective. Change: it is held at the daemon that owns the engine, ordered by slack, at most for its slack; one out of slack goes before waiting requests.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -44,6 +44,8 @@
 	// PrefixUncached is true when the prefix is not kept here because its home
 	// had no capacity.
 	PrefixUncached bool
+	// overdue is true for a large prompt that was held until its slack was used up.
+	overdue bool
 }
 
 // large reports whether the request has a large prefix, which has a home
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -39,6 +39,8 @@
 	inFlight int
 	// large is the number of in-flight requests with a large prefix.
 	large int
+	// largePending is the number of those whose responses have not started.
+	largePending int
 	// prefillSlowdown is the prefill time of the engine relative to prefillRate;
 	// responseTime is the time, in seconds, until the responses to small prompts
 	// start.
--- a/pkg/gateway/balance/health.go
+++ b/pkg/gateway/balance/health.go
@@ -81,6 +81,9 @@
 // response.
 func (s *endpointState) removePending(permit *Permit) {
 	s.prefillTokens = max(s.prefillTokens-permit.prefillTokens, 0)
+	if permit.req.large() {
+		s.largePending = max(s.largePending-1, 0)
+	}
 	if i := slices.IndexFunc(s.pendingSince, permit.grantedAt.Equal); i >= 0 {
 		s.pendingSince = slices.Delete(s.pendingSince, i, i+1)
 	}
--- /dev/null
+++ b/pkg/gateway/balance/hold.go
@@ -0,0 +1,164 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// Limits of large prompts that are held until their engine has room.
+const (
+	// firstHomeShare is the share of its slack for which a large prompt is held at
+	// the home of its prefix; the rest is left for another home.
+	firstHomeShare = 0.5
+	// maxHeld bounds the large prompts that are held for one service.
+	maxHeld = 64
+)
+
+// Holds reports whether a large prompt may be held until its engine has room: the
+// engines serve more urgent routes beside it, so that it is not given to them
+// whenever it fits its own objective.
+func (p *Pool) Holds(req RequestInfo) bool {
+	return req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent
+}
+
+// Hold keeps a large prompt for which there is no room now, for a bounded time, or
+// refuses it when room is predicted too late for it.
+func (p *Pool) Hold(req RequestInfo, now time.Time) (*Waiter, *Refusal) {
+	q := p.queueOf(req.Service)
+	eligible := assignedEndpoints(req, p.filter(req, now))
+	if len(eligible) == 0 {
+		if refusal := p.noEndpoint(req, now); refusal != nil {
+			return nil, refusal
+		}
+		return nil, p.Refuse(req, now)
+	}
+	home := homeOf(req, eligible)
+	tokens := p.prefillTokens(req, home, !req.PrefixUncached, now)
+	startBy := p.startBy(req, home, tokens, now)
+	allowed := holdTime(req, startBy, now)
+	if allowed <= 0 || len(q.held) >= maxHeld || p.roomIn(home, q, startBy, now) > allowed {
+		return nil, p.Refuse(req, now)
+	}
+	q.seq++
+	waiter := &Waiter{
+		RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1),
+		held: heldPrompt{home: home.placed.ID, tokens: tokens, startBy: startBy},
+	}
+	i, _ := slices.BinarySearchFunc(q.held, waiter, compareSlack)
+	q.held = slices.Insert(q.held, i, waiter)
+	return waiter, nil
+}
+
+// heldPrompt is a large prompt while it is held.
+type heldPrompt struct {
+	// home is the endpoint that it is held for, and tokens what that one would have to
+	// prefill.
+	home   types.EndpointID
+	tokens float64
+	// startBy is when its prefill must begin for a response in time.
+	startBy time.Time
+}
+
+// compareSlack orders held prompts by the time at which their prefill must begin,
+// then by arrival.
+func compareSlack(a, b *Waiter) int {
+	if order := a.held.startBy.Compare(b.held.startBy); order != 0 {
+		return order
+	}
+	return int(a.seq) - int(b.seq)
+}
+
+// startBy returns when the prefill of a large prompt must begin at its home.
+func (p *Pool) startBy(req RequestInfo, home *endpointState, tokens float64, now time.Time) time.Time {
+	allowed := time.Duration(float64(req.Objective) * responseShare)
+	return req.Arrived.Add(allowed - home.prefillTime(tokens, now))
+}
+
+// holdTime returns how long a large prompt may be held: part of its slack where
+// another home may be tried after this one, else all of it.
+func holdTime(req RequestInfo, startBy, now time.Time) time.Duration {
+	allowed := startBy.Sub(now)
+	if !req.PrefixUncached {
+		allowed = time.Duration(float64(allowed) * firstHomeShare)
+	}
+	allowed = min(allowed, time.Duration(float64(req.Deadline.Sub(now))*remainingShare))
+	if req.WaitLimit > 0 {
+		allowed = min(allowed, req.WaitLimit)
+	}
+	return allowed
+}
+
+// roomIn predicts when the home has prefilled what it has and what is held for it
+// with less slack.
+func (p *Pool) roomIn(home *endpointState, q *queue, startBy, now time.Time) time.Duration {
+	tokens := home.prefillTokens
+	for _, other := range q.held {
+		if other.held.home == home.placed.ID && !other.held.startBy.After(startBy) {
+			tokens += other.held.tokens
+		}
+	}
+	return home.prefillTime(tokens, now)
+}
+
+// prefillTime predicts how long the endpoint prefills a number of prompt tokens.
+func (s *endpointState) prefillTime(tokens float64, now time.Time) time.Duration {
+	return time.Duration(tokens / prefillRate * s.prefillSlowdown.valueOr(1, now) * float64(time.Second))
+}
+
+// letGo gives held prompts, the one with the least slack first, to engines that have
+// room for them. With overdueOnly only those go whose slack is used up: they go before
+// requests that wait for capacity, and need less room.
+func (p *Pool) letGo(q *queue, overdueOnly bool, now time.Time) {
+	q.held = slices.DeleteFunc(q.held, func(waiter *Waiter) bool {
+		req := waiter.RequestInfo
+		req.overdue = !waiter.held.startBy.After(now)
+		if overdueOnly && !req.overdue {
+			return false
+		}
+		permit, refusal := p.Permit(req, now)
+		switch {
+		case refusal != nil:
+			waiter.Refused <- refusal
+		case permit != nil:
+			waiter.Granted <- permit
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// EndHold ends the wait of a held prompt: it returns a permit if it can go now, else
+// its refusal.
+func (p *Pool) EndHold(waiter *Waiter, now time.Time) (*Permit, *Refusal) {
+	q := p.queueOf(waiter.RequestInfo.Service)
+	q.held = slices.DeleteFunc(q.held, func(other *Waiter) bool { return other == waiter })
+	req := waiter.RequestInfo
+	req.overdue = !waiter.held.startBy.After(now)
+	permit, refusal := p.Permit(req, now)
+	if permit == nil && refusal == nil {
+		refusal = p.Refuse(req, now)
+	}
+	return permit, refusal
+}
+
+// Held counts the large prompts that are held for a service.
+func (p *Pool) Held(service types.ServiceName) int {
+	if q := p.queues[service]; q != nil {
+		return len(q.held)
+	}
+	return 0
+}
+
+// fitsOverdue reports whether an engine takes a large prompt whose slack is used up:
+// one at a time, however many requests run there, as long as its own prefill leaves
+// more urgent ones their objective.
+func (p *Pool) fitsOverdue(req RequestInfo, ep *endpointState, home bool, now time.Time) bool {
+	if ep.largePending > 0 {
+		return false
+	}
+	allowed := time.Duration(float64(p.routeConstraints(req).objective) * responseShare)
+	return ep.prefillTime(p.prefillTokens(req, ep, home && !req.PrefixUncached, now), now) <= allowed
+}
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -225,6 +225,7 @@
 	if req.large() {
 		permit.PrefixMissing = !ep.cache.holds(req.Prefix)
 		ep.large++
+		ep.largePending++
 		ep.cache.insertAll(req, ep.cacheTokens(), now)
 	}
 	return permit
@@ -239,6 +240,7 @@
 	ep.removePending(permit)
 	ep.lastResponseAt = now
 	ep.observeResponseTime(permit, now)
+	p.letGo(p.queueOf(permit.req.Service), false, now)
 }
 
 // Done records the result of the attempt, releases the permit and grants the
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -42,12 +42,17 @@
 	// not help; each buffers one value.
 	Granted chan *Permit
 	Refused chan *Refusal
+	// held is set for a large prompt that is held.
+	held heldPrompt
 }
 
 // queue holds the waiting requests of one service, the most urgent first.
 type queue struct {
 	waiting []*Waiter
-	seq     uint64
+	// held holds large prompts until an engine has room, the one with the least slack
+	// first.
+	held []*Waiter
+	seq  uint64
 	// refused counts the requests refused for lack of capacity.
 	refused uint64
 	// serviceTime is the EWMA of the time that a request holds its permit, in
@@ -167,6 +172,8 @@
 	if q == nil {
 		return
 	}
+	p.letGo(q, true, now)
+	defer p.letGo(q, false, now)
 	misses := 0
 	q.waiting = slices.DeleteFunc(q.waiting, func(waiter *Waiter) bool {
 		if misses == maxGrantMisses {
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -81,6 +81,9 @@
 	if !req.large() {
 		return ep.responseTime.valueOr(0, now) <= allowed.Seconds() && ep.oldestPending(now) <= allowed
 	}
+	if req.overdue {
+		return p.fitsOverdue(req, ep, home, now)
+	}
 	constraints := p.routeConstraints(req)
 	if constraints.hasMoreUrgent && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
 		return false
--- a/pkg/gateway/proxy/metrics.go
+++ b/pkg/gateway/proxy/metrics.go
@@ -17,6 +17,7 @@
 	attempts *prometheus.CounterVec
 	denied   *prometheus.CounterVec
 	withheld *prometheus.CounterVec
+	holds    *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	// incomplete counts requests that ended without a whole answer.
 	incomplete *prometheus.CounterVec
@@ -65,6 +66,10 @@
 			Name: "flamingomount_gateway_withheld_requests_total",
 			Help: "Requests that were refused because what they share with others crashed endpoints, by service.",
 		}, []string{"service"}),
+		holds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingomount_gateway_large_prompts_total",
+			Help: "Large prompts that were to run in this region, by service and by what became of them: placed or refused at once, let_go or expired after they were held.",
+		}, []string{"service", "outcome"}),
 		incomplete: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "flamingomount_gateway_incomplete_requests_total",
 			Help: "Requests that ended without a whole answer of an endpoint, by what ended them and whether this daemon was stopping.",
@@ -75,7 +80,7 @@
 			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
 		}, []string{"service"}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.denied, m.withheld, m.seconds, m.incomplete)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.denied, m.withheld, m.holds, m.seconds, m.incomplete)
 	for _, by := range enders {
 		m.incompleteOf(by, false)
 		m.incompleteOf(by, true)
@@ -112,6 +117,21 @@
 	m.denied.WithLabelValues(string(service)).Inc()
 }
 
+// countHold counts what became of a large prompt that was held for a time, which is zero
+// if it was not held.
+func (m *Metrics) countHold(service types.ServiceName, held time.Duration, placed bool) {
+	outcome := "refused"
+	switch {
+	case placed && held > 0:
+		outcome = "let_go"
+	case placed:
+		outcome = "placed"
+	case held > 0:
+		outcome = "expired"
+	}
+	m.holds.WithLabelValues(string(service), outcome).Inc()
+}
+
 func (m *Metrics) countWithheld(service types.ServiceName) {
 	m.withheld.WithLabelValues(string(service)).Inc()
 }
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -118,19 +118,21 @@
 	return r.placeLocally(snap)
 }
 
-// placeLocally selects an endpoint of the local region without waiting.
+// placeLocally selects an endpoint of the local region for a large prompt, which may be
+// held until its engine has room.
 func (r *run) placeLocally(snap *control.Snapshot) (destination, *types.Failure) {
 	if !r.req.Route.Allows(snap.Self.Region) {
 		return destination{}, notRunFailure(types.CodeResidency, "the route's data may not be used in this region", notReadyRetryAfter)
 	}
-	balancerRequest := r.balancerRequest()
-	permit, refusal := r.h.opts.Gate.Try(balancerRequest)
-	if permit != nil {
+	permit, refusal, held, err := r.h.opts.Gate.Hold(r.ctx, r.balancerRequest())
+	r.held += held
+	r.h.opts.Metrics.countHold(r.req.Service, held, permit != nil)
+	switch {
+	case err != nil:
+		return destination{}, r.contextFailure(types.NotRun)
+	case permit != nil:
 		return destination{endpoint: permit}, nil
 	}
-	if refusal == nil {
-		refusal = r.h.opts.Gate.Refuse(balancerRequest)
-	}
 	return destination{}, refusalFailure(refusal)
 }
 
--- a/pkg/gateway/proxy/run.go
+++ b/pkg/gateway/proxy/run.go
@@ -87,6 +87,8 @@
 	lastEventAt time.Time
 	// waited is the time from arrival until the last attempt was sent.
 	waited time.Duration
+	// held is for how long this daemon held the request's large prompt.
+	held time.Duration
 	// complete is when this daemon had received the whole request.
 	complete time.Time
 	// answerBegun is true once the current attempt got the header of a response.
@@ -250,6 +252,9 @@
 	if len(r.remoteTried) > 0 {
 		fields["remote_endpoints"] = r.remoteTried
 	}
+	if r.held > 0 {
+		fields["held_ms"] = r.held.Milliseconds()
+	}
 	if r.unreached > 0 {
 		fields["unreached"] = r.unreached
 	}
