balance: a large prompt waits for the home of its prefix, and for what the engine prefills

Cause: a large prompt whose home has no room goes at once to another engine and prefills its prefix there again, or is refused; and up to 0.8 of the shortest objective of prompt work waits at an engine, before every request that comes after it. Change: where engines serve more urgent routes, it is held while its home begins in time; a second large prompt goes to an engine only if both are short, as long as other requests come. Its slack used up, it goes first and to any engine.

--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -9,9 +9,14 @@
 
 // Limits of large prompts that are held until their engine has room.
 const (
-	// firstHomeShare is the share of its slack for which a large prompt is held at
-	// the home of its prefix; the rest is left for another home.
-	firstHomeShare = 0.5
+	// holdMargin is what a large prompt is held beyond twice its predicted wait: then
+	// the prediction was wrong, and another home may be better.
+	holdMargin = 100 * time.Millisecond
+	// mixedFor is how long after a request that is not large others are expected.
+	mixedFor = time.Second
+	// besideShare is the share of the objective of more urgent requests that prompt
+	// work may take at an engine which prefills a large prompt, and gets another one.
+	besideShare = 0.4
 	// maxHeld bounds the large prompts that are held for one service.
 	maxHeld = 64
 )
@@ -20,7 +25,7 @@
 // engines serve more urgent routes beside it, so that it is not given to them
 // whenever it fits its own objective.
 func (p *Pool) Holds(req RequestInfo) bool {
-	return req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent
+	return !p.holdsNone && req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent
 }
 
 // Hold keeps a large prompt for which there is no room now, for a bounded time, or
@@ -37,10 +42,11 @@
 	home := homeOf(req, eligible)
 	tokens := p.prefillTokens(req, home, !req.PrefixUncached, now)
 	startBy := p.startBy(req, home, tokens, now)
-	allowed := holdTime(req, startBy, now)
-	if allowed <= 0 || len(q.held) >= maxHeld || p.roomIn(home, q, startBy, now) > allowed {
+	allowed, predicted := holdTime(req, startBy, now), p.roomIn(home, q, startBy, now)
+	if allowed <= 0 || len(q.held) >= maxHeld || predicted > allowed {
 		return nil, p.Refuse(req, now)
 	}
+	allowed = min(allowed, 2*predicted+holdMargin)
 	q.seq++
 	waiter := &Waiter{
 		RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1),
@@ -76,14 +82,9 @@
 	return req.Arrived.Add(allowed - home.prefillTime(tokens, now))
 }
 
-// holdTime returns how long a large prompt may be held: part of its slack where
-// another home may be tried after this one, else all of it.
+// holdTime returns how long a large prompt may be held.
 func holdTime(req RequestInfo, startBy, now time.Time) time.Duration {
-	allowed := startBy.Sub(now)
-	if !req.PrefixUncached {
-		allowed = time.Duration(float64(allowed) * firstHomeShare)
-	}
-	allowed = min(allowed, time.Duration(float64(req.Deadline.Sub(now))*remainingShare))
+	allowed := min(startBy.Sub(now), time.Duration(float64(req.Deadline.Sub(now))*remainingShare))
 	if req.WaitLimit > 0 {
 		allowed = min(allowed, req.WaitLimit)
 	}
@@ -136,7 +137,7 @@
 	q := p.queueOf(waiter.RequestInfo.Service)
 	q.held = slices.DeleteFunc(q.held, func(other *Waiter) bool { return other == waiter })
 	req := waiter.RequestInfo
-	req.overdue = !waiter.held.startBy.After(now)
+	req.overdue = true
 	permit, refusal := p.Permit(req, now)
 	if permit == nil && refusal == nil {
 		refusal = p.Refuse(req, now)
@@ -152,13 +153,24 @@
 	return 0
 }
 
-// fitsOverdue reports whether an engine takes a large prompt whose slack is used up:
-// one at a time, however many requests run there, as long as its own prefill leaves
-// more urgent ones their objective.
-func (p *Pool) fitsOverdue(req RequestInfo, ep *endpointState, home bool, now time.Time) bool {
-	if ep.largePending > 0 {
+// fitsBeside reports whether an engine that more urgent requests share takes a large
+// prompt that takes it until a time to prefill, all that waits there included. While
+// others come, it gets a second large prompt only if both are short: what waits at the
+// engine delays every request that comes after it, what is held here delays none.
+func (p *Pool) fitsBeside(req RequestInfo, ep *endpointState, prefilled time.Duration, now time.Time) bool {
+	if ep.largePending == 0 || now.Sub(p.queueOf(req.Service).otherSentAt) > mixedFor {
+		return true
+	}
+	return prefilled <= time.Duration(float64(p.routeConstraints(req).objective)*besideShare)
+}
+
+// waitsForHome reports whether a large prompt is to be held for the home of its prefix
+// although another engine has room: that one would prefill the prefix once more, which
+// takes its capacity from other requests.
+func (p *Pool) waitsForHome(req RequestInfo, home *endpointState, now time.Time) bool {
+	if req.overdue || req.PrefixUncached || !p.Holds(req) || home.inFlight >= p.limitNow(req, home, now) || home.limitedAsCold(now) {
 		return false
 	}
-	allowed := time.Duration(float64(p.routeConstraints(req).objective) * responseShare)
-	return ep.prefillTime(p.prefillTokens(req, ep, home && !req.PrefixUncached, now), now) <= allowed
+	startBy := p.startBy(req, home, p.prefillTokens(req, home, true, now), now)
+	return p.roomIn(home, p.queueOf(req.Service), startBy, now) < holdTime(req, startBy, now)
 }
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -28,6 +28,8 @@
 	withdrawals withdrawals
 	// restarts holds the restarts that have not been taken yet.
 	restarts []restart
+	// holdsNone makes every large prompt go or be refused at once; only tests set it.
+	holdsNone bool
 	// constraintsCache caches what was derived from the routes of the view.
 	constraintsCache map[routeConstraintsKey]routeConstraints
 }
@@ -125,7 +127,7 @@
 	}
 	home := homeOf(req, eligible)
 	chosen := p.cheapest(req, eligible, home, now)
-	if chosen == nil {
+	if chosen == nil || chosen != home && p.waitsForHome(req, home, now) {
 		return nil, nil
 	}
 	return p.reserve(req, chosen, chosen == home, now), nil
@@ -227,6 +229,8 @@
 		ep.large++
 		ep.largePending++
 		ep.cache.insertAll(req, ep.cacheTokens(), now)
+	} else {
+		p.queueOf(req.Service).otherSentAt = now
 	}
 	return permit
 }
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -53,6 +53,8 @@
 	// first.
 	held []*Waiter
 	seq  uint64
+	// otherSentAt is when an endpoint last got a request that is not large.
+	otherSentAt time.Time
 	// refused counts the requests refused for lack of capacity.
 	refused uint64
 	// serviceTime is the EWMA of the time that a request holds its permit, in
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -81,11 +81,8 @@
 	if !req.large() {
 		return ep.responseTime.valueOr(0, now) <= allowed.Seconds() && ep.oldestPending(now) <= allowed
 	}
-	if req.overdue {
-		return p.fitsOverdue(req, ep, home, now)
-	}
 	constraints := p.routeConstraints(req)
-	if constraints.hasMoreUrgent && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
+	if constraints.hasMoreUrgent && !req.overdue && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
 		return false
 	}
 	if constraints.hasMoreUrgent {
@@ -97,6 +94,9 @@
 		allowed = min(allowed, time.Duration(float64(constraints.objective)*uncachedShare))
 	}
 	seconds := (ep.prefillTokens + p.prefillTokens(req, ep, home && !req.PrefixUncached, now)) / prefillRate * ep.prefillSlowdown.valueOr(1, now)
+	if p.Holds(req) && !p.fitsBeside(req, ep, time.Duration(seconds*float64(time.Second)), now) {
+		return false
+	}
 	return seconds <= allowed.Seconds()
 }
 
