--- a/pkg/gateway/balance/mix_test.go
+++ b/pkg/gateway/balance/mix_test.go
@@ -299,16 +299,17 @@
 	})
 
 	It("are let go as soon as the home has prefilled what it had, the one with the least slack first", func() {
-		pool := newPool(mixConfig(1200*time.Millisecond), 1)
+		pool := newPool(mixConfig(2500*time.Millisecond), 1)
 		req := withPrefix(1)
-		req.Rank, req.Objective, req.PromptTokens = 1, 1200*time.Millisecond, 33_300
+		req.Rank, req.Objective, req.PromptTokens = 1, 2500*time.Millisecond, 33_300
+		requestPermit(pool, newRequest(engines, 0), start)
 		first := requestPermit(pool, req, start)
 		patient, refusal := pool.Hold(req, start)
 		Expect(refusal).To(BeNil())
 		req.Arrived = start.Add(-100 * time.Millisecond)
 		urgent, refusal := pool.Hold(req, start)
 		Expect(refusal).To(BeNil())
-		pool.ResponseStarted(first, start.Add(150*time.Millisecond))
+		pool.ResponseStarted(first, start.Add(350*time.Millisecond))
 		var permit *balance.Permit
 		Expect(urgent.Granted).To(Receive(&permit))
 		Expect(permit.Endpoint.ID).To(Equal(first.Endpoint.ID))
