--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -16,7 +16,7 @@
 	mixedFor = time.Second
 	// besideShare is the share of the objective of more urgent requests that prompt
 	// work may take at an engine which prefills a large prompt, and gets another one.
-	besideShare = 0.4
+	besideShare = 0.5
 	// maxHeld bounds the large prompts that are held for one service.
 	maxHeld = 64
 )
@@ -79,7 +79,7 @@
 // startBy returns when the prefill of a large prompt must begin at its home.
 func (p *Pool) startBy(req RequestInfo, home *endpointState, tokens float64, now time.Time) time.Time {
 	allowed := time.Duration(float64(req.Objective) * responseShare)
-	return req.Arrived.Add(allowed - home.prefillTime(tokens, now))
+	return req.Arrived.Add(allowed - home.speed.PrefillTime(tokens, now))
 }
 
 // holdTime returns how long a large prompt may be held.
@@ -100,12 +100,7 @@
 			tokens += other.held.tokens
 		}
 	}
-	return home.prefillTime(tokens, now)
-}
-
-// prefillTime predicts how long the endpoint prefills a number of prompt tokens.
-func (s *endpointState) prefillTime(tokens float64, now time.Time) time.Duration {
-	return time.Duration(tokens / prefillRate * s.prefillSlowdown.valueOr(1, now) * float64(time.Second))
+	return home.speed.PrefillTime(tokens, now) - home.speed.PrefillTime(0, now)
 }
 
 // letGo gives held prompts, the one with the least slack first, to engines that have
