balance: one trace hook in the choice of an endpoint, and Explain

Permit and Explain run the same choose (filter, assignment, score, wait for the home); a trace receives each step.

--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -31,32 +31,40 @@
 // Hold keeps a large prompt for which there is no room now, for a bounded time, or
 // refuses it when room is predicted too late for it.
 func (p *Pool) Hold(req RequestInfo, now time.Time) (*Waiter, *Refusal) {
-	q := p.queueOf(req.Service)
-	eligible := assignedEndpoints(req, p.filter(req, now))
-	if len(eligible) == 0 {
-		if refusal := p.noEndpoint(req, now); refusal != nil {
-			return nil, refusal
-		}
-		return nil, p.Refuse(req, now)
+	held, wait, none, refused := p.expectedHold(req, now)
+	if none != nil {
+		return nil, none
 	}
-	home := homeOf(req, eligible)
-	tokens := p.prefillTokens(req, home, !req.PrefixUncached, now)
-	startBy := p.startBy(req, home, tokens, now)
-	allowed, predicted := holdTime(req, startBy, now), p.roomIn(home, q, startBy, now)
-	if allowed <= 0 || len(q.held) >= maxHeld || predicted > allowed {
+	if refused {
 		return nil, p.Refuse(req, now)
 	}
-	allowed = min(allowed, 2*predicted+holdMargin)
+	q := p.queueOf(req.Service)
 	q.seq++
 	waiter := &Waiter{
-		RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1),
-		held: heldPrompt{home: home.placed.ID, tokens: tokens, startBy: startBy},
+		RequestInfo: req, ExpiresAt: now.Add(wait.allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1),
+		held: held,
 	}
 	i, _ := slices.BinarySearchFunc(q.held, waiter, compareSlack)
 	q.held = slices.Insert(q.held, i, waiter)
 	return waiter, nil
 }
 
+// expectedHold returns for which engine and how long a large prompt would be held, and
+// whether it is refused instead; none is set if no endpoint may run it at all.
+func (p *Pool) expectedHold(req RequestInfo, now time.Time) (held heldPrompt, wait expectedWait, none *Refusal, refused bool) {
+	eligible := assignedEndpoints(req, p.filter(req, &Trace{}, now), nil)
+	if len(eligible) == 0 {
+		return held, wait, p.noEndpoint(req, now), true
+	}
+	home, q := homeOf(req, eligible), p.queueOf(req.Service)
+	held = heldPrompt{home: home.placed.ID, tokens: p.prefillTokens(req, home, !req.PrefixUncached, now)}
+	held.startBy = p.startBy(req, home, held.tokens, now)
+	wait = expectedWait{predicted: p.roomIn(home, q, held.startBy, now), allowed: holdTime(req, held.startBy, now)}
+	refused = wait.allowed <= 0 || len(q.held) >= maxHeld || wait.predicted > wait.allowed
+	wait.allowed = min(wait.allowed, 2*wait.predicted+holdMargin)
+	return held, wait, nil, refused
+}
+
 // heldPrompt is a large prompt while it is held.
 type heldPrompt struct {
 	// home is the endpoint that it is held for, and tokens what that one would have to
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -134,14 +134,15 @@
 // Permit chooses an endpoint for the request. A nil permit means that no
 // endpoint has capacity now; the refusal is set when waiting would not help.
 func (p *Pool) Permit(req RequestInfo, now time.Time) (*Permit, *Refusal) {
-	eligible := p.filter(req, now)
-	eligible = assignedEndpoints(req, eligible)
-	if len(eligible) == 0 {
-		return nil, p.noEndpoint(req, now)
-	}
-	home := homeOf(req, eligible)
-	chosen := p.cheapest(req, eligible, home, now)
-	if chosen == nil || chosen != home && p.waitsForHome(req, home, now) {
+	chosen, home, eligible := p.choose(req, nil, now)
+	switch {
+	case eligible == 0:
+		refusal := p.noEndpoint(req, now)
+		if refusal != nil && refusal.Paused {
+			p.queueOf(req.Service).refused++
+		}
+		return nil, refusal
+	case chosen == nil:
 		return nil, nil
 	}
 	return p.reserve(req, chosen, chosen == home, now), nil
@@ -161,74 +162,11 @@
 		}
 	}
 	if p.PauseLeft(req.Service, now) > 0 {
-		return p.Refuse(req, now)
+		return p.refusal(req, now)
 	}
 	return &Refusal{Reason: "no endpoint of the service may run it here", NoEndpoint: true, RetryAfter: refusedPause * 5}
 }
 
-// filter returns the endpoints that may run the request at all; those that said
-// that they want no requests never may. When every endpoint is suspended, a common
-// fault is likelier than each being down: then the one whose suspension ends first
-// is tried. When more endpoints are ejected than eligible, the requests are the
-// likelier cause, and the ejected ones are kept.
-func (p *Pool) filter(req RequestInfo, now time.Time) []*endpointState {
-	var eligible, ejected []*endpointState
-	var soonest *endpointState
-	for _, ep := range p.services[req.Service] {
-		if slices.Contains(req.Tried, ep.placed.ID) || p.closed(ep, now) {
-			continue
-		}
-		if !p.accepts(ep, now) {
-			if p.beingChecked(ep, now) {
-				ep.wantedAt = now
-			}
-			continue
-		}
-		switch {
-		case ep.suspended(now):
-		case ep.ejected(now):
-			ejected = append(ejected, ep)
-			continue
-		default:
-			eligible = append(eligible, ep)
-			continue
-		}
-		if ep.inFlight == 0 && (soonest == nil || ep.suspendedUntil.Before(soonest.suspendedUntil)) {
-			soonest = ep
-		}
-	}
-	if len(ejected) > len(eligible) {
-		eligible = append(eligible, ejected...)
-	}
-	if len(eligible) == 0 && soonest != nil && soonest.suspendedUntil.Sub(now) < baseSuspension {
-		eligible = append(eligible, soonest)
-	}
-	return eligible
-}
-
-// cheapest scores the endpoints that have capacity and returns the best one, or
-// nil when none has.
-func (p *Pool) cheapest(req RequestInfo, eligible []*endpointState, home *endpointState, now time.Time) *endpointState {
-	var best *endpointState
-	var bestCost float64
-	for _, ep := range eligible {
-		if ep.inFlight >= p.limitNow(req, ep, now) {
-			continue
-		}
-		if ep.limitedAsCold(now) && ep.countedSends(now) >= p.coldShare(ep) {
-			continue
-		}
-		if !p.respondsInTime(req, ep, ep == home, now) {
-			continue
-		}
-		cost := p.cost(req, ep, ep == home, now)
-		if best == nil || cost < bestCost {
-			best, bestCost = ep, cost
-		}
-	}
-	return best
-}
-
 // reserve counts the request as in flight at the endpoint and returns its
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -109,12 +109,11 @@
 // Enqueue queues a request for which there was no capacity, or refuses it when
 // its predicted wait is too long or the queue is full.
 func (p *Pool) Enqueue(req RequestInfo, now time.Time) (*Waiter, *Refusal) {
-	q := p.queueOf(req.Service)
-	predicted := p.predictedWait(req, now)
-	allowed := maxWait(req, now)
-	if predicted > allowed || len(q.waiting) >= maxWaiting {
+	wait, refused := p.expectedQueueWait(req, now)
+	if refused {
 		return nil, p.Refuse(req, now)
 	}
+	q, allowed := p.queueOf(req.Service), wait.allowed
 	q.seq++
 	waiter := &Waiter{RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1)}
 	i, _ := slices.BinarySearchFunc(q.waiting, waiter, compareWaiters)
@@ -122,6 +121,19 @@
 	return waiter, nil
 }
 
+// expectedWait is how long a request would wait.
+type expectedWait struct {
+	// predicted is until there is room for it, allowed the longest wait.
+	predicted, allowed time.Duration
+}
+
+// expectedQueueWait returns how long a request would wait for capacity, and whether it is
+// refused instead.
+func (p *Pool) expectedQueueWait(req RequestInfo, now time.Time) (wait expectedWait, refused bool) {
+	wait = expectedWait{predicted: p.predictedWait(req, now), allowed: maxWait(req, now)}
+	return wait, wait.predicted > wait.allowed || len(p.queueOf(req.Service).waiting) >= maxWaiting
+}
+
 // predictedWait returns the predicted time until the request and those ahead of
 // it have capacity. While every endpoint pauses, that is after the first pause.
 func (p *Pool) predictedWait(req RequestInfo, now time.Time) time.Duration {
@@ -141,13 +153,19 @@
 // Refuse refuses a request for lack of capacity and advises when to retry: when
 // the first pause ends if every endpoint pauses.
 func (p *Pool) Refuse(req RequestInfo, now time.Time) *Refusal {
-	q := p.queueOf(req.Service)
-	q.refused++
+	refusal := p.refusal(req, now)
+	p.queueOf(req.Service).refused++
+	return refusal
+}
+
+// refusal returns the next refusal for lack of capacity without counting it.
+func (p *Pool) refusal(req RequestInfo, now time.Time) *Refusal {
+	number := p.queueOf(req.Service).refused + 1
 	if pause := p.PauseLeft(req.Service, now); pause > 0 {
-		return &Refusal{Reason: "every endpoint of the service asked for a pause", Paused: true, RetryAfter: spreadRetryAfter(pause, q.refused)}
+		return &Refusal{Reason: "every endpoint of the service asked for a pause", Paused: true, RetryAfter: spreadRetryAfter(pause, number)}
 	}
 	wait := min(max(p.predictedWait(req, now), minRetryAfter), maxRetryAfter)
-	return &Refusal{Reason: "the service has no room in time", RetryAfter: spreadRetryAfter(wait, q.refused)}
+	return &Refusal{Reason: "the service has no room in time", RetryAfter: spreadRetryAfter(wait, number)}
 }
 
 // spreadRetryAfter spreads the retries of callers that were refused one after
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -40,25 +40,26 @@
 
 // cost predicts the seconds that the request would take at the endpoint in
 // addition to what it takes at any endpoint.
-func (p *Pool) cost(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
-	cost := ep.errorRate * errorCost
+func (p *Pool) cost(req RequestInfo, ep *endpointState, home bool, now time.Time) Cost {
+	cost := Cost{Errors: ep.errorRate * errorCost, TieBreak: tieBreak(ep.placed.ID, now)}
 	if ep.stalledFor(now) > stallAfter {
-		cost += stallCost
+		cost.Stalled = stallCost
 	}
 	if ep.cold(now) {
-		cost += coldCost
+		cost.Cold = coldCost
 	}
 	if ep.placed.DataCentre != p.dc {
-		cost += otherDCCost
+		cost.OtherDataCentre = otherDCCost
 	}
 	if !ep.isEngine() {
-		return cost + slotCost*ep.assumedRunning()/float64(ep.slots()) + tieBreak(ep.placed.ID, now)
+		cost.Work = slotCost * ep.assumedRunning() / float64(ep.slots())
+		return cost
 	}
 	if req.large() && !home {
-		cost += offHomeCost
+		cost.OffHome = offHomeCost
 	}
-	cost += p.predict(req, ep, home, now).FirstEvent.Seconds()
-	return cost + tieBreak(ep.placed.ID, now)
+	cost.Work = p.predict(req, ep, home, now).FirstEvent.Seconds()
+	return cost
 }
 
 // predict returns what the request would see at an engine if it were sent there now.
--- a/pkg/gateway/balance/share.go
+++ b/pkg/gateway/balance/share.go
@@ -78,7 +78,7 @@
 
 // assignedEndpoints keeps the endpoints that are assigned to this daemon, or for
 // large prompts those that it owns; it keeps all of them when there are none.
-func assignedEndpoints(req RequestInfo, eligible []*endpointState) []*endpointState {
+func assignedEndpoints(req RequestInfo, eligible []*endpointState, trace *Trace) []*endpointState {
 	var own []*endpointState
 	for _, ep := range eligible {
 		if req.large() && ep.owned || !req.large() && ep.assigned {
@@ -88,6 +88,11 @@
 	if len(own) == 0 {
 		return eligible
 	}
+	for _, ep := range eligible {
+		if trace != nil && !slices.Contains(own, ep) {
+			trace.drop(ep, DroppedUnassigned)
+		}
+	}
 	return own
 }
 
