--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -127,7 +127,7 @@
 func (p *Pool) Explain(req RequestInfo, now time.Time) Explanation {
 	var found Explanation
 	if q := p.queues[req.Service]; q != nil {
-		found.Ahead = q.ahead(req.Rank)
+		found.Ahead = q.ahead(req)
 	}
 	chosen, _, eligible := p.choose(req, &found.Trace, now)
 	switch {
--- a/pkg/gateway/regions/regions.go
+++ b/pkg/gateway/regions/regions.go
@@ -60,10 +60,8 @@
 // that a region without free slots can be chosen.
 const minWeight = 0.5
 
-// PickSpillover picks a usable region at random, weighted by its free slots, among
-// the regions whose free fraction exceeds leastFree; a leastFree of zero or less
-// admits all usable regions.
-func PickSpillover(loads map[types.Region]Load, leastFree float64, usable func(types.Region) bool, rand route.Rand) (types.Region, bool) {
+// Candidates returns the regions among which PickSpillover picks, sorted.
+func Candidates(loads map[types.Region]Load, leastFree float64, usable func(types.Region) bool) []types.Region {
 	var candidates []types.Region
 	for region, load := range loads {
 		if usable(region) && (leastFree <= 0 || load.FreeFraction() > leastFree) {
@@ -71,6 +69,14 @@
 		}
 	}
 	slices.Sort(candidates)
+	return candidates
+}
+
+// PickSpillover picks a usable region at random, weighted by its free slots, among
+// the regions whose free fraction exceeds leastFree; a leastFree of zero or less
+// admits all usable regions.
+func PickSpillover(loads map[types.Region]Load, leastFree float64, usable func(types.Region) bool, rand route.Rand) (types.Region, bool) {
+	candidates := Candidates(loads, leastFree, usable)
 	var chosen types.Region
 	total := 0.0
 	for _, region := range candidates {
