--- a/cmd/flamingomount/main.go
+++ b/cmd/flamingomount/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -11,6 +12,15 @@
 func main() {
 	if err := cli.NewRoot().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitStatus(err))
 	}
 }
+
+// exitStatus returns the exit status that an error asks for, 1 by default.
+func exitStatus(err error) int {
+	var status interface{ ExitStatus() int }
+	if errors.As(err, &status) {
+		return status.ExitStatus()
+	}
+	return 1
+}
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -6,6 +6,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/flamingomount/flamingomount/pkg/cli/fleet"
+	"github.com/flamingomount/flamingomount/pkg/cli/placement"
 	"github.com/flamingomount/flamingomount/pkg/cli/publish"
 	"github.com/flamingomount/flamingomount/pkg/cli/trace"
 	"github.com/flamingomount/flamingomount/pkg/cli/trial"
@@ -24,5 +25,6 @@
 	root.AddCommand(trace.Command())
 	root.AddCommand(trace.LossesCommand(), trace.WithheldCommand())
 	root.AddCommand(trial.Command())
+	root.AddCommand(placement.Command())
 	return root
 }
--- a/pkg/gateway/catalog/organisation.go
+++ b/pkg/gateway/catalog/organisation.go
@@ -87,6 +87,17 @@
 	return c.byCredential[digest]
 }
 
+// CredentialOf returns a credential's digest of the organisation with a name; empty if it
+// has none or is unknown.
+func (c *Config) CredentialOf(name types.OrgName) CredentialDigest {
+	for _, organisation := range c.Organisations {
+		if organisation.Name == name && len(organisation.Credentials) > 0 {
+			return organisation.Credentials[0]
+		}
+	}
+	return ""
+}
+
 // indexCredentials builds the index that OrganisationOf uses.
 func (c *Config) indexCredentials() {
 	c.byCredential = make(map[CredentialDigest]*Organisation, len(c.Organisations))
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
 	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
+	"github.com/flamingomount/flamingomount/pkg/gateway/explain"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/health"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -304,6 +305,7 @@
 		path = "/metrics"
 	}
 	mux.Handle(path, promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET "+explain.Path, newExplainHandler(e.handler.Explain))
 	return mux
 }
 
--- a/pkg/gateway/proxy/dialect.go
+++ b/pkg/gateway/proxy/dialect.go
@@ -6,6 +6,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/explain"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -15,6 +16,8 @@
 	// RequestInfo decodes the header of a caller's request and removes the
 	// fields that only the gateway may set.
 	RequestInfo(header http.Header) (RequestInfo, error)
+	// Describe writes the header fields with which a caller describes a prompt.
+	Describe(header http.Header, prompt Prompt)
 	// RemoveCaller removes the caller's credential and what the caller says of its
 	// organisation.
 	RemoveCaller(header http.Header)
@@ -27,6 +30,14 @@
 	EventID(event []byte) string
 }
 
+// Prompt is what a caller says of a prompt.
+type Prompt struct {
+	ID                         types.RequestID
+	PromptTokens, OutputTokens int
+	// Parts lists the parts of the prompt in order; the last one is the request's own.
+	Parts []explain.Part
+}
+
 // RequestInfo is the decoded header of a caller's request.
 type RequestInfo struct {
 	// ID identifies this attempt of the caller.
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -178,6 +178,12 @@
 
 // accept decodes the header of a request and finds its route.
 func (h *Handler) accept(r *http.Request, snap *control.Snapshot, arrived time.Time) (*Request, *types.Failure) {
+	return h.acceptAs("", r, snap, arrived)
+}
+
+// acceptAs is accept for a request of a named organisation, whatever its header says; an
+// empty name takes what the header says.
+func (h *Handler) acceptAs(caller types.OrgName, r *http.Request, snap *control.Snapshot, arrived time.Time) (*Request, *types.Failure) {
 	config := snap.View.Config
 	if config == nil {
 		return nil, notRunFailure(types.CodeNotReady, "this entry knows no configuration yet", notReadyRetryAfter)
@@ -196,6 +202,9 @@
 	if err != nil {
 		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, err.Error())
 	}
+	if caller != "" {
+		info.Credential = config.CredentialOf(caller)
+	}
 	req := newRequest(r, info, matched)
 	if !req.hasExactTarget() {
 		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, "the path can't be passed on as it was sent")
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -82,6 +82,13 @@
 	return info, nil
 }
 
+func (testDialect) Describe(header http.Header, prompt proxy.Prompt) {
+	header.Set(headerID, string(prompt.ID))
+	if len(prompt.Parts) > 0 {
+		header.Set(headerPrefix, prompt.Parts[0].ID)
+	}
+}
+
 func (testDialect) RemoveCaller(header http.Header) {
 	header.Del(headerCredential)
 	header.Del(headerOrganisation)
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -235,14 +235,22 @@
 // pickRemoteDaemon picks another region by its free slots and a random daemon in
 // it.
 func (r *run) pickRemoteDaemon(snap *control.Snapshot, minFree float64) (members.Member, bool) {
-	usableRegion := r.usableRegion(snap)
 	loads := regions.Loads(snap.View, snap.Members, r.req.Service)
-	region, found := regions.PickSpillover(loads, minFree, func(region types.Region) bool {
-		return region != snap.Self.Region && usableRegion(region)
-	}, r.h.opts.Rand)
+	region, found := regions.PickSpillover(loads, minFree, r.otherRegion(snap), r.h.opts.Rand)
 	if !found {
 		return members.Member{}, false
 	}
 	serving := r.serving(snap, region)
 	return serving[route.IntN(r.h.opts.Rand, len(serving))], true
 }
+
+// spilloverRegions returns the regions among which pickRemoteDaemon picks.
+func (r *run) spilloverRegions(snap *control.Snapshot, minFree float64) []types.Region {
+	return regions.Candidates(regions.Loads(snap.View, snap.Members, r.req.Service), minFree, r.otherRegion(snap))
+}
+
+// otherRegion returns a predicate for the other regions whose daemons may take the request.
+func (r *run) otherRegion(snap *control.Snapshot) func(types.Region) bool {
+	usableRegion := r.usableRegion(snap)
+	return func(region types.Region) bool { return region != snap.Self.Region && usableRegion(region) }
+}
--- a/pkg/gateway/proxy/withheld.go
+++ b/pkg/gateway/proxy/withheld.go
@@ -49,6 +49,11 @@
 	}
 	r.withheldTrait = trait
 	r.h.opts.Metrics.countWithheld(r.req.Service)
+	return r.withheldFailure(trait)
+}
+
+// withheldFailure is the refusal of a request because of a trait.
+func (r *run) withheldFailure(trait crashes.Trait) *types.Failure {
 	verdict := r.h.opts.Snapshot().Withheld[trait]
 	left := max(verdict.RetryAt.Sub(r.h.opts.Now()), notReadyRetryAfter)
 	return notRunFailure(types.CodeQuarantined, "what this request shares with others crashed several endpoints: "+trait.String(), left)
