--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -84,8 +84,13 @@
 
 func (testDialect) Describe(header http.Header, prompt proxy.Prompt) {
 	header.Set(headerID, string(prompt.ID))
-	if len(prompt.Parts) > 0 {
-		header.Set(headerPrefix, prompt.Parts[0].ID)
+	var ids []string
+	for _, part := range prompt.Parts {
+		ids = append(ids, part.ID)
+	}
+	if len(ids) > 0 {
+		header.Set(headerPrefix, ids[0])
+		header.Set(headerParts, strings.Join(ids, ","))
 	}
 }
 
