--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -228,10 +228,10 @@
 	}
 }
 
-// Waiting counts the requests that wait for a service.
+// Waiting counts the requests that wait or are held for a service.
 func (p *Pool) Waiting(service types.ServiceName) int {
 	if q := p.queues[service]; q != nil {
-		return len(q.waiting)
+		return len(q.waiting) + len(q.held)
 	}
 	return 0
 }
