balance: a large prompt waits for its home only because of what it prefills, and only at engines

Cause, found by explain-route in a spec of the platform: at a service without engines, and where the home had room but another endpoint a better score, a large prompt was held for the home. Change: held only where the service runs engines, and for a home that would respond late and starts responses. Specs of both (they fail without it: the prompt got no permit).

--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -25,7 +25,16 @@
 // engines serve more urgent routes beside it, so that it is not given to them
 // whenever it fits its own objective.
 func (p *Pool) Holds(req RequestInfo) bool {
-	return !p.holdsNone && req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent
+	return !p.holdsNone && req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent && p.runsEngines(req.Service)
+}
+
+// runsEngines reports whether the endpoints of a service are engines.
+func (p *Pool) runsEngines(service types.ServiceName) bool {
+	if p.view == nil || p.view.Config == nil {
+		return false
+	}
+	config := p.view.Config.Services[service]
+	return config != nil && config.Engine != nil
 }
 
 // Hold keeps a large prompt for which there is no room now, for a bounded time, or
@@ -169,9 +178,13 @@
 
 // waitsForHome reports whether a large prompt is to be held for the home of its prefix
 // although another engine has room: that one would prefill the prefix once more, which
-// takes its capacity from other requests.
+// takes its capacity from other requests. A home that is better avoided, or that has no
+// room for another reason than its prompt work, is not waited for.
 func (p *Pool) waitsForHome(req RequestInfo, home *endpointState, now time.Time) bool {
-	if req.overdue || req.PrefixUncached || !p.Holds(req) || home.inFlight >= p.limitNow(req, home, now) || home.limitedAsCold(now) {
+	if req.overdue || req.PrefixUncached || !p.Holds(req) || home.stalledFor(now) > stallAfter {
+		return false
+	}
+	if p.noRoom(req, home, true, p.limitNow(req, home, now), now) != DroppedLate {
 		return false
 	}
 	startBy := p.startBy(req, home, p.prefillTokens(req, home, true, now), now)
--- a/pkg/gateway/balance/mix_test.go
+++ b/pkg/gateway/balance/mix_test.go
@@ -298,6 +298,31 @@
 		Expect(pool.Held(engines)).To(BeZero())
 	})
 
+	It("do not wait for a home that has room but is better avoided", func() {
+		pool := newPool(mixConfig(1200*time.Millisecond), 1)
+		req := withPrefix(1)
+		req.Rank, req.Objective, req.PromptTokens = 1, 1200*time.Millisecond, 33_300
+		home := requestPermit(pool, req, start).Endpoint.ID
+		later := req
+		later.Arrived = start.Add(800 * time.Millisecond)
+		later.Deadline = later.Arrived.Add(5 * time.Second)
+		other := requestPermit(pool, later, later.Arrived)
+		Expect(other).NotTo(BeNil())
+		Expect(other.Endpoint.ID).NotTo(Equal(home))
+	})
+
+	It("are not held at endpoints that run no engine", func() {
+		v := mixConfig(1200 * time.Millisecond)
+		v.Config.Services[engines].Engine = nil
+		pool := newPool(v, 1)
+		req := withPrefix(1)
+		req.Rank = 1
+		Expect(pool.Holds(req)).To(BeFalse())
+		for range 5 {
+			Expect(requestPermit(pool, req, start)).NotTo(BeNil())
+		}
+	})
+
 	It("are let go as soon as the home has prefilled what it had, the one with the least slack first", func() {
 		pool := newPool(mixConfig(2500*time.Millisecond), 1)
 		req := withPrefix(1)
--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -11,6 +11,7 @@
 
 // The reasons for which endpoints are dropped, in the order of the checks.
 const (
+	DroppedLeaving    Drop = "is draining, or its data centre is evacuated"
 	DroppedTried      Drop = "was tried before"
 	DroppedClosed     Drop = "said that it is leaving or asked for a pause"
 	DroppedNotTaken   Drop = "is leaving or evacuated, or may turn cold and other daemons share its rate"
@@ -80,6 +81,18 @@
 	}
 }
 
+// dropLeaving records the endpoints of a service that the published view took away.
+func (t *Trace) dropLeaving(p *Pool, service types.ServiceName) {
+	if p.view == nil {
+		return
+	}
+	for _, placed := range p.view.Leaving[service] {
+		if ep := p.states[placed.ID]; ep != nil {
+			t.drop(ep, DroppedLeaving)
+		}
+	}
+}
+
 // of returns the record of an endpoint, which it creates if there is none.
 func (t *Trace) of(ep *endpointState) *TracedEndpoint {
 	for i := range t.Endpoints {
@@ -129,6 +142,7 @@
 	if q := p.queues[req.Service]; q != nil {
 		found.Ahead = q.ahead(req)
 	}
+	found.Trace.dropLeaving(p, req.Service)
 	chosen, _, eligible := p.choose(req, &found.Trace, now)
 	switch {
 	case eligible == 0:
