--- a/pkg/cli/placement/table.go
+++ b/pkg/cli/placement/table.go
@@ -53,9 +53,9 @@
 	if len(regions) == 0 {
 		return
 	}
-	fmt.Fprintln(w, "\nREGION\tDAEMONS\tFREE\tCANDIDATE\tDROPPED")
+	fmt.Fprintln(w, "\nREGION\tDAEMONS\tFREE\tRESPONSE\tSENT FOR IT\tCANDIDATE\tDROPPED")
 	for _, region := range regions {
-		fmt.Fprintf(w, "%s\t%d\t%.2f\t%t\t%s\n", region.Region, region.Daemons, region.FreeShare, region.Candidate, region.Dropped)
+		fmt.Fprintf(w, "%s\t%d\t%.2f\t%d ms\t%.2f\t%t\t%s\n", region.Region, region.Daemons, region.FreeShare, region.ResponseMs, region.SoonerShare, region.Candidate, region.Dropped)
 	}
 }
 
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -171,7 +171,11 @@
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
 	permit := &Permit{Endpoint: ep.placed, state: ep, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
+	if ep.isEngine() {
+		permit.prediction = p.predict(req, ep, home, now)
+	}
 	ep.inFlight++
+	ep.memory.add(req, ep.memoryTokens())
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
 	permit.running = ep.assumedRunning()
@@ -192,6 +196,7 @@
 func (p *Pool) ResponseStarted(permit *Permit, now time.Time) {
 	if !permit.responseSeen {
 		permit.state.observeFirstEvent(permit, now)
+		p.observeResponse(permit, now)
 	}
 	p.ResponseFailed(permit, now)
 }
@@ -218,6 +223,7 @@
 		ep.removePending(permit)
 	}
 	ep.inFlight = max(ep.inFlight-1, 0)
+	ep.memory.remove(permit.req, ep.memoryTokens())
 	if permit.req.large() {
 		ep.large = max(ep.large-1, 0)
 	}
@@ -226,6 +232,9 @@
 		p.queueOf(permit.req.Service).recordServiceTime(now.Sub(permit.grantedAt))
 		ep.observePace(permit, now)
 	}
+	if result == Refused {
+		p.observeRefusal(permit, now)
+	}
 	p.Grant(permit.req.Service, now)
 }
 
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -52,20 +52,34 @@
 		cost.OtherDataCentre = otherDCCost
 	}
 	if !ep.isEngine() {
-		cost.Work = slotCost * ep.assumedRunning() / float64(ep.slots())
-		return cost
+		cost.Slots = slotCost * ep.assumedRunning() / float64(ep.slots())
 	}
 	if req.large() && !home {
 		cost.OffHome = offHomeCost
 	}
-	cost.Work = p.predict(req, ep, home, now).FirstEvent.Seconds()
+	cost.Work = p.firstEvent(req, ep, home, now)
 	return cost
 }
 
-// predict returns what the request would see at an engine if it were sent there now.
+// firstEvent predicts the seconds until the response would start if the request were sent to
+// the endpoint now.
+func (p *Pool) firstEvent(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
+	return ep.speed.FirstEvent(p.work(req, ep, home, now), ep.load(), now)
+}
+
+// predict predicts what the request would see at an engine if it were sent there now.
 func (p *Pool) predict(req RequestInfo, ep *endpointState, home bool, now time.Time) estimate.Prediction {
-	work := estimate.Work{PrefillTokens: p.prefillTokens(req, ep, home, now), Large: req.large()}
-	return ep.speed.Predict(work, estimate.Load{Running: ep.assumedRunning(), BacklogTokens: ep.prefillTokens}, now)
+	return ep.speed.Predict(p.work(req, ep, home, now), ep.load(), now)
+}
+
+// work returns what the request asks of an engine.
+func (p *Pool) work(req RequestInfo, ep *endpointState, home bool, now time.Time) estimate.Work {
+	return estimate.Work{PrefillTokens: p.prefillTokens(req, ep, home, now), Large: req.large()}
+}
+
+// load returns what an engine has to do, as far as this daemon knows.
+func (s *endpointState) load() estimate.Load {
+	return estimate.Load{Running: s.assumedRunning(), BacklogTokens: s.prefillTokens}
 }
 
 // assumedRunning returns how many requests of all daemons are assumed to run at the
--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -62,16 +62,16 @@
 	Cold            float64
 	OtherDataCentre float64
 	OffHome         float64
-	// Work is the predicted time until the response starts, or what the used slots of a
-	// plain endpoint add.
-	Work float64
+	// Slots is what the used slots of a plain endpoint add, Work the predicted time until
+	// the response starts.
+	Slots, Work float64
 	// TieBreak spreads requests over endpoints of equal cost.
 	TieBreak float64
 }
 
 // Sum returns the whole cost.
 func (c Cost) Sum() float64 {
-	return c.Errors + c.Stalled + c.Cold + c.OtherDataCentre + c.OffHome + c.Work + c.TieBreak
+	return c.Errors + c.Stalled + c.Cold + c.OtherDataCentre + c.OffHome + c.Slots + c.Work + c.TieBreak
 }
 
 // drop records that an endpoint is dropped, or not dropped after all if the reason is empty.
--- a/pkg/gateway/estimate/estimate.go
+++ b/pkg/gateway/estimate/estimate.go
@@ -46,13 +46,20 @@
 	level average
 	// slowdown is the same for this moment, relative to what level predicts.
 	slowdown average
-	// wait is the average time, in seconds, until responses to small prompts started.
-	wait average
+	// small is the time, in seconds, until responses to small prompts started over the
+	// number of running requests; wait is the average of the moment of what it leaves
+	// unexplained.
+	small line
+	wait  average
+	// answer is the average time of the moment, in seconds, until these started.
+	answer average
 	// pace is the pause between events over the number of running requests.
 	pace line
 	// pause is the average of the longest pause, in seconds, between events of one
 	// response.
 	pause average
+	// model is what these say at a time.
+	model endpointModel
 }
 
 const (
@@ -68,6 +75,10 @@
 	// endpointLifetime is the time within which an observation of the speed of an endpoint
 	// loses most of its weight.
 	endpointLifetime = 8 * time.Second
+	// smallLifetime is the same for the time until responses to small prompts start.
+	smallLifetime = 3 * time.Second
+	// maxSmallSeconds bounds an observation of that time.
+	maxSmallSeconds = 5.0
 	// momentLifetime is the same for what changes within a moment: its queue, and how much
 	// slower than usual it is.
 	momentLifetime = 500 * time.Millisecond
@@ -87,72 +98,51 @@
 
 // PrefillRate returns how many prompt tokens the endpoint prefills per second.
 func (e *Endpoint) PrefillRate(now time.Time) float64 {
-	perToken, _ := e.prefillModel(now)
-	return 1 / perToken
-}
-
-// prefillModel returns the time that each token of prompt work takes, and the time to the
-// first event without any, in seconds.
-func (e *Endpoint) prefillModel(now time.Time) (perToken, base float64) {
-	service := e.service.modelAt(now)
-	factor := math.Exp(e.logLevel(now) - service.level)
-	return service.perToken * factor, service.base * factor
-}
-
-// logLevel returns the logarithm of the time, in seconds, that the endpoint takes for
-// levelTokens of prompt work.
-func (e *Endpoint) logLevel(now time.Time) float64 {
-	return e.level.blended(e.service.modelAt(now).level, priorMass, endpointLifetime, now)
-}
-
-// paceModel returns what each running request adds to the pause between events, and the
-// pause without any, in seconds.
-func (e *Endpoint) paceModel(now time.Time) (growth, base float64) {
-	service := e.service.modelAt(now)
-	return e.pace.momentsAt(endpointLifetime, now).plus(service.pace).fit(service.growth)
+	return 1 / e.modelAt(now).perToken
 }
 
 // Slowdown returns how much longer than PrefillRate predicts prompt work takes at this
 // moment; 1 if nothing is known.
 func (e *Endpoint) Slowdown(now time.Time) float64 {
-	return math.Exp(e.slowdown.recent(0, now))
+	return e.modelAt(now).slowdown
 }
 
 // Wait returns the time until responses to small prompts started lately; zero if none did.
 func (e *Endpoint) Wait(now time.Time) time.Duration {
-	return seconds(e.wait.recent(0, now))
+	return seconds(e.answer.recent(0, now))
 }
 
 // StepGrowth returns the time that each running request adds to the pause between two
 // events of the others.
 func (e *Endpoint) StepGrowth(now time.Time) time.Duration {
-	growth, _ := e.paceModel(now)
-	return seconds(growth)
+	return seconds(e.modelAt(now).paceGrowth)
 }
 
 // Predict returns what a request would see at the endpoint beside its load.
 func (e *Endpoint) Predict(work Work, load Load, now time.Time) Prediction {
-	growth, pace := e.paceModel(now)
-	perToken, base := e.prefillModel(now)
-	slowdown := e.Slowdown(now)
-	queue := base + load.BacklogTokens*perToken*slowdown
-	if !work.Large {
-		queue = max(queue, e.wait.recent(0, now))
-	}
-	step := growth * load.Running
-	gap := max(pace+growth*(load.Running+1), e.pause.recent(0, now))
+	model := e.modelAt(now)
 	return Prediction{
-		FirstEvent: seconds(queue + work.PrefillTokens*perToken*slowdown + step),
-		Gap:        seconds(gap),
+		FirstEvent: seconds(e.FirstEvent(work, load, now)),
+		Gap:        seconds(max(model.paceBase+model.paceGrowth*(load.Running+1), e.pause.recent(0, now))),
 		Certainty:  e.certainty(now),
 	}
 }
 
+// FirstEvent returns the first part of Predict, in seconds.
+func (e *Endpoint) FirstEvent(work Work, load Load, now time.Time) float64 {
+	model := e.modelAt(now)
+	queue, own := model.base+load.BacklogTokens*model.perToken*model.slowdown, work.PrefillTokens*model.perToken*model.slowdown
+	if work.Large {
+		return queue + own + model.paceGrowth*load.Running
+	}
+	return max(queue, model.smallSeconds(load.Running)) + own
+}
+
 // PrefillTime predicts the time to the first event after prompt work of a number of tokens
 // now.
 func (e *Endpoint) PrefillTime(tokens float64, now time.Time) time.Duration {
-	perToken, base := e.prefillModel(now)
-	return seconds((base + tokens*perToken) * e.Slowdown(now))
+	model := e.modelAt(now)
+	return seconds((model.base + tokens*model.perToken) * model.slowdown)
 }
 
 // certainty weighs what was seen of the endpoint against what is assumed of it.
@@ -164,12 +154,12 @@
 // ObserveFirstEvent learns from the time until a response started. The prompt work is that
 // of the request and of those before it that had no first event when it was sent. Only
 // requests that the endpoint runs may be observed.
-func (e *Endpoint) ObserveFirstEvent(promptWork float64, large bool, took time.Duration, now time.Time) {
+func (e *Endpoint) ObserveFirstEvent(promptWork, running float64, large bool, took time.Duration, now time.Time) {
 	if took <= 0 || promptWork < 0 {
 		return
 	}
 	if !large {
-		e.wait.addMoment(took.Seconds(), now)
+		e.observeSmall(running, min(took.Seconds(), maxSmallSeconds), now)
 		return
 	}
 	promptWork = min(promptWork, maxPromptWork)
@@ -179,17 +169,30 @@
 		return
 	}
 	ratio := took.Seconds() / usual
+	e.model.valid = false
 	e.slowdown.addMoment(clampLog(ratio/math.Exp(e.logLevel(now)-level), maxSlowdown), now)
 	e.level.add(level+clampLog(ratio, maxFactor), 1, endpointLifetime, now)
 	e.service.observe(promptWork, usual*ratio, usual, e.logLevel(now), now)
 }
 
+// observeSmall learns from the time until the response to a small prompt started beside
+// running requests.
+func (e *Endpoint) observeSmall(running, took float64, now time.Time) {
+	model := e.modelAt(now)
+	e.model.valid = false
+	e.answer.addMoment(took, now)
+	e.wait.addMoment(took-model.smallBase-model.smallGrowth*running, now)
+	e.small.add(running, took, smallLifetime, now)
+	e.service.observeSmall(running, took, now)
+}
+
 // ObservePace learns from the mean and the longest pause between the events of a response
 // that ran beside others.
 func (e *Endpoint) ObservePace(running float64, mean, longest time.Duration, now time.Time) {
 	if mean <= 0 || longest < mean {
 		return
 	}
+	e.model.valid = false
 	e.pace.add(running, mean.Seconds(), endpointLifetime, now)
 	e.service.observePace(running, mean.Seconds(), now)
 	e.pause.addMoment(longest.Seconds(), now)
--- a/pkg/gateway/estimate/service.go
+++ b/pkg/gateway/estimate/service.go
@@ -27,6 +27,11 @@
 	level average
 	// pace is the pause between events over the number of running requests.
 	pace line
+	// small is the time until responses to small prompts started, in seconds, over the
+	// number of running requests.
+	small line
+	// response is the average time, in seconds, until responses to small requests started.
+	response average
 	// model is what these say at a time.
 	model serviceModel
 }
@@ -44,19 +49,26 @@
 	// growth is what is assumed of its slope.
 	pace   moments
 	growth slopePrior
+	// small and smallGrowth are the same for the time until responses to small prompts
+	// start.
+	small       moments
+	smallGrowth slopePrior
 }
 
 // modelAt returns what the observations say at a time.
 func (s *Service) modelAt(now time.Time) *serviceModel {
-	if s.model.valid && s.model.at.Equal(now) {
+	if s.model.valid && current(s.model.at, now) {
 		return &s.model
 	}
 	perToken, base := boundedPrefill(s.prefill.momentsAt(serviceLifetime, now).fit(startPrefill))
 	pace := s.pace.momentsAt(serviceLifetime, now)
 	growth, _ := pace.fit(startGrowth)
+	small := s.small.momentsAt(serviceLifetime, now)
+	smallGrowth, _ := small.fit(startGrowth)
 	s.model = serviceModel{
 		at: now, valid: true, perToken: perToken, base: base, level: math.Log(base + perToken*levelTokens),
 		pace: pace.normalised(priorMass), growth: slopePrior{slope: growth, spread: startGrowth.spread},
+		small: small.normalised(priorMass), smallGrowth: slopePrior{slope: smallGrowth, spread: startGrowth.spread},
 	}
 	return &s.model
 }
@@ -86,12 +98,31 @@
 	s.prefill.add(promptWork, usual*min(max(ratio, 1/maxStep), maxStep), serviceLifetime, now)
 }
 
+// observeSmall learns from the time until the response to a small prompt started beside
+// running requests.
+func (s *Service) observeSmall(running, took float64, now time.Time) {
+	s.model.valid = false
+	s.small.add(running, took, serviceLifetime, now)
+}
+
 // observePace learns from a pause between events, in seconds, beside running requests.
 func (s *Service) observePace(running, pause float64, now time.Time) {
 	s.model.valid = false
 	s.pace.add(running, pause, serviceLifetime, now)
 }
 
+// ObserveResponse learns from the time until the response to a small request started at any
+// endpoint of the service.
+func (s *Service) ObserveResponse(took time.Duration, now time.Time) {
+	s.response.addMoment(took.Seconds(), now)
+}
+
+// Response returns the average time until the responses to small requests started lately;
+// zero if none did.
+func (s *Service) Response(now time.Time) time.Duration {
+	return seconds(s.response.recent(0, now))
+}
+
 // levelTokens is the prompt work, in tokens, by which the speeds of endpoints are compared.
 const levelTokens = 10_000.0
 
--- a/pkg/gateway/explain/explain.go
+++ b/pkg/gateway/explain/explain.go
@@ -93,6 +93,11 @@
 	Dropped string `json:"dropped,omitempty"`
 	// FreeShare is the share of free slots by the newest reports.
 	FreeShare float64 `json:"free_share"`
+	// ResponseMs is the time to the first event there, as its daemons told; zero if they
+	// told none. SoonerShare is the share of requests like this one that are sent there
+	// because it responds sooner, although there is room here.
+	ResponseMs  int64   `json:"response_ms"`
+	SoonerShare float64 `json:"sooner_share"`
 	// Daemons serve there. Candidate is true if the request may go there now.
 	Daemons   int  `json:"daemons"`
 	Candidate bool `json:"candidate"`
--- a/pkg/gateway/proxy/explain_parts.go
+++ b/pkg/gateway/proxy/explain_parts.go
@@ -19,8 +19,10 @@
 	r := e.run
 	serving := r.servingRegions(snap)
 	loads := regions.Loads(snap.View, snap.Members, r.req.Service)
+	here, slow := r.responseHere(snap, loads)
+	slow = slow && r.req.PrefixTokens < balance.MinLargePrefixTokens && r.req.allows(snap.Self.Region)
 	for _, region := range slices.Sorted(maps.Keys(loads)) {
-		described := explain.Region{Region: region, FreeShare: loads[region].FreeFraction(), Daemons: len(r.serving(snap, region))}
+		described := explain.Region{Region: region, FreeShare: loads[region].FreeFraction(), ResponseMs: loads[region].Response.Milliseconds(), Daemons: len(r.serving(snap, region))}
 		switch {
 		case !r.req.Route.Allows(region):
 			described.Dropped = "the route's data may not be used there"
@@ -28,6 +30,8 @@
 			described.Dropped = "the organisation's data may not be used there"
 		case !serving[region]:
 			described.Dropped = "no daemon serves there"
+		case slow && region != snap.Self.Region:
+			described.SoonerShare = regions.SoonerShare(here, loads[region].Response)
 		}
 		e.answer.Regions = append(e.answer.Regions, described)
 	}
@@ -62,6 +66,7 @@
 func scoreParts(cost balance.Cost) []explain.Score {
 	all := []explain.Score{
 		{Name: "work", Seconds: cost.Work},
+		{Name: "slots", Seconds: cost.Slots},
 		{Name: "off home", Seconds: cost.OffHome},
 		{Name: "other data centre", Seconds: cost.OtherDataCentre},
 		{Name: "cold", Seconds: cost.Cold},
