--- a/pkg/gateway/balance/choose.go
+++ b/pkg/gateway/balance/choose.go
@@ -33,7 +33,8 @@
 // is tried. When more endpoints are ejected than eligible, the requests are the
 // likelier cause, and the ejected ones are kept.
 func (p *Pool) filter(req RequestInfo, trace *Trace, now time.Time) []*endpointState {
-	var eligible, ejected []*endpointState
+	var ejected []*endpointState
+	eligible := make([]*endpointState, 0, len(p.services[req.Service]))
 	var soonest *endpointState
 	for _, ep := range p.services[req.Service] {
 		reason := p.dropReason(req, ep, now)
@@ -117,8 +118,10 @@
 		return DroppedFull
 	case ep.limitedAsCold(now) && ep.countedSends(now) >= p.coldShare(ep):
 		return DroppedCold
-	case !p.respondsInTime(req, ep, home, now):
-		return DroppedLate
+	case p.respondsInTime(req, ep, home, now):
+		return ""
+	case ep.isEngine() && !ep.fits(req):
+		return DroppedMemory
 	}
-	return ""
+	return DroppedLate
 }
--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -20,6 +20,7 @@
 	DroppedUnassigned Drop = "belongs to other daemons"
 	DroppedFull       Drop = "has as many requests of this daemon as it may"
 	DroppedCold       Drop = "is cold and its rate is used up"
+	DroppedMemory     Drop = "has no memory for it beside what runs there"
 	DroppedLate       Drop = "would not respond in time"
 )
 
@@ -136,7 +137,8 @@
 	Refusal *Refusal
 }
 
-// Explain tells where a request would go now. It reserves, counts and learns nothing.
+// Explain tells where a request would go now. It reserves, counts and learns nothing; what
+// is derived and cached for a moment may be derived now.
 func (p *Pool) Explain(req RequestInfo, now time.Time) Explanation {
 	var found Explanation
 	if q := p.queues[req.Service]; q != nil {
