--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -83,6 +83,17 @@
 	if waiter == nil {
 		return permit, refusal, nil
 	}
+	return g.await(ctx, waiter, func(waiter *balance.Waiter, now time.Time) (*balance.Permit, *balance.Refusal) {
+		return nil, g.pool.CancelWait(waiter, now)
+	})
+}
+
+// endWait ends the wait of a request that was neither granted nor refused.
+type endWait func(waiter *balance.Waiter, now time.Time) (*balance.Permit, *balance.Refusal)
+
+// await waits until a request is granted or refused, its wait is over, or ctx ends, which
+// is its only error.
+func (g *Gate) await(ctx context.Context, waiter *balance.Waiter, end endWait) (*balance.Permit, *balance.Refusal, error) {
 	timer := time.NewTimer(waiter.ExpiresAt.Sub(g.now()))
 	defer timer.Stop()
 	select {
@@ -91,10 +102,10 @@
 	case refusal := <-waiter.Refused:
 		return nil, refusal, nil
 	case <-timer.C:
-		permit, refusal := g.withdraw(waiter)
+		permit, refusal := g.withdraw(waiter, end)
 		return permit, refusal, nil
 	case <-ctx.Done():
-		if permit, _ := g.withdraw(waiter); permit != nil {
+		if permit, _ := g.withdraw(waiter, end); permit != nil {
 			g.Done(permit, balance.Abandoned)
 		}
 		return nil, nil, ctx.Err()
@@ -115,7 +126,7 @@
 
 // withdraw removes a waiting request, unless it was granted or refused in the
 // meantime.
-func (g *Gate) withdraw(waiter *balance.Waiter) (*balance.Permit, *balance.Refusal) {
+func (g *Gate) withdraw(waiter *balance.Waiter, end endWait) (*balance.Permit, *balance.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	select {
@@ -124,7 +135,7 @@
 	case refusal := <-waiter.Refused:
 		return nil, refusal
 	default:
-		return nil, g.pool.CancelWait(waiter, g.now())
+		return end(waiter, g.now())
 	}
 }
 
--- a/pkg/gateway/balance/gate/hold.go
+++ b/pkg/gateway/balance/gate/hold.go
@@ -17,20 +17,8 @@
 		return permit, refusal, 0, nil
 	}
 	since := g.now()
-	timer := time.NewTimer(waiter.ExpiresAt.Sub(since))
-	defer timer.Stop()
-	select {
-	case permit = <-waiter.Granted:
-	case refusal = <-waiter.Refused:
-	case <-timer.C:
-		permit, refusal = g.endHold(waiter)
-	case <-ctx.Done():
-		if permit, _ = g.endHold(waiter); permit != nil {
-			g.Done(permit, balance.Abandoned)
-		}
-		return nil, nil, g.now().Sub(since), ctx.Err()
-	}
-	return permit, refusal, g.now().Sub(since), nil
+	permit, refusal, err = g.await(ctx, waiter, g.pool.EndHold)
+	return permit, refusal, g.now().Sub(since), err
 }
 
 func (g *Gate) tryOrHold(req balance.RequestInfo) (*balance.Permit, *balance.Waiter, *balance.Refusal) {
@@ -47,18 +35,3 @@
 	waiter, refusal := g.pool.Hold(req, now)
 	return nil, waiter, refusal
 }
-
-// endHold ends the wait of a held prompt, unless it was granted or refused in the
-// meantime.
-func (g *Gate) endHold(waiter *balance.Waiter) (*balance.Permit, *balance.Refusal) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case permit := <-waiter.Granted:
-		return permit, nil
-	case refusal := <-waiter.Refused:
-		return nil, refusal
-	default:
-		return g.pool.EndHold(waiter, g.now())
-	}
-}
