--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -40,7 +40,7 @@
 // Hold keeps a large prompt for which there is no room now, for a bounded time, or
 // refuses it when room is predicted too late for it.
 func (p *Pool) Hold(req RequestInfo, now time.Time) (*Waiter, *Refusal) {
-	held, wait, none, refused := p.expectedHold(req, now)
+	held, wait, none, refused := p.expectedHold(req, nil, now)
 	if none != nil {
 		return nil, none
 	}
@@ -59,9 +59,10 @@
 }
 
 // expectedHold returns for which engine and how long a large prompt would be held, and
-// whether it is refused instead; none is set if no endpoint may run it at all.
-func (p *Pool) expectedHold(req RequestInfo, now time.Time) (held heldPrompt, wait expectedWait, none *Refusal, refused bool) {
-	eligible := assignedEndpoints(req, p.filter(req, &Trace{}, now), nil)
+// whether it is refused instead; none is set if no endpoint may run it at all. With a trace
+// it is only a question.
+func (p *Pool) expectedHold(req RequestInfo, trace *Trace, now time.Time) (held heldPrompt, wait expectedWait, none *Refusal, refused bool) {
+	eligible := assignedEndpoints(req, p.filter(req, trace, now), trace)
 	if len(eligible) == 0 {
 		return held, wait, p.noEndpoint(req, now), true
 	}
--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -34,6 +34,8 @@
 	// WaitsForHome is true if another endpoint has room but the request is held for its
 	// home.
 	WaitsForHome bool
+	// index holds the positions in Endpoints.
+	index map[types.EndpointID]int
 }
 
 // TracedEndpoint is what a placement found of one endpoint.
@@ -96,11 +98,13 @@
 
 // of returns the record of an endpoint, which it creates if there is none.
 func (t *Trace) of(ep *endpointState) *TracedEndpoint {
-	for i := range t.Endpoints {
-		if t.Endpoints[i].Endpoint == ep.placed.ID {
-			return &t.Endpoints[i]
-		}
+	if i, found := t.index[ep.placed.ID]; found {
+		return &t.Endpoints[i]
+	}
+	if t.index == nil {
+		t.index = make(map[types.EndpointID]int)
 	}
+	t.index[ep.placed.ID] = len(t.Endpoints)
 	t.Endpoints = append(t.Endpoints, TracedEndpoint{
 		Endpoint: ep.placed.ID, DataCentre: ep.placed.DataCentre, InFlight: ep.inFlight, BacklogTokens: ep.prefillTokens,
 	})
@@ -172,6 +176,6 @@
 	case !p.Holds(req):
 		return expectedWait{}, true
 	}
-	_, wait, _, refused = p.expectedHold(req, now)
+	_, wait, _, refused = p.expectedHold(req, &Trace{}, now)
 	return wait, refused
 }
