balance: MaxHold bounds how long a large prompt is held; zero, the default, holds none

Change: a bound in place of the hook for specs; a daemon does not set it. Without it the decisions are those of before: reading_test.go is as it was.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -173,6 +173,9 @@
 	// gets at most rate times overshoot plus slack in any second.
 	ColdOvershoot float64
 	ColdSlack     float64
+	// MaxHold is the longest time for which a large prompt is held until its engine has room;
+	// zero holds none: each is placed or refused at once.
+	MaxHold time.Duration
 	// WatchTimeout is how long one watch of the store waits for changes; zero means
 	// 1.2 s.
 	WatchTimeout time.Duration
--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -21,11 +21,11 @@
 	maxHeld = 64
 )
 
-// Holds reports whether a large prompt may be held until its engine has room: the
-// engines serve more urgent routes beside it, so that it is not given to them
+// Holds reports whether a large prompt may be held until its engine has room: the pool
+// holds prompts, and the engines serve more urgent routes beside it, so that it is not given to them
 // whenever it fits its own objective.
 func (p *Pool) Holds(req RequestInfo) bool {
-	return !p.holdsNone && req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent && p.runsEngines(req.Service)
+	return p.bounds.MaxHold > 0 && req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent && p.runsEngines(req.Service)
 }
 
 // runsEngines reports whether the endpoints of a service are engines.
@@ -69,7 +69,7 @@
 	home, q := homeOf(req, eligible), p.queueOf(req.Service)
 	held = heldPrompt{home: home.placed.ID, tokens: p.prefillTokens(req, home, !req.PrefixUncached, now)}
 	held.startBy = p.startBy(req, home, held.tokens, now)
-	wait = expectedWait{predicted: p.roomIn(home, q, held.startBy, now), allowed: holdTime(req, held.startBy, now)}
+	wait = expectedWait{predicted: p.roomIn(home, q, held.startBy, now), allowed: holdTime(req, p.bounds.MaxHold, held.startBy, now)}
 	refused = wait.allowed <= 0 || len(q.held) >= maxHeld || wait.predicted > wait.allowed
 	wait.allowed = min(wait.allowed, 2*wait.predicted+holdMargin)
 	return held, wait, nil, refused
@@ -101,8 +101,8 @@
 }
 
 // holdTime returns how long a large prompt may be held.
-func holdTime(req RequestInfo, startBy, now time.Time) time.Duration {
-	allowed := min(startBy.Sub(now), time.Duration(float64(req.Deadline.Sub(now))*remainingShare))
+func holdTime(req RequestInfo, maxHold time.Duration, startBy, now time.Time) time.Duration {
+	allowed := min(startBy.Sub(now), maxHold, time.Duration(float64(req.Deadline.Sub(now))*remainingShare))
 	if req.WaitLimit > 0 {
 		allowed = min(allowed, req.WaitLimit)
 	}
@@ -189,5 +189,5 @@
 		return false
 	}
 	startBy := p.startBy(req, home, p.prefillTokens(req, home, true, now), now)
-	return p.roomIn(home, p.queueOf(req.Service), startBy, now) < holdTime(req, startBy, now)
+	return p.roomIn(home, p.queueOf(req.Service), startBy, now) < holdTime(req, p.bounds.MaxHold, startBy, now)
 }
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -31,8 +31,6 @@
 	withdrawals withdrawals
 	// restarts holds the restarts that have not been taken yet.
 	restarts []restart
-	// holdsNone makes every large prompt go or be refused at once; only tests set it.
-	holdsNone bool
 	// constraintsCache caches what was derived from the routes of the view.
 	constraintsCache map[routeConstraintsKey]routeConstraints
 }
