--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -52,6 +52,8 @@
 	// PrefixUncached is true when the prefix is not kept here because its home
 	// had no capacity.
 	PrefixUncached bool
+	// overdue is true for a large prompt that was held until its slack was used up.
+	overdue bool
 }
 
 // large reports whether the request has a large prefix, which has a home
@@ -173,6 +175,9 @@
 	// gets at most rate times overshoot plus slack in any second.
 	ColdOvershoot float64
 	ColdSlack     float64
+	// MaxHold is the longest time for which a large prompt is held until its engine has room;
+	// zero holds none: each is placed or refused at once.
+	MaxHold time.Duration
 	// WatchTimeout is how long one watch of the store waits for changes; zero means
 	// 1.2 s.
 	WatchTimeout time.Duration
--- a/pkg/gateway/balance/bench_internal_test.go
+++ b/pkg/gateway/balance/bench_internal_test.go
@@ -96,7 +96,9 @@
 			b.Run(name+"/learned", func(b *testing.B) {
 				for b.Loop() {
 					now = now.Add(10 * time.Millisecond)
-					decide(pool, benchRequest(large, 7, now), now, pool.cost)
+					decide(pool, benchRequest(large, 7, now), now, func(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
+						return pool.cost(req, ep, home, now).Sum()
+					})
 				}
 			})
 			before := constantCost{response: map[*endpointState]constantAverage{}}
@@ -117,7 +119,7 @@
 
 // decide is Permit with a cost function, without the reservation.
 func decide(p *Pool, req RequestInfo, now time.Time, cost func(RequestInfo, *endpointState, bool, time.Time) float64) *endpointState {
-	eligible := assignedEndpoints(req, p.filter(req, now))
+	eligible := assignedEndpoints(req, p.filter(req, nil, now), nil)
 	home := homeOf(req, eligible)
 	var best *endpointState
 	var bestCost float64
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -40,6 +40,8 @@
 	inFlight int
 	// large is the number of in-flight requests with a large prefix.
 	large int
+	// largePending is the number of those whose responses have not started.
+	largePending int
 	// speed is what is known of how fast an engine works.
 	speed *estimate.Endpoint
 	// memory is what the requests in flight need of an engine's memory.
--- a/pkg/gateway/balance/observe.go
+++ b/pkg/gateway/balance/observe.go
@@ -32,6 +32,7 @@
 	if permit.markResponseStarted() {
 		permit.state.removePending(permit)
 		permit.state.lastResponseAt = now
+		p.letGo(p.queueOf(permit.req.Service), false, now)
 	}
 }
 
--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -44,13 +44,20 @@
 	// not help; each buffers one value.
 	Granted chan *Permit
 	Refused chan *Refusal
+	// held is set for a large prompt that is held.
+	held heldPrompt
 }
 
 // queue holds the waiting requests of one service, the most urgent first.
 type queue struct {
 	waiting []*Waiter
 	shares  fairShares
-	seq     uint64
+	// held holds large prompts until an engine has room, the one with the least slack
+	// first.
+	held []*Waiter
+	seq  uint64
+	// otherSentAt is when an endpoint last got a request that is not large.
+	otherSentAt time.Time
 	// refused counts the requests refused for lack of capacity.
 	refused uint64
 	// serviceTime is the EWMA of the time that a request holds its permit, in
@@ -105,16 +112,22 @@
 	}
 }
 
-// makeRoom refuses the last request of the organisation that crowds a full queue, in favour
-// of a new one, and reports whether there is room.
-func (p *Pool) makeRoom(q *queue, req RequestInfo, now time.Time) bool {
+// canTake reports whether the queue has room for the request, or can make room.
+func (q *queue) canTake(req RequestInfo) bool {
 	if len(q.waiting) < maxWaiting {
 		return true
 	}
-	crowding, found := q.shares.crowding(req)
-	if !found {
-		return false
+	_, found := q.shares.crowding(req)
+	return found
+}
+
+// makeRoom refuses a waiting request of the caller that crowds a full queue most, in favour
+// of a request that the queue can take.
+func (p *Pool) makeRoom(q *queue, req RequestInfo, now time.Time) {
+	if len(q.waiting) < maxWaiting {
+		return
 	}
+	crowding, _ := q.shares.crowding(req)
 	for _, waiter := range slices.Backward(q.waiting) {
 		if flowOf(waiter.RequestInfo) == crowding {
 			waiter.left = true
@@ -123,7 +136,6 @@
 		}
 	}
 	q.removeLeft()
-	return true
 }
 
 // maxWait returns how long a request may still wait and be useful; it may have
@@ -143,18 +155,31 @@
 // Enqueue queues a request for which there was no capacity, or refuses it when
 // its predicted wait is too long or the queue is full.
 func (p *Pool) Enqueue(req RequestInfo, now time.Time) (*Waiter, *Refusal) {
-	q := p.queueOf(req.Service)
-	predicted := p.predictedWait(req, now)
-	allowed := maxWait(req, now)
-	if predicted > allowed || !p.makeRoom(q, req, now) {
+	wait, refused := p.expectedQueueWait(req, now)
+	if refused {
 		return nil, p.Refuse(req, now)
 	}
+	q, allowed := p.queueOf(req.Service), wait.allowed
+	p.makeRoom(q, req, now)
 	q.seq++
 	waiter := &Waiter{RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1)}
 	q.insert(waiter)
 	return waiter, nil
 }
 
+// expectedWait is how long a request would wait.
+type expectedWait struct {
+	// predicted is until there is room for it, allowed the longest wait.
+	predicted, allowed time.Duration
+}
+
+// expectedQueueWait returns how long a request would wait for capacity, and whether it is
+// refused instead.
+func (p *Pool) expectedQueueWait(req RequestInfo, now time.Time) (wait expectedWait, refused bool) {
+	wait = expectedWait{predicted: p.predictedWait(req, now), allowed: maxWait(req, now)}
+	return wait, wait.predicted > wait.allowed || !p.queueOf(req.Service).canTake(req)
+}
+
 // predictedWait returns the predicted time until the request and those ahead of
 // it have capacity. While every endpoint pauses, that is after the first pause.
 func (p *Pool) predictedWait(req RequestInfo, now time.Time) time.Duration {
@@ -174,13 +199,19 @@
 // Refuse refuses a request for lack of capacity and advises when to retry: when
 // the first pause ends if every endpoint pauses.
 func (p *Pool) Refuse(req RequestInfo, now time.Time) *Refusal {
-	q := p.queueOf(req.Service)
-	q.refused++
+	refusal := p.refusal(req, now)
+	p.queueOf(req.Service).refused++
+	return refusal
+}
+
+// refusal returns the next refusal for lack of capacity without counting it.
+func (p *Pool) refusal(req RequestInfo, now time.Time) *Refusal {
+	number := p.queueOf(req.Service).refused + 1
 	if pause := p.PauseLeft(req.Service, now); pause > 0 {
-		return &Refusal{Reason: "every endpoint of the service asked for a pause", Paused: true, RetryAfter: spreadRetryAfter(pause, q.refused)}
+		return &Refusal{Reason: "every endpoint of the service asked for a pause", Paused: true, RetryAfter: spreadRetryAfter(pause, number)}
 	}
 	wait := min(max(p.predictedWait(req, now), minRetryAfter), maxRetryAfter)
-	return &Refusal{Reason: "the service has no room in time", RetryAfter: spreadRetryAfter(wait, q.refused)}
+	return &Refusal{Reason: "the service has no room in time", RetryAfter: spreadRetryAfter(wait, number)}
 }
 
 // spreadRetryAfter spreads the retries of callers that were refused one after
@@ -209,6 +240,8 @@
 	if q == nil {
 		return
 	}
+	p.letGo(q, true, now)
+	defer p.letGo(q, false, now)
 	misses := 0
 	for _, waiter := range q.shares.order(q.waiting) {
 		if misses == maxGrantMisses {
@@ -240,10 +273,10 @@
 	}
 }
 
-// Waiting counts the requests that wait for a service.
+// Waiting counts the requests that wait or are held for a service.
 func (p *Pool) Waiting(service types.ServiceName) int {
 	if q := p.queues[service]; q != nil {
-		return len(q.waiting)
+		return len(q.waiting) + len(q.held)
 	}
 	return 0
 }
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -38,7 +38,7 @@
 		return ep.speed.Wait(now) <= allowed && ep.oldestPending(now) <= allowed
 	}
 	constraints := p.routeConstraints(req)
-	if constraints.hasMoreUrgent && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
+	if constraints.hasMoreUrgent && !req.overdue && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
 		return false
 	}
 	if constraints.hasMoreUrgent {
@@ -50,7 +50,11 @@
 		allowed = min(allowed, time.Duration(float64(constraints.objective)*uncachedShare))
 	}
 	work := p.prefillTokens(req, ep, home && !req.PrefixUncached, now)
-	return ep.speed.PrefillTime(ep.prefillTokens+work, now) <= allowed
+	prefilled := ep.speed.PrefillTime(ep.prefillTokens+work, now)
+	if p.Holds(req) && !p.fitsBeside(req, ep, prefilled, now) {
+		return false
+	}
+	return prefilled <= allowed
 }
 
 // oldestPending returns how long the oldest request without a response has
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -40,25 +40,25 @@
 
 // cost predicts the seconds that the request would take at the endpoint in
 // addition to what it takes at any endpoint.
-func (p *Pool) cost(req RequestInfo, ep *endpointState, home bool, now time.Time) float64 {
-	cost := ep.errorRate * errorCost
+func (p *Pool) cost(req RequestInfo, ep *endpointState, home bool, now time.Time) Cost {
+	cost := Cost{Errors: ep.errorRate * errorCost, TieBreak: tieBreak(ep.placed.ID, now)}
 	if ep.stalledFor(now) > stallAfter {
-		cost += stallCost
+		cost.Stalled = stallCost
 	}
 	if ep.cold(now) {
-		cost += coldCost
+		cost.Cold = coldCost
 	}
 	if ep.placed.DataCentre != p.dc {
-		cost += otherDCCost
+		cost.OtherDataCentre = otherDCCost
 	}
 	if !ep.isEngine() {
-		cost += slotCost * ep.assumedRunning() / float64(ep.slots())
+		cost.Slots = slotCost * ep.assumedRunning() / float64(ep.slots())
 	}
 	if req.large() && !home {
-		cost += offHomeCost
+		cost.OffHome = offHomeCost
 	}
-	cost += p.firstEvent(req, ep, home, now)
-	return cost + tieBreak(ep.placed.ID, now)
+	cost.Work = p.firstEvent(req, ep, home, now)
+	return cost
 }
 
 // firstEvent predicts the seconds until the response would start if the request were sent to
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -83,6 +83,18 @@
 	return info, nil
 }
 
+func (testDialect) Describe(header http.Header, prompt proxy.Prompt) {
+	header.Set(headerID, string(prompt.ID))
+	var ids []string
+	for _, part := range prompt.Parts {
+		ids = append(ids, part.ID)
+	}
+	if len(ids) > 0 {
+		header.Set(headerPrefix, ids[0])
+		header.Set(headerParts, strings.Join(ids, ","))
+	}
+}
+
 func (testDialect) RemoveCaller(header http.Header) {
 	header.Del(headerCredential)
 	header.Del(headerOrganisation)
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -121,19 +121,21 @@
 	return r.placeLocally(snap)
 }
 
-// placeLocally selects an endpoint of the local region without waiting.
+// placeLocally selects an endpoint of the local region for a large prompt, which may be
+// held until its engine has room.
 func (r *run) placeLocally(snap *control.Snapshot) (destination, *types.Failure) {
 	if !r.req.allows(snap.Self.Region) {
 		return destination{}, notRunFailure(types.CodeResidency, "the route's data may not be used in this region", notReadyRetryAfter)
 	}
-	balancerRequest := r.balancerRequest()
-	permit, refusal := r.h.opts.Gate.Try(balancerRequest)
-	if permit != nil {
+	permit, refusal, held, err := r.h.opts.Gate.Hold(r.ctx, r.balancerRequest())
+	r.held += held
+	r.h.opts.Metrics.countHold(r.req.Service, held, permit != nil)
+	switch {
+	case err != nil:
+		return destination{}, r.contextFailure(types.NotRun)
+	case permit != nil:
 		return destination{endpoint: permit}, nil
 	}
-	if refusal == nil {
-		refusal = r.h.opts.Gate.Refuse(balancerRequest)
-	}
 	return destination{}, refusalFailure(refusal)
 }
 
@@ -215,18 +217,12 @@
 	if r.req.ForwardedBy != "" || r.hops > 0 || r.out.committed {
 		return members.Member{}, false
 	}
-	here := r.h.opts.Gate.Response(r.req.Service)
-	if here <= regions.RoundTrip {
-		return members.Member{}, false
-	}
-	usableRegion := r.usableRegion(snap)
 	loads := regions.Loads(snap.View, snap.Members, r.req.Service)
-	if told := loads[snap.Self.Region].Response; told > 0 {
-		here = told
+	here, slow := r.responseHere(snap, loads)
+	if !slow {
+		return members.Member{}, false
 	}
-	region, found := regions.PickSooner(loads, here, func(region types.Region) bool {
-		return region != snap.Self.Region && usableRegion(region)
-	}, r.h.opts.Rand)
+	region, found := regions.PickSooner(loads, here, r.otherRegion(snap), r.h.opts.Rand)
 	if !found {
 		return members.Member{}, false
 	}
@@ -234,6 +230,17 @@
 	return r.randomDaemon(snap, region), true
 }
 
+// responseHere returns the time to the first event in the local region, and whether it is
+// so long that another region may respond sooner.
+func (r *run) responseHere(snap *control.Snapshot, loads map[types.Region]regions.Load) (here time.Duration, slow bool) {
+	here = r.h.opts.Gate.Response(r.req.Service)
+	slow = here > regions.RoundTrip
+	if told := loads[snap.Self.Region].Response; told > 0 {
+		here = told
+	}
+	return here, slow
+}
+
 // randomDaemon picks a daemon of a region that has some.
 func (r *run) randomDaemon(snap *control.Snapshot, region types.Region) members.Member {
 	serving := r.serving(snap, region)
@@ -267,13 +274,21 @@
 // pickRemoteDaemon picks another region by its free slots and a random daemon in
 // it.
 func (r *run) pickRemoteDaemon(snap *control.Snapshot, minFree float64) (members.Member, bool) {
-	usableRegion := r.usableRegion(snap)
 	loads := regions.Loads(snap.View, snap.Members, r.req.Service)
-	region, found := regions.PickSpillover(loads, minFree, func(region types.Region) bool {
-		return region != snap.Self.Region && usableRegion(region)
-	}, r.h.opts.Rand)
+	region, found := regions.PickSpillover(loads, minFree, r.otherRegion(snap), r.h.opts.Rand)
 	if !found {
 		return members.Member{}, false
 	}
 	return r.randomDaemon(snap, region), true
 }
+
+// spilloverRegions returns the regions among which pickRemoteDaemon picks.
+func (r *run) spilloverRegions(snap *control.Snapshot, minFree float64) []types.Region {
+	return regions.Candidates(regions.Loads(snap.View, snap.Members, r.req.Service), minFree, r.otherRegion(snap))
+}
+
+// otherRegion returns a predicate for the other regions whose daemons may take the request.
+func (r *run) otherRegion(snap *control.Snapshot) func(types.Region) bool {
+	usableRegion := r.usableRegion(snap)
+	return func(region types.Region) bool { return region != snap.Self.Region && usableRegion(region) }
+}
--- a/pkg/gateway/regions/sooner.go
+++ b/pkg/gateway/regions/sooner.go
@@ -31,11 +31,11 @@
 	l.Response += (seen - l.Response) / time.Duration(told[region])
 }
 
-// share returns the share of the requests that would be sent from a region with a response
+// SoonerShare returns the share of the requests that would be sent from a region with a response
 // time to one with another. It falls to zero as the other region, the way included, responds
 // no sooner, and grows slowly, so that daemons that act on the same old reports neither send
 // all of their requests at once nor swing.
-func share(here, there time.Duration) float64 {
+func SoonerShare(here, there time.Duration) float64 {
 	gain := here - there - RoundTrip
 	if there <= 0 || gain < minGain {
 		return 0
@@ -56,7 +56,7 @@
 	var candidates []candidate
 	var largest, total float64
 	for region, load := range loads {
-		portion := share(here, load.Response)
+		portion := SoonerShare(here, load.Response)
 		if portion == 0 || !usable(region) {
 			continue
 		}
