graceful: a connection whose request has arrived does not yield any more

Cause, by reading: between the choice of the connection that yields and its close, its handler could begin; the request was then cut.

Change: the close is decided under the connection's lock.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -179,13 +179,22 @@
 	return c.idleDeadlines > 1
 }
 
-// yield closes the connection to make room for others.
-func (c *conn) yield() {
-	c.mu.Lock()
-	c.yielded = true
-	c.mu.Unlock()
+// yield closes the connection to make room for others, unless its request has arrived
+// meanwhile. It reports whether it did.
+func (c *conn) yield() bool {
+	if !c.markYielded() {
+		return false
+	}
 	// A connection that is closed already makes room as well.
 	_ = c.Close()
+	return true
+}
+
+func (c *conn) markYielded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.yielded = c.phase != handling
+	return c.yielded
 }
 
 // becomeIdle records that the HTTP server begins to wait for the next request.
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -375,12 +375,16 @@
 	}
 }
 
-// yield closes a connection to make room for others.
-func (s *Server) yield(c *conn) {
-	c.yield()
+// yield closes a connection to make room for others, unless its request has arrived
+// meanwhile, and reports whether it did.
+func (s *Server) yield(c *conn) bool {
+	if !c.yield() {
+		return false
+	}
 	if s.opts.Yielded != nil {
 		s.opts.Yielded()
 	}
+	return true
 }
 
 // trackingListener accepts connections that the server keeps account of.
@@ -420,8 +424,7 @@
 	}
 	for {
 		longest, wait := s.waiters.takeLongest()
-		if longest != nil {
-			s.yield(longest)
+		if longest != nil && s.yield(longest) {
 			wait = yieldAfter
 		}
 		select {
