--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -146,7 +146,7 @@
 func (p *Pool) Explain(req RequestInfo, now time.Time) Explanation {
 	var found Explanation
 	if q := p.queues[req.Service]; q != nil {
-		found.Ahead = q.ahead(req)
+		found.Ahead = q.shares.ahead(req)
 	}
 	found.Trace.dropLeaving(p, req.Service)
 	chosen, _, eligible := p.choose(req, &found.Trace, now)
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -81,6 +81,10 @@
 	Now        func() time.Time
 	// Rand must be safe for concurrent use.
 	Rand route.Rand
+	// RevocationLimit is the time within which a credential that was taken away stops
+	// working, also while this daemon hears nothing; zero sets no limit. ConfigLimit is
+	// the time within which a daemon that hears of changes has them; zero means at once.
+	RevocationLimit, ConfigLimit time.Duration
 	// Suspended returns for how long the VM was suspended, which Now does not count;
 	// nil means never.
 	Suspended func() time.Duration
@@ -147,7 +151,7 @@
 // ServeHTTP serves a caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.opts.Now()
-	snap := h.awaitStartup(r.Context(), hasConfig)
+	snap := h.awaitStartup(r.Context(), h.identifiable)
 	req, failure := h.accept(r, snap, arrived)
 	if failure == nil {
 		h.opts.Demand.Record(req.Route)
@@ -168,8 +172,10 @@
 // refuse responds to a request that can't be accepted.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, failure *types.Failure) {
 	h.opts.Metrics.countRefusal(failure)
+	// A header without an ID that can be read gives none.
+	info, _ := h.opts.Dialect.RequestInfo(r.Header)
 	h.opts.Log.Request(logrus.Fields{
-		"method": r.Method, "host": r.Host, "path": pathOf(r), "code": failure.Code, "reason": failure.Message,
+		"request": info.ID, "method": r.Method, "host": r.Host, "path": pathOf(r), "code": failure.Code, "reason": failure.Message,
 	}, true)
 	// The unread rest of the body must not delay the response.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyDrainTimeout))
