--- a/pkg/gateway/balance/queue.go
+++ b/pkg/gateway/balance/queue.go
@@ -51,11 +51,11 @@
 // queue holds the waiting requests of one service, the most urgent first.
 type queue struct {
 	waiting []*Waiter
-	shares  fairShares
 	// held holds large prompts until an engine has room, the one with the least slack
 	// first.
-	held []*Waiter
-	seq  uint64
+	held   []*Waiter
+	shares fairShares
+	seq    uint64
 	// otherSentAt is when an endpoint last got a request that is not large.
 	otherSentAt time.Time
 	// refused counts the requests refused for lack of capacity.
@@ -112,22 +112,16 @@
 	}
 }
 
-// canTake reports whether the queue has room for the request, or can make room.
-func (q *queue) canTake(req RequestInfo) bool {
+// makeRoom refuses the last request of the organisation that crowds a full queue, in favour
+// of a new one, and reports whether there is room.
+func (p *Pool) makeRoom(q *queue, req RequestInfo, now time.Time) bool {
 	if len(q.waiting) < maxWaiting {
 		return true
 	}
-	_, found := q.shares.crowding(req)
-	return found
-}
-
-// makeRoom refuses a waiting request of the caller that crowds a full queue most, in favour
-// of a request that the queue can take.
-func (p *Pool) makeRoom(q *queue, req RequestInfo, now time.Time) {
-	if len(q.waiting) < maxWaiting {
-		return
+	crowding, found := q.shares.crowding(req)
+	if !found {
+		return false
 	}
-	crowding, _ := q.shares.crowding(req)
 	for _, waiter := range slices.Backward(q.waiting) {
 		if flowOf(waiter.RequestInfo) == crowding {
 			waiter.left = true
@@ -136,6 +130,7 @@
 		}
 	}
 	q.removeLeft()
+	return true
 }
 
 // maxWait returns how long a request may still wait and be useful; it may have
@@ -156,17 +151,26 @@
 // its predicted wait is too long or the queue is full.
 func (p *Pool) Enqueue(req RequestInfo, now time.Time) (*Waiter, *Refusal) {
 	wait, refused := p.expectedQueueWait(req, now)
-	if refused {
+	if refused || !p.makeRoom(p.queueOf(req.Service), req, now) {
 		return nil, p.Refuse(req, now)
 	}
 	q, allowed := p.queueOf(req.Service), wait.allowed
-	p.makeRoom(q, req, now)
 	q.seq++
 	waiter := &Waiter{RequestInfo: req, ExpiresAt: now.Add(allowed), seq: q.seq, Granted: make(chan *Permit, 1), Refused: make(chan *Refusal, 1)}
 	q.insert(waiter)
 	return waiter, nil
 }
 
+// hasRoom reports whether a request may wait: the queue is not full, or another organisation
+// crowds it.
+func (q *queue) hasRoom(req RequestInfo) bool {
+	if len(q.waiting) < maxWaiting {
+		return true
+	}
+	_, found := q.shares.crowding(req)
+	return found
+}
+
 // expectedWait is how long a request would wait.
 type expectedWait struct {
 	// predicted is until there is room for it, allowed the longest wait.
@@ -177,7 +181,7 @@
 // refused instead.
 func (p *Pool) expectedQueueWait(req RequestInfo, now time.Time) (wait expectedWait, refused bool) {
 	wait = expectedWait{predicted: p.predictedWait(req, now), allowed: maxWait(req, now)}
-	return wait, wait.predicted > wait.allowed || !p.queueOf(req.Service).canTake(req)
+	return wait, wait.predicted > wait.allowed || !p.queueOf(req.Service).hasRoom(req)
 }
 
 // predictedWait returns the predicted time until the request and those ahead of
