--- a/pkg/gateway/quota/quota_test.go
+++ b/pkg/gateway/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -13,9 +14,23 @@
 
 func TestQuota(t *testing.T) {
 	RegisterFailHandler(Fail)
+	moreChecks(t)
 	RunSpecs(t, "quota")
 }
 
+// moreChecks lets each property be checked some thousand times, unless the command line
+// asks for another number.
+func moreChecks(t *testing.T) {
+	const name, usual, checks = "rapid.checks", "100", "2000"
+	known := flag.Lookup(name)
+	if known.Value.String() != usual {
+		return
+	}
+	if err := flag.Set(name, checks); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func organisation(limit catalog.Quota) []*catalog.Organisation {
 	return []*catalog.Organisation{{Name: modelOrganisation, Quota: &limit}}
 }
