proxy: units of a handover that was admitted and dropped are spent

Cause: an admitted handover takes its units when the other daemon has reserved an endpoint, and its body is released then. If the request ends before that attempt (its deadline is near, its caller has gone, or a trait is withheld), dropHandover spent the charge of the retry budget, as the request may have arrived, but finish gave the units of the quota back: a run that nothing was charged for.

Change: dropHandover spends the units too, current or reserved.

Failed before: two specs of quota_internal_test.go found 1 unit left instead of 0 (go test ./pkg/gateway/proxy -ginkgo.focus 'admitted handover'). After: the package's tests pass (88.9 s).

--- a/pkg/gateway/proxy/handover.go
+++ b/pkg/gateway/proxy/handover.go
@@ -180,10 +180,11 @@
 }
 
 // dropHandover ends a handover that was admitted and is not waited for. Its request may
-// have arrived, so its charge is spent.
+// have arrived, so its charge and its units are spent.
 func (r *run) dropHandover(plan *handover) {
 	plan.discard()
 	r.chargedAt = time.Time{}
+	r.quota.spend()
 }
 
 // reserveForwarded reserves an endpoint, if the daemon that forwarded the request asks for
--- a/pkg/gateway/proxy/quota.go
+++ b/pkg/gateway/proxy/quota.go
@@ -136,6 +136,12 @@
 	return q.current != nil
 }
 
+// spend forgets the units of an attempt that may run, also if they are only reserved.
+func (q *quotaCharge) spend() {
+	q.take()
+	q.set(nil)
+}
+
 // set replaces the current units.
 func (q *quotaCharge) set(units *quotaUnits) {
 	q.mu.Lock()
--- /dev/null
+++ b/pkg/gateway/proxy/quota_internal_test.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
+	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
+	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+var _ = ginkgo.Describe("The units of an admitted handover", func() {
+	// minted is what a daemon alone has minted of a rate of 1 and a burst of 4.
+	const minted = 2
+	var (
+		r      *run
+		quotas *exchange.Exchange
+	)
+	// left takes what is left, and returns it.
+	left := func() (units int) {
+		for {
+			if _, ok := quotas.TryCharge("limited", 1); !ok {
+				return units
+			}
+			units++
+		}
+	}
+	ginkgo.BeforeEach(func() {
+		log, registry := logrus.New(), prometheus.NewRegistry()
+		log.SetOutput(io.Discard)
+		now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+		quotas = exchange.New(exchange.Options{
+			Metrics: exchange.NewMetrics(registry), Guard: guard.New(log, registry), Log: log, Now: func() time.Time { return now }, Rand: rand.NewPCG(1, 2),
+		})
+		ginkgo.DeferCleanup(quotas.Close)
+		limited := &catalog.Organisation{Name: "limited", Quota: &catalog.Quota{Rate: 1, Burst: 4}}
+		quotas.Update(&catalog.Config{Organisations: []*catalog.Organisation{limited}}, quota.Neighbours{Self: "self", Holder: "self"}, 1)
+		now = now.Add(time.Minute)
+		r = &run{ctx: context.Background(), h: &Handler{opts: Options{Quotas: quotas}}, req: &Request{Organisation: limited, Route: &catalog.Route{}}}
+
+		// The attempt before it has run.
+		Expect(r.chargeQuota()).To(BeNil())
+		Expect(r.reserveQuota()).To(BeTrue())
+		r.reached = true
+		r.settleQuota(types.NewFailure(types.MayHaveRun, types.CodeEndpointFailed, ""))
+	})
+	admitted := func() *handover {
+		plan := &handover{done: make(chan struct{})}
+		plan.conn.cancel = func() {}
+		close(plan.done)
+		return plan
+	}
+
+	ginkgo.It("are not given back if the request ends before the next attempt, since it may run", func() {
+		r.dropHandover(admitted())
+		r.refundQuotas()
+		Expect(left()).To(BeZero())
+	})
+
+	ginkgo.It("are not given back if the next attempt is refused here, since it may run", func() {
+		Expect(r.chargeQuota()).To(BeNil())
+		r.dropHandover(admitted())
+		r.refundQuotas()
+		Expect(left()).To(BeZero())
+	})
+
+	ginkgo.It("are given back if no handover was admitted", func() {
+		r.refundQuotas()
+		Expect(left()).To(Equal(minted - 1))
+	})
+})
