proxy: a credential that can't be confirmed leaves quota and regions in force

Cause: identify cleared the organisation before it decided. An attempt that another daemon has admitted goes on though identifyAgain fails (that daemon checks for itself), so what followed it had no organisation: chargeQuota took no units, and place passed over the home regions. If the configuration was confirmed again by the next check, that attempt ran uncharged, and perhaps outside its regions. The line of a request refused so named nobody.

Change: identify sets the organisation only where it decides; a refusal leaves it.

Failed before: 'An organisation whose credential can't be confirmed before an admitted handover' (quota_internal_test.go: quotaCost limited nothing).

--- a/pkg/gateway/proxy/organisation.go
+++ b/pkg/gateway/proxy/organisation.go
@@ -14,25 +14,30 @@
 // identify sets which organisation the request is of, on the configuration in force, or
 // refuses the request. It decides nothing if the configuration lists no organisations, and
 // asks for no credential on a public route. While the configuration may be too old, a
-// refusal promises only that the request has not run.
+// refusal promises only that the request has not run. A refused request keeps the
+// organisation that it had: its quota and its regions bind what follows an attempt that
+// another daemon has admitted already.
 func (h *Handler) identify(req *Request, snap *control.Snapshot) *types.Failure {
 	config := snap.View.Config
-	req.Organisation, req.Identified = nil, config != nil && len(config.Organisations) > 0
+	req.Identified = config != nil && len(config.Organisations) > 0
 	if !req.Identified && req.identifiedIn == 0 {
+		req.Organisation = nil
 		return nil
 	}
 	if config == nil || config.Version < req.identifiedIn && config.OrganisationOf(req.Credential) == nil {
 		return notRunFailure(types.CodeUnconfirmed, "this daemon lacks the configuration that names the caller", notReadyRetryAfter)
 	}
 	if !req.Identified || req.Route.Public {
+		req.Organisation = nil
 		return nil
 	}
 	if until := h.trustedUntil(snap); !until.IsZero() && !h.budgetTime().Before(until) {
 		return unconfirmedFailure()
 	}
-	req.Organisation = config.OrganisationOf(req.Credential)
+	organisation := config.OrganisationOf(req.Credential)
 	switch {
-	case req.Organisation != nil:
+	case organisation != nil:
+		req.Organisation = organisation
 		return nil
 	case h.mayLackVersions(snap):
 		return unconfirmedFailure()
--- a/pkg/gateway/proxy/quota_internal_test.go
+++ b/pkg/gateway/proxy/quota_internal_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
@@ -78,3 +79,35 @@
 		Expect(left()).To(Equal(minted - 1))
 	})
 })
+
+var _ = ginkgo.Describe("An organisation whose credential can't be confirmed before an admitted handover", func() {
+	ginkgo.It("binds the attempts after that by its quota and its regions", func() {
+		limited := &catalog.Organisation{
+			Name: "limited", Credentials: []catalog.CredentialDigest{catalog.DigestOf("key")}, AllowedRegions: []types.Region{"north"},
+			Quota: &catalog.Quota{Rate: 1, Burst: 4},
+		}
+		route := &catalog.Route{Name: "r", Host: "a.example", Prefix: "/"}
+		config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Organisations: []*catalog.Organisation{limited}}
+		config.Prepare()
+		now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+		snapshot := &control.Snapshot{View: &catalog.View{Config: config}, ConfirmedAt: now}
+		h := &Handler{opts: Options{
+			Now: func() time.Time { return now }, Snapshot: func() *control.Snapshot { return snapshot },
+			RevocationLimit: time.Second, Quotas: exchange.New(exchange.Options{}),
+		}}
+		ginkgo.DeferCleanup(h.opts.Quotas.Close)
+		r := &run{ctx: context.Background(), h: h, req: &Request{RequestInfo: RequestInfo{Credential: catalog.DigestOf("key")}, Route: route}}
+		expectBound := func() {
+			ginkgo.GinkgoHelper()
+			_, charged := r.quotaCost()
+			Expect(charged).To(BeTrue())
+			Expect(r.req.allows("south")).To(BeFalse())
+		}
+		Expect(r.identifyAgain()).To(BeNil())
+		expectBound()
+
+		now = now.Add(time.Second)
+		Expect(r.identifyAgain()).NotTo(BeNil())
+		expectBound()
+	})
+})
