proxy: specs of the time limit on credentials while connecting, and of units reserved again

Cause: mutants of attempt.go and forward.go without usableBy, and of reserveQuota without the refund of earlier units, passed the focused specs.

Change: the VM is suspended between the decision to send and the connection, here and on a hop; units are reserved twice. The quota of the specs of handovers is larger, so that there is something to reserve again.

--- a/pkg/gateway/proxy/organisation_test.go
+++ b/pkg/gateway/proxy/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -221,6 +222,17 @@
 	})
 })
 
+// suspendingTransport calls suspend before it sends a request.
+type suspendingTransport struct {
+	http.RoundTripper
+	suspend func()
+}
+
+func (t suspendingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.suspend()
+	return t.RoundTripper.RoundTrip(r)
+}
+
 // confirm publishes that the configuration was confirmed some time ago.
 func (w *testProxy) confirm(age time.Duration) {
 	snap := *w.snapshot()
@@ -307,6 +319,36 @@
 		refused(call())
 	})
 
+	// suspendedAtSend makes a proxy's VM suspended for the limit after it has decided to
+	// send a request, and before it has a connection.
+	suspendedAtSend := func(w *testProxy) {
+		var suspended atomic.Int64
+		options := w.options()
+		options.Suspended = func() time.Duration { return time.Duration(suspended.Load()) }
+		options.Transport = suspendingTransport{RoundTripper: proxy.NewTransport(), suspend: func() { suspended.Store(int64(limit)) }}
+		w.handler = proxy.New(options)
+		w.callerServer.Config.Handler = w.handler
+	}
+
+	It("is not sent over a connection that is obtained when the configuration is too old", func() {
+		w.confirm(time.Minute)
+		suspendedAtSend(w)
+		Expect(call().status).To(Equal(503))
+		Expect(e.count()).To(BeZero())
+	})
+
+	It("is not passed on to another daemon over such a connection either", func() {
+		w.confirm(time.Minute)
+		south := newTestProxy(catalog.Idempotent)
+		south.moveSouth(w.asMember())
+		south.organisations, south.revocationLimit = []*catalog.Organisation{organisation("first")}, limit
+		south.start(e)
+		south.confirm(time.Minute)
+		suspendedAtSend(south)
+		Expect(south.call("GET", "/r/", "", headerCredential, "first").status).To(Equal(503))
+		Expect(e.count()).To(BeZero())
+	})
+
 	It("is denied or refused by the age of the configuration where no limit binds", func() {
 		w = newTestProxy(catalog.Idempotent)
 		w.organisations, w.configLimit = []*catalog.Organisation{organisation("first")}, limit
--- a/pkg/gateway/proxy/quota_internal_test.go
+++ b/pkg/gateway/proxy/quota_internal_test.go
@@ -20,8 +20,8 @@
 )
 
 var _ = ginkgo.Describe("The units of an admitted handover", func() {
-	// minted is what a daemon alone has minted of a rate of 1 and a burst of 4.
-	const minted = 2
+	// minted is what a daemon alone has minted of a rate of 1 and a burst of 6.
+	const minted = 4
 	var (
 		r      *run
 		quotas *exchange.Exchange
@@ -43,7 +43,7 @@
 			Metrics: exchange.NewMetrics(registry), Guard: guard.New(log, registry), Log: log, Now: func() time.Time { return now }, Rand: rand.NewPCG(1, 2),
 		})
 		ginkgo.DeferCleanup(quotas.Close)
-		limited := &catalog.Organisation{Name: "limited", Quota: &catalog.Quota{Rate: 1, Burst: 4}}
+		limited := &catalog.Organisation{Name: "limited", Quota: &catalog.Quota{Rate: 1, Burst: 6}}
 		quotas.Update(&catalog.Config{Organisations: []*catalog.Organisation{limited}}, quota.Neighbours{Self: "self", Holder: "self"}, 1)
 		now = now.Add(time.Minute)
 		r = &run{ctx: context.Background(), h: &Handler{opts: Options{Quotas: quotas}}, req: &Request{Organisation: limited, Route: &catalog.Route{}}}
@@ -64,14 +64,20 @@
 	ginkgo.It("are not given back if the request ends before the next attempt, since it may run", func() {
 		r.dropHandover(admitted())
 		r.refundQuotas()
-		Expect(left()).To(BeZero())
+		Expect(left()).To(Equal(minted - 2))
 	})
 
 	ginkgo.It("are not given back if the next attempt is refused here, since it may run", func() {
 		Expect(r.chargeQuota()).To(BeNil())
 		r.dropHandover(admitted())
 		r.refundQuotas()
-		Expect(left()).To(BeZero())
+		Expect(left()).To(Equal(minted - 2))
+	})
+
+	ginkgo.It("are given back once if they are reserved again", func() {
+		Expect(r.reserveQuota()).To(BeTrue())
+		r.refundQuotas()
+		Expect(left()).To(Equal(minted - 1))
 	})
 
 	ginkgo.It("are given back if no handover was admitted", func() {
