Give back the memory of an engine as it was counted

A prompt larger than the engine's memory counts nothing, but marked its prefix as shared, and a request was taken off by the memory of the moment, not by that of its start. At an engine that is never idle the difference stayed: the prefix of a prompt that shared it with a too large one was never given back, and a request that ended after the memory of the service changed was not given back at all. In the specs the engine of 350,000 tokens then took no 100,000-token prompt although only a small request ran, after at most five such requests.

The permit now holds the memory that it was counted with, and a too large prompt marks no prefix.

--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -104,6 +104,8 @@
 	// prefillTokens is the number of prompt tokens that the endpoint has to
 	// prefill for the request.
 	prefillTokens float64
+	// memoryTokens is the memory of the endpoint when the permit was granted, in tokens.
+	memoryTokens int
 	// prefillBacklog is the endpoint's outstanding prompt work, in tokens, when
 	// the permit was granted, this request included.
 	prefillBacklog float64
--- a/pkg/gateway/balance/memory.go
+++ b/pkg/gateway/balance/memory.go
@@ -26,10 +26,10 @@
 	return max(needed, 0)
 }
 
-// add counts a request.
+// add counts a request at an engine with a capacity.
 func (m *memoryUse) add(req RequestInfo, capacity int) {
 	m.tokens += m.of(req, capacity)
-	if !req.large() {
+	if !req.large() || req.PromptTokens > capacity {
 		return
 	}
 	if m.prefixes == nil {
@@ -38,9 +38,9 @@
 	m.prefixes[req.Prefix]++
 }
 
-// remove no longer counts a request.
+// remove no longer counts a request that was added with a capacity.
 func (m *memoryUse) remove(req RequestInfo, capacity int) {
-	if req.large() {
+	if req.large() && req.PromptTokens <= capacity {
 		m.prefixes[req.Prefix]--
 		if m.prefixes[req.Prefix] <= 0 {
 			delete(m.prefixes, req.Prefix)
--- a/pkg/gateway/balance/memory_test.go
+++ b/pkg/gateway/balance/memory_test.go
@@ -50,6 +50,66 @@
 		Expect(count(false)).To(Equal(18))
 	})
 
+	// room returns a pool with an engine that is never idle, and how many prompts it takes.
+	room := func(pool *balance.Pool) int {
+		var permits []*balance.Permit
+		for prefix := range uint64(9) {
+			permit := requestPermit(pool, prompt(500+prefix), start)
+			if permit == nil {
+				break
+			}
+			pool.ResponseStarted(permit, start.Add(readTime))
+			permits = append(permits, permit)
+		}
+		for _, permit := range permits {
+			pool.Done(permit, balance.Succeeded, start.Add(readTime))
+		}
+		return len(permits)
+	}
+	busyPool := func() *balance.Pool {
+		pool := newPool(view(1, 0, nil), 1)
+		small := requestPermit(pool, newRequest(engines, 0), start)
+		pool.ResponseStarted(small, start)
+		return pool
+	}
+
+	It("is given back in full when a prompt beyond it shared a prefix", func() {
+		pool := busyPool()
+		before := room(pool)
+		for range 5 {
+			first, beyond := prompt(1), prompt(1)
+			first.PromptTokens, first.PrefixTokens = 90_000, 80_000
+			beyond.PromptTokens, beyond.PrefixTokens = 400_000, 80_000
+			one := requestPermit(pool, first, start)
+			Expect(one).NotTo(BeNil())
+			pool.ResponseStarted(one, start)
+			other := requestPermit(pool, beyond, start)
+			Expect(other).NotTo(BeNil())
+			pool.Done(one, balance.Succeeded, start)
+			pool.Done(other, balance.Abandoned, start)
+		}
+		Expect(room(pool)).To(Equal(before))
+	})
+
+	It("is given back in full when its size changed meanwhile", func() {
+		pool := busyPool()
+		before := room(pool)
+		resize := func(tokens int) {
+			v := view(1, 0, nil)
+			v.Config.Services[engines].Engine.CacheTokens = tokens
+			pool.Update(v, balance.Membership{Self: "d0", PeakLive: 1})
+		}
+		for prefix := range uint64(5) {
+			permit := requestPermit(pool, prompt(prefix+1), start)
+			Expect(permit).NotTo(BeNil())
+			pool.ResponseStarted(permit, start)
+			resize(80_000)
+			pool.Done(permit, balance.Succeeded, start)
+			resize(350_000)
+		}
+		Expect(room(pool)).To(Equal(before))
+	})
+
 	It("takes a prompt of any size if nothing else runs", func() {
 		pool := newPool(view(1, 0, nil), 1)
 		huge := withPrefix(1)
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -163,12 +163,12 @@
 // reserve counts the request as in flight at the endpoint and returns its
 // permit.
 func (p *Pool) reserve(req RequestInfo, ep *endpointState, home bool, now time.Time) *Permit {
-	permit := &Permit{Endpoint: ep.placed, state: ep, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), grantedAt: now}
+	permit := &Permit{Endpoint: ep.placed, state: ep, req: req, prefillTokens: p.prefillTokens(req, ep, home, now), memoryTokens: ep.memoryTokens(), grantedAt: now}
 	if ep.isEngine() {
 		permit.prediction = p.predict(req, ep, home, now)
 	}
 	ep.inFlight++
-	ep.memory.add(req, ep.memoryTokens())
+	ep.memory.add(req, permit.memoryTokens)
 	ep.prefillTokens += permit.prefillTokens
 	permit.prefillBacklog = ep.prefillTokens
 	permit.running = ep.assumedRunning()
@@ -197,8 +197,8 @@
 		ep.removePending(permit)
 	}
 	ep.inFlight = max(ep.inFlight-1, 0)
-	if ep.memory.remove(permit.req, ep.memoryTokens()); ep.inFlight == 0 {
-		ep.memory = memoryUse{} // the capacity may have changed meanwhile
+	if ep.memory.remove(permit.req, permit.memoryTokens); ep.inFlight == 0 {
+		ep.memory = memoryUse{} // requests may have told different sizes of one prefix
 	}
 	if permit.req.large() {
 		ep.large = max(ep.large-1, 0)
