Bound one observation of the pace of events

A caller that reads slowly makes long pauses, and its response succeeds. One mean pause of 30 s beside 40 running requests made what each running request adds 341 ms instead of 0.8 ms in the spec, which failed before: large prompts avoid that endpoint for seconds, and the service's line passes it on to the others. An observation counts as at most four times what is predicted, or 0.1 s.

--- a/pkg/gateway/estimate/estimate.go
+++ b/pkg/gateway/estimate/estimate.go
@@ -64,8 +64,12 @@
 
 const (
 	// maxFactor bounds one observation of the level, either way: a prompt that was
-	// cached, or waited for a slot, tells little about the speed.
+	// cached, or waited for a slot, tells little about the speed. It bounds one of the
+	// pace upwards: a caller that reads slowly makes long pauses.
 	maxFactor = 4.0
+	// unboundedPace is the pause, in seconds, up to which an observation of the pace is
+	// not bounded.
+	unboundedPace = 0.1
 	// maxPromptWork bounds the prompt work of an observation, in tokens.
 	maxPromptWork = 1e6
 	// maxSlowdown bounds one observation of a slowdown.
@@ -192,9 +196,13 @@
 	if mean <= 0 || longest < mean {
 		return
 	}
+	took := mean.Seconds()
+	if model := e.modelAt(now); e.pace.mass+e.service.pace.mass > 0 {
+		took = min(took, max(maxFactor*(model.paceBase+model.paceGrowth*running), unboundedPace))
+	}
 	e.model.valid = false
-	e.pace.add(running, mean.Seconds(), endpointLifetime, now)
-	e.service.observePace(running, mean.Seconds(), now)
+	e.pace.add(running, took, endpointLifetime, now)
+	e.service.observePace(running, took, now)
 	e.pause.addMoment(longest.Seconds(), now)
 }
 
--- a/pkg/gateway/estimate/estimate_test.go
+++ b/pkg/gateway/estimate/estimate_test.go
@@ -185,6 +185,20 @@
 		Expect(known.Predict(estimate.Work{PrefillTokens: 1000}, estimate.Load{Running: 10}, now).FirstEvent).To(BeNumerically(">", 0))
 	})
 
+	It("is not led astray by one response that its caller read slowly", func() {
+		known := estimate.New()
+		now := start
+		for i := range 60 {
+			now = now.Add(50 * time.Millisecond)
+			running := float64(1 + i%20)
+			pace := 33*time.Millisecond + time.Duration(running*800)*time.Microsecond
+			known.ObservePace(running, pace, pace*3/2, now)
+		}
+		usual := known.StepGrowth(now)
+		known.ObservePace(40, 30*second, 60*second, now)
+		Expect(known.StepGrowth(now)).To(BeNumerically("<", 5*usual))
+	})
+
 	It("takes less than 2 KB", func() {
 		Expect(int(unsafe.Sizeof(estimate.Endpoint{}))).To(BeNumerically("<", 2048))
 	})
