Bound one time until a response to a small request started

It decides what goes to other regions. Those that the model of an endpoint learns were bounded by 5 s and positive already, the average of the service was not: after ten of 50 ms, one of minus an hour (a clock that ran back) made it -720 s in the spec, which failed before. One of an hour makes it at most 1.1 s now.

--- a/pkg/gateway/estimate/estimate_test.go
+++ b/pkg/gateway/estimate/estimate_test.go
@@ -199,6 +199,19 @@
 		Expect(known.StepGrowth(now)).To(BeNumerically("<", 5*usual))
 	})
 
+	It("bounds one time until the response to a small request started", func() {
+		service := estimate.NewService()
+		now := start
+		for range 10 {
+			now = now.Add(20 * time.Millisecond)
+			service.ObserveResponse(50*time.Millisecond, now)
+		}
+		service.ObserveResponse(-time.Hour, now)
+		Expect(service.Response(now)).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+		service.ObserveResponse(time.Hour, now)
+		Expect(service.Response(now)).To(BeNumerically("<=", 1100*time.Millisecond))
+	})
+
 	It("takes less than 2 KB", func() {
 		Expect(int(unsafe.Sizeof(estimate.Endpoint{}))).To(BeNumerically("<", 2048))
 	})
--- a/pkg/gateway/estimate/service.go
+++ b/pkg/gateway/estimate/service.go
@@ -114,7 +114,10 @@
 // ObserveResponse learns from the time until the response to a small request started at any
 // endpoint of the service.
 func (s *Service) ObserveResponse(took time.Duration, now time.Time) {
-	s.response.addMoment(took.Seconds(), now)
+	if took <= 0 {
+		return
+	}
+	s.response.addMoment(min(took.Seconds(), maxSmallSeconds), now)
 }
 
 // Response returns the average time until the responses to small requests started lately;
