--- a/pkg/gateway/estimate/estimate_test.go
+++ b/pkg/gateway/estimate/estimate_test.go
@@ -52,7 +52,7 @@
 		Expect(known.Predict(estimate.Work{PrefillTokens: 10_000, Large: true}, estimate.Load{BacklogTokens: 10_000}, now).FirstEvent).
 			To(BeNumerically("~", engine{rate}.prefill(20_000), engine{rate}.prefill(4000)))
 	},
-		Entry("a slow one", 26_500.0), Entry("one of songlam", 37_900.0), Entry("one of hcc", 62_400.0), Entry("a fast one", 106_000.0))
+		Entry("a slow one", 26_500.0), Entry("a usual one", 37_900.0), Entry("one above it", 62_400.0), Entry("a fast one", 106_000.0))
 
 	It("tells the time that each response takes from the time of its prompt", func() {
 		known := estimate.New()
