--- a/pkg/gateway/regions/sooner_test.go
+++ b/pkg/gateway/regions/sooner_test.go
@@ -43,6 +43,21 @@
 		Expect(few["west"] + many["west"]).To(BeZero())
 	})
 
+	It("gets nothing if it may not be used, however soon it responds", func() {
+		for range 100 {
+			_, found := regions.PickSooner(loads(time.Millisecond, time.Millisecond), time.Second, func(types.Region) bool { return false }, rng)
+			Expect(found).To(BeFalse())
+		}
+	})
+
+	It("gets no more than six of ten requests, and regions get them by their slots", func() {
+		sites := loads(time.Millisecond, time.Millisecond)
+		sites["south"] = regions.Load{Slots: 20, Response: time.Millisecond}
+		found := count(sites, 10*time.Second)
+		Expect(found["south"] + found["west"]).To(BeNumerically("~", 600, 60))
+		Expect(found["west"]).To(BeNumerically("~", 450, 60))
+	})
+
 	It("gets nothing if it told nothing lately", func() {
 		Expect(count(loads(0, 0), time.Second)).To(BeEmpty())
 	})
