--- a/pkg/gateway/estimate/estimate_test.go
+++ b/pkg/gateway/estimate/estimate_test.go
@@ -52,7 +52,7 @@
 		Expect(known.Predict(estimate.Work{PrefillTokens: 10_000, Large: true}, estimate.Load{BacklogTokens: 10_000}, now).FirstEvent).
 			To(BeNumerically("~", engine{rate}.prefill(20_000), engine{rate}.prefill(4000)))
 	},
-		Entry("a slow one", 26_500.0), Entry("one of songlam", 37_900.0), Entry("one of hcc", 62_400.0), Entry("a fast one", 106_000.0))
+		Entry("a slow one", 26_500.0), Entry("a usual one", 37_900.0), Entry("one above it", 62_400.0), Entry("a fast one", 106_000.0))
 
 	It("tells the time that each response takes from the time of its prompt", func() {
 		known := estimate.New()
@@ -185,6 +185,33 @@
 		Expect(known.Predict(estimate.Work{PrefillTokens: 1000}, estimate.Load{Running: 10}, now).FirstEvent).To(BeNumerically(">", 0))
 	})
 
+	It("is not led astray by one response that its caller read slowly", func() {
+		known := estimate.New()
+		now := start
+		for i := range 60 {
+			now = now.Add(50 * time.Millisecond)
+			running := float64(1 + i%20)
+			pace := 33*time.Millisecond + time.Duration(running*800)*time.Microsecond
+			known.ObservePace(running, pace, pace*3/2, now)
+		}
+		usual := known.StepGrowth(now)
+		known.ObservePace(40, 30*second, 60*second, now)
+		Expect(known.StepGrowth(now)).To(BeNumerically("<", 5*usual))
+	})
+
+	It("bounds one time until the response to a small request started", func() {
+		service := estimate.NewService()
+		now := start
+		for range 10 {
+			now = now.Add(20 * time.Millisecond)
+			service.ObserveResponse(50*time.Millisecond, now)
+		}
+		service.ObserveResponse(-time.Hour, now)
+		Expect(service.Response(now)).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+		service.ObserveResponse(time.Hour, now)
+		Expect(service.Response(now)).To(BeNumerically("<=", 1100*time.Millisecond))
+	})
+
 	It("takes less than 2 KB", func() {
 		Expect(int(unsafe.Sizeof(estimate.Endpoint{}))).To(BeNumerically("<", 2048))
 	})
