graceful: a connection that does not yield stays in the account of heads

Cause: growHead ended the account of each connection that it chose to close. One whose request arrived as a whole between the choice and its close stays open, but had no account any more: neither this head nor those of its later requests counted.

The account is now only set aside, and counts again if the connection stays.

--- a/pkg/graceful/heads.go
+++ b/pkg/graceful/heads.go
@@ -32,6 +32,8 @@
 	bytes int64
 	// complete is true while the request is served.
 	complete bool
+	// yielding is true while the connection is about to be closed: its memory no longer counts.
+	yielding bool
 }
 
 // NewHeads returns a bound of a number of bytes; zero means no limit.
@@ -62,19 +64,27 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if account := h.open[c]; account != nil {
-		h.held -= account.bytes
+		h.held -= account.counted()
 		delete(h.open, c)
 	}
 }
 
+// counted returns the memory that counts.
+func (a *head) counted() int64 {
+	if a.yielding {
+		return 0
+	}
+	return a.bytes
+}
+
 // grow adds memory to the head of a connection and returns the connections that have to be
-// closed for it, whose accounts it ends. The given one is among them if no other is left.
+// closed for it, whose memory counts no longer. The given one is among them if no other is left.
 func (h *Heads) grow(c *conn, memory int64) []*conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	account := h.open[c]
-	if account == nil {
-		return nil // the connection has ended
+	if account == nil || account.yielding {
+		return nil // the connection has ended or is about to
 	}
 	account.bytes += memory
 	h.held += memory
@@ -85,7 +95,7 @@
 			break
 		}
 		h.held -= h.open[largest].bytes
-		delete(h.open, largest)
+		h.open[largest].yielding = true
 		closing = append(closing, largest)
 	}
 	return closing
@@ -97,7 +107,7 @@
 	var largest *conn
 	most := int64(0)
 	for c, account := range h.open {
-		if !account.complete && account.bytes > most {
+		if !account.complete && !account.yielding && account.bytes > most {
 			largest, most = c, account.bytes
 		}
 	}
@@ -114,12 +124,23 @@
 	}
 }
 
+// keep records that a connection that grow returned was not closed, since its request has
+// arrived as a whole: its memory counts until the response.
+func (h *Heads) keep(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if account := h.open[c]; account != nil && account.yielding {
+		account.yielding, account.complete = false, true
+		h.held += account.bytes
+	}
+}
+
 // reset records that a connection waits for its next head.
 func (h *Heads) reset(c *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if account := h.open[c]; account != nil {
-		h.held -= account.bytes
+		h.held -= account.counted()
 		*account = head{}
 	}
 }
--- /dev/null
+++ b/pkg/graceful/room_internal_test.go
@@ -0,0 +1,61 @@
+package graceful
+
+import (
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// acceptedConn returns a connection of a server as its listener would.
+func acceptedConn(s *Server) (accepted *conn, caller net.Conn) {
+	here, there := net.Pipe()
+	DeferCleanup(there.Close)
+	DeferCleanup(here.Close)
+	c := &conn{Conn: here, server: s}
+	s.track(c)
+	return c, there
+}
+
+func serverOf(heads *Heads) *Server {
+	return New(Options{HTTP: &http.Server{}, Heads: heads})
+}
+
+var _ = Describe("a connection that is chosen to yield as its request arrives", func() {
+	head := []byte("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("X:\r\n", 20) + "\r\n")
+
+	It("stays counted in the memory of heads", func() {
+		heads := NewHeads(headMemory(head) - 1)
+		s := serverOf(heads)
+		c, _ := acceptedConn(s)
+		c.phase = handling // after the choice, before it yields
+		s.growHead(c, head)
+		Expect(c.closed).To(BeFalse())
+		Expect(heads.held).To(Equal(headMemory(head)))
+		heads.reset(c)
+		Expect(heads.held).To(BeZero())
+		heads.grow(c, 1)
+		Expect(heads.held).To(BeEquivalentTo(1))
+		heads.forget(c)
+		Expect(heads.held).To(BeZero())
+	})
+
+	It("is not counted twice if it has ended, or waits again, meanwhile", func() {
+		heads := NewHeads(headMemory(head) - 1)
+		s := serverOf(heads)
+		ended, _ := acceptedConn(s)
+		Expect(heads.grow(ended, headMemory(head))).To(ConsistOf(ended))
+		heads.forget(ended)
+		heads.keep(ended)
+		Expect(heads.held).To(BeZero())
+		Expect(heads.open).To(BeEmpty())
+		waits, _ := acceptedConn(s)
+		Expect(heads.grow(waits, headMemory(head))).To(ConsistOf(waits))
+		Expect(heads.held).To(BeZero())
+		heads.reset(waits)
+		heads.keep(waits)
+		Expect(heads.held).To(BeZero())
+	})
+})
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -371,7 +371,9 @@
 // yield for it.
 func (s *Server) growHead(c *conn, part []byte) {
 	for _, yielding := range s.heads.grow(c, headMemory(part)) {
-		yielding.server.yield(yielding)
+		if !yielding.server.yield(yielding) {
+			s.heads.keep(yielding)
+		}
 	}
 }
 
