graceful: a kept connection whose next request has begun does not yield

Cause: a connection that waited after a response was taken from the list of those that wait, and closed a moment later even if the process had read its next request between: a request read and closed without an answer. spared only one that a handler had got.

It now stays if anything of a request has arrived since. One that had begun before it was chosen (a head that trickles) yields as before.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -180,9 +180,9 @@
 }
 
 // yield closes the connection to make room for others, unless its request has arrived
-// meanwhile. It reports whether it did.
-func (c *conn) yield() bool {
-	if !c.markYielded() {
+// meanwhile or, if begun is false, has begun. It reports whether it did.
+func (c *conn) yield(begun bool) bool {
+	if !c.markYielded(begun) {
 		return false
 	}
 	// A connection that is closed already makes room as well.
@@ -190,10 +190,10 @@
 	return true
 }
 
-func (c *conn) markYielded() bool {
+func (c *conn) markYielded(begun bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.yielded = c.phase != handling
+	c.yielded = c.phase != handling && (begun || !c.begun)
 	return c.yielded
 }
 
--- a/pkg/graceful/room_internal_test.go
+++ b/pkg/graceful/room_internal_test.go
@@ -58,4 +58,18 @@
 		heads.keep(waits)
 		Expect(heads.held).To(BeZero())
 	})
+
+	It("is not closed if it waited after a response", func() {
+		s := serverOf(nil)
+		c, _ := acceptedConn(s)
+		c.phase = idle
+		c.becomeIdle()
+		s.waiters.addIdle(c)
+		s.waiters.places[c] = place{in: &s.waiters.idle, element: s.waiters.places[c].element}
+		chosen, begun, _ := s.waiters.takeLongest()
+		Expect(chosen).To(BeIdenticalTo(c))
+		_, begins := c.recordRead(head, nil)
+		Expect(begins).To(BeTrue())
+		Expect(s.yield(chosen, begun)).To(BeFalse())
+	})
 })
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -371,16 +371,16 @@
 // yield for it.
 func (s *Server) growHead(c *conn, part []byte) {
 	for _, yielding := range s.heads.grow(c, headMemory(part)) {
-		if !yielding.server.yield(yielding) {
+		if !yielding.server.yield(yielding, true) {
 			s.heads.keep(yielding)
 		}
 	}
 }
 
-// yield closes a connection to make room for others, unless its request has arrived
-// meanwhile, and reports whether it did.
-func (s *Server) yield(c *conn) bool {
-	if !c.yield() {
+// yield closes a connection to make room for others and reports whether it did: not if its
+// request has arrived meanwhile or, unless it had begun, has begun meanwhile.
+func (s *Server) yield(c *conn, begun bool) bool {
+	if !c.yield(begun) {
 		return false
 	}
 	if s.opts.Yielded != nil {
@@ -425,8 +425,8 @@
 	default:
 	}
 	for {
-		longest, wait := s.waiters.takeLongest()
-		if longest != nil && s.yield(longest) {
+		longest, begun, wait := s.waiters.takeLongest()
+		if longest != nil && s.yield(longest, begun) {
 			wait = yieldAfter
 		}
 		select {
--- a/pkg/graceful/waiters.go
+++ b/pkg/graceful/waiters.go
@@ -64,9 +64,10 @@
 }
 
 // takeLongest removes and returns the connection that has waited longest, if that has to
-// yield; one that has served a request does so after all others. It returns nil if there is
-// none yet, and the time until there may be one.
-func (w *waiters) takeLongest() (*conn, time.Duration) {
+// yield; one that has served a request does so after all others. begun is true unless it waited
+// after a response and nothing of a request had arrived. It returns nil if there is none yet,
+// and the time until there may be one.
+func (w *waiters) takeLongest() (longest *conn, begun bool, left time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	until := yieldAfter
@@ -76,12 +77,12 @@
 			continue
 		}
 		c, _ := first.Value.(*conn)
-		left := yieldAfter - time.Since(w.places[c].since)
+		left = yieldAfter - time.Since(w.places[c].since)
 		if left <= 0 {
 			w.take(c)
-			return c, 0
+			return c, in == &w.heads, 0
 		}
 		until = min(until, left)
 	}
-	return nil, until
+	return nil, false, until
 }
