graceful: of connections that wait about as long, one without a response yields first

Cause: a kept connection yielded whenever those without a response had not waited 250 ms yet, also if they were a fraction of a millisecond short of it.

A connection without a response that is due within a fifth of that time (50 ms) is now waited for. The longest wait stays below 250 ms.

--- a/pkg/graceful/waiters.go
+++ b/pkg/graceful/waiters.go
@@ -10,6 +10,10 @@
 // that have just connected send their request within this time.
 const yieldAfter = 250 * time.Millisecond
 
+// yieldFirst is how much sooner a connection without a response has to yield than one that had
+// one: it does so first if it has waited nearly as long.
+const yieldFirst = yieldAfter / 5
+
 // waiters keeps the connections of a server whose next request has not arrived as a whole.
 // When the server has no room for another connection, the one that has waited longest yields.
 // It is safe for concurrent use.
@@ -83,6 +87,9 @@
 			return c, in == &w.heads, 0
 		}
 		until = min(until, left)
+		if left <= yieldFirst {
+			break
+		}
 	}
 	return nil, false, until
 }
