--- a/pkg/graceful/room_test.go
+++ b/pkg/graceful/room_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
@@ -64,6 +65,45 @@
 		Expect(status).To(Equal(http.StatusOK))
 	})
 
+	It("yield after a response too", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), MaxConnections: 1})
+		kept, late := f.dial(), f.dial()
+		kept.send(get("/"))
+		status, _ := kept.status()
+		Expect(status).To(Equal(http.StatusOK))
+		late.send(get("/"))
+		status, _ = late.status()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(kept.isClosed()).To(BeTrue())
+	})
+
+	It("do not gain time by a head that trickles", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), MaxConnections: 1})
+		trickling := f.dial()
+		trickling.send(get("/"))
+		status, _ := trickling.status()
+		Expect(status).To(Equal(http.StatusOK))
+		trickling.send("GET / HTTP/1.1\r\nX: ")
+		late := f.dial()
+		late.send(get("/"))
+		stop := make(chan struct{})
+		var trickle conc.WaitGroup
+		trickle.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					_, _ = trickling.Write([]byte("x")) // fails once it has yielded
+				}
+			}
+		})
+		defer trickle.Wait()
+		defer close(stop)
+		status, _ = late.status()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
 	It("do not yield while there is room", func() {
 		f := serveLimited(listen(), 4)
 		first := f.dial()
@@ -99,6 +139,26 @@
 		Expect(here.seen.all()).To(ConsistOf(graceful.Yielded))
 	})
 
+	It("count on kept connections, and not those before", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
+		kept, other := f.dial(), f.dial()
+		kept.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(400) + "\r\n")
+		status, _ := kept.status()
+		Expect(status).To(Equal(http.StatusOK))
+		other.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(300) + "\r\n")
+		status, _ = other.status()
+		Expect(status).To(Equal(http.StatusOK))
+		kept.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(600))
+		Expect(kept.isClosed()).To(BeTrue())
+	})
+
+	It("count the bytes of long lines", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
+		c := f.dial()
+		c.send("GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 40<<10))
+		Expect(c.isClosed()).To(BeTrue())
+	})
+
 	It("count until the response, and no longer", func() {
 		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
 		c := f.dial()
