--- a/pkg/graceful/waiters.go
+++ b/pkg/graceful/waiters.go
@@ -10,6 +10,10 @@
 // that have just connected send their request within this time.
 const yieldAfter = 250 * time.Millisecond
 
+// yieldFirst is how much sooner a connection without a response has to yield than one that had
+// one: it does so first if it has waited nearly as long.
+const yieldFirst = yieldAfter / 5
+
 // waiters keeps the connections of a server whose next request has not arrived as a whole.
 // When the server has no room for another connection, the one that has waited longest yields.
 // It is safe for concurrent use.
@@ -64,9 +68,10 @@
 }
 
 // takeLongest removes and returns the connection that has waited longest, if that has to
-// yield; one that has served a request does so after all others. It returns nil if there is
-// none yet, and the time until there may be one.
-func (w *waiters) takeLongest() (*conn, time.Duration) {
+// yield; one that has served a request does so after all others. begun is true unless it waited
+// after a response and nothing of a request had arrived. It returns nil if there is none yet,
+// and the time until there may be one.
+func (w *waiters) takeLongest() (longest *conn, begun bool, left time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	until := yieldAfter
@@ -76,12 +81,15 @@
 			continue
 		}
 		c, _ := first.Value.(*conn)
-		left := yieldAfter - time.Since(w.places[c].since)
+		left = yieldAfter - time.Since(w.places[c].since)
 		if left <= 0 {
 			w.take(c)
-			return c, 0
+			return c, in == &w.heads, 0
 		}
 		until = min(until, left)
+		if left <= yieldFirst {
+			break
+		}
 	}
-	return nil, until
+	return nil, false, until
 }
