entry: the directory's listener has room for all callers of a data centre

A review played 400 callers that ask at once and keep their connection for a second: 184 got no answer, since the listener had 0.02 of the sockets (78 connections of 4,100 descriptors, each of which yields only after 250 ms). Callers inside the limits meet that when a data centre's callers come back together.

Change: a share of its own of 0.1 for listeners to which all callers may come; 390 connections there. The shares of all listeners stay under 0.9. The trial itself was not repeated.

--- a/pkg/gateway/entry/bounds.go
+++ b/pkg/gateway/entry/bounds.go
@@ -19,23 +19,24 @@
 	headMemoryShare       = 0.15
 )
 
-// maxConnections returns the bound on the connections that a listener has open at once.
-func (s *Settings) maxConnections(listener string) int {
-	most := float64(graceful.SocketLimit(s.Descriptors))
-	switch listener {
-	case callersName:
-		most *= graceful.CallerShare
-		if s.MemoryBytes > 0 {
-			most = min(most, float64(s.MemoryBytes)*connectionMemoryShare/connectionMemory)
-		}
-	case peersName:
-		most *= graceful.PeerShare
-	default:
-		most *= graceful.OtherShare
+// maxConnections returns the bound on the connections that a listener with a share of the
+// sockets has open at once.
+func (s *Settings) maxConnections(listener string, share float64) int {
+	most := float64(graceful.SocketLimit(s.Descriptors)) * share
+	if listener == callersName && s.MemoryBytes > 0 {
+		most = min(most, float64(s.MemoryBytes)*connectionMemoryShare/connectionMemory)
 	}
 	return max(int(most), fewestConnections)
 }
 
+// connectionShare returns the share of the sockets that connections to the listener may take.
+func (l ExtraListener) connectionShare() float64 {
+	if l.ForCallers {
+		return graceful.LookupShare
+	}
+	return graceful.OtherShare
+}
+
 // newHeads returns the bound on the memory of request heads.
 func (s *Settings) newHeads() *graceful.Heads {
 	return graceful.NewHeads(int64(float64(s.MemoryBytes) * headMemoryShare))
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -87,6 +87,8 @@
 	Name    string
 	Address string
 	Handler http.Handler
+	// ForCallers is true if callers use the listener, all of a data centre at once.
+	ForCallers bool
 }
 
 // Dialect decodes and encodes what callers and endpoints send and receive.
@@ -294,18 +296,18 @@
 	s := e.opts.Settings
 	if e.opts.ExtraListeners != nil {
 		for _, extra := range e.opts.ExtraListeners(e) {
-			if err := e.open(extra.Name, extra.Address, extra.Handler); err != nil {
+			if err := e.open(extra.Name, extra.Address, extra.Handler, extra.connectionShare()); err != nil {
 				return err
 			}
 		}
 	}
-	if err := e.open("metrics", s.MetricsAddress, e.metricsHandler()); err != nil {
+	if err := e.open("metrics", s.MetricsAddress, e.metricsHandler(), graceful.OtherShare); err != nil {
 		return err
 	}
-	if err := e.open(peersName, s.PeerAddress, http.HandlerFunc(e.servePeer)); err != nil {
+	if err := e.open(peersName, s.PeerAddress, http.HandlerFunc(e.servePeer), graceful.PeerShare); err != nil {
 		return err
 	}
-	return e.open(callersName, s.CallerAddress, e.handler)
+	return e.open(callersName, s.CallerAddress, e.handler, graceful.CallerShare)
 }
 
 // servePeer serves forwarded requests and messages from other daemons.
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -34,8 +34,9 @@
 	name string
 }
 
-// open listens on an address; an empty address opens nothing.
-func (e *Entry) open(name, address string, handler http.Handler) error {
+// open listens on an address for connections that may take a share of the process's sockets;
+// an empty address opens nothing.
+func (e *Entry) open(name, address string, handler http.Handler, connectionShare float64) error {
 	if address == "" {
 		return nil
 	}
@@ -55,7 +56,7 @@
 		Times:      times,
 		Unanswered: e.unanswered.on(name),
 
-		MaxConnections: e.opts.Settings.maxConnections(name),
+		MaxConnections: e.opts.Settings.maxConnections(name, connectionShare),
 		Heads:          e.heads,
 		Yielded:        e.yielded.WithLabelValues(name).Inc,
 	})})
--- a/pkg/graceful/limit.go
+++ b/pkg/graceful/limit.go
@@ -13,6 +13,9 @@
 	CallerShare = 0.55
 	// PeerShare is that of the listener for other daemons.
 	PeerShare = 0.2
+	// LookupShare is that of a listener to which all callers of a data centre may come at
+	// once for a short question.
+	LookupShare = 0.1
 	// OtherShare is that of each further listener.
 	OtherShare = 0.02
 )
