balance: a request that names a response of any length does not block an engine

A review's doubt, shown: a short prompt with 100,000,000 tokens of response, placed at an idle engine, kept every other request of the daemon away from it while it ran. Callers whom nobody controls name what they like; the count of memory took it as it was.

Change: the response of one request counts for at most a tenth of the engine's memory; engines take memory as they write. The spec failed before (no permit for the next request), and the package's specs pass.

--- a/pkg/gateway/balance/memory.go
+++ b/pkg/gateway/balance/memory.go
@@ -4,6 +4,10 @@
 // at once; the rest is for those of other daemons.
 const memoryShare = 0.9
 
+// outputShare is the largest share of an engine's memory that counts for the response of one
+// request: engines take it as they write, and callers may name any length.
+const outputShare = 0.1
+
 // memoryUse counts the tokens that the requests of this daemon need in the memory of an
 // engine: a large prefix that several of them share counts once. An engine refuses a request
 // that is larger than its memory.
@@ -19,7 +23,7 @@
 	if req.PromptTokens > capacity {
 		return 0
 	}
-	needed := float64(req.PromptTokens + req.OutputTokens)
+	needed := float64(req.PromptTokens) + min(float64(req.OutputTokens), outputShare*float64(capacity))
 	if req.large() && m.prefixes[req.Prefix] > 0 {
 		needed -= float64(req.PrefixTokens)
 	}
--- a/pkg/gateway/balance/memory_test.go
+++ b/pkg/gateway/balance/memory_test.go
@@ -28,6 +28,14 @@
 		Expect(requestPermit(pool, prompt(4), start.Add(2*readTime))).NotTo(BeNil())
 	})
 
+	It("is not taken by a request that names a response of any length, since engines take memory as they write", func() {
+		pool := newPool(view(1, 0, nil), 1)
+		endless := newRequest(engines, 0)
+		endless.PromptTokens, endless.OutputTokens = 100, 100_000_000
+		Expect(requestPermit(pool, endless, start)).NotTo(BeNil())
+		Expect(requestPermit(pool, newRequest(engines, 0), start)).NotTo(BeNil())
+	})
+
 	It("holds a prefix once that several requests share", func() {
 		pool := newPool(view(1, 0, nil), 1)
 		count := func(share bool) (placed int) {
