--- a/pkg/gateway/quota/exchange/exchange.go
+++ b/pkg/gateway/quota/exchange/exchange.go
@@ -38,7 +38,9 @@
 	stop context.CancelFunc
 	work conc.WaitGroup
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// closed is true once nothing may begin in the background.
+	closed     bool
 	ledger     *quota.Ledger
 	config     *catalog.Config
 	neighbours quota.Neighbours
@@ -75,8 +77,12 @@
 	}
 }
 
-// Close ends what runs in the background.
+// Close ends what runs in the background. Questions of other daemons that come later start
+// nothing there.
 func (e *Exchange) Close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
 	e.stop()
 	e.work.Wait()
 }
--- a/pkg/gateway/quota/exchange/round.go
+++ b/pkg/gateway/quota/exchange/round.go
@@ -87,7 +87,7 @@
 	defer e.mu.Unlock()
 	trade := e.trade(name)
 	asHolder = asHolder || e.neighbours.Holder == e.neighbours.Self || e.isSilent(e.neighbours.Holder)
-	if !trade.running && !e.opts.Now().Before(trade.pausedUntil) {
+	if !e.closed && !trade.running && !e.opts.Now().Before(trade.pausedUntil) {
 		trade.running, trade.received = true, 0
 		stages := e.neighbours.Stages(asHolder)
 		e.work.Go(func() {
