--- a/pkg/gateway/entry/fleet.go
+++ b/pkg/gateway/entry/fleet.go
@@ -36,8 +36,8 @@
 // fleet no daemon has credit to give, and callers are refused until then.
 const settleTime = 600 * time.Millisecond
 
-// settledFleet is the number of daemons among which quotas are divided. What quotas allow
-// for daemons that are not known yet covers those that join later.
+// settledFleet is the number of daemons among which quotas are divided. It is too low for a
+// few daemons that start cut off from the rest of their data centre.
 type settledFleet struct {
 	size  int
 	since time.Time
