catalog: tell services whose urgent routes must respond sooner than the less urgent ones

Ruled out: a switch by settings (one template serves all deployments) and by a number of milliseconds (a rule by site in disguise).

--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -149,6 +149,7 @@
 	byHost       map[string][]*Route
 	byCredential map[CredentialDigest]*Organisation
 	urgencies    []urgency
+	mixed        map[types.ServiceName]bool
 }
 
 // valid reports whether the configuration contains no nil route, service or
--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -12,10 +12,11 @@
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// Prepare builds the indexes that Match, OrganisationOf and Urgency use.
+// Prepare builds the indexes that Match, OrganisationOf, Urgency and MixesObjectives use.
 func (c *Config) Prepare() {
 	c.indexCredentials()
 	c.indexUrgencies()
+	c.indexObjectives()
 	c.byHost = make(map[string][]*Route)
 	for _, route := range c.Routes {
 		route.sentPrefix = sentPrefix(route.Prefix)
