--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -274,6 +274,7 @@
 		Peak:    c.table.Peak(),
 		Joining: c.table.Joining(),
 		Demand:  c.table.Demand(),
+		Speeds:  c.table.Speeds(),
 		Left:    c.table.LeftRegions(),
 
 		StoreReadAt: c.storeReads[c.lastReader].at,
