--- a/pkg/gateway/estimate/speed.go
+++ b/pkg/gateway/estimate/speed.go
@@ -8,8 +8,9 @@
 const (
 	// minLevelMass is how many recent observations are needed to tell a speed level.
 	minLevelMass = 3.0
-	// levelHysteresis is how far a speed must be from its level, in octaves, until the
-	// level changes.
+	// levelsPerOctave is how many levels a speed is above half of it.
+	levelsPerOctave = 2
+	// levelHysteresis is how far a speed must be from its level until the level changes.
 	levelHysteresis = 0.75
 )
 
@@ -20,7 +21,7 @@
 	if e.level.massAt(endpointLifetime, now) < minLevelMass {
 		return previous, found
 	}
-	exact := -e.logLevel(now) / math.Ln2
+	exact := -levelsPerOctave * e.logLevel(now) / math.Ln2
 	if found && math.Abs(exact-float64(previous)) < levelHysteresis {
 		return previous, true
 	}
--- a/pkg/gateway/members/speeds.go
+++ b/pkg/gateway/members/speeds.go
@@ -14,7 +14,7 @@
 // large ones.
 type Speed struct {
 	Endpoint types.EndpointID `json:"e"`
-	// Level is the binary logarithm of the speed; one more is twice as fast.
+	// Level is the speed in half octaves; two more are twice as fast.
 	Level int `json:"l"`
 }
 
