Revert the trial of homes by the speed of engines

A slow engine that prefills 17,000 tokens stretches the pauses of everything that runs beside it to about that. Hypothesis: more homes at fast engines. Ruled out as the reason for no gain: speeds that nobody told (levels of 0.4 to 1.9 octaves are known from 10 s on). What is gained in time is lost in prefixes read again, since homes move while speeds are learned.

--- a/pkg/gateway/balance/bench_internal_test.go
+++ b/pkg/gateway/balance/bench_internal_test.go
@@ -120,7 +120,7 @@
 // decide is Permit with a cost function, without the reservation.
 func decide(p *Pool, req RequestInfo, now time.Time, cost func(RequestInfo, *endpointState, bool, time.Time) float64) *endpointState {
 	eligible := assignedEndpoints(req, p.filter(req, nil, now), nil)
-	home := p.homeOf(req, eligible)
+	home := homeOf(req, eligible)
 	var best *endpointState
 	var bestCost float64
 	for _, ep := range eligible {
--- a/pkg/gateway/balance/choose.go
+++ b/pkg/gateway/balance/choose.go
@@ -13,7 +13,7 @@
 	if len(candidates) == 0 {
 		return nil, nil, 0
 	}
-	home = p.homeOf(req, candidates)
+	home = homeOf(req, candidates)
 	if trace != nil && home != nil {
 		trace.Home = home.placed.ID
 	}
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -44,9 +44,6 @@
 	largePending int
 	// speed is what is known of how fast an engine works.
 	speed *estimate.Endpoint
-	// speedLevel is the level of its speed that this daemon tells others, if speedKnown.
-	speedLevel int
-	speedKnown bool
 	// memory is what the requests in flight need of an engine's memory.
 	memory memoryUse
 	// owned is true when this daemon sends the endpoint its large prompts.
--- a/pkg/gateway/balance/gate/gate.go
+++ b/pkg/gateway/balance/gate/gate.go
@@ -211,9 +211,9 @@
 	for service, count := range g.pool.InFlight() {
 		load := members.Load{
 			Service: service, InFlight: count, Waiting: g.pool.Waiting(service), Blocked: g.pool.Blocked(service, now),
-			ResponseMillis: int(g.pool.Response(service, now).Milliseconds()), Speeds: g.pool.Speeds(service, now),
+			ResponseMillis: int(g.pool.Response(service, now).Milliseconds()),
 		}
-		if load.InFlight > 0 || load.Waiting > 0 || load.Blocked > 0 || load.ResponseMillis > 0 || len(load.Speeds) > 0 {
+		if load.InFlight > 0 || load.Waiting > 0 || load.Blocked > 0 || load.ResponseMillis > 0 {
 			loads = append(loads, load)
 		}
 	}
--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -66,7 +66,7 @@
 	if len(eligible) == 0 {
 		return held, wait, p.noEndpoint(req, now), true
 	}
-	home, q := p.homeOf(req, eligible), p.queueOf(req.Service)
+	home, q := homeOf(req, eligible), p.queueOf(req.Service)
 	held = heldPrompt{home: home.placed.ID, tokens: p.prefillTokens(req, home, !req.PrefixUncached, now)}
 	held.startBy = p.startBy(req, home, held.tokens, now)
 	wait = expectedWait{predicted: p.roomIn(home, q, held.startBy, now), allowed: holdTime(req, p.bounds.MaxHold, held.startBy, now)}
--- a/pkg/gateway/balance/membership.go
+++ b/pkg/gateway/balance/membership.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -29,8 +28,6 @@
 	// Joining is true while this daemon has just started and may not know the
 	// others yet.
 	Joining bool
-	// Speeds is what daemons told of how fast endpoints prefill prompts.
-	Speeds members.Speeds
 }
 
 // equal reports whether both memberships lead to the same assignment of
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -8,7 +8,6 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
-	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -118,13 +117,24 @@
 // the one that was is not used now: it is in the local region, or it gets no more
 // requests.
 func (p *Pool) standsIn(req RequestInfo, home *endpointState, now time.Time) bool {
-	precedes := func(other catalog.ActiveEndpoint) bool { return p.precedes(req.Prefix, other.ID, home.placed.ID) }
+	weight := prefixWeight(req.Prefix, home.placed.ID)
+	precedes := func(other catalog.ActiveEndpoint) bool { return prefixWeight(req.Prefix, other.ID) > weight }
 	return slices.ContainsFunc(p.view.Leaving[req.Service], precedes) ||
 		slices.ContainsFunc(p.view.Endpoints[req.Service], func(other catalog.ActiveEndpoint) bool {
 			return (other.Region == p.region || !other.Accepts(now)) && precedes(other)
 		})
 }
 
+// homeOf returns the home of a large prefix among the eligible endpoints, which
+// every daemon computes alike; nil for other requests.
+func homeOf(req RequestInfo, eligible []*endpointState) *endpointState {
+	if !req.large() {
+		return nil
+	}
+	home, _ := highestWeighted(req.Prefix, eligible, func(ep *endpointState) types.EndpointID { return ep.placed.ID })
+	return home
+}
+
 // PrefixHome returns the home endpoint of a large prefix among the allowed
 // endpoints of any region. Within its region it is the one that a Pool prefers.
 func PrefixHome(endpoints []catalog.ActiveEndpoint, prefix uint64, allowed func(catalog.ActiveEndpoint) bool) (catalog.ActiveEndpoint, bool) {
@@ -147,16 +157,16 @@
 // its home if that is another endpoint, else the home in another region, which
 // stands in while the data centre of to is not used. It returns false where copying
 // is too slow.
-func prefixSource(view *catalog.View, speeds members.Speeds, rate float64, service types.ServiceName, prefix uint64, to catalog.ActiveEndpoint, allowed func(catalog.ActiveEndpoint) bool) (catalog.ActiveEndpoint, bool) {
+func prefixSource(view *catalog.View, rate float64, service types.ServiceName, prefix uint64, to catalog.ActiveEndpoint, allowed func(catalog.ActiveEndpoint) bool) (catalog.ActiveEndpoint, bool) {
 	if !copiesPrefixes(view, rate, service) {
 		return catalog.ActiveEndpoint{}, false
 	}
 	candidates := slices.Concat(view.Endpoints[service], view.Leaving[service])
-	home, found := PrefixHomeBySpeed(candidates, prefix, speeds, allowed)
+	home, found := PrefixHome(candidates, prefix, allowed)
 	if !found || home.ID != to.ID {
 		return home, found
 	}
-	return PrefixHomeBySpeed(candidates, prefix, speeds, func(ep catalog.ActiveEndpoint) bool { return allowed(ep) && ep.Region != to.Region })
+	return PrefixHome(candidates, prefix, func(ep catalog.ActiveEndpoint) bool { return allowed(ep) && ep.Region != to.Region })
 }
 
 // copiesPrefixes reports whether the engines of a service copy prefixes from each
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -274,7 +274,6 @@
 		Peak:    c.table.Peak(),
 		Joining: c.table.Joining(),
 		Demand:  c.table.Demand(),
-		Speeds:  c.table.Speeds(),
 		Left:    c.table.LeftRegions(),
 
 		StoreReadAt: c.storeReads[c.lastReader].at,
--- a/pkg/gateway/control/exchange.go
+++ b/pkg/gateway/control/exchange.go
@@ -12,19 +12,12 @@
 
 // heartbeat sends a heartbeat to some of the other daemons.
 func (c *Control) heartbeat(now time.Time) {
-	c.beat(now)
+	c.table.Beat(c.opts.Loads())
 	for _, vm := range c.table.Targets(now, c.opts.Rand) {
 		c.send(vm, c.message(vm, now))
 	}
 }
 
-// beat makes this daemon's row newer than those that were sent before.
-func (c *Control) beat(now time.Time) {
-	loads := c.opts.Loads()
-	c.table.Beat(loads)
-	c.table.RecordSpeeds(loads, now)
-}
-
 // message returns a heartbeat to a daemon, which carries the table.
 func (c *Control) message(to types.VMID, now time.Time) *Message {
 	message := c.statusMessage(now)
@@ -288,7 +281,7 @@
 func (c *Control) Leave(ctx context.Context) {
 	c.submit(ctx, func(now time.Time) {
 		c.table.Leave(c.opts.Demand(), now)
-		c.beat(now)
+		c.table.Beat(c.opts.Loads())
 		c.dirty = true
 		for _, member := range c.table.Live(now) {
 			message := c.statusMessage(now)
--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -28,9 +28,7 @@
 	// Left holds the regions with daemons that announced that they leave and are not
 	// back yet.
 	Left map[types.Region]bool
-	// Speeds is what daemons told of how fast endpoints prefill prompts.
-	Speeds members.Speeds
-	View   *catalog.View
+	View *catalog.View
 	// StoreReadAt is when the store was last read, by whichever daemon, with nothing
 	// in the answer that this daemon lacks; zero if that is not known.
 	StoreReadAt time.Time
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -256,7 +256,7 @@
 // regionMembership returns the daemons that send to the endpoints of the local
 // region.
 func regionMembership(snap *control.Snapshot) balance.Membership {
-	membership := balance.Membership{Self: snap.Self.VM, PeakLive: snap.Peak.Region, Joining: snap.Joining, Speeds: snap.Speeds}
+	membership := balance.Membership{Self: snap.Self.VM, PeakLive: snap.Peak.Region, Joining: snap.Joining}
 	for _, member := range snap.InRegion(snap.Self.Region) {
 		membership.Live = append(membership.Live, member.VM)
 		membership.Serving = append(membership.Serving, balance.Daemon{VM: member.VM, DataCentre: member.DataCentre})
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -76,9 +76,6 @@
 	// ResponseMillis is the average time, in milliseconds, until the responses to small
 	// requests of the daemon started lately; zero if there were none.
 	ResponseMillis int `json:"r,omitempty"`
-	// Speeds holds the endpoints whose large prompts the daemon sends, as far as it knows
-	// how fast they are.
-	Speeds []Speed `json:"v,omitempty"`
 }
 
 // Timeouts of the table.
@@ -112,7 +109,6 @@
 	// peak is the largest number of daemons seen at once.
 	peak   Peak
 	demand demandTable
-	speeds speedTable
 }
 
 // Peak is the largest number of daemons, including this one, that were ever live at
@@ -135,18 +131,18 @@
 func New(self Member, seeds []types.VMID) *Table {
 	table := &Table{
 		self: self, rows: make(map[types.VMID]row), peak: Peak{DataCentre: 1, Region: 1, Fleet: 1},
-		demand: newDemandTable(), speeds: newSpeedTable(),
+		demand: newDemandTable(),
 	}
 	table.SetSeeds(seeds)
 	return table
 }
 
 // EmptyCopy returns a table that holds only this daemon, its seeds, the peak numbers of
-// daemons, what daemons that left told of their callers, and the speeds of endpoints.
+// daemons and what daemons that left told of their callers.
 func (t *Table) EmptyCopy() *Table {
 	table := New(t.self, t.seeds)
 	table.peak = t.peak
-	table.demand, table.speeds = t.demand.copy(), t.speeds.copy()
+	table.demand = t.demand.copy()
 	return table
 }
 
@@ -173,16 +169,6 @@
 	t.self.Loads = loads
 }
 
-// RecordSpeeds records the speeds of endpoints that a daemon tells in its loads.
-func (t *Table) RecordSpeeds(loads []Load, now time.Time) {
-	t.speeds.record(loads, now)
-}
-
-// Speeds returns what daemons told of the speeds of endpoints.
-func (t *Table) Speeds() Speeds {
-	return t.speeds.known
-}
-
 // Merge merges the rows of another daemon's table.
 func (t *Table) Merge(rows []Member, now time.Time) {
 	for _, member := range rows {
@@ -210,7 +196,6 @@
 	}
 	member.LeavingSince = leavingSince(member, peer.Member, now)
 	t.demand.record(demandKey{vm: member.VM, incarnation: member.Incarnation}, member.Region, member.Demand, now)
-	t.RecordSpeeds(member.Loads, now)
 	t.rows[member.VM] = row{Member: member, lastHeard: now}
 	// A daemon that has restarted learns how many others there may be.
 	if member.Region == t.self.Region {
@@ -248,7 +233,6 @@
 		}
 	}
 	t.demand.forget(now)
-	t.speeds.forget(now)
 }
 
 // MarkUnreachable records that the daemon could not be reached. If its beat has not
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -145,13 +145,13 @@
 func (r *run) nextHome(snap *control.Snapshot) (catalog.ActiveEndpoint, bool) {
 	usableRegion := r.usableRegion(snap)
 	endpoints := r.h.opts.Gate.Taking(snap.View.Endpoints[r.req.Service])
-	home, found := balance.PrefixHomeBySpeed(endpoints, r.req.Prefix, snap.Speeds, func(ep catalog.ActiveEndpoint) bool {
+	home, found := balance.PrefixHome(endpoints, r.req.Prefix, func(ep catalog.ActiveEndpoint) bool {
 		return usableRegion(ep.Region) && !slices.ContainsFunc(r.homes, func(previous catalog.ActiveEndpoint) bool { return previous.Region == ep.Region })
 	})
 	if found {
 		return home, true
 	}
-	return balance.PrefixHomeBySpeed(endpoints, r.req.Prefix, snap.Speeds, func(ep catalog.ActiveEndpoint) bool {
+	return balance.PrefixHome(endpoints, r.req.Prefix, func(ep catalog.ActiveEndpoint) bool {
 		return usableRegion(ep.Region) && !slices.ContainsFunc(r.homes, func(previous catalog.ActiveEndpoint) bool { return previous.ID == ep.ID })
 	})
 }
