soak: a killed daemon excuses deadly requests until 5 s after its next start

Cause: the check excused the 5 s after the kill. The rule (BUDGET, "In touch") excuses a machine for 5 s after a kill and after a start of its processes, and the next process starts 0.3 s after the end of the one before, later on a busy machine. Until then nobody learns anything. If five crashes lie before the kill, the bound holds from the excuse's end on, while the daemons, which started without evidence, are still in it.

Change: the soak notes the start of each process whose predecessor was killed, and only this check takes 5 s after it as an excuse; all others are as before. Specs: nine requests 4.7 s after such a start are excused (failed before), four that come 5.1 s after it or before it are found.

--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -74,6 +74,8 @@
 	Faults  []Span
 	Stops   []Span
 	Reloads []Span
+	// Restarts lists the starts of processes whose predecessors were killed.
+	Restarts []Span
 	// Exits lists when processes ended that nobody had told to.
 	Exits []Span
 	// Configs lists the times at which configurations were published.
--- a/tools/soak/check/check_test.go
+++ b/tools/soak/check/check_test.go
@@ -184,6 +184,14 @@
 		Entry("requests with the deadly part long after it had crashed several endpoints", func(r *check.Record) {
 			deadly(r, 4, 9200*time.Millisecond)
 		}, "deadly: 4 requests"),
+		Entry("such requests 5 s after a killed process was started again", func(r *check.Record) {
+			deadly(r, 4, 9200*time.Millisecond)
+			r.Restarts = []check.Span{{From: after(4100 * time.Millisecond), To: after(4100 * time.Millisecond), Daemon: "d1"}}
+		}, "deadly: 4 requests"),
+		Entry("such requests before a killed process is started again", func(r *check.Record) {
+			deadly(r, 4, 9200*time.Millisecond)
+			r.Restarts = []check.Span{{From: after(9300 * time.Millisecond), To: after(9300 * time.Millisecond), Daemon: "d1"}}
+		}, "deadly: 4 requests"),
 		Entry("an endpoint that gets too much right after its start", func(r *check.Record) {
 			r.Colds = []check.Cold{{Endpoint: "e1", From: after(0), To: after(3 * time.Second), Most: 2.5}}
 			r.Arrivals = []standin.Arrival{
@@ -399,6 +407,12 @@
 				deadly(r, 9, 9200*time.Millisecond)
 				r.Faults = []check.Span{{From: after(5 * time.Second), To: after(5 * time.Second), Daemon: "d1"}}
 			},
+			// Killed at 4 s, started 0.5 s later.
+			func(r *check.Record) {
+				deadly(r, 9, 9200*time.Millisecond)
+				r.Faults = []check.Span{{From: after(4 * time.Second), To: after(4 * time.Second), Daemon: "d1"}}
+				r.Restarts = []check.Span{{From: after(4500 * time.Millisecond), To: after(4500 * time.Millisecond), Daemon: "d1"}}
+			},
 		} {
 			r := record()
 			plant(r)
--- a/tools/soak/world/daemon.go
+++ b/tools/soak/world/daemon.go
@@ -71,6 +71,10 @@
 	ending  bool
 	// exits lists when processes ended that nobody had told to.
 	exits []check.Span
+	// killed is true from the kill of a process to the start of the next one, restarts
+	// lists these starts.
+	killed   bool
+	restarts []check.Span
 	// run is the process's loop.
 	run conc.WaitGroup
 }
@@ -173,6 +177,10 @@
 		Process: command.Process, name: check.ProcessName(d.name, d.starts), ended: make(chan struct{}), told: len(d.live) > 0,
 	}
 	d.live[d.current] = true
+	if now := time.Now(); d.killed {
+		d.killed = false
+		d.restarts = append(d.restarts, check.Span{From: now, To: now, Daemon: d.name})
+	}
 	return d.current
 }
 
@@ -193,6 +201,13 @@
 	return slices.Clone(d.exits)
 }
 
+// startsAfterKills returns when processes started whose predecessors were killed.
+func (d *daemon) startsAfterKills() []check.Span {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.restarts)
+}
+
 // running adds the names and numbers of the processes that run to found.
 func (d *daemon) running(found map[string]int) {
 	d.mu.Lock()
@@ -225,6 +240,7 @@
 	if d.current != nil {
 		_ = d.current.Signal(signal) // it may have ended by itself
 		d.current.told = d.current.told || signal == syscall.SIGKILL
+		d.killed = d.killed || signal == syscall.SIGKILL && d.live[d.current]
 	}
 }
 
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -69,6 +69,7 @@
 	for _, one := range w.daemons {
 		w.record.RegionOf[one.name] = one.region
 		w.record.Exits = append(w.record.Exits, one.unasked()...)
+		w.record.Restarts = append(w.record.Restarts, one.startsAfterKills()...)
 	}
 	w.record.RouteTimeout, w.record.MaxAttempts = w.opts.routeTimeout(), maxAttempts
 	return &w.record
