--- a/pkg/gateway/crashes/fleet_test.go
+++ b/pkg/gateway/crashes/fleet_test.go
@@ -21,6 +21,7 @@
 	simGotOn     = 300 * time.Millisecond
 	simHeartbeat = 500 * time.Millisecond
 	simDecision  = 50 * time.Millisecond
+	simAway      = 300 * time.Millisecond
 	// contact is how long after the fifth crash the bound begins to hold.
 	contact = 5 * time.Second
 )
@@ -45,6 +46,9 @@
 	// joinFirst lets a daemon that has started take no request before another one has
 	// told it what it knows.
 	joinFirst bool
+	// killAllAt ends all daemons at once, and starts them again without evidence; zero means
+	// never.
+	killAllAt time.Duration
 	// cuts lets daemons lose all messages for some seconds, one at a time.
 	cuts bool
 	// moves moves the route between two services, with endpoints of their own.
@@ -85,6 +89,8 @@
 	downTill []time.Time
 	cutTill  []time.Time
 	joinedAt []time.Time
+	// awayTill is when the daemons run again after the kill of all.
+	awayTill time.Time
 	messages []simMessage
 	own      crashes.Trait
 	// service is where the route leads.
@@ -124,6 +130,9 @@
 				f.send()
 			}
 		}
+		if f.killAllAt > 0 && f.elapsed() == f.killAllAt {
+			f.killAll()
+		}
 		if f.waves && f.chance(0.2) {
 			f.wave()
 		}
@@ -147,7 +156,7 @@
 // send sends a request by way of a random daemon, unless that withholds it.
 func (f *simFleet) send() {
 	daemon := f.random.IntN(f.daemons)
-	if f.joinFirst && f.now.Before(f.joinedAt[daemon]) {
+	if f.joinFirst && f.now.Before(f.joinedAt[daemon]) || f.now.Before(f.awayTill) {
 		return
 	}
 	f.own++
@@ -187,9 +196,10 @@
 	return f.now.Sub(start)
 }
 
-// inTouch reports whether the daemon has not been cut off within the time of contact.
+// inTouch reports whether the daemon has not been cut off within the time of contact, and
+// not been started again after the kill of all.
 func (f *simFleet) inTouch(daemon int) bool {
-	return f.now.Sub(f.cutTill[daemon]) >= contact
+	return f.now.Sub(f.cutTill[daemon]) >= contact && f.now.Sub(f.awayTill) >= contact
 }
 
 // countSound counts a sound request.
@@ -285,6 +295,17 @@
 	}
 }
 
+// killAll ends all daemons; what was on its way to them and what they waited for is lost.
+func (f *simFleet) killAll() {
+	f.awayTill, f.messages = f.now.Add(simAway), nil
+	for daemon := range f.logs {
+		f.logs[daemon], f.history[daemon] = crashes.NewLog(), crashes.NewHistory()
+	}
+	for endpoint := range f.running {
+		f.running[endpoint] = nil
+	}
+}
+
 // broadcast sends evidence to all other daemons; it arrives within two hops.
 func (f *simFleet) broadcast(from int, evidence crashes.Evidence) {
 	if evidence.Empty() {
@@ -406,6 +427,27 @@
 		}
 	})
 
+	DescribeTable("withhold the deadly part again in time after all daemons were killed at once",
+		func(deadlyPerSecond float64) {
+			const seeds, length, sound = 12, time.Minute, 30.0
+			for seed := range uint64(seeds) {
+				opts := fleetOptions{daemons: 4, endpoints: 4, perSecond: deadlyPerSecond + sound, things: 175}
+				opts.deadlyShare = deadlyPerSecond / opts.perSecond
+				random := rand.New(rand.NewPCG(seed, 5))
+				opts.killAllAt = (5*time.Second + time.Duration(random.Int64N(int64(25*time.Second)))).Truncate(simStep)
+				fleet := newSimFleet(seed, opts)
+				fleet.run(length)
+				note := fmt.Sprintf("seed %d: killed after %s, %d crashes", seed, opts.killAllAt, len(fleet.deadlyCrashes))
+				Expect(len(fleet.deadlyCrashes)).To(BeNumerically(">", 3), note)
+				Expect(fleet.late()).To(BeNumerically("<=", 3), note)
+				Expect(withholds(fleet.logs[0], deadly)).To(BeTrue(), note)
+			}
+		},
+		Entry("one deadly request in two seconds", 0.5),
+		Entry("two in a second", 2.0),
+		Entry("five in a second", 5.0),
+	)
+
 	It("withhold nothing in waves of crashes that no request caused", func() {
 		for seed := range uint64(6) {
 			fleet := newSimFleet(seed, fleetOptions{daemons: 8, endpoints: 12, perSecond: 60, things: 175, waves: true, restarts: true})
