soak: a daemon that waits for processors excuses deadly requests as a fault does

Cause: on a machine that is overloaded a daemon stands still for seconds, and what it has to learn after a kill comes as much later. The users' rule counts a machine that is slowed down as out of touch for 5 s after it; the check did not know of it, so the specs of deadly parts held on a busy machine by luck.

Seen, trials at a load of 45 to 69 on 7 cores: processes without a log line for up to 6.9 s, one in the middle of a loop that logs; the kernel's statistics of their threads tell waits for a processor of 2.0 and 3.2 s at these times. Ruled out: log lines that block (the times in the lines are taken before they are written), swapping (none), and an own pause of the daemon: no thread of a daemon that only pauses waits for a processor.

Change: while bounds in time are checked, the soak reads each thread's wait for a processor five times a second (/proc/PID/task/*/schedstat), and notes one of 0.5 s or longer. Only the check of deadly parts takes 5 s after it as an excuse.

Specs: excused 4.7 s after such a wait (failed before), found 5.1 s after it and before it.

--- a/tools/soak/check/check.go
+++ b/tools/soak/check/check.go
@@ -74,8 +74,10 @@
 	Faults  []Span
 	Stops   []Span
 	Reloads []Span
-	// Restarts lists the starts of processes whose predecessors were killed.
+	// Restarts lists the starts of processes whose predecessors were killed, Slowed the
+	// times in which a thread of a process waited long for a processor of the machine.
 	Restarts []Span
+	Slowed   []Span
 	// Exits lists when processes ended that nobody had told to.
 	Exits []Span
 	// Configs lists the times at which configurations were published.
--- a/tools/soak/world/export_test.go
+++ b/tools/soak/world/export_test.go
@@ -41,3 +41,19 @@
 	}
 	return starts, func() { d.stop() }, d.startNext, d.end
 }
+
+// Waits returns what takes readings of the waits of threads one after the other.
+func Waits() func(reading map[string]time.Duration) time.Duration {
+	known := make(waits)
+	return func(reading map[string]time.Duration) time.Duration { return known.longest(reading) }
+}
+
+// ParseWait parses the statistics of a thread.
+func ParseWait(schedstat string) (time.Duration, bool) {
+	return parseWait(schedstat)
+}
+
+// ReadWaits asks the kernel for the waits of a process.
+func ReadWaits(pid int) map[string]time.Duration {
+	return readWaits(pid)
+}
--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -46,6 +46,9 @@
 	if w.opts.Restored {
 		w.probers(traffic)
 	}
+	if w.opts.Timed {
+		w.serving.Go(func() { w.watchProcessors(traffic) })
+	}
 	var visiting conc.WaitGroup
 	if w.opts.Rolling {
 		w.visitors(traffic, &visiting)
