tests: one endpoint that cuts answers off while the request is written

Ruled out: one spec for both; they ask different things of different types. Change: internal/cutupload starts it; the specs say what it answers. What is checked is unchanged.

--- a/pkg/gateway/proxy/cut_upload_test.go
+++ b/pkg/gateway/proxy/cut_upload_test.go
@@ -1,17 +1,15 @@
 package proxy_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/internal/cutupload"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -21,34 +19,12 @@
 // resets the connection while the body is still being written.
 func newCuttingEndpoint(respond func(id string) string) net.Listener {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := cutupload.Listen(func(header http.Header) string { return respond(header.Get(headerID)) })
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go cutAnswer(connection.(*net.TCPConn), respond)
-		}
-	}()
 	return listener
 }
 
-// cutAnswer serves one connection of a cutting endpoint.
-func cutAnswer(connection *net.TCPConn, respond func(id string) string) {
-	const writing = 5 * time.Millisecond
-	defer func() { _ = connection.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(connection))
-	if err != nil {
-		return
-	}
-	_, _ = io.WriteString(connection, respond(request.Header.Get(headerID)))
-	time.Sleep(writing)
-	_ = connection.SetLinger(0) // Close then resets
-}
-
 // Guards against the part of an answer that was given to a caller as a complete one: the write of
 // the upload takes the error that a reset leaves on the connection, and the read that follows
 // sees an ordinary end.
--- a/pkg/stage/dispatch/cut_upload_test.go
+++ b/pkg/stage/dispatch/cut_upload_test.go
@@ -1,17 +1,16 @@
 package dispatch_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/internal/cutupload"
 	"github.com/flamingomount/flamingomount/pkg/stage/dispatch"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
@@ -20,34 +19,14 @@
 // resets the connection while the body is still being written.
 func newCuttingServer(rest string) net.Listener {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := cutupload.Listen(func(header http.Header) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s", types.HeaderAttemptID, header.Get(types.HeaderAttemptID), rest)
+	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go cutAnswer(connection.(*net.TCPConn), rest)
-		}
-	}()
 	return listener
 }
 
-// cutAnswer serves one connection of a cutting endpoint.
-func cutAnswer(connection *net.TCPConn, rest string) {
-	const writing = 5 * time.Millisecond
-	defer func() { _ = connection.Close() }()
-	incoming, err := http.ReadRequest(bufio.NewReader(connection))
-	if err != nil {
-		return
-	}
-	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s", types.HeaderAttemptID, incoming.Header.Get(types.HeaderAttemptID), rest)
-	time.Sleep(writing)
-	_ = connection.SetLinger(0) // Close then resets
-}
-
 var _ = Describe("an answer that is cut off while the upload is written", func() {
 	const tries, upload = 40, 30 << 20
 
