--- a/tools/soak/world/happen.go
+++ b/tools/soak/world/happen.go
@@ -46,6 +46,9 @@
 	if w.opts.Restored {
 		w.probers(traffic)
 	}
+	if w.opts.Timed {
+		w.serving.Go(func() { w.watchProcessors(traffic) })
+	}
 	var visiting conc.WaitGroup
 	if w.opts.Rolling {
 		w.visitors(traffic, &visiting)
@@ -69,6 +72,7 @@
 	for _, one := range w.daemons {
 		w.record.RegionOf[one.name] = one.region
 		w.record.Exits = append(w.record.Exits, one.unasked()...)
+		w.record.Restarts = append(w.record.Restarts, one.startsAfterKills()...)
 	}
 	w.record.RouteTimeout, w.record.MaxAttempts = w.opts.routeTimeout(), maxAttempts
 	return &w.record
