balance: the learned model acts only where the configuration calls for it

Ruled out: branches at each caller; a per-service switch, since regions by response and the memory count go by the same knowledge; keeping what was learned over a switch, since the two know different things. Change: estimate has the interfaces ServiceSpeed and EndpointSpeed, implemented by what is learned and by AveragedService with the constants and averages of (no memory limit, no response time, so no sooner region and none in heartbeats; plain endpoints go by slots). A pool chooses by Config.Predicts; a change of it renews what is known, requests in flight stay. ResponseFailed tells a failure to both: the averages count it as before, the model doesn't. The switch both ways, and requests in flight over it; no sooner region without the call for it. The specs of the learned model, memory and sooner regions now have configurations that call for predictions; they check what they checked. One cast in the spec of Successor, which returns the interface.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -36,6 +36,7 @@
 			desk:    {Name: desk},
 		}},
 	}
+	callForPredictions(v.Config)
 	add := func(service types.ServiceName, count, slots int) {
 		for i := range count {
 			id := types.EndpointID(fmt.Sprintf("%s-%d", service, i))
--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -42,8 +42,8 @@
 	large int
 	// largePending is the number of those whose responses have not started.
 	largePending int
-	// speed is what is known of how fast an engine works.
-	speed *estimate.Endpoint
+	// speed is what is known of how fast the endpoint works.
+	speed estimate.EndpointSpeed
 	// memory is what the requests in flight need of an engine's memory.
 	memory memoryUse
 	// owned is true when this daemon sends the endpoint its large prompts.
--- a/pkg/gateway/balance/memory.go
+++ b/pkg/gateway/balance/memory.go
@@ -1,9 +1,5 @@
 package balance
 
-// memoryShare is the share of an engine's memory that the requests of this daemon may need
-// at once; the rest is for those of other daemons.
-const memoryShare = 0.9
-
 // outputShare is the largest share of an engine's memory that counts for the response of one
 // request: engines take it as they write, and callers may name any length.
 const outputShare = 0.1
@@ -59,5 +55,5 @@
 	if !s.isEngine() || s.inFlight == 0 {
 		return true
 	}
-	return s.memory.tokens+s.memory.of(req, s.memoryTokens()) <= float64(s.memoryTokens())*memoryShare
+	return s.memory.tokens+s.memory.of(req, s.memoryTokens()) <= s.speed.MemoryLimit(s.memoryTokens())
 }
--- a/pkg/gateway/balance/notice.go
+++ b/pkg/gateway/balance/notice.go
@@ -101,7 +101,7 @@
 	if p.view == nil {
 		return catalog.ActiveEndpoint{}, false
 	}
-	return prefixSource(p.view, p.estimateOf(service).PrefillRate(now), service, prefix, to, func(ep catalog.ActiveEndpoint) bool {
+	return prefixSource(p.view, p.speeds.of(service).PrefillRate(now), service, prefix, to, func(ep catalog.ActiveEndpoint) bool {
 		return allows(ep.Region) && p.Takes(ep.Endpoint, now)
 	})
 }
--- a/pkg/gateway/balance/observe.go
+++ b/pkg/gateway/balance/observe.go
@@ -3,32 +3,29 @@
 import (
 	"time"
 
-	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
-// estimateOf returns what is known of the engines of a service on average.
-func (p *Pool) estimateOf(name types.ServiceName) *estimate.Service {
-	known := p.estimates[name]
-	if known == nil {
-		known = estimate.NewService()
-		p.estimates[name] = known
-	}
-	return known
-}
-
 // ResponseStarted records that the endpoint started the response of a request that it runs.
 func (p *Pool) ResponseStarted(permit *Permit, now time.Time) {
 	if !permit.responseSeen {
 		permit.state.observeFirstEvent(permit, now)
 		p.observeResponse(permit, now)
 	}
-	p.ResponseFailed(permit, now)
+	p.endPending(permit, now)
 }
 
-// ResponseFailed records that the endpoint started a response that says nothing of how fast
-// it works, since the request failed.
+// ResponseFailed records that the endpoint started a response that tells that the request
+// failed.
 func (p *Pool) ResponseFailed(permit *Permit, now time.Time) {
+	if !permit.responseSeen {
+		permit.state.speed.ObserveFailure(permit.prefillBacklog, permit.running, permit.req.large(), now.Sub(permit.grantedAt), now)
+	}
+	p.endPending(permit, now)
+}
+
+// endPending records that a request waits for its response no longer.
+func (p *Pool) endPending(permit *Permit, now time.Time) {
 	if permit.markResponseStarted() {
 		permit.state.removePending(permit)
 		permit.state.lastResponseAt = now
@@ -44,7 +41,7 @@
 // observeResponse learns from the time until the response to a small request started.
 func (p *Pool) observeResponse(permit *Permit, now time.Time) {
 	if !permit.req.large() {
-		p.estimateOf(permit.req.Service).ObserveResponse(now.Sub(permit.grantedAt), now)
+		p.speeds.of(permit.req.Service).ObserveResponse(now.Sub(permit.grantedAt), now)
 	}
 }
 
@@ -55,7 +52,7 @@
 // observeRefusal records that a full endpoint refused a request.
 func (p *Pool) observeRefusal(permit *Permit, now time.Time) {
 	if !permit.req.large() {
-		p.estimateOf(permit.req.Service).ObserveResponse(max(refusedTime, now.Sub(permit.grantedAt)), now)
+		p.speeds.of(permit.req.Service).ObserveResponse(max(refusedTime, now.Sub(permit.grantedAt)), now)
 	}
 	if !permit.state.isEngine() {
 		permit.state.speed.ObserveFirstEvent(0, permit.running, false, refusedTime, now)
@@ -65,10 +62,7 @@
 // Response returns the average time until the responses to small requests of a service
 // started lately in the local region; zero if this daemon saw none.
 func (p *Pool) Response(service types.ServiceName, now time.Time) time.Duration {
-	if known := p.estimates[service]; known != nil {
-		return known.Response(now)
-	}
-	return 0
+	return p.speeds.of(service).Response(now)
 }
 
 // observePace learns from the pace of the events of a complete response.
--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
-	"github.com/flamingomount/flamingomount/pkg/gateway/estimate"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -22,9 +21,9 @@
 	// lapsed holds the states of endpoints that were published lately.
 	lapsed   map[types.EndpointID]*endpointState
 	services map[types.ServiceName][]*endpointState
-	// estimates holds what is known of the engines of each service on average.
-	estimates map[types.ServiceName]*estimate.Service
-	queues    map[types.ServiceName]*queue
+	// speeds holds what is known of the endpoints of each service on average.
+	speeds speeds
+	queues map[types.ServiceName]*queue
 	// news is how recent the view is.
 	news news
 	// withdrawals holds the endpoints that said they want no requests.
@@ -42,7 +41,7 @@
 		states:           make(map[types.EndpointID]*endpointState),
 		lapsed:           make(map[types.EndpointID]*endpointState),
 		services:         make(map[types.ServiceName][]*endpointState),
-		estimates:        make(map[types.ServiceName]*estimate.Service),
+		speeds:           newSpeeds(),
 		queues:           make(map[types.ServiceName]*queue),
 		constraintsCache: make(map[routeConstraintsKey]routeConstraints),
 	}
@@ -65,6 +64,7 @@
 // state: they run requests until these end, and an evacuated data centre returns.
 func (p *Pool) setView(view *catalog.View) {
 	p.view, p.constraintsCache = view, make(map[routeConstraintsKey]routeConstraints)
+	changed := p.speeds.update(view.Config)
 	clear(p.services)
 	states := make(map[types.EndpointID]*endpointState, len(p.states))
 	for name, endpoints := range view.Leaving {
@@ -75,6 +75,9 @@
 	}
 	p.keepLapsed(states)
 	p.states = states
+	if changed {
+		p.renewSpeeds()
+	}
 }
 
 // addStates adds the states of a service's endpoints in the local region, and
@@ -100,7 +103,7 @@
 func (p *Pool) stateOf(name types.ServiceName, placed catalog.ActiveEndpoint) *endpointState {
 	existing := p.known(placed.ID)
 	if existing == nil {
-		return &endpointState{placed: placed, news: &p.news, speed: p.estimateOf(name).NewEndpoint()}
+		return &endpointState{placed: placed, news: &p.news, speed: p.speeds.of(name).NewSpeed()}
 	}
 	if existing.placed.StartedAt != placed.StartedAt || existing.placed.Address != placed.Address {
 		p.restarts = append(p.restarts, restart{previous: existing, endpoint: placed.Endpoint})
--- /dev/null
+++ b/pkg/gateway/balance/predicting_test.go
@@ -0,0 +1,76 @@
+package balance_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+// callForPredictions makes a configuration call for predictions, by routes to another service
+// than those of the specs.
+func callForPredictions(config *catalog.Config) {
+	const chat = types.ServiceName("chat")
+	backends := []catalog.Backend{{Service: chat, Weight: 1}}
+	config.Services[chat] = &catalog.Service{Name: chat, Engine: &catalog.Engine{}}
+	config.Routes = append(config.Routes,
+		&catalog.Route{Rank: 0, Objective: 500 * time.Millisecond, Backends: backends},
+		&catalog.Route{Rank: 1, Objective: time.Second, Backends: backends})
+	config.Prepare()
+}
+
+var _ = Describe("A configuration that begins or ceases to call for predictions", func() {
+	const took = 300 * time.Millisecond
+	predicting, other := averagedConfig(), averagedConfig()
+	callForPredictions(predicting)
+
+	// answered plays responses to small requests, the last of which is 0.1 s old at the end.
+	answered := func(pool *balance.Pool, now time.Time) time.Time {
+		for range 20 {
+			permit := requestPermit(pool, newRequest(engines, 0), now)
+			pool.ResponseStarted(permit, now.Add(took))
+			permit.SetPace(balance.Pace{Mean: 30 * time.Millisecond, Longest: 50 * time.Millisecond})
+			pool.Done(permit, balance.Succeeded, now.Add(took))
+			now = now.Add(took + 100*time.Millisecond)
+		}
+		return now
+	}
+
+	It("switches between what is learned and the constants", func() {
+		pool := newPool(averagedView(other, 0), 1)
+		now := answered(pool, start)
+		Expect(pool.Response(engines, now)).To(BeZero())
+		pool.Update(averagedView(predicting, 0), balance.Membership{Self: "d0", PeakLive: 1})
+		now = answered(pool, now)
+		Expect(pool.Response(engines, now)).To(BeNumerically("~", took, 10*time.Millisecond))
+		Expect(requestPermit(pool, newRequest(engines, 0), now).Prediction().Certainty).To(BeNumerically(">", 0))
+		pool.Update(averagedView(other, 0), balance.Membership{Self: "d0", PeakLive: 1})
+		Expect(pool.Response(engines, now)).To(BeZero())
+		Expect(requestPermit(pool, newRequest(engines, 0), now).Prediction().Certainty).To(BeZero())
+	})
+
+	DescribeTable("keeps the requests in flight, and learns from their responses", func(before, after *catalog.Config) {
+		pool := newPool(averagedView(before, 0), 1)
+		var permits []*balance.Permit
+		for range 30 {
+			permits = append(permits, requestPermit(pool, newRequest(engines, 0), start))
+		}
+		pool.Update(averagedView(after, 0), balance.Membership{Self: "d0", PeakLive: 1})
+		Expect(pool.InFlight()[engines]).To(Equal(30))
+		for _, permit := range permits {
+			pool.ResponseStarted(permit, start.Add(took))
+		}
+		slow := requestPermit(pool, newRequest(engines, 0), start.Add(took)).Prediction().FirstEvent
+		Expect(slow).To(BeNumerically(">", took/2))
+		for _, permit := range permits {
+			pool.Done(permit, balance.Succeeded, start.Add(2*took))
+		}
+		Expect(pool.InFlight()[engines]).To(Equal(1))
+	},
+		Entry("when it begins", other, predicting),
+		Entry("when it ceases", predicting, other))
+})
--- a/pkg/gateway/balance/score.go
+++ b/pkg/gateway/balance/score.go
@@ -79,7 +79,7 @@
 
 // load returns what an engine has to do, as far as this daemon knows.
 func (s *endpointState) load() estimate.Load {
-	return estimate.Load{Running: s.assumedRunning(), BacklogTokens: s.prefillTokens}
+	return estimate.Load{Running: s.assumedRunning(), BacklogTokens: s.prefillTokens, Plain: !s.isEngine()}
 }
 
 // assumedRunning returns how many requests of all daemons are assumed to run at the
--- a/pkg/gateway/estimate/estimate.go
+++ b/pkg/gateway/estimate/estimate.go
@@ -25,6 +25,8 @@
 	Running float64
 	// BacklogTokens is the prompt work, in tokens, of requests without a first event.
 	BacklogTokens float64
+	// Plain is true for an endpoint that is no engine.
+	Plain bool
 }
 
 // Prediction is what a request would see at an endpoint.
@@ -96,7 +98,7 @@
 }
 
 // Successor returns what is known of the next start of the endpoint.
-func (e *Endpoint) Successor() *Endpoint {
+func (e *Endpoint) Successor() EndpointSpeed {
 	return e.service.NewEndpoint()
 }
 
@@ -179,6 +181,19 @@
 	e.service.observe(promptWork, usual*ratio, usual, e.logLevel(now), now)
 }
 
+// ObserveFailure learns nothing: a request that failed says nothing of how fast others are.
+func (e *Endpoint) ObserveFailure(float64, float64, bool, time.Duration, time.Time) {}
+
+// memoryShare is the share of an engine's memory that the requests of this daemon may need
+// at once; the rest is for those of other daemons.
+const memoryShare = 0.9
+
+// MemoryLimit returns how many tokens the requests of this daemon may need at once at an
+// engine whose memory holds a number of tokens.
+func (e *Endpoint) MemoryLimit(memoryTokens int) float64 {
+	return float64(memoryTokens) * memoryShare
+}
+
 // observeSmall learns from the time until the response to a small prompt started beside
 // running requests.
 func (e *Endpoint) observeSmall(running, took float64, now time.Time) {
--- a/pkg/gateway/estimate/estimate_test.go
+++ b/pkg/gateway/estimate/estimate_test.go
@@ -70,7 +70,7 @@
 		service := estimate.NewService()
 		now := engine{37_900}.observe(service.NewEndpoint(), start, 50, promptWork)
 		Expect(service.NewEndpoint().PrefillRate(now)).To(BeNumerically("~", 37_900, 3000))
-		Expect(service.NewEndpoint().Successor().PrefillRate(now)).To(BeNumerically("~", 37_900, 3000))
+		Expect(service.NewEndpoint().Successor().(*estimate.Endpoint).PrefillRate(now)).To(BeNumerically("~", 37_900, 3000))
 		Expect(service.NewEndpoint().Predict(estimate.Work{}, estimate.Load{}, now).Certainty).To(BeZero())
 	})
 
--- a/pkg/gateway/estimate/service.go
+++ b/pkg/gateway/estimate/service.go
@@ -11,11 +11,11 @@
 
 // Start values of a service of which nothing is known.
 var (
-	// startPrefill assumes 55,000 prompt tokens a second, in seconds per token.
-	startPrefill = slopePrior{slope: 1 / 55_000.0, spread: 5e7}
+	// startPrefill is the time that each prompt token takes, in seconds.
+	startPrefill = slopePrior{slope: 1 / startPrefillRate, spread: 5e7}
 	// startGrowth is what each running request adds to the pause between events, in
 	// seconds.
-	startGrowth = slopePrior{slope: 0.002, spread: 100}
+	startGrowth = slopePrior{slope: startRunCost, spread: 100}
 )
 
 // Service is what is known of the endpoints of a service on average.
@@ -83,6 +83,11 @@
 	return &Endpoint{service: s}
 }
 
+// NewSpeed is NewEndpoint as an EndpointSpeed.
+func (s *Service) NewSpeed() EndpointSpeed {
+	return s.NewEndpoint()
+}
+
 // PrefillRate returns how many prompt tokens an endpoint of the service prefills per
 // second on average.
 func (s *Service) PrefillRate(now time.Time) float64 {
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -275,6 +275,8 @@
 	bounds         balance.Bounds
 	// modelEngine makes the service one that runs model engines.
 	modelEngine bool
+	// predicts makes the configuration call for predictions.
+	predicts bool
 	// transport sends the attempts; nil means the usual one.
 	transport http.RoundTripper
 
@@ -310,6 +312,9 @@
 	if w.modelEngine {
 		config.Services[service].Engine = &catalog.Engine{Slots: 4, CacheTokens: 300_000}
 	}
+	if w.predicts {
+		callForPredictions(config)
+	}
 	config.Prepare()
 	view := &catalog.View{Config: config, Endpoints: map[types.ServiceName][]catalog.ActiveEndpoint{}, Evacuated: map[types.DataCentre]bool{}}
 	for i, ep := range endpoints {
@@ -331,6 +336,17 @@
 	DeferCleanup(w.peerServer.CloseClientConnections)
 }
 
+// callForPredictions makes a configuration call for predictions, by routes to another service
+// than those of the specs.
+func callForPredictions(config *catalog.Config) {
+	const chat = types.ServiceName("chat")
+	backends := []catalog.Backend{{Service: chat, Weight: 1}}
+	config.Services[chat] = &catalog.Service{Name: chat, Engine: &catalog.Engine{}}
+	config.Routes = append(config.Routes,
+		&catalog.Route{Host: "chat.example", Prefix: "/", Rank: 0, Objective: 500 * time.Millisecond, Backends: backends},
+		&catalog.Route{Host: "chat.example", Prefix: "/s/", Rank: 1, Objective: time.Second, Backends: backends})
+}
+
 func (w *testProxy) newHandler() *proxy.Handler {
 	return proxy.New(w.options())
 }
--- a/pkg/gateway/proxy/proxy_test.go
+++ b/pkg/gateway/proxy/proxy_test.go
@@ -366,6 +366,8 @@
 		view.Endpoints[service] = append(view.Endpoints[service], catalog.ActiveEndpoint{Endpoint: &catalog.Endpoint{
 			ID: "own", Service: service, Address: local.address(), Region: "south", Slots: 4,
 		}})
+		callForPredictions(view.Config)
+		view.Config.Prepare()
 		south.update()
 		south.snap.Members[0].Loads = []members.Load{{Service: service, InFlight: 1, ResponseMillis: told}}
 		for range 12 {
--- a/pkg/gateway/proxy/sooner_test.go
+++ b/pkg/gateway/proxy/sooner_test.go
@@ -24,6 +24,10 @@
 	var here, there *endpoint
 	var sent atomic.Int32 // to the daemon in the south
 
+	predicts := true // whether the configuration calls for predictions
+
+	BeforeEach(func() { predicts = true })
+
 	// start starts a daemon in the north, whose endpoint is slow, and one in the south.
 	start := func(allowed ...types.Region) {
 		here = newEndpoint(func(w http.ResponseWriter, r *http.Request) {
@@ -36,7 +40,7 @@
 		south.endpointRegion = "south"
 		south.start(there)
 		north = newTestProxy(catalog.Idempotent)
-		north.route.AllowedRegions = allowed
+		north.route.AllowedRegions, north.predicts = allowed, predicts
 		sent.Store(0)
 		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			sent.Add(1)
@@ -55,6 +59,14 @@
 		}
 	}
 
+	It("gets none where the configuration does not call for predictions", func() {
+		predicts = false
+		start()
+		send(12)
+		Expect(sent.Load()).To(BeZero())
+		Expect(here.count()).To(Equal(12))
+	})
+
 	It("is not even sent those whose data may not be used there", func() {
 		start("north")
 		send(6)
