balance: many daemons share endpoints as before where the configuration doesn't call for more

Cause: with daemons use all endpoints where each would get fewer than two, and the endpoints of a group move on; both serve the learned model, but act on every deployment. At 1, 3 and 12 daemons it shows no difference either way. Change: both go by whether the pool learns. Seen by reading, not changed: the groups move on after the first round only, since the number of assignments is never a multiple of that of the daemons again.

--- a/pkg/gateway/balance/averaged_test.go
+++ b/pkg/gateway/balance/averaged_test.go
@@ -232,5 +232,6 @@
 	},
 		Entry("by the only daemon", 1),
 		Entry("by one of three daemons", 3),
-		Entry("by one of twelve daemons that share the endpoints", 12))
+		Entry("by one of twelve daemons that share the endpoints", 12),
+		Entry("by one of forty daemons, with few endpoints for each", 40))
 })
--- a/pkg/gateway/balance/share.go
+++ b/pkg/gateway/balance/share.go
@@ -14,8 +14,12 @@
 // useful share of the slots.
 const daemonsPerEndpoint = 4
 
-// minChoices is the least number of endpoints, on average, among which each daemon chooses.
-const minChoices = 2
+// minLearnedChoices and minChoices are the least numbers of endpoints, on average, among
+// which each daemon chooses, where their speeds are learned and elsewhere.
+const (
+	minLearnedChoices = 2
+	minChoices        = 1
+)
 
 // assignEndpoints distributes the endpoints of the local data centre over its
 // daemons, evenly and with the same result at every daemon. Where there are few
@@ -34,7 +38,7 @@
 		ep.owned = !found || owner == p.peers.Self
 	}
 	daemons := orderedDaemons(p.peers)
-	useAll := len(daemons) <= daemonsPerEndpoint || p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)*minChoices
+	useAll := len(daemons) <= daemonsPerEndpoint || p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)*p.minChoices()
 	next := 0
 	for _, ep := range states {
 		if useAll {
@@ -51,7 +55,7 @@
 			}
 			next++
 		}
-		if len(daemons)%daemonsPerEndpoint == 0 && next%len(daemons) == 0 {
+		if p.speeds.learns && len(daemons)%daemonsPerEndpoint == 0 && next%len(daemons) == 0 {
 			// Other daemons share the next endpoints, so that no group of daemons has
 			// only slow ones.
 			next++
@@ -59,6 +63,15 @@
 	}
 }
 
+// minChoices returns the least number of endpoints, on average, among which each daemon
+// chooses.
+func (p *Pool) minChoices() int {
+	if p.speeds.learns {
+		return minLearnedChoices
+	}
+	return minChoices
+}
+
 // countLocalEndpoints counts the endpoints of the local data centre.
 func (p *Pool) countLocalEndpoints(states []*endpointState) int {
 	count := 0
