--- a/pkg/gateway/regions/sooner_test.go
+++ b/pkg/gateway/regions/sooner_test.go
@@ -43,6 +43,12 @@
 		Expect(few["west"] + many["west"]).To(BeZero())
 	})
 
+	It("gets its part of what the one that gains most is sent", func() {
+		sent := count(loads(60*time.Millisecond, 400*time.Millisecond), 600*time.Millisecond)
+		Expect(sent["south"] + sent["west"]).To(BeNumerically("~", 594, 60))
+		Expect(sent["west"]).To(BeNumerically("~", 99, 40))
+	})
+
 	It("gets nothing if it may not be used, however soon it responds", func() {
 		for range 100 {
 			_, found := regions.PickSooner(loads(time.Millisecond, time.Millisecond), time.Second, func(types.Region) bool { return false }, rng)
