--- a/pkg/gateway/balance/endpoint.go
+++ b/pkg/gateway/balance/endpoint.go
@@ -24,7 +24,9 @@
 
 // endpointState is what this daemon knows of one endpoint from its own attempts.
 type endpointState struct {
-	placed  catalog.ActiveEndpoint
+	placed catalog.ActiveEndpoint
+	// idHash is the hash of its ID.
+	idHash  uint64
 	service *catalog.Service
 	// news is that of the pool.
 	news *news
@@ -42,8 +44,8 @@
 	large int
 	// largePending is the number of those whose responses have not started.
 	largePending int
-	// speed is what is known of how fast an engine works.
-	speed *estimate.Endpoint
+	// speed is what is known of how fast the endpoint works.
+	speed estimate.EndpointSpeed
 	// memory is what the requests in flight need of an engine's memory.
 	memory memoryUse
 	// owned is true when this daemon sends the endpoint its large prompts.
