--- a/pkg/gateway/balance/predicting_test.go
+++ b/pkg/gateway/balance/predicting_test.go
@@ -18,8 +18,8 @@
 	backends := []catalog.Backend{{Service: chat, Weight: 1}}
 	config.Services[chat] = &catalog.Service{Name: chat, Engine: &catalog.Engine{}}
 	config.Routes = append(config.Routes,
-		&catalog.Route{Rank: 0, Objective: 500 * time.Millisecond, Backends: backends},
-		&catalog.Route{Rank: 1, Objective: time.Second, Backends: backends})
+		&catalog.Route{Rank: 0, Objective: 500 * time.Millisecond, Timeout: 5 * time.Second, Backends: backends},
+		&catalog.Route{Rank: 1, Objective: time.Second, Timeout: 10 * time.Second, Backends: backends})
 	config.Prepare()
 }
 
