--- a/pkg/gateway/balance/pool.go
+++ b/pkg/gateway/balance/pool.go
@@ -51,7 +51,7 @@
 // Update applies the published view and the daemons that share the endpoints.
 func (p *Pool) Update(view *catalog.View, peers Membership) {
 	same := view == p.view && peers.equal(p.peers)
-	p.peers, p.daemons = peers, peers.visibleDaemons()
+	p.peers, p.daemons = peers, peers.senders()
 	if same {
 		return
 	}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -61,6 +61,9 @@
 	// EvacuationLimit is the time within which an evacuated data centre must get
 	// no more requests; zero means at once.
 	EvacuationLimit time.Duration
+	// LinkMegabits is what the VM's link carries, in megabits per second; zero if it is not
+	// known.
+	LinkMegabits int
 	// Grace is the time between the stop signal and the end of the process.
 	Grace time.Duration
 	// AdmissionLimit is the latest time after the stop signal at which a request may
@@ -198,7 +201,7 @@
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Incarnation: uint64(time.Now().UnixMilli()), State: members.Starting,
-			Region: s.Region, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress,
+			Region: s.Region, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress, LinkMegabits: s.LinkMegabits,
 		},
 		Seeds:        s.Seeds,
 		Store:        opts.Store,
@@ -257,8 +260,13 @@
 // region.
 func regionMembership(snap *control.Snapshot) balance.Membership {
 	membership := balance.Membership{Self: snap.Self.VM, PeakLive: snap.Peak.Region, Joining: snap.Joining}
-	for _, member := range snap.InRegion(snap.Self.Region) {
+	regional := snap.InRegion(snap.Self.Region)
+	for _, member := range regional {
 		membership.Live = append(membership.Live, member.VM)
+	}
+	leading := members.Leading(regional)
+	membership.OthersTakeNothing = len(leading) < len(regional)
+	for _, member := range leading {
 		membership.Serving = append(membership.Serving, balance.Daemon{VM: member.VM, DataCentre: member.DataCentre})
 		if member.DataCentre == snap.Self.DataCentre {
 			membership.SameDataCentre = append(membership.SameDataCentre, member.VM)
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -43,6 +43,9 @@
 	DataCentre types.DataCentre `json:"dc"`
 	// CallerAddress is the address for callers, "ip:port".
 	CallerAddress string `json:"callers"`
+	// LinkMegabits is what the link of the VM carries, in megabits per second; zero if it
+	// is not known.
+	LinkMegabits int `json:"link,omitempty"`
 	// Loads is the daemon's load by service.
 	Loads []Load `json:"loads,omitempty"`
 	// RegionPeak is the largest number of daemons of its region that the daemon
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -167,7 +167,7 @@
 
 // serving returns the daemons of a region that may take the request.
 func (r *run) serving(snap *control.Snapshot, region types.Region) []members.Member {
-	return slices.DeleteFunc(snap.InRegion(region), func(daemon members.Member) bool {
+	return slices.DeleteFunc(members.Leading(snap.InRegion(region)), func(daemon members.Member) bool {
 		return slices.Contains(r.leavingDaemons, daemon.VM)
 	})
 }
