--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -267,6 +267,24 @@
 			Expect(sum).To(BeNumerically("<=", 2*endpoints*slots))
 		})
 
+		It("leaves the endpoints to the daemons that take the traffic", func() {
+			const daemons, leading = 28, 2
+			live := fleetOf(daemons)
+			membership := balance.Membership{Live: live, SameDataCentre: live[:leading], PeakLive: daemons, OthersTakeNothing: true}
+			for _, vm := range live[:leading] {
+				membership.Serving = append(membership.Serving, balance.Daemon{VM: vm, DataCentre: "north-a"})
+			}
+			sum := 0
+			for _, vm := range live[:leading] {
+				membership.Self = vm
+				pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+				pool.Update(view(32, 0, nil), membership)
+				sum += fill(pool, 2)
+			}
+			Expect(sum).To(BeNumerically(">=", 32*64*6/10))
+			Expect(sum).To(BeNumerically("<=", 32*(64+leading)))
+		})
+
 		It("refuses at once what would wait for too long, and says when to return", func() {
 			pool := newPool(view(1, 0, nil), 3)
 			fill(pool, 2)
--- a/pkg/gateway/balance/choose.go
+++ b/pkg/gateway/balance/choose.go
@@ -9,7 +9,7 @@
 // home of its large prefix, and how many endpoints may run it. With a trace it is only a
 // question, of which the trace receives each step.
 func (p *Pool) choose(req RequestInfo, trace *Trace, now time.Time) (chosen, home *endpointState, eligible int) {
-	candidates := assignedEndpoints(req, p.filter(req, trace, now), trace)
+	candidates := p.keepingPrefix(req, assignedEndpoints(req, p.filter(req, trace, now), trace), trace)
 	if len(candidates) == 0 {
 		return nil, nil, 0
 	}
--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -18,6 +18,7 @@
 	DroppedSuspended  Drop = "is suspended after failures"
 	DroppedEjected    Drop = "failed its last requests"
 	DroppedUnassigned Drop = "belongs to other daemons"
+	DroppedNotKeeping Drop = "does not keep the prefix of the prompt"
 	DroppedFull       Drop = "has as many requests of this daemon as it may"
 	DroppedCold       Drop = "is cold and its rate is used up"
 	DroppedMemory     Drop = "has no memory for it beside what runs there"
--- a/pkg/gateway/members/leading.go
+++ b/pkg/gateway/members/leading.go
@@ -58,7 +58,7 @@
 
 // isSmall reports whether the link of a daemon is small beside the largest.
 func (l *dataCentreLinks) isSmall(member Member) bool {
-	return member.LinkMegabits > 0 && member.LinkMegabits*smallLinkFactor < l.largest
+	return member.LinkMegabits > 0 && member.LinkMegabits < l.largest/smallLinkFactor
 }
 
 // suffice reports whether the daemons with large links can take all traffic.
