Daemons with large links take the traffic where others have small ones

Links that are equal or not told change nothing. Specs: the choice, a played burst on links, the loss of a large one, shares of those that take the traffic, prefixes, the log.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -120,6 +120,20 @@
 		}
 	})
 
+	DescribeTable("keeps a large prefix at few endpoints where others of its daemons take no traffic", func(othersTakeNothing bool, endpoints int) {
+		pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+		pool.Update(view(8, 0, nil), balance.Membership{
+			Self: "d0", Serving: []balance.Daemon{{VM: "d0", DataCentre: "north-a"}}, PeakLive: 1, OthersTakeNothing: othersTakeNothing,
+		})
+		got := make(map[types.EndpointID]bool)
+		for permit := requestPermit(pool, withPrefix(7), start); permit != nil; permit = requestPermit(pool, withPrefix(7), start) {
+			got[permit.Endpoint.ID] = true
+		}
+		Expect(got).To(HaveLen(endpoints))
+	},
+		Entry("two", true, 2),
+		Entry("all of them elsewhere", false, 8))
+
 	It("agrees with the fleet's home of a prefix", func() {
 		v := view(5, 0, nil)
 		pool := newPool(v, 3)
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -138,6 +138,7 @@
 	unanswered *unansweredLog
 	lookups    *lookupLog
 	restarts   *restartLog
+	leading    *leadingLog
 	servers    []*server
 	// quotaFleet is the number of daemons among which quotas are divided.
 	quotaFleet settledFleet
@@ -193,6 +194,7 @@
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, bounds), time.Now)
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	e.restarts = newRestartLog(e.log)
+	e.leading = newLeadingLog(e.log, e.registry)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.gate.OnDoubt(e.prober.Wake)
@@ -245,7 +247,9 @@
 		e.demand.Suspend(maxLifetimes * substituteLifetime)
 	}
 	e.gate.RecordNews(snap.StoreReadAt)
-	e.restarts.record(e.gate.Update(snap.View, regionMembership(snap)))
+	membership := regionMembership(snap)
+	e.leading.record(membership)
+	e.restarts.record(e.gate.Update(snap.View, membership))
 	e.prober.Wake()
 	size, known := fleetSize(e.opts.Settings, snap)
 	if known {
