--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -121,6 +121,20 @@
 		}
 	})
 
+	DescribeTable("keeps a large prefix at few endpoints where others of its daemons take no traffic", func(othersTakeNothing bool, endpoints int) {
+		pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+		pool.Update(view(8, 0, nil), balance.Membership{
+			Self: "d0", Serving: []balance.Daemon{{VM: "d0", DataCentre: "north-a"}}, PeakLive: 1, OthersTakeNothing: othersTakeNothing,
+		})
+		got := make(map[types.EndpointID]bool)
+		for permit := requestPermit(pool, withPrefix(7), start); permit != nil; permit = requestPermit(pool, withPrefix(7), start) {
+			got[permit.Endpoint.ID] = true
+		}
+		Expect(got).To(HaveLen(endpoints))
+	},
+		Entry("two", true, 2),
+		Entry("all of them elsewhere", false, 8))
+
 	It("agrees with the fleet's home of a prefix", func() {
 		v := view(5, 0, nil)
 		pool := newPool(v, 3)
@@ -268,6 +282,24 @@
 			Expect(sum).To(BeNumerically("<=", 2*endpoints*slots))
 		})
 
+		It("leaves the endpoints to the daemons that take the traffic", func() {
+			const daemons, leading = 28, 2
+			live := fleetOf(daemons)
+			membership := balance.Membership{Live: live, SameDataCentre: live[:leading], PeakLive: daemons, OthersTakeNothing: true}
+			for _, vm := range live[:leading] {
+				membership.Serving = append(membership.Serving, balance.Daemon{VM: vm, DataCentre: "north-a"})
+			}
+			sum := 0
+			for _, vm := range live[:leading] {
+				membership.Self = vm
+				pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+				pool.Update(view(32, 0, nil), membership)
+				sum += fill(pool, 2)
+			}
+			Expect(sum).To(BeNumerically(">=", 32*64*6/10))
+			Expect(sum).To(BeNumerically("<=", 32*(64+leading)))
+		})
+
 		It("refuses at once what would wait for too long, and says when to return", func() {
 			pool := newPool(view(1, 0, nil), 3)
 			fill(pool, 2)
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -61,6 +61,9 @@
 	// EvacuationLimit is the time within which an evacuated data centre must get
 	// no more requests; zero means at once.
 	EvacuationLimit time.Duration
+	// LinkMegabits is what the VM's link carries, in megabits per second; zero if it is not
+	// known.
+	LinkMegabits int
 	// Grace is the time between the stop signal and the end of the process.
 	Grace time.Duration
 	// AdmissionLimit is the latest time after the stop signal at which a request may
@@ -135,6 +138,7 @@
 	unanswered *unansweredLog
 	lookups    *lookupLog
 	restarts   *restartLog
+	leading    *leadingLog
 	servers    []*server
 	// quotaFleet is the number of daemons among which quotas are divided.
 	quotaFleet settledFleet
@@ -190,6 +194,7 @@
 	e.gate = gate.New(balance.NewPool(s.Region, s.DataCentre, bounds), time.Now)
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	e.restarts = newRestartLog(e.log)
+	e.leading = newLeadingLog(e.log, e.registry)
 	transport := proxy.NewTransport()
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.gate.OnDoubt(e.prober.Wake)
@@ -198,7 +203,7 @@
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Incarnation: uint64(time.Now().UnixMilli()), State: members.Starting,
-			Region: s.Region, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress,
+			Region: s.Region, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress, LinkMegabits: s.LinkMegabits,
 		},
 		Seeds:        s.Seeds,
 		Store:        opts.Store,
@@ -242,7 +247,9 @@
 		e.demand.Suspend(maxLifetimes * substituteLifetime)
 	}
 	e.gate.RecordNews(snap.StoreReadAt)
-	e.restarts.record(e.gate.Update(snap.View, regionMembership(snap)))
+	membership := regionMembership(snap)
+	e.leading.record(membership)
+	e.restarts.record(e.gate.Update(snap.View, membership))
 	e.prober.Wake()
 	size, known := fleetSize(e.opts.Settings, snap)
 	if known {
@@ -257,8 +264,13 @@
 // region.
 func regionMembership(snap *control.Snapshot) balance.Membership {
 	membership := balance.Membership{Self: snap.Self.VM, PeakLive: snap.Peak.Region, Joining: snap.Joining}
-	for _, member := range snap.InRegion(snap.Self.Region) {
+	regional := snap.InRegion(snap.Self.Region)
+	for _, member := range regional {
 		membership.Live = append(membership.Live, member.VM)
+	}
+	leading := members.Leading(regional)
+	membership.OthersTakeNothing = len(leading) < len(regional)
+	for _, member := range leading {
 		membership.Serving = append(membership.Serving, balance.Daemon{VM: member.VM, DataCentre: member.DataCentre})
 		if member.DataCentre == snap.Self.DataCentre {
 			membership.SameDataCentre = append(membership.SameDataCentre, member.VM)
