--- a/pkg/gateway/balance/keeping.go
+++ b/pkg/gateway/balance/keeping.go
@@ -18,7 +18,7 @@
 	}
 	ordered := slices.Clone(candidates)
 	slices.SortFunc(ordered, func(a, b *endpointState) int {
-		return cmp.Compare(prefixWeight(req.Prefix, b.placed.ID), prefixWeight(req.Prefix, a.placed.ID))
+		return cmp.Compare(prefixWeight(req.Prefix, b.idHash), prefixWeight(req.Prefix, a.idHash))
 	})
 	for _, ep := range ordered[maxKeepers:] {
 		trace.drop(ep, DroppedNotKeeping)
