balance: hold long prompts only where an urgent route must respond sooner

Cause: a pool with MaxHold held long prompts wherever a more urgent route used the same engines, also where that route has as much time as they have. The wish is a switch by the configuration's objectives alone. Ruled out: a setting and a name, by the issue. Change: Pool.Holds asks catalog.Config.MixesObjectives, which includes that the service runs engines; runsEngines goes. Specs' configurations that are changed by hand are prepared again, as a daemon does with each one. Conclusion: MaxHold is still zero in a daemon; nothing changes there yet.

--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -22,19 +22,16 @@
 )
 
 // Holds reports whether a large prompt may be held until its engine has room: the pool
-// holds prompts, and the engines serve more urgent routes beside it, so that it is not given to them
-// whenever it fits its own objective.
+// holds prompts, and the engines serve more urgent routes beside it that must respond
+// sooner, so that it is not given to them whenever it fits its own objective.
 func (p *Pool) Holds(req RequestInfo) bool {
-	return p.bounds.MaxHold > 0 && req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent && p.runsEngines(req.Service)
+	return p.bounds.MaxHold > 0 && req.large() && req.Objective > 0 && p.mixesObjectives(req.Service) && p.routeConstraints(req).hasMoreUrgent
 }
 
-// runsEngines reports whether the endpoints of a service are engines.
-func (p *Pool) runsEngines(service types.ServiceName) bool {
-	if p.view == nil || p.view.Config == nil {
-		return false
-	}
-	config := p.view.Config.Services[service]
-	return config != nil && config.Engine != nil
+// mixesObjectives reports whether the engines of a service serve routes of which a more
+// urgent one must respond sooner.
+func (p *Pool) mixesObjectives(service types.ServiceName) bool {
+	return p.view != nil && p.view.Config != nil && p.view.Config.MixesObjectives(service)
 }
 
 // Hold keeps a large prompt for which there is no room now, for a bounded time, or
--- a/pkg/gateway/balance/mix_play_test.go
+++ b/pkg/gateway/balance/mix_play_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,6 +76,7 @@
 		{Name: "short", Rank: 0, Objective: 800 * time.Millisecond, Backends: backends},
 		{Name: "long", Rank: 1, Objective: longObjective, Backends: backends},
 	}
+	v.Config.Prepare()
 	return v
 }
 
@@ -116,6 +118,8 @@
 	running  []*mixRunning
 	waiting  []mixWaiting
 	outcomes map[int]*mixTally
+	// decisions tells each decision, in order.
+	decisions []string
 }
 
 type mixRunning struct {
@@ -132,6 +136,11 @@
 // playMix plays a load and returns the outcomes by rank. Without holds, long prompts
 // that have no room are refused at once.
 func playMix(l mixLoad, seed uint64, longObjective time.Duration, holds bool) map[int]*mixTally {
+	return runMix(l, seed, longObjective, holds).outcomes
+}
+
+// runMix plays a load.
+func runMix(l mixLoad, seed uint64, longObjective time.Duration, holds bool) *mixRun {
 	v := mixConfig(longObjective)
 	r := &mixRun{engines: map[types.EndpointID]*simulatedEngine{}, outcomes: map[int]*mixTally{0: {}, 1: {}}}
 	live := fleetOf(max(l.daemons, 1))
@@ -157,7 +166,7 @@
 			r.place(requests[next], r.pools[next%len(r.pools)], now)
 		}
 	}
-	return r.outcomes
+	return r
 }
 
 // warm lets each engine hold the prefixes that have their home there.
@@ -223,6 +232,11 @@
 	})
 }
 
+// decide records a decision.
+func (r *mixRun) decide(now time.Time, what string, endpoint types.EndpointID) {
+	r.decisions = append(r.decisions, fmt.Sprintf("%s: %s %s", now.Sub(start), what, endpoint))
+}
+
 func (r *mixRun) place(req balance.RequestInfo, pool *balance.Pool, now time.Time) {
 	tally := r.outcomes[req.Rank]
 	tally.sent++
@@ -235,8 +249,10 @@
 	waiter := waitFor(pool, req, refusal, now)
 	if waiter == nil {
 		tally.refused++
+		r.decide(now, "refused", "")
 		return
 	}
+	r.decide(now, "waits", "")
 	r.waiting = append(r.waiting, mixWaiting{waiter: waiter, pool: pool, long: req.PrefixTokens > 0})
 }
 
@@ -256,6 +272,7 @@
 
 // run starts a request at an engine and counts whether its response starts in time.
 func (r *mixRun) run(req balance.RequestInfo, pool *balance.Pool, permit *balance.Permit, now time.Time) {
+	r.decide(now, "sent to", permit.Endpoint.ID)
 	prefilledAt := r.engines[permit.Endpoint.ID].prefill(req, now)
 	const stream = 400 * time.Millisecond
 	r.running = append(r.running, &mixRunning{
--- a/pkg/gateway/balance/mix_test.go
+++ b/pkg/gateway/balance/mix_test.go
@@ -16,6 +16,7 @@
 	It("are not held where the engines serve no more urgent route", func() {
 		v := mixConfig(time.Second)
 		v.Config.Routes = v.Config.Routes[1:]
+		v.Config.Prepare()
 		pool := holdingPool(v)
 		req := withPrefix(1)
 		req.Rank = 1
@@ -29,6 +30,16 @@
 		Expect(newPool(v, 1).Holds(req)).To(BeFalse())
 	})
 
+	It("are placed as if none were held where no urgent route must respond sooner", func() {
+		load := mixLoad{shortRate: steady(120), longRate: steady(50)}
+		const objective = 800 * time.Millisecond // that of the short ones
+		for seed := range uint64(seeds) {
+			held, before := runMix(load, seed, objective, true), runMix(load, seed, objective, false)
+			Expect(held.decisions).To(Equal(before.decisions))
+			Expect(before.decisions).To(ContainElement(ContainSubstring("refused")))
+		}
+	})
+
 	It("wait for the home of their prefix while it begins in time, and then go elsewhere", func() {
 		pool := holdingPool(mixConfig(1200 * time.Millisecond))
 		req := withPrefix(1)
@@ -63,6 +74,7 @@
 	It("are not held at endpoints that run no engine", func() {
 		v := mixConfig(1200 * time.Millisecond)
 		v.Config.Services[engines].Engine = nil
+		v.Config.Prepare()
 		pool := holdingPool(v)
 		req := withPrefix(1)
 		req.Rank = 1
