balance: hold long prompts only while prompt work is what keeps them out

Cause: Hold took a prompt whatever kept it from its home, and waitsForHome read "late" also for an engine that is busy with many requests (maxBusyShare), so prompts were held in vain at homes that have no room sooner for having prefilled what they have, instead of trying their second home.

--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -67,7 +67,7 @@
 	held = heldPrompt{home: home.placed.ID, tokens: p.prefillTokens(req, home, !req.PrefixUncached, now)}
 	held.startBy = p.startBy(req, home, held.tokens, now)
 	wait = expectedWait{predicted: p.roomIn(home, q, held.startBy, now), allowed: holdTime(req, p.bounds.MaxHold, held.startBy, now)}
-	refused = wait.allowed <= 0 || len(q.held) >= maxHeld || wait.predicted > wait.allowed
+	refused = !p.awaitsPrefill(req, home, now) || len(q.held) >= maxHeld || wait.allowed <= 0 || wait.predicted > wait.allowed
 	wait.allowed = min(wait.allowed, 2*wait.predicted+holdMargin)
 	return held, wait, nil, refused
 }
@@ -176,15 +176,27 @@
 
 // waitsForHome reports whether a large prompt is to be held for the home of its prefix
 // although another engine has room: that one would prefill the prefix once more, which
-// takes its capacity from other requests. A home that is better avoided, or that has no
-// room for another reason than its prompt work, is not waited for.
+// takes its capacity from other requests.
 func (p *Pool) waitsForHome(req RequestInfo, home *endpointState, now time.Time) bool {
-	if req.overdue || req.PrefixUncached || !p.Holds(req) || home.stalledFor(now) > stallAfter {
-		return false
-	}
-	if p.noRoom(req, home, true, p.limitNow(req, home, now), now) != DroppedLate {
+	if req.overdue || req.PrefixUncached || !p.Holds(req) || p.hasRoom(req, home, now) || !p.awaitsPrefill(req, home, now) {
 		return false
 	}
 	startBy := p.startBy(req, home, p.prefillTokens(req, home, true, now), now)
 	return p.roomIn(home, p.queueOf(req.Service), startBy, now) < holdTime(req, p.bounds.MaxHold, startBy, now)
 }
+
+// hasRoom reports whether the home of a large prompt takes it now.
+func (p *Pool) hasRoom(req RequestInfo, home *endpointState, now time.Time) bool {
+	return p.noRoom(req, home, true, p.limitNow(req, home, now), now) == ""
+}
+
+// awaitsPrefill reports whether the prompt work at the home of a large prompt is all that
+// may keep the prompt from it. A home that is stalled, cold or busy with many requests has
+// no room sooner for having prefilled what it has.
+func (p *Pool) awaitsPrefill(req RequestInfo, home *endpointState, now time.Time) bool {
+	if home.stalledFor(now) > stallAfter || home.estimatedInFlight() > float64(home.slots())*maxBusyShare {
+		return false
+	}
+	reason := p.noRoom(req, home, true, p.limitNow(req, home, now), now)
+	return reason == "" || reason == DroppedLate
+}
--- a/pkg/gateway/balance/mix_test.go
+++ b/pkg/gateway/balance/mix_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 var _ = Describe("Long prompts beside short ones", func() {
@@ -84,6 +86,77 @@
 		}
 	})
 
+	// crowd sends short requests to one engine, of which all but the last have responses.
+	crowd := func(pool *balance.Pool, v *catalog.View, home types.EndpointID, count int) {
+		short := newRequest(engines, 0)
+		for _, ep := range v.Endpoints[engines] {
+			if ep.ID != home {
+				short.Tried = append(short.Tried, ep.ID)
+			}
+		}
+		for i := range count {
+			permit := requestPermit(pool, short, start)
+			Expect(permit).NotTo(BeNil())
+			if i < count-1 {
+				pool.ResponseStarted(permit, start)
+			}
+		}
+	}
+	homeIn := func(v *catalog.View, req balance.RequestInfo) types.EndpointID {
+		home, _ := balance.PrefixHome(v.Endpoints[engines], req.Prefix, func(catalog.ActiveEndpoint) bool { return true })
+		return home.ID
+	}
+
+	It("are not held for a home that is busy with many requests, but go elsewhere at once", func() {
+		v := mixConfig(1200 * time.Millisecond)
+		pool, req := holdingPool(v), withPrefix(1)
+		req.Rank, req.Objective = 1, 1200*time.Millisecond
+		crowd(pool, v, homeIn(v, req), 20)
+		permit := requestPermit(pool, req, start)
+		Expect(permit).NotTo(BeNil())
+		Expect(permit.Endpoint.ID).NotTo(Equal(homeIn(v, req)))
+	})
+
+	It("are refused at once where only an engine that is busy with many requests is left", func() {
+		v := mixConfig(1200 * time.Millisecond)
+		v.Endpoints[engines] = v.Endpoints[engines][:1]
+		pool, req := holdingPool(v), withPrefix(1)
+		req.Rank, req.Objective = 1, 1200*time.Millisecond
+		crowd(pool, v, homeIn(v, req), 20)
+		Expect(requestPermit(pool, req, start)).To(BeNil())
+		waiter, refusal := pool.Hold(req, start)
+		Expect(waiter).To(BeNil())
+		Expect(refusal).NotTo(BeNil())
+	})
+
+	It("are refused at once by a home that has stalled", func() {
+		v := mixConfig(1200 * time.Millisecond)
+		v.Endpoints[engines] = v.Endpoints[engines][:1]
+		pool, req := holdingPool(v), withPrefix(1)
+		req.Rank, req.Objective, req.PromptTokens = 1, 1200*time.Millisecond, 33_300
+		Expect(requestPermit(pool, req, start)).NotTo(BeNil())
+		req.Arrived = start.Add(time.Second)
+		req.Deadline = req.Arrived.Add(5 * time.Second)
+		waiter, refusal := pool.Hold(req, req.Arrived)
+		Expect(waiter).To(BeNil())
+		Expect(refusal).NotTo(BeNil())
+	})
+
+	It("are not given to an engine that is busy with many requests when their slack is used up", func() {
+		v := mixConfig(1200 * time.Millisecond)
+		v.Endpoints[engines] = v.Endpoints[engines][:1]
+		pool, req := holdingPool(v), withPrefix(1)
+		req.Rank, req.Objective, req.PromptTokens = 1, 1200*time.Millisecond, 33_300
+		first := requestPermit(pool, req, start)
+		waiter, refusal := pool.Hold(req, start)
+		Expect(refusal).To(BeNil())
+		crowd(pool, v, homeIn(v, req), 20)
+		pool.ResponseStarted(first, start.Add(100*time.Millisecond))
+		permit, refusal := pool.EndHold(waiter, waiter.ExpiresAt)
+		Expect(permit).To(BeNil())
+		Expect(refusal).NotTo(BeNil())
+	})
+
 	It("are let go as soon as the home has prefilled what it had, the one with the least slack first", func() {
 		pool := holdingPool(mixConfig(2500 * time.Millisecond))
 		req := withPrefix(1)
--- a/pkg/gateway/balance/reading.go
+++ b/pkg/gateway/balance/reading.go
@@ -38,7 +38,7 @@
 		return ep.speed.Wait(now) <= allowed && ep.oldestPending(now) <= allowed
 	}
 	constraints := p.routeConstraints(req)
-	if constraints.hasMoreUrgent && !req.overdue && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
+	if constraints.hasMoreUrgent && ep.estimatedInFlight() > float64(ep.slots())*maxBusyShare {
 		return false
 	}
 	if constraints.hasMoreUrgent {
