balance: explain a request behind a queue as it is then treated

Cause: Explain answered "refused, no endpoint may run it here" for a request that has others before it, though such a request waits for its turn and no endpoint is looked for until then; and it gave the refusal for lack of room where Hold gives the one that says why there is no endpoint. Ruled out: that the wait itself is predicted apart; both go through expectedQueueWait and expectedHold. Change: only a request that is first is explained by what choose finds; explainWait returns the refusal that Enqueue, Hold or Refuse would give.

--- a/pkg/gateway/balance/trace.go
+++ b/pkg/gateway/balance/trace.go
@@ -150,32 +150,38 @@
 	}
 	found.Trace.dropLeaving(p, req.Service)
 	chosen, _, eligible := p.choose(req, &found.Trace, now)
-	switch {
-	case eligible == 0:
+	// A request behind others waits for its turn before any endpoint is looked for.
+	switch first := found.Ahead == 0; {
+	case first && eligible == 0:
 		found.Refusal = p.noEndpoint(req, now)
-	case chosen != nil && found.Ahead == 0:
+	case first && chosen != nil:
 		found.Chosen = chosen.placed.ID
 	}
 	if found.Chosen != "" || found.Refusal != nil {
 		return found
 	}
-	wait, refused := p.explainWait(req, now)
-	found.Held, found.Queued = !refused && req.large(), !refused && !req.large()
+	var wait expectedWait
+	wait, found.Refusal = p.explainWait(req, now)
 	found.PredictedWait, found.MaxWait = wait.predicted, wait.allowed
-	if refused {
-		found.Refusal = p.refusal(req, now)
-	}
+	found.Held = found.Refusal == nil && req.large()
+	found.Queued = found.Refusal == nil && !req.large()
 	return found
 }
 
-// explainWait returns the wait of a request without room, and whether it is refused.
-func (p *Pool) explainWait(req RequestInfo, now time.Time) (wait expectedWait, refused bool) {
+// explainWait returns the wait of a request that is not placed at once, or why it is
+// refused instead.
+func (p *Pool) explainWait(req RequestInfo, now time.Time) (wait expectedWait, refusal *Refusal) {
+	var refused bool
 	switch {
 	case !req.large():
-		return p.expectedQueueWait(req, now)
-	case !p.Holds(req):
-		return expectedWait{}, true
+		wait, refused = p.expectedQueueWait(req, now)
+	case p.Holds(req):
+		_, wait, refusal, refused = p.expectedHold(req, &Trace{}, now)
+	default:
+		refused = true
+	}
+	if refused && refusal == nil {
+		refusal = p.refusal(req, now)
 	}
-	_, wait, _, refused = p.expectedHold(req, &Trace{}, now)
-	return wait, refused
+	return wait, refusal
 }
