explain-route: ask the quota of the organisation, without charging it

Cause: the answer left out the quota, so a request that its organisation's quota refuses was explained as sent to an endpoint. Ruled out: Charge and Refund (records demand, and other requests could be refused meanwhile), Credit (advances the account, creates one). Specs: two ledgers with the same 500 steps, one of them peeked three times a step, stay deeply equal, and Peek gives what Credit and Wait give a third; a daemon explains without taking units or asking the other daemon, and then refuses or asks as it said. Conclusion: what others would give is not told; the wait for them is.

--- a/pkg/cli/placement/table.go
+++ b/pkg/cli/placement/table.go
@@ -24,6 +24,9 @@
 	if a.Organisation != "" {
 		line("organisation", "%s", a.Organisation)
 	}
+	if a.QuotaCost > 0 {
+		line("quota", "takes %.0f units, the daemon has %.0f", a.QuotaCost, a.QuotaCredit)
+	}
 	if a.Home != "" {
 		line("home", "%s", a.Home)
 	}
--- a/pkg/gateway/explain/explain.go
+++ b/pkg/gateway/explain/explain.go
@@ -69,6 +69,11 @@
 	Rank         int               `json:"rank"`
 	Organisation types.OrgName     `json:"organisation,omitempty"`
 
+	// QuotaCost is what the request takes of its organisation's quota, QuotaCredit what
+	// the daemon has of it; both are zero if nothing limits it.
+	QuotaCost   float64 `json:"quota_cost,omitempty"`
+	QuotaCredit float64 `json:"quota_credit,omitempty"`
+
 	// Endpoint is set for ToEndpoint, NextDaemon for ToDaemon.
 	Endpoint   types.EndpointID `json:"endpoint,omitempty"`
 	NextDaemon types.VMID       `json:"next_daemon,omitempty"`
--- a/pkg/gateway/proxy/explain.go
+++ b/pkg/gateway/proxy/explain.go
@@ -87,6 +87,9 @@
 		e.refuse(r.withheldFailure(trait))
 		return
 	}
+	if !e.placeWithinQuota() {
+		return
+	}
 	e.describeRegions(snap)
 	if r.req.PrefixTokens >= balance.MinLargePrefixTokens {
 		e.placeLargePrompt(snap)
@@ -109,6 +112,28 @@
 	}
 }
 
+// placeWithinQuota goes through the steps of run.chargeQuota, and reports whether the
+// request has its units at once.
+func (e *explanation) placeWithinQuota() bool {
+	r, answer := e.run, e.answer
+	cost, limited := r.quotaCost()
+	if !limited {
+		return true
+	}
+	quote := r.h.opts.Quotas.Quote(r.req.Organisation.Name, cost)
+	answer.QuotaCost, answer.QuotaCredit = quote.Cost, quote.Credit
+	switch {
+	case quote.Covered:
+		return true
+	case quote.Asks:
+		answer.Outcome, answer.MaxWaitMs = explain.Waits, r.quotaWait().Milliseconds()
+		answer.Reason = "its organisation lacks credit here; other daemons are asked for theirs, and it is refused if they give too little"
+	default:
+		e.refuse(overQuota(quote.RetryAfter))
+	}
+	return false
+}
+
 // placeLargePrompt finds the home of the prefix and the daemon that sends it large prompts.
 func (e *explanation) placeLargePrompt(snap *control.Snapshot) {
 	home, found := e.run.nextHome(snap)
--- a/pkg/gateway/proxy/quota.go
+++ b/pkg/gateway/proxy/quota.go
@@ -58,12 +58,17 @@
 	}
 	if refusal != nil {
 		r.quota.refusal = refusal
-		return notRunFailure(types.CodeOverQuota, "the organisation is beyond its quota", refusal.RetryAfter)
+		return overQuota(refusal.RetryAfter)
 	}
 	r.quota.set(&quotaUnits{charge: charge, cost: cost})
 	return nil
 }
 
+// overQuota returns the failure of a request beyond its organisation's quota.
+func overQuota(retryAfter time.Duration) *types.Failure {
+	return notRunFailure(types.CodeOverQuota, "the organisation is beyond its quota", retryAfter)
+}
+
 // quotaRefusal returns the failure of a request that got no units for its next attempt:
 // that of the attempt before it, if there was one.
 func quotaRefusal(lastFailure, refusal *types.Failure) *types.Failure {
--- a/pkg/gateway/proxy/quota_test.go
+++ b/pkg/gateway/proxy/quota_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/gateway/explain"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
@@ -124,6 +125,60 @@
 		}
 	})
 
+	Describe("is explained", func() {
+		explained := func() *explain.Answer {
+			question := explain.Question{Method: "GET", Host: "a.example", Path: "/r/", Organisation: "limited"}
+			answer, failure := w.handler.Explain(context.Background(), question)
+			ExpectWithOffset(1, failure).To(BeNil())
+			return answer
+		}
+
+		It("as refused once its credit is used up, and takes none", func() {
+			w.quotas = newQuotas(w.organisations, nil)
+			w.start(newEndpoint(respondOK))
+			for range 3 * minted {
+				answer := explained()
+				Expect(answer.Outcome).To(Equal(explain.ToEndpoint))
+				Expect(answer.QuotaCost).To(BeEquivalentTo(1))
+				Expect(answer.QuotaCredit).To(BeEquivalentTo(minted))
+			}
+			for range minted {
+				Expect(ask("limited").status).To(Equal(200))
+			}
+			answer := explained()
+			Expect(answer.Outcome).To(Equal(explain.Refused))
+			Expect(answer.Code).To(Equal(types.CodeOverQuota))
+			Expect(answer.RetryAfterMs).To(BeNumerically(">", 0))
+			Expect(answer.QuotaCredit).To(BeZero())
+			Expect(ask("limited").status).To(Equal(http.StatusTooManyRequests))
+		})
+
+		It("as waiting where other daemons would be asked, and asks none", func() {
+			other := &giver{delay: 20 * time.Millisecond}
+			w.quotas = newQuotas(w.organisations, other)
+			w.start(newEndpoint(respondOK))
+			for range minted {
+				Expect(ask("limited").status).To(Equal(200))
+			}
+			given := other.given.Load()
+			answer := explained()
+			Expect(answer.Outcome).To(Equal(explain.Waits))
+			Expect(answer.Reason).To(ContainSubstring("credit"))
+			Expect(answer.MaxWaitMs).To(BeNumerically(">", 0))
+			Consistently(other.given.Load, "100ms").Should(Equal(given))
+			Expect(ask("limited").status).To(Equal(200))
+		})
+
+		It("as refused for good beyond what all daemons may hold together", func() {
+			w.organisations[0].Quota = &catalog.Quota{Rate: 0.1, Burst: 0.5}
+			w.quotas = newQuotas(w.organisations, &giver{})
+			w.start(newEndpoint(respondOK))
+			answer := explained()
+			Expect(answer.Code).To(Equal(types.CodeOverQuota))
+			Expect(answer.RetryAfterMs).To(BeZero())
+		})
+	})
+
 	It("passes as before if no organisation has a quota", func() {
 		w.organisations = []*catalog.Organisation{organisation("limited")}
 		w.quotas = newQuotas(w.organisations, nil)
--- a/pkg/gateway/quota/account.go
+++ b/pkg/gateway/quota/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -54,6 +55,24 @@
 	return a.stock + a.loose.units()
 }
 
+// wait predicts how long it takes to mint what the cost lacks, at most the life of units,
+// in which credit of other daemons arrives.
+func (a *account) wait(cost float64) time.Duration {
+	lacking := max(cost-a.credit(), 0)
+	if a.share.mint*a.share.life.Seconds() <= lacking {
+		return a.share.life
+	}
+	return time.Duration(lacking / a.share.mint * float64(time.Second))
+}
+
+// at returns a copy of the account as it is at a time.
+func (a *account) at(now time.Time) *account {
+	copied := *a
+	copied.loose = slices.Clone(a.loose)
+	copied.advance(now)
+	return &copied
+}
+
 // take removes up to the units and returns them as lots.
 func (a *account) take(units float64, now time.Time) []Lot {
 	taken := a.loose.take(units)
--- a/pkg/gateway/quota/ledger.go
+++ b/pkg/gateway/quota/ledger.go
@@ -190,6 +190,19 @@
 	return l.account(name, now).credit()
 }
 
+// Peek returns what Credit and Wait would for a cost, and changes nothing.
+func (l *Ledger) Peek(name types.OrgName, cost float64, now time.Time) (credit float64, wait time.Duration) {
+	if !l.Limited(name) {
+		return 0, 0
+	}
+	known := l.accounts[name]
+	if known == nil {
+		known = &account{share: l.share(name), minted: l.since}
+	}
+	copied := known.at(now)
+	return copied.credit(), copied.wait(cost)
+}
+
 // Forget removes the accounts of organisations without recent requests.
 func (l *Ledger) Forget(now time.Time) {
 	for name, account := range l.accounts {
--- a/pkg/gateway/quota/move.go
+++ b/pkg/gateway/quota/move.go
@@ -51,10 +51,5 @@
 // Wait predicts how long it takes until the daemon itself has minted what a request
 // lacks, at most the life of units, in which credit of other daemons arrives.
 func (l *Ledger) Wait(name types.OrgName, cost float64, now time.Time) time.Duration {
-	account := l.account(name, now)
-	lacking := max(cost-account.credit(), 0)
-	if account.share.mint*account.share.life.Seconds() <= lacking {
-		return account.share.life
-	}
-	return time.Duration(lacking / account.share.mint * float64(time.Second))
+	return l.account(name, now).wait(cost)
 }
--- a/pkg/gateway/quota/quota_test.go
+++ b/pkg/gateway/quota/quota_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -59,6 +61,31 @@
 		Expect(granted).To(BeNumerically(">=", 10000), "10 s at the rate, without the burst")
 	})
 
+	It("tells credit and wait without a change", func() {
+		peeked, other, asked := started(7), started(7), started(7)
+		rng := rand.New(rand.NewPCG(5, 8))
+		now := at(0)
+		for range 500 {
+			now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
+			cost := float64(rng.IntN(60))
+			for range 3 {
+				credit, wait := peeked.Peek(modelOrganisation, cost, now)
+				Expect(credit).To(BeNumerically("~", asked.Credit(modelOrganisation, now), 1e-6), "but for the sums' last digits")
+				Expect(wait).To(BeNumerically("~", asked.Wait(modelOrganisation, cost, now), time.Microsecond))
+			}
+			Expect(reflect.DeepEqual(peeked, other)).To(BeTrue())
+			gift, take := rng.IntN(5) == 0, rng.IntN(3) > 0
+			for _, ledger := range []*quota.Ledger{peeked, other, asked} {
+				if gift {
+					ledger.Receive(modelOrganisation, []quota.Gift{{Units: cost, Life: time.Second}}, now, now)
+				}
+				if take {
+					ledger.Charge(modelOrganisation, cost, true, now)
+				}
+			}
+		}
+	})
+
 	It("grants nothing while the number of daemons is unknown, and then its share of the time since it heard of the quota", func() {
 		ledger := quota.NewLedger(bounds)
 		ledger.SetOrganisations(organisation(limit), at(0))
