--- a/pkg/cli/placement/placement_test.go
+++ b/pkg/cli/placement/placement_test.go
@@ -44,7 +44,7 @@
 		return out.String(), err
 	}
 	answer := explain.Answer{
-		API: explain.APIVersion, Outcome: explain.ToEndpoint, Reason: "least score", Daemon: "10.0.0.1:1", SelfRegion: "north", Route: "r", Endpoint: "i-1",
+		API: explain.APIVersion, Outcome: explain.ToEndpoint, Reason: "least score", Daemon: "10.0.0.1:1", SelfRegion: "north", Route: "r", Endpoint: "i-1", QuotaCost: 431, QuotaCredit: 1200,
 		Regions: []explain.Region{{Region: "south", Dropped: "no daemon serves there"}},
 		Endpoints: []explain.Endpoint{
 			{ID: "i-1", Score: 0.5, Parts: []explain.Score{{Name: "work", Seconds: 0.5}}}, {ID: "i-2", Dropped: "is suspended after failures"},
@@ -60,7 +60,7 @@
 	It("prints a table, or JSON", func() {
 		out, err := run(http.StatusOK, answer)
 		Expect(err).NotTo(HaveOccurred())
-		for _, text := range []string{"endpoint i-1", "work 0.500", "is suspended after failures", "no daemon serves there", "and 3 others"} {
+		for _, text := range []string{"endpoint i-1", "work 0.500", "is suspended after failures", "no daemon serves there", "and 3 others", "takes 431 units, the daemon has 1200"} {
 			Expect(out).To(ContainSubstring(text))
 		}
 		out, err = run(http.StatusOK, answer, "--json")
