balance: specs of the bounds of a hold

Cause: mutants of hold.go made by hand live: how long after other requests an engine takes a second long prompt, the 64 held prompts, the pool's longest hold, and a test for no time left that the next one implies. Change: a table of what bounds a hold, whose prompts count in the predicted wait, the 64, the second since other requests, prompts that are prefilled whole anyway. A prompt is refused when room is predicted at the end of its hold, as waitsForHome has it, which makes the test for no time left go. Conclusion: none of the decisions of before changes but at equality.

--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -67,7 +67,7 @@
 	held = heldPrompt{home: home.placed.ID, tokens: p.prefillTokens(req, home, !req.PrefixUncached, now)}
 	held.startBy = p.startBy(req, home, held.tokens, now)
 	wait = expectedWait{predicted: p.roomIn(home, q, held.startBy, now), allowed: holdTime(req, p.bounds.MaxHold, held.startBy, now)}
-	refused = !p.awaitsPrefill(req, home, now) || len(q.held) >= maxHeld || wait.allowed <= 0 || wait.predicted > wait.allowed
+	refused = !p.awaitsPrefill(req, home, now) || len(q.held) >= maxHeld || wait.predicted >= wait.allowed
 	wait.allowed = min(wait.allowed, 2*wait.predicted+holdMargin)
 	return held, wait, nil, refused
 }
--- /dev/null
+++ b/pkg/gateway/balance/hold_bounds_test.go
@@ -0,0 +1,125 @@
+package balance_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/types"
+)
+
+var _ = Describe("The hold of a long prompt", func() {
+	const objective = 1200 * time.Millisecond
+	// ownRead is how long the home takes at 55,000 tokens per second for the prompt of
+	// longPrompt, of which 3,700 tokens are not in the prefix; wholeRead is for all of it.
+	const ownRead = time.Second * 3_700 / 55_000
+	const wholeRead = time.Second * 17_000 / 55_000
+	const margin = 100 * time.Millisecond
+
+	longPrompt := func(prefix uint64) balance.RequestInfo {
+		req := withPrefix(prefix)
+		req.Rank, req.Objective = 1, objective
+		return req
+	}
+	// alone returns a pool of one engine.
+	alone := func(maxHold time.Duration) *balance.Pool {
+		v := mixConfig(objective)
+		v.Endpoints[engines] = v.Endpoints[engines][:1]
+		pool := balance.NewPool("north", "north-a", balance.Bounds{MaxHold: maxHold})
+		pool.Update(v, balance.Membership{Self: "d0", PeakLive: 1})
+		return pool
+	}
+	// heldFor returns how long a prompt is held at most.
+	heldFor := func(pool *balance.Pool, req balance.RequestInfo) time.Duration {
+		waiter, refusal := pool.Hold(req, start)
+		ExpectWithOffset(1, refusal).To(BeNil())
+		return waiter.ExpiresAt.Sub(start)
+	}
+
+	DescribeTable("is bounded by", func(bound time.Duration, maxHold time.Duration, change func(*balance.RequestInfo)) {
+		pool, req := alone(maxHold), longPrompt(1)
+		Expect(requestPermit(pool, req, start)).NotTo(BeNil())
+		change(&req)
+		Expect(heldFor(pool, req)).To(BeNumerically("~", bound, time.Millisecond))
+	},
+		Entry("its predicted wait", 2*ownRead+margin, maxHold, func(*balance.RequestInfo) {}),
+		Entry("the pool", 90*time.Millisecond, 90*time.Millisecond, func(*balance.RequestInfo) {}),
+		Entry("half of the time to its deadline", 90*time.Millisecond, maxHold, func(req *balance.RequestInfo) {
+			req.Deadline = start.Add(180 * time.Millisecond)
+		}),
+		Entry("the time for which it was charged", 90*time.Millisecond, maxHold, func(req *balance.RequestInfo) {
+			req.WaitLimit = 90 * time.Millisecond
+		}),
+		Entry("its slack", 960*time.Millisecond-800*time.Millisecond-ownRead, maxHold, func(req *balance.RequestInfo) {
+			req.Arrived = start.Add(-800 * time.Millisecond)
+		}),
+		Entry("its slack where it has to be prefilled whole", 960*time.Millisecond-500*time.Millisecond-wholeRead, maxHold, func(req *balance.RequestInfo) {
+			req.Arrived, req.PrefixUncached, req.Prefix = start.Add(-500*time.Millisecond), true, 9
+		}),
+	)
+
+	It("does not begin where room is predicted after its slack", func() {
+		pool, req := alone(maxHold), longPrompt(1)
+		req.PromptTokens = 33_300
+		Expect(requestPermit(pool, req, start)).NotTo(BeNil())
+		req.PromptTokens, req.Arrived = 17_000, start.Add(-600*time.Millisecond)
+		_, refusal := pool.Hold(req, start)
+		Expect(refusal).NotTo(BeNil())
+	})
+
+	It("counts only what is held for the same home with less slack", func() {
+		v := mixConfig(objective)
+		pool, other := holdingPool(v), uint64(2)
+		home := func(prefix uint64) types.EndpointID {
+			found, _ := balance.PrefixHome(v.Endpoints[engines], prefix, func(catalog.ActiveEndpoint) bool { return true })
+			return found.ID
+		}
+		for home(other) == home(1) {
+			other++
+		}
+		Expect(heldFor(pool, longPrompt(1))).To(BeNumerically("~", margin, time.Millisecond))
+		Expect(heldFor(pool, longPrompt(other))).To(BeNumerically("~", margin, time.Millisecond))
+		urgent := longPrompt(1)
+		urgent.Arrived = start.Add(-100 * time.Millisecond)
+		Expect(heldFor(pool, urgent)).To(BeNumerically("~", margin, time.Millisecond))
+		Expect(heldFor(pool, longPrompt(1))).To(BeNumerically("~", 2*2*ownRead+margin, time.Millisecond))
+	})
+
+	It("is that of 64 prompts at most", func() {
+		v := mixConfig(time.Hour)
+		pool, req := holdingPool(v), longPrompt(1)
+		req.Objective, req.Deadline = time.Hour, start.Add(2*time.Hour)
+		for range 64 {
+			Expect(heldFor(pool, req)).To(BeNumerically(">", 0))
+		}
+		waiter, refusal := pool.Hold(req, start)
+		Expect(waiter).To(BeNil())
+		Expect(refusal).NotTo(BeNil())
+	})
+
+	It("does not delay a prompt whose home has none of its prefix while another engine has room", func() {
+		pool, req := holdingPool(mixConfig(objective)), longPrompt(1)
+		req.PromptTokens = 33_300
+		first := requestPermit(pool, req, start)
+		req.PrefixUncached = true
+		permit := requestPermit(pool, req, start)
+		Expect(permit).NotTo(BeNil())
+		Expect(permit.Endpoint.ID).NotTo(Equal(first.Endpoint.ID))
+	})
+
+	It("ends sooner at an engine to which no other requests have come for a second", func() {
+		second := func(after time.Duration) *balance.Permit {
+			pool, req := alone(maxHold), longPrompt(1)
+			pool.Done(requestPermit(pool, newRequest(engines, 0), start), balance.Succeeded, start)
+			now := start.Add(after)
+			req.PromptTokens, req.Arrived, req.Deadline = 25_000, now, now.Add(5*time.Second)
+			Expect(requestPermit(pool, req, now)).NotTo(BeNil())
+			return requestPermit(pool, req, now)
+		}
+		Expect(second(990 * time.Millisecond)).To(BeNil())
+		Expect(second(1010 * time.Millisecond)).NotTo(BeNil())
+	})
+})
