balance: spec that long prompts which must respond sooner are not held

Cause: nothing checked that Pool.Holds asks whether a more urgent route shares the engines once it asks whether objectives are mixed at all; a service whose long prompts are the most urgent and have the least time mixes them too (MixesObjectives is true for rank 0 with 1 s beside rank 2 with 3 s). Ruled out: that MixesObjectives alone decides. Change: one spec. Conclusion: such services are served as before by Holds. Whatever else asks MixesObjectives alone takes effect there.

--- a/pkg/gateway/balance/hold_bounds_test.go
+++ b/pkg/gateway/balance/hold_bounds_test.go
@@ -61,6 +61,22 @@
 		}),
 	)
 
+	It("is that of prompts with an objective that others precede", func() {
+		v, req := mixConfig(objective), longPrompt(1)
+		Expect(holdingPool(v).Holds(req)).To(BeTrue())
+		patient := req
+		patient.Objective = 0
+		Expect(holdingPool(v).Holds(patient)).To(BeFalse())
+
+		// Here the long prompts are those that must respond sooner.
+		v.Config.Routes[0].Rank, v.Config.Routes[0].Objective = 2, 3*time.Second
+		v.Config.Routes[1].Rank, v.Config.Routes[1].Objective = 0, time.Second
+		v.Config.Prepare()
+		req.Rank, req.Objective = 0, time.Second
+		Expect(v.Config.MixesObjectives(engines)).To(BeTrue())
+		Expect(holdingPool(v).Holds(req)).To(BeFalse())
+	})
+
 	It("does not begin where room is predicted after its slack", func() {
 		pool, req := alone(maxHold), longPrompt(1)
 		req.PromptTokens = 33_300
