balance: spec that the end of a hold gives the prompt to another engine

Cause: the mutant of EndHold that forgets that the hold has ended lived: the spec of it ended at the end of the slack, where nothing waits anyway. Ruled out: that the prompt counts as overdue by its slack alone. Change: one spec, whose hold ends before its slack. Still alive, not checked by a spec: letGo before waiting requests (overdueOnly), waitsForHome at a home that has room but a worse score (hasRoom), and the trace that expectedHold gets from explainWait. Conclusion: no change of the code.

--- a/pkg/gateway/balance/hold_bounds_test.go
+++ b/pkg/gateway/balance/hold_bounds_test.go
@@ -77,6 +77,21 @@
 		Expect(holdingPool(v).Holds(req)).To(BeFalse())
 	})
 
+	It("gives the prompt to another engine at its end, also while there is slack", func() {
+		const patient = 2500 * time.Millisecond
+		pool, req := holdingPool(mixConfig(patient)), longPrompt(1)
+		req.Objective, req.PromptTokens = patient, 28_300
+		first := requestPermit(pool, req, start)
+		req.PromptTokens = 34_300
+		Expect(requestPermit(pool, req, start)).To(BeNil())
+		waiter, refusal := pool.Hold(req, start)
+		Expect(refusal).To(BeNil())
+		Expect(waiter.ExpiresAt).To(BeTemporally("<", start.Add(700*time.Millisecond)))
+		permit, refusal := pool.EndHold(waiter, waiter.ExpiresAt)
+		Expect(refusal).To(BeNil())
+		Expect(permit.Endpoint.ID).NotTo(Equal(first.Endpoint.ID))
+	})
+
 	It("does not begin where room is predicted after its slack", func() {
 		pool, req := alone(maxHold), longPrompt(1)
 		req.PromptTokens = 33_300
