explain-route: count on no daemon that lately did not answer

Cause: Exchange.Quote told that other daemons would be asked whenever there are any, also while all of them are silent, when Acquire asks none for 5 s: an island then explained as waiting what it refuses. And a request of an organisation that the daemon's quotas don't limit (yet) got its cost and no credit, so the command printed "takes 431 units, the daemon has 0" and sent it on; explain.Answer says that both are zero then. Ruled out: the pause after a round and the closed exchange, which wouldAsk knew. Change: wouldAsk leaves out silent daemons; Quote has no cost where nothing limits. Daemons that are cut off and not known as silent yet are still counted on, as by Acquire itself.

--- a/pkg/gateway/quota/exchange/quote.go
+++ b/pkg/gateway/quota/exchange/quote.go
@@ -10,7 +10,8 @@
 
 // Quote tells what a request would get of its organisation's quota now.
 type Quote struct {
-	// Cost is what the request takes, Credit what the daemon has, in units.
+	// Cost is what the request takes, Credit what the daemon has, in units; both are zero if
+	// nothing limits the organisation.
 	Cost, Credit float64
 	// Covered is true if the credit suffices, or nothing limits the organisation.
 	Covered bool
@@ -26,7 +27,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.ledger.Limited(name) {
-		return Quote{Cost: cost, Covered: true}
+		return Quote{Covered: true}
 	}
 	now := e.opts.Now()
 	credit, wait := e.ledger.Peek(name, cost, now)
@@ -43,5 +44,6 @@
 func (e *Exchange) wouldAsk(name types.OrgName, now time.Time) bool {
 	trade := e.trades[name]
 	mayRun := !e.closed && (trade == nil || trade.running || !now.Before(trade.pausedUntil))
-	return mayRun && slices.ContainsFunc(e.neighbours.Stages(true), func(stage quota.Stage) bool { return len(stage.To) > 0 })
+	answers := func(vm types.VMID) bool { return !e.isSilent(vm) }
+	return mayRun && slices.ContainsFunc(e.neighbours.Stages(true), func(stage quota.Stage) bool { return slices.ContainsFunc(stage.To, answers) })
 }
