balance: specs of the mutants of holds that were alive

Cause: mutants of hold.go and trace.go lived: letGo before waiting requests (overdueOnly), waitsForHome at a home that has room but a worse score (hasRoom), and expectedHold without a trace in explainWait, which then has an engine in doubt checked by a mere question. Change: three specs. Conclusion: no change of the code.

--- a/pkg/gateway/balance/hold_bounds_test.go
+++ b/pkg/gateway/balance/hold_bounds_test.go
@@ -153,4 +153,95 @@
 		Expect(second(990 * time.Millisecond)).To(BeNil())
 		Expect(second(1010 * time.Millisecond)).NotTo(BeNil())
 	})
+
+	It("does not give a prompt with slack an engine before a request that waits", func() {
+		v := mixConfig(objective)
+		v.Endpoints[engines] = v.Endpoints[engines][:1]
+		v.Config.Services[engines].Engine.CacheTokens = 110_000
+		pool, req := holdingPool(v), longPrompt(1)
+		req.PromptTokens = 33_300
+		first := requestPermit(pool, req, start)
+		held, refusal := pool.Hold(req, start)
+		Expect(refusal).To(BeNil())
+		short := newRequest(engines, 0)
+		short.PromptTokens = 45_000
+		running := requestPermit(pool, short, start)
+		Expect(running).NotTo(BeNil())
+		Expect(requestPermit(pool, short, start)).To(BeNil(), "the engine has no memory for it")
+		waiting, refusal := pool.Enqueue(short, start)
+		Expect(refusal).To(BeNil())
+		pool.ResponseStarted(running, start.Add(10*time.Millisecond))
+		Expect(waiting.Granted).NotTo(Receive())
+		Expect(held.Granted).NotTo(Receive())
+		// Now there is memory for either.
+		pool.Done(first, balance.Succeeded, start.Add(50*time.Millisecond))
+		Expect(waiting.Granted).To(Receive())
+		Expect(held.Granted).NotTo(Receive())
+	})
+
+	It("does not begin for a home that has room but is worse than another engine", func() {
+		pool, req := holdingPool(mixConfig(objective)), longPrompt(1)
+		var home types.EndpointID
+		for range 20 {
+			permit := requestPermit(pool, req, start)
+			home = permit.Endpoint.ID
+			pool.Done(permit, balance.Invalid, start)
+		}
+		req.PromptTokens = 33_300
+		Expect(requestPermit(pool, req, start).Endpoint.ID).To(Equal(home))
+		permit := requestPermit(pool, longPrompt(1), start)
+		Expect(permit).NotTo(BeNil())
+		Expect(permit.Endpoint.ID).NotTo(Equal(home))
+		// It is the score that turns it away, not a lack of room.
+		found := pool.Explain(longPrompt(1), start)
+		for _, ep := range found.Endpoints {
+			if ep.Endpoint == home {
+				Expect(ep.Drop).To(BeEmpty())
+			}
+		}
+	})
+
+	It("is explained without having another engine checked", func() {
+		v := mixConfig(objective)
+		v.Endpoints[engines] = v.Endpoints[engines][:2]
+		for i := range v.Endpoints[engines] {
+			v.Endpoints[engines][i].Endpoint.StartedAt = 1
+		}
+		v.Config.Services[engines].HealthPath, v.Config.Services[engines].ColdPerSecond = "/well", 9.3
+		v.Config.Prepare()
+		explained := 0
+		for _, self := range fleetOf(28) {
+			pool, req := balance.NewPool("north", "north-a", balance.Bounds{MaxHold: maxHold, ColdOvershoot: 1.5, ColdSlack: 3}), longPrompt(1)
+			pool.Update(v, balance.Membership{Self: self, Live: fleetOf(28), PeakLive: 28})
+			home, _ := balance.PrefixHome(v.Endpoints[engines], 1, func(catalog.ActiveEndpoint) bool { return true })
+			short := newRequest(engines, 0)
+			short.Tried = []types.EndpointID{home.ID}
+			permit, _ := pool.Permit(short, start)
+			if permit == nil {
+				continue
+			}
+			now := start.Add(time.Millisecond)
+			permitted, _ := pool.Connected(permit, &playedConn{process: 1}, now)
+			pool.Done(permit, balance.Abandoned, now)
+			if permitted {
+				continue
+			}
+			now = now.Add(1500 * time.Millisecond) // by then no request is meant for the engine in doubt
+			req.Arrived, req.Deadline, req.PromptTokens = now, now.Add(5*time.Second), 33_300
+			first := req
+			first.Tried = []types.EndpointID{permit.Endpoint.ID}
+			Expect(requestPermit(pool, first, now).Endpoint.ID).To(Equal(home.ID))
+			found := pool.Explain(req, now)
+			Expect(found.Held).To(BeTrue())
+			_, pending := pool.DueConfirmations(now)
+			Expect(pending).To(BeFalse())
+			explained++
+			// A prompt that is held has the engine checked.
+			_, refusal := pool.Hold(req, now)
+			Expect(refusal).To(BeNil())
+			_, pending = pool.DueConfirmations(now)
+			Expect(pending).To(BeTrue())
+		}
+		Expect(explained).To(BeNumerically(">", 0))
+	})
 })
