balance: spec that no prompt is held for a home without memory for it

Cause: a mutant of awaitsPrefill that takes any lack of room for prompt work lived: the specs check a stalled and a busy home, not DroppedMemory. Ruled out: that the busy bound implies it; one request of 50,000 tokens that answers leaves no memory at 1 of 24 slots. Change: one spec, with a second engine (goes there) and without (refused). Conclusion: no change of the code.

--- a/pkg/gateway/balance/hold_bounds_test.go
+++ b/pkg/gateway/balance/hold_bounds_test.go
@@ -201,6 +201,33 @@
 		}
 	})
 
+	It("does not begin for a home that has no memory for it", func() {
+		for _, count := range []int{1, 2} {
+			v := mixConfig(objective)
+			v.Config.Services[engines].Engine.CacheTokens = 60_000
+			v.Endpoints[engines] = v.Endpoints[engines][:count]
+			pool, req := holdingPool(v), longPrompt(1)
+			home, _ := balance.PrefixHome(v.Endpoints[engines], req.Prefix, func(catalog.ActiveEndpoint) bool { return true })
+			short := newRequest(engines, 0)
+			short.PromptTokens = 50_000
+			for _, ep := range v.Endpoints[engines] {
+				if ep.ID != home.ID {
+					short.Tried = append(short.Tried, ep.ID)
+				}
+			}
+			pool.ResponseStarted(requestPermit(pool, short, start), start)
+			permit := requestPermit(pool, req, start)
+			if count > 1 {
+				Expect(permit).NotTo(BeNil())
+				Expect(permit.Endpoint.ID).NotTo(Equal(home.ID))
+				continue
+			}
+			Expect(permit).To(BeNil())
+			_, refusal := pool.Hold(req, start)
+			Expect(refusal).NotTo(BeNil())
+		}
+	})
+
 	It("is explained without having another engine checked", func() {
 		v := mixConfig(objective)
 		v.Endpoints[engines] = v.Endpoints[engines][:2]
