--- a/pkg/gateway/balance/bench_internal_test.go
+++ b/pkg/gateway/balance/bench_internal_test.go
@@ -57,8 +57,8 @@
 		}},
 	}
 	view.Config.Routes = []*catalog.Route{
-		{Rank: 0, Objective: 500 * time.Millisecond, Backends: []catalog.Backend{{Service: service, Weight: 1}}},
-		{Rank: 1, Objective: time.Second, Backends: []catalog.Backend{{Service: service, Weight: 1}}},
+		{Rank: 0, Objective: 500 * time.Millisecond, Timeout: 5 * time.Second, Backends: []catalog.Backend{{Service: service, Weight: 1}}},
+		{Rank: 1, Objective: time.Second, Timeout: 10 * time.Second, Backends: []catalog.Backend{{Service: service, Weight: 1}}},
 	}
 	view.Config.Prepare()
 	for i := range count {
--- a/pkg/gateway/balance/hold.go
+++ b/pkg/gateway/balance/hold.go
@@ -22,19 +22,16 @@
 )
 
 // Holds reports whether a large prompt may be held until its engine has room: the pool
-// holds prompts, and the engines serve more urgent routes beside it, so that it is not given to them
-// whenever it fits its own objective.
+// holds prompts, and the engines serve more urgent routes beside it that must respond
+// sooner, so that it is not given to them whenever it fits its own objective.
 func (p *Pool) Holds(req RequestInfo) bool {
-	return p.bounds.MaxHold > 0 && req.large() && req.Objective > 0 && p.routeConstraints(req).hasMoreUrgent && p.runsEngines(req.Service)
+	return p.bounds.MaxHold > 0 && req.large() && req.Objective > 0 && p.mixesObjectives(req.Service) && p.routeConstraints(req).hasMoreUrgent
 }
 
-// runsEngines reports whether the endpoints of a service are engines.
-func (p *Pool) runsEngines(service types.ServiceName) bool {
-	if p.view == nil || p.view.Config == nil {
-		return false
-	}
-	config := p.view.Config.Services[service]
-	return config != nil && config.Engine != nil
+// mixesObjectives reports whether the engines of a service serve routes of which a more
+// urgent one must respond sooner.
+func (p *Pool) mixesObjectives(service types.ServiceName) bool {
+	return p.view != nil && p.view.Config != nil && p.view.Config.MixesObjectives(service)
 }
 
 // Hold keeps a large prompt for which there is no room now, for a bounded time, or
@@ -70,7 +67,7 @@
 	held = heldPrompt{home: home.placed.ID, tokens: p.prefillTokens(req, home, !req.PrefixUncached, now)}
 	held.startBy = p.startBy(req, home, held.tokens, now)
 	wait = expectedWait{predicted: p.roomIn(home, q, held.startBy, now), allowed: holdTime(req, p.bounds.MaxHold, held.startBy, now)}
-	refused = wait.allowed <= 0 || len(q.held) >= maxHeld || wait.predicted > wait.allowed
+	refused = !p.awaitsPrefill(req, home, now) || len(q.held) >= maxHeld || wait.predicted >= wait.allowed
 	wait.allowed = min(wait.allowed, 2*wait.predicted+holdMargin)
 	return held, wait, nil, refused
 }
@@ -179,15 +176,27 @@
 
 // waitsForHome reports whether a large prompt is to be held for the home of its prefix
 // although another engine has room: that one would prefill the prefix once more, which
-// takes its capacity from other requests. A home that is better avoided, or that has no
-// room for another reason than its prompt work, is not waited for.
+// takes its capacity from other requests.
 func (p *Pool) waitsForHome(req RequestInfo, home *endpointState, now time.Time) bool {
-	if req.overdue || req.PrefixUncached || !p.Holds(req) || home.stalledFor(now) > stallAfter {
-		return false
-	}
-	if p.noRoom(req, home, true, p.limitNow(req, home, now), now) != DroppedLate {
+	if req.overdue || req.PrefixUncached || !p.Holds(req) || p.hasRoom(req, home, now) || !p.awaitsPrefill(req, home, now) {
 		return false
 	}
 	startBy := p.startBy(req, home, p.prefillTokens(req, home, true, now), now)
 	return p.roomIn(home, p.queueOf(req.Service), startBy, now) < holdTime(req, p.bounds.MaxHold, startBy, now)
 }
+
+// hasRoom reports whether the home of a large prompt takes it now.
+func (p *Pool) hasRoom(req RequestInfo, home *endpointState, now time.Time) bool {
+	return p.noRoom(req, home, true, p.limitNow(req, home, now), now) == ""
+}
+
+// awaitsPrefill reports whether the prompt work at the home of a large prompt is all that
+// may keep the prompt from it. A home that is stalled, cold or busy with many requests has
+// no room sooner for having prefilled what it has.
+func (p *Pool) awaitsPrefill(req RequestInfo, home *endpointState, now time.Time) bool {
+	if home.stalledFor(now) > stallAfter || home.estimatedInFlight() > float64(home.slots())*maxBusyShare {
+		return false
+	}
+	reason := p.noRoom(req, home, true, p.limitNow(req, home, now), now)
+	return reason == "" || reason == DroppedLate
+}
