members: one derivation of the number of daemons that share a bound of the fleet

Cause: fleetSize (retry budgets) and settledFleet (quotas) derived the same number in two ways in pkg/gateway/entry, which no model could play without the whole entry. Ruled out: one moment for both. Budgets get the number once the daemon has joined, quotas earlier, since after a restart of the whole fleet nobody has credit; SharedSize tells both. Change: members.FleetSize, with the one doc comment; entry only passes it on. Conclusion: a model can play it beside real tables of members.

--- a/pkg/gateway/entry/budget_fleet_internal_test.go
+++ b/pkg/gateway/entry/budget_fleet_internal_test.go
@@ -9,7 +9,6 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -33,6 +32,7 @@
 type budgetDaemon struct {
 	budgets   *proxy.RetryBudgets
 	peak      members.Peak
+	size      members.FleetSize
 	startedAt time.Time
 	// standsUntil is the end of a pause of the VM.
 	standsUntil time.Time
@@ -51,7 +51,9 @@
 }
 
 func (f *budgetFleet) start(i int, now time.Time) {
+	settings := Settings{VM: "a:1", Seeds: []types.VMID{"a:1", "b:1"}, DataCentres: fleetZones}
 	f.daemons[i] = &budgetDaemon{
+		size:    members.FleetSize{Expected: expectedFleet(settings)},
 		budgets: proxy.NewRetryBudgets(fleetRatio, fleetFixed, fleetWindow, now),
 		peak:    members.Peak{DataCentre: 1, Region: 1, Fleet: 1}, startedAt: now,
 	}
@@ -112,10 +114,9 @@
 		}
 	}
 	self.peak.DataCentre, self.peak.Fleet = max(self.peak.DataCentre, live.DataCentre), max(self.peak.Fleet, live.Fleet)
-	settings := Settings{VM: "a:1", Seeds: []types.VMID{"a:1", "b:1"}, DataCentres: fleetZones}
-	snap := &control.Snapshot{Peak: self.peak, Joining: now.Sub(self.startedAt) < joinTime}
-	if size, known := fleetSize(settings, snap); known {
-		self.budgets.SetFleetSize(size)
+	joining := now.Sub(self.startedAt) < joinTime
+	if size := self.size.Observe(self.peak, joining, now); size.Daemons > 0 && size.Joined {
+		self.budgets.SetFleetSize(size.Daemons)
 	}
 }
 
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -136,8 +136,9 @@
 	lookups    *lookupLog
 	restarts   *restartLog
 	servers    []*server
-	// quotaFleet is the number of daemons among which quotas are divided.
-	quotaFleet settledFleet
+	// fleetSize is the number of daemons among which retry budgets and quotas are divided;
+	// used only by the control goroutine.
+	fleetSize members.FleetSize
 	// heads bounds the memory of request heads, yielded counts the connections that were
 	// closed to make room for others.
 	heads   *graceful.Heads
@@ -194,6 +195,7 @@
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.gate.OnDoubt(e.prober.Wake)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
+	e.fleetSize.Expected = expectedFleet(s)
 	e.quotas = newQuotas(s, e.log, e.guard, e.registry)
 	e.control = control.New(control.Options{
 		Self: members.Member{
@@ -244,12 +246,12 @@
 	e.gate.RecordNews(snap.StoreReadAt)
 	e.restarts.record(e.gate.Update(snap.View, regionMembership(snap)))
 	e.prober.Wake()
-	size, known := fleetSize(e.opts.Settings, snap)
-	if known {
-		e.budgets.SetFleetSize(size)
+	size := e.fleetSize.Observe(snap.Peak, snap.Joining, time.Now())
+	if size.Daemons > 0 && size.Joined {
+		e.budgets.SetFleetSize(size.Daemons)
 	}
 	if config := snap.View.Config; config != nil {
-		e.quotas.Update(config, quotaNeighbours(snap), e.quotaFleet.observe(e.opts.Settings, snap, time.Now()))
+		e.quotas.Update(config, quotaNeighbours(snap), quotaDaemons(size))
 	}
 }
 
--- a/pkg/gateway/entry/quotas.go
+++ b/pkg/gateway/entry/quotas.go
@@ -30,6 +30,16 @@
 	})
 }
 
+// quotaDaemons returns the number of daemons among which quotas are divided; zero if it is
+// not known yet. It is used before this daemon has joined the others: after a restart of the
+// whole fleet no daemon has credit to give, and callers are refused until then.
+func quotaDaemons(size members.SharedSize) int {
+	if !size.Settled {
+		return 0
+	}
+	return size.Daemons
+}
+
 // quotaNeighbours returns whom this daemon asks for credit of organisations; nobody if the
 // configuration has none.
 func quotaNeighbours(snap *control.Snapshot) quota.Neighbours {
--- /dev/null
+++ b/pkg/gateway/members/fleet.go
@@ -0,0 +1,54 @@
+package members
+
+import "time"
+
+// Expected is what a daemon's settings tell of the fleet.
+type Expected struct {
+	// Others is true if there are other daemons.
+	Others bool
+	// DataCentres is the number of data centres with daemons; zero means unknown.
+	DataCentres int
+}
+
+// settleTime is for how long a daemon that joins the others must have seen no further one
+// until the number that it has seen counts as settled.
+const settleTime = 600 * time.Millisecond
+
+// FleetSize derives the number of daemons among which this one divides what all of them
+// may do together. Each data centre gets an equal part, whatever this daemon sees of the
+// others: in a partition the daemons of each side may have restarted and know only each
+// other. Inside a data centre the largest number that was seen divides the part, by
+// whichever daemon of it.
+type FleetSize struct {
+	Expected Expected
+
+	seen  int
+	since time.Time
+}
+
+// SharedSize is the number of daemons that share what the fleet may do.
+type SharedSize struct {
+	// Daemons is zero if the number is not known.
+	Daemons int
+	// Joined is true once the daemon has joined the others. Settled is true then, and
+	// earlier once it has seen no further one for a while.
+	Joined, Settled bool
+}
+
+// Observe returns the number as of a moment. It is not known while the daemon has seen no
+// other one although there are some.
+func (f *FleetSize) Observe(peak Peak, joining bool, now time.Time) SharedSize {
+	daemons := f.Expected.size(peak)
+	if daemons != f.seen {
+		f.seen, f.since = daemons, now
+	}
+	return SharedSize{Daemons: daemons, Joined: !joining, Settled: !joining || now.Sub(f.since) >= settleTime}
+}
+
+// size returns the number as far as this daemon has seen the others; zero if it is not known.
+func (e Expected) size(peak Peak) int {
+	if e.Others && peak.Fleet <= 1 {
+		return 0
+	}
+	return max(e.DataCentres*peak.DataCentre, peak.Fleet)
+}
--- /dev/null
+++ b/pkg/gateway/members/fleet_test.go
@@ -0,0 +1,70 @@
+package members_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+)
+
+var _ = Describe("FleetSize", func() {
+	three := members.Expected{Others: true, DataCentres: 3}
+	same := func(daemons int) members.Peak {
+		return members.Peak{DataCentre: daemons, Region: daemons, Fleet: daemons}
+	}
+	joined := func(expected members.Expected, peak members.Peak) members.SharedSize {
+		size := members.FleetSize{Expected: expected}
+		return size.Observe(peak, false, start)
+	}
+
+	It("gives all daemons together one whole share when each data centre has restarted behind a partition", func() {
+		sum := 0.0
+		for _, daemons := range []int{3, 3, 2} {
+			for range daemons {
+				size := joined(three, same(daemons))
+				Expect(size.Settled).To(BeTrue())
+				Expect(size.Daemons).To(BeNumerically(">", 0))
+				sum += 1 / float64(size.Daemons)
+			}
+		}
+		Expect(sum).To(BeNumerically("<=", 1))
+	})
+
+	It("counts daemons of data centres that the settings don't name", func() {
+		Expect(joined(three, members.Peak{DataCentre: 1, Region: 4, Fleet: 12})).To(Equal(members.SharedSize{Daemons: 12, Joined: true, Settled: true}))
+	})
+
+	It("is not settled while the daemon joins the others", func() {
+		size := members.FleetSize{Expected: three}
+		observed := size.Observe(members.Peak{DataCentre: 2, Region: 2, Fleet: 4}, true, start)
+		Expect(observed.Settled || observed.Joined).To(BeFalse())
+	})
+
+	It("is never known to a daemon that has started cut off from all others", func() {
+		size := members.FleetSize{Expected: three}
+		Expect(size.Observe(same(1), true, start).Daemons).To(BeZero())
+		Expect(size.Observe(same(1), false, start.Add(time.Hour)).Daemons).To(BeZero())
+	})
+
+	It("is one for a daemon that is alone", func() {
+		Expect(joined(members.Expected{DataCentres: 1}, same(1))).To(Equal(members.SharedSize{Daemons: 1, Joined: true, Settled: true}))
+	})
+
+	It("settles while the daemon joins once it has seen no further one for a while", func() {
+		size := members.FleetSize{Expected: three}
+		settled := func(seen int, after time.Duration) bool {
+			return size.Observe(same(seen), true, start.Add(after)).Settled
+		}
+		Expect(settled(3, 200*time.Millisecond)).To(BeFalse())
+		Expect(settled(4, 600*time.Millisecond)).To(BeFalse(), "one more seen")
+		Expect(settled(4, time.Second)).To(BeFalse())
+		Expect(settled(4, 1200*time.Millisecond)).To(BeTrue())
+		Expect(size.Observe(same(4), true, start.Add(1200*time.Millisecond))).To(Equal(members.SharedSize{Daemons: 12, Settled: true}))
+	})
+
+	It("changes at once after the daemon has joined", func() {
+		Expect(joined(three, same(5))).To(Equal(members.SharedSize{Daemons: 15, Joined: true, Settled: true}))
+	})
+})
