quota: daemons that restart cut off mint nothing until every data centre was seen

Cause: the number of daemons is the peak that a daemon has seen, times the data centres. Ruled out: a part of the reserve for daemons that are seeds: their number is not bounded by design, since lists of seeds may be stale and differ. So daemons tell how many data centres they have seen. Change: Peak.DataCentres, told in rows (dcs_peak, left out by older releases), and SharedSize.MayMint. Retry budgets act as before. Conclusion: closed for islands that lack a data centre; the rest needs a number that survives restarts.

--- a/pkg/gateway/entry/quotas.go
+++ b/pkg/gateway/entry/quotas.go
@@ -31,10 +31,9 @@
 }
 
 // quotaDaemons returns the number of daemons among which quotas are divided; zero if it is
-// not known yet. It is used before this daemon has joined the others: after a restart of the
-// whole fleet no daemon has credit to give, and callers are refused until then.
+// not known yet.
 func quotaDaemons(size members.SharedSize) int {
-	if !size.Settled {
+	if !size.MayMint() {
 		return 0
 	}
 	return size.Daemons
--- a/pkg/gateway/members/fleet.go
+++ b/pkg/gateway/members/fleet.go
@@ -33,6 +33,17 @@
 	// Joined is true once the daemon has joined the others. Settled is true then, and
 	// earlier once it has seen no further one for a while.
 	Joined, Settled bool
+	// Complete is true once the daemon, or one of which it has heard, has seen a daemon of
+	// every data centre. Until then the number may be too low: it may be that of a few
+	// daemons that have started cut off from the rest of their data centre.
+	Complete bool
+}
+
+// MayMint reports whether the daemon may create its share of what is used up over time. It
+// is true before the daemon has joined the others: after a restart of the whole fleet no
+// daemon has a share to give, and callers are refused until then.
+func (s SharedSize) MayMint() bool {
+	return s.Daemons > 0 && s.Settled && s.Complete
 }
 
 // Observe returns the number as of a moment. It is not known while the daemon has seen no
@@ -42,7 +53,10 @@
 	if daemons != f.seen {
 		f.seen, f.since = daemons, now
 	}
-	return SharedSize{Daemons: daemons, Joined: !joining, Settled: !joining || now.Sub(f.since) >= settleTime}
+	return SharedSize{
+		Daemons: daemons, Joined: !joining, Settled: !joining || now.Sub(f.since) >= settleTime,
+		Complete: f.Expected.complete(peak),
+	}
 }
 
 // size returns the number as far as this daemon has seen the others; zero if it is not known.
@@ -52,3 +66,8 @@
 	}
 	return max(e.DataCentres*peak.DataCentre, peak.Fleet)
 }
+
+// complete reports whether a daemon of every data centre was seen.
+func (e Expected) complete(peak Peak) bool {
+	return !e.Others || peak.DataCentres >= e.DataCentres
+}
--- a/pkg/gateway/members/fleet_test.go
+++ b/pkg/gateway/members/fleet_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 var _ = Describe("FleetSize", func() {
@@ -49,7 +50,7 @@
 	})
 
 	It("is one for a daemon that is alone", func() {
-		Expect(joined(members.Expected{DataCentres: 1}, same(1))).To(Equal(members.SharedSize{Daemons: 1, Joined: true, Settled: true}))
+		Expect(joined(members.Expected{DataCentres: 1}, same(1))).To(Equal(members.SharedSize{Daemons: 1, Joined: true, Settled: true, Complete: true}))
 	})
 
 	It("settles while the daemon joins once it has seen no further one for a while", func() {
@@ -67,4 +68,29 @@
 	It("changes at once after the daemon has joined", func() {
 		Expect(joined(three, same(5))).To(Equal(members.SharedSize{Daemons: 15, Joined: true, Settled: true}))
 	})
+
+	It("may be minted by only once a daemon of every data centre was seen by this one or by one that it heard of", func() {
+		table := members.New(member("self:1", 0), []types.VMID{"seed:1"})
+		mayMint := func() bool {
+			size := members.FleetSize{Expected: three}
+			return size.Observe(table.Peak(), false, start).MayMint()
+		}
+		table.Merge([]members.Member{member("a:1", 1), remoteMember("s:1", 1)}, start)
+		Expect(mayMint()).To(BeFalse())
+		told := remoteMember("s:1", 2)
+		told.DataCentresPeak = 3
+		table.Merge([]members.Member{told}, start)
+		Expect(mayMint()).To(BeTrue())
+		Expect(table.Self().DataCentresPeak).To(Equal(3))
+	})
+
+	It("may be minted by once the daemon itself has seen every data centre", func() {
+		table := members.New(member("self:1", 0), []types.VMID{"seed:1"})
+		third := remoteMember("t:1", 1)
+		third.DataCentre = "south-b"
+		table.Merge([]members.Member{remoteMember("s:1", 1), third}, start)
+		size := members.FleetSize{Expected: three}
+		Expect(size.Observe(table.Peak(), false, start).MayMint()).To(BeTrue())
+		Expect(size.Observe(table.Peak(), true, start).MayMint()).To(BeFalse(), "neither joined nor settled")
+	})
 })
--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -50,6 +50,9 @@
 	RegionPeak int `json:"peak,omitempty"`
 	// DataCentrePeak is the same for the daemon's data centre.
 	DataCentrePeak int `json:"dc_peak,omitempty"`
+	// DataCentresPeak is the largest number of data centres of which the daemon, or one
+	// that it has heard of, has seen live daemons at once.
+	DataCentresPeak int `json:"dcs_peak,omitempty"`
 	// Demand holds the requests that a leaving daemon had from its callers.
 	Demand demand.Counts `json:"demand,omitempty"`
 	// LeavingSince is when this daemon learned that the member is leaving; zero if it
@@ -118,6 +121,8 @@
 	DataCentre int
 	Region     int
 	Fleet      int
+	// DataCentres is the number of data centres with live daemons.
+	DataCentres int
 }
 
 // raise raises each number to that of the other peak.
@@ -125,12 +130,13 @@
 	p.DataCentre = max(p.DataCentre, other.DataCentre)
 	p.Region = max(p.Region, other.Region)
 	p.Fleet = max(p.Fleet, other.Fleet)
+	p.DataCentres = max(p.DataCentres, other.DataCentres)
 }
 
 // New returns a table that holds only this daemon and its seeds.
 func New(self Member, seeds []types.VMID) *Table {
 	table := &Table{
-		self: self, rows: make(map[types.VMID]row), peak: Peak{DataCentre: 1, Region: 1, Fleet: 1},
+		self: self, rows: make(map[types.VMID]row), peak: Peak{DataCentre: 1, Region: 1, Fleet: 1, DataCentres: 1},
 		demand: newDemandTable(),
 	}
 	table.SetSeeds(seeds)
@@ -155,6 +161,7 @@
 func (t *Table) Self() Member {
 	self := t.self
 	self.RegionPeak, self.DataCentrePeak = t.peak.Region, t.peak.DataCentre
+	self.DataCentresPeak = t.peak.DataCentres
 	return self
 }
 
@@ -204,6 +211,9 @@
 	if t.isLocal(member) {
 		t.peak.raise(Peak{DataCentre: min(member.DataCentrePeak, maxPeak)})
 	}
+	// Heartbeats to another data centre leave out third ones, so that daemons of data
+	// centres without seeds may see only some of the others.
+	t.peak.raise(Peak{DataCentres: min(member.DataCentresPeak, maxPeak)})
 }
 
 // leavingSince returns since when a member is known to be leaving, given its previous
@@ -296,11 +306,13 @@
 // count returns the numbers of live daemons, including this one.
 func (t *Table) count(now time.Time) Peak {
 	live := Peak{DataCentre: 1, Region: 1, Fleet: 1}
+	dataCentres := map[dataCentreKey]bool{keyOf(t.self): true}
 	for _, peer := range t.rows {
 		if !t.live(peer, now) {
 			continue
 		}
 		live.Fleet++
+		dataCentres[keyOf(peer.Member)] = true
 		if peer.Region == t.self.Region {
 			live.Region++
 		}
@@ -308,6 +320,7 @@
 			live.DataCentre++
 		}
 	}
+	live.DataCentres = len(dataCentres)
 	return live
 }
 
@@ -384,6 +397,10 @@
 	dc     types.DataCentre
 }
 
+func keyOf(member Member) dataCentreKey {
+	return dataCentreKey{region: member.Region, dc: member.DataCentre}
+}
+
 func appendRandom(targets, from []types.VMID, rand route.Rand) []types.VMID {
 	if len(from) == 0 {
 		return targets
@@ -400,7 +417,7 @@
 			local = append(local, member.VM)
 			continue
 		}
-		key := dataCentreKey{region: member.Region, dc: member.DataCentre}
+		key := keyOf(member)
 		remote[key] = append(remote[key], member.VM)
 	}
 	return local, remote
