quota: daemons wait for a data centre that they have not seen for 20 s at most

Cause: since a daemon that has not heard of every data centre that the settings name mints nothing. If a data centre has no daemons, or stays lost while all others have restarted, requests of organisations with a quota were refused for ever; a region that is cut off has to serve its callers. Ruled out: counting the wait from the start of the process: a daemon that was alone for long would mint as soon as it sees one other. Change: members.CompleteWait, SharedSize.Waited; one line of the log when quotas begin to be divided without having seen all, with the numbers. Conclusion: islands that lack a data centre are covered for 20 s after they have joined each other.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -142,6 +142,8 @@
 	// fleetSize is the number of daemons among which retry budgets and quotas are divided;
 	// used only by the control goroutine.
 	fleetSize members.FleetSize
+	// partialFleet is used only by the control goroutine.
+	partialFleet partialFleetLog
 	// heads bounds the memory of request heads, yielded counts the connections that were
 	// closed to make room for others.
 	heads   *graceful.Heads
@@ -199,6 +201,7 @@
 	e.gate.OnDoubt(e.prober.Wake)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
 	e.fleetSize.Expected = expectedFleet(s)
+	e.partialFleet.log = e.log
 	e.quotas = newQuotas(s, e.log, e.guard, e.registry)
 	e.control = control.New(control.Options{
 		Self: members.Member{
@@ -255,6 +258,7 @@
 	}
 	if config := snap.View.Config; config != nil {
 		e.quotas.Update(config, quotaNeighbours(snap), quotaDaemons(size))
+		e.partialFleet.note(size, e.fleetSize.Expected, snap)
 	}
 }
 
--- a/pkg/gateway/entry/quotas.go
+++ b/pkg/gateway/entry/quotas.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -39,6 +41,25 @@
 	return size.Daemons
 }
 
+// partialFleetLog tells operators once that quotas are minted although no daemon of some data
+// centre was seen.
+type partialFleetLog struct {
+	log  logrus.FieldLogger
+	done bool
+}
+
+// note notes the number of daemons and the snapshot of which it is.
+func (l *partialFleetLog) note(size members.SharedSize, expected members.Expected, snap *control.Snapshot) {
+	limited := func(organisation *catalog.Organisation) bool { return organisation.Quota != nil }
+	if l.done || size.Complete || !size.MayMint() || !slices.ContainsFunc(snap.View.Config.Organisations, limited) {
+		return
+	}
+	l.done = true
+	l.log.WithFields(logrus.Fields{
+		"daemons": size.Daemons, "data_centres_seen": snap.Peak.DataCentres, "data_centres": expected.DataCentres,
+	}).Warn("quotas are divided although daemons of some data centres were not seen; if those run and are cut off, quotas may be exceeded")
+}
+
 // quotaNeighbours returns whom this daemon asks for credit of organisations; nobody if the
 // configuration has none.
 func quotaNeighbours(snap *control.Snapshot) quota.Neighbours {
--- a/pkg/gateway/members/fleet.go
+++ b/pkg/gateway/members/fleet.go
@@ -17,6 +17,11 @@
 // until the number that it has seen counts as settled.
 const settleTime = 600 * time.Millisecond
 
+// CompleteWait is for how long a daemon that has joined others waits for one of every data
+// centre before it mints without: a data centre that is lost, or has no daemons, must not
+// stop the rest for ever.
+const CompleteWait = 20 * time.Second
+
 // FleetSize derives the number of daemons among which this one divides what all of them
 // may do together. Each data centre gets an equal part, whatever this daemon sees of the
 // others: in a partition the daemons of each side may have restarted and know only each
@@ -27,6 +32,8 @@
 
 	seen  int
 	since time.Time
+	// joinedAt is when the daemon was first seen to have joined others; zero before.
+	joinedAt time.Time
 }
 
 // SharedSize is the number of daemons that share what the fleet may do.
@@ -41,13 +48,16 @@
 	// daemons that have started cut off from the rest of their data centre. It is always
 	// true if operators told the number.
 	Complete bool
+	// Waited is true once the daemon has joined others for CompleteWait, so that it does
+	// not wait for further data centres any more.
+	Waited bool
 }
 
 // MayMint reports whether the daemon may create its share of what is used up over time. It
 // is true before the daemon has joined the others: after a restart of the whole fleet no
 // daemon has a share to give, and callers are refused until then.
 func (s SharedSize) MayMint() bool {
-	return s.Daemons > 0 && s.Settled && s.Complete
+	return s.Daemons > 0 && s.Settled && (s.Complete || s.Waited)
 }
 
 // Observe returns the number as of a moment. It is not known while the daemon has seen no
@@ -57,10 +67,14 @@
 	if daemons != f.seen {
 		f.seen, f.since = daemons, now
 	}
+	if f.joinedAt.IsZero() && !joining && daemons > 0 {
+		f.joinedAt = now
+	}
 	told := f.Expected.Daemons > 0
 	return SharedSize{
 		Daemons: daemons, Joined: !joining, Settled: told || !joining || now.Sub(f.since) >= settleTime,
 		Complete: told || f.Expected.complete(peak),
+		Waited:   !f.joinedAt.IsZero() && now.Sub(f.joinedAt) >= CompleteWait,
 	}
 }
 
--- a/pkg/gateway/members/fleet_test.go
+++ b/pkg/gateway/members/fleet_test.go
@@ -93,4 +93,37 @@
 		Expect(size.Observe(table.Peak(), false, start).MayMint()).To(BeTrue())
 		Expect(size.Observe(table.Peak(), true, start).MayMint()).To(BeFalse(), "neither joined nor settled")
 	})
+
+	Describe("without a daemon of every data centre", func() {
+		peak := members.Peak{DataCentre: 4, Region: 4, Fleet: 8, DataCentres: 2}
+
+		It("may be minted by once the daemon has waited for the others for a bounded time since it joined", func() {
+			size := members.FleetSize{Expected: three}
+			Expect(size.Observe(peak, true, start).MayMint()).To(BeFalse())
+			Expect(size.Observe(peak, true, start.Add(members.CompleteWait)).MayMint()).To(BeFalse(), "still joining")
+			joinedAt := start.Add(members.CompleteWait + time.Second)
+			Expect(size.Observe(peak, false, joinedAt).MayMint()).To(BeFalse())
+			Expect(size.Observe(peak, false, joinedAt.Add(members.CompleteWait-time.Millisecond)).MayMint()).To(BeFalse())
+			Expect(size.Observe(peak, false, joinedAt.Add(members.CompleteWait))).To(Equal(
+				members.SharedSize{Daemons: 12, Joined: true, Settled: true, Waited: true}))
+			Expect(size.Observe(peak, false, joinedAt.Add(members.CompleteWait)).MayMint()).To(BeTrue())
+		})
+
+		It("is waited for also while further daemons of the same data centres come, and no longer", func() {
+			size := members.FleetSize{Expected: three}
+			size.Observe(peak, false, start)
+			more := peak
+			more.Fleet = 9
+			Expect(size.Observe(more, false, start.Add(members.CompleteWait/2)).MayMint()).To(BeFalse())
+			Expect(size.Observe(more, false, start.Add(members.CompleteWait)).MayMint()).To(BeTrue())
+		})
+
+		It("is waited for since the first other daemon was seen", func() {
+			size := members.FleetSize{Expected: three}
+			Expect(size.Observe(same(1), false, start).MayMint()).To(BeFalse())
+			Expect(size.Observe(same(1), false, start.Add(time.Hour)).MayMint()).To(BeFalse(), "alone")
+			Expect(size.Observe(peak, false, start.Add(time.Hour)).MayMint()).To(BeFalse())
+			Expect(size.Observe(peak, false, start.Add(time.Hour+members.CompleteWait)).MayMint()).To(BeTrue())
+		})
+	})
 })
--- a/pkg/gateway/quota/islands_test.go
+++ b/pkg/gateway/quota/islands_test.go
@@ -314,6 +314,51 @@
 	}, islandEntries(6))
 })
 
+var _ = Describe("The quota of a fleet that lacks a data centre for long", func() {
+	// cutOffLacking cuts off and restarts all daemons but those of the last data centre.
+	cutOffLacking := func(seed uint64) (f *islandFleet, island []*islandDaemon) {
+		f = newIslandFleet(seed, someDataCentres(seed))
+		f.last(startsWithin + 10*joiningBeat)
+		last := f.daemons[len(f.daemons)-1].dc
+		for _, d := range f.daemons {
+			if d.dc != last {
+				island = append(island, d)
+			}
+		}
+		// At least one seed is among them, as the settings of a fleet should have it.
+		f.seeds = append(f.seeds, island[0].vm)
+		f.cutOff(island)
+		return f, island
+	}
+	minting := func(island []*islandDaemon) int {
+		count := 0
+		for _, d := range island {
+			if d.daemons > 0 {
+				count++
+			}
+		}
+		return count
+	}
+
+	DescribeTable("is not minted by those that restarted while they wait, and by all of them after it", func(seed uint64) {
+		f, island := cutOffLacking(seed)
+		f.last(members.CompleteWait)
+		Expect(minting(island)).To(BeZero())
+		const joins = 10*joiningBeat + 8*joinedBeat
+		f.last(joins)
+		Expect(minting(island)).To(Equal(len(island)))
+	}, islandEntries(30))
+
+	DescribeTable("stays inside the bound while the daemons of a data centre are away", func(seed uint64) {
+		f, island := cutOffLacking(seed)
+		f.last(members.CompleteWait + 10*joiningBeat + 8*joinedBeat)
+		Expect(minting(island)).To(Equal(len(island)))
+		Expect(f.spend()).To(BeNumerically("<=", f.bound()))
+		f.join()
+		Expect(f.spend()).To(BeNumerically("<=", f.bound()))
+	}, islandEntries(30))
+})
+
 func islandEntries(count uint64) []TableEntry {
 	var entries []TableEntry
 	for seed := range count {
