members: daemons tell how many of the fleet they have seen

Cause: since a daemon mints once it hears from any other that all data centres were seen. In an island with daemons that lived on, one that restarts hears that at once, but not how many daemons there are, and divides by data centres x 1 if it is cut off from the rest of its own. So "an island that lacks a data centre stays inside the bound by design" was not kept; the spec restarted all daemons of the island. Ruled out: to believe only what a daemon has seen itself: data centres without seeds never see each other. Change: Member.FleetPeak, told in rows and bounded as the others; left out by older releases. A fleet that shrinks keeps the number until all have restarted, as that of a data centre already does.

--- a/pkg/gateway/members/members.go
+++ b/pkg/gateway/members/members.go
@@ -53,6 +53,9 @@
 	// DataCentresPeak is the largest number of data centres of which the daemon, or one
 	// that it has heard of, has seen live daemons at once.
 	DataCentresPeak int `json:"dcs_peak,omitempty"`
+	// FleetPeak is the largest number of daemons of the fleet that the daemon, or one that
+	// it has heard of, has seen live at once.
+	FleetPeak int `json:"fleet_peak,omitempty"`
 	// Demand holds the requests that a leaving daemon had from its callers.
 	Demand demand.Counts `json:"demand,omitempty"`
 	// LeavingSince is when this daemon learned that the member is leaving; zero if it
@@ -161,7 +164,7 @@
 func (t *Table) Self() Member {
 	self := t.self
 	self.RegionPeak, self.DataCentrePeak = t.peak.Region, t.peak.DataCentre
-	self.DataCentresPeak = t.peak.DataCentres
+	self.DataCentresPeak, self.FleetPeak = t.peak.DataCentres, t.peak.Fleet
 	return self
 }
 
@@ -212,8 +215,9 @@
 		t.peak.raise(Peak{DataCentre: min(member.DataCentrePeak, maxPeak)})
 	}
 	// Heartbeats to another data centre leave out third ones, so that daemons of data
-	// centres without seeds may see only some of the others.
-	t.peak.raise(Peak{DataCentres: min(member.DataCentresPeak, maxPeak)})
+	// centres without seeds may see only some of the others. Who hears that all data centres
+	// were seen hears of their daemons too: it may be cut off from the rest of its own.
+	t.peak.raise(Peak{DataCentres: min(member.DataCentresPeak, maxPeak), Fleet: min(member.FleetPeak, maxPeak)})
 }
 
 // leavingSince returns since when a member is known to be leaving, given its previous
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -124,6 +124,19 @@
 		Expect(table.Peak().DataCentre).To(BeNumerically("<=", 1000))
 	})
 
+	It("learns from any daemon how many there may be in the fleet, and tells it", func() {
+		remote := remoteMember("b:1", 5)
+		remote.FleetPeak = 30
+		table.Merge([]members.Member{remote}, start)
+		Expect(table.Peak().Fleet).To(Equal(30))
+		Expect(table.Self().FleetPeak).To(Equal(30))
+		absurd := member("c:1", 5)
+		absurd.FleetPeak, absurd.DataCentresPeak = 1<<40, 1<<40
+		table.Merge([]members.Member{absurd}, start)
+		Expect(table.Peak().Fleet).To(BeNumerically("<=", 1000))
+		Expect(table.Peak().DataCentres).To(BeNumerically("<=", 1000))
+	})
+
 	It("sends to its seeds while it knows no other daemon, and later to unknown seeds", func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		Expect(table.Targets(start, random)).To(ConsistOf(types.VMID("seed:1")))
--- a/pkg/gateway/quota/islands_test.go
+++ b/pkg/gateway/quota/islands_test.go
@@ -234,6 +234,24 @@
 	return island
 }
 
+// besideWhole cuts off all daemons of the first data centre, and returns one of each other
+// but the last, to be cut off with them.
+func (f *islandFleet) besideWhole() []*islandDaemon {
+	last := f.daemons[len(f.daemons)-1].dc
+	taken := map[types.DataCentre]bool{last: true}
+	var few []*islandDaemon
+	for _, d := range f.daemons {
+		switch {
+		case d.dc == f.daemons[0].dc:
+			d.side = 1
+		case !taken[d.dc]:
+			taken[d.dc] = true
+			few = append(few, d)
+		}
+	}
+	return few
+}
+
 // islandOfAll returns some daemons of every data centre.
 func (f *islandFleet) islandOfAll() []*islandDaemon {
 	part := f.random.Float64()
@@ -276,6 +294,15 @@
 		Expect(f.idle()).To(BeZero())
 	}, islandEntries(60))
 
+	// Guards against daemons that hear from one that lived on that all data centres were seen,
+	// but not how many daemons there are.
+	DescribeTable("stays inside the bound if a daemon of each other data centre restarts beside a whole one that lived on", func(seed uint64) {
+		f := newIslandFleet(seed, someDataCentres(seed))
+		Expect(f.spend()).To(BeNumerically("<=", f.bound()))
+		f.cutOff(f.besideWhole())
+		Expect(f.spend()).To(BeNumerically("<=", f.bound()))
+	}, islandEntries(30))
+
 	// Guards against a number of the operators that does not bind, or makes daemons wait.
 	DescribeTable("stays inside the bound for any of them if operators told the number of daemons", func(seed uint64) {
 		f := newIslandFleet(seed, someDataCentres(seed))
