members: specs of the number of daemons that operators told

Cause: by hand, three changes of deciding lines passed the specs of members: told numbers that do not settle, that do not count as complete, and that bound the number although more daemons were seen. Nothing checked that the setting reaches the fleet. Change: one spec each for FleetSize and expectedFleet. Conclusion: that platform.Run passes its number on is still checked by no spec.

--- a/pkg/gateway/entry/quotas_internal_test.go
+++ b/pkg/gateway/entry/quotas_internal_test.go
@@ -11,6 +11,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
+	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
 var _ = ginkgo.Describe("Quotas of a fleet of which a data centre was not seen", func() {
@@ -50,3 +51,12 @@
 		Expect(lines.AllEntries()).To(BeEmpty())
 	})
 })
+
+var _ = ginkgo.Describe("What the settings tell of the fleet", func() {
+	ginkgo.It("is whether there are others, the number of data centres and that of daemons", func() {
+		settings := Settings{VM: "a:1", Seeds: []types.VMID{"a:1", "b:1"}, DataCentres: 3, Daemons: 20}
+		Expect(expectedFleet(settings)).To(Equal(members.Expected{Others: true, DataCentres: 3, Daemons: 20}))
+		settings.Seeds = settings.Seeds[:1]
+		Expect(expectedFleet(settings).Others).To(BeFalse())
+	})
+})
--- a/pkg/gateway/members/fleet_test.go
+++ b/pkg/gateway/members/fleet_test.go
@@ -94,6 +94,14 @@
 		Expect(size.Observe(table.Peak(), true, start).MayMint()).To(BeFalse(), "neither joined nor settled")
 	})
 
+	It("is at least the number that operators told, at once and whatever the daemon sees", func() {
+		told := members.Expected{Others: true, DataCentres: 3, Daemons: 20}
+		alone := members.FleetSize{Expected: told}
+		Expect(alone.Observe(same(1), true, start)).To(Equal(members.SharedSize{Daemons: 20, Settled: true, Complete: true}))
+		Expect(joined(told, members.Peak{DataCentre: 10, Region: 10, Fleet: 19, DataCentres: 2}).Daemons).To(Equal(20))
+		Expect(joined(told, members.Peak{DataCentre: 10, Region: 10, Fleet: 21, DataCentres: 2}).Daemons).To(Equal(21), "too low a number")
+	})
+
 	Describe("without a daemon of every data centre", func() {
 		peak := members.Peak{DataCentre: 4, Region: 4, Fleet: 8, DataCentres: 2}
 
