--- a/pkg/gateway/entry/budget_fleet_internal_test.go
+++ b/pkg/gateway/entry/budget_fleet_internal_test.go
@@ -115,8 +115,8 @@
 	}
 	self.peak.DataCentre, self.peak.Fleet = max(self.peak.DataCentre, live.DataCentre), max(self.peak.Fleet, live.Fleet)
 	joining := now.Sub(self.startedAt) < joinTime
-	if size := self.size.Observe(self.peak, joining, now); size.Daemons > 0 && size.Joined {
-		self.budgets.SetFleetSize(size.Daemons)
+	if daemons := budgetDaemons(self.size.Observe(self.peak, joining, now)); daemons > 0 {
+		self.budgets.SetFleetSize(daemons)
 	}
 }
 
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -253,8 +253,8 @@
 	e.restarts.record(e.gate.Update(snap.View, regionMembership(snap)))
 	e.prober.Wake()
 	size := e.fleetSize.Observe(snap.Peak, snap.Joining, time.Now())
-	if size.Daemons > 0 && size.Joined {
-		e.budgets.SetFleetSize(size.Daemons)
+	if daemons := budgetDaemons(size); daemons > 0 {
+		e.budgets.SetFleetSize(daemons)
 	}
 	if config := snap.View.Config; config != nil {
 		e.quotas.Update(config, quotaNeighbours(snap), quotaDaemons(size))
--- a/pkg/gateway/entry/quotas_internal_test.go
+++ b/pkg/gateway/entry/quotas_internal_test.go
@@ -59,4 +59,9 @@
 		settings.Seeds = settings.Seeds[:1]
 		Expect(expectedFleet(settings).Others).To(BeFalse())
 	})
+
+	ginkgo.It("divides retry budgets only once the daemon has joined the others", func() {
+		Expect(budgetDaemons(members.SharedSize{Daemons: 12, Settled: true, Complete: true})).To(BeZero())
+		Expect(budgetDaemons(members.SharedSize{Daemons: 12, Joined: true, Settled: true})).To(Equal(12))
+	})
 })
