--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -50,6 +50,9 @@
 	Seeds       []types.VMID
 	// DataCentres is the number of data centres with daemons; zero means unknown.
 	DataCentres int
+	// Daemons is the largest number of daemons that the operators run at once; zero means
+	// unknown.
+	Daemons int
 	// MemoryBytes is the memory limit of the process; zero means unknown.
 	MemoryBytes int64
 	// Descriptors is the limit of the process on open descriptors; zero means that of the
@@ -140,8 +143,11 @@
 	restarts   *restartLog
 	leading    *leadingLog
 	servers    []*server
-	// quotaFleet is the number of daemons among which quotas are divided.
-	quotaFleet settledFleet
+	// fleetSize is the number of daemons among which retry budgets and quotas are divided;
+	// used only by the control goroutine.
+	fleetSize members.FleetSize
+	// partialFleet is used only by the control goroutine.
+	partialFleet partialFleetLog
 	// heads bounds the memory of request heads, yielded counts the connections that were
 	// closed to make room for others.
 	heads   *graceful.Heads
@@ -199,6 +205,8 @@
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.gate.OnDoubt(e.prober.Wake)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
+	e.fleetSize.Expected = expectedFleet(s)
+	e.partialFleet.log = e.log
 	e.quotas = newQuotas(s, e.log, e.guard, e.registry)
 	e.control = control.New(control.Options{
 		Self: members.Member{
@@ -251,12 +259,13 @@
 	e.leading.record(membership)
 	e.restarts.record(e.gate.Update(snap.View, membership))
 	e.prober.Wake()
-	size, known := fleetSize(e.opts.Settings, snap)
-	if known {
-		e.budgets.SetFleetSize(size)
+	size := e.fleetSize.Observe(snap.Peak, snap.Joining, time.Now())
+	if daemons := budgetDaemons(size); daemons > 0 {
+		e.budgets.SetFleetSize(daemons)
 	}
 	if config := snap.View.Config; config != nil {
-		e.quotas.Update(config, quotaNeighbours(snap), e.quotaFleet.observe(e.opts.Settings, snap, time.Now()))
+		e.quotas.Update(config, quotaNeighbours(snap), quotaDaemons(size))
+		e.partialFleet.note(size, e.fleetSize.Expected, snap)
 	}
 }
 
