--- a/pkg/gateway/control/peerhttp.go
+++ b/pkg/gateway/control/peerhttp.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 const (
@@ -60,13 +61,9 @@
 }
 
 func readMessage(source io.Reader) (*Message, error) {
-	data, err := io.ReadAll(io.LimitReader(source, maxMessageBytes))
-	if err != nil {
-		return nil, eris.Wrap(err, "read message")
-	}
 	var message Message
-	if err := json.Unmarshal(data, &message); err != nil {
-		return nil, eris.Wrap(err, "decode message")
+	if err := wholebody.DecodeJSON(source, maxMessageBytes, &message); err != nil {
+		return nil, eris.Wrap(err, "read message")
 	}
 	return &message, nil
 }
--- a/pkg/gateway/quota/exchange/http.go
+++ b/pkg/gateway/quota/exchange/http.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 
@@ -12,6 +11,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 const (
@@ -52,24 +52,16 @@
 		return nil, eris.Errorf("question to %s: status %d", to, response.StatusCode)
 	}
 	var answer Answer
-	if err := decode(response.Body, &answer); err != nil {
+	if err := wholebody.DecodeJSON(response.Body, maxAskBytes, &answer); err != nil {
 		return nil, eris.Wrapf(err, "answer of %s", to)
 	}
 	return &answer, nil
 }
 
-func decode(source io.Reader, value any) error {
-	data, err := io.ReadAll(io.LimitReader(source, maxAskBytes))
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(data, value)
-}
-
 // ServeAsk handles a question of another daemon.
 func (e *Exchange) ServeAsk(w http.ResponseWriter, r *http.Request) {
 	var ask Ask
-	if err := decode(r.Body, &ask); err != nil || !ask.valid() {
+	if err := wholebody.DecodeJSON(r.Body, maxAskBytes, &ask); err != nil || !ask.valid() {
 		http.Error(w, "the question can't be read", http.StatusBadRequest)
 		return
 	}
