Readers of reports, engine states and the platform use whole bodies only

Cause: json.Decoder returns as soon as a document is complete, whether or not the body is: what was cut off after it, or had no end, was never seen.

Ruled out: statuses, interim statuses and heads; all three readers refused them.

Change: the three readers decode a body after its end (pkg/wholebody).

Conclusion: a list of VMs or a report from a part of an answer is not used.

--- a/pkg/engineorders/engineorders.go
+++ b/pkg/engineorders/engineorders.go
@@ -10,7 +10,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +24,7 @@
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 const (
@@ -257,5 +257,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("engine returned status %d", resp.StatusCode)
 	}
-	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into), "decode engine state")
+	return eris.Wrap(wholebody.DecodeJSON(resp.Body, maxResponseBytes, into), "decode engine state")
 }
--- a/pkg/loadpoll/loadpoll.go
+++ b/pkg/loadpoll/loadpoll.go
@@ -7,9 +7,7 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -21,6 +19,7 @@
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 const (
@@ -206,5 +205,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("poll %s: status %d", endpoint.ID, resp.StatusCode)
 	}
-	return eris.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into), "decode response of %s", endpoint.ID)
+	return eris.Wrapf(wholebody.DecodeJSON(resp.Body, maxResponseBytes, into), "decode response of %s", endpoint.ID)
 }
--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +14,7 @@
 
 	"github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 // maxResponseBytes limits the size of a response body. It leaves room for a
@@ -165,7 +164,7 @@
 	default:
 		return nil, eris.Wrapf(platform.ErrUnavailable, "read %s: status %d", path, resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out)
+	err = wholebody.DecodeJSON(resp.Body, maxResponseBytes, out)
 	if err != nil {
 		return nil, eris.Wrapf(platform.ErrUnavailable, "read %s: %v", path, err)
 	}
