Heads of responses to readers are bounded to 64 KiB

Cause: net/http reads a head of 10 MB unless told otherwise; the readers of reports, engine states (32 at once), the platform and peers' replies told nothing.

Ruled out: attempts, store reads, messages and quotas on the users' platform have the bound; their spec with a head of a megabyte passed at once (it fails without MaxResponseHeaderBytes in proxy.NewTransport by the same way).

Change: the four transports have it too.

--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -170,7 +170,9 @@
 // Broken returns answers that are none, each of which holds a part of the answer that Whole
 // returns, or all of it.
 func Broken(header, body string) []Answer {
-	return append(append(cut(header, body), noStatus(header, body)...), endless(header, body)...)
+	broken := append(cut(header, body), noStatus(header, body)...)
+	broken = append(broken, endless(header, body)...)
+	return append(broken, largeHead(header, body))
 }
 
 // cut returns answers that end before their end.
@@ -222,3 +224,12 @@
 		{Name: "body whose end never comes", Text: head + "\r\n" + body, End: Keep},
 	}
 }
+
+// largeHead returns an answer whose head has an end, but is larger than a reader should take.
+func largeHead(header, body string) Answer {
+	const lines = 64 << 10
+	filler := strings.Repeat("Filler: 1234567\r\n", lines)
+	answer := Whole(header+filler, body)
+	answer.Name = "head of a megabyte"
+	return answer
+}
--- a/pkg/daemon/live.go
+++ b/pkg/daemon/live.go
@@ -73,7 +73,7 @@
 		tracker: quarantine.New(quarantine.Options{}),
 		client:  peerhttp.NewClient(guard, metrics, options.opts.Now, options.tlsConfig),
 	}
-	platform := httpplatform.New(options.opts.Settings.Platform.URL, &http.Client{})
+	platform := httpplatform.New(options.opts.Settings.Platform.URL, nil)
 	live.Control, err = control.New(control.Options{
 		Node: node.Options{
 			Self:     options.self,
--- a/pkg/engineorders/engineorders.go
+++ b/pkg/engineorders/engineorders.go
@@ -44,7 +44,9 @@
 	maxConcurrentReads = 32
 	// maxResponseBytes is the maximum size of a response body that is read.
 	maxResponseBytes = 64 << 10
-	ordersPath       = "/orders"
+	// maxResponseHeaderBytes is the maximum size of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
+	ordersPath             = "/orders"
 )
 
 // Options configures an Issuer. Snapshot must be set.
@@ -80,7 +82,8 @@
 	if opts.Log == nil {
 		opts.Log = logrus.StandardLogger()
 	}
-	return &Issuer{opts: opts, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}}
+	transport := &http.Transport{MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	return &Issuer{opts: opts, client: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // Run calls Round periodically until ctx is cancelled.
--- a/pkg/loadpoll/loadpoll.go
+++ b/pkg/loadpoll/loadpoll.go
@@ -29,6 +29,8 @@
 	readTimeout = 2 * time.Second
 	// maxResponseBytes is the maximum size of a response body that is read.
 	maxResponseBytes = 256 << 10
+	// maxResponseHeaderBytes is the maximum size of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
 	// maxIdleConns is the maximum number of idle connections. It is small,
 	// because each endpoint is polled rarely.
 	maxIdleConns = 8
@@ -63,7 +65,10 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	transport := &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	transport := &http.Transport{
+		MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: 1, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
 	return &Poller{
 		opts:        opts,
 		client:      &http.Client{Transport: transport, Timeout: readTimeout},
--- a/pkg/peer/peerhttp/peerhttp.go
+++ b/pkg/peer/peerhttp/peerhttp.go
@@ -29,6 +29,8 @@
 	// idleTimeout is how long an unused connection stays open. It is long because
 	// the next heartbeat to the same peer comes only after a full round.
 	idleTimeout = 90 * time.Second
+	// maxResponseHeaderBytes is the maximum size of the head of a reply.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Metrics counts the message bytes between daemons and the refused messages.
@@ -70,6 +72,7 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, TLSClientConfig: tlsConfig,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	scheme := "http://"
 	if tlsConfig != nil {
--- a/pkg/peer/peerhttp/peerhttp_test.go
+++ b/pkg/peer/peerhttp/peerhttp_test.go
@@ -69,7 +69,9 @@
 
 // server is a listening daemon together with the client of another daemon.
 type server struct {
-	vm            types.VMID
+	vm types.VMID
+	// fillers is how many lines the heads of replies have beside their own.
+	fillers       atomic.Int64
 	echo          *echo
 	client        *peerhttp.Client
 	clientGuard   *peer.Guard
@@ -90,7 +92,12 @@
 	started := time.Now()
 	guard := peer.NewGuard(s.vm, keys, started, 1)
 	handler := peerhttp.NewHandler(guard, s.echo, peerhttp.NewMetrics(nil), time.Now)
-	ts := httptest.NewUnstartedServer(handler)
+	ts := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range s.fillers.Load() {
+			w.Header().Add("Filler", "1234567")
+		}
+		handler.ServeHTTP(w, r)
+	}))
 	_ = ts.Listener.Close()
 	ts.Listener = countingListener{listener, &s.read, &s.written}
 	ts.Start()
@@ -154,6 +161,15 @@
 		Expect(err).To(MatchError(ContainSubstring(peer.ErrForged.Error())))
 	})
 
+	It("refuse a valid reply whose head is a megabyte", func() {
+		s.fillers.Store(64 << 10)
+		_, err := s.client.Send(context.Background(), heartbeat(s.vm))
+		Expect(err).To(HaveOccurred())
+		s.fillers.Store(0)
+		_, err = s.client.Send(context.Background(), heartbeat(s.vm))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("add at most the header bytes that the fake network assumes", func() {
 		const headerBytes = 220 // same value as headerBytes in internal/fakenet
 		msg := heartbeat(s.vm)
--- a/pkg/platform/httpplatform/broken_test.go
+++ b/pkg/platform/httpplatform/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,7 +15,7 @@
 var _ = Describe("answers of the platform that are none", func() {
 	const list, timeout = `{"vms":[{"role":"entry","peer":"10.0.0.1:7"},{"role":"entry","peer":"10.0.0.2:7"}]}`, time.Second
 	newReader := func(address string) func() bool {
-		client := httpplatform.New("http://"+address, &http.Client{Transport: &http.Transport{}})
+		client := httpplatform.New("http://"+address, nil)
 		return func() bool {
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -21,6 +21,9 @@
 // base64-encoded value of the maximum size and the JSON around it.
 const maxResponseBytes = 2 * platform.MaxValueBytes
 
+// maxResponseHeaderBytes limits the size of the head of a response.
+const maxResponseHeaderBytes = 64 << 10
+
 // watchWait is the longest time that the service may hold one watch request open.
 const watchWait = 30 * time.Second
 
@@ -44,14 +47,21 @@
 )
 
 // New returns a client for the platform at baseURL, for example
-// "http://10.0.0.5:7000". A nil httpClient means http.DefaultClient.
+// "http://10.0.0.5:7000". A nil httpClient means one that has the transport of
+// http.DefaultClient with a bound on the heads of responses.
 func New(baseURL string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = http.DefaultClient
+		httpClient = &http.Client{Transport: newTransport()}
 	}
 	return &Client{baseURL: baseURL, http: httpClient}
 }
 
+func newTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
+	return transport
+}
+
 // Read returns the value of a key.
 func (c *Client) Read(ctx context.Context, key string) (platform.Value, error) {
 	return c.value(ctx, key, nil)
