Health checks believe whole answers with a status only

Cause: a check read the head alone. A status that is none, a length or chunks that ended early, bodies without end and resets told that an endpoint was warm, leaving or wanted a pause. A body that was not read also cost the connection, which the next check could not use.

Ruled out: heads and interim statuses without end, which the transport refuses.

Change: the body is read to its end, up to 64 KiB and within the check's 500 ms; a status outside 200 to 599 is a failure. Nothing of a failed answer is noted.

--- a/pkg/gateway/health/prober.go
+++ b/pkg/gateway/health/prober.go
@@ -17,7 +17,9 @@
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
+	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 const (
@@ -31,6 +33,8 @@
 	checkTimeout = 500 * time.Millisecond
 	// maxChecks bounds the concurrent checks of this daemon.
 	maxChecks = 32
+	// maxBodyBytes bounds the body of a response; nothing in it is used.
+	maxBodyBytes = 64 << 10
 )
 
 // Info is the decoded response to a health check.
@@ -169,12 +173,11 @@
 			confirm = confirmer.Asking()
 		}
 	}}
-	response, err := p.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	response, err := p.roundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		p.log.WithError(err).WithField("endpoint", endpoint.ID).Debug("health check failed")
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
 	info := p.dialect.HealthInfo(response.StatusCode, response.Header)
 	if info.Endpoint == endpoint.ID || info.Endpoint == "" {
 		p.pool.Note(endpoint.Endpoint, balance.Notice{Leaving: info.Leaving, Backoff: info.Backoff})
@@ -191,3 +194,20 @@
 	p.pool.RecordProbe(probe, coldUntil)
 	p.logResult(probe, info)
 }
+
+// roundTrip returns the response to a check once its body has been read to its end, and an
+// error if it is none: a part of a response tells nothing of the endpoint.
+func (p *Prober) roundTrip(request *http.Request) (*http.Response, error) {
+	response, err := p.transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if !relay.IsFinalStatus(response.StatusCode) {
+		return nil, relay.ErrNoStatus
+	}
+	if _, err := wholebody.Read(response.Body, maxBodyBytes); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
