Specs: answers that are none on kept connections of the proxy

Cause: answers that are cut or have no status were tried on new connections only.

Not among them: answers without an end, whose bytes a caller gets as they come.

Change: specs only; rawserver's answers can be written by other servers of tests.

--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -131,7 +131,7 @@
 			return
 		}
 		s.kept.Store(s.kept.Load() || requests > 1)
-		if !s.write(conn, s.next()) {
+		if !s.next().write(conn, &s.sent) {
 			return
 		}
 	}
@@ -144,21 +144,27 @@
 	delete(s.conns, conn)
 }
 
-// write gives one answer and reports whether the connection can take another request.
-func (s *Server) write(conn net.Conn, answer Answer) bool {
-	err := s.send(conn, answer.Text)
-	for err == nil && answer.End == Endless {
-		err = s.send(conn, answer.Repeat)
+// Write gives the answer and reports whether the connection can take another request. If it
+// can't, the caller closes the connection.
+func (a Answer) Write(conn net.Conn) bool {
+	return a.write(conn, new(atomic.Int64))
+}
+
+// write also adds the number of bytes that it sends to sent.
+func (a Answer) write(conn net.Conn, sent *atomic.Int64) bool {
+	err := send(conn, a.Text, sent)
+	for err == nil && a.End == Endless {
+		err = send(conn, a.Repeat, sent)
 	}
-	if answer.End == Reset {
+	if a.End == Reset {
 		_ = conn.(*net.TCPConn).SetLinger(0) // Close then resets
 	}
-	return err == nil && answer.End == Keep
+	return err == nil && a.End == Keep
 }
 
-func (s *Server) send(conn net.Conn, text string) error {
+func send(conn net.Conn, text string, sent *atomic.Int64) error {
 	n, err := io.WriteString(conn, text)
-	s.sent.Add(int64(n))
+	sent.Add(int64(n))
 	return err
 }
 
