Heads count no longer than until the end of their response is written

Cause: the account of a head was reset when the HTTP server had gone idle, which is after its caller could read the response.

Ruled out: a reset at the end of the handler. The HTTP server may then still wait for a body that the handler left, with the head in memory: a trial of it left such a head uncounted, and the caller that had to yield was not closed in 30 s (a spec now). So it is the first write after the handler that resets. A write while the next head is read, as TLS has them on the caller's wish, does not.

Change: conn.Write resets it when the handler has ended.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -243,6 +243,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	if c.endsResponse() {
+		c.server.heads.reset(c)
+	}
 	c.recordWrite(nil)
 	n, err := c.Conn.Write(b)
 	if err != nil {
@@ -251,6 +254,15 @@
 	return n, err
 }
 
+// endsResponse reports whether a write is one of the last of a response: its handler has
+// ended, and the HTTP server no longer waits for a rest of the body. What is written now
+// lets the caller send its next head before the HTTP server waits for that.
+func (c *conn) endsResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.awaiting && c.phase == idle
+}
+
 // recordWrite is called before a write, so that the caller's next request counts
 // as begun however early it arrives, and after one that failed.
 func (c *conn) recordWrite(err error) {
--- a/pkg/graceful/heads.go
+++ b/pkg/graceful/heads.go
@@ -135,7 +135,8 @@
 	}
 }
 
-// reset records that a connection waits for its next head.
+// reset records that the response to a connection's request ends, or that the connection waits
+// for its next head.
 func (h *Heads) reset(c *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/graceful/room_internal_test.go
+++ b/pkg/graceful/room_internal_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 )
 
 // acceptedConn returns a connection of a server as its listener would.
@@ -73,3 +74,20 @@
 		Expect(s.yield(chosen, begun)).To(BeFalse())
 	})
 })
+
+var _ = Describe("the memory of the head that a connection waits for", func() {
+	// A caller makes a TLS connection write, by asking for a new key, whenever it likes.
+	It("counts on when something is written meanwhile", func() {
+		heads := NewHeads(1 << 10)
+		c, caller := acceptedConn(serverOf(heads))
+		c.phase = idle
+		c.becomeIdle()
+		heads.grow(c, 1)
+		var reading conc.WaitGroup
+		reading.Go(func() { _, _ = caller.Read(make([]byte, 1)) }) // an error shows in the write
+		_, err := c.Write([]byte{0})
+		Expect(err).NotTo(HaveOccurred())
+		reading.Wait()
+		Expect(heads.held).To(BeEquivalentTo(1))
+	})
+})
--- a/pkg/graceful/room_test.go
+++ b/pkg/graceful/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -28,6 +29,33 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// heldListener is a listener on whose first connection the server goes on after a write only
+// when held is closed.
+type heldListener struct {
+	net.Listener
+	held     chan struct{}
+	accepted atomic.Bool
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil || l.accepted.Swap(true) {
+		return accepted, err
+	}
+	return heldConn{Conn: accepted, held: l.held}, nil
+}
+
+type heldConn struct {
+	net.Conn
+	held chan struct{}
+}
+
+func (c heldConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	<-c.held
+	return n, err
+}
+
 var _ = Describe("connections that wait for a request", func() {
 	It("yield beyond the limit, the longest first, before those that had one", func() {
 		const most = 3
@@ -152,6 +180,43 @@
 		Expect(kept.isClosed()).To(BeTrue())
 	})
 
+	It("count no longer than until the caller has the response, however late the server goes on", func() {
+		held := make(chan struct{})
+		f := serveOptions(graceful.Options{Listener: &heldListener{Listener: listen(), held: held}, HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
+		DeferCleanup(func() { close(held) })
+		kept, other := f.dial(), f.dial()
+		kept.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(400) + "\r\n")
+		status, _ := kept.status()
+		Expect(status).To(Equal(http.StatusOK))
+		other.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(300) + "\r\n")
+		status, _ = other.status()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
+	It("count while the server waits for a body that its handler left", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
+		holding, other := f.dial(), f.dial()
+		holding.send("POST /empty HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n" + lines(400) + "\r\n")
+		time.Sleep(200 * time.Millisecond) // its handler has ended long before
+		other.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(300))
+		Expect(other.isClosed()).To(BeTrue())
+		holding.send(strings.Repeat("x", 1000))
+		status, _ := holding.status()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
+	It("count while the handler goes on after a part of its response", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
+		streaming, other := f.dial(), f.dial()
+		streaming.send("GET /stream HTTP/1.1\r\nHost: h\r\n" + lines(400) + "\r\n")
+		Eventually(f.handling, eventuallyTimeout).Should(Receive())
+		other.send("GET / HTTP/1.1\r\nHost: h\r\n" + lines(300))
+		Expect(other.isClosed()).To(BeTrue())
+		close(f.release)
+		status, _ := streaming.status()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
 	It("count the bytes of long lines", func() {
 		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), Heads: graceful.NewHeads(64 << 10)})
 		c := f.dial()
