Spec of a restored store waits for both daemons before it restores

Cause: the spec waited until the second daemon had the endpoint, restored the store and demanded of both that they show it.

Change: the spec waits until what it then demands holds at both daemons. Its checks are the same, over the same times.

--- a/pkg/gateway/control/restore_test.go
+++ b/pkg/gateway/control/restore_test.go
@@ -104,11 +104,11 @@
 		store.put(endpointRecord("e1"))
 		f := newFleet(store, sharedStore, "a:1", "b:1")
 		defer f.stop()
-		Eventually(endpoints(f.daemons[1]), waitLimit).Should(HaveLen(1))
-		store.restore(copied)
 		steady := func() bool {
 			return slices.Equal(f.versions(), []uint64{5, 5}) && len(endpoints(f.daemons[0])()) == 1 && len(endpoints(f.daemons[1])()) == 1
 		}
+		Eventually(steady, waitLimit).Should(BeTrue(), "before the store is restored")
+		store.restore(copied)
 		Consistently(steady, time.Second, 5*time.Millisecond).Should(BeTrue())
 		store.put(configRecord(5))
 		store.put(endpointRecord("e1"))
