--- a/pkg/engineorders/engineorders.go
+++ b/pkg/engineorders/engineorders.go
@@ -10,7 +10,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +24,7 @@
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 const (
@@ -44,7 +44,9 @@
 	maxConcurrentReads = 32
 	// maxResponseBytes is the maximum size of a response body that is read.
 	maxResponseBytes = 64 << 10
-	ordersPath       = "/orders"
+	// maxResponseHeaderBytes is the maximum size of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
+	ordersPath             = "/orders"
 )
 
 // Options configures an Issuer. Snapshot must be set.
@@ -80,7 +82,8 @@
 	if opts.Log == nil {
 		opts.Log = logrus.StandardLogger()
 	}
-	return &Issuer{opts: opts, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}}
+	transport := &http.Transport{MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	return &Issuer{opts: opts, client: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // Run calls Round periodically until ctx is cancelled.
@@ -257,5 +260,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("engine returned status %d", resp.StatusCode)
 	}
-	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into), "decode engine state")
+	return eris.Wrap(wholebody.DecodeJSON(resp.Body, maxResponseBytes, into), "decode engine state")
 }
--- a/pkg/gateway/balance/hold_bounds_test.go
+++ b/pkg/gateway/balance/hold_bounds_test.go
@@ -68,9 +68,10 @@
 		patient.Objective = 0
 		Expect(holdingPool(v).Holds(patient)).To(BeFalse())
 
-		// Here the long prompts are those that must respond sooner.
+		// Here the long prompts are those that must respond and end sooner.
 		v.Config.Routes[0].Rank, v.Config.Routes[0].Objective = 2, 3*time.Second
 		v.Config.Routes[1].Rank, v.Config.Routes[1].Objective = 0, time.Second
+		v.Config.Routes[0].Timeout, v.Config.Routes[1].Timeout = v.Config.Routes[1].Timeout, v.Config.Routes[0].Timeout
 		v.Config.Prepare()
 		req.Rank, req.Objective = 0, time.Second
 		Expect(v.Config.MixesObjectives(engines)).To(BeTrue())
--- a/pkg/loadpoll/loadpoll.go
+++ b/pkg/loadpoll/loadpoll.go
@@ -7,9 +7,7 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -21,6 +19,7 @@
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
+	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
 
 const (
@@ -30,6 +29,8 @@
 	readTimeout = 2 * time.Second
 	// maxResponseBytes is the maximum size of a response body that is read.
 	maxResponseBytes = 256 << 10
+	// maxResponseHeaderBytes is the maximum size of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
 	// maxIdleConns is the maximum number of idle connections. It is small,
 	// because each endpoint is polled rarely.
 	maxIdleConns = 8
@@ -64,7 +65,10 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	transport := &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	transport := &http.Transport{
+		MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: 1, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
 	return &Poller{
 		opts:        opts,
 		client:      &http.Client{Transport: transport, Timeout: readTimeout},
@@ -206,5 +210,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("poll %s: status %d", endpoint.ID, resp.StatusCode)
 	}
-	return eris.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into), "decode response of %s", endpoint.ID)
+	return eris.Wrapf(wholebody.DecodeJSON(resp.Body, maxResponseBytes, into), "decode response of %s", endpoint.ID)
 }
