Spec: what is known of endpoints that are not published at the switch is renewed

Cause: of the mutants of speeds.go, the one whose renewSpeeds leaves out lapsed endpoints passed all specs of balance that were run (those without fleets and mixes): an endpoint that returns after the switch would keep the averages for good, or learn where nothing calls for it. Ruled out: a fault in the code; it renews them.

--- a/pkg/gateway/balance/predicting_test.go
+++ b/pkg/gateway/balance/predicting_test.go
@@ -53,6 +53,20 @@
 		Expect(requestPermit(pool, newRequest(engines, 0), now).Prediction().Certainty).To(BeZero())
 	})
 
+	It("renews what is known of endpoints that are not published at that time", func() {
+		pool := newPool(averagedView(other, 0), 1)
+		now := answered(pool, start)
+		gone := averagedView(predicting, 0)
+		gone.Endpoints[engines] = nil
+		pool.Update(gone, balance.Membership{Self: "d0", PeakLive: 1})
+		pool.Update(averagedView(predicting, 0), balance.Membership{Self: "d0", PeakLive: 1})
+		for range 14 { // one at each
+			permit := requestPermit(pool, newRequest(engines, 0), now)
+			Expect(permit).NotTo(BeNil())
+			Expect(permit.Prediction().Gap).To(BeNumerically(">", 0), "only what is learned predicts it")
+		}
+	})
+
 	DescribeTable("keeps the requests in flight, and learns from their responses", func(before, after *catalog.Config) {
 		pool := newPool(averagedView(before, 0), 1)
 		var permits []*balance.Permit
