Spec: a switch every 50 requests, in trouble, leaves nothing in flight or counted

Cause: the specs of the switch had 30 small requests and one switch; large prompts, restarts, an evacuation and pauses across it were not played. Ruled out: a fault; requests in flight, waiting requests and prompt work end at zero. Change: the random sequence of the specs of trouble with the configuration changed to and fro 60 times, then all events to their end.

--- a/pkg/gateway/balance/predicting_test.go
+++ b/pkg/gateway/balance/predicting_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -88,3 +89,40 @@
 		Entry("when it begins", other, predicting),
 		Entry("when it ceases", predicting, other))
 })
+
+var _ = Describe("A configuration that begins and ceases to call for predictions in trouble", func() {
+	It("leaves nothing in flight or counted when all requests have ended", func() {
+		predicting := averagedConfig()
+		callForPredictions(predicting)
+		configs := []*catalog.Config{averagedConfig(), predicting}
+		play := &averagedPlay{rng: rand.New(rand.NewPCG(59, 1)), now: start, pool: balance.NewPool("north", "north-0", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})}
+		update := func(number, stage int) {
+			play.pool.Update(troubleView(configs[number%2], stage, play.now), balance.Membership{Self: "d0", PeakLive: 1})
+		}
+		advance := func(until time.Time) {
+			for len(play.events) > 0 && !play.events[0].at.After(until) {
+				event := play.events[0]
+				play.events, play.now = play.events[1:], event.at
+				event.run()
+				play.takeGrants()
+			}
+			play.now = until
+			play.pool.GrantAll(play.now)
+			play.takeGrants()
+		}
+		for number := range 3000 {
+			if number%50 == 0 {
+				update(number/50, number/200%troubleStages)
+			}
+			advance(play.now.Add(play.millis(8)))
+			play.arriveInTrouble()
+		}
+		update(0, 0)
+		advance(play.now.Add(5 * time.Minute))
+		Expect(play.waiting).To(BeEmpty())
+		Expect(play.pool.InFlight()).To(HaveEach(BeZero()))
+		for _, endpoint := range play.pool.Explain(newRequest(engines, 0), play.now).Endpoints {
+			Expect(endpoint.BacklogTokens).To(BeZero(), string(endpoint.Endpoint))
+		}
+	})
+})
