Specs of refusals, of repeated news of one response, and of a prompt that nearly fills an engine

Cause: mutants by hand of observe.go and memory.go passed the specs of the model, of memory and of refusals: a refusal that counts only its own time, a response that counts once more when a failure is told after it, an idle engine that refuses a prompt above 0.9 of its memory. Ruled out: faults in the code. Change: three specs; each fails with its mutant on a scratch copy (a fourth mutant, the same guard in ResponseStarted, too). Left: the pace of plain endpoints may be learned without a spec failing, which nothing uses.

--- a/pkg/gateway/balance/memory_test.go
+++ b/pkg/gateway/balance/memory_test.go
@@ -118,6 +118,17 @@
 		Expect(room(pool)).To(Equal(before))
 	})
 
+	It("takes a prompt that fills nearly all of it only if nothing else runs", func() {
+		pool := newPool(view(1, 0, nil), 1)
+		large := prompt(1)
+		large.PromptTokens = 330_000
+		small := requestPermit(pool, newRequest(engines, 0), start)
+		pool.ResponseStarted(small, start)
+		Expect(requestPermit(pool, large, start)).To(BeNil())
+		pool.Done(small, balance.Succeeded, start)
+		Expect(requestPermit(pool, large, start)).NotTo(BeNil())
+	})
+
 	It("takes a prompt of any size if nothing else runs", func() {
 		pool := newPool(view(1, 0, nil), 1)
 		huge := withPrefix(1)
--- a/pkg/gateway/balance/predicting_test.go
+++ b/pkg/gateway/balance/predicting_test.go
@@ -68,6 +68,32 @@
 		}
 	})
 
+	It("counts a refusal by a full endpoint as a long response where it predicts", func() {
+		for config, response := range map[*catalog.Config]time.Duration{predicting: 600 * time.Millisecond, other: 0} {
+			pool := newPool(averagedView(config, 0), 1)
+			for range 5 {
+				pool.Done(requestPermit(pool, newRequest(desk, 0), start), balance.Refused, start.Add(time.Millisecond))
+			}
+			Expect(pool.Response(desk, start.Add(time.Millisecond))).To(Equal(response))
+		}
+	})
+
+	It("counts one response of a request, whatever is told of it later", func() {
+		for _, config := range []*catalog.Config{predicting, other} {
+			pool := newPool(averagedView(config, 0), 1)
+			permit := requestPermit(pool, newRequest(engines, 0), start)
+			pool.ResponseStarted(permit, start.Add(took))
+			pool.ResponseFailed(permit, start.Add(time.Second))
+			pool.ResponseStarted(permit, start.Add(time.Second))
+			var again *balance.Permit
+			for again == nil || again.Endpoint.ID != permit.Endpoint.ID {
+				again = requestPermit(pool, newRequest(engines, 0), start.Add(time.Second))
+				Expect(again).NotTo(BeNil())
+			}
+			Expect(again.Prediction().FirstEvent).To(BeNumerically("~", took, took/4))
+		}
+	})
+
 	DescribeTable("keeps the requests in flight, and learns from their responses", func(before, after *catalog.Config) {
 		pool := newPool(averagedView(before, 0), 1)
 		var permits []*balance.Permit
