--- a/pkg/gateway/balance/predicting_test.go
+++ b/pkg/gateway/balance/predicting_test.go
@@ -94,6 +94,30 @@
 		}
 	})
 
+	It("shares endpoints between groups of daemons that overlap only where it predicts", func() {
+		live := fleetOf(12)
+		groups := func(config *catalog.Config) int {
+			users := map[types.EndpointID]string{}
+			for _, vm := range live {
+				pool := balance.NewPool("north", "north-0", balance.Bounds{})
+				pool.Update(averagedView(config, 0), balance.Membership{Self: vm, Live: live, SameDataCentre: live, PeakLive: len(live)})
+				for _, endpoint := range pool.Explain(newRequest(engines, 0), start).Endpoints {
+					if endpoint.Drop != balance.DroppedUnassigned {
+						users[endpoint.Endpoint] += string(vm) + " "
+					}
+				}
+			}
+			Expect(users).To(HaveLen(10))
+			found := map[string]bool{}
+			for _, group := range users {
+				found[group] = true
+			}
+			return len(found)
+		}
+		Expect(groups(other)).To(Equal(3))
+		Expect(groups(predicting)).To(BeNumerically(">", 3))
+	})
+
 	DescribeTable("keeps the requests in flight, and learns from their responses", func(before, after *catalog.Config) {
 		pool := newPool(averagedView(before, 0), 1)
 		var permits []*balance.Permit
