members: the spec of nobody compares an empty list with an empty list

Cause: on the entry "nobody" failed in every run: no names were a nil slice and the expected ones an empty one, which Equal tells apart. Ruled out: a fault of Leading, which returns nobody. As strict: every entry still compares all names in their order, and this one still wants none.

--- a/pkg/gateway/members/leading_test.go
+++ b/pkg/gateway/members/leading_test.go
@@ -21,7 +21,7 @@
 		return found
 	}
 	namesOf := func(found []members.Member) []types.VMID {
-		var names []types.VMID
+		names := []types.VMID{}
 		for _, member := range found {
 			names = append(names, member.VM)
 		}
