balance: daemons that are led no traffic share the slots with all

Cause: in a region with daemons of large and small links every daemon shared the slots among those with large links only, the small ones too. While callers hold older answers (up to three lifetimes; longer without a directory), as after a large daemon's return, all of them send. Ruled out: cold endpoints, whose shares still count all live daemons (coldshare.go is unchanged); daemons that leave or start, which are not in Live and keep the share they had. Change: one that serves but is led nothing uses all endpoints, with the slots over all daemons. Conclusion: the sum is bounded by about twice the slots, whatever the number of small daemons. Requests with large prompts come from the owner and are not part of this.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -299,6 +299,25 @@
 			Expect(sum).To(BeNumerically("<=", 32*(64+leading)))
 		})
 
+		DescribeTable("stays near the slots while callers with old answers still use the daemons that take no traffic", func(leading int) {
+			const daemons = 28
+			live := fleetOf(daemons)
+			membership := balance.Membership{Live: live, SameDataCentre: live[:leading], PeakLive: daemons, OthersTakeNothing: true}
+			for _, vm := range live[:leading] {
+				membership.Serving = append(membership.Serving, balance.Daemon{VM: vm, DataCentre: "north-a"})
+			}
+			sum := 0
+			for _, vm := range live {
+				membership.Self = vm
+				pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+				pool.Update(view(32, 0, nil), membership)
+				sum += fill(pool, 2)
+			}
+			Expect(sum).To(BeNumerically("<=", 2*32*(64+daemons)))
+		},
+			Entry("two that take it", 2),
+			Entry("six that take it", 6))
+
 		It("refuses at once what would wait for too long, and says when to return", func() {
 			pool := newPool(view(1, 0, nil), 3)
 			fill(pool, 2)
--- a/pkg/gateway/balance/membership.go
+++ b/pkg/gateway/balance/membership.go
@@ -33,14 +33,22 @@
 	Joining bool
 }
 
-// senders returns how many daemons send to the endpoints of the region.
+// senders returns among how many daemons this one shares the slots of an endpoint. One that
+// takes no traffic shares them with all: callers with old answers may still use all of those,
+// and together they get no more than the slots once again.
 func (s Membership) senders() int {
-	if s.OthersTakeNothing {
+	if s.OthersTakeNothing && !s.takesNothing() {
 		return max(len(s.Serving), 1)
 	}
 	return s.visibleDaemons()
 }
 
+// takesNothing reports whether this daemon serves but is led no traffic.
+func (s Membership) takesNothing() bool {
+	taking := slices.ContainsFunc(s.Serving, func(daemon Daemon) bool { return daemon.VM == s.Self })
+	return s.OthersTakeNothing && slices.Contains(s.Live, s.Self) && !taking
+}
+
 // equal reports whether both memberships lead to the same assignment of
 // endpoints.
 func (s Membership) equal(other Membership) bool {
--- a/pkg/gateway/balance/share.go
+++ b/pkg/gateway/balance/share.go
@@ -20,7 +20,7 @@
 // assignEndpoints distributes the endpoints of the local data centre over its
 // daemons, evenly and with the same result at every daemon. Where there are few
 // daemons, or too few endpoints for each to choose, all of them use all
-// endpoints of the region.
+// endpoints of the region, as does a daemon that is led no traffic.
 func (p *Pool) assignEndpoints() {
 	for _, states := range p.services {
 		p.assignServiceEndpoints(states)
@@ -34,7 +34,7 @@
 		ep.owned = !found || owner == p.peers.Self
 	}
 	daemons := orderedDaemons(p.peers)
-	useAll := len(daemons) <= daemonsPerEndpoint || p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)*minChoices
+	useAll := p.peers.takesNothing() || len(daemons) <= daemonsPerEndpoint || p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)*minChoices
 	next := 0
 	for _, ep := range states {
 		if useAll {
