proxy: the daemons that leave are left out before those with large links are chosen

Cause: serving() chose the daemons with large links from the published view and then dropped those that had refused the request because they leave. With one of two gone all went to the other; with both gone (stopped together, not yet known) a region counted as having none, and its requests went elsewhere or were refused, though daemons with small links served there. Ruled out: a panic in randomDaemon: regions without daemons are left out before. Change: drop first, then choose, as the view will say in a moment.

--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -165,11 +165,12 @@
 	}
 }
 
-// serving returns the daemons of a region that may take the request.
+// serving returns the daemons of a region that may take the request: those that take the
+// traffic once the ones that refused it because they leave are gone.
 func (r *run) serving(snap *control.Snapshot, region types.Region) []members.Member {
-	return slices.DeleteFunc(members.Leading(snap.InRegion(region)), func(daemon members.Member) bool {
+	return members.Leading(slices.DeleteFunc(snap.InRegion(region), func(daemon members.Member) bool {
 		return slices.Contains(r.leavingDaemons, daemon.VM)
-	})
+	}))
 }
 
 // servingRegions returns the regions with at least one daemon that may take the request.
