balance: an endpoint that can take nothing keeps no prefix alone

Cause: where few daemons take the traffic, a prefix was kept to the first two endpoints of its order even while these were cold with the rate of this daemon used up (a daemon that has no share of a cold endpoint may send it nothing at all until it is warm), or stalled: large prompts with that prefix then waited or were refused while the other endpoints of the daemon were idle. Ruled out: endpoints that are suspended, ejected, closed or tried, which are filtered out before. Change: such endpoints are not counted among the two; the next ones of the order stand in. Conclusion: open is a prefix whose two keepers are full of other work; that is the rule's purpose.

--- a/pkg/gateway/balance/balance_test.go
+++ b/pkg/gateway/balance/balance_test.go
@@ -134,6 +134,56 @@
 		Entry("two", true, 2),
 		Entry("all of them elsewhere", false, 8))
 
+	Describe("that takes the traffic of others", func() {
+		// endpointsOf counts the endpoints that get large prompts with a prefix until none has
+		// room; of eight, the given number of the first in the order of the prefix is cold.
+		endpointsOf := func(req balance.RequestInfo, cold int) int {
+			change := make(map[types.EndpointID]bool)
+			order := view(8, 0, nil).Endpoints[engines]
+			for range cold {
+				home, _ := balance.PrefixHome(order, req.Prefix, func(ep catalog.ActiveEndpoint) bool { return !change[ep.ID] })
+				change[home.ID] = true
+			}
+			pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+			pool.Update(view(8, 0, func(ep *catalog.ActiveEndpoint) {
+				if change[ep.ID] {
+					ep.ColdUntil = start.Add(time.Minute)
+				}
+			}), balance.Membership{
+				Self: "d0", Live: fleetOf(28), Serving: []balance.Daemon{{VM: "d0", DataCentre: "north-a"}},
+				PeakLive: 28, OthersTakeNothing: true,
+			})
+			got := make(map[types.EndpointID]bool)
+			for permit := requestPermit(pool, req, start); permit != nil; permit = requestPermit(pool, req, start) {
+				if !change[permit.Endpoint.ID] {
+					got[permit.Endpoint.ID] = true
+				}
+			}
+			return len(got)
+		}
+
+		It("keeps a prefix at two warm endpoints, however many before them are cold", func() {
+			Expect(endpointsOf(withPrefix(7), 0)).To(Equal(2))
+			Expect(endpointsOf(withPrefix(7), 2)).To(Equal(2))
+			Expect(endpointsOf(withPrefix(7), 5)).To(Equal(2))
+		})
+
+		It("keeps a prefix at the next endpoints while the first ones respond nothing", func() {
+			pool := balance.NewPool("north", "north-a", balance.Bounds{ColdOvershoot: 1.5, ColdSlack: 3})
+			pool.Update(view(8, 0, nil), balance.Membership{
+				Self: "d0", Serving: []balance.Daemon{{VM: "d0", DataCentre: "north-a"}}, PeakLive: 1, OthersTakeNothing: true,
+			})
+			silent := make(map[types.EndpointID]bool)
+			for permit := requestPermit(pool, withPrefix(7), start); permit != nil; permit = requestPermit(pool, withPrefix(7), start) {
+				silent[permit.Endpoint.ID] = true
+			}
+			Expect(silent).To(HaveLen(2))
+			permit := requestPermit(pool, withPrefix(7), start.Add(10*time.Second))
+			Expect(permit).NotTo(BeNil())
+			Expect(silent).NotTo(HaveKey(permit.Endpoint.ID))
+		})
+	})
+
 	It("agrees with the fleet's home of a prefix", func() {
 		v := view(5, 0, nil)
 		pool := newPool(v, 3)
--- a/pkg/gateway/balance/choose.go
+++ b/pkg/gateway/balance/choose.go
@@ -9,7 +9,7 @@
 // home of its large prefix, and how many endpoints may run it. With a trace it is only a
 // question, of which the trace receives each step.
 func (p *Pool) choose(req RequestInfo, trace *Trace, now time.Time) (chosen, home *endpointState, eligible int) {
-	candidates := p.keepingPrefix(req, assignedEndpoints(req, p.filter(req, trace, now), trace), trace)
+	candidates := p.keepingPrefix(req, assignedEndpoints(req, p.filter(req, trace, now), trace), trace, now)
 	if len(candidates) == 0 {
 		return nil, nil, 0
 	}
@@ -116,7 +116,7 @@
 	switch {
 	case ep.inFlight >= limit:
 		return DroppedFull
-	case ep.limitedAsCold(now) && ep.countedSends(now) >= p.coldShare(ep):
+	case p.coldRateUsed(ep, now):
 		return DroppedCold
 	case p.respondsInTime(req, ep, home, now):
 		return ""
