entry: the gauge of who takes the traffic does not show 0 in between

Cause: each update set it to 0 and then to 1, and a scrape between the two read 0. Ruled out: the log, which only the control goroutine uses. Change: one of both is set. No spec: the moment cannot be held without a hook in the code.

--- a/pkg/gateway/entry/leading.go
+++ b/pkg/gateway/entry/leading.go
@@ -34,9 +34,10 @@
 // record records the daemons that share the endpoints of the region.
 func (l *leadingLog) record(membership balance.Membership) {
 	takes := slices.ContainsFunc(membership.Serving, func(daemon balance.Daemon) bool { return daemon.VM == membership.Self })
-	l.takes.Set(0)
 	if takes {
 		l.takes.Set(1)
+	} else {
+		l.takes.Set(0)
 	}
 	if !membership.OthersTakeNothing && l.previous == nil || slices.Equal(membership.Serving, l.previous) {
 		return
