--- a/pkg/gateway/balance/share.go
+++ b/pkg/gateway/balance/share.go
@@ -24,7 +24,7 @@
 // assignEndpoints distributes the endpoints of the local data centre over its
 // daemons, evenly and with the same result at every daemon. Where there are few
 // daemons, or too few endpoints for each to choose, all of them use all
-// endpoints of the region.
+// endpoints of the region, as does a daemon that is led no traffic.
 func (p *Pool) assignEndpoints() {
 	for _, states := range p.services {
 		p.assignServiceEndpoints(states)
@@ -38,7 +38,8 @@
 		ep.owned = !found || owner == p.peers.Self
 	}
 	daemons := orderedDaemons(p.peers)
-	useAll := len(daemons) <= daemonsPerEndpoint || p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)*p.minChoices()
+	useAll := p.peers.takesNothing() || len(daemons) <= daemonsPerEndpoint ||
+		p.countLocalEndpoints(states)*daemonsPerEndpoint < len(daemons)*p.minChoices()
 	next := 0
 	for _, ep := range states {
 		if useAll {
