Large links take the traffic only where the configuration has short urgent work beside long work

Ruled out: naming large ones of the whole region (bytes between data centres are dear), naming some small ones too (half of the traffic would go there).

--- a/pkg/gateway/control/snapshot.go
+++ b/pkg/gateway/control/snapshot.go
@@ -77,6 +77,16 @@
 	return serving
 }
 
+// Leading returns those of some serving daemons that take the traffic: where the
+// configuration has short urgent work beside long work, and links differ, those with large
+// links; else all.
+func (s *Snapshot) Leading(daemons []members.Member) []members.Member {
+	if s.View == nil || s.View.Config == nil || !s.View.Config.Predicts() {
+		return daemons
+	}
+	return members.Leading(daemons)
+}
+
 // Serving returns the regions with at least one serving daemon.
 func (s *Snapshot) Serving() map[types.Region]bool {
 	regions := map[types.Region]bool{}
--- a/pkg/gateway/entry/directory.go
+++ b/pkg/gateway/entry/directory.go
@@ -129,7 +129,7 @@
 // near returns the daemons of the caller's data centre, or if that has too few, of its
 // region; false if the region has none.
 func (d Directory) near(snap *control.Snapshot, lookup Lookup) (Answer, bool) {
-	regional := members.Leading(snap.InRegion(lookup.Region))
+	regional := snap.Leading(snap.InRegion(lookup.Region))
 	if local := inDataCentre(regional, lookup.DataCentre); len(local) >= minLocalDaemons {
 		return answer(LocalScope, local), true
 	}
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -277,7 +277,7 @@
 	for _, member := range regional {
 		membership.Live = append(membership.Live, member.VM)
 	}
-	leading := members.Leading(regional)
+	leading := snap.Leading(regional)
 	membership.OthersTakeNothing = len(leading) < len(regional)
 	for _, member := range leading {
 		membership.Serving = append(membership.Serving, balance.Daemon{VM: member.VM, DataCentre: member.DataCentre})
--- a/pkg/gateway/entry/links_test.go
+++ b/pkg/gateway/entry/links_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/internal/mixedconfig"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/entry"
@@ -43,7 +44,7 @@
 			}
 			daemons = append(daemons, daemon)
 		}
-		return &control.Snapshot{Self: daemons[0], Members: daemons[1:], View: &catalog.View{}}
+		return &control.Snapshot{Self: daemons[0], Members: daemons[1:], View: &catalog.View{Config: mixedconfig.New()}}
 	}
 	addressesOf := func(snap *control.Snapshot) []string {
 		return entry.Directory{Grace: stopGrace}.Answer(snap, lookup, nil, time.Now()).Addresses
@@ -100,6 +101,12 @@
 		Expect(addressesOf(snap)).To(HaveLen(1 + smallCount))
 	})
 
+	It("leads callers as before where the configuration has no short urgent work beside long work", func() {
+		snap := snapshot(large, small)
+		snap.View.Config = &catalog.Config{Version: 1}
+		Expect(addressesOf(snap)).To(HaveLen(largeCount + smallCount))
+	})
+
 	It("leads callers as before where all links are equal or none is known", func() {
 		Expect(addressesOf(snapshot(small, small))).To(HaveLen(largeCount + smallCount))
 		Expect(addressesOf(snapshot(0, 0))).To(HaveLen(largeCount + smallCount))
--- a/pkg/gateway/entry/membership_internal_test.go
+++ b/pkg/gateway/entry/membership_internal_test.go
@@ -4,7 +4,9 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/internal/mixedconfig"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -15,15 +17,15 @@
 		return members.Member{VM: vm, State: members.Serving, Region: "north", DataCentre: dc, LinkMegabits: megabits}
 	}
 	// of is that of a daemon with a small link beside two others of its data centre and one
-	// of another.
-	of := func(others int) balance.Membership {
-		return regionMembership(&control.Snapshot{Self: member("a", "north-a", 10), Members: []members.Member{
+	// of another, with a configuration.
+	of := func(config *catalog.Config, others int) balance.Membership {
+		return regionMembership(&control.Snapshot{View: &catalog.View{Config: config}, Self: member("a", "north-a", 10), Members: []members.Member{
 			member("b", "north-a", others), member("c", "north-a", others), member("d", "north-b", 10),
 		}})
 	}
 
 	ginkgo.It("shares endpoints among those that take the traffic, and the rate of cold ones among all", func() {
-		membership := of(200)
+		membership := of(mixedconfig.New(), 200)
 		Expect(membership.Live).To(ConsistOf(types.VMID("a"), types.VMID("b"), types.VMID("c"), types.VMID("d")))
 		Expect(membership.SameDataCentre).To(ConsistOf(types.VMID("b"), types.VMID("c")))
 		Expect(membership.Serving).To(ConsistOf(
@@ -31,10 +33,11 @@
 		Expect(membership.OthersTakeNothing).To(BeTrue())
 	})
 
-	ginkgo.It("is that of all where links are equal", func() {
-		membership := of(10)
-		Expect(membership.SameDataCentre).To(HaveLen(3))
-		Expect(membership.Serving).To(HaveLen(4))
-		Expect(membership.OthersTakeNothing).To(BeFalse())
+	ginkgo.It("is that of all where links are equal, or the configuration has no short urgent work beside long work", func() {
+		for _, membership := range []balance.Membership{of(mixedconfig.New(), 10), of(&catalog.Config{Version: 1}, 200), of(nil, 200)} {
+			Expect(membership.SameDataCentre).To(HaveLen(3))
+			Expect(membership.Serving).To(HaveLen(4))
+			Expect(membership.OthersTakeNothing).To(BeFalse())
+		}
 	})
 })
--- a/pkg/gateway/proxy/leading_internal_test.go
+++ b/pkg/gateway/proxy/leading_internal_test.go
@@ -4,6 +4,8 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/internal/mixedconfig"
+	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -13,7 +15,7 @@
 	// namesOf returns them where two daemons with large links and two with small ones serve,
 	// of which some have refused the request because they leave.
 	namesOf := func(leaving ...types.VMID) []types.VMID {
-		snap := &control.Snapshot{}
+		snap := &control.Snapshot{View: &catalog.View{Config: mixedconfig.New()}}
 		for vm, megabits := range map[types.VMID]int{"large-0": 200, "large-1": 200, "small-0": 10, "small-1": 10} {
 			snap.Members = append(snap.Members, members.Member{
 				VM: vm, State: members.Serving, Region: "south", DataCentre: "south-a", LinkMegabits: megabits,
--- a/pkg/gateway/proxy/place.go
+++ b/pkg/gateway/proxy/place.go
@@ -168,7 +168,7 @@
 // serving returns the daemons of a region that may take the request: those that take the
 // traffic once the ones that refused it because they leave are gone.
 func (r *run) serving(snap *control.Snapshot, region types.Region) []members.Member {
-	return members.Leading(slices.DeleteFunc(snap.InRegion(region), func(daemon members.Member) bool {
+	return snap.Leading(slices.DeleteFunc(snap.InRegion(region), func(daemon members.Member) bool {
 		return slices.Contains(r.leavingDaemons, daemon.VM)
 	}))
 }
