--- a/pkg/standin/deployment/deployment.go
+++ b/pkg/standin/deployment/deployment.go
@@ -118,7 +118,13 @@
 	return bundle.Signer{ID: keyfile.KeyIDOf(key.Public().(ed25519.PublicKey)), Key: key}
 }
 
-func (d *Deployment) publicKey() string {
+// URL returns the base address of the stand-ins of the platform.
+func (d *Deployment) URL() string {
+	return d.url
+}
+
+// PublicKey returns the publisher's key in base64, as daemons' settings hold it.
+func (d *Deployment) PublicKey() string {
 	return base64.StdEncoding.EncodeToString(d.signer.Key.Public().(ed25519.PublicKey))
 }
 
@@ -230,6 +236,11 @@
 	d.showVMs()
 }
 
+// AddEntry publishes the VM of a daemon that runs elsewhere.
+func (d *Deployment) AddEntry(region types.Region, peer types.VMID, callers string) {
+	d.setVM(api.VM{Role: api.RoleEntry, Region: region, DataCentre: dataCentre(region), Peer: peer, Address: callers})
+}
+
 // setVM adds a VM to the list, or replaces the one with its address.
 func (d *Deployment) setVM(vm api.VM) {
 	d.mu.Lock()
--- a/pkg/standin/deployment/entry.go
+++ b/pkg/standin/deployment/entry.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/flamingomount/flamingomount/pkg/daemon"
-	api "github.com/flamingomount/flamingomount/pkg/platform"
 	"github.com/flamingomount/flamingomount/pkg/settings"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -34,7 +33,7 @@
 	for _, entry := range d.Entries() {
 		s.Peer.Seeds = append(s.Peer.Seeds, string(entry.Self().Incarnation.VM))
 	}
-	s.Bundle.PublicKeys = []string{d.publicKey()}
+	s.Bundle.PublicKeys = []string{d.PublicKey()}
 	s.Timeouts.DrainNotice = d.plan.DrainNotice
 	s.Timeouts.DrainTickets = d.plan.DrainTickets
 	listeners, err := listen()
@@ -58,10 +57,7 @@
 	d.mu.Lock()
 	d.entries = append(d.entries, entry)
 	d.mu.Unlock()
-	d.setVM(api.VM{
-		Role: api.RoleEntry, Region: region, DataCentre: dataCentre(region),
-		Peer: self.Incarnation.VM, Address: self.CallerAddress,
-	})
+	d.AddEntry(region, self.Incarnation.VM, self.CallerAddress)
 	return entry, nil
 }
 
