A body that nobody reads holds its connection for good

What callers saw: a few clients that announced a body and held it back took the places of a listener for good. The readiness check, the directory, the metrics, messages of other daemons and refusals of the own interface were not answered any more, on both programs, in plain and over TLS.

Cause: before net/http sends a response it reads the rest of a body that the handler left, up to 256 KiB, and a server without a read timeout waits for it without end. Only the refusals of callers on the users' platform set a deadline.

Change: graceful.Server bounds that wait to 250 ms, once a response begins, for every handler of every listener; then net/http closes the connection. It is the one place through which all responses go.

--- a/pkg/graceful/announce.go
+++ b/pkg/graceful/announce.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // closeOption is the value of the Connection field that announces the close of a
@@ -14,6 +15,10 @@
 // closeByServer is the value with which the HTTP server closes the connection itself.
 const closeByServer = "close"
 
+// unreadTimeout bounds how long the HTTP server waits for the rest of a body that the handler did
+// not read to its end: it does so before it sends the response.
+const unreadTimeout = 250 * time.Millisecond
+
 // watchedBody is a request body that remembers whether it was read to its end.
 type watchedBody struct {
 	io.ReadCloser
@@ -75,14 +80,18 @@
 	return http.NewResponseController(a.ResponseWriter).Flush()
 }
 
-// begin decides, once, whether the response announces the close of the connection, and
-// who closes it. If the request's body was not read to its end, that is the HTTP server:
+// begin bounds, once, the wait for a body that was not read to its end, and decides whether the
+// response announces the close of the connection, and who closes it. If the request's body was not read to its end, that is the HTTP server:
 // otherwise it would wait for the rest of the body before it sends the response.
 func (a *closeAnnouncer) begin() {
 	if a.begun {
 		return
 	}
 	a.begun = true
+	if !a.body.ended {
+		// A writer that supports no deadlines does not wait.
+		_ = http.NewResponseController(a.ResponseWriter).SetReadDeadline(time.Now().Add(unreadTimeout))
+	}
 	if !a.server.leaving.Load() || a.Header().Get("Connection") == closeByServer {
 		return
 	}
