Bodies on the users' platform: one bound on what all listeners hold

What callers saw: clients that sent bodies without end, or stopped short of their end and stayed, ended the process (memory), or kept others from sending a body until their own time was over.

Cause, by reading and by heap profile (210 MB where 96 are allowed, 162 of 171 MB of the heap in control.ServeMessage): a bound on each body, none on all. Messages of daemons (8 MiB each) and quota questions were read with io.ReadAll, without a time limit and outside the memory of bodies; forwarded bodies had no time limit either and held that memory for good. It was reserved as announced, not as it came, and nobody had to yield: 5 clients that announced 4 MiB took it all, and an ordinary request with a body was refused.

Change: pkg/bodies. One pool for all listeners, 0.2 of the memory limit as before. A body takes memory as it arrives, at most twice its size; beyond the limit the body that has been received for longest yields, not before 250 ms, and is refused as not run (503, Retry-After), which is true: nothing of it was passed on. The later one waits until that memory is back. What is received as a whole never yields. The last quarter is kept for bodies up to 64 KiB and for messages. Each body has a time limit; memory is given back once, also after errors. Metrics flamingomount_gateway_bodies_bytes, _refused_total, _yielded_total.

proxy's own account and its buffer are gone; the spec of it has the same bound and checks, with a clock that stands still, since bodies yield by time now.

--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
 	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
@@ -44,6 +45,8 @@
 	Seeds []types.VMID
 	Store Store
 	Peers Peers
+	// Bodies is the memory of messages that are being received; nil means no limit.
+	Bodies *bodies.Pool
 	// WatchTimeout bounds one watch call to the store, so that a dead connection is
 	// noticed well before the time limit for changes to take effect; zero means
 	// DefaultWatchTimeout.
--- a/pkg/gateway/control/peerhttp.go
+++ b/pkg/gateway/control/peerhttp.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/pkg/wholebody"
 )
@@ -70,17 +71,23 @@
 
 // ServeMessage handles a message from another daemon.
 func (c *Control) ServeMessage(w http.ResponseWriter, r *http.Request) {
-	message, err := readMessage(r.Body)
+	body, err := c.opts.Bodies.Receive(w, r, bodies.Limits{Bytes: maxMessageBytes, Timeout: messageTimeout, Urgent: true})
 	if err != nil {
+		bodies.Refuse(w, err)
+		return
+	}
+	defer body.Release()
+	var message Message
+	if err := json.Unmarshal(body.Bytes(), &message); err != nil {
 		http.Error(w, "the message can't be read", http.StatusBadRequest)
 		return
 	}
-	reply := c.Receive(r.Context(), message)
+	reply := c.Receive(r.Context(), &message)
 	if reply == nil {
 		http.Error(w, "this daemon is stopping", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := json.Marshal(reply)
+	encoded, err := json.Marshal(reply)
 	if err != nil {
 		c.opts.Log.WithError(err).Error("failed to encode the reply to a peer")
 		http.Error(w, "internal error", http.StatusInternalServerError)
@@ -88,5 +95,5 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// A peer that lost its connection retries.
-	_, _ = w.Write(body)
+	_, _ = w.Write(encoded)
 }
--- a/pkg/gateway/entry/bounds.go
+++ b/pkg/gateway/entry/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
@@ -17,6 +18,8 @@
 	// callers' connections without a request and for request heads.
 	connectionMemoryShare = 0.25
 	headMemoryShare       = 0.15
+	// bodyMemoryShare is the share of the memory limit for request bodies.
+	bodyMemoryShare = 0.2
 )
 
 // maxConnections returns the bound on the connections that a listener with a share of the
@@ -42,6 +45,13 @@
 	return graceful.NewHeads(int64(float64(s.MemoryBytes) * headMemoryShare))
 }
 
+// newBodies returns the memory of request bodies, whose state the registry shows.
+func newBodies(s Settings, registry prometheus.Registerer) *bodies.Pool {
+	pool := bodies.NewPool(bodies.Options{Bytes: int64(float64(s.MemoryBytes) * bodyMemoryShare)})
+	registry.MustRegister(bodies.NewCollector(pool, "flamingomount_gateway"))
+	return pool
+}
+
 // newYieldedTotal returns the counter of connections that were closed to make room.
 func newYieldedTotal(registry prometheus.Registerer) *prometheus.CounterVec {
 	total := prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
@@ -152,6 +153,8 @@
 	// closed to make room for others.
 	heads   *graceful.Heads
 	yielded *prometheus.CounterVec
+	// bodies is the memory of the request bodies of all listeners.
+	bodies *bodies.Pool
 	// handling is the number of requests that handlers serve.
 	handling atomic.Int64
 	// leavingSince is when a stop began; nil while there is none.
@@ -162,9 +165,6 @@
 // the Go runtime, near which the garbage collector runs more often.
 const memoryShare = 0.6
 
-// bodyMemoryShare is the fraction of the memory limit that request bodies may use.
-const bodyMemoryShare = 0.2
-
 // watchShare is the fraction of the time limit for changes that one watch call to
 // the store may take: within the rest, another daemon has to detect a silent
 // reader and read the store.
@@ -193,6 +193,7 @@
 	e.demand = demand.NewCounter(time.Now)
 	e.unanswered = newUnansweredLog(e.log, e.registry, func() (time.Duration, bool) { return e.handler.SinceStop() })
 	e.heads, e.yielded = s.newHeads(), newYieldedTotal(e.registry)
+	e.bodies = newBodies(s, e.registry)
 	e.lookups = newLookupLog(e.log, e.registry)
 	watchTimeout := time.Duration(float64(s.ConfigPropagationLimit) * watchShare)
 	bounds := s.Cold
@@ -207,7 +208,7 @@
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
 	e.fleetSize.Expected = expectedFleet(s)
 	e.partialFleet.log = e.log
-	e.quotas = newQuotas(s, e.log, e.guard, e.registry)
+	e.quotas = newQuotas(s, e.log, e.guard, e.registry, e.bodies)
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Incarnation: uint64(time.Now().UnixMilli()), State: members.Starting,
@@ -216,6 +217,7 @@
 		Seeds:        s.Seeds,
 		Store:        opts.Store,
 		Peers:        control.NewHTTPPeers(proxy.NewTransport()),
+		Bodies:       e.bodies,
 		WatchTimeout: watchTimeout,
 
 		EvacuationLimit: s.EvacuationLimit,
@@ -237,7 +239,7 @@
 	e.handler = proxy.New(proxy.Options{
 		Snapshot: e.control.Load, NextSnapshot: e.control.Next, Gate: e.gate, Dialect: opts.Dialect, Reporter: e.reporter,
 		RetryBudgets: e.budgets, Quotas: e.quotas, Demand: e.demand, Transport: transport,
-		BodyMemory:      int64(float64(s.MemoryBytes) * bodyMemoryShare),
+		Bodies:          e.bodies,
 		RevocationLimit: s.RevocationLimit, ConfigLimit: s.ConfigPropagationLimit,
 		Log: newRequestLog(e.log), Metrics: proxy.NewMetrics(e.registry), Now: time.Now, Suspended: suspension.Total, Rand: sharedrand.Source{},
 	})
--- a/pkg/gateway/entry/quotas.go
+++ b/pkg/gateway/entry/quotas.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
@@ -20,10 +21,11 @@
 
 // newQuotas returns the quotas of organisations, which limit nothing until a configuration
 // has some.
-func newQuotas(settings Settings, log logrus.FieldLogger, panics *guard.Guard, registry prometheus.Registerer) *exchange.Exchange {
+func newQuotas(settings Settings, log logrus.FieldLogger, panics *guard.Guard, registry prometheus.Registerer, memory *bodies.Pool) *exchange.Exchange {
 	return exchange.New(exchange.Options{
 		Bounds:  settings.Quota,
 		Asker:   exchange.NewHTTPAsker(proxy.NewTransport()),
+		Bodies:  memory,
 		Metrics: exchange.NewMetrics(registry),
 		Guard:   panics,
 		Log:     log,
--- a/pkg/gateway/proxy/body_test.go
+++ b/pkg/gateway/proxy/body_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 )
 
@@ -53,7 +54,8 @@
 	var address string
 	BeforeEach(func() {
 		w = newTestProxy(catalog.NonIdempotent)
-		w.bodyMemory = bodyMemory
+		// Time stands still: no body is received for so long that it has to yield.
+		w.bodies = bodies.NewPool(bodies.Options{Bytes: bodyMemory, Now: func() time.Time { return longAgo }})
 		ep = newEndpoint(respondOK)
 		w.start(ep)
 		address = strings.TrimPrefix(w.callerServer.URL, "http://")
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
 	"github.com/flamingomount/flamingomount/pkg/gateway/members"
@@ -251,7 +252,7 @@
 		writeFailure(w, "", failure, true)
 		return
 	}
-	defer func() { h.bodies.Release(req.reservedBytes) }()
+	defer func() { req.received.Release() }()
 	defer h.releaseReserved(req)
 	failure := h.identify(req, h.opts.Snapshot())
 	if failure == nil {
@@ -280,19 +281,14 @@
 	return h.refuseLate()
 }
 
-// receiveForwarded reads the body of a forwarded request within the limits of size and
-// memory.
+// receiveForwarded reads the body of a forwarded request within the limits of size, memory and
+// time.
 func (h *Handler) receiveForwarded(w http.ResponseWriter, r *http.Request, req *Request) *types.Failure {
-	if r.ContentLength > maxForwardedBody {
-		return bodyTooLarge()
-	}
-	if err := req.receiveBody(http.MaxBytesReader(nil, r.Body, maxForwardedBody), r.ContentLength, h.bodies); err != nil {
-		return bodyFailure(err)
-	}
+	timeout := bodyReadTimeout
 	if req.Reserve {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		timeout = reservedTime
 	}
-	return nil
+	return h.receiveBody(w, r, req, bodies.Limits{Bytes: maxForwardedBody, Timeout: timeout})
 }
 
 // parseForwarded decodes the envelope and the header of a forwarded request.
--- a/pkg/gateway/proxy/handler.go
+++ b/pkg/gateway/proxy/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/control"
@@ -21,7 +22,6 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/demand"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
-	"github.com/flamingomount/flamingomount/pkg/reserve"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/stage/relay"
 	"github.com/flamingomount/flamingomount/pkg/types"
@@ -41,8 +41,6 @@
 	// sets no limits.
 	defaultBodyBytes   = 4 << 20
 	defaultHeaderBytes = 16 << 10
-	// bodyDrainTimeout bounds the wait for the rest of the body of a refused request.
-	bodyDrainTimeout = time.Second
 	// writeTimeout bounds each write to a caller.
 	writeTimeout = 10 * time.Second
 	// maxBufferedBytes bounds a response that is buffered until it is complete.
@@ -76,12 +74,11 @@
 	Demand *demand.Counter
 	// Transport sends attempts; nil means NewTransport.
 	Transport http.RoundTripper
-	// BodyMemory bounds the total size in bytes of the request bodies that are held or
-	// being received; zero means no bound.
-	BodyMemory int64
-	Log        Logger
-	Metrics    *Metrics
-	Now        func() time.Time
+	// Bodies is the memory of request bodies; nil means no limit.
+	Bodies  *bodies.Pool
+	Log     Logger
+	Metrics *Metrics
+	Now     func() time.Time
 	// Rand must be safe for concurrent use.
 	Rand route.Rand
 	// RevocationLimit is the time within which a credential that was taken away stops
@@ -101,8 +98,7 @@
 
 // Handler serves the requests of callers. It is safe for concurrent use.
 type Handler struct {
-	opts   Options
-	bodies *reserve.Budget
+	opts Options
 	// trials holds the withheld traits that a request tries now.
 	trials sync.Map
 	// draining makes the handler refuse forwarded requests that another daemon can take.
@@ -125,7 +121,7 @@
 	if opts.Demand == nil {
 		opts.Demand = demand.NewCounter(opts.Now)
 	}
-	return &Handler{opts: opts, bodies: reserve.NewBudget(opts.BodyMemory), startedAt: startedAt}
+	return &Handler{opts: opts, startedAt: startedAt}
 }
 
 // Leave makes the handler refuse requests that are complete only after the admission time
@@ -160,7 +156,7 @@
 		h.opts.Demand.Record(req.Route)
 		h.opts.RetryBudgets.RecordRequest(req.Service, h.inBudgetTime(arrived))
 		failure = h.readBody(w, r, req, snap)
-		defer func() { h.bodies.Release(req.reservedBytes) }()
+		defer func() { req.received.Release() }()
 	}
 	if failure == nil {
 		failure = h.refuseLate()
@@ -180,8 +176,6 @@
 	h.opts.Log.Request(logrus.Fields{
 		"request": info.ID, "method": r.Method, "host": r.Host, "path": pathOf(r), "code": failure.Code, "reason": failure.Message,
 	}, true)
-	// The unread rest of the body must not delay the response.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyDrainTimeout))
 	writeFailure(w, "", failure, false)
 }
 
--- a/pkg/gateway/proxy/handover.go
+++ b/pkg/gateway/proxy/handover.go
@@ -205,8 +205,6 @@
 	}
 	// The daemon that forwarded the request relies on the endpoint from now on.
 	req.Elsewhere, req.ArriveBy = false, h.budgetTime().Add(arrivalTime)
-	// A writer that supports no deadlines is accepted too.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(reservedTime))
 	w.Header().Set(headerReserved, "1")
 	w.WriteHeader(http.StatusEarlyHints)
 	w.Header().Del(headerReserved)
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance/gate"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
@@ -259,8 +260,8 @@
 	organisations []*catalog.Organisation
 	// quotas limits them; nil means that nothing does.
 	quotas *exchange.Exchange
-	// bodyMemory bounds the memory of bodies; zero means no bound.
-	bodyMemory int64
+	// bodies is the memory of bodies; nil means no limit.
+	bodies *bodies.Pool
 	// revocationLimit and configLimit are the options of the same names.
 	revocationLimit, configLimit time.Duration
 	withheld                     map[crashes.Trait]crashes.Verdict
@@ -358,7 +359,7 @@
 		Snapshot: w.snapshot, Gate: w.gate, Dialect: testDialect{}, Reporter: w.fakeReporter,
 		RetryBudgets: w.budgets, Log: w.fakeReporter, Metrics: proxy.NewMetrics(prometheus.NewRegistry()),
 		Now: time.Now, Rand: rand.New(rand.NewPCG(1, 2)), Transport: w.transport,
-		BodyMemory: w.bodyMemory, RevocationLimit: w.revocationLimit, ConfigLimit: w.configLimit, Quotas: w.quotas,
+		Bodies: w.bodies, RevocationLimit: w.revocationLimit, ConfigLimit: w.configLimit, Quotas: w.quotas,
 	}
 }
 
--- a/pkg/gateway/proxy/request.go
+++ b/pkg/gateway/proxy/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/crashes"
@@ -24,8 +25,8 @@
 	// Header holds the caller's header fields that are passed on to an endpoint.
 	Header http.Header
 	Body   []byte
-	// reservedBytes is the memory that is reserved for the body.
-	reservedBytes int64
+	// received holds the memory of Body; nil until that was received.
+	received *bodies.Body
 
 	Route *catalog.Route
 	// Organisation is who calls; nil if the configuration has no organisations, or the
--- a/pkg/gateway/quota/exchange/exchange.go
+++ b/pkg/gateway/quota/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
 	"github.com/flamingomount/flamingomount/pkg/gateway/guard"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
@@ -20,8 +21,10 @@
 
 // Options configures an Exchange.
 type Options struct {
-	Bounds  catalog.QuotaBounds
-	Asker   Asker
+	Bounds catalog.QuotaBounds
+	Asker  Asker
+	// Bodies is the memory of questions that are being received; nil means no limit.
+	Bodies  *bodies.Pool
 	Metrics *Metrics
 	Guard   *guard.Guard
 	Log     logrus.FieldLogger
--- a/pkg/gateway/quota/exchange/http.go
+++ b/pkg/gateway/quota/exchange/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
 	"github.com/flamingomount/flamingomount/pkg/types"
 	"github.com/flamingomount/flamingomount/pkg/wholebody"
@@ -60,19 +61,25 @@
 
 // ServeAsk handles a question of another daemon.
 func (e *Exchange) ServeAsk(w http.ResponseWriter, r *http.Request) {
+	body, err := e.opts.Bodies.Receive(w, r, bodies.Limits{Bytes: maxAskBytes, Timeout: askTimeout})
+	if err != nil {
+		bodies.Refuse(w, err)
+		return
+	}
+	defer body.Release()
 	var ask Ask
-	if err := wholebody.DecodeJSON(r.Body, maxAskBytes, &ask); err != nil || !ask.valid() {
+	if err := json.Unmarshal(body.Bytes(), &ask); err != nil || !ask.valid() {
 		http.Error(w, "the question can't be read", http.StatusBadRequest)
 		return
 	}
-	body, err := json.Marshal(e.Answer(r.Context(), ask))
+	encoded, err := json.Marshal(e.Answer(r.Context(), ask))
 	if err != nil {
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// Units of an answer that does not arrive are lost.
-	_, _ = w.Write(body)
+	_, _ = w.Write(encoded)
 }
 
 func (a *Ask) valid() bool {
