Bodies on the own interface: the same bound for all listeners

What callers saw: as on the users' platform; 499 MB where 96 are allowed.

Cause, by heap profile (160 MB of the heap in io.ReadAll: 84 in forward.Receiver, 65 in peerhttp, 11 in ingress): only callers' bodies were in an account, those in chunks with their largest size, so that a few took it all. Forwarded bodies (4 MiB each), messages of daemons (4 MiB) and bundles (64 MiB) were in none, the last two without a time limit.

Change: ingress, forward.Receiver, peerhttp and the administration API receive into one pkg/bodies pool of limits.body_memory. A message that can't be read for want of memory is answered 503, a bundle as overloaded.

--- a/internal/livefleet/livefleet.go
+++ b/internal/livefleet/livefleet.go
@@ -98,7 +98,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.server = &http.Server{Handler: peerhttp.NewHandler(guard, d.Control, metrics, time.Now), ReadHeaderTimeout: time.Second}
+	d.server = &http.Server{Handler: peerhttp.NewHandler(guard, d.Control, nil, metrics, time.Now), ReadHeaderTimeout: time.Second}
 	d.running.Go(func() { _ = d.server.Serve(countingListener{d.listener, &f.Bytes}) })
 	d.running.Go(func() { _ = d.Run(ctx) })
 	return nil
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/burn"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -48,8 +49,15 @@
 	// OperatorHash is the hash of a credential that acts as an operator even
 	// when no configuration is in force; empty means none.
 	OperatorHash published.CredentialHash
+	// Bodies is the memory of bundles that are validated; nil means no limit.
+	Bodies *bodies.Pool
+	// BodyTimeout is the longest time to receive a bundle; zero means DefaultBodyTimeout.
+	BodyTimeout time.Duration
 }
 
+// DefaultBodyTimeout is the longest time to receive a bundle unless Options say another.
+const DefaultBodyTimeout = 30 * time.Second
+
 // API serves the administration API.
 type API struct {
 	sources Sources
@@ -61,6 +69,9 @@
 
 // New returns the API over the sources.
 func New(sources Sources, opts Options) *API {
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = DefaultBodyTimeout
+	}
 	api := &API{sources: sources, opts: opts, router: httprouter.New()}
 	for _, op := range operations {
 		api.router.Handle(op.Method, op.Path, api.authenticated(op))
@@ -89,7 +100,7 @@
 			writeProblem(w, types.CodeForbidden, "this call is for operators")
 			return
 		}
-		answer, problem := op.run(a, who, r)
+		answer, problem := op.answer(a, who, w, r)
 		if problem != nil {
 			writeProblem(w, problem.Code, problem.Message)
 			return
--- a/pkg/admin/operations.go
+++ b/pkg/admin/operations.go
@@ -4,12 +4,13 @@
 	"cmp"
 	"encoding/hex"
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/burn"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -30,6 +31,31 @@
 	// Answer is an empty value of the answer's type.
 	Answer any
 	run    func(*API, *published.Administrator, *http.Request) (any, *Problem)
+	// runBody takes the place of run for an operation that takes a body.
+	runBody func(*API, []byte) (any, *Problem)
+}
+
+// answer runs the operation, after it has received the body that the operation takes.
+func (op operation) answer(a *API, who *published.Administrator, w http.ResponseWriter, r *http.Request) (any, *Problem) {
+	if op.runBody == nil {
+		return op.run(a, who, r)
+	}
+	body, err := a.opts.Bodies.Receive(w, r, bodies.Limits{Bytes: maxBundleBytes, Timeout: a.opts.BodyTimeout})
+	if err != nil {
+		return nil, bodyProblem(err)
+	}
+	defer body.Release()
+	return op.runBody(a, body.Bytes())
+}
+
+func bodyProblem(err error) *Problem {
+	switch {
+	case errors.Is(err, bodies.ErrTooLarge):
+		return &Problem{Code: types.CodeTooLarge, Message: "the bundle is larger than 64 MiB"}
+	case errors.Is(err, bodies.ErrNoMemory), errors.Is(err, bodies.ErrYielded):
+		return &Problem{Code: types.CodeOverloaded, Message: err.Error()}
+	}
+	return &Problem{Code: types.CodeBadRequest, Message: "the bundle can't be read"}
 }
 
 // parameter is one query parameter.
@@ -51,7 +77,7 @@
 		{ID: "quarantine", Method: http.MethodGet, Path: "/admin/v1/quarantine", Summary: "Quarantined requests", OperatorOnly: true, Answer: Quarantine{}, run: runQuarantine},
 		{ID: "orders", Method: http.MethodGet, Path: "/admin/v1/orders", Summary: "Remembered requests that may not be repeated", OperatorOnly: true, Answer: Orders{}, run: runOrders},
 		{ID: "explain", Method: http.MethodGet, Path: "/admin/v1/explain", Summary: "Where a request would go now, and why", Query: explainQuery, Answer: Explanation{}, run: runExplain},
-		{ID: "validate", Method: http.MethodPost, Path: "/admin/v1/validate", Summary: "Whether this build accepts a bundle", OperatorOnly: true, Answer: Validation{}, run: runValidate},
+		{ID: "validate", Method: http.MethodPost, Path: "/admin/v1/validate", Summary: "Whether this build accepts a bundle", OperatorOnly: true, Answer: Validation{}, runBody: runValidate},
 		{ID: "usage", Method: http.MethodGet, Path: "/admin/v1/usage", Summary: "Use by team, service and rank", Answer: Usage{}, run: runUsage},
 		{ID: "burn", Method: http.MethodGet, Path: "/admin/v1/burn", Summary: "Counts of service-level objectives", Answer: Burn{}, run: runBurn},
 		{ID: "openapi", Method: http.MethodGet, Path: "/admin/v1/openapi.json", Summary: "This description", Answer: Document{}, run: runOpenAPI},
@@ -227,13 +253,9 @@
 	}, nil
 }
 
-func runValidate(a *API, _ *published.Administrator, r *http.Request) (any, *Problem) {
-	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBundleBytes))
-	if err != nil {
-		return nil, &Problem{Code: types.CodeTooLarge, Message: "the bundle is larger than 64 MiB or can't be read"}
-	}
+func runValidate(a *API, body []byte) (any, *Problem) {
 	var upload BundleUpload
-	err = json.Unmarshal(data, &upload)
+	err := json.Unmarshal(body, &upload)
 	if err != nil {
 		return nil, &Problem{Code: types.CodeBadRequest, Message: `want JSON {"values":{key:base64}}: ` + err.Error()}
 	}
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -46,7 +46,7 @@
 		Burn:     func() (burn.DaemonReport, error) { return d.recorder.report() },
 		Metrics:  d.recorder.metrics.Handler(),
 		Now:      d.opts.Now,
-	}, admin.Options{})
+	}, admin.Options{Bodies: d.bodies, BodyTimeout: d.opts.Settings.Timeouts.Body})
 }
 
 // validate checks whether a bundle could be published now, without applying it.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/jsonlog"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/route/pipeline"
@@ -38,9 +39,11 @@
 	recorder *recorder
 	planner  *spill.Planner
 	handler  *handler
-	caller   *server
-	peer     *server
-	admin    *server
+	// bodies is the memory of the request bodies of all listeners.
+	bodies *bodies.Pool
+	caller *server
+	peer   *server
+	admin  *server
 	// drainDeadline is when the drain limit expires, in Unix milliseconds; zero
 	// while the daemon is not stopping.
 	drainDeadline atomic.Int64
--- a/pkg/daemon/live.go
+++ b/pkg/daemon/live.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/bundle"
 	"github.com/flamingomount/flamingomount/pkg/bundle/keyfile"
 	"github.com/flamingomount/flamingomount/pkg/control"
@@ -55,6 +56,8 @@
 	opts      *Options
 	tlsConfig *tls.Config
 	metrics   prometheus.Registerer
+	// bodies is the memory of messages that are being received; nil means no limit.
+	bodies *bodies.Pool
 }
 
 func newLive(options liveOptions) (*liveControl, error) {
@@ -94,7 +97,7 @@
 		return nil, err
 	}
 	answerer := &isolationAnswerer{live: live, next: live.Control}
-	live.handler = peerhttp.NewHandler(guard, answerer, metrics, options.opts.Now)
+	live.handler = peerhttp.NewHandler(guard, answerer, options.bodies, metrics, options.opts.Now)
 	live.poller = loadpoll.New(loadpoll.Options{Snapshot: live.Load, Submit: live.Submit, Now: options.opts.Now})
 	live.issuer = engineorders.New(engineorders.Options{Snapshot: live.Load, Now: options.opts.Now, Log: options.opts.Log})
 	return live, nil
--- a/pkg/daemon/provision.go
+++ b/pkg/daemon/provision.go
@@ -6,6 +6,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/rotisserie/eris"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/control/event"
 	"github.com/flamingomount/flamingomount/pkg/control/quarantine"
 	"github.com/flamingomount/flamingomount/pkg/graceful"
@@ -28,6 +29,8 @@
 		return err
 	}
 	d.recorder = newRecorder(d)
+	d.bodies = bodies.NewPool(bodies.Options{Bytes: d.opts.Settings.Limits.BodyMemory})
+	d.recorder.metrics.Registerer().MustRegister(bodies.NewCollector(d.bodies, "flamingomount"))
 	if err := d.loadPeerTLS(); err != nil {
 		return err
 	}
@@ -95,7 +98,7 @@
 		return err
 	}
 	control, err := newLive(liveOptions{
-		self: d.self, opts: &d.opts, tlsConfig: d.peerTLS, metrics: d.recorder.metrics.Registerer(),
+		self: d.self, opts: &d.opts, tlsConfig: d.peerTLS, metrics: d.recorder.metrics.Registerer(), bodies: d.bodies,
 	})
 	d.control = control
 	return err
@@ -198,12 +201,12 @@
 		Tickets:      d.guard,
 		Fingerprints: quarantine.NewFingerprinter(d.opts.Keys[0].Secret),
 		Limits: ingress.Limits{
-			MaxRequests:   s.Limits.Requests,
-			MaxBodyBytes:  s.Limits.BodyBytes,
-			MaxBodyMemory: s.Limits.BodyMemory,
-			BodyTimeout:   s.Timeouts.Body,
-			Deadline:      s.Timeouts.Request,
+			MaxRequests:  s.Limits.Requests,
+			MaxBodyBytes: s.Limits.BodyBytes,
+			BodyTimeout:  s.Timeouts.Body,
+			Deadline:     s.Timeouts.Request,
 		},
+		Bodies:      d.bodies,
 		RelayLimits: d.relayLimits(),
 		Now:         d.opts.Now,
 		Rand:        d.opts.Rand,
@@ -215,6 +218,7 @@
 		Next:            d.handler,
 		OnRevisionFloor: d.onRevisionFloor,
 		RelayLimits:     d.relayLimits(),
+		Bodies:          d.bodies,
 		MaxBodyBytes:    s.Limits.BodyBytes,
 		MaxRequests:     s.Limits.PeerRequests,
 		BodyTimeout:     s.Timeouts.Body,
--- a/pkg/peer/peerhttp/peerhttp.go
+++ b/pkg/peer/peerhttp/peerhttp.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/peer"
 )
 
@@ -134,27 +135,30 @@
 type Handler struct {
 	guard     *peer.Guard
 	answerer  Responder
+	bodies    *bodies.Pool
 	metrics   *Metrics
 	wallClock func() time.Time
 }
 
 var _ http.Handler = (*Handler)(nil)
 
-// NewHandler returns the handler for Path. The function wallClock returns the
-// wall-clock time.
-func NewHandler(guard *peer.Guard, answerer Responder, metrics *Metrics, wallClock func() time.Time) *Handler {
-	return &Handler{guard: guard, answerer: answerer, metrics: metrics, wallClock: wallClock}
+// NewHandler returns the handler for Path. Messages are received into the memory of the pool;
+// nil means no limit. The function wallClock returns the wall-clock time.
+func NewHandler(guard *peer.Guard, answerer Responder, memory *bodies.Pool, metrics *Metrics, wallClock func() time.Time) *Handler {
+	return &Handler{guard: guard, answerer: answerer, bodies: memory, metrics: metrics, wallClock: wallClock}
 }
 
-// ServeHTTP replies to a message. The status is 400 if the body can't be read, 403
-// if the message is refused, 503 if the daemon has no reply and 500 if the reply
+// ServeHTTP replies to a message. The status is that of bodies.Refuse if the body can't be
+// read, 403 if the message is refused, 503 if the daemon has no reply and 500 if the reply
 // can't be encoded.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	sealed, err := readSealed(r.Header, r.Body)
+	body, err := h.bodies.Receive(w, r, bodies.Limits{Bytes: peer.MaxBodyBytes, Timeout: requestTimeout, Urgent: true})
 	if err != nil {
-		http.Error(w, "unreadable message", http.StatusBadRequest)
+		bodies.Refuse(w, err)
 		return
 	}
+	defer body.Release()
+	sealed := sealedOf(r.Header, body.Bytes())
 	h.metrics.bytes.WithLabelValues("received").Add(float64(len(sealed.Body)))
 	msg, err := h.guard.Open(h.wallClock(), peer.Request, 0, sealed)
 	if err != nil {
@@ -205,10 +209,15 @@
 	if err != nil {
 		return peer.Sealed{}, eris.Wrap(err, "read message")
 	}
+	return sealedOf(header, data), nil
+}
+
+// sealedOf returns the message of a header and a body.
+func sealedOf(header http.Header, body []byte) peer.Sealed {
 	return peer.Sealed{
-		MAC: header.Get(headerMAC), Body: data,
+		MAC: header.Get(headerMAC), Body: body,
 		Compressed: header.Get("Content-Encoding") == encodingGzip,
-	}, nil
+	}
 }
 
 // Sender sends messages to other daemons.
--- a/pkg/peer/peerhttp/peerhttp_test.go
+++ b/pkg/peer/peerhttp/peerhttp_test.go
@@ -91,7 +91,7 @@
 	s.echo = &echo{vm: s.vm}
 	started := time.Now()
 	guard := peer.NewGuard(s.vm, keys, started, 1)
-	handler := peerhttp.NewHandler(guard, s.echo, peerhttp.NewMetrics(nil), time.Now)
+	handler := peerhttp.NewHandler(guard, s.echo, nil, peerhttp.NewMetrics(nil), time.Now)
 	ts := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for range s.fillers.Load() {
 			w.Header().Add("Filler", "1234567")
--- a/pkg/stage/forward/receiver.go
+++ b/pkg/stage/forward/receiver.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/control/once"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -29,6 +30,8 @@
 	// forwarded request carries; it may be nil. It must not block.
 	OnRevisionFloor func(types.Revision)
 	RelayLimits     relay.Limits
+	// Bodies is the memory of request bodies; nil means no limit.
+	Bodies *bodies.Pool
 	// MaxBodyBytes bounds a request body. Default 4 MiB.
 	MaxBodyBytes int64
 	// MaxRequests bounds the requests in flight. Default 5,000.
@@ -83,7 +86,13 @@
 		refuse(w, incoming, types.NewFailure(types.NotRun, types.CodeOverloaded, "too many forwarded requests at once"))
 		return
 	}
-	req, failure := r.receive(w, incoming)
+	body, failure := r.receiveBody(w, incoming)
+	if failure != nil {
+		refuse(w, incoming, failure)
+		return
+	}
+	defer body.Release()
+	req, failure := r.accept(incoming, body.Bytes())
 	if failure != nil {
 		refuse(w, incoming, failure)
 		return
@@ -102,16 +111,20 @@
 	relay.WriteFailure(w, "", once.DowngradeNotRun("", incoming.Header.Get(types.HeaderTicket), failure))
 }
 
-func (r *Receiver) receive(w http.ResponseWriter, incoming *http.Request) (*request.Request, *types.Failure) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(r.opts.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, incoming.Body, r.opts.MaxBodyBytes))
-	if err != nil {
-		// The rest of the body must not delay the response.
-		w.Header().Set("Connection", "close")
+// receiveBody reads the body within the limits of size, memory and time.
+func (r *Receiver) receiveBody(w http.ResponseWriter, incoming *http.Request) (*bodies.Body, *types.Failure) {
+	body, err := r.opts.Bodies.Receive(w, incoming, bodies.Limits{Bytes: r.opts.MaxBodyBytes, Timeout: r.opts.BodyTimeout})
+	switch {
+	case errors.Is(err, bodies.ErrNoMemory), errors.Is(err, bodies.ErrYielded):
+		return nil, types.NewFailure(types.NotRun, types.CodeOverloaded, err.Error())
+	case err != nil:
 		return nil, types.NewFailure(types.NotRun, types.CodeBadRequest, "the forwarded body can't be read")
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// accept verifies the envelope of a request whose body was received, and returns the request.
+func (r *Receiver) accept(incoming *http.Request, body []byte) (*request.Request, *types.Failure) {
 	now := r.opts.Now()
 	envelope, err := Open(r.opts.Keys, incoming.Header.Get(HeaderEnvelope), body, now)
 	if err != nil {
--- a/pkg/stage/ingress/body.go
+++ b/pkg/stage/ingress/body.go
@@ -3,13 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
-	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
-	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/types"
 )
 
@@ -118,46 +117,19 @@
 	return "unreadable"
 }
 
-// readBody reads the request body. It fails if the body is larger than limit
-// bytes, does not arrive within the timeout or is truncated.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, *types.Failure) {
-	if r.ContentLength > limit {
-		return nil, tooLarge(limit)
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(timeout))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if err != nil {
-		// The rest of the body must not delay the response.
-		w.Header().Set("Connection", "close")
-		return nil, bodyReadFailure(err, limit)
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-// readAll reads exactly size bytes, or up to EOF if size is negative (unknown).
-func readAll(reader io.Reader, size int64) ([]byte, error) {
-	if size < 0 {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, size)
-	_, err := io.ReadFull(reader, body)
-	return body, err
-}
-
 func tooLarge(limit int64) *types.Failure {
 	return types.NewFailure(types.NotRun, types.CodeTooLarge,
 		"the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 }
 
-func bodyReadFailure(err error, limit int64) *types.Failure {
-	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
+// bodyFailure returns the failure of a request whose body was not received.
+func bodyFailure(err error, limit int64) *types.Failure {
+	switch {
+	case errors.Is(err, bodies.ErrTooLarge):
 		return tooLarge(limit)
-	}
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	case errors.Is(err, bodies.ErrNoMemory), errors.Is(err, bodies.ErrYielded):
+		return overloaded(err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		failure := badRequest("the body was sent too slowly")
 		failure.Status = http.StatusRequestTimeout
 		return failure
--- a/pkg/stage/ingress/options.go
+++ b/pkg/stage/ingress/options.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/request"
 	"github.com/flamingomount/flamingomount/pkg/route"
 	"github.com/flamingomount/flamingomount/pkg/snapshot"
@@ -45,9 +46,6 @@
 	// MaxBodyBytes is the maximum size of a request body if the service
 	// publishes no limit. Default 4 MiB.
 	MaxBodyBytes int64
-	// MaxBodyMemory is the maximum total size of the request bodies in memory.
-	// Default 256 MiB.
-	MaxBodyMemory int64
 	// BodyTimeout is the maximum time to receive a request body. Default 30 s.
 	BodyTimeout time.Duration
 	// Deadline is the timeout of a request if the caller sets none and the
@@ -63,12 +61,11 @@
 
 // Default values of Limits.
 const (
-	DefaultMaxRequests   = 20_000
-	DefaultMaxBodyBytes  = 4 << 20
-	DefaultMaxBodyMemory = 256 << 20
-	DefaultBodyTimeout   = 30 * time.Second
-	DefaultDeadline      = 2 * time.Minute
-	DefaultMaxDeadline   = time.Hour
+	DefaultMaxRequests  = 20_000
+	DefaultMaxBodyBytes = 4 << 20
+	DefaultBodyTimeout  = 30 * time.Second
+	DefaultDeadline     = 2 * time.Minute
+	DefaultMaxDeadline  = time.Hour
 )
 
 // WithDefaults returns a copy of the limits in which each zero field is set to
@@ -76,7 +73,6 @@
 func (l Limits) WithDefaults() Limits {
 	l.MaxRequests = orDefault(l.MaxRequests, DefaultMaxRequests)
 	l.MaxBodyBytes = orDefault(l.MaxBodyBytes, DefaultMaxBodyBytes)
-	l.MaxBodyMemory = orDefault(l.MaxBodyMemory, DefaultMaxBodyMemory)
 	l.BodyTimeout = orDefault(l.BodyTimeout, DefaultBodyTimeout)
 	l.Deadline = orDefault(l.Deadline, DefaultDeadline)
 	l.MaxDeadline = orDefault(l.MaxDeadline, DefaultMaxDeadline)
@@ -101,8 +97,10 @@
 	Tickets Ticketer
 	// Fingerprints may be nil, in which case fingerprints are zero.
 	Fingerprints Fingerprinter
-	Limits       Limits
-	RelayLimits  relay.Limits
+	// Bodies is the memory of request bodies; nil means no limit.
+	Bodies      *bodies.Pool
+	Limits      Limits
+	RelayLimits relay.Limits
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Rand must be safe for concurrent use.
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/flamingomount/flamingomount/pkg/bodies"
 	"github.com/flamingomount/flamingomount/pkg/control/once"
 	"github.com/flamingomount/flamingomount/pkg/published"
 	"github.com/flamingomount/flamingomount/pkg/request"
@@ -26,7 +27,6 @@
 	opts     Options
 	router   *httprouter.Router
 	requests *reserve.Budget
-	memory   *reserve.Budget
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -37,11 +37,7 @@
 		opts.Now = time.Now
 	}
 	opts.Limits = opts.Limits.WithDefaults()
-	s := &Server{
-		opts:     opts,
-		requests: reserve.NewBudget(opts.Limits.MaxRequests),
-		memory:   reserve.NewBudget(opts.Limits.MaxBodyMemory),
-	}
+	s := &Server{opts: opts, requests: reserve.NewBudget(opts.Limits.MaxRequests)}
 	s.router = s.routes()
 	return s
 }
@@ -80,8 +76,8 @@
 	// service is the requested service, for the Observer. It is set as soon as
 	// the request names one, before it is checked.
 	service types.ServiceName
-	// reservedBytes is the body memory reserved for this call.
-	reservedBytes int64
+	// body holds the memory of the call's body; nil until that was received.
+	body *bodies.Body
 }
 
 // callHandler handles the call of an authenticated caller. The failure that it
@@ -99,7 +95,7 @@
 			return
 		}
 		defer s.requests.Release(1)
-		defer func() { s.memory.Release(c.reservedBytes) }()
+		defer func() { c.body.Release() }()
 		failure := s.identify(c)
 		if failure == nil {
 			failure = handler(c)
@@ -261,21 +257,14 @@
 	return callerTimeout(c.r.Header, s.opts.Limits.MaxDeadline)
 }
 
-// receiveBody reserves memory for the body, then reads it within the size limit
-// and BodyTimeout. A body of unknown length reserves limit bytes.
+// receiveBody reads the body within the limits of size, memory and time.
 func (s *Server) receiveBody(c *call, limit int64) ([]byte, *types.Failure) {
-	size := limit
-	if c.r.ContentLength >= 0 {
-		size = c.r.ContentLength
-	}
-	if size > limit {
-		return nil, tooLarge(limit)
-	}
-	if !s.memory.TryReserve(size) {
-		return nil, overloaded("too many bytes of request bodies are held at once")
+	body, err := s.opts.Bodies.Receive(c.w, c.r, bodies.Limits{Bytes: limit, Timeout: s.opts.Limits.BodyTimeout})
+	if err != nil {
+		return nil, bodyFailure(err, limit)
 	}
-	c.reservedBytes = size
-	return readBody(c.w, c.r, limit, s.opts.Limits.BodyTimeout)
+	c.body = body
+	return body.Bytes(), nil
 }
 
 // request builds the request that is passed to the later stages.
