Connections whose bodies come slowly yield to others

What callers saw: while callers that send their bodies slowly hold all places of a listener, nobody else connects until the time for a body is over (10 s, 30 s on the own interface), again and again.

Cause: a connection yields only while it waits for a request; one whose handler waits for the body counted as served.

Change: bodies.Pool.Receive tells graceful that the handler waits for a body. When a listener has no place left and no connection waits for a request, the one whose body has taken longest, a second or more, gives way: its handler refuses the request as not run. Others follow 10 ms apart until a place is free.

Evidence: graceful "connections whose handlers wait for a body"; the crowds of trickled and held back bodies at the listener for daemons (60 clients, 40 places) are answered while they stay.

--- a/pkg/bodies/body.go
+++ b/pkg/bodies/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
 // firstBytes is the first reservation for a body of unknown length, and smallBytes the most for
@@ -83,8 +85,10 @@
 	}
 	b.deadline(time.Now().Add(limits.Timeout))
 	b.pool.begin(b)
+	received := graceful.ReceiveBody(r.Context(), b.giveWay)
 	complete := false
 	defer func() {
+		received()
 		if !complete {
 			b.pool.complete(b)
 			b.Release()
@@ -110,6 +114,15 @@
 	return err
 }
 
+// giveWay makes the body yield to another connection.
+func (b *Body) giveWay() {
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	if b.place != nil {
+		b.pool.yield(b)
+	}
+}
+
 // read reads from a source to its end; size is the length that was announced, negative if none
 // was.
 func (b *Body) read(source io.Reader, size, limit int64) error {
--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -115,6 +115,8 @@
 		<-f.release
 	case "/close":
 		w.Header().Set("Connection", "close")
+	case "/body":
+		f.receiveBody(w, r)
 	case "/part":
 		_, _ = io.WriteString(w, "part")
 		_ = http.NewResponseController(w).Flush()
@@ -169,6 +171,19 @@
 	return response.StatusCode, response.Close
 }
 
+// receiveBody reads a body, and refuses the request if that has to make room for others.
+func (f *fixture) receiveBody(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	received := graceful.ReceiveBody(r.Context(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	f.handling <- struct{}{}
+	_, err := io.ReadAll(r.Body)
+	received()
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func get(path string) string {
 	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
 }
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -141,6 +141,18 @@
 	return c != nil && c.kept()
 }
 
+// ReceiveBody records that the handler of a request with this context waits for its body, until
+// received is called. The server may call giveWay meanwhile, to make room for another
+// connection: the handler then has to end.
+func ReceiveBody(ctx context.Context, giveWay func()) (received func()) {
+	c := connOf(ctx)
+	if c == nil {
+		return func() {}
+	}
+	c.server.waiters.addBody(c, giveWay)
+	return func() { c.server.waiters.remove(c) }
+}
+
 // New returns a server.
 func New(opts Options) *Server {
 	if opts.Times == (ShutdownTimes{}) {
@@ -383,10 +395,14 @@
 	if !c.yield(begun) {
 		return false
 	}
+	s.countYielded()
+	return true
+}
+
+func (s *Server) countYielded() {
 	if s.opts.Yielded != nil {
 		s.opts.Yielded()
 	}
-	return true
 }
 
 // trackingListener accepts connections that the server keeps account of.
@@ -425,10 +441,7 @@
 	default:
 	}
 	for {
-		longest, begun, wait := s.waiters.takeLongest()
-		if longest != nil && s.yield(longest, begun) {
-			wait = yieldAfter
-		}
+		wait := s.yieldLongest()
 		select {
 		case s.slots <- struct{}{}:
 			return true
@@ -439,6 +452,26 @@
 	}
 }
 
+// yieldLongest makes a connection yield that has waited long enough, and returns the time until
+// the next one may have to.
+func (s *Server) yieldLongest() (wait time.Duration) {
+	longest, begun, wait := s.waiters.takeLongest()
+	if longest != nil {
+		if s.yield(longest, begun) {
+			return yieldAfter
+		}
+		return wait
+	}
+	giveWay := s.waiters.takeBody()
+	if giveWay == nil {
+		return wait
+	}
+	giveWay()
+	s.countYielded()
+	// Its slot is free only some time after its response: others yield meanwhile.
+	return min(wait, yieldBodyPause)
+}
+
 func (s *Server) releaseSlot() {
 	if s.slots != nil {
 		<-s.slots
