Bodies of many small elements: their decoded memory is reserved too

Cause: "{}" and a comma are 3 bytes of a document and some 500 of a decoded list of members; the account saw the bytes of the document only.

Change: Body.ReserveDecoded reserves what the values will take, from the number of objects and commas, before a message, a bundle or a model request is decoded. It is given back with the body. A document that does not fit is refused as not run.

--- a/pkg/admin/operations.go
+++ b/pkg/admin/operations.go
@@ -45,6 +45,9 @@
 		return nil, bodyProblem(err)
 	}
 	defer body.Release()
+	if err := body.ReserveDecoded(); err != nil {
+		return nil, bodyProblem(err)
+	}
 	return op.runBody(a, body.Bytes())
 }
 
--- a/pkg/bodies/bodies_test.go
+++ b/pkg/bodies/bodies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"sync/atomic"
 	"testing"
 	"time"
+	"unsafe"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -282,3 +284,41 @@
 	}
 	_ = c.Close()
 }
+
+var _ = Describe("the memory of what is decoded from a body", func() {
+	receive := func(pool *bodies.Pool, document string) *bodies.Body {
+		GinkgoHelper()
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(document))
+		body, err := pool.Receive(httptest.NewRecorder(), request, bodies.Limits{Bytes: largest, Timeout: patience})
+		Expect(err).NotTo(HaveOccurred())
+		return body
+	}
+
+	It("is reserved by the number of values, and given back with the body", func() {
+		pool := bodies.NewPool(bodies.Options{Bytes: limit})
+		many := receive(pool, "["+strings.Repeat("{},", 100<<10)+"{}]")
+		Expect(many.ReserveDecoded()).To(MatchError(bodies.ErrNoMemory))
+		many.Release()
+		few := receive(pool, `{"text":"`+strings.Repeat("x", 300<<10)+`"}`)
+		Expect(few.ReserveDecoded()).To(Succeed())
+		Expect(pool.Usage().Bytes).To(BeNumerically(">", 600<<10))
+		few.Release()
+		Expect(pool.Usage().Bytes).To(BeZero())
+	})
+
+	// What is counted for an element has to cover what the decoder takes for it.
+	It("is at least what the values of a document take", func() {
+		type element struct {
+			Name  string
+			Value [300]byte
+		}
+		document := []byte("[" + strings.Repeat("{},", 10<<10) + "{}]")
+		var elements []element
+		Expect(json.Unmarshal(document, &elements)).To(Succeed())
+		pool := bodies.NewPool(bodies.Options{})
+		body := receive(pool, string(document))
+		before := pool.Usage().Bytes
+		Expect(body.ReserveDecoded()).To(Succeed())
+		Expect(pool.Usage().Bytes - before).To(BeNumerically(">=", cap(elements)*int(unsafe.Sizeof(element{}))))
+	})
+})
--- a/pkg/gateway/control/peerhttp.go
+++ b/pkg/gateway/control/peerhttp.go
@@ -77,6 +77,10 @@
 		return
 	}
 	defer body.Release()
+	if err := body.ReserveDecoded(); err != nil {
+		bodies.Refuse(w, err)
+		return
+	}
 	var message Message
 	if err := json.Unmarshal(body.Bytes(), &message); err != nil {
 		http.Error(w, "the message can't be read", http.StatusBadRequest)
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -162,6 +162,9 @@
 	if failure != nil {
 		return failure
 	}
+	if err := c.body.ReserveDecoded(); err != nil {
+		return overloaded(err.Error())
+	}
 	body, failure := parseModelBody(data)
 	if failure != nil {
 		return failure
