The memory of an order's body stays reserved until its run has ended

What callers saw: nothing yet; found by reading (when is memory given back?).

Cause: the reservation ended with the handler, which a caller's leaving ends.

Change: bodies.Body.Hold; onceguard holds the body from the decision to run until the run has ended.

Evidence: onceguard "holds the memory of the body until the run has ended", bodies "stays reserved while somebody holds the body".

--- a/pkg/bodies/bodies_test.go
+++ b/pkg/bodies/bodies_test.go
@@ -205,6 +205,20 @@
 		Eventually(r.bytes, patience).Should(BeZero())
 	})
 
+	It("stays reserved while somebody holds the body", func() {
+		pool := bodies.NewPool(bodies.Options{Bytes: limit})
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("whole"))
+		body, err := pool.Receive(httptest.NewRecorder(), request, bodies.Limits{Bytes: 5, Timeout: patience})
+		Expect(err).NotTo(HaveOccurred())
+		release := body.Hold()
+		body.Release()
+		body.Release()
+		Expect(pool.Usage().Bytes).To(BeNumerically(">", 0))
+		release()
+		release()
+		Expect(pool.Usage().Bytes).To(BeZero())
+	})
+
 	It("has no limit if there is no pool", func() {
 		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("whole"))
 		body, err := (*bodies.Pool)(nil).Receive(httptest.NewRecorder(), request, bodies.Limits{Bytes: 5, Timeout: time.Second})
--- a/pkg/bodies/body.go
+++ b/pkg/bodies/body.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/graceful"
@@ -35,6 +37,9 @@
 	// deadline sets the read deadline of the connection.
 	deadline func(time.Time)
 	urgent   bool
+	// holders is the number of those that still use the content; released is set by Release.
+	holders  atomic.Int32
+	released atomic.Bool
 
 	// The pool's mutex guards the following fields.
 	reserved int64
@@ -44,15 +49,28 @@
 	yielded bool
 }
 
-// Bytes returns the content, which is valid until the body is released.
+// Bytes returns the content. Who uses it after Release has to hold the body.
 func (b *Body) Bytes() []byte {
 	return b.data
 }
 
-// Release gives the memory of the body back. Further calls, and those of a nil body, do nothing.
+// Hold keeps the memory of the body until release is called, also after Release: the content is
+// still used. It must be called before Release.
+func (b *Body) Hold() (release func()) {
+	b.holders.Add(1)
+	return sync.OnceFunc(b.drop)
+}
+
+// Release gives the memory of the body back once nobody holds it any more. Further calls, and
+// those of a nil body, do nothing.
 func (b *Body) Release() {
-	if b != nil {
-		b.data = nil
+	if b != nil && !b.released.Swap(true) {
+		b.drop()
+	}
+}
+
+func (b *Body) drop() {
+	if b.holders.Add(-1) == 0 {
 		b.pool.giveBack(b)
 	}
 }
@@ -65,6 +83,7 @@
 		p = NewPool(Options{})
 	}
 	b := &Body{pool: p, urgent: limits.Urgent}
+	b.holders.Store(1)
 	if r.Body == nil || r.Body == http.NoBody {
 		return b, nil
 	}
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -64,4 +64,7 @@
 	Query   string
 	Header  Header
 	Body    []byte
+	// HoldBody keeps the memory of Body in account until release is called; nil if it is in
+	// none. A run that outlasts its caller holds it.
+	HoldBody func() (release func())
 }
--- a/pkg/stage/forward/receiver.go
+++ b/pkg/stage/forward/receiver.go
@@ -97,6 +97,7 @@
 		refuse(w, incoming, failure)
 		return
 	}
+	req.HoldBody = body.Hold
 	caller := relay.NewCaller(w, req.ID, r.opts.RelayLimits)
 	r.opts.Next.Handle(incoming.Context(), req, caller)
 	if caller.Broken() {
--- a/pkg/stage/ingress/server.go
+++ b/pkg/stage/ingress/server.go
@@ -301,7 +301,7 @@
 // completed, it aborts the connection, so that the caller does not take the
 // truncated response for a complete one.
 func (s *Server) callNextStage(c *call, req *request.Request, body []byte) {
-	req.Body = body
+	req.Body, req.HoldBody = body, c.body.Hold
 	if s.opts.Fingerprints != nil {
 		req.Fingerprint = s.opts.Fingerprints.Of(req.Service.Name, req.Method, req.URLPath, body)
 	}
--- a/pkg/stage/onceguard/guard.go
+++ b/pkg/stage/onceguard/guard.go
@@ -189,13 +189,24 @@
 	case once.ActionRun:
 		current := &attempt{done: make(chan struct{})}
 		g.attempts[decision.ID] = current
-		detached := context.WithoutCancel(ctx)
-		g.runs.Go(func() { g.execute(detached, r, decision, run, current) })
+		detached, release := context.WithoutCancel(ctx), holdBody(r)
+		g.runs.Go(func() {
+			defer release()
+			g.execute(detached, r, decision, run, current)
+		})
 		return decision, current
 	}
 	return decision, nil
 }
 
+// holdBody keeps the memory of a request's body for a run that may outlast the caller.
+func holdBody(r *request.Request) (release func()) {
+	if r.HoldBody == nil {
+		return func() {}
+	}
+	return r.HoldBody()
+}
+
 // execute runs the request and records its outcome in the ledger. A panic is
 // recorded as MayHaveRun.
 func (g *Guard) execute(ctx context.Context, r *request.Request, decision once.Decision, run Run, current *attempt) {
--- a/pkg/stage/onceguard/guard_test.go
+++ b/pkg/stage/onceguard/guard_test.go
@@ -99,6 +99,28 @@
 		Expect(resend.Replayed).To(BeTrue())
 	})
 
+	// Guards against a process that exceeds its memory by callers that leave: the run goes on.
+	It("holds the memory of the body until the run has ended, also after its caller has disconnected", func() {
+		var held atomic.Int32
+		req.HoldBody = func() func() {
+			held.Add(1)
+			return func() { held.Add(-1) }
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		release := make(chan struct{})
+		guard.Do(ctx, req, view, func(context.Context, types.Revision) once.Outcome {
+			cancel()
+			<-release
+			return ranOutcome("order 17")
+		})
+		Expect(held.Load()).To(BeEquivalentTo(1))
+		close(release)
+		guard.Wait()
+		Expect(held.Load()).To(BeZero())
+		guard.Do(context.Background(), req, view, nil)
+		Expect(held.Load()).To(BeZero(), "a replay runs nothing")
+	})
+
 	It("records a panic as may-have-run and does not run again", func() {
 		run := func(context.Context, types.Revision) once.Outcome { panic("boom") }
 		first := guard.Do(context.Background(), req, view, run)
