limits.memory: the own interface keeps its heap to the memory of its machine

Cause: nothing told the process how much memory it has, so what buffers left behind lay until the heap had doubled. On the users' platform the garbage collector keeps to 0.6 of memoryMb.

Change: the setting limits.memory, none by default, with the same share; one function serves both programs.

--- a/pkg/daemon/provision.go
+++ b/pkg/daemon/provision.go
@@ -28,6 +28,7 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
+	graceful.LimitHeap(d.opts.Settings.Limits.Memory)
 	d.recorder = newRecorder(d)
 	d.bodies = bodies.NewPool(bodies.Options{Bytes: d.opts.Settings.Limits.BodyMemory})
 	d.recorder.metrics.Registerer().MustRegister(bodies.NewCollector(d.bodies, "flamingomount"))
--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -8,7 +8,6 @@
 	"io"
 	stdlog "log"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -161,10 +160,6 @@
 	leavingSince atomic.Pointer[time.Time]
 }
 
-// memoryShare is the fraction of the memory limit that is set as the soft limit of
-// the Go runtime, near which the garbage collector runs more often.
-const memoryShare = 0.6
-
 // watchShare is the fraction of the time limit for changes that one watch call to
 // the store may take: within the rest, another daemon has to detect a silent
 // reader and read the store.
@@ -183,9 +178,7 @@
 // listeners are closed.
 func New(opts Options) (*Entry, error) {
 	s := opts.Settings
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
-	}
+	graceful.LimitHeap(s.MemoryBytes)
 	lines := newLineWriter()
 	e := &Entry{opts: opts, lines: lines, log: newLog(lines), registry: prometheus.NewRegistry()}
 	e.guard = guard.New(e.log, e.registry)
--- a/pkg/graceful/limit.go
+++ b/pkg/graceful/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime/debug"
 
 	"golang.org/x/sys/unix"
 )
@@ -20,6 +21,17 @@
 	OtherShare = 0.02
 )
 
+// heapShare is the share of the process's memory near which the garbage collector runs more often.
+const heapShare = 0.6
+
+// LimitHeap makes the garbage collector keep to a share of the memory that the process may take,
+// in bytes; zero means that it is not limited.
+func LimitHeap(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(float64(memory) * heapShare))
+	}
+}
+
 // reservedFiles is the number of descriptors that are kept for files.
 const reservedFiles = 200
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -101,12 +101,13 @@
 
 // Limits bounds the load and the memory use of the daemon.
 type Limits struct {
+	Memory       int64 `yaml:"memory" validate:"omitempty,min=33554432" accepts:"at least 33554432 bytes, or 0 if it is not limited" effect:"the memory that the process may take: near 0.6 of it the garbage collector runs more often"`
 	Requests     int64 `yaml:"requests" validate:"min=1,max=1000000" accepts:"1 to 1000000 requests at once" effect:"requests of callers at once; more are refused as not run"`
 	Connections  int   `yaml:"connections" validate:"min=1,max=1000000" accepts:"1 to 1000000 connections at once" effect:"connections of callers at once, also bounded by 0.55 of the descriptors; beyond that the longest without a request is closed"`
 	HeaderBytes  int   `yaml:"header_bytes" validate:"min=1024,max=1048576" accepts:"1024 to 1048576 bytes" effect:"the size of a request head; larger ones are refused"`
 	HeadMemory   int64 `yaml:"head_memory" validate:"min=1048576" accepts:"at least 1048576 bytes" effect:"the memory of all request heads together; beyond that the connection with the largest incomplete one is closed"`
 	BodyBytes    int64 `yaml:"body_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes" effect:"the size of a request body; larger ones are refused"`
-	BodyMemory   int64 `yaml:"body_memory" validate:"min=1048576" accepts:"at least 1048576 bytes" effect:"the memory of all request bodies together; more are refused as not run"`
+	BodyMemory   int64 `yaml:"body_memory" validate:"min=1048576" accepts:"at least 1048576 bytes" effect:"the memory of the bodies of all listeners together; beyond it those that have been received for over 250 ms yield, and more are refused as not run; those over 64 KiB take 0.75 of it"`
 	AnswerBytes  int64 `yaml:"answer_bytes" validate:"min=1024,max=1073741824" accepts:"1024 to 1073741824 bytes" effect:"the size up to which an answer is held whole before it is passed on"`
 	EventBytes   int   `yaml:"event_bytes" validate:"min=1024,max=16777216" accepts:"1024 to 16777216 bytes" effect:"the size of one event of a stream; larger ones break it off"`
 	PeerRequests int64 `yaml:"peer_requests" validate:"min=1,max=1000000" accepts:"1 to 1000000 requests at once" effect:"requests forwarded by other daemons at once; more are refused as not run"`
