Heads over TLS count by their lines

Cause: the account of heads saw the bytes below TLS, whose line ends can't be told.

Change: the server completes the handshake itself, above its own connection, and counts what it then reads in plain. net/http no longer knows that the connection speaks TLS; nothing here asks it. The handshake has the time of a head, as before, and a caller that speaks plain HTTP still gets the 400 that net/http sent.

--- a/pkg/graceful/conn.go
+++ b/pkg/graceful/conn.go
@@ -77,7 +77,7 @@
 	if beginsHead {
 		c.server.waiters.addHead(c)
 	}
-	if ofHead {
+	if ofHead && c.server.opts.TLS == nil {
 		c.server.growHead(c, read)
 	}
 	return n, err
@@ -93,6 +93,20 @@
 	return c.handshake.limit(b)
 }
 
+// endHandshake records that the TLS handshake is complete.
+func (c *conn) endHandshake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handshake = nil
+}
+
+// readsHead reports whether what is read now is part of the head of a request.
+func (c *conn) readsHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaiting || c.phase == fresh
+}
+
 // readArrived reads without blocking and despite the read deadline. If there is
 // nothing to read, it returns the given error.
 func (c *conn) readArrived(b []byte, nothing error) (int, error) {
@@ -151,14 +165,10 @@
 }
 
 // SetReadDeadline implements net.Conn. A connection that is about to end keeps its
-// deadline while it waits for a request. The HTTP server removes the deadline of the
-// handshake when that is complete.
+// deadline while it waits for a request.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t.IsZero() {
-		c.handshake = nil
-	}
 	if c.foundRequest() {
 		c.begun, c.ending = true, false
 	}
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -196,17 +196,11 @@
 func (s *Server) httpListener() net.Listener {
 	listener := trackingListener{Listener: s.listener, server: s}
 	if s.opts.TLS != nil {
-		return tls.NewListener(listener, s.opts.TLS)
+		return securedListener{Listener: listener, config: s.opts.TLS, timeout: s.opts.HTTP.ReadHeaderTimeout}
 	}
 	return listener
 }
 
-// knowsHandshakes reports whether the HTTP server tells when a TLS handshake is complete:
-// it removes the deadline that it set for it.
-func (s *Server) knowsHandshakes() bool {
-	return s.opts.TLS != nil && s.opts.HTTP.ReadHeaderTimeout > 0
-}
-
 // Leave makes every response that begins from now on ask the caller to close its
 // connection. Requests that follow on it nevertheless are served.
 func (s *Server) Leave() {
@@ -423,7 +417,7 @@
 		return nil, net.ErrClosed
 	}
 	c := &conn{Conn: accepted, server: l.server}
-	if l.server.knowsHandshakes() {
+	if l.server.opts.TLS != nil {
 		c.handshake = &handshake{}
 	}
 	l.server.track(c)
@@ -481,8 +475,8 @@
 // trackedConn returns the connection below a connection of the HTTP server; nil if
 // it is not one of a Server.
 func trackedConn(accepted net.Conn) *conn {
-	if secured, ok := accepted.(*tls.Conn); ok {
-		accepted = secured.NetConn()
+	if secured, ok := accepted.(*securedConn); ok {
+		return secured.below
 	}
 	c, _ := accepted.(*conn)
 	return c
--- a/pkg/graceful/tls_test.go
+++ b/pkg/graceful/tls_test.go
@@ -12,6 +12,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -116,3 +117,48 @@
 		Expect(time.Since(began)).To(BeNumerically("<", graceful.DefaultShutdownTimes().Fresh+slack))
 	})
 })
+
+// Guards against heads of small lines, which take some ten times their bytes in memory: below TLS
+// their lines can't be seen.
+var _ = Describe("the heads of requests over TLS", func() {
+	const lines = 1000
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("X:\r\n", lines)
+
+	It("are counted by their lines, and the connection of the largest one is closed", func() {
+		heads := graceful.NewHeads(lines * 100)
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), TLS: selfSigned(), Heads: heads})
+		c := secure(f.dial(), tls.VersionTLS13)
+		c.send(head)
+		Expect(c.isClosed()).To(BeTrue())
+	})
+
+	It("are served within the limit, again and again", func() {
+		heads := graceful.NewHeads(lines * 200)
+		f := serveOptions(graceful.Options{Listener: listen(), HTTP: patientServer(), TLS: selfSigned(), Heads: heads})
+		c := secure(f.dial(), tls.VersionTLS13)
+		for range 3 {
+			c.send(head + "\r\n")
+			status, _ := c.status()
+			Expect(status).To(Equal(http.StatusOK))
+		}
+	})
+})
+
+var _ = Describe("a server of TLS", func() {
+	It("tells a caller that speaks plain HTTP so", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), TLS: selfSigned()})
+		c := f.dial()
+		c.send(get("/"))
+		// The connection may be reset after that: what the caller has sent is not read.
+		line, err := c.reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(ContainSubstring("400 Bad Request"))
+	})
+
+	It("ends a connection whose handshake does not come in the time for a head", func() {
+		f := serveOptions(graceful.Options{Listener: listen(), TLS: selfSigned()})
+		c := f.dial()
+		c.send("\x16\x03\x01\x40\x00")
+		Expect(c.isClosed()).To(BeTrue())
+	})
+})
