Connections that are dialled count among the sockets of the process

Cause: the listeners' bounds hold, 178 of 200 sockets; the connections to endpoints, daemons and for quotas had none, and 22 were left for them.

Change: graceful.Sockets counts accepted and dialled connections of the users' platform together, 24 below the process's sockets. A sixteenth is kept for dialled ones. A dial that finds none left lets connections that wait for a request yield, and waits for one until the attempt's own time is over.

--- a/pkg/gateway/entry/entry.go
+++ b/pkg/gateway/entry/entry.go
@@ -154,6 +154,8 @@
 	yielded *prometheus.CounterVec
 	// bodies is the memory of the request bodies of all listeners.
 	bodies *bodies.Pool
+	// sockets bounds the connections that are accepted and dialled.
+	sockets *graceful.Sockets
 	// handling is the number of requests that handlers serve.
 	handling atomic.Int64
 	// leavingSince is when a stop began; nil while there is none.
@@ -187,6 +189,7 @@
 	e.unanswered = newUnansweredLog(e.log, e.registry, func() (time.Duration, bool) { return e.handler.SinceStop() })
 	e.heads, e.yielded = s.newHeads(), newYieldedTotal(e.registry)
 	e.bodies = newBodies(s, e.registry)
+	e.sockets = graceful.NewSockets(s.Descriptors)
 	e.lookups = newLookupLog(e.log, e.registry)
 	watchTimeout := time.Duration(float64(s.ConfigPropagationLimit) * watchShare)
 	bounds := s.Cold
@@ -195,13 +198,13 @@
 	e.gate.SetObserver(newNoticeLog(e.log, e.registry, e.gate.LongestPause).observe)
 	e.restarts = newRestartLog(e.log)
 	e.leading = newLeadingLog(e.log, e.registry)
-	transport := proxy.NewTransport()
+	transport := proxy.NewBoundedTransport(e.sockets)
 	e.prober = health.NewProber(e.gate, opts.Dialect, transport, e.log, time.Now)
 	e.gate.OnDoubt(e.prober.Wake)
 	e.budgets = proxy.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, time.Now().Add(suspension.Total()))
 	e.fleetSize.Expected = expectedFleet(s)
 	e.partialFleet.log = e.log
-	e.quotas = newQuotas(s, e.log, e.guard, e.registry, e.bodies)
+	e.quotas = newQuotas(s, e.log, e.guard, e.registry, e.bodies, e.sockets)
 	e.control = control.New(control.Options{
 		Self: members.Member{
 			VM: s.VM, Incarnation: uint64(time.Now().UnixMilli()), State: members.Starting,
@@ -209,7 +212,7 @@
 		},
 		Seeds:        s.Seeds,
 		Store:        opts.Store,
-		Peers:        control.NewHTTPPeers(proxy.NewTransport()),
+		Peers:        control.NewHTTPPeers(proxy.NewBoundedTransport(e.sockets)),
 		Bodies:       e.bodies,
 		WatchTimeout: watchTimeout,
 
--- a/pkg/gateway/entry/quotas.go
+++ b/pkg/gateway/entry/quotas.go
@@ -15,16 +15,17 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/proxy"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota"
 	"github.com/flamingomount/flamingomount/pkg/gateway/quota/exchange"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 	"github.com/flamingomount/flamingomount/pkg/sharedrand"
 	"github.com/flamingomount/flamingomount/pkg/suspension"
 )
 
 // newQuotas returns the quotas of organisations, which limit nothing until a configuration
 // has some.
-func newQuotas(settings Settings, log logrus.FieldLogger, panics *guard.Guard, registry prometheus.Registerer, memory *bodies.Pool) *exchange.Exchange {
+func newQuotas(settings Settings, log logrus.FieldLogger, panics *guard.Guard, registry prometheus.Registerer, memory *bodies.Pool, sockets *graceful.Sockets) *exchange.Exchange {
 	return exchange.New(exchange.Options{
 		Bounds:  settings.Quota,
-		Asker:   exchange.NewHTTPAsker(proxy.NewTransport()),
+		Asker:   exchange.NewHTTPAsker(proxy.NewBoundedTransport(sockets)),
 		Bodies:  memory,
 		Metrics: exchange.NewMetrics(registry),
 		Guard:   panics,
--- a/pkg/gateway/entry/server.go
+++ b/pkg/gateway/entry/server.go
@@ -57,6 +57,7 @@
 		Unanswered: e.unanswered.on(name),
 
 		MaxConnections: e.opts.Settings.maxConnections(name, connectionShare),
+		Sockets:        e.sockets,
 		Heads:          e.heads,
 		Yielded:        e.yielded.WithLabelValues(name).Inc,
 	})})
--- a/pkg/gateway/proxy/transport.go
+++ b/pkg/gateway/proxy/transport.go
@@ -13,6 +13,7 @@
 	"github.com/flamingomount/flamingomount/pkg/gateway/balance"
 	"github.com/flamingomount/flamingomount/pkg/gateway/continuity"
 	"github.com/flamingomount/flamingomount/pkg/gateway/health"
+	"github.com/flamingomount/flamingomount/pkg/graceful"
 )
 
 // Limits of connections to endpoints and other daemons.
@@ -35,8 +36,14 @@
 // NewTransport returns a transport for attempts at endpoints and other daemons.
 // It uses no proxy and requests no compression.
 func NewTransport() *http.Transport {
+	return NewBoundedTransport(nil)
+}
+
+// NewBoundedTransport is NewTransport for connections that count among the sockets of the
+// process; nil sets no limit.
+func NewBoundedTransport(sockets *graceful.Sockets) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialCounting(NewDialer(), continuity.NewTracker(continuity.NewClock())),
+		DialContext:            dialCounting(sockets, NewDialer(), continuity.NewTracker(continuity.NewClock())),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
@@ -54,6 +61,8 @@
 	// tracked tells whether the connection leads to a process that is known; nil if
 	// that is not followed.
 	tracked *continuity.Conn
+	// release gives the socket back; nil if it is not counted.
+	release func()
 }
 
 var _ health.Confirmer = (*countingConn)(nil)
@@ -66,6 +75,14 @@
 	return c.tracked.Asking()
 }
 
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	if c.release != nil {
+		defer c.release()
+	}
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn.
 func (c *countingConn) Write(data []byte) (int, error) {
 	c.written.Add(int64(len(data)))
@@ -82,14 +99,19 @@
 
 // dialCounting returns a function that dials counting connections whose processes
 // the tracker follows.
-func dialCounting(dialer *net.Dialer, tracker *continuity.Tracker) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialCounting(sockets *graceful.Sockets, dialer *net.Dialer, tracker *continuity.Tracker) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		release, err := sockets.Reserve(ctx)
+		if err != nil {
+			return nil, err
+		}
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
+			release()
 			return nil, err
 		}
 		tracked := tracker.Conn(conn, address)
-		return &countingConn{Conn: tracked, tracked: tracked}, nil
+		return &countingConn{Conn: tracked, tracked: tracked, release: release}, nil
 	}
 }
 
--- a/pkg/graceful/server.go
+++ b/pkg/graceful/server.go
@@ -73,6 +73,9 @@
 	// limit. Beyond it the connection that has waited longest for a request is closed; while
 	// all of them have one, the next connection waits.
 	MaxConnections int
+	// Sockets bounds the connections of the process, together with those that it dials; nil
+	// means no limit.
+	Sockets *Sockets
 	// Heads bounds the memory of request heads, together with that of the other servers with
 	// the same value; nil means no limit.
 	Heads *Heads
@@ -166,6 +169,7 @@
 	if s.heads == nil {
 		s.heads = NewHeads(0)
 	}
+	opts.Sockets.add(s)
 	if opts.MaxConnections > 0 {
 		s.slots = make(chan struct{}, opts.MaxConnections)
 	}
@@ -368,6 +372,7 @@
 	}
 	delete(s.conns, c)
 	s.releaseSlot()
+	s.opts.Sockets.release()
 	if s.complete && len(s.conns) == 0 {
 		close(s.drained)
 	}
@@ -412,7 +417,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !l.server.takeSlot() {
+	if !l.server.takePlace() {
 		_ = accepted.Close() // as all others are
 		return nil, net.ErrClosed
 	}
@@ -424,6 +429,24 @@
 	return c, nil
 }
 
+// takePlace takes a slot and a socket for a connection. It returns false if the server was closed
+// meanwhile.
+func (s *Server) takePlace() bool {
+	if !s.takeSlot() {
+		return false
+	}
+	for !s.opts.Sockets.takeAccepted() {
+		wait := s.yieldLongest()
+		select {
+		case <-s.closed:
+			s.releaseSlot()
+			return false
+		case <-time.After(min(wait, dialPause)):
+		}
+	}
+	return true
+}
+
 // takeSlot takes a slot for a connection. It returns false if the server was closed meanwhile.
 func (s *Server) takeSlot() bool {
 	if s.slots == nil {
