--- a/pkg/reserve/reserve.go
+++ b/pkg/reserve/reserve.go
@@ -1,5 +1,5 @@
-// Package reserve limits a resource that requests hold while they are in flight, such
-// as the memory of their bodies.
+// Package reserve limits a resource that requests hold while they are in flight, such as
+// places. The memory of their bodies has a pool of its own, package bodies.
 package reserve
 
 import (
