An endpoint's status alone never tells callers that a request was not run

Cause: the proxy asked what the endpoint states only to decide on a retry; any status that came without the statement was passed on with the endpoint's signature. Readers of a response decided for themselves from its status.

Ruled out: a retry by the gateway itself (each order has two caller attempts), and the own interface, which judges by the published guarantee.

Change: outcomeOf (pkg/gateway/proxy/outcome.go) alone decides whether a request was run; whole, large, streamed and kept responses, retries and ejection ask it, directly and over a hop. A status that promises what the endpoint does not state becomes a failure of the gateway's own (502, unsigned), after further attempts where the kind allows them. Large responses with a 5xx status count against their endpoint.

--- a/pkg/gateway/proxy/answer.go
+++ b/pkg/gateway/proxy/answer.go
@@ -32,11 +32,14 @@
 	if info.ID != "" && info.ID != r.req.ID {
 		return r.rejectResponse(w, errOtherRequest)
 	}
-	if info.Misdirected {
-		return failureWithCause(types.NotRun, types.CodeDraining, "another endpoint has the address", nil), balance.Misdirected
-	}
-	if info.NotRun {
-		return r.endpointRefusal(), balance.Refused
+	outcome := outcomeOf(response.StatusCode, info)
+	switch outcome {
+	case outcomeMisdirected:
+		return failureWithCause(types.NotRun, types.CodeDraining, "another endpoint has the address", nil), outcome.result()
+	case outcomeRefused:
+		return r.endpointRefusal(), outcome.result()
+	case outcomeUnstatedRefusal:
+		return r.replaceRefusal(response)
 	}
 	if isSuccess(response.StatusCode) {
 		if err := checkSuccess(response, info); err != nil {
@@ -46,7 +49,7 @@
 	if r.req.Route.Kind == catalog.Streaming && isSuccess(response.StatusCode) {
 		return r.relayStream(response, w)
 	}
-	return r.relayBuffered(response, w)
+	return r.relayBuffered(response, w, outcome)
 }
 
 // refusedRetryAfter is the Retry-After advice when an endpoint had no capacity.
@@ -68,6 +71,14 @@
 	return nil
 }
 
+// discardBody reads the body of a response that is not used, so that its connection can be
+// reused. A body of more than maxDiscardedBytes costs its connection. It returns the error of a
+// body that broke off.
+func discardBody(response *http.Response) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes))
+	return err
+}
+
 // rejectResponse discards a response and closes its connection.
 func (r *run) rejectResponse(w *attemptConn, err error) (*types.Failure, balance.Result) {
 	w.closeConn()
@@ -92,10 +103,10 @@
 
 // relayBuffered reads a response to its end before it sends any of it. A
 // response of at least maxBufferedBytes is relayed as it arrives.
-func (r *run) relayBuffered(response *http.Response, w *attemptConn) (*types.Failure, balance.Result) {
+func (r *run) relayBuffered(response *http.Response, w *attemptConn, outcome responseOutcome) (*types.Failure, balance.Result) {
 	body, err := relay.ReadUpTo(response, maxBufferedBytes)
 	if err == nil {
-		return r.relayLarge(response, body)
+		return r.relayLarge(response, body, outcome)
 	}
 	if !errors.Is(err, io.EOF) {
 		return r.handleBrokenResponse(err)
@@ -105,18 +116,22 @@
 	}
 	r.verdict = r.verdict.Merge(types.Ran)
 	buffered := &bufferedResponse{response: response, body: body}
-	if response.StatusCode >= http.StatusInternalServerError && r.mayRetry() {
-		r.fallback, r.status = buffered, response.StatusCode
+	r.status = response.StatusCode
+	if outcome == outcomeFailed && r.mayRetry() {
+		r.fallback = buffered
 		r.verdict = types.MayHaveRun
-		return failureWithCause(types.MayHaveRun, types.CodeEndpointFailed, "the endpoint failed the request", nil), balance.ServerError
+		return failureWithCause(types.MayHaveRun, types.CodeEndpointFailed, "the endpoint failed the request", nil), outcome.result()
 	}
-	r.status = response.StatusCode
 	buffered.send(r.out)
-	if response.StatusCode >= http.StatusInternalServerError {
-		return nil, balance.ServerError
+	return nil, r.completed(outcome)
+}
+
+// completed reports a response that was received whole, and returns the result of its attempt.
+func (r *run) completed(outcome responseOutcome) balance.Result {
+	if outcome == outcomeCompleted {
+		r.reportGotOn()
 	}
-	r.reportGotOn()
-	return nil, balance.Succeeded
+	return outcome.result()
 }
 
 // mayRetry reports whether the route and the attempt limit permit another
@@ -126,7 +141,7 @@
 }
 
 // relayLarge relays a response that is too large to be buffered.
-func (r *run) relayLarge(response *http.Response, buffered []byte) (*types.Failure, balance.Result) {
+func (r *run) relayLarge(response *http.Response, buffered []byte, outcome responseOutcome) (*types.Failure, balance.Result) {
 	r.status = response.StatusCode
 	r.out.writeHeader(response, response.ContentLength)
 	if !r.out.write(buffered) {
@@ -140,8 +155,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			r.verdict = types.Ran
-			r.reportGotOn()
-			return nil, balance.Succeeded
+			return nil, r.completed(outcome)
 		}
 		if err != nil {
 			return r.handleBrokenResponse(err)
--- a/pkg/gateway/proxy/forward.go
+++ b/pkg/gateway/proxy/forward.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -223,8 +222,7 @@
 	if wait, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
 		failure.RetryAfter = wait
 	}
-	// Reading the body, which is not used, lets the connection be reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseHeaderBytes))
+	_ = discardBody(response)
 	return failure
 }
 
--- a/pkg/gateway/proxy/harness_test.go
+++ b/pkg/gateway/proxy/harness_test.go
@@ -502,3 +502,9 @@
 	}
 	return w.snap
 }
+
+// close ends the proxy's servers, for specs that start many.
+func (w *testProxy) close() {
+	w.callerServer.CloseClientConnections()
+	w.peerServer.CloseClientConnections()
+}
--- a/pkg/gateway/proxy/transport.go
+++ b/pkg/gateway/proxy/transport.go
@@ -30,6 +30,7 @@
 	idleConnTimeout        = 20 * time.Second
 	maxIdlePerHost         = 64
 	maxResponseHeaderBytes = 64 << 10
+	maxDiscardedBytes      = 64 << 10
 	bufferBytes            = 4 << 10
 )
 
