Configurations pass narrow links: compressed, sent once, read by large links

Cause: 4,252 routes are 0.97 MB of JSON, 0.8 s of an idle link of 10 Mbit/s, and a message had 0.9 s. Each daemon that was behind asked every daemon that was ahead, after each of its messages, and got the configuration with each heartbeat; what ran out of time had passed the link for nothing. Readers of regions were chosen without regard to their links.

What unpacks is bounded, its memory reserved before. Earlier releases ask and get the configuration as it was.

--- a/pkg/bodies/decode.go
+++ b/pkg/bodies/decode.go
@@ -21,8 +21,19 @@
 // JSON document, until the body is released. It returns ErrNoMemory if that is not there: a
 // document of many small elements takes far more than its bytes.
 func (b *Body) ReserveDecoded() error {
-	if len(b.data) == 0 {
+	return b.ReserveDecodedFrom(b.data)
+}
+
+// ReserveDecodedFrom is ReserveDecoded for a document that was computed from the body.
+func (b *Body) ReserveDecodedFrom(document []byte) error {
+	return b.Reserve(decodedBytes(document))
+}
+
+// Reserve reserves memory for what is computed from the body, in bytes, until the body is
+// released. It returns ErrNoMemory if that is not there.
+func (b *Body) Reserve(n int64) error {
+	if n == 0 || b.pool == nil {
 		return nil
 	}
-	return b.pool.reserve(b, decodedBytes(b.data))
+	return b.pool.reserve(b, n)
 }
--- a/pkg/gateway/catalog/catalog.go
+++ b/pkg/gateway/catalog/catalog.go
@@ -150,6 +150,8 @@
 	byCredential map[CredentialDigest]*Organisation
 	urgencies    []urgency
 	mixed        map[types.ServiceName]bool
+	// packed is the configuration as it is sent to other daemons; nil if that is not known.
+	packed *packedConfig
 }
 
 // valid reports whether the configuration contains no nil route, service or
@@ -199,7 +201,10 @@
 	// gone before the store came back from a copy that shows it.
 	Held time.Duration `json:"held,omitempty"`
 
-	Config    *Config          `json:"config,omitempty"`
+	Config *Config `json:"config,omitempty"`
+	// PackedConfig stands for Config in a packed delta; see Delta.Pack.
+	PackedConfig []byte `json:"packed_config,omitempty"`
+
 	Endpoint  *Endpoint        `json:"endpoint,omitempty"`
 	Evacuated types.DataCentre `json:"evacuated,omitempty"`
 }
--- a/pkg/gateway/catalog/match.go
+++ b/pkg/gateway/catalog/match.go
@@ -17,6 +17,9 @@
 	c.indexCredentials()
 	c.indexUrgencies()
 	c.indexObjectives()
+	if c.packed == nil {
+		c.packed = &packedConfig{}
+	}
 	c.byHost = make(map[string][]*Route)
 	for _, route := range c.Routes {
 		route.sentPrefix = sentPrefix(route.Prefix)
--- a/pkg/gateway/control/confirmation.go
+++ b/pkg/gateway/control/confirmation.go
@@ -46,7 +46,7 @@
 		return
 	}
 	if vm, found := c.table.ConfirmationSource(age == 0 || age > askAnyAfter, now, c.opts.Rand); found {
-		c.send(vm, c.statusMessage(now))
+		c.request(vm, now)
 	}
 }
 
--- a/pkg/gateway/control/control.go
+++ b/pkg/gateway/control/control.go
@@ -29,6 +29,8 @@
 	heartbeatInterval = 500 * time.Millisecond
 	// joinInterval is the same while the daemon joins the others.
 	joinInterval = 200 * time.Millisecond
+	// pushTime is how long a daemon waits for a new configuration before it requests it.
+	pushTime = time.Second
 	// eventBuffer bounds the events queued for the control goroutine.
 	eventBuffer = 256
 )
@@ -85,6 +87,9 @@
 	snapshotHolder snapshotHolder
 	// sendSlots limits the concurrent outgoing messages.
 	sendSlots chan struct{}
+	// configSlots does so for those that hold a configuration, which take longer than others,
+	// and requestSlots for requests for missing changes.
+	configSlots, requestSlots chan struct{}
 
 	// The fields below are used only by the control goroutine.
 	state   *catalog.State
@@ -102,7 +107,11 @@
 	ownReads   uint64
 	lastReader types.VMID
 	reading    bool
-	dirty      bool
+	// awaited is a version of the configuration, newer than this daemon's, that another one
+	// told at awaitedSince.
+	awaited      uint64
+	awaitedSince time.Time
+	dirty        bool
 	// viewOutdated is true when the view changes without a change of the state,
 	// because a data centre gets no more requests from now on.
 	viewOutdated bool
@@ -113,6 +122,8 @@
 // New returns a Control with an empty snapshot.
 func New(opts Options) *Control {
 	const maxSends = 64
+	// maxRequests is more than one, so that a peer that does not answer holds nothing up.
+	const maxRequests = 2
 	if opts.Sound == nil {
 		opts.Sound = func(crashes.Trait) bool { return false }
 	}
@@ -126,14 +137,16 @@
 		opts.WatchTimeout = DefaultWatchTimeout
 	}
 	c := &Control{
-		opts:       opts,
-		events:     make(chan func(time.Time), eventBuffer),
-		sendSlots:  make(chan struct{}, maxSends),
-		state:      catalog.NewState(),
-		table:      members.New(opts.Self, opts.Seeds),
-		crashes:    crashes.NewLog(),
-		broadcasts: rate.NewLimiter(rate.Every(broadcastInterval), maxBroadcasts),
-		storeReads: make(map[types.VMID]storeRead),
+		opts:         opts,
+		events:       make(chan func(time.Time), eventBuffer),
+		sendSlots:    make(chan struct{}, maxSends),
+		configSlots:  make(chan struct{}, maxSends),
+		requestSlots: make(chan struct{}, maxRequests),
+		state:        catalog.NewState(),
+		table:        members.New(opts.Self, opts.Seeds),
+		crashes:      crashes.NewLog(),
+		broadcasts:   rate.NewLimiter(rate.Every(broadcastInterval), maxBroadcasts),
+		storeReads:   make(map[types.VMID]storeRead),
 		// Numbers of reads go on growing after a restart.
 		ownReads: uint64(max(opts.Now().UnixMilli(), 0)),
 	}
--- a/pkg/gateway/control/exchange.go
+++ b/pkg/gateway/control/exchange.go
@@ -44,17 +44,49 @@
 
 // send sends a message in the background; the reply is handled as an event.
 func (c *Control) send(to types.VMID, message *Message) {
+	slots := c.sendSlots
+	if message.Delta != nil && message.Delta.HoldsConfig() {
+		slots = c.configSlots
+	}
+	if !c.sendIn(slots, to, message) {
+		c.opts.Log.WithField("to", to).Warn("peer message dropped: too many messages in flight")
+	}
+}
+
+// sendIn sends a message in the background if one of the slots is free, and reports whether it
+// does.
+func (c *Control) sendIn(slots chan struct{}, to types.VMID, message *Message) bool {
 	select {
-	case c.sendSlots <- struct{}{}:
+	case slots <- struct{}{}:
 	default:
-		c.opts.Log.WithField("to", to).Warn("peer message dropped: too many messages in flight")
-		return
+		return false
 	}
 	c.work.Go(func() {
-		defer func() { <-c.sendSlots }()
+		defer func() { <-slots }()
 		// The guard logs a panic; the next heartbeat retries.
 		_ = c.opts.Guard.Do("message", func() { c.exchange(to, message) })
 	})
+	return true
+}
+
+// awaitsPush reports whether a newer configuration has been in force elsewhere for so short a
+// time that it is probably on its way: to request it too would send it over the links twice.
+func (c *Control) awaitsPush(version uint64, now time.Time) bool {
+	own := c.state.ConfigVersion()
+	if own == 0 || version <= own {
+		return false
+	}
+	if c.awaited <= own {
+		c.awaited, c.awaitedSince = version, now
+	}
+	return now.Sub(c.awaitedSince) < pushTime
+}
+
+// request asks another daemon for the changes that this one lacks. It does nothing while
+// enough requests are under way: the same changes would pass this daemon's link many times.
+// The next message of a daemon that is ahead makes it ask again.
+func (c *Control) request(from types.VMID, now time.Time) {
+	c.sendIn(c.requestSlots, from, c.statusMessage(now))
 }
 
 // exchange sends a message and passes the reply to the control goroutine.
@@ -120,7 +152,9 @@
 	return reply
 }
 
-// missing returns what the sender of a message lacks; nil if that is nothing.
+// missing returns what the sender of a message lacks; nil if that is nothing. A
+// configuration is sent on request only: it may be too large to be sent by every daemon that
+// has it.
 func (c *Control) missing(message *Message, now time.Time) *catalog.Delta {
 	applied, sender := c.state.Applied(), message.applied()
 	if message.Era == nil {
@@ -136,6 +170,10 @@
 		delta = c.state.Since(sender, now)
 	}
 	if message.Era != nil && message.ConfigVersion < c.state.ConfigVersion() {
+		if behind && !message.requestsChanges() {
+			// The sender sees in the reply that it is behind, and requests what it lacks.
+			return nil
+		}
 		return withConfig(delta, c.state.ConfigRecord())
 	}
 	if !behind {
@@ -157,7 +195,7 @@
 // no later position: the store may have lost it.
 func (c *Control) askConfig(message *Message, now time.Time) {
 	if message.ConfigVersion > c.state.ConfigVersion() && !c.state.Applied().Before(message.applied()) {
-		c.send(message.From, c.statusMessage(now))
+		c.request(message.From, now)
 	}
 }
 
@@ -176,7 +214,9 @@
 	}
 	sender, applied := message.applied(), c.state.Applied()
 	if applied.Before(sender) {
-		c.send(message.From, c.statusMessage(now))
+		if !c.awaitsPush(message.ConfigVersion, now) {
+			c.request(message.From, now)
+		}
 		return
 	}
 	if sender.Era < applied.Era {
@@ -245,22 +285,16 @@
 	}
 }
 
-// distribute sends changes just read from the store to the daemons of the local
-// data centre and to one daemon of each other data centre of the region, which
-// relays them. Other regions have their own readers.
+// distribute sends changes just read from the store to one daemon of each other data centre
+// of the region, which relays them, and to the daemons of the local data centre. Other regions
+// have their own readers.
 func (c *Control) distribute(delta catalog.Delta, now time.Time) {
-	self := c.table.Self()
-	c.sendToDataCentre(delta, self.VM, now)
-	notified := map[types.DataCentre]bool{self.DataCentre: true}
-	for _, member := range c.table.Live(now) {
-		if member.Region != self.Region || notified[member.DataCentre] || member.State == members.Leaving {
-			continue
-		}
-		notified[member.DataCentre] = true
+	for _, relay := range c.table.Relays(now) {
 		message := c.statusMessage(now)
 		message.Delta, message.Relay = &delta, true
-		c.send(member.VM, message)
+		c.send(relay, message)
 	}
+	c.sendToDataCentre(delta, c.table.Self().VM, now)
 }
 
 // sendToDataCentre sends changes that origin read from the store to the daemons of
--- a/pkg/gateway/control/fleet_test.go
+++ b/pkg/gateway/control/fleet_test.go
@@ -62,16 +62,21 @@
 
 // newDaemon adds a daemon to the fleet. It does not run yet.
 func (f *fleet) newDaemon(store control.Store, log logrus.FieldLogger, vm types.VMID, seeds ...types.VMID) *control.Control {
-	daemon := control.New(control.Options{
+	daemon := control.New(f.options(store, log, vm, seeds...))
+	f.daemons = append(f.daemons, daemon)
+	f.peers.daemons[vm] = daemon
+	return daemon
+}
+
+// options returns the options of a daemon of the fleet.
+func (f *fleet) options(store control.Store, log logrus.FieldLogger, vm types.VMID, seeds ...types.VMID) control.Options {
+	return control.Options{
 		Self:  members.Member{VM: vm, Incarnation: 1, State: members.Starting, Region: "north", DataCentre: "north-a", CallerAddress: string(vm)},
 		Seeds: seeds, Store: store, Peers: f.peers,
 		OnSnapshot: func(*control.Snapshot) {}, Loads: f.loads, EvacuationLimit: evacuationLimit, RevocationLimit: f.revocationLimit,
 		Demand: func() demand.Counts { return demand.Counts{"r": 7} },
 		Log:    log, Guard: guard.New(log, prometheus.NewRegistry()), Now: time.Now, Rand: rand.New(rand.NewPCG(uint64(len(f.daemons)), 1)),
-	})
-	f.daemons = append(f.daemons, daemon)
-	f.peers.daemons[vm] = daemon
-	return daemon
+	}
 }
 
 // panicOnce is a log hook that panics at the first line with a message.
--- a/pkg/gateway/control/message.go
+++ b/pkg/gateway/control/message.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/flamingomount/flamingomount/pkg/gateway/catalog"
@@ -33,6 +34,11 @@
 	StoreReadNumber uint64 `json:"news_number,omitempty"`
 	// Delta holds changes that the receiver may lack.
 	Delta *catalog.Delta `json:"delta,omitempty"`
+	// PackedDelta stands for Delta between daemons if that holds a configuration. Releases
+	// that don't know it find no delta, and request one.
+	PackedDelta *catalog.Delta `json:"packed_delta,omitempty"`
+	// Unpacks is true if the sender reads PackedDelta.
+	Unpacks bool `json:"unpacks,omitempty"`
 	// Relay asks the receiver to send Delta and Evidence to the daemons of its data
 	// centre.
 	Relay bool `json:"pass_on,omitempty"`
@@ -49,6 +55,35 @@
 	Evacuations []catalog.EvacuationAge `json:"evacuations,omitempty"`
 }
 
+// encode returns the message as it is sent. A configuration is packed if the receiver reads
+// that.
+func (m *Message) encode(receiverUnpacks bool) ([]byte, error) {
+	sent := *m
+	sent.Unpacks = true
+	if receiverUnpacks && m.Delta != nil {
+		packed, found, err := m.Delta.Pack()
+		if err != nil {
+			return nil, err
+		}
+		if found {
+			sent.Delta, sent.PackedDelta = nil, packed
+		}
+	}
+	return json.Marshal(&sent)
+}
+
+// unpack restores the delta of a message that was received, within a memory.
+func (m *Message) unpack(memory catalog.Memory) error {
+	if m.PackedDelta == nil {
+		return nil
+	}
+	if err := m.PackedDelta.Unpack(memory); err != nil {
+		return err
+	}
+	m.Delta, m.PackedDelta = m.PackedDelta, nil
+	return nil
+}
+
 // applied returns the position up to which the sender has every change. Releases that
 // know no eras are behind every era that the store names.
 func (m *Message) applied() catalog.Position {
@@ -59,6 +94,12 @@
 	return position
 }
 
+// requestsChanges reports whether the sender asks for what it lacks: it does when it joins,
+// and by a message that tells neither of daemons nor of changes.
+func (m *Message) requestsChanges() bool {
+	return m.Joining || len(m.Members) == 0 && m.Delta == nil
+}
+
 // setApplied sets the position up to which the sender has every change.
 func (m *Message) setApplied(position catalog.Position) {
 	m.AppliedRevision, m.Era = position.Revision, &position.Era
--- a/pkg/gateway/members/members_test.go
+++ b/pkg/gateway/members/members_test.go
@@ -1,7 +1,9 @@
 package members_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -260,6 +262,41 @@
 			Expect(readers).To(Equal(1))
 		})
 
+		// Guards against a configuration that every daemon of a region waits for behind one
+		// narrow link.
+		It("is done by a daemon with a large link, which is also told for the others of its data centre", func() {
+			const large, small = 200, 10
+			linked := func(vm types.VMID, dc types.DataCentre, megabits int) members.Member {
+				row := member(vm, 1)
+				row.DataCentre, row.LinkMegabits = dc, megabits
+				return row
+			}
+			var rows []members.Member
+			for number := range 9 {
+				for _, dc := range []types.DataCentre{"x", "y"} {
+					megabits := small
+					if number%4 == 1 {
+						megabits = large
+					}
+					rows = append(rows, linked(types.VMID(fmt.Sprintf("%s%d:1", dc, number)), dc, megabits))
+				}
+			}
+			linkOf := func(vm types.VMID) int {
+				return rows[slices.IndexFunc(rows, func(row members.Member) bool { return row.VM == vm })].LinkMegabits
+			}
+			readers := map[types.VMID]bool{}
+			for _, self := range rows {
+				peerTable := members.New(self, nil)
+				peerTable.Merge(rows, start)
+				readers[peerTable.PrimaryReader(start)] = true
+				Expect(linkOf(peerTable.PrimaryReader(start))).To(Equal(large))
+				relays := peerTable.Relays(start)
+				Expect(relays).To(HaveLen(1))
+				Expect(linkOf(relays[0])).To(Equal(large))
+			}
+			Expect(readers).To(HaveLen(1), "all agree")
+		})
+
 		It("is taken over when the newest read is stale", func() {
 			for _, peerTable := range tables() {
 				Expect(peerTable.ShouldRead(false, stale, start)).To(BeTrue())
--- a/pkg/gateway/members/reader.go
+++ b/pkg/gateway/members/reader.go
@@ -62,13 +62,48 @@
 }
 
 // readerOrder returns this daemon and the live daemons of its region that are not
-// leaving, in the order in which they take over reading the store.
+// leaving, in the order in which they take over reading the store. Those with large links
+// come first: what is read passes the reader's link again for each daemon that is told.
 func (t *Table) readerOrder(now time.Time) []types.VMID {
-	candidates := []types.VMID{t.self.VM}
+	candidates := []Member{t.self}
 	for _, member := range t.Live(now) {
 		if member.Region == t.self.Region && member.State != Leaving {
-			candidates = append(candidates, member.VM)
+			candidates = append(candidates, member)
 		}
 	}
-	return rendezvous.Top(readerKey, candidates, len(candidates))
+	leading, others := splitByLink(candidates)
+	return append(rendezvous.Top(readerKey, leading, len(leading)), rendezvous.Top(readerKey, others, len(others))...)
+}
+
+// splitByLink returns the daemons that take the traffic, as Leading chooses them, and the others.
+func splitByLink(daemons []Member) (leading, others []types.VMID) {
+	chosen := Leading(daemons)
+	for _, member := range daemons {
+		if slices.ContainsFunc(chosen, func(other Member) bool { return other.VM == member.VM }) {
+			leading = append(leading, member.VM)
+		} else {
+			others = append(others, member.VM)
+		}
+	}
+	return leading, others
+}
+
+// Relays returns one live daemon of each other data centre of the local region, to relay what
+// this daemon has read to the others there: one with a large link if there are such.
+func (t *Table) Relays(now time.Time) []types.VMID {
+	var candidates []Member
+	for _, member := range t.Live(now) {
+		if member.Region == t.self.Region && member.DataCentre != t.self.DataCentre && member.State != Leaving {
+			candidates = append(candidates, member)
+		}
+	}
+	var relays []types.VMID
+	told := make(map[types.DataCentre]bool)
+	for _, member := range Leading(candidates) {
+		if !told[member.DataCentre] {
+			told[member.DataCentre] = true
+			relays = append(relays, member.VM)
+		}
+	}
+	return relays
 }
