A spec of sockets: which connection yields no longer depends on the processor

It expected the connection that was answered first to yield. A connection begins to wait when its server's goroutine goes on after the write of the response, which may be later than the same for a connection that is answered after it: then the other one has waited longest, and yields rightly.

The spec now holds one connection's server after its write, so that the other one alone waits, must yield, and the held one must still be served: more than it checked.

--- a/pkg/graceful/room_internal_test.go
+++ b/pkg/graceful/room_internal_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -91,3 +92,20 @@
 		Expect(heads.held).To(BeEquivalentTo(1))
 	})
 })
+
+var _ = Describe("connections that wait after a response", func() {
+	It("yield in the order in which they began to wait", func() {
+		var w waiters
+		first, second := &conn{}, &conn{}
+		w.addIdle(first)
+		w.addIdle(second)
+		_, _, left := w.takeLongest()
+		Expect(left).To(BeNumerically(">", 0), "none has waited long enough")
+		time.Sleep(yieldAfter)
+		for _, want := range []*conn{first, second} {
+			longest, begun, _ := w.takeLongest()
+			Expect(longest).To(BeIdenticalTo(want))
+			Expect(begun).To(BeFalse())
+		}
+	})
+})
--- a/pkg/graceful/sockets_test.go
+++ b/pkg/graceful/sockets_test.go
@@ -23,8 +23,11 @@
 	})
 
 	It("go from a connection that waits for a request to one that is dialled", func() {
-		first, second := f.dial(), f.dial()
-		for _, c := range []*caller{first, second} {
+		held := &heldListener{Listener: listen(), held: make(chan struct{})}
+		sockets = graceful.NewSockets(fewDescriptors)
+		f = serveOptions(graceful.Options{Listener: held, HTTP: patientServer(), Sockets: sockets})
+		served, waiting := f.dial(), f.dial()
+		for _, c := range []*caller{served, waiting} {
 			c.send(get("/"))
 			status, _ := c.status()
 			Expect(status).To(Equal(http.StatusOK))
@@ -33,12 +36,16 @@
 		defer cancel()
 		release, err := sockets.Reserve(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(first.isClosed()).To(BeTrue())
+		Expect(waiting.isClosed()).To(BeTrue())
+		close(held.held)
+		served.send(get("/"))
+		status, _ := served.status()
+		Expect(status).To(Equal(http.StatusOK))
 		release()
 		release()
 		late := f.dial()
 		late.send(get("/"))
-		status, _ := late.status()
+		status, _ = late.status()
 		Expect(status).To(Equal(http.StatusOK))
 	})
 
