A spec of shutdowns: its byte has to come before the connection is ended

A connection that waits after a response is ended 250 ms after the stop began; the spec sends its byte once new connections are refused, which it had to notice within that time. The spec now plays again if its byte left too late, 20 times at most, and checks each play's time and the last one's report as before.

--- a/pkg/graceful/graceful_test.go
+++ b/pkg/graceful/graceful_test.go
@@ -576,17 +576,28 @@
 
 	It("waits for the rest of a request whose first byte has come no longer than for any header, and reports the request", func() {
 		const headerLimit, slack = 500 * time.Millisecond, time.Second
-		f := serveOptions(graceful.Options{Listener: listen(), HTTP: &http.Server{ReadHeaderTimeout: headerLimit, IdleTimeout: time.Minute}})
-		c := f.dial()
-		c.send(get("/"))
-		Expect(c.status()).To(Equal(http.StatusOK))
-		began := time.Now()
-		wait := f.shutDown(context.Background())
-		Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
-		c.send("G")
-		Expect(wait()).To(Succeed())
-		Expect(time.Since(began)).To(BeNumerically("<", graceful.DefaultShutdownTimes().Fresh+headerLimit+slack))
-		Expect(f.seen.all()).To(Equal([]graceful.Reason{graceful.Dropped}))
+		// A byte that comes later finds its connection ended, as a busy machine may have it.
+		inTime := graceful.DefaultShutdownTimes().Idle / 2
+		play := func() (sent time.Duration, reported []graceful.Reason) {
+			f := serveOptions(graceful.Options{Listener: listen(), HTTP: &http.Server{ReadHeaderTimeout: headerLimit, IdleTimeout: time.Minute}})
+			c := f.dial()
+			c.send(get("/"))
+			Expect(c.status()).To(Equal(http.StatusOK))
+			began := time.Now()
+			wait := f.shutDown(context.Background())
+			Eventually(f.refusesConnections, eventuallyTimeout).Should(BeTrue())
+			c.send("G")
+			sent = time.Since(began)
+			Expect(wait()).To(Succeed())
+			Expect(time.Since(began)).To(BeNumerically("<", graceful.DefaultShutdownTimes().Fresh+headerLimit+slack))
+			return sent, f.seen.all()
+		}
+		const mostPlays = 20
+		sent, reported := play()
+		for plays := 1; sent > inTime && plays < mostPlays; plays++ {
+			sent, reported = play()
+		}
+		Expect(reported).To(Equal([]graceful.Reason{graceful.Dropped}))
 	})
 
 	DescribeTable("answers a request that is whole only after the time for new connections, if its first part came before", func(before string) {
