Requests that may run twice get their endpoint's own response again

Their callers lose nothing by a second run, and the users' page says that the endpoint's status, body and signature are returned unchanged. They are still tried again first, and the response counts against its endpoint.

--- a/pkg/gateway/proxy/answer.go
+++ b/pkg/gateway/proxy/answer.go
@@ -33,6 +33,10 @@
 		return r.rejectResponse(w, errOtherRequest)
 	}
 	outcome := outcomeOf(response.StatusCode, info)
+	if outcome == outcomeUnstatedRefusal && r.req.Route.Repeatable() {
+		// A request that may run again gets its endpoint's own response.
+		outcome = outcomeFailed
+	}
 	switch outcome {
 	case outcomeMisdirected:
 		return failureWithCause(types.NotRun, types.CodeDraining, "another endpoint has the address", nil), outcome.result()
